--- /dev/null
+++ b/cmd/mangohill/main.go
@@ -0,0 +1,4 @@
+// Command mangohill is the operators' command line.
+package main
+
+func main() {}
--- /dev/null
+++ b/types/target.go
@@ -0,0 +1,26 @@
+package types
+
+// TargetState is the state that a target announces.
+type TargetState string
+
+// States of a target. Silent and Withdrawn are never announced: entry hosts
+// conclude them.
+const (
+	TargetReady     TargetState = "ready"
+	TargetLeaving   TargetState = "leaving"
+	TargetSilent    TargetState = "silent"
+	TargetWithdrawn TargetState = "withdrawn"
+)
+
+// Target is an announcement of one server process of a service.
+type Target struct {
+	Name          string      `json:"target" cbor:"1,keyasint"`
+	Service       string      `json:"service" cbor:"2,keyasint"`
+	Address       string      `json:"address" cbor:"3,keyasint"`
+	FailureDomain string      `json:"failure_domain" cbor:"4,keyasint,omitempty"`
+	Incarnation   uint64      `json:"incarnation" cbor:"5,keyasint"`
+	Slots         int         `json:"slots" cbor:"6,keyasint"`
+	Connections   int         `json:"connections" cbor:"7,keyasint"`
+	State         TargetState `json:"state" cbor:"8,keyasint"`
+	InFlight      int         `json:"in_flight" cbor:"9,keyasint,omitempty"`
+}
