--- a/types/task.go
+++ b/types/task.go
@@ -86,4 +86,7 @@
 	ChangedMs   int64 `cbor:"13,keyasint,omitempty"`
 	// FailedOn lists the distinct workers on which attempts failed, newest last.
 	FailedOn []WorkerID `cbor:"14,keyasint,omitempty"`
+	// Replaces names the replica of the same service that stops once this one
+	// runs, zero for none.
+	Replaces TaskID `cbor:"15,keyasint,omitempty"`
 }
