Schedule: filter, score and reserve with queues by team and kind

The first whole path of the scheduler behind the agreed seam: state, capacity and failed-before filters, fit and spread scores, assumed starts that are dropped on rejection, queues in groups of like tasks, back-off, quotas and fair shares, and the recorded explanation.

--- /dev/null
+++ b/schedule/filter_state.go
@@ -0,0 +1,8 @@
+package schedule
+
+// stateFilter rules out workers that are draining, leaving, quarantined or lost.
+type stateFilter struct{}
+
+func (stateFilter) name() string { return "state" }
+
+func (stateFilter) allows(_ *Scheduler, _ *task, h *host) bool { return h.accepting() }
--- /dev/null
+++ b/schedule/host.go
@@ -0,0 +1,79 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+
+	"mangohill.example/mangohill/types"
+)
+
+// host is the scheduler's record of a worker.
+type host struct {
+	worker    types.Worker
+	committed types.Resources // sum of the requests of tasks
+	reserved  types.Resources // promised to tasks that wait for room
+	tasks     []*task         // bound tasks, sorted by ID
+}
+
+// accepting reports whether new tasks may start on the host.
+func (h *host) accepting() bool {
+	return h.worker.State == types.WorkerReady && !h.worker.DrainRequested
+}
+
+// free returns what is neither committed nor reserved.
+func (h *host) free() types.Resources {
+	return h.worker.Capacity.Sub(h.committed).Sub(h.reserved)
+}
+
+func compareHosts(a, b *host) int { return cmp.Compare(a.worker.ID, b.worker.ID) }
+
+func compareTasks(a, b *task) int { return cmp.Compare(a.ID, b.ID) }
+
+func (s *Scheduler) insertHost(h *host) {
+	i, _ := slices.BinarySearchFunc(s.hosts, h, compareHosts)
+	s.hosts = slices.Insert(s.hosts, i, h)
+	s.hostByID[h.worker.ID] = h
+}
+
+func (s *Scheduler) deleteHost(h *host) {
+	i, found := slices.BinarySearchFunc(s.hosts, h, compareHosts)
+	if found {
+		s.hosts = slices.Delete(s.hosts, i, i+1)
+	}
+}
+
+// bind commits the request of t on h. A nil host is one that the scheduler does
+// not know; nothing is committed there.
+func (s *Scheduler) bind(t *task, h *host) {
+	t.team.used = t.team.used.Add(t.Job.Request)
+	t.bound = true
+	if h == nil {
+		return
+	}
+	t.host = h
+	h.committed = h.committed.Add(t.Job.Request)
+	i, _ := slices.BinarySearchFunc(h.tasks, t, compareTasks)
+	h.tasks = slices.Insert(h.tasks, i, t)
+	t.job.place(h.worker, 1)
+}
+
+// unbind releases the commitment of t.
+func (s *Scheduler) unbind(t *task) {
+	if !t.bound {
+		return
+	}
+	t.bound = false
+	t.team.used = t.team.used.Sub(t.Job.Request)
+	s.queue.unblock()
+	h := t.host
+	if h == nil {
+		return
+	}
+	t.host = nil
+	h.committed = h.committed.Sub(t.Job.Request)
+	i, found := slices.BinarySearchFunc(h.tasks, t, compareTasks)
+	if found {
+		h.tasks = slices.Delete(h.tasks, i, i+1)
+	}
+	t.job.place(h.worker, -1)
+}
--- /dev/null
+++ b/schedule/job.go
@@ -0,0 +1,52 @@
+package schedule
+
+import "mangohill.example/mangohill/types"
+
+// job is the scheduler's record of a job that has tasks.
+type job struct {
+	name  string
+	class string
+	tasks int // tasks known of the job
+	// Placed tasks by failure domain, rack and worker; kept for services only.
+	domains map[string]int
+	racks   map[string]int
+	workers map[types.WorkerID]int
+}
+
+func (s *Scheduler) jobOf(spec *types.JobSpec) *job {
+	j := s.jobs[spec.Name]
+	if j != nil {
+		return j
+	}
+	j = &job{name: spec.Name, class: class(spec)}
+	if spec.Kind == types.KindService {
+		j.domains = map[string]int{}
+		j.racks = map[string]int{}
+		j.workers = map[types.WorkerID]int{}
+	}
+	s.jobs[spec.Name] = j
+	return j
+}
+
+func (s *Scheduler) leaveJob(t *task) {
+	t.job.tasks--
+	if t.job.tasks == 0 {
+		delete(s.jobs, t.job.name)
+	}
+}
+
+// place adds n to the counts of placed tasks on w.
+func (j *job) place(w types.Worker, n int) {
+	if j.domains == nil {
+		return
+	}
+	j.domains[w.FailureDomain] += n
+	j.racks[w.Rack] += n
+	j.workers[w.ID] += n
+	if j.workers[w.ID] == 0 {
+		delete(j.workers, w.ID)
+	}
+	if j.racks[w.Rack] == 0 {
+		delete(j.racks, w.Rack)
+	}
+}
--- /dev/null
+++ b/schedule/place.go
@@ -0,0 +1,107 @@
+package schedule
+
+import (
+	"mangohill.example/mangohill/types"
+)
+
+// placement is the working memory of one decision.
+type placement struct {
+	weights [maxScorers]float64
+}
+
+// placePending starts pending tasks in the order of the queue until none fits or
+// the bounds of one plan are reached.
+func (s *Scheduler) placePending() {
+	starts := 0
+	for range s.options.MaxTrials {
+		if starts == s.options.MaxStarts {
+			return
+		}
+		t := s.queue.next(s.total)
+		if t == nil {
+			return
+		}
+		if s.place(t) {
+			starts++
+		}
+	}
+}
+
+// place starts t on the best host. Where there is none it records the reason,
+// blocks the group of t until room may have come up, and returns false.
+func (s *Scheduler) place(t *task) bool {
+	t.decision.reset(s.now)
+	if !t.team.allows(t.Job.Request) {
+		t.decision.outcome = waitsForQuota
+		t.group.blocked = s.queue.generation
+		return false
+	}
+	best := s.search(t)
+	if best == nil {
+		t.decision.outcome = waitsForHost
+		t.group.blocked = s.queue.generation
+		return false
+	}
+	s.start(t, best)
+	return true
+}
+
+// search returns the host with the highest score among those that pass the
+// filters, nil if there is none.
+func (s *Scheduler) search(t *task) *host {
+	var best *host
+	var bestScore float64
+	found := 0
+	n := len(s.hosts)
+	for i := range n {
+		h := s.hosts[(s.cursor+i)%n]
+		if !s.passes(t, h) {
+			continue
+		}
+		found++
+		score := s.rate(t, h)
+		if best == nil || score > bestScore {
+			best, bestScore = h, score
+		}
+		if found == enoughHosts && t.Job.Kind == types.KindBatch {
+			break
+		}
+	}
+	if n > 0 {
+		s.cursor = (s.cursor + 1 + s.random.IntN(n)) % n
+	}
+	return best
+}
+
+func (s *Scheduler) passes(t *task, h *host) bool {
+	for i, f := range s.filters {
+		if !f.allows(s, t, h) {
+			t.decision.ruleOut(i, h.worker.ID)
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Scheduler) rate(t *task, h *host) float64 {
+	var parts [maxScorers]float64
+	total := 0.0
+	for i, sc := range s.scorers {
+		parts[i] = s.scratch.weights[i] * sc.score(s, t, h)
+		total += parts[i]
+	}
+	t.decision.keep(h.worker.ID, total, parts)
+	return total
+}
+
+// start reserves the host and emits the action.
+func (s *Scheduler) start(t *task, h *host) {
+	s.queue.remove(t)
+	t.assumedEpoch = t.Epoch + 1
+	t.assumedAt = s.now
+	s.assumed = append(s.assumed, t)
+	s.bind(t, h)
+	t.decision.outcome = placed
+	t.decision.worker = h.worker.ID
+	s.emit(Start{Task: t.ID, Worker: h.worker.ID, Epoch: t.assumedEpoch, Reason: "best score of the hosts that passed the filters"})
+}
--- /dev/null
+++ b/schedule/scheduler.go
@@ -0,0 +1,207 @@
+package schedule
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"mangohill.example/mangohill/types"
+)
+
+// Scheduler holds the view of the cluster that decisions are taken on. It is not
+// safe for concurrent use.
+type Scheduler struct {
+	options Options
+	config  types.Config
+	random  *rand.Rand
+	now     time.Time
+
+	hosts    []*host // sorted by ID
+	hostByID map[types.WorkerID]*host
+	tasks    map[types.TaskID]*task
+	jobs     map[string]*job
+	teams    map[string]*team
+	total    types.Resources // capacity of the hosts that accept tasks
+	queue    *queue
+	assumed  []*task // tasks with an unconfirmed start, oldest first
+	cursor   int     // host at which the next search begins
+
+	filters []filter
+	scorers []scorer
+	scratch placement
+	actions []Action
+}
+
+// New returns a Scheduler without workers or tasks.
+func New(options Options) *Scheduler {
+	s := &Scheduler{
+		options:  options.withDefaults(),
+		random:   rand.New(rand.NewPCG(options.Seed, 0)),
+		hostByID: map[types.WorkerID]*host{},
+		tasks:    map[types.TaskID]*task{},
+		jobs:     map[string]*job{},
+		teams:    map[string]*team{},
+		queue:    newQueue(),
+	}
+	s.filters = defaultFilters()
+	s.scorers = defaultScorers()
+	s.weigh()
+	return s
+}
+
+// SetConfig puts a cluster configuration in force.
+func (s *Scheduler) SetConfig(config types.Config) {
+	s.config = config
+	for _, t := range s.teams {
+		t.setQuota(config.Teams[t.name])
+	}
+	s.weigh()
+	s.queue.unblock()
+}
+
+// UpsertWorker adds a worker or takes over its new state.
+func (s *Scheduler) UpsertWorker(w types.Worker) {
+	h := s.hostByID[w.ID]
+	if h == nil {
+		h = &host{worker: w}
+		s.insertHost(h)
+	} else if h.accepting() {
+		s.total = s.total.Sub(h.worker.Capacity)
+	}
+	h.worker = w
+	if h.accepting() {
+		s.total = s.total.Add(w.Capacity)
+		s.queue.unblock()
+	}
+}
+
+// RemoveWorker forgets a worker. Its tasks lose their host until their next
+// update.
+func (s *Scheduler) RemoveWorker(id types.WorkerID) {
+	h := s.hostByID[id]
+	if h == nil {
+		return
+	}
+	if h.accepting() {
+		s.total = s.total.Sub(h.worker.Capacity)
+	}
+	for len(h.tasks) > 0 {
+		s.unbind(h.tasks[0])
+	}
+	delete(s.hostByID, id)
+	s.deleteHost(h)
+}
+
+// UpsertTask adds a task or takes over its new state from the replicated state.
+func (s *Scheduler) UpsertTask(update types.Task) {
+	if update.Job == nil {
+		return
+	}
+	t := s.tasks[update.ID]
+	if t == nil {
+		t = s.newTask(update)
+	}
+	if t.assumedEpoch > update.Epoch && update.State.Pending() {
+		return // The update precedes the assumed start.
+	}
+	s.adopt(t, update)
+}
+
+// RemoveTask forgets a task.
+func (s *Scheduler) RemoveTask(id types.TaskID) {
+	t := s.tasks[id]
+	if t == nil {
+		return
+	}
+	s.queue.remove(t)
+	s.unbind(t)
+	t.assumedEpoch = 0
+	s.leaveJob(t)
+	delete(s.tasks, id)
+}
+
+// ObserveUsage takes in a usage report that was received at now.
+func (s *Scheduler) ObserveUsage(now time.Time, usage types.Usage) {}
+
+// Rejected undoes what was assumed of an action that the state refused.
+func (s *Scheduler) Rejected(action Action, err error) {
+	start, ok := action.(Start)
+	if !ok {
+		return
+	}
+	t := s.tasks[start.Task]
+	if t == nil || t.assumedEpoch != start.Epoch {
+		return
+	}
+	s.dropAssumption(t)
+}
+
+// Plan decides what to do at now. The caller applies the actions in their order.
+func (s *Scheduler) Plan(now time.Time) []Action {
+	s.now = now
+	s.actions = s.actions[:0]
+	s.expireAssumptions()
+	s.queue.release(now)
+	s.placePending()
+	return append([]Action(nil), s.actions...)
+}
+
+func (s *Scheduler) emit(a Action) { s.actions = append(s.actions, a) }
+
+// adopt replaces the record of t by the confirmed update.
+func (s *Scheduler) adopt(t *task, update types.Task) {
+	s.queue.remove(t)
+	s.unbind(t)
+	t.assumedEpoch = 0
+	t.Task = update
+	switch {
+	case update.State.Placed():
+		s.bind(t, s.hostByID[update.Worker])
+	case update.State.Pending():
+		s.enqueue(t)
+	}
+}
+
+func (s *Scheduler) enqueue(t *task) {
+	t.order = queueOrder(t)
+	if t.Failures > 0 {
+		t.notBefore = unixMs(t.ChangedMs).Add(backoff(t.Failures))
+	}
+	s.queue.add(t)
+}
+
+func (s *Scheduler) dropAssumption(t *task) {
+	t.assumedEpoch = 0
+	s.unbind(t)
+	if t.State.Pending() {
+		s.enqueue(t)
+	}
+}
+
+func (s *Scheduler) expireAssumptions() {
+	limit := s.now.Add(-s.options.AssumeFor)
+	kept := s.assumed[:0]
+	for _, t := range s.assumed {
+		switch {
+		case t.assumedEpoch == 0:
+		case t.assumedAt.Before(limit):
+			s.dropAssumption(t)
+		default:
+			kept = append(kept, t)
+		}
+	}
+	clear(s.assumed[len(kept):])
+	s.assumed = kept
+}
+
+func backoff(failures int) time.Duration {
+	pause := failureBackoff
+	for range failures - 1 {
+		pause *= 2
+		if pause >= maxFailureBackoff {
+			return maxFailureBackoff
+		}
+	}
+	return pause
+}
+
+func unixMs(ms int64) time.Time { return time.UnixMilli(ms) }
