Schedule: place by learned interference and real use, with trials of unknown pairs

Usage reports feed the interference model and the learned use by class; a headroom and an interference filter and a score use them.

--- a/schedule/filter.go
+++ b/schedule/filter.go
@@ -13,5 +13,10 @@
 // defaultFilters returns the filters in the order in which they are asked: the
 // cheap ones first.
 func defaultFilters() []filter {
+	return []filter{stateFilter{}, capacityFilter{}, healthFilter{}, headroomFilter{}, interferenceFilter{}}
+}
+
+// firstFitFilters returns the filters of the baseline.
+func firstFitFilters() []filter {
 	return []filter{stateFilter{}, capacityFilter{}, healthFilter{}}
 }
--- /dev/null
+++ b/schedule/filter_interference.go
@@ -0,0 +1,33 @@
+package schedule
+
+import "mangohill.example/mangohill/types"
+
+// interferenceFilter rules out hosts on which the task would slow a service down
+// beyond the limit, and for a service those on which it would be slow itself.
+type interferenceFilter struct{}
+
+func (interferenceFilter) name() string { return "interference" }
+
+func (interferenceFilter) allows(s *Scheduler, t *task, h *host) bool {
+	s.refresh(h)
+	if t.Job.Kind == types.KindService {
+		own := exposure{task: t, load: t.expectedLoad()}
+		s.exposeNewcomer(h, &own)
+		if own.upper() > logSlowdownLimit {
+			return false
+		}
+	}
+	return s.spares(t, h) || s.mayTry(t, h)
+}
+
+// spares reports whether no service on h is expected to exceed the limit with t.
+func (s *Scheduler) spares(t *task, h *host) bool {
+	share := t.shareOf(h)
+	for i := range h.exposures {
+		sum := s.added(h, &h.exposures[i], t.job.index, share)
+		if sum.upper() > logSlowdownLimit {
+			return false
+		}
+	}
+	return true
+}
--- a/schedule/host.go
+++ b/schedule/host.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"mangohill.example/mangohill/interference"
 	"mangohill.example/mangohill/types"
 )
 
@@ -13,6 +14,15 @@
 	committed types.Resources // sum of the requests of tasks
 	reserved  types.Resources // promised to tasks that wait for room
 	tasks     []*task         // bound tasks, sorted by ID
+	history   interference.History
+
+	trials int // bound tasks that are trials
+
+	// What follows is recomputed from the tasks while dirty is set.
+	dirty     bool
+	expected  float64 // thousandths of processors, services at their peak
+	shares    interference.Shares
+	exposures []exposure
 }
 
 // accepting reports whether new tasks may start on the host.
@@ -48,9 +58,11 @@
 	t.team.used = t.team.used.Add(t.Job.Request)
 	t.bound = true
 	if h == nil {
+		s.orphans++
 		return
 	}
 	t.host = h
+	h.dirty = true
 	h.committed = h.committed.Add(t.Job.Request)
 	i, _ := slices.BinarySearchFunc(h.tasks, t, compareTasks)
 	h.tasks = slices.Insert(h.tasks, i, t)
@@ -67,9 +79,12 @@
 	s.queue.unblock()
 	h := t.host
 	if h == nil {
+		s.orphans--
 		return
 	}
 	t.host = nil
+	s.endTrial(t, h)
+	h.dirty = true
 	h.committed = h.committed.Sub(t.Job.Request)
 	i, found := slices.BinarySearchFunc(h.tasks, t, compareTasks)
 	if found {
--- a/schedule/job.go
+++ b/schedule/job.go
@@ -1,12 +1,19 @@
 package schedule
 
-import "mangohill.example/mangohill/types"
+import (
+	"mangohill.example/mangohill/interference"
+	"mangohill.example/mangohill/types"
+)
 
 // job is the scheduler's record of a job that has tasks.
 type job struct {
-	name  string
-	class string
-	tasks int // tasks known of the job
+	name    string
+	class   string
+	index   interference.Class    // the class as a neighbour
+	victim  interference.VictimID // services only
+	learned *learned
+	load    float64 // load of the service's replicas, smoothed
+	tasks   int     // tasks known of the job
 	// Placed tasks by failure domain, rack and worker; kept for services only.
 	domains map[string]int
 	racks   map[string]int
@@ -19,7 +26,10 @@
 		return j
 	}
 	j = &job{name: spec.Name, class: class(spec)}
+	j.index = s.options.Model.Class(j.class)
+	j.learned = s.learnedOf(j.class)
 	if spec.Kind == types.KindService {
+		j.victim = s.options.Model.Acquire(spec.Name)
 		j.domains = map[string]int{}
 		j.racks = map[string]int{}
 		j.workers = map[types.WorkerID]int{}
@@ -31,6 +41,9 @@
 func (s *Scheduler) leaveJob(t *task) {
 	t.job.tasks--
 	if t.job.tasks == 0 {
+		if t.job.domains != nil {
+			s.options.Model.Release(t.job.victim)
+		}
 		delete(s.jobs, t.job.name)
 	}
 }
--- a/schedule/options.go
+++ b/schedule/options.go
@@ -1,6 +1,21 @@
 package schedule
 
-import "time"
+import (
+	"time"
+
+	"mangohill.example/mangohill/interference"
+)
+
+// Model predicts the interference between the neighbours on a host. It is
+// interference.Model, but for experiments.
+type Model interface {
+	Class(name string) interference.Class
+	Acquire(victim string) interference.VictimID
+	Release(interference.VictimID)
+	Observe(taken time.Time, id interference.VictimID, load float64, shares *interference.Shares, logLatency float64)
+	Baseline(id interference.VictimID, load float64) (mean, variance float64)
+	Excess(id interference.VictimID, c interference.Class, load, share float64) (mean, variance float64)
+}
 
 // Options sets up a Scheduler. Zero fields take the defaults.
 type Options struct {
@@ -12,6 +27,11 @@
 	MaxTrials int
 	// AssumeFor is how long an action counts as applied without confirmation.
 	AssumeFor time.Duration
+	// Model predicts interference; the default is a new interference.Model.
+	Model Model
+	// FirstFit takes the first host with room and gives services no relief. It is
+	// the baseline of experiments.
+	FirstFit bool
 }
 
 const (
@@ -39,5 +59,8 @@
 	if o.AssumeFor == 0 {
 		o.AssumeFor = defaultAssumeFor
 	}
+	if o.Model == nil {
+		o.Model = interference.NewModel()
+	}
 	return o
 }
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -53,12 +53,16 @@
 	var bestScore float64
 	found := 0
 	n := len(s.hosts)
+	first := s.firstHost(n)
 	for i := range n {
-		h := s.hosts[(s.cursor+i)%n]
+		h := s.hosts[(first+i)%n]
 		if !s.passes(t, h) {
 			continue
 		}
 		found++
+		if s.options.FirstFit && t.Job.Kind == types.KindBatch {
+			return h
+		}
 		score := s.rate(t, h)
 		if best == nil || score > bestScore {
 			best, bestScore = h, score
@@ -67,12 +71,18 @@
 			break
 		}
 	}
-	if n > 0 {
-		s.cursor = (s.cursor + 1 + s.random.IntN(n)) % n
-	}
 	return best
 }
 
+// firstHost returns where the search begins: anywhere, so that a bounded search
+// of batch tasks reaches all hosts alike.
+func (s *Scheduler) firstHost(n int) int {
+	if n == 0 || s.options.FirstFit {
+		return 0
+	}
+	return s.random.IntN(n)
+}
+
 func (s *Scheduler) passes(t *task, h *host) bool {
 	for i, f := range s.filters {
 		if !f.allows(s, t, h) {
@@ -100,6 +110,7 @@
 	t.assumedEpoch = t.Epoch + 1
 	t.assumedAt = s.now
 	s.assumed = append(s.assumed, t)
+	s.beginTrial(t, h)
 	s.bind(t, h)
 	t.decision.outcome = placed
 	t.decision.worker = h.worker.ID
--- a/schedule/queue.go
+++ b/schedule/queue.go
@@ -101,13 +101,6 @@
 	q.bands[g.shape.band] = list[:len(list)-1]
 }
 
-// delay puts t, which is queued, into back-off until then.
-func (q *queue) delay(t *task, until time.Time) {
-	q.remove(t)
-	t.notBefore = until
-	q.add(t)
-}
-
 // release moves the tasks whose back-off is over into their groups.
 func (q *queue) release(now time.Time) {
 	for len(q.delayed.taskHeap) > 0 && !q.delayed.taskHeap[0].notBefore.After(now) {
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"mangohill.example/mangohill/interference"
 	"mangohill.example/mangohill/types"
 )
 
@@ -22,8 +23,13 @@
 	teams    map[string]*team
 	total    types.Resources // capacity of the hosts that accept tasks
 	queue    *queue
+	orphans  int     // bound tasks whose worker is unknown
 	assumed  []*task // tasks with an unconfirmed start, oldest first
-	cursor   int     // host at which the next search begins
+
+	learned      map[string]*learned
+	learnedRest  *learned // shared by the classes beyond the bound
+	observations []observation
+	trials       [interference.MaxClasses]int // running trials by class
 
 	filters []filter
 	scorers []scorer
@@ -41,8 +47,14 @@
 		jobs:     map[string]*job{},
 		teams:    map[string]*team{},
 		queue:    newQueue(),
+		learned:  map[string]*learned{},
+
+		learnedRest: &learned{expectedUse: 1},
 	}
 	s.filters = defaultFilters()
+	if s.options.FirstFit {
+		s.filters = firstFitFilters()
+	}
 	s.scorers = defaultScorers()
 	s.weigh()
 	return s
@@ -64,6 +76,7 @@
 	if h == nil {
 		h = &host{worker: w}
 		s.insertHost(h)
+		s.adoptOrphans(h)
 	} else if h.accepting() {
 		s.total = s.total.Sub(h.worker.Capacity)
 	}
@@ -119,9 +132,6 @@
 	delete(s.tasks, id)
 }
 
-// ObserveUsage takes in a usage report that was received at now.
-func (s *Scheduler) ObserveUsage(now time.Time, usage types.Usage) {}
-
 // Rejected undoes what was assumed of an action that the state refused.
 func (s *Scheduler) Rejected(action Action, err error) {
 	start, ok := action.(Start)
@@ -140,6 +150,7 @@
 	s.now = now
 	s.actions = s.actions[:0]
 	s.expireAssumptions()
+	s.learnLatencies()
 	s.queue.release(now)
 	s.placePending()
 	return append([]Action(nil), s.actions...)
@@ -147,20 +158,6 @@
 
 func (s *Scheduler) emit(a Action) { s.actions = append(s.actions, a) }
 
-// adopt replaces the record of t by the confirmed update.
-func (s *Scheduler) adopt(t *task, update types.Task) {
-	s.queue.remove(t)
-	s.unbind(t)
-	t.assumedEpoch = 0
-	t.Task = update
-	switch {
-	case update.State.Placed():
-		s.bind(t, s.hostByID[update.Worker])
-	case update.State.Pending():
-		s.enqueue(t)
-	}
-}
-
 func (s *Scheduler) enqueue(t *task) {
 	t.order = queueOrder(t)
 	if t.Failures > 0 {
--- a/schedule/score.go
+++ b/schedule/score.go
@@ -13,7 +13,7 @@
 const maxScorers = 4
 
 func defaultScorers() []scorer {
-	return []scorer{&spreadScorer{}, &fitScorer{}}
+	return []scorer{&spreadScorer{}, &interferenceScorer{}, &fitScorer{}}
 }
 
 // weigh takes over the weights of the scores from the configuration.
--- a/schedule/task.go
+++ b/schedule/task.go
@@ -14,6 +14,7 @@
 
 	host         *host // nil while not placed, or placed on an unknown worker
 	bound        bool  // the request is committed
+	trial        bool  // runs to learn about its class
 	assumedEpoch uint64
 	assumedAt    time.Time
 
@@ -23,6 +24,17 @@
 	index     int // position in the heap of its group, or in the delayed heap
 	delayed   bool
 
+	// Measurements of the current attempt.
+	used         float64 // thousandths of processors
+	fullUse      float64 // the same while not throttled
+	usedAt       time.Time
+	load         float64 // services: used against requested processors
+	loadPeak     float64
+	progress     int64
+	throttledAt  time.Time
+	runningSince time.Time
+	ranBefore    time.Duration // run time of earlier attempts that was kept
+
 	decision decision
 }
 
