Schedule: relieve services by throttling, then moving, then killing

Confirmed reports of a service that is slow against its learned baseline lead to one step on its host: throttle the task with the most predicted blame; where all are at the floor, checkpoint the one that loses least for the relief it gives, within an eviction budget by the weights; kill only when a checkpoint does not end. Throttles are lifted one at a time after a hold that doubles.

--- a/schedule/adopt.go
+++ b/schedule/adopt.go
@@ -15,6 +15,7 @@
 		s.unbind(t)
 	}
 	t.assumedEpoch = 0
+	t.settleAwait()
 	before := t.Task
 	t.Task = update
 	switch {
@@ -62,6 +63,9 @@
 	t.usedAt = time.Time{}
 	t.throttledAt = time.Time{}
 	t.used, t.fullUse, t.load, t.loadPeak = 0, 0, 0, 0
+	t.suffers = sufferer{}
+	t.throttles = 0
+	t.reliefAt = time.Time{}
 }
 
 // adoptOrphans binds the tasks of a worker that became known after them.
--- a/schedule/host.go
+++ b/schedule/host.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"mangohill.example/mangohill/interference"
 	"mangohill.example/mangohill/types"
@@ -18,6 +19,10 @@
 
 	trials int // bound tasks that are trials
 
+	relieve    bool      // a report came since the last plan
+	relievedAt time.Time // last step of relief
+	evictedAt  time.Time // last relief eviction
+
 	// What follows is recomputed from the tasks while dirty is set.
 	dirty     bool
 	expected  float64 // thousandths of processors, services at their peak
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -29,6 +29,8 @@
 	learned      map[string]*learned
 	learnedRest  *learned // shared by the classes beyond the bound
 	observations []observation
+	relieving    []*host
+	budget       budget
 	trials       [interference.MaxClasses]int // running trials by class
 
 	filters []filter
@@ -134,15 +136,31 @@
 
 // Rejected undoes what was assumed of an action that the state refused.
 func (s *Scheduler) Rejected(action Action, err error) {
-	start, ok := action.(Start)
-	if !ok {
-		return
+	switch a := action.(type) {
+	case Start:
+		s.rejectedStart(a)
+	case Checkpoint:
+		s.rejected(a.Task)
+	case Throttle:
+		s.rejected(a.Task)
+	case Unthrottle:
+		s.rejected(a.Task)
+	case Stop:
+		s.rejected(a.Task)
 	}
-	t := s.tasks[start.Task]
-	if t == nil || t.assumedEpoch != start.Epoch {
-		return
+}
+
+func (s *Scheduler) rejectedStart(a Start) {
+	t := s.tasks[a.Task]
+	if t != nil && t.assumedEpoch == a.Epoch {
+		s.dropAssumption(t)
+	}
+}
+
+func (s *Scheduler) rejected(id types.TaskID) {
+	if t := s.tasks[id]; t != nil {
+		t.settleAwait()
 	}
-	s.dropAssumption(t)
 }
 
 // Plan decides what to do at now. The caller applies the actions in their order.
@@ -150,7 +168,9 @@
 	s.now = now
 	s.actions = s.actions[:0]
 	s.expireAssumptions()
+	s.budget.resize(len(s.hosts), s.config.Weights)
 	s.learnLatencies()
+	s.relief()
 	s.queue.release(now)
 	s.placePending()
 	return append([]Action(nil), s.actions...)
--- a/schedule/task.go
+++ b/schedule/task.go
@@ -33,6 +33,12 @@
 	progress     int64
 	throttledAt  time.Time
 	runningSince time.Time
+	suffers      sufferer
+	throttles    int       // of the current attempt
+	reliefAt     time.Time // when relief evicted the attempt
+	awaitUntil   time.Time // an action is under way until then
+	avoidHost    types.WorkerID
+	avoidUntil   time.Time
 	ranBefore    time.Duration // run time of earlier attempts that was kept
 
 	decision decision
--- a/schedule/usage.go
+++ b/schedule/usage.go
@@ -54,6 +54,7 @@
 	h.dirty = true
 	h.history.SetShare(uint64(t.ID), t.used/float64(h.worker.Capacity.MilliProcessors))
 	if t.State == types.TaskThrottled || t.throttledSince(taken) {
+		s.considerRelief(h) // It may be the host's only report.
 		return
 	}
 	t.fullUse = t.used
@@ -84,6 +85,7 @@
 	for i := range s.observations {
 		o := &s.observations[i]
 		if o.task.host != nil && o.task.Epoch == o.epoch {
+			s.feel(o)
 			s.learnLatency(o)
 		}
 	}
