Schedule: smooth measured slowdowns before relief, and blame by part

A service at the admission limit (1.14) with 8% noise in its reports passed 1.2 in two reports by chance, so most throttles were noise. Relief now takes the moving average of at least three reports since the last step on the host, against 1.25; a severe report still needs no second. The blame threshold is a part of the worst task's blame. A bold baseline without learning is added beside the cautious one.

--- a/cmd/mangohill-bench/schedule.go
+++ b/cmd/mangohill-bench/schedule.go
@@ -22,7 +22,7 @@
 // scheduleOptions are the options of the sub-command schedule.
 type scheduleOptions struct {
 	Users    []string      `long:"user" description:"fleet to measure: association or consortium" default:"association" default:"consortium"`
-	Policies []string      `long:"policy" description:"policy to measure: first-fit, no-learning, learned or oracle" default:"first-fit" default:"no-learning" default:"learned" default:"oracle"`
+	Policies []string      `long:"policy" description:"policy to measure: first-fit, no-learning, cautious, learned or oracle" default:"first-fit" default:"no-learning" default:"cautious" default:"learned" default:"oracle"`
 	Seeds    int           `long:"seeds" description:"number of seeds, from 1" default:"3"`
 	Faults   string        `long:"faults" description:"comma-separated disturbances: shift, waves, wrong, workers, jobs, cancel, rack, urgent, or all" default:"all"`
 	Duration time.Duration `long:"duration" description:"virtual time of a run" default:"4h"`
@@ -111,10 +111,12 @@
 	case "first-fit":
 		options.FirstFit = true
 	case "no-learning":
-		options.Model = fleet.NewOracle(spec, true)
+		options.Model = fleet.NewBlind(spec, fleet.BlindBold)
+	case "cautious":
+		options.Model = fleet.NewBlind(spec, fleet.BlindCautious)
 	case "learned":
 	case "oracle":
-		options.Model = fleet.NewOracle(spec, false)
+		options.Model = fleet.NewOracle(spec)
 	default:
 		return nil, kind.Errorf(kind.BadRequest, "policy %q is unknown", policy)
 	}
--- a/internal/fleet/truth.go
+++ b/internal/fleet/truth.go
@@ -37,15 +37,26 @@
 // aloneFactor is the latency alone at a load, against that at half load.
 func aloneFactor(load float64) float64 { return 0.85 + 0.3*load*load/0.5 }
 
-// Oracle answers as the scheduler's model does, from the truth. With Blind it
-// knows the services alone, but takes all classes for equal.
+// Oracle answers as the scheduler's model does, from the truth. A blind one knows
+// the services alone, but takes all classes for equal.
 type Oracle struct {
 	spec  *Spec
-	Blind bool
+	blind float64
 }
 
-// NewOracle returns the oracle of the spec.
-func NewOracle(spec *Spec, blind bool) *Oracle { return &Oracle{spec, blind} }
+// Blind models: what they expect of a class that uses a whole host, at full load.
+const (
+	// BlindBold never refuses a host for interference, and blames by share.
+	BlindBold = 0.12
+	// BlindCautious expects the average of the true effects.
+	BlindCautious = 0.8
+)
+
+// NewOracle returns a model that knows the truth.
+func NewOracle(spec *Spec) *Oracle { return &Oracle{spec: spec} }
+
+// NewBlind returns a model without knowledge of classes.
+func NewBlind(spec *Spec, expected float64) *Oracle { return &Oracle{spec, expected} }
 
 // Class returns the index of a batch class.
 func (o *Oracle) Class(name string) interference.Class {
@@ -76,19 +87,13 @@
 	return math.Log(float64(s.P99.Microseconds()) * aloneFactor(load)), 0
 }
 
-// blindSensitivity and blindPressure are the averages that a blind model assumes.
-var (
-	blindSensitivity = pressure{0.3, 0.2, 0.25, 0.35}
-	blindPressure    = pressure{0.25, 0.25, 0.25, 0.25}
-)
-
 // Excess returns the true logarithm of the slowdown by a class.
 func (o *Oracle) Excess(v interference.VictimID, c interference.Class, load, share float64) (mean, variance float64) {
 	if v == interference.OtherVictim || c == interference.OtherClass {
 		return 0, 0
 	}
-	if o.Blind {
-		return excess(blindSensitivity, blindPressure, load, share), 0
+	if o.blind > 0 {
+		return o.blind * loadFactor(load) * share, 0
 	}
 	return excess(o.spec.Services[v-1].Sensitivity, o.spec.Batch[c-1].Pressure, load, share), 0
 }
--- a/schedule/ease.go
+++ b/schedule/ease.go
@@ -28,10 +28,10 @@
 // taken after the last step.
 func (h *host) calm() bool {
 	for _, t := range h.tasks {
-		if t.Job.Kind != types.KindService || t.suffers.taken.IsZero() {
+		if t.Job.Kind != types.KindService || t.usedAt.IsZero() {
 			continue
 		}
-		if t.suffers.calm < confirmations || t.suffers.taken.Before(h.relievedAt.Add(settle)) {
+		if !t.suffers.calm() {
 			return false
 		}
 	}
@@ -79,6 +79,6 @@
 
 func (s *Scheduler) unthrottle(h *host, t *task) {
 	t.await(s)
-	h.relievedAt = s.now
+	s.stepped(h)
 	s.emit(Unthrottle{Task: t.ID, Epoch: t.Epoch, Reason: "the services on " + h.worker.Name + " are calm"})
 }
--- a/schedule/relief.go
+++ b/schedule/relief.go
@@ -11,12 +11,14 @@
 const (
 	// sufferLimit and calmLimit are the measured slowdowns of a service at which
 	// relief begins and may be taken back. The gap between them is the hysteresis.
-	sufferLimit = 1.22
+	sufferLimit = 1.25
 	calmLimit   = 1.12
 	// severeLimit is the slowdown that needs no second report.
 	severeLimit = 1.6
-	// confirmations is the number of reports in a row that begin relief.
-	confirmations = 2
+	// confirmations is the number of reports that a decision on relief needs, and
+	// smoothing the weight of the newest one.
+	confirmations = 3
+	smoothing     = 0.4
 	// maxBaselineVariance is the variance of a baseline from which a service's
 	// slowdown counts as measured.
 	maxBaselineVariance = 0.02
@@ -38,8 +40,9 @@
 	lowerShare = 125
 
 	// minBlame is the predicted slowdown, as a logarithm, below which a task is not
-	// held responsible.
-	minBlame = 0.01
+	// held responsible, and minBlamePart the least part of the worst task's blame.
+	minBlame     = 0.002
+	minBlamePart = 0.15
 )
 
 var (
@@ -51,22 +54,39 @@
 // sufferer is the state of a service replica with respect to relief.
 type sufferer struct {
 	slowdown float64 // last measured, as a logarithm
+	smooth   float64 // moving average since the last step on the host
+	reports  int     // since the last step on the host
 	taken    time.Time
-	high     int // reports in a row beyond sufferLimit
-	calm     int // reports in a row below calmLimit
 }
 
+// take adds a measured slowdown.
+func (f *sufferer) take(slowdown float64, taken time.Time) {
+	f.slowdown = slowdown
+	f.taken = taken
+	f.reports++
+	weight := max(smoothing, 1/float64(f.reports))
+	f.smooth += weight * (slowdown - f.smooth)
+}
+
+func (f *sufferer) suffers() bool {
+	if f.reports >= confirmations {
+		return f.smooth > logSufferLimit
+	}
+	return f.reports > 0 && f.slowdown > logSevereLimit
+}
+
+func (f *sufferer) calm() bool { return f.reports >= confirmations && f.smooth < logCalmLimit }
+
 // feel compares a report of a service with what it would be alone.
 func (s *Scheduler) feel(o *observation) {
 	mean, variance := s.options.Model.Baseline(o.task.job.victim, o.load)
 	if variance > maxBaselineVariance {
 		return
 	}
-	f := &o.task.suffers
-	f.slowdown = o.logLatency - mean
-	f.taken = o.taken
-	f.high = countIf(f.slowdown > logSufferLimit, f.high)
-	f.calm = countIf(f.slowdown < logCalmLimit, f.calm)
+	if o.taken.Before(o.task.host.relievedAt.Add(settle)) {
+		return // The report precedes the last step.
+	}
+	o.task.suffers.take(o.logLatency-mean, o.taken)
 	s.considerRelief(o.task.host)
 }
 
@@ -79,13 +99,6 @@
 	s.relieving = append(s.relieving, h)
 }
 
-func countIf(condition bool, n int) int {
-	if condition {
-		return n + 1
-	}
-	return 0
-}
-
 // relief takes at most one step on each host that had a latency report.
 func (s *Scheduler) relief() {
 	for _, h := range s.relieving {
@@ -108,17 +121,22 @@
 	s.easeOff(h)
 }
 
-// suffering returns the service that suffers most by confirmed reports that were
-// taken after the last step, nil if there is none.
+// stepped notes that a step was taken on h: reports from before it no longer count.
+func (s *Scheduler) stepped(h *host) {
+	h.relievedAt = s.now
+	for _, t := range h.tasks {
+		t.suffers = sufferer{}
+	}
+}
+
+// suffering returns the service that suffers most, nil if there is none.
 func (h *host) suffering() *task {
 	var worst *task
 	for _, t := range h.tasks {
-		f := &t.suffers
-		confirmed := f.high >= confirmations || f.high > 0 && f.slowdown > logSevereLimit
-		if !confirmed || f.taken.Before(h.relievedAt.Add(settle)) {
+		if !t.suffers.suffers() {
 			continue
 		}
-		if worst == nil || f.slowdown > worst.suffers.slowdown {
+		if worst == nil || t.suffers.smooth > worst.suffers.smooth {
 			worst = t
 		}
 	}
@@ -162,6 +180,17 @@
 	return share
 }
 
+// blameThreshold is the blame from which a task on h is held responsible.
+func (s *Scheduler) blameThreshold(h *host, victim *task) float64 {
+	worst := 0.0
+	for _, t := range h.tasks {
+		if t.Job.Kind == types.KindBatch {
+			worst = max(worst, s.blame(h, victim, t))
+		}
+	}
+	return max(minBlame, minBlamePart*worst)
+}
+
 // relievable reports whether relief may touch t.
 func (s *Scheduler) relievable(t *task) bool {
 	return t.Job.Kind == types.KindBatch && t.Stopping == "" && !s.awaits(t) &&
@@ -188,7 +217,7 @@
 // Urgent tasks come last.
 func (s *Scheduler) mostHarmful(h *host, victim *task) *task {
 	var worst *task
-	worstBlame := minBlame
+	worstBlame := s.blameThreshold(h, victim)
 	for _, t := range h.tasks {
 		if !s.relievable(t) || t.nextShare() < s.floorShare() {
 			continue
@@ -212,13 +241,14 @@
 	t.throttles++
 	t.throttledAt = s.now
 	t.await(s)
-	h.relievedAt = s.now
-	s.emit(Throttle{Task: t.ID, Epoch: t.Epoch, ShareMilli: share, Reason: s.harmText(victim, t)})
+	reason := s.harmText(victim, t)
+	s.stepped(h)
+	s.emit(Throttle{Task: t.ID, Epoch: t.Epoch, ShareMilli: share, Reason: reason})
 }
 
 func (s *Scheduler) harmText(victim, t *task) string {
 	return fmt.Sprintf("service task %q runs %.2f times as slow as alone; class %q on %s contributes",
-		victim.Name, math.Exp(victim.suffers.slowdown), t.job.class, t.host.worker.Name)
+		victim.Name, math.Exp(victim.suffers.smooth), t.job.class, t.host.worker.Name)
 }
 
 // cheapestMove returns the task whose move costs least for the relief it gives,
@@ -229,12 +259,13 @@
 	}
 	var best *task
 	var bestCost float64
+	threshold := s.blameThreshold(h, victim)
 	for _, t := range h.tasks {
 		if !s.relievable(t) || t.Job.Urgent {
 			continue
 		}
 		blame := s.blame(h, victim, t)
-		if blame < minBlame {
+		if blame < threshold {
 			continue
 		}
 		cost := s.loss(t) / blame
@@ -263,11 +294,12 @@
 func (s *Scheduler) evict(h *host, t, victim *task) {
 	s.budget.take()
 	h.evictedAt = s.now
-	h.relievedAt = s.now
 	t.avoid(h, s.now)
 	t.reliefAt = s.now
 	t.await(s)
-	s.emit(Checkpoint{Task: t.ID, Epoch: t.Epoch, Reason: s.harmText(victim, t)})
+	reason := s.harmText(victim, t)
+	s.stepped(h)
+	s.emit(Checkpoint{Task: t.ID, Epoch: t.Epoch, Reason: reason})
 }
 
 // kill stops an attempt whose checkpoint for relief does not end while a service
@@ -279,8 +311,8 @@
 			continue
 		}
 		t.await(s)
-		h.relievedAt = s.now
 		reason := "its checkpoint does not end; " + s.harmText(victim, t)
+		s.stepped(h)
 		s.emit(Stop{Task: t.ID, Epoch: t.Epoch, Then: types.TaskEvicted, Reason: reason})
 		return true
 	}
