--- a/schedule/adopt.go
+++ b/schedule/adopt.go
@@ -9,6 +9,9 @@
 // adopt replaces the record of t by the confirmed update.
 func (s *Scheduler) adopt(t *task, update types.Task) {
 	s.queue.remove(t)
+	if !update.State.Pending() {
+		s.dropClaim(t)
+	}
 	stays := t.bound && update.State.Placed() && t.host == s.hostByID[update.Worker] &&
 		t.Job.Request == update.Job.Request
 	if !stays {
@@ -66,6 +69,7 @@
 	t.suffers = sufferer{}
 	t.throttles = 0
 	t.reliefAt = time.Time{}
+	t.leaving = false
 }
 
 // adoptOrphans binds the tasks of a worker that became known after them.
--- a/schedule/filter.go
+++ b/schedule/filter.go
@@ -4,6 +4,8 @@
 type filter interface {
 	// name is the word by which an explanation refers to the filter.
 	name() string
+	// binds reports whether t rather waits than passes over the filter.
+	binds(t *task) bool
 	// allows reports whether t may run on h.
 	allows(s *Scheduler, t *task, h *host) bool
 }
--- a/schedule/filter_headroom.go
+++ b/schedule/filter_headroom.go
@@ -10,6 +10,8 @@
 
 func (headroomFilter) name() string { return "headroom" }
 
+func (headroomFilter) binds(t *task) bool { return !t.privileged() }
+
 func (headroomFilter) allows(s *Scheduler, t *task, h *host) bool {
 	s.refresh(h)
 	limit := headroomLimit * float64(h.worker.Capacity.MilliProcessors)
--- a/schedule/filter_health.go
+++ b/schedule/filter_health.go
@@ -7,6 +7,8 @@
 
 func (healthFilter) name() string { return "failed-before" }
 
+func (healthFilter) binds(*task) bool { return true }
+
 func (healthFilter) allows(_ *Scheduler, t *task, h *host) bool {
 	return len(t.FailedOn) == 0 || !slices.Contains(t.FailedOn, h.worker.ID)
 }
--- a/schedule/filter_interference.go
+++ b/schedule/filter_interference.go
@@ -8,6 +8,8 @@
 
 func (interferenceFilter) name() string { return "interference" }
 
+func (interferenceFilter) binds(t *task) bool { return !t.privileged() }
+
 func (interferenceFilter) allows(s *Scheduler, t *task, h *host) bool {
 	s.refresh(h)
 	if t.Job.Kind == types.KindService {
--- a/schedule/filter_state.go
+++ b/schedule/filter_state.go
@@ -5,4 +5,6 @@
 
 func (stateFilter) name() string { return "state" }
 
+func (stateFilter) binds(*task) bool { return true }
+
 func (stateFilter) allows(_ *Scheduler, _ *task, h *host) bool { return h.accepting() }
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -7,6 +7,8 @@
 // placement is the working memory of one decision.
 type placement struct {
 	weights [maxScorers]float64
+	all     bool // filters that do not bind the task are asked too
+	tasks   []*task
 }
 
 // placePending starts pending tasks in the order of the queue until none fits or
@@ -36,14 +38,29 @@
 		t.group.blocked = s.queue.generation
 		return false
 	}
+	if best := s.findHost(t); best != nil {
+		s.start(t, best)
+		return true
+	}
+	t.decision.outcome = waitsForHost
+	if t.privileged() && t.claim == nil && !s.options.FirstFit && s.makeRoom(t) {
+		t.decision.outcome = waitsForRoom
+	}
+	t.group.blocked = s.queue.generation
+	return false
+}
+
+// findHost searches with all filters and, for a privileged task that finds none,
+// with those that bind it.
+func (s *Scheduler) findHost(t *task) *host {
+	s.scratch.all = true
 	best := s.search(t)
-	if best == nil {
-		t.decision.outcome = waitsForHost
-		t.group.blocked = s.queue.generation
-		return false
+	if best != nil || !t.privileged() {
+		return best
 	}
-	s.start(t, best)
-	return true
+	s.scratch.all = false
+	t.decision.reset(s.now)
+	return s.search(t)
 }
 
 // search returns the host with the highest score among those that pass the
@@ -85,6 +102,9 @@
 
 func (s *Scheduler) passes(t *task, h *host) bool {
 	for i, f := range s.filters {
+		if !s.scratch.all && !f.binds(t) {
+			continue
+		}
 		if !f.allows(s, t, h) {
 			t.decision.ruleOut(i, h.worker.ID)
 			return false
@@ -107,6 +127,7 @@
 // start reserves the host and emits the action.
 func (s *Scheduler) start(t *task, h *host) {
 	s.queue.remove(t)
+	s.dropClaim(t)
 	t.assumedEpoch = t.Epoch + 1
 	t.assumedAt = s.now
 	s.assumed = append(s.assumed, t)
--- a/schedule/queue.go
+++ b/schedule/queue.go
@@ -48,7 +48,7 @@
 	if t.Job.Kind == types.KindService {
 		key.job = t.job.name
 	}
-	if len(t.FailedOn) > 0 || t.avoidHost != 0 {
+	if len(t.FailedOn) > 0 || t.avoidHost != 0 || t.claim != nil {
 		key.single = t.ID
 	}
 	return key
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -30,6 +30,7 @@
 	learnedRest  *learned // shared by the classes beyond the bound
 	observations []observation
 	relieving    []*host
+	claims       []*task // tasks with a claim, oldest first
 	budget       budget
 	trials       [interference.MaxClasses]int // running trials by class
 
@@ -102,6 +103,11 @@
 	for len(h.tasks) > 0 {
 		s.unbind(h.tasks[0])
 	}
+	for _, t := range s.claims {
+		if t.claim != nil && t.claim.host == h {
+			s.reclaim(t)
+		}
+	}
 	delete(s.hostByID, id)
 	s.deleteHost(h)
 }
@@ -128,6 +134,7 @@
 		return
 	}
 	s.queue.remove(t)
+	s.dropClaim(t)
 	s.unbind(t)
 	t.assumedEpoch = 0
 	s.leaveJob(t)
@@ -172,6 +179,7 @@
 	s.learnLatencies()
 	s.relief()
 	s.queue.release(now)
+	s.checkClaims()
 	s.placePending()
 	return append([]Action(nil), s.actions...)
 }
--- a/schedule/task.go
+++ b/schedule/task.go
@@ -36,6 +36,8 @@
 	suffers      sufferer
 	throttles    int       // of the current attempt
 	reliefAt     time.Time // when relief evicted the attempt
+	claim        *claim    // room that is kept while the task waits
+	leaving      bool      // the attempt was asked to make room
 	awaitUntil   time.Time // an action is under way until then
 	avoidHost    types.WorkerID
 	avoidUntil   time.Time
--- a/schedule/why.go
+++ b/schedule/why.go
@@ -20,6 +20,7 @@
 	placed
 	waitsForHost
 	waitsForQuota
+	waitsForRoom
 )
 
 // decision records the last placement decision on a task, in a fixed size.
@@ -140,6 +141,8 @@
 		return "placed on " + s.hostName(t.decision.worker)
 	case waitsForHost:
 		return "waits for a host that passes every filter"
+	case waitsForRoom:
+		return "waits for batch tasks to leave the host that is kept for it"
 	case waitsForQuota:
 		return fmt.Sprintf("waits for the quota of team %q", t.team.name)
 	}
