Schedule: quarantine bad workers and park bad jobs

A worker on which three different jobs failed with no success in between is quarantined, for twice as long each time, and probed with one batch task; a job that failed on three trusted workers is parked. A failure counts against the worker only while its job is not condemned by others, and against the job only on workers without other failures.

--- a/schedule/adopt.go
+++ b/schedule/adopt.go
@@ -56,9 +56,7 @@
 	if h := s.hostByID[before.Worker]; h != nil {
 		h.history.End(uint64(t.ID), at)
 	}
-	if t.State == types.TaskFinished {
-		t.learnRuntime(at)
-	}
+	s.noteOutcome(t, before, at)
 	if before.State == types.TaskCheckpointing && !t.runningSince.IsZero() {
 		t.ranBefore += at.Sub(t.runningSince)
 	}
@@ -84,3 +82,23 @@
 		}
 	}
 }
+
+// noteOutcome learns from the end of an attempt about its class and its worker.
+func (s *Scheduler) noteOutcome(t *task, before types.Task, at time.Time) {
+	h := s.hostByID[before.Worker]
+	failed := t.Failures > before.Failures
+	if t.State == types.TaskFinished {
+		t.learnRuntime(at)
+	}
+	if h == nil || before.Worker == 0 {
+		return
+	}
+	if failed {
+		s.noteFailure(t, h, at)
+		return
+	}
+	proven := !t.runningSince.IsZero() && at.Sub(t.runningSince) >= provenRun
+	if proven || t.State == types.TaskFinished {
+		h.noteSuccess()
+	}
+}
--- a/schedule/filter.go
+++ b/schedule/filter.go
@@ -15,7 +15,7 @@
 // defaultFilters returns the filters in the order in which they are asked: the
 // cheap ones first.
 func defaultFilters() []filter {
-	return []filter{stateFilter{}, capacityFilter{}, healthFilter{}, movedFilter{}, headroomFilter{}, interferenceFilter{}}
+	return []filter{stateFilter{}, capacityFilter{}, probationFilter{}, healthFilter{}, movedFilter{}, headroomFilter{}, interferenceFilter{}}
 }
 
 // firstFitFilters returns the filters of the baseline.
--- a/schedule/host.go
+++ b/schedule/host.go
@@ -15,10 +15,13 @@
 	committed types.Resources // sum of the requests of tasks
 	reserved  types.Resources // promised to tasks that wait for room
 	tasks     []*task         // bound tasks, sorted by ID
+	counted   types.Resources // part of the cluster's total
 	history   interference.History
 
 	trials int // bound tasks that are trials
 
+	health health
+
 	relieve    bool      // a report came since the last plan
 	relievedAt time.Time // last step of relief
 	evictedAt  time.Time // last relief eviction
@@ -32,7 +35,7 @@
 
 // accepting reports whether new tasks may start on the host.
 func (h *host) accepting() bool {
-	return h.worker.State == types.WorkerReady && !h.worker.DrainRequested
+	return h.worker.State == types.WorkerReady && !h.worker.DrainRequested && !h.health.quarantined
 }
 
 // free returns what is neither committed nor reserved.
--- a/schedule/job.go
+++ b/schedule/job.go
@@ -7,13 +7,14 @@
 
 // job is the scheduler's record of a job that has tasks.
 type job struct {
-	name    string
-	class   string
-	index   interference.Class    // the class as a neighbour
-	victim  interference.VictimID // services only
-	learned *learned
-	load    float64 // load of the service's replicas, smoothed
-	tasks   int     // tasks known of the job
+	name     string
+	class    string
+	index    interference.Class    // the class as a neighbour
+	victim   interference.VictimID // services only
+	learned  *learned
+	failedOn []types.WorkerID // distinct workers on which attempts failed
+	load     float64          // load of the service's replicas, smoothed
+	tasks    int              // tasks known of the job
 	// Placed tasks by failure domain, rack and worker; kept for services only.
 	domains map[string]int
 	racks   map[string]int
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -9,6 +9,7 @@
 	weights [maxScorers]float64
 	all     bool // filters that do not bind the task are asked too
 	tasks   []*task
+	jobs    []*job
 }
 
 // placePending starts pending tasks in the order of the queue until none fits or
@@ -33,6 +34,9 @@
 // blocks the group of t until room may have come up, and returns false.
 func (s *Scheduler) place(t *task) bool {
 	t.decision.reset(s.now)
+	if s.mayPark(t) {
+		return false
+	}
 	if !t.team.allows(t.Job.Request) {
 		t.decision.outcome = waitsForQuota
 		t.group.blocked = s.queue.generation
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -30,6 +30,7 @@
 	learnedRest  *learned // shared by the classes beyond the bound
 	observations []observation
 	relieving    []*host
+	suspects     []*host // hosts with failures since their last success
 	claims       []*task // tasks with a claim, oldest first
 	budget       budget
 	trials       [interference.MaxClasses]int // running trials by class
@@ -80,16 +81,27 @@
 		h = &host{worker: w}
 		s.insertHost(h)
 		s.adoptOrphans(h)
-	} else if h.accepting() {
-		s.total = s.total.Sub(h.worker.Capacity)
+	}
+	if h.worker.State == types.WorkerQuarantined && w.State == types.WorkerReady {
+		h.health.quarantined = false
 	}
 	h.worker = w
+	s.count(h)
 	if h.accepting() {
-		s.total = s.total.Add(w.Capacity)
 		s.queue.unblock()
 	}
 }
 
+// count adds the capacity of h to the cluster's total while it accepts tasks.
+func (s *Scheduler) count(h *host) {
+	s.total = s.total.Sub(h.counted)
+	h.counted = types.Resources{}
+	if h.accepting() {
+		h.counted = h.worker.Capacity
+	}
+	s.total = s.total.Add(h.counted)
+}
+
 // RemoveWorker forgets a worker. Its tasks lose their host until their next
 // update.
 func (s *Scheduler) RemoveWorker(id types.WorkerID) {
@@ -97,9 +109,7 @@
 	if h == nil {
 		return
 	}
-	if h.accepting() {
-		s.total = s.total.Sub(h.worker.Capacity)
-	}
+	s.total = s.total.Sub(h.counted)
 	for len(h.tasks) > 0 {
 		s.unbind(h.tasks[0])
 	}
@@ -154,6 +164,8 @@
 		s.rejected(a.Task)
 	case Stop:
 		s.rejected(a.Task)
+	case Quarantine:
+		s.rejectedQuarantine(a.Worker)
 	}
 }
 
@@ -178,6 +190,7 @@
 	s.budget.resize(len(s.hosts), s.config.Weights)
 	s.learnLatencies()
 	s.relief()
+	s.judge()
 	s.queue.release(now)
 	s.checkClaims()
 	s.placePending()
--- a/schedule/usage.go
+++ b/schedule/usage.go
@@ -52,6 +52,7 @@
 	t.usedAt = taken
 	t.progress = usage.ProgressMilli
 	h.dirty = true
+	t.noteProven(taken)
 	h.history.SetShare(uint64(t.ID), t.used/float64(h.worker.Capacity.MilliProcessors))
 	if t.State == types.TaskThrottled || t.throttledSince(taken) {
 		s.considerRelief(h) // It may be the host's only report.
--- a/schedule/why.go
+++ b/schedule/why.go
@@ -21,6 +21,7 @@
 	waitsForHost
 	waitsForQuota
 	waitsForRoom
+	parked
 )
 
 // decision records the last placement decision on a task, in a fixed size.
@@ -141,6 +142,8 @@
 		return "placed on " + s.hostName(t.decision.worker)
 	case waitsForHost:
 		return "waits for a host that passes every filter"
+	case parked:
+		return "parked: its job failed on several healthy workers"
 	case waitsForRoom:
 		return "waits for batch tasks to leave the host that is kept for it"
 	case waitsForQuota:
