Schedule: drain, credits and deadlines, retry of blocked groups; walk the invariants

Draining workers lose batch tasks by checkpoint, and replicas by a replacement that runs first. Batch that cannot finish before its deadline or the credits' end by the learned run times is not started. Attempts that outlive the failed ones speak for their worker, and a suspect takes nothing new until they have told.

--- a/schedule/adopt.go
+++ b/schedule/adopt.go
@@ -27,6 +27,7 @@
 	case update.State.Pending():
 		s.enqueue(t)
 	}
+	s.noteReplacement(t)
 	s.followAttempt(t, before)
 }
 
@@ -36,6 +37,9 @@
 	if t.Epoch != before.Epoch || !t.State.Placed() {
 		s.endAttempt(t, before, at)
 	}
+	if t.State.Placed() && t.startedAt.IsZero() {
+		t.startedAt = at
+	}
 	switch {
 	case t.State == types.TaskRunning && t.runningSince.IsZero():
 		s.beginRunning(t, at)
@@ -60,6 +64,7 @@
 	if before.State == types.TaskCheckpointing && !t.runningSince.IsZero() {
 		t.ranBefore += at.Sub(t.runningSince)
 	}
+	t.startedAt = time.Time{}
 	t.runningSince = time.Time{}
 	t.usedAt = time.Time{}
 	t.throttledAt = time.Time{}
@@ -68,6 +73,7 @@
 	t.throttles = 0
 	t.reliefAt = time.Time{}
 	t.leaving = false
+	t.irreplaceable = false
 }
 
 // adoptOrphans binds the tasks of a worker that became known after them.
--- a/schedule/health.go
+++ b/schedule/health.go
@@ -12,6 +12,12 @@
 	// suspectJobs is the number of different jobs that have to fail on a worker,
 	// with none succeeding in between, before it is quarantined.
 	suspectJobs = 3
+	// suspectJobsProbing is the same for a worker on probation.
+	suspectJobsProbing = 2
+	// minSurvival and survivalFactor set how long an attempt has to live to speak
+	// for its worker, against the lives of those that failed there.
+	minSurvival    = 5 * time.Second
+	survivalFactor = 3
 	// condemningWorkers is the number of healthy workers on which a job has to
 	// fail before it is parked.
 	condemningWorkers = 3
@@ -30,8 +36,9 @@
 
 // failure is a failed attempt on a worker.
 type failure struct {
-	job *job
-	at  time.Time
+	job  *job
+	at   time.Time
+	life time.Duration // from the start of the attempt to its failure
 }
 
 // health is what the scheduler knows of a worker's reliability.
@@ -41,6 +48,7 @@
 	since       time.Time // begin of the quarantine or probation
 	quarantined bool      // decided, though not yet confirmed
 	probing     bool      // released, without a success yet
+	suspended   bool      // takes nothing new until attempts under way have told
 }
 
 // noteFailure takes in that an attempt of t failed on h.
@@ -50,7 +58,7 @@
 	if len(f.failures) == maxFailures {
 		f.failures = slices.Delete(f.failures, 0, 1)
 	}
-	f.failures = append(f.failures, failure{t.job, at})
+	f.failures = append(f.failures, failure{t.job, at, at.Sub(t.startedAt)})
 	s.suspects = appendOnce(s.suspects, h)
 }
 
@@ -66,6 +74,7 @@
 	h.health.failures = h.health.failures[:0]
 	h.health.quarantines = 0
 	h.health.probing = false
+	h.health.suspended = false
 }
 
 // failOn remembers the distinct workers on which the job failed, up to a bound.
@@ -98,14 +107,14 @@
 }
 
 // condemnedBy counts the different jobs whose failures speak against h. A job
-// that failed on several other workers speaks against itself.
+// that failed on another trusted worker speaks against itself.
 func (s *Scheduler) condemnedBy(h *host, now time.Time) int {
 	jobs := s.scratch.jobs[:0]
 	for _, f := range h.health.failures {
 		if now.Sub(f.at) > failureWindow || slices.Contains(jobs, f.job) {
 			continue
 		}
-		if s.failedElsewhere(f.job, h) < condemningWorkers-1 {
+		if s.failedElsewhere(f.job, h) == 0 {
 			jobs = append(jobs, f.job)
 		}
 	}
@@ -170,17 +179,46 @@
 	if h.health.quarantined {
 		s.rejectedQuarantine(h.worker.ID)
 	}
+	survived, undecided := s.survivors(h)
+	if survived {
+		h.noteSuccess()
+		return false
+	}
 	limit := suspectJobs
 	if h.health.probing {
-		limit = 1
+		limit = suspectJobsProbing
 	}
 	n := s.condemnedBy(h, s.now)
-	if n >= limit && h.worker.State == types.WorkerReady {
+	h.health.suspended = n >= limit && undecided
+	if n >= limit && !undecided && h.worker.State == types.WorkerReady {
 		s.quarantine(h, n)
 	}
 	return len(h.health.failures) > 0
 }
 
+// survivors looks at the attempts that were started on h after its first
+// failure: whether one lives on much longer than those that failed, and whether
+// there are younger ones.
+func (s *Scheduler) survivors(h *host) (survived, undecided bool) {
+	if len(h.health.failures) == 0 {
+		return false, false
+	}
+	proof := minSurvival
+	for _, f := range h.health.failures {
+		proof = max(proof, survivalFactor*f.life)
+	}
+	for _, t := range h.tasks {
+		if t.startedAt.Before(h.health.failures[0].at) {
+			continue
+		}
+		if s.now.Sub(t.startedAt) >= proof {
+			return true, false
+		}
+		undecided = true
+	}
+	return false, undecided
+}
+
 func (s *Scheduler) quarantine(h *host, jobs int) {
 	h.health.quarantines++
 	h.health.since = s.now
@@ -190,6 +228,7 @@
 		f.job.forgive(h.worker.ID)
 	}
 	reason := fmt.Sprintf("tasks of %d different jobs failed on worker %s and none succeeded since", jobs, h.worker.Name)
+	h.health.suspended = false
 	s.emit(Quarantine{Worker: h.worker.ID, Reason: reason})
 }
 
--- /dev/null
+++ b/schedule/health_test.go
@@ -0,0 +1,170 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"mangohill.example/mangohill/types"
+)
+
+// ward is a set of workers on which attempts fail as the test says.
+type ward struct {
+	s       *Scheduler
+	now     time.Time
+	workers map[types.WorkerID]types.Worker
+	tasks   map[types.TaskID]*types.Task
+	fails   func(types.Task) bool
+
+	starts      map[types.WorkerID]int
+	quarantined map[types.WorkerID]int
+	parked      map[types.TaskID]string
+}
+
+func newWard(workers int, fails func(types.Task) bool) *ward {
+	w := &ward{
+		s: New(Options{Seed: 1}), now: epoch0, fails: fails,
+		workers: map[types.WorkerID]types.Worker{}, tasks: map[types.TaskID]*types.Task{},
+		starts: map[types.WorkerID]int{}, quarantined: map[types.WorkerID]int{}, parked: map[types.TaskID]string{},
+	}
+	for i := range workers {
+		worker := testWorker(i + 1)
+		w.workers[worker.ID] = worker
+		w.s.UpsertWorker(worker)
+	}
+	return w
+}
+
+func (w *ward) submit(jobs int) {
+	for range jobs {
+		task := testTask(len(w.tasks)+1, types.KindBatch, 1000)
+		task.ChangedMs = w.now.UnixMilli()
+		w.tasks[task.ID] = &task
+		w.s.UpsertTask(task)
+	}
+}
+
+// step plans, starts, and a second later fails or, after the run time, finishes.
+func (w *ward) step(t *testing.T) {
+	w.now = w.now.Add(time.Second)
+	for id := range types.TaskID(len(w.tasks)) {
+		w.advance(w.tasks[id+1])
+	}
+	for _, action := range w.s.Plan(w.now) {
+		switch a := action.(type) {
+		case Start:
+			require.Equal(t, types.WorkerReady, w.workers[a.Worker].State, "start on worker %d", a.Worker)
+			w.starts[a.Worker]++
+			w.tasks[a.Task].Epoch, w.tasks[a.Task].Worker = a.Epoch, a.Worker
+			w.set(w.tasks[a.Task], types.TaskRunning)
+		case Quarantine:
+			w.quarantined[a.Worker]++
+			w.setWorker(a.Worker, types.WorkerQuarantined)
+		case Release:
+			w.setWorker(a.Worker, types.WorkerReady)
+		case Park:
+			w.parked[a.Task] = a.Reason
+			w.set(w.tasks[a.Task], types.TaskParked)
+		}
+	}
+}
+
+func (w *ward) advance(task *types.Task) {
+	age := w.now.UnixMilli() - task.ChangedMs
+	switch {
+	case task.State != types.TaskRunning:
+	case w.fails(*task):
+		task.Failures++
+		task.FailedOn = append(append([]types.WorkerID(nil), task.FailedOn...), task.Worker)
+		task.Worker = 0
+		w.set(task, types.TaskWaiting)
+	case age > 70_000:
+		task.Worker = 0
+		w.set(task, types.TaskFinished)
+	}
+}
+
+func (w *ward) set(task *types.Task, state types.TaskState) {
+	task.State = state
+	task.ChangedMs = w.now.UnixMilli()
+	w.s.UpsertTask(*task)
+}
+
+func (w *ward) setWorker(id types.WorkerID, state types.WorkerState) {
+	worker := w.workers[id]
+	worker.State = state
+	w.workers[id] = worker
+	w.s.UpsertWorker(worker)
+}
+
+func TestBadWorkerIsQuarantinedAndProbedBackIn(t *testing.T) {
+	broken := true
+	w := newWard(8, func(task types.Task) bool { return broken && task.Worker == 3 })
+	for i := range 1200 {
+		if i%10 == 0 {
+			w.submit(8)
+		}
+		w.step(t)
+	}
+	assert.Equal(t, []types.WorkerID{3}, keys(w.quarantined))
+	assert.Empty(t, w.parked, "no job is condemned for the worker")
+	assert.Less(t, w.starts[3], 2*8, "one burst that fills the worker, and single probes")
+	broken = false
+	before := w.starts[3]
+	for i := range 1800 {
+		if i%10 == 0 {
+			w.submit(8)
+		}
+		w.step(t)
+	}
+	assert.Greater(t, w.starts[3]-before, 40, "the mended worker works again")
+}
+
+func TestBadJobsAreParkedAndCondemnNoWorker(t *testing.T) {
+	w := newWard(8, func(task types.Task) bool { return task.ID%5 == 0 })
+	for i := range 600 {
+		if i%10 == 0 {
+			w.submit(5)
+		}
+		w.step(t)
+	}
+	assert.Empty(t, w.quarantined)
+	assert.Greater(t, len(w.parked), 40)
+	for id, reason := range w.parked {
+		assert.Zero(t, id%5, "task %d: %s", id, reason)
+		assert.Contains(t, reason, "healthy workers")
+	}
+}
+
+func TestOnlyWorkerIsNotCondemnedByBadJobs(t *testing.T) {
+	w := newWard(1, func(task types.Task) bool { return task.ID%2 == 0 })
+	for i := range 300 {
+		if i%15 == 0 {
+			w.submit(2)
+		}
+		w.step(t)
+	}
+	assert.Empty(t, w.quarantined, "attempts that live on speak for the worker")
+}
+
+func TestSeveralBadWorkersCondemnNoJob(t *testing.T) {
+	w := newWard(8, func(task types.Task) bool { return task.Worker <= 4 })
+	for i := range 900 {
+		if i%10 == 0 {
+			w.submit(8)
+		}
+		w.step(t)
+	}
+	assert.Empty(t, w.parked)
+	assert.Len(t, w.quarantined, 4)
+}
+
+func keys(m map[types.WorkerID]int) []types.WorkerID {
+	var list []types.WorkerID
+	for id := range m {
+		list = append(list, id)
+	}
+	return list
+}
--- a/schedule/host.go
+++ b/schedule/host.go
@@ -20,7 +20,8 @@
 
 	trials int // bound tasks that are trials
 
-	health health
+	health      health
+	drainListed bool
 
 	relieve    bool      // a report came since the last plan
 	relievedAt time.Time // last step of relief
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -20,7 +20,7 @@
 		if starts == s.options.MaxStarts {
 			return
 		}
-		t := s.queue.next(s.total)
+		t := s.queue.next(s.total, s.now)
 		if t == nil {
 			return
 		}
@@ -37,9 +37,18 @@
 	if s.mayPark(t) {
 		return false
 	}
+	if t.replacement != nil {
+		s.queue.delay(t, s.now.Add(replacedRecheck))
+		return false // The replacement takes its place.
+	}
+	if s.tooLate(t) {
+		t.decision.outcome = waitsInVain
+		s.queue.delay(t, s.now.Add(horizonRecheck))
+		return false
+	}
 	if !t.team.allows(t.Job.Request) {
 		t.decision.outcome = waitsForQuota
-		t.group.blocked = s.queue.generation
+		s.queue.block(t.group, s.now)
 		return false
 	}
 	if best := s.findHost(t); best != nil {
@@ -50,7 +59,7 @@
 	if t.privileged() && t.claim == nil && !s.options.FirstFit && s.makeRoom(t) {
 		t.decision.outcome = waitsForRoom
 	}
-	t.group.blocked = s.queue.generation
+	s.queue.block(t.group, s.now)
 	return false
 }
 
--- a/schedule/queue.go
+++ b/schedule/queue.go
@@ -24,7 +24,23 @@
 type group struct {
 	shape   shape
 	tasks   taskHeap
-	blocked uint64 // generation of the queue in which no host was found
+	blocked uint64    // generation of the queue in which no host was found
+	retryAt time.Time // when it is tried again although nothing was freed
+}
+
+// retryBlocked is the time after which a group that found no host is tried again:
+// loads and predictions change without an event.
+const retryBlocked = 10 * time.Second
+
+// block keeps the group back until room may have come up.
+func (q *queue) block(g *group, now time.Time) {
+	g.blocked = q.generation
+	g.retryAt = now.Add(retryBlocked)
+}
+
+// open reports whether the group may be tried.
+func (q *queue) open(g *group, now time.Time) bool {
+	return g.blocked != q.generation || !now.Before(g.retryAt)
 }
 
 // queue holds the pending tasks in groups, and the tasks in back-off apart.
@@ -101,6 +117,13 @@
 	q.bands[g.shape.band] = list[:len(list)-1]
 }
 
+// delay puts t, which is queued, into back-off until then.
+func (q *queue) delay(t *task, until time.Time) {
+	q.remove(t)
+	t.notBefore = until
+	q.add(t)
+}
+
 // release moves the tasks whose back-off is over into their groups.
 func (q *queue) release(now time.Time) {
 	for len(q.delayed.taskHeap) > 0 && !q.delayed.taskHeap[0].notBefore.After(now) {
@@ -114,20 +137,20 @@
 // next returns the first task of the open group that goes first: lowest band,
 // then the team with the least share, then the oldest. It returns nil if no
 // group is open.
-func (q *queue) next(total types.Resources) *task {
+func (q *queue) next(total types.Resources, now time.Time) *task {
 	for b := range q.bands {
-		if t := q.nextOf(band(b), total); t != nil {
+		if t := q.nextOf(band(b), total, now); t != nil {
 			return t
 		}
 	}
 	return nil
 }
 
-func (q *queue) nextOf(b band, total types.Resources) *task {
+func (q *queue) nextOf(b band, total types.Resources, now time.Time) *task {
 	var best *task
 	var bestShare float64
 	for _, g := range q.bands[b] {
-		if g.blocked == q.generation {
+		if !q.open(g, now) {
 			continue
 		}
 		t := g.tasks[0]
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -31,6 +31,8 @@
 	observations []observation
 	relieving    []*host
 	suspects     []*host // hosts with failures since their last success
+	drains       []*host // draining hosts
+	replacements []*task
 	claims       []*task // tasks with a claim, oldest first
 	budget       budget
 	trials       [interference.MaxClasses]int // running trials by class
@@ -87,6 +89,7 @@
 	}
 	h.worker = w
 	s.count(h)
+	s.listDrain(h)
 	if h.accepting() {
 		s.queue.unblock()
 	}
@@ -164,6 +167,13 @@
 		s.rejected(a.Task)
 	case Stop:
 		s.rejected(a.Task)
+	case Replace:
+		s.rejected(a.Task)
+		if t := s.tasks[a.Task]; t != nil {
+			t.irreplaceable = true
+		}
+	case Park:
+		s.rejectedPark(a.Task)
 	case Quarantine:
 		s.rejectedQuarantine(a.Worker)
 	}
@@ -176,6 +186,18 @@
 	}
 }
 
+// rejectedPark queues the task again after a pause.
+func (s *Scheduler) rejectedPark(id types.TaskID) {
+	s.rejected(id)
+	t := s.tasks[id]
+	if t == nil || !t.State.Pending() || t.bound {
+		return
+	}
+	s.queue.remove(t)
+	t.notBefore = s.now.Add(s.options.AssumeFor)
+	s.queue.add(t)
+}
+
 func (s *Scheduler) rejected(id types.TaskID) {
 	if t := s.tasks[id]; t != nil {
 		t.settleAwait()
@@ -191,6 +213,8 @@
 	s.learnLatencies()
 	s.relief()
 	s.judge()
+	s.drain()
+	s.finishReplacements()
 	s.queue.release(now)
 	s.checkClaims()
 	s.placePending()
@@ -201,6 +225,7 @@
 
 func (s *Scheduler) enqueue(t *task) {
 	t.order = queueOrder(t)
+	t.notBefore = time.Time{}
 	if t.Failures > 0 {
 		t.notBefore = unixMs(t.ChangedMs).Add(backoff(t.Failures))
 	}
--- a/schedule/scheduler_test.go
+++ b/schedule/scheduler_test.go
@@ -76,3 +76,12 @@
 	s.UpsertWorker(w)
 	assert.Len(t, starts(s.Plan(epoch0)), 1)
 }
+
+func TestUpdateFromBeforeAStartDoesNotStartTheTaskAgain(t *testing.T) {
+	s := New(Options{Seed: 1})
+	s.UpsertWorker(testWorker(1))
+	s.UpsertTask(testTask(1, types.KindBatch, 1000))
+	require.Len(t, starts(s.Plan(epoch0)), 1)
+	s.UpsertTask(testTask(1, types.KindBatch, 1000))
+	assert.Empty(t, starts(s.Plan(epoch0.Add(time.Second))))
+}
--- a/schedule/why.go
+++ b/schedule/why.go
@@ -21,6 +21,7 @@
 	waitsForHost
 	waitsForQuota
 	waitsForRoom
+	waitsInVain
 	parked
 )
 
@@ -142,6 +143,8 @@
 		return "placed on " + s.hostName(t.decision.worker)
 	case waitsForHost:
 		return "waits for a host that passes every filter"
+	case waitsInVain:
+		return s.tooLateText(t)
 	case parked:
 		return "parked: its job failed on several healthy workers"
 	case waitsForRoom:
