Schedule: start a class that harms every host throttled, a few at a time

With wrong declarations routing (3 times the declared use) waited 4 h with 3 attempts running, since it harms services on every host at its full use. A batch task that waited 10 minutes may now start with a part of its use that harms none, 1 + hosts/32 of a class.

--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,57 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"mangohill.example/mangohill/schedule"
+	"mangohill.example/mangohill/types"
+)
+
+// maxUrgentStart is how soon urgent work starts on a full cluster.
+const maxUrgentStart = 1600 * time.Millisecond
+
+// letterOne is a full cluster of the size that is expected within two years.
+func letterOne() Spec {
+	spec := base("letter-1", 1)
+	spec.Workers, spec.PerRack, spec.Domains = 560, 8, 5
+	spec.Capacity = size(64, 250)
+	spec.Weights = types.Weights{TailLatency: 3, Evictions: 3, Throughput: 2}
+	spec.Services = services(1040, 2)
+	spec.Batch = []BatchClass{{"simulation", "planning", size(2.5, 4), 40, pressure{0.05, 0.05, 0, 0}}}
+	spec.Tick = 100 * time.Millisecond
+	spec.Demand = 100 // fills the cluster within the first minute
+	return spec
+}
+
+func TestUrgentWorkStartsInTimeOnAFullCluster(t *testing.T) {
+	spec := letterOne()
+	f := New(&spec, schedule.New(schedule.Options{Seed: 1}))
+	for range 600 {
+		f.Step()
+	}
+	running := 0
+	for _, task := range f.tasks {
+		if task.State == types.TaskRunning {
+			running++
+		}
+	}
+	assert.Greater(t, running, 10_000)
+	spec.Demand = 0
+	spec.Batch[0].Request = size(16, 32)
+	for range 5 {
+		for range 150 {
+			f.submitBatch(0, true)
+		}
+		for range 100 {
+			f.Step()
+		}
+	}
+	assert.Len(t, f.Result.urgent, 750)
+	assert.Greater(t, f.Result.Evictions, 100, "room had to be made")
+	assert.LessOrEqual(t, f.Result.UrgentStart(), maxUrgentStart)
+	assert.Zero(t, f.Result.Rejected)
+	t.Logf("urgent %s, %d evictions, %d kills", f.Result.UrgentStart(), f.Result.Evictions, f.Result.Kills)
+}
--- a/schedule/adopt.go
+++ b/schedule/adopt.go
@@ -73,6 +73,9 @@
 	t.throttles = 0
 	t.reliefAt = time.Time{}
 	t.leaving = false
+	if !t.State.Placed() {
+		t.gentle = 0
+	}
 	t.irreplaceable = false
 }
 
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -77,6 +77,9 @@
 	if best == nil && t.privileged() {
 		s.seekRoom(t, f)
 	}
+	if best == nil {
+		best = s.startGently(t, f)
+	}
 	return best
 }
 
@@ -213,6 +216,11 @@
 	s.assumed = append(s.assumed, t)
 	s.beginTrial(t, h)
 	s.bind(t, h)
+	if t.gentle != 0 {
+		s.gentle = append(s.gentle, t)
+		s.gently[t.job.index]++
+		t.gently = true
+	}
 	t.decision.outcome = placed
 	t.decision.worker = h.worker.ID
 	s.emit(Start{Task: t.ID, Worker: h.worker.ID, Epoch: t.assumedEpoch, Reason: "best score of the hosts that passed the filters"})
--- a/schedule/pressure.go
+++ b/schedule/pressure.go
@@ -43,7 +43,18 @@
 	if !t.usedAt.IsZero() {
 		return t.used
 	}
-	return request * t.job.learned.expectedUse
+	return request * t.job.learned.expectedUse * t.startShare()
+}
+
+// startShare is the part of its use that t starts with.
+func (t *task) startShare() float64 {
+	if t.gentle > 0 {
+		return float64(t.gentle) / 1000
+	}
+	if t.State == types.TaskThrottled {
+		return float64(t.ShareMilli) / 1000
+	}
+	return 1
 }
 
 // expectedLoad is the load for which a service needs headroom.
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -35,9 +35,11 @@
 	suspects     []*host // hosts with failures since their last success
 	drains       []*host // draining hosts
 	replacements []*task
+	gentle       []*task // started, to be throttled when they run
 	claims       []*task // tasks with a claim, oldest first
 	budget       budget
 	trials       [interference.MaxClasses]int // running trials by class
+	gently       [interference.MaxClasses]int // attempts with a throttled start by class
 
 	filters []filter
 	scorers []scorer
@@ -217,6 +219,7 @@
 	s.budget.resize(len(s.hosts), s.config.Weights)
 	s.learnLatencies()
 	s.relief()
+	s.keepGentle()
 	s.judge()
 	s.drain()
 	s.finishReplacements()
@@ -231,6 +234,7 @@
 func (s *Scheduler) enqueue(t *task) {
 	t.order = queueOrder(t)
 	t.notBefore = time.Time{}
+	t.gentle = 0
 	if t.Failures > 0 {
 		t.notBefore = unixMs(t.ChangedMs).Add(backoff(t.Failures))
 	}
--- a/schedule/task.go
+++ b/schedule/task.go
@@ -40,6 +40,8 @@
 	claim         *claim    // room that is kept while the task waits
 	replacement   *task     // the replica that runs in its stead
 	irreplaceable bool      // the state refused a replacement
+	gentle        int64     // share with which the attempt begins, in thousandths, zero for all
+	gently        bool      // the attempt began so
 	leaving       bool      // the attempt was asked to make room
 	awaitUntil    time.Time // an action is under way until then
 	avoidHost     types.WorkerID
