Schedule: hold a host for a task that small ones keep from starting

A task of 6 of 8 processors never started while tasks of 1 kept coming: each took the room as it came up (TestLargeTaskIsNotStarvedBySmallOnes fails without the hold).

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -55,3 +55,34 @@
 	assert.Zero(t, f.Result.Rejected)
 	t.Logf("urgent %s, %d evictions, %d kills", f.Result.UrgentStart(), f.Result.Evictions, f.Result.Kills)
 }
+
+// run runs a spec under all disturbances with the given model, nil to learn.
+func run(spec Spec, model schedule.Model) *Result {
+	spec.Duration = 2 * time.Hour
+	spec.Faults = Faults{
+		LoadShift: true, Waves: true, WrongDeclarations: true, BadWorkers: 2, BadJobs: 0.01,
+		CancelBursts: true, RackLoss: true, UrgentEvery: 5 * time.Minute,
+	}
+	f := New(&spec, schedule.New(schedule.Options{Seed: spec.Seed, Model: model}))
+	f.Run()
+	return &f.Result
+}
+
+func TestLearnedPolicyKeepsItsTargets(t *testing.T) {
+	for _, spec := range []Spec{Association(1), Consortium(1)} {
+		t.Run(spec.Name, func(t *testing.T) {
+			t.Parallel()
+			learned := run(spec, nil)
+			oracle := run(spec, NewOracle(&spec))
+			blind := run(spec, NewBlind(&spec, BlindBold))
+			assert.LessOrEqual(t, learned.WorstP99(), 1.15)
+			assert.GreaterOrEqual(t, learned.Throughput(), 0.9*oracle.Throughput())
+			assert.LessOrEqual(t, 3*learned.Evictions, blind.Evictions)
+			assert.Zero(t, learned.Rejected)
+			assert.Zero(t, learned.WrongParks)
+			assert.Zero(t, learned.WrongQuarantines)
+			t.Logf("p99 %.3f, throughput %.3f of %.3f, evictions %d of %d", learned.WorstP99(),
+				learned.Throughput(), oracle.Throughput(), learned.Evictions, blind.Evictions)
+		})
+	}
+}
--- a/schedule/fit.go
+++ b/schedule/fit.go
@@ -27,6 +27,7 @@
 	tried    uint64 // the scheduler's sequence number at the last search
 	retryAt  time.Time
 	roomAt   time.Time // no room can be made before
+	holdAt   time.Time // no host is held before
 	gentleAt time.Time // no throttled start is sought before
 	decision decision
 }
--- a/schedule/host.go
+++ b/schedule/host.go
@@ -40,6 +40,20 @@
 	return h.worker.State == types.WorkerReady && !h.worker.DrainRequested && !h.health.quarantined
 }
 
+// noResources is the absence of resources.
+var noResources types.Resources
+
+// lasting sums the requests of the tasks that do not end by themselves.
+func (h *host) lasting() types.Resources {
+	sum := noResources
+	for _, t := range h.tasks {
+		if t.Job.Kind != types.KindBatch {
+			sum = sum.Add(t.Job.Request)
+		}
+	}
+	return sum
+}
+
 // free returns what is neither committed nor reserved.
 func (h *host) free() types.Resources {
 	return h.worker.Capacity.Sub(h.committed).Sub(h.reserved)
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -80,6 +80,9 @@
 	if best == nil {
 		best = s.startGently(t, f)
 	}
+	if best == nil {
+		s.holdRoom(t, f)
+	}
 	return best
 }
 
--- a/schedule/room.go
+++ b/schedule/room.go
@@ -20,8 +20,10 @@
 
 // claim is a host's room that is kept for a task while others leave.
 type claim struct {
-	host *host
-	at   time.Time
+	host  *host
+	at    time.Time
+	limit time.Duration
+	held  bool // nobody was asked to leave
 }
 
 // privileged reports whether t may take the room of batch tasks that are not
@@ -132,9 +134,14 @@
 		reason := fmt.Sprintf("makes room for task %q", t.Name)
 		s.emit(Checkpoint{Task: victim.ID, Epoch: victim.Epoch, Reason: reason})
 	}
+	s.claim(t, r.host, claimLimit)
+}
+
+// claim reserves the request of t, which is queued, on h.
+func (s *Scheduler) claim(t *task, h *host, limit time.Duration) {
 	s.queue.remove(t)
-	t.claim = &claim{host: r.host, at: s.now}
-	r.host.reserved = r.host.reserved.Add(t.Job.Request)
+	t.claim = &claim{host: h, at: s.now, limit: limit}
+	h.reserved = h.reserved.Add(t.Job.Request)
 	s.claims = append(s.claims, t)
 	s.queue.add(t)
 }
@@ -146,6 +153,9 @@
 	}
 	h := t.claim.host
 	h.reserved = h.reserved.Sub(t.Job.Request)
+	if t.claim.held {
+		s.holds--
+	}
 	t.claim = nil
 	s.noteFreed(h)
 }
@@ -159,7 +169,7 @@
 			continue
 		}
 		age := s.now.Sub(t.claim.at)
-		if age > claimLimit || !t.claim.host.accepting() {
+		if age > t.claim.limit || !t.claim.host.accepting() {
 			s.reclaim(t)
 			continue
 		}
--- a/schedule/scenario_test.go
+++ b/schedule/scenario_test.go
@@ -149,6 +149,37 @@
 	assert.Len(t, starts(s.Plan(epoch0)), 6, "what the headroom of one worker allows")
 }
 
+func TestLargeTaskIsNotStarvedBySmallOnes(t *testing.T) {
+	s := New(Options{Seed: 1})
+	s.UpsertWorker(testWorker(1))
+	tasks := map[types.TaskID]*types.Task{}
+	submit := func(milli int64, now time.Time) {
+		task := testTask(len(tasks)+1, types.KindBatch, milli)
+		task.SubmittedMs, task.ChangedMs = now.UnixMilli(), now.UnixMilli()
+		tasks[task.ID] = &task
+		s.UpsertTask(task)
+	}
+	for i := range 6 {
+		submit(1000, epoch0.Add(time.Duration(i)*time.Millisecond))
+	}
+	settleStarts(s, tasks, epoch0)
+	submit(6000, epoch0)
+	large := tasks[7]
+	for i := 1; large.State == types.TaskWaiting && i < 60; i++ {
+		now := epoch0.Add(time.Duration(i) * time.Minute)
+		submit(1000, now)
+		for id := range types.TaskID(len(tasks)) {
+			task := tasks[id+1]
+			if task.State == types.TaskRunning && now.UnixMilli()-task.ChangedMs >= 5*60_000+int64(task.ID%6)*60_000 {
+				task.State, task.Worker, task.ChangedMs = types.TaskFinished, 0, now.UnixMilli()
+				s.UpsertTask(*task)
+			}
+		}
+		settleStarts(s, tasks, now)
+	}
+	assert.Equal(t, types.TaskRunning, large.State)
+}
+
 func TestReplicasSpreadOverDomainsAndRacks(t *testing.T) {
 	s := New(Options{Seed: 1})
 	for i := range 64 {
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -37,6 +37,7 @@
 	replacements []*task
 	gentle       []*task // started, to be throttled when they run
 	claims       []*task // tasks with a claim, oldest first
+	holds        int     // claims that wait for room to come up
 	budget       budget
 	trials       [interference.MaxClasses]int // running trials by class
 	gently       [interference.MaxClasses]int // attempts with a throttled start by class
--- a/schedule/why.go
+++ b/schedule/why.go
@@ -21,6 +21,7 @@
 	waitsForHost
 	waitsForQuota
 	waitsForRoom
+	waitsForHold
 	waitsInVain
 	parked
 )
@@ -156,6 +157,8 @@
 		return "placed on " + s.hostName(d.worker)
 	case waitsForHost:
 		return "waits for a host that passes every filter"
+	case waitsForHold:
+		return "waits for the rest of the room on a host that is held for it"
 	case waitsInVain:
 		return s.tooLateText(t)
 	case parked:
