--- a/schedule/place.go
+++ b/schedule/place.go
@@ -145,6 +145,7 @@
 
 // consider asks the filters and the scores about one host.
 func (s *Scheduler) consider(t *task, h *host, r *ranking) {
+	s.evaluations++
 	if !s.passes(t, h) {
 		return
 	}
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -16,17 +16,18 @@
 	random  *rand.Rand
 	now     time.Time
 
-	hosts    []*host // sorted by ID
-	hostByID map[types.WorkerID]*host
-	tasks    map[types.TaskID]*task
-	jobs     map[string]*job
-	teams    map[string]*team
-	total    types.Resources // capacity of the hosts that accept tasks
-	queue    *queue
-	sequence uint64      // counts the events that free hosts
-	freed    []freedHost // log of freed hosts, oldest first
-	orphans  int         // bound tasks whose worker is unknown
-	assumed  []*task     // tasks with an unconfirmed start, oldest first
+	hosts       []*host // sorted by ID
+	hostByID    map[types.WorkerID]*host
+	tasks       map[types.TaskID]*task
+	jobs        map[string]*job
+	teams       map[string]*team
+	total       types.Resources // capacity of the hosts that accept tasks
+	queue       *queue
+	sequence    uint64      // counts the events that free hosts
+	evaluations uint64      // hosts asked about a task, ever
+	freed       []freedHost // log of freed hosts, oldest first
+	orphans     int         // bound tasks whose worker is unknown
+	assumed     []*task     // tasks with an unconfirmed start, oldest first
 
 	learned      map[string]*learned
 	learnedRest  *learned // shared by the classes beyond the bound
@@ -230,8 +231,6 @@
 	return append([]Action(nil), s.actions...)
 }
 
-func (s *Scheduler) emit(a Action) { s.actions = append(s.actions, a) }
-
 func (s *Scheduler) enqueue(t *task) {
 	t.order = queueOrder(t)
 	t.notBefore = time.Time{}
--- a/schedule/task.go
+++ b/schedule/task.go
@@ -49,6 +49,7 @@
 	ranBefore     time.Duration // run time of earlier attempts that was kept
 
 	decision decision
+	events   []Event
 }
 
 // band is the rank of a task's kind in the queue. Lower bands go first.
--- a/schedule/why.go
+++ b/schedule/why.go
@@ -73,6 +73,7 @@
 	Outcome  string
 	RuledOut []RuledOut
 	Kept     []Kept
+	Events   []Event // throttles, evictions and the like, oldest first
 }
 
 // RuledOut counts the hosts that a filter ruled out, with a few examples.
@@ -112,6 +113,7 @@
 	for i := range min(int(d.kept), maxKept) {
 		e.Kept = append(e.Kept, s.kept(d.best[i]))
 	}
+	e.Events = append(e.Events, t.events...)
 	return e
 }
 
@@ -183,6 +185,9 @@
 	for _, k := range e.Kept {
 		lines = append(lines, k.line())
 	}
+	for _, event := range e.Events {
+		lines = append(lines, event.At.UTC().Format(time.RFC3339)+" "+event.Text)
+	}
 	return lines
 }
 
