--- /dev/null
+++ b/rpcclient/client_test.go
@@ -0,0 +1,79 @@
+package rpcclient
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"mangohill.example/mangohill/kind"
+)
+
+type echo struct{ silent atomic.Bool }
+
+func (e *echo) Say(args *string, reply *string) error {
+	if e.silent.Load() {
+		select {}
+	}
+	if *args == "stale" {
+		return kind.Errorf(kind.StaleEpoch, "epoch 1 is below 2")
+	}
+	*reply = *args
+	return nil
+}
+
+func pipeClient(service *echo, dials *atomic.Int64) *Client {
+	server := rpc.NewServer()
+	if err := server.RegisterName("Echo", service); err != nil {
+		panic(err)
+	}
+	return New(Options{Dial: func(context.Context, string) (net.Conn, error) {
+		dials.Add(1)
+		near, far := net.Pipe()
+		go server.ServeConn(far)
+		return near, nil
+	}})
+}
+
+func TestSilentConnectionIsDroppedAndReplaced(t *testing.T) {
+	var dials atomic.Int64
+	service := &echo{}
+	client := pipeClient(service, &dials)
+	defer client.Close()
+	var reply string
+	args := "hello"
+	require.NoError(t, client.Call(context.Background(), "a", "Echo.Say", &args, &reply))
+	require.NoError(t, client.Call(context.Background(), "a", "Echo.Say", &args, &reply))
+	assert.EqualValues(t, 1, dials.Load())
+
+	service.silent.Store(true)
+	expired, cancel := context.WithDeadline(context.Background(), time.Now().Add(-time.Second))
+	defer cancel()
+	err := client.Call(expired, "a", "Echo.Say", &args, new(string))
+	assert.Equal(t, kind.UnknownOutcome, kind.Of(err))
+
+	service.silent.Store(false)
+	require.NoError(t, client.Call(context.Background(), "a", "Echo.Say", &args, &reply))
+	assert.EqualValues(t, 2, dials.Load(), "the silent connection must not be used again")
+}
+
+func TestRemoteKindIsKept(t *testing.T) {
+	var dials atomic.Int64
+	client := pipeClient(&echo{}, &dials)
+	defer client.Close()
+	args := "stale"
+	err := client.Call(context.Background(), "a", "Echo.Say", &args, new(string))
+	assert.Equal(t, kind.StaleEpoch, kind.Of(err))
+}
+
+func TestDialFailureIsUnreachable(t *testing.T) {
+	client := New(Options{Dial: func(context.Context, string) (net.Conn, error) { return nil, net.ErrClosed }})
+	args := ""
+	err := client.Call(context.Background(), "a", "Echo.Say", &args, new(string))
+	assert.Equal(t, kind.Unreachable, kind.Of(err))
+}
