--- /dev/null
+++ b/internal/fake/attempt.go
@@ -0,0 +1,69 @@
+package fake
+
+import (
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"mangohill.example/mangohill/platform"
+)
+
+// Work is the payload of a pretended task.
+type Work struct {
+	// RunMs is the run time in milliseconds; zero runs until it is stopped.
+	RunMs int64 `json:"run_ms"`
+	// Fail makes the attempt fail at its end.
+	Fail bool `json:"fail"`
+}
+
+// attempt is one pretended execution of a task.
+type attempt struct {
+	command   platform.Command
+	work      Work
+	began     time.Time
+	resumedMs int64
+	throttled bool
+	timer     *time.Timer
+}
+
+func newAttempt(command platform.Command) *attempt {
+	a := &attempt{command: command, began: time.Now()}
+	_ = json.Unmarshal(command.Payload, &a.work) // A payload of another form runs until it is stopped.
+	a.resumedMs, _ = strconv.ParseInt(command.ResumeFrom, 10, 64)
+	return a
+}
+
+func (a *attempt) elapsedMs() int64 { return a.resumedMs + time.Since(a.began).Milliseconds() }
+
+// remaining returns the time until the attempt ends by itself, if it does.
+func (a *attempt) remaining() (time.Duration, bool) {
+	if a.work.RunMs <= 0 {
+		return 0, false
+	}
+	return time.Duration(max(a.work.RunMs-a.resumedMs, 0)) * time.Millisecond, true
+}
+
+func (a *attempt) status() platform.TaskStatus {
+	state := platform.AttemptRunning
+	if a.throttled {
+		state = platform.AttemptThrottled
+	}
+	return platform.TaskStatus{Task: a.command.Task, Epoch: a.command.Epoch, State: state}
+}
+
+// checkpoint returns the progress in milliseconds as an opaque string.
+func (a *attempt) checkpoint() string { return strconv.FormatInt(a.elapsedMs(), 10) }
+
+func (a *attempt) usage(takenMs int64) platform.UsageSample {
+	sample := platform.UsageSample{
+		Task:        a.command.Task,
+		Epoch:       a.command.Epoch,
+		TakenMs:     takenMs,
+		Processors:  a.command.Processors,
+		MemoryBytes: a.command.MemoryBytes,
+	}
+	if a.work.RunMs > 0 {
+		sample.Progress = min(float64(a.elapsedMs())/float64(a.work.RunMs), 1)
+	}
+	return sample
+}
--- /dev/null
+++ b/internal/fake/journal.go
@@ -0,0 +1,95 @@
+package fake
+
+import (
+	"fmt"
+	"sync"
+)
+
+// Journal records executions on all stand-ins of a process and finds those that
+// break a promise: a task that is live in two places, or a non-idempotent
+// request that ran twice.
+type Journal struct {
+	mu         sync.Mutex
+	live       map[string]string
+	finished   map[string]int
+	requests   map[string]int
+	starts     int
+	violations []string
+}
+
+// NewJournal returns an empty journal.
+func NewJournal() *Journal {
+	return &Journal{live: make(map[string]string), finished: make(map[string]int), requests: make(map[string]int)}
+}
+
+// TaskStarted records that worker started an attempt.
+func (j *Journal) TaskStarted(task string, epoch uint64, worker string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.starts++
+	place := fmt.Sprintf("worker %q epoch %d", worker, epoch)
+	if other, ok := j.live[task]; ok {
+		j.violations = append(j.violations, fmt.Sprintf("task %q is live at %s and at %s", task, other, place))
+	}
+	if j.finished[task] > 0 {
+		j.violations = append(j.violations, fmt.Sprintf("task %q started again at %s after it finished", task, place))
+	}
+	j.live[task] = place
+}
+
+// TaskEnded records that worker ended an attempt, finished or not.
+func (j *Journal) TaskEnded(task string, epoch uint64, worker string, finished bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.live[task] == fmt.Sprintf("worker %q epoch %d", worker, epoch) {
+		delete(j.live, task)
+	}
+	if finished {
+		j.finished[task]++
+	}
+}
+
+// RequestRan records one execution of a non-idempotent request.
+func (j *Journal) RequestRan(key string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.requests[key]++
+	if j.requests[key] > 1 {
+		j.violations = append(j.violations, fmt.Sprintf("request %q ran %d times", key, j.requests[key]))
+	}
+}
+
+// RequestRuns returns how often the request with key ran.
+func (j *Journal) RequestRuns(key string) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.requests[key]
+}
+
+// Finished returns how often the task finished.
+func (j *Journal) Finished(task string) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.finished[task]
+}
+
+// Starts returns the number of attempts started.
+func (j *Journal) Starts() int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.starts
+}
+
+// Live returns the place of the live attempt of task, empty if there is none.
+func (j *Journal) Live(task string) string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.live[task]
+}
+
+// Violations returns a description of every broken promise so far.
+func (j *Journal) Violations() []string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return append([]string(nil), j.violations...)
+}
--- /dev/null
+++ b/internal/fake/worker.go
@@ -0,0 +1,336 @@
+package fake
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"mangohill.example/mangohill/platform"
+)
+
+const (
+	// workerHold is the hold that an idle worker asks for.
+	workerHold = 5 * time.Second
+	// workerRetryDelay is the pause after a sync that failed.
+	workerRetryDelay = 100 * time.Millisecond
+	// syncTimeout bounds a sync beyond its hold.
+	syncTimeout = 2 * time.Second
+)
+
+// WorkerOptions configures a stand-in worker.
+type WorkerOptions struct {
+	Name          string
+	Incarnation   uint64
+	FailureDomain string
+	Rack          string
+	Capacity      platform.Capacity
+	// Entries are the base URLs of platform listeners, as a balancer would offer
+	// them; a failed sync moves on to the next one.
+	Entries []string
+	Journal *Journal
+}
+
+// Worker is a stand-in worker: it keeps its lease, runs pretended tasks and
+// refuses epochs lower than it has seen.
+type Worker struct {
+	options WorkerOptions
+	client  *http.Client
+	started time.Time
+	wake    chan struct{}
+
+	mu       sync.Mutex
+	attempts map[string]*attempt
+	seen     map[string]uint64
+	changes  map[string]platform.TaskStatus
+	lease    *time.Timer
+	state    string
+	full     bool
+	usageDue time.Time
+	usageMs  int64
+}
+
+// NewWorker returns a worker that Run starts.
+func NewWorker(options WorkerOptions) *Worker {
+	w := &Worker{
+		options:  options,
+		client:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}},
+		started:  time.Now(),
+		wake:     make(chan struct{}, 1),
+		attempts: make(map[string]*attempt),
+		seen:     make(map[string]uint64),
+		changes:  make(map[string]platform.TaskStatus),
+		state:    "ready",
+		full:     true,
+	}
+	w.lease = time.AfterFunc(time.Hour, w.leaseOver)
+	w.lease.Stop()
+	return w
+}
+
+// Leave makes the worker announce that it is leaving.
+func (w *Worker) Leave() {
+	w.mu.Lock()
+	w.state = "leaving"
+	w.mu.Unlock()
+	w.signal()
+}
+
+// Running returns the number of attempts that are live on the worker.
+func (w *Worker) Running() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.attempts)
+}
+
+// Run syncs until ctx ends, then ends all attempts.
+func (w *Worker) Run(ctx context.Context) {
+	for tries := 0; ctx.Err() == nil; {
+		entry := w.options.Entries[tries%len(w.options.Entries)]
+		if err := w.syncOnce(ctx, entry); err != nil {
+			tries++
+			wait(ctx, workerRetryDelay)
+		}
+	}
+	w.leaseOver()
+	w.lease.Stop()
+	w.client.CloseIdleConnections()
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// syncOnce sends one sync and follows its answer. A change of an attempt while
+// the sync is held ends the sync, so that the change is reported at once.
+func (w *Worker) syncOnce(ctx context.Context, entry string) error {
+	request := w.compose()
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(request.HoldMs)*time.Millisecond+syncTimeout)
+	defer cancel()
+	interrupted := make(chan struct{})
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		select {
+		case <-w.wake:
+			close(interrupted)
+			cancel()
+		case <-stop:
+		}
+	}()
+	answer, err := w.post(ctx, entry, request)
+	if err != nil {
+		w.mu.Lock()
+		w.full = w.full || request.Full
+		w.mu.Unlock()
+		select {
+		case <-interrupted:
+			return nil
+		default:
+			return err
+		}
+	}
+	w.follow(request, answer)
+	return nil
+}
+
+func (w *Worker) nowMs() int64 { return time.Since(w.started).Milliseconds() }
+
+func (w *Worker) compose() platform.SyncRequest {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	request := platform.SyncRequest{
+		Incarnation: w.options.Incarnation,
+		SentMs:      w.nowMs(),
+		State:       w.state,
+		Full:        w.full,
+		HoldMs:      workerHold.Milliseconds(),
+	}
+	if w.full {
+		request.FailureDomain = w.options.FailureDomain
+		request.Rack = w.options.Rack
+		request.Capacity = &w.options.Capacity
+		for _, a := range w.attempts {
+			request.Tasks = append(request.Tasks, a.status())
+		}
+	}
+	for _, status := range w.changes {
+		request.Tasks = append(request.Tasks, status)
+	}
+	if len(request.Tasks) > 0 || w.full {
+		request.HoldMs = 0
+	}
+	w.full = false
+	request.Usage = w.sampleUsage()
+	return request
+}
+
+// sampleUsage returns usage samples if the interval has passed. The caller holds
+// the lock.
+func (w *Worker) sampleUsage() []platform.UsageSample {
+	now := time.Now()
+	if w.usageMs == 0 || now.Before(w.usageDue) {
+		return nil
+	}
+	w.usageDue = now.Add(time.Duration(w.usageMs) * time.Millisecond)
+	var samples []platform.UsageSample
+	for _, a := range w.attempts {
+		samples = append(samples, a.usage(w.nowMs()))
+	}
+	return samples
+}
+
+func (w *Worker) post(ctx context.Context, entry string, request platform.SyncRequest) (*platform.SyncAnswer, error) {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return nil, fmt.Errorf("worker %q: encode sync: %w", w.options.Name, err)
+	}
+	url := fmt.Sprintf("%s/v1/workers/%s/sync", entry, w.options.Name)
+	post, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, fmt.Errorf("worker %q: %w", w.options.Name, err)
+	}
+	post.Header.Set("Content-Type", "application/json")
+	response, err := w.client.Do(post)
+	if err != nil {
+		return nil, fmt.Errorf("worker %q: %w", w.options.Name, err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("worker %q: sync at %s: status %d", w.options.Name, entry, response.StatusCode)
+	}
+	var answer platform.SyncAnswer
+	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
+		return nil, fmt.Errorf("worker %q: decode sync answer: %w", w.options.Name, err)
+	}
+	return &answer, nil
+}
+
+func (w *Worker) follow(request platform.SyncRequest, answer *platform.SyncAnswer) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.full = w.full || answer.Resync
+	w.usageMs = answer.UsageMs
+	for _, sent := range request.Tasks {
+		if current, ok := w.changes[sent.Task]; ok && current == sent {
+			delete(w.changes, sent.Task)
+		}
+	}
+	leased := w.extendLease(answer.Lease)
+	for _, command := range answer.Commands {
+		w.obey(command, leased)
+	}
+}
+
+// extendLease sets the end of the lease and reports whether it lies ahead.
+func (w *Worker) extendLease(lease *platform.Lease) bool {
+	if lease == nil {
+		return false
+	}
+	end := w.started.Add(time.Duration(lease.CountedFromSentMs+lease.DurationMs) * time.Millisecond)
+	left := time.Until(end)
+	if left <= 0 {
+		return false
+	}
+	w.lease.Reset(left)
+	return true
+}
+
+func (w *Worker) leaseOver() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, a := range w.attempts {
+		w.end(a, platform.AttemptStopped, "lease is over")
+	}
+}
+
+func (w *Worker) obey(command platform.Command, leased bool) {
+	current := w.attempts[command.Task]
+	if command.Epoch < w.seen[command.Task] {
+		return
+	}
+	if command.Verb == "start" {
+		if leased && command.Epoch > w.seen[command.Task] {
+			w.start(command)
+		}
+		return
+	}
+	if current == nil || current.command.Epoch != command.Epoch {
+		w.note(platform.TaskStatus{Task: command.Task, Epoch: command.Epoch, State: platform.AttemptStopped, Reason: "not running here"})
+		w.seen[command.Task] = command.Epoch
+		return
+	}
+	switch command.Verb {
+	case "throttle":
+		current.throttled = true
+		w.note(current.status())
+	case "unthrottle":
+		current.throttled = false
+		w.note(current.status())
+	case "checkpoint":
+		w.end(current, platform.AttemptCheckpointed, "")
+	case "stop":
+		w.end(current, platform.AttemptStopped, "")
+	}
+}
+
+// note keeps a change until a sync that carried it was answered.
+func (w *Worker) note(status platform.TaskStatus) {
+	w.changes[status.Task] = status
+	w.signal()
+}
+
+func (w *Worker) signal() {
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (w *Worker) start(command platform.Command) {
+	w.seen[command.Task] = command.Epoch
+	if old := w.attempts[command.Task]; old != nil {
+		w.end(old, platform.AttemptStopped, "superseded")
+	}
+	a := newAttempt(command)
+	w.attempts[command.Task] = a
+	w.options.Journal.TaskStarted(command.Task, command.Epoch, w.options.Name)
+	w.note(a.status())
+	if left, ends := a.remaining(); ends {
+		a.timer = time.AfterFunc(left, func() { w.complete(a) })
+	}
+}
+
+func (w *Worker) complete(a *attempt) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.attempts[a.command.Task] != a {
+		return
+	}
+	if a.work.Fail {
+		w.end(a, platform.AttemptFailed, "exit status 1")
+		return
+	}
+	w.end(a, platform.AttemptFinished, "")
+}
+
+func (w *Worker) end(a *attempt, state, reason string) {
+	if a.timer != nil {
+		a.timer.Stop()
+	}
+	delete(w.attempts, a.command.Task)
+	w.options.Journal.TaskEnded(a.command.Task, a.command.Epoch, w.options.Name, state == platform.AttemptFinished)
+	status := platform.TaskStatus{Task: a.command.Task, Epoch: a.command.Epoch, State: state, Reason: reason}
+	if state == platform.AttemptCheckpointed {
+		status.Checkpoint = a.checkpoint()
+	}
+	w.note(status)
+}
--- /dev/null
+++ b/load/load.go
@@ -0,0 +1,206 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/google/uuid"
+)
+
+const (
+	// maxLatencyUs is the largest latency that the histogram tells apart.
+	maxLatencyUs = int64(60 * time.Second / time.Microsecond)
+	// histogramDigits is the number of significant digits of recorded latencies.
+	histogramDigits = 3
+	// maxAnswerBytes bounds an answer that is read for the check.
+	maxAnswerBytes = 1 << 20
+)
+
+// Options configures a run.
+type Options struct {
+	// Entries are base URLs of callers' listeners; requests take them in turn.
+	Entries []string
+	Service string
+	// Rate is the mean number of requests a second.
+	Rate float64
+	// Requests is the total number of requests.
+	Requests int
+	// Concurrency bounds the requests under way; an arrival above it is counted
+	// as skipped.
+	Concurrency int
+	// Bookings makes every request a non-idempotent POST with a key of its own.
+	Bookings bool
+	// Timeout is sent as Mangohill-Timeout-Ms.
+	Timeout time.Duration
+	Seed    uint64
+	// Progress is called after every answer, if set.
+	Progress func(done int)
+}
+
+// Result is what a run saw.
+type Result struct {
+	Service  string         `json:"service"`
+	Sent     int            `json:"sent"`
+	Skipped  int            `json:"skipped"`
+	Outcomes map[string]int `json:"outcomes"`
+	Statuses map[int]int    `json:"statuses"`
+	// Wrong counts answers that did not belong to their request.
+	Wrong    int     `json:"wrong"`
+	Errors   int     `json:"errors"`
+	P50Ms    float64 `json:"p50_ms"`
+	P99Ms    float64 `json:"p99_ms"`
+	P999Ms   float64 `json:"p99_9_ms"`
+	Seconds  float64 `json:"seconds"`
+	FirstBad string  `json:"first_bad,omitempty"`
+	// Keys lists the idempotency keys of bookings with outcome done.
+	Keys []string `json:"-"`
+}
+
+type runner struct {
+	options   Options
+	client    *http.Client
+	mu        sync.Mutex
+	result    Result
+	histogram *hdrhistogram.Histogram
+	done      int
+}
+
+// Run sends the requests and waits for their answers. The error is that of ctx,
+// if it ended before the run.
+func Run(ctx context.Context, options Options) (Result, error) {
+	r := &runner{
+		options:   options,
+		client:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: options.Concurrency}},
+		histogram: hdrhistogram.New(1, maxLatencyUs, histogramDigits),
+		result:    Result{Service: options.Service, Outcomes: make(map[string]int), Statuses: make(map[int]int)},
+	}
+	defer r.client.CloseIdleConnections()
+	begun := time.Now()
+	err := r.arrivals(ctx, begun)
+	r.result.Seconds = time.Since(begun).Seconds()
+	r.result.P50Ms = r.quantileMs(50)
+	r.result.P99Ms = r.quantileMs(99)
+	r.result.P999Ms = r.quantileMs(99.9)
+	return r.result, err
+}
+
+func (r *runner) quantileMs(q float64) float64 {
+	return float64(r.histogram.ValueAtQuantile(q)) / 1000
+}
+
+func (r *runner) arrivals(ctx context.Context, begun time.Time) error {
+	random := rand.New(rand.NewPCG(r.options.Seed, 0))
+	slots := make(chan struct{}, r.options.Concurrency)
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	var offset time.Duration
+	for i := range r.options.Requests {
+		offset += time.Duration(random.ExpFloat64() / r.options.Rate * float64(time.Second))
+		planned := begun.Add(offset)
+		if err := sleepUntil(ctx, planned); err != nil {
+			return err
+		}
+		select {
+		case slots <- struct{}{}:
+		default:
+			r.result.Skipped++
+			continue
+		}
+		r.result.Sent++
+		wait.Go(func() {
+			r.request(ctx, i, planned)
+			<-slots
+		})
+	}
+	return nil
+}
+
+func sleepUntil(ctx context.Context, t time.Time) error {
+	timer := time.NewTimer(time.Until(t))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (r *runner) request(ctx context.Context, i int, planned time.Time) {
+	id := uuid.NewString()
+	response, body, err := r.send(ctx, i, id)
+	elapsed := time.Since(planned)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.done++
+	if r.options.Progress != nil {
+		r.options.Progress(r.done)
+	}
+	if err != nil {
+		r.result.Errors++
+		r.bad(fmt.Sprintf("request %s: %v", id, err))
+		return
+	}
+	r.count(id, response, body, elapsed)
+}
+
+func (r *runner) count(id string, response *http.Response, body string, elapsed time.Duration) {
+	outcome := response.Header.Get("Mangohill-Outcome")
+	r.result.Outcomes[outcome]++
+	r.result.Statuses[response.StatusCode]++
+	if outcome != "done" {
+		r.bad(fmt.Sprintf("request %s: status %d: %s", id, response.StatusCode, body))
+		return
+	}
+	if err := r.histogram.RecordValue(max(1, elapsed.Microseconds())); err != nil {
+		r.bad(err.Error())
+	}
+	if !strings.Contains(body, id) {
+		r.result.Wrong++
+		r.bad(fmt.Sprintf("request %s: the answer does not name it: %.200s", id, body))
+		return
+	}
+	if r.options.Bookings {
+		r.result.Keys = append(r.result.Keys, id)
+	}
+}
+
+func (r *runner) bad(text string) {
+	if r.result.FirstBad == "" {
+		r.result.FirstBad = text
+	}
+}
+
+func (r *runner) send(ctx context.Context, i int, id string) (*http.Response, string, error) {
+	entry := r.options.Entries[i%len(r.options.Entries)]
+	method := http.MethodGet
+	var payload io.Reader
+	if r.options.Bookings {
+		method = http.MethodPost
+		payload = strings.NewReader("booking " + id)
+	}
+	url := fmt.Sprintf("%s/v1/services/%s/echo?id=%s", entry, r.options.Service, id)
+	request, err := http.NewRequestWithContext(ctx, method, url, payload)
+	if err != nil {
+		return nil, "", err
+	}
+	request.Header.Set("Mangohill-Request-Id", id)
+	request.Header.Set("Mangohill-Timeout-Ms", fmt.Sprint(r.options.Timeout.Milliseconds()))
+	if r.options.Bookings {
+		request.Header.Set("Idempotency-Key", id)
+	}
+	response, err := r.client.Do(request)
+	if err != nil {
+		return nil, "", err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	return response, string(body), err
+}
