--- /dev/null
+++ b/clusterconfig/parse_test.go
@@ -0,0 +1,86 @@
+package clusterconfig
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"mangohill.example/mangohill/kind"
+	"mangohill.example/mangohill/types"
+)
+
+func TestParseReadsAWholeConfiguration(t *testing.T) {
+	config, err := Parse(`services:
+  quote: {timeout: 2s, queue_limit: 100, objective: {p99: 50ms, success: 0.99}}
+weights: {tail_latency: 5, evictions: 2, throughput: 1}
+teams:
+  routing: {processors: 256, memory: 1TiB, accelerators: 0}
+credits_end: 2027-03-31T00:00:00Z
+leases: {duration: 8s, hold: 2s, usage: 5s}
+entry: {stop_when_stale: 0}
+`)
+	require.NoError(t, err)
+	assert.Equal(t, &types.Config{
+		Services: map[string]types.ServiceConfig{"quote": {
+			Timeout: 2 * time.Second, QueueLimit: 100, Objective: types.Objective{P99: 50 * time.Millisecond, Success: 0.99},
+		}},
+		Weights:    types.Weights{TailLatency: 5, Evictions: 2, Throughput: 1},
+		Teams:      map[string]types.TeamQuota{"routing": {Processors: 256, Memory: "1TiB"}},
+		CreditsEnd: time.Date(2027, 3, 31, 0, 0, 0, 0, time.UTC),
+		Leases:     types.LeaseConfig{Duration: 8 * time.Second, Hold: 2 * time.Second, Usage: 5 * time.Second},
+	}, config)
+	limit := config.Teams["routing"].Limit()
+	assert.Equal(t, types.Resources{MilliProcessors: 256_000, MemoryBytes: 1 << 40}, limit)
+}
+
+func TestMissingKeysTakeTheirDefaults(t *testing.T) {
+	config, err := Parse("services: {quote: {}}\n")
+	require.NoError(t, err)
+	assert.Equal(t, types.ServiceConfig{
+		Timeout: DefaultServiceTimeout, QueueLimit: DefaultQueueLimit,
+		Objective: types.Objective{P99: DefaultObjectiveP99, Success: DefaultSuccess},
+	}, config.Services["quote"])
+	assert.Equal(t, DefaultStopWhenStale, config.Entry.StopWhenStale)
+	assert.Equal(t, DefaultLeaseDuration, Default().Leases.Duration)
+}
+
+func TestEveryFaultIsNamedWithItsLine(t *testing.T) {
+	_, err := Parse(`services:
+  quote: {timeout: 0s, objective: {success: 1}}
+weights: {speed: 1, evictions: .nan}
+teams:
+  a: {processors: 1}
+  b: {memory: huge, processors: -1}
+credits_end: tomorrow
+leases: {duration: 1s, hold: 1s}
+`)
+	require.Error(t, err)
+	assert.Equal(t, kind.BadConfig, kind.Of(err))
+	for _, want := range []string{
+		"line 2: services.quote.timeout: must be more than 0",
+		"line 2: services.quote.objective.success: must lie between 0 and 1",
+		"line 3: weights.speed: is not a known key",
+		"line 3: weights.evictions:",
+		"line 5: teams.a.memory: is missing",
+		`line 6: teams.b.memory: "huge" is not a size`,
+		"line 6: teams.b.processors: -1 is outside",
+		`line 7: credits_end: "tomorrow" is not a time`,
+		"line 8: leases.hold: 1s must be less than half",
+	} {
+		assert.ErrorContains(t, err, want)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(types.DefaultConfigText)
+	f.Add("services: {quote: {objective: {p99: 50ms}}}")
+	f.Fuzz(func(t *testing.T, text string) {
+		config, err := Parse(text)
+		assert.Equal(t, err == nil, config != nil)
+		if err != nil {
+			assert.Equal(t, kind.BadConfig, kind.Of(err))
+		}
+	})
+}
--- /dev/null
+++ b/command/declare.go
@@ -0,0 +1,245 @@
+package command
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+
+	"mangohill.example/mangohill/types"
+)
+
+// Bounds of declared values.
+const (
+	maxNameBytes    = 64
+	maxReplicas     = 10_000
+	maxAccelerators = 1_000_000
+	maxPayloadBytes = 16 << 10
+	// maxDuration is the longest declared time.
+	maxDuration = 10 * 365 * 24 * time.Hour
+)
+
+// attribute is one attribute of a declaration. A nil kinds list means that
+// every kind of job takes it.
+type attribute struct {
+	name  string
+	kinds []types.TaskKind
+	read  func(p *parser, job *types.JobSpec) error
+}
+
+var (
+	onlyService = []types.TaskKind{types.KindService}
+	onlyBatch   = []types.TaskKind{types.KindBatch}
+)
+
+// attributes is a function, as the readers refer to the parser and back.
+func attributes() []attribute {
+	return []attribute{
+		{"team", nil, readTeam},
+		{"class", nil, readClass},
+		{"replicas", onlyService, readReplicas},
+		{"processors", nil, readProcessors},
+		{"memory", nil, readMemory},
+		{"accelerators", nil, readAccelerators},
+		{"objective", onlyService, readObjective},
+		{"expected", []types.TaskKind{types.KindBatch, types.KindWatcher}, readExpected},
+		{"urgent", nil, readUrgent},
+		{"deadline", onlyBatch, readDeadline},
+		{"payload", nil, readPayload},
+	}
+}
+
+func attributesOf(kind types.TaskKind) []attribute {
+	var list []attribute
+	for _, a := range attributes() {
+		if a.kinds == nil || slices.Contains(a.kinds, kind) {
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
+func (p *parser) declare() (Statement, error) {
+	kinds := []string{string(types.KindService), string(types.KindBatch), string(types.KindWatcher)}
+	kindToken := p.peek()
+	if kindToken.rule != ruleWord || !slices.Contains(kinds, kindToken.text) {
+		return nil, p.expected(oneOf(kinds))
+	}
+	p.take()
+	job := types.JobSpec{Kind: types.TaskKind(kindToken.text), Replicas: 1}
+	name, err := p.jobName("the name of the " + kindToken.text)
+	if err != nil {
+		return nil, err
+	}
+	job.Name = name
+	if !p.peek().isPunct("{") {
+		return nil, p.expected(`"{" and the attributes`)
+	}
+	p.take()
+	if err := p.block(&job); err != nil {
+		return nil, err
+	}
+	return Declare{Job: job}, nil
+}
+
+// block reads the attributes up to the closing brace.
+func (p *parser) block(job *types.JobSpec) error {
+	allowed := attributesOf(job.Kind)
+	names := make([]string, 0, len(allowed))
+	for _, a := range allowed {
+		names = append(names, a.name)
+	}
+	seen := make(map[string]bool)
+	for !p.peek().isPunct("}") {
+		t := p.peek()
+		index := slices.Index(names, t.text)
+		if t.rule != ruleWord || index < 0 {
+			return p.expected(fmt.Sprintf("an attribute of a %s (%s) or \"}\"", job.Kind, oneOf(names)))
+		}
+		if seen[t.text] {
+			return p.expected(fmt.Sprintf("attribute %q only once", t.text))
+		}
+		seen[t.text] = true
+		p.take()
+		if err := allowed[index].read(p, job); err != nil {
+			return err
+		}
+	}
+	for _, required := range []string{"processors", "memory"} {
+		if !seen[required] {
+			return p.expected(fmt.Sprintf("attribute %q, which is required,", required))
+		}
+	}
+	p.take()
+	return nil
+}
+
+// jobName reads a name of letters, digits, '-', '_' and '.'.
+func (p *parser) jobName(what string) (string, error) {
+	t := p.peek()
+	if t.rule != ruleWord || len(t.text) > maxNameBytes || !isName(t.text) {
+		return "", p.expected(fmt.Sprintf("%s of letters, digits, '-', '_' and '.', at most %d", what, maxNameBytes))
+	}
+	return p.take().text, nil
+}
+
+func isName(text string) bool {
+	for _, r := range text {
+		letter := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z'
+		digit := r >= '0' && r <= '9'
+		if !letter && !digit && r != '-' && r != '_' && r != '.' {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *parser) int(what string, least, most int64) (int64, error) {
+	t := p.peek()
+	number, err := strconv.ParseInt(t.text, 10, 64)
+	if t.rule != ruleWord || err != nil || number < least || number > most {
+		return 0, p.expected(fmt.Sprintf("%s from %d to %d", what, least, most))
+	}
+	p.take()
+	return number, nil
+}
+
+func (p *parser) boundedDuration() (time.Duration, error) {
+	t := p.peek()
+	duration, err := p.duration()
+	if err != nil {
+		return 0, err
+	}
+	if duration < time.Millisecond || duration > maxDuration {
+		return 0, expectedAt(t, fmt.Sprintf("a duration from 1ms to %s", maxDuration))
+	}
+	return duration, nil
+}
+
+func readTeam(p *parser, job *types.JobSpec) (err error) {
+	job.Team, err = p.jobName("the name of a team")
+	return err
+}
+
+func readClass(p *parser, job *types.JobSpec) (err error) {
+	job.Class, err = p.jobName("the name of a class")
+	return err
+}
+
+func readReplicas(p *parser, job *types.JobSpec) error {
+	replicas, err := p.int("a number of replicas", 1, maxReplicas)
+	job.Replicas = int(replicas)
+	return err
+}
+
+func readProcessors(p *parser, job *types.JobSpec) error {
+	t := p.peek()
+	processors, err := types.ParseProcessors(t.text)
+	if t.rule != ruleWord || err != nil || processors == 0 {
+		return p.expected("a number of processors such as 4 or 0.5")
+	}
+	job.Request.MilliProcessors = processors
+	p.take()
+	return nil
+}
+
+func readMemory(p *parser, job *types.JobSpec) error {
+	t := p.peek()
+	bytes, err := types.ParseSize(t.text)
+	if t.rule != ruleWord || err != nil || bytes == 0 {
+		return p.expected("a size such as 8GiB or 512MiB")
+	}
+	job.Request.MemoryBytes = bytes
+	p.take()
+	return nil
+}
+
+func readAccelerators(p *parser, job *types.JobSpec) (err error) {
+	job.Request.Accelerators, err = p.int("a number of accelerators", 0, maxAccelerators)
+	return err
+}
+
+func readObjective(p *parser, job *types.JobSpec) error {
+	if err := p.keyword("p99"); err != nil {
+		return err
+	}
+	objective, err := p.boundedDuration()
+	job.ObjectiveP99Ms = objective.Milliseconds()
+	return err
+}
+
+func readExpected(p *parser, job *types.JobSpec) error {
+	expected, err := p.boundedDuration()
+	job.ExpectedMs = expected.Milliseconds()
+	return err
+}
+
+func readUrgent(_ *parser, job *types.JobSpec) error {
+	job.Urgent = true
+	return nil
+}
+
+func readDeadline(p *parser, job *types.JobSpec) error {
+	t := p.peek()
+	deadline, err := time.Parse(time.RFC3339, t.text)
+	if t.rule != ruleWord || err != nil || deadline.UnixMilli() <= 0 {
+		return p.expected("a time such as 2026-12-24T18:00:00Z")
+	}
+	job.DeadlineMs = deadline.UnixMilli()
+	p.take()
+	return nil
+}
+
+func readPayload(p *parser, job *types.JobSpec) error {
+	t := p.peek()
+	payload, err := p.value("a JSON document in quotes")
+	if err != nil {
+		return err
+	}
+	if len(payload) > maxPayloadBytes || !json.Valid([]byte(payload)) {
+		return expectedAt(t, fmt.Sprintf("a JSON document in quotes, at most %d bytes", maxPayloadBytes))
+	}
+	job.Payload = []byte(payload)
+	return nil
+}
--- /dev/null
+++ b/command/parse.go
@@ -0,0 +1,262 @@
+package command
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"mangohill.example/mangohill/kind"
+)
+
+// SyntaxError is the cause of an error of kind BadSyntax. Line and Column count
+// from 1, Column in characters.
+type SyntaxError struct {
+	Line     int
+	Column   int
+	Expected string
+	Found    string
+}
+
+// Error returns the place, what was expected there and what was found.
+func (e *SyntaxError) Error() string {
+	place := fmt.Sprintf("column %d", e.Column)
+	if e.Line > 1 {
+		place = fmt.Sprintf("line %d, column %d", e.Line, e.Column)
+	}
+	return fmt.Sprintf("%s: expected %s, found %s", place, e.Expected, e.Found)
+}
+
+// Parse reads one command.
+func Parse(text string) (Statement, error) {
+	tokens, err := tokenize(text)
+	if err != nil {
+		return nil, err
+	}
+	p := &parser{tokens: slices.DeleteFunc(tokens, func(t token) bool { return t.rule == ruleNewline })}
+	statement, err := p.statement()
+	if err != nil {
+		return nil, err
+	}
+	if p.peek().rule != "" {
+		return nil, p.expected("the end of the command")
+	}
+	return statement, nil
+}
+
+type parser struct {
+	tokens []token
+	next   int
+}
+
+func (p *parser) peek() token { return p.tokens[p.next] }
+
+// take returns the next token; the end token is never passed.
+func (p *parser) take() token {
+	t := p.tokens[p.next]
+	if t.rule != "" {
+		p.next++
+	}
+	return t
+}
+
+func (p *parser) expected(what string) error { return expectedAt(p.peek(), what) }
+
+func expectedAt(t token, what string) error {
+	syntax := &SyntaxError{Line: t.line, Column: t.column, Expected: what, Found: t.describe()}
+	return kind.Errorf(kind.BadSyntax, "%w", syntax)
+}
+
+var verbs = []string{"declare", "cancel", "show", "why", "drain", "undrain", "set", "report", "help"}
+
+func (p *parser) statement() (Statement, error) {
+	verb := p.peek()
+	if verb.rule != ruleWord || !slices.Contains(verbs, verb.text) {
+		return nil, p.expected(oneOf(verbs))
+	}
+	p.take()
+	switch verb.text {
+	case "declare":
+		return p.declare()
+	case "cancel":
+		name, err := p.word("the name of a job or task")
+		return Cancel{Name: name}, err
+	case "show":
+		return p.show()
+	case "why":
+		name, err := p.word("the name of a task")
+		return Why{Task: name}, err
+	case "drain":
+		name, err := p.worker()
+		return Drain{Worker: name}, err
+	case "undrain":
+		name, err := p.worker()
+		return Undrain{Worker: name}, err
+	case "set":
+		return p.setConfig()
+	case "report":
+		return ReportBurn{}, p.keyword("burn")
+	}
+	return p.help(), nil
+}
+
+func (p *parser) help() Statement {
+	if p.peek().rule != ruleWord {
+		return Help{}
+	}
+	return Help{Word: p.take().text}
+}
+
+func (p *parser) worker() (string, error) {
+	if err := p.keyword("worker"); err != nil {
+		return "", err
+	}
+	return p.word("the name of a worker")
+}
+
+func (p *parser) show() (Statement, error) {
+	names := make([]string, 0, len(Topics()))
+	for _, topic := range Topics() {
+		names = append(names, string(topic))
+	}
+	topic := p.peek()
+	if topic.rule != ruleWord || !slices.Contains(names, topic.text) {
+		return nil, p.expected(oneOf(names))
+	}
+	p.take()
+	show := Show{Topic: Topic(topic.text)}
+	for p.peek().rule != "" {
+		switch next := p.peek(); {
+		case next.is("where") && show.Where == nil:
+			where, err := p.where()
+			if err != nil {
+				return nil, err
+			}
+			show.Where = where
+		case next.is("since") && show.Since == 0:
+			since, err := p.since()
+			if err != nil {
+				return nil, err
+			}
+			show.Since = since
+		default:
+			return nil, p.expected(`"where", "since" or the end of the command`)
+		}
+	}
+	return show, nil
+}
+
+func (p *parser) where() ([]Condition, error) {
+	var conditions []Condition
+	for {
+		p.take() // "where" or "and"
+		column, err := p.word("the name of a column")
+		if err != nil {
+			return nil, err
+		}
+		if !p.peek().isPunct("=") {
+			return nil, p.expected(`"="`)
+		}
+		p.take()
+		value, err := p.value("a value")
+		if err != nil {
+			return nil, err
+		}
+		conditions = append(conditions, Condition{Column: column, Value: value})
+		if !p.peek().is("and") {
+			return conditions, nil
+		}
+	}
+}
+
+func (p *parser) since() (time.Duration, error) {
+	p.take() // "since"
+	return p.duration()
+}
+
+func (p *parser) setConfig() (Statement, error) {
+	if err := p.keyword("config"); err != nil {
+		return nil, err
+	}
+	if err := p.keyword("from"); err != nil {
+		return nil, err
+	}
+	file, err := p.value("the name of a file")
+	if err != nil {
+		return nil, err
+	}
+	set := SetConfig{File: file}
+	if !p.peek().is("if") {
+		return set, nil
+	}
+	p.take()
+	if err := p.keyword("version"); err != nil {
+		return nil, err
+	}
+	number := p.peek()
+	set.Version, err = strconv.ParseUint(number.text, 10, 64)
+	if err != nil || number.rule != ruleWord || set.Version == 0 {
+		return nil, p.expected("a version number of at least 1")
+	}
+	p.take()
+	set.IfVersion = true
+	return set, nil
+}
+
+func (p *parser) keyword(text string) error {
+	if !p.peek().is(text) {
+		return p.expected(strconv.Quote(text))
+	}
+	p.take()
+	return nil
+}
+
+func (p *parser) word(what string) (string, error) {
+	if p.peek().rule != ruleWord {
+		return "", p.expected(what)
+	}
+	return p.take().text, nil
+}
+
+// value reads a word or a string.
+func (p *parser) value(what string) (string, error) {
+	switch t := p.peek(); t.rule {
+	case ruleWord:
+		p.take()
+		return t.text, nil
+	case ruleRawString:
+		p.take()
+		return t.text[1 : len(t.text)-1], nil
+	case ruleString:
+		text, err := strconv.Unquote(t.text)
+		if err != nil {
+			return "", p.expected(what + " with valid escapes")
+		}
+		p.take()
+		return text, nil
+	}
+	return "", p.expected(what)
+}
+
+func (p *parser) duration() (time.Duration, error) {
+	t := p.peek()
+	duration, err := time.ParseDuration(t.text)
+	if t.rule != ruleWord || err != nil || duration <= 0 {
+		return 0, p.expected("a duration such as 10m or 250ms")
+	}
+	p.take()
+	return duration, nil
+}
+
+func oneOf(words []string) string {
+	quoted := make([]string, 0, len(words))
+	for _, word := range words {
+		quoted = append(quoted, strconv.Quote(word))
+	}
+	if len(quoted) == 1 {
+		return quoted[0]
+	}
+	last := len(quoted) - 1
+	return strings.Join(quoted[:last], ", ") + " or " + quoted[last]
+}
--- /dev/null
+++ b/settings/check.go
@@ -0,0 +1,126 @@
+package settings
+
+import (
+	"cmp"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"mangohill.example/mangohill/internal/yamltree"
+)
+
+// maxNameBytes bounds the names of processes, clusters and failure domains.
+const maxNameBytes = 64
+
+func check(s *Settings, root *yamltree.Map, program Program) {
+	requireText(root, keyCluster, s.Cluster, program)
+	requireText(root, keyName, s.Name, program)
+	requireText(root, keyFailureDomain, s.FailureDomain, program)
+	for _, key := range requiredListen(program) {
+		if !root.Map(keyListen).Has(key) {
+			root.Reject(keyListen+"."+key, "is missing (required for %s)", program)
+		}
+	}
+	if !root.Has(keyControl) {
+		root.Reject(keyControl, "is missing (required for %s)", program)
+	} else if len(s.Control) == 0 {
+		root.Reject(keyControl, "must list at least one address")
+	}
+	switch program {
+	case Control:
+		checkControl(s, root)
+	case Entry:
+		if !root.Has(keyEntries) {
+			root.Reject(keyEntries, "is missing (required for %s)", program)
+		}
+	}
+}
+
+func requiredListen(program Program) []string {
+	if program == Control {
+		return []string{keyOperators, keyPeers}
+	}
+	return listenKeys
+}
+
+func requireText(root *yamltree.Map, key, value string, program Program) {
+	if value != "" {
+		return
+	}
+	if root.Has(key) {
+		root.Reject(key, "is empty")
+		return
+	}
+	root.Reject(key, "is missing (required for %s)", program)
+}
+
+func checkControl(s *Settings, root *yamltree.Map) {
+	peers := s.Listen.Peers
+	if peers != "" && len(s.Control) > 0 && !slices.Contains(s.Control, peers) {
+		root.Reject(keyControl, "does not list this process's listen.peers %s", peers)
+	}
+	if s.Data == "" {
+		requireText(root, keyData, s.Data, Control)
+		return
+	}
+	if err := checkFolder(s.Data); err != nil {
+		root.Reject(keyData, "%v", err)
+	}
+}
+
+// checkFolder reports why path cannot serve as a data folder. It leaves nothing
+// behind: for a missing folder, its nearest existing parent is checked.
+func checkFolder(path string) error {
+	existing := path
+	for {
+		info, err := os.Stat(existing)
+		if err == nil && !info.IsDir() {
+			return fmt.Errorf("%s is not a folder", existing)
+		}
+		if err == nil {
+			break
+		}
+		if !os.IsNotExist(err) {
+			return fmt.Errorf("folder %s cannot be used: %w", existing, err)
+		}
+		parent := filepath.Dir(existing)
+		if parent == existing {
+			return fmt.Errorf("folder %s cannot be used: %w", existing, err)
+		}
+		existing = parent
+	}
+	return probeWrite(existing)
+}
+
+// probeWrite creates and removes a file in folder. Permission bits alone do not
+// tell: they mean nothing to root and nothing on a read-only file system.
+func probeWrite(folder string) error {
+	probe, err := os.CreateTemp(folder, ".mangohill-check-*")
+	if err != nil {
+		return fmt.Errorf("folder %s is not writable: %w", folder, err)
+	}
+	closeErr := probe.Close()
+	if err := os.Remove(probe.Name()); err != nil {
+		return fmt.Errorf("folder %s is not writable: %w", folder, err)
+	}
+	return closeErr
+}
+
+func checkName(text string) error {
+	if len(text) > maxNameBytes {
+		return fmt.Errorf("has %d bytes, want at most %d", len(text), maxNameBytes)
+	}
+	for _, r := range text {
+		letter := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z'
+		digit := r >= '0' && r <= '9'
+		if !letter && !digit && r != '-' && r != '_' && r != '.' {
+			return fmt.Errorf("%q holds %q, want letters, digits, '-', '_' and '.'", text, r)
+		}
+	}
+	return nil
+}
+
+func sortFaults(faults []Fault) {
+	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.Line, b.Line) })
+}
--- a/types/config.go
+++ b/types/config.go
@@ -1,6 +1,9 @@
 package types
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Config is the cluster's configuration: the policy that operators change by
 // command. It is replicated as the text that the operator gave, under a version.
@@ -40,6 +43,20 @@
 	Accelerators int64   `yaml:"accelerators,omitempty"`
 }
 
+// Limit returns the quota as resources. Memory must have been checked by
+// ParseSize; a malformed one counts as zero.
+func (q TeamQuota) Limit() Resources {
+	memory, err := ParseSize(q.Memory)
+	if err != nil {
+		memory = 0
+	}
+	return Resources{
+		MilliProcessors: int64(math.Round(q.Processors * MilliPerProcessor)),
+		MemoryBytes:     memory,
+		Accelerators:    q.Accelerators,
+	}
+}
+
 // LeaseConfig sets the workers' leases.
 type LeaseConfig struct {
 	Duration time.Duration `yaml:"duration,omitempty"`
--- a/types/resources.go
+++ b/types/resources.go
@@ -1,8 +1,20 @@
 package types
 
+import (
+	"fmt"
+	"math"
+	"strconv"
+
+	"github.com/dustin/go-humanize"
+)
+
 // MilliPerProcessor is the number of thousandths in one processor.
 const MilliPerProcessor = 1000
 
+// maxProcessors bounds an amount of processors, so that sums stay far from
+// overflow.
+const maxProcessors = 1_000_000
+
 // Resources is an amount of processors, memory and accelerators. Integers keep
 // the sums of all replicas equal.
 type Resources struct {
@@ -33,3 +45,23 @@
 
 // Processors returns the processors as a fraction.
 func (r Resources) Processors() float64 { return float64(r.MilliProcessors) / MilliPerProcessor }
+
+// ParseSize reads an amount of memory such as 8GiB, 250GB or 1048576, in bytes.
+func ParseSize(text string) (int64, error) {
+	bytes, err := humanize.ParseBytes(text)
+	if err != nil || bytes > math.MaxInt64 {
+		return 0, fmt.Errorf("%q is not a size such as 8GiB or 512MiB", text)
+	}
+	return int64(bytes), nil
+}
+
+// ParseProcessors reads a number of processors with up to three decimals, in
+// thousandths of a processor.
+func ParseProcessors(text string) (int64, error) {
+	processors, err := strconv.ParseFloat(text, 64)
+	// The negated form also refuses NaN.
+	if err != nil || !(processors >= 0 && processors <= maxProcessors) {
+		return 0, fmt.Errorf("%q is not a number of processors between 0 and %d", text, maxProcessors)
+	}
+	return int64(math.Round(processors * MilliPerProcessor)), nil
+}
