--- /dev/null
+++ b/internal/cli/daemon.go
@@ -0,0 +1,73 @@
+// Package cli holds what the daemons' command lines share: their flags, the
+// check of the settings, and the planned stop on SIGTERM and SIGINT.
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+
+	"mangohill.example/mangohill/kind"
+	"mangohill.example/mangohill/settings"
+)
+
+// Flags are the flags of a daemon.
+type Flags struct {
+	Settings string `long:"settings" value-name:"FILE" required:"true" description:"settings file (YAML)"`
+	Check    bool   `long:"check" description:"check the settings, print each fault and exit"`
+}
+
+// Parse reads the command line into flags, which embeds Flags. When the program
+// is to end at once, done is true and code is its exit code.
+func Parse(flagsStruct any, args []string) (code int, done bool) {
+	parser := flags.NewParser(flagsStruct, flags.HelpFlag|flags.PassDoubleDash)
+	rest, err := parser.ParseArgs(args)
+	var flagError *flags.Error
+	if errors.As(err, &flagError) && flagError.Type == flags.ErrHelp {
+		fmt.Println(flagError.Message)
+		return kind.ExitDone, true
+	}
+	if err == nil && len(rest) > 0 {
+		err = fmt.Errorf("unexpected argument %q", rest[0])
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return kind.ExitUsage, true
+	}
+	return 0, false
+}
+
+// Load reads the settings file and prints its faults. When the program is to end
+// at once, done is true and code is its exit code.
+func Load(f Flags, program settings.Program) (loaded *settings.Settings, code int, done bool) {
+	loaded, faults := settings.Load(f.Settings, program)
+	for _, fault := range faults {
+		fmt.Fprintln(os.Stderr, fault)
+	}
+	if len(faults) > 0 {
+		return nil, kind.ExitUsage, true
+	}
+	if f.Check {
+		return loaded, kind.ExitDone, true
+	}
+	return loaded, 0, false
+}
+
+// Serve runs a daemon until SIGTERM or SIGINT and returns the exit code. A
+// daemon that cannot start prints its error; one that cannot bind or read its
+// settings exits with the code of bad settings.
+func Serve(run func(ctx context.Context) error) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	err := run(ctx)
+	if err == nil {
+		return kind.ExitDone
+	}
+	fmt.Fprintln(os.Stderr, err)
+	return kind.Of(err).Answer().Exit
+}
--- /dev/null
+++ b/node/http.go
@@ -0,0 +1,68 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"mangohill.example/mangohill/internal/tcpopt"
+	"mangohill.example/mangohill/kind"
+)
+
+const (
+	// maxHeaderBytes bounds the header of a request.
+	maxHeaderBytes = 64 << 10
+	// readHeaderTimeout bounds the time in which a client sends a header.
+	readHeaderTimeout = 5 * time.Second
+	// idleTimeout bounds the time between two requests of a connection.
+	idleTimeout = 2 * time.Minute
+)
+
+// listener is an HTTP server on one address.
+type listener struct {
+	name   string
+	server *http.Server
+	socket net.Listener
+	done   chan struct{}
+}
+
+// listen binds address and serves handler on it.
+func listen(name, address string, handler http.Handler) (*listener, error) {
+	socket, err := tcpopt.ListenConfig().Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, kind.Errorf(kind.BadSettings, "listen.%s: %w", name, err)
+	}
+	l := &listener{
+		name:   name,
+		socket: socket,
+		done:   make(chan struct{}),
+		server: &http.Server{
+			Handler:           handler,
+			MaxHeaderBytes:    maxHeaderBytes,
+			ReadHeaderTimeout: readHeaderTimeout,
+			IdleTimeout:       idleTimeout,
+		},
+	}
+	go l.serve()
+	return l, nil
+}
+
+func (l *listener) serve() {
+	defer close(l.done)
+	err := l.server.Serve(l.socket)
+	if !errors.Is(err, http.ErrServerClosed) {
+		_ = l.server.Close() // The listener has failed: nothing is served any more.
+	}
+}
+
+// shutdown stops accepting and waits for the requests in flight until ctx ends.
+func (l *listener) shutdown(ctx context.Context) error {
+	err := l.server.Shutdown(ctx)
+	if err != nil {
+		_ = l.server.Close() // The time for a graceful end is over.
+	}
+	<-l.done
+	return err
+}
