--- a/command/declare.go
+++ b/command/declare.go
@@ -25,6 +25,7 @@
 type attribute struct {
 	name  string
 	kinds []types.TaskKind
+	help  string
 	read  func(p *parser, job *types.JobSpec) error
 }
 
@@ -36,17 +37,17 @@
 // attributes is a function, as the readers refer to the parser and back.
 func attributes() []attribute {
 	return []attribute{
-		{"team", nil, readTeam},
-		{"class", nil, readClass},
-		{"replicas", onlyService, readReplicas},
-		{"processors", nil, readProcessors},
-		{"memory", nil, readMemory},
-		{"accelerators", nil, readAccelerators},
-		{"objective", onlyService, readObjective},
-		{"expected", []types.TaskKind{types.KindBatch, types.KindWatcher}, readExpected},
-		{"urgent", nil, readUrgent},
-		{"deadline", onlyBatch, readDeadline},
-		{"payload", nil, readPayload},
+		{"team", nil, "NAME: the team whose quota it counts against", readTeam},
+		{"class", nil, "NAME: tasks of one class behave alike; sizes, times and interference are learned by class", readClass},
+		{"replicas", onlyService, "N: how many tasks run", readReplicas},
+		{"processors", nil, "N: processors for each task, such as 4 or 0.5", readProcessors},
+		{"memory", nil, "SIZE: memory for each task, such as 8GiB", readMemory},
+		{"accelerators", nil, "N: accelerators for each task", readAccelerators},
+		{"objective", onlyService, "p99 DURATION: the latency that 99% of the requests keep", readObjective},
+		{"expected", []types.TaskKind{types.KindBatch, types.KindWatcher}, "DURATION: how long it probably runs", readExpected},
+		{"urgent", nil, "is placed before other work", readUrgent},
+		{"deadline", onlyBatch, "TIME: when it must be done, such as 2026-12-24T18:00:00Z", readDeadline},
+		{"payload", nil, "JSON: passed to the worker, in quotes", readPayload},
 	}
 }
 
@@ -64,7 +65,7 @@
 	kinds := []string{string(types.KindService), string(types.KindBatch), string(types.KindWatcher)}
 	kindToken := p.peek()
 	if kindToken.rule != ruleWord || !slices.Contains(kinds, kindToken.text) {
-		return nil, p.expected(oneOf(kinds))
+		return nil, p.expectedWord(kinds...)
 	}
 	p.take()
 	job := types.JobSpec{Kind: types.TaskKind(kindToken.text), Replicas: 1}
@@ -74,7 +75,7 @@
 	}
 	job.Name = name
 	if !p.peek().isPunct("{") {
-		return nil, p.expected(`"{" and the attributes`)
+		return nil, expectedAt(p.peek(), `"{" and the attributes`, "{")
 	}
 	p.take()
 	if err := p.block(&job); err != nil {
@@ -95,7 +96,8 @@
 		t := p.peek()
 		index := slices.Index(names, t.text)
 		if t.rule != ruleWord || index < 0 {
-			return p.expected(fmt.Sprintf("an attribute of a %s (%s) or \"}\"", job.Kind, oneOf(names)))
+			what := fmt.Sprintf("an attribute of a %s (%s) or \"}\"", job.Kind, oneOf(names))
+			return expectedAt(t, what, names...)
 		}
 		if seen[t.text] {
 			return p.expected(fmt.Sprintf("attribute %q only once", t.text))
--- a/command/lex.go
+++ b/command/lex.go
@@ -66,6 +66,10 @@
 	if len(text) > MaxTextBytes {
 		return nil, kind.Errorf(kind.BadSyntax, "the command has %d bytes, want at most %d", len(text), MaxTextBytes)
 	}
+	return tokenizeUnbounded(text)
+}
+
+func tokenizeUnbounded(text string) ([]token, error) {
 	lex, err := definition.LexString("", text)
 	if err != nil {
 		return nil, kind.Errorf(kind.BadSyntax, "%w", err)
--- a/command/parse.go
+++ b/command/parse.go
@@ -17,6 +17,9 @@
 	Column   int
 	Expected string
 	Found    string
+	// Words are the words that would have been accepted, empty if the place
+	// takes a name or a value.
+	Words []string
 }
 
 // Error returns the place, what was expected there and what was found.
@@ -29,12 +32,21 @@
 }
 
 // Parse reads one command.
-func Parse(text string) (Statement, error) {
+func Parse(text string) (Statement, error) { return parseAt(text, 1, 1) }
+
+// parseAt reads one command that begins at a line and column of a larger text.
+func parseAt(text string, line, column int) (Statement, error) {
 	tokens, err := tokenize(text)
 	if err != nil {
 		return nil, err
 	}
-	p := &parser{tokens: slices.DeleteFunc(tokens, func(t token) bool { return t.rule == ruleNewline })}
+	for i := range tokens {
+		if tokens[i].line == 1 {
+			tokens[i].column += column - 1
+		}
+		tokens[i].line += line - 1
+	}
+	p := &parser{tokens: withoutNewlines(tokens)}
 	statement, err := p.statement()
 	if err != nil {
 		return nil, err
@@ -45,9 +57,15 @@
 	return statement, nil
 }
 
+func withoutNewlines(tokens []token) []token {
+	return slices.DeleteFunc(tokens, func(t token) bool { return t.rule == ruleNewline })
+}
+
 type parser struct {
 	tokens []token
 	next   int
+	// optional holds the words that could follow a complete command.
+	optional []string
 }
 
 func (p *parser) peek() token { return p.tokens[p.next] }
@@ -63,8 +81,12 @@
 
 func (p *parser) expected(what string) error { return expectedAt(p.peek(), what) }
 
-func expectedAt(t token, what string) error {
-	syntax := &SyntaxError{Line: t.line, Column: t.column, Expected: what, Found: t.describe()}
+func (p *parser) expectedWord(words ...string) error {
+	return expectedAt(p.peek(), oneOf(words), words...)
+}
+
+func expectedAt(t token, what string, words ...string) error {
+	syntax := &SyntaxError{Line: t.line, Column: t.column, Expected: what, Found: t.describe(), Words: words}
 	return kind.Errorf(kind.BadSyntax, "%w", syntax)
 }
 
@@ -73,7 +95,7 @@
 func (p *parser) statement() (Statement, error) {
 	verb := p.peek()
 	if verb.rule != ruleWord || !slices.Contains(verbs, verb.text) {
-		return nil, p.expected(oneOf(verbs))
+		return nil, p.expectedWord(verbs...)
 	}
 	p.take()
 	switch verb.text {
@@ -122,7 +144,7 @@
 	}
 	topic := p.peek()
 	if topic.rule != ruleWord || !slices.Contains(names, topic.text) {
-		return nil, p.expected(oneOf(names))
+		return nil, p.expectedWord(names...)
 	}
 	p.take()
 	show := Show{Topic: Topic(topic.text)}
@@ -144,9 +166,21 @@
 			return nil, p.expected(`"where", "since" or the end of the command`)
 		}
 	}
+	p.optional = show.optionalWords()
 	return show, nil
 }
 
+func (s Show) optionalWords() []string {
+	var words []string
+	if s.Where == nil {
+		words = append(words, "where")
+	}
+	if s.Since == 0 {
+		words = append(words, "since")
+	}
+	return words
+}
+
 func (p *parser) where() ([]Condition, error) {
 	var conditions []Condition
 	for {
@@ -188,6 +222,7 @@
 	}
 	set := SetConfig{File: file}
 	if !p.peek().is("if") {
+		p.optional = []string{"if"}
 		return set, nil
 	}
 	p.take()
@@ -206,7 +241,7 @@
 
 func (p *parser) keyword(text string) error {
 	if !p.peek().is(text) {
-		return p.expected(strconv.Quote(text))
+		return p.expectedWord(text)
 	}
 	p.take()
 	return nil
--- /dev/null
+++ b/table/table.go
@@ -0,0 +1,272 @@
+package table
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"unicode"
+	"unicode/utf8"
+
+	"mangohill.example/mangohill/controlapi"
+)
+
+// Layout constants, in characters.
+const (
+	gap         = 2
+	minColumn   = 6
+	recordIdent = 2
+)
+
+// Write renders rows to w. No line is longer than width characters where that
+// can be had; a width of zero means no limit. Cells that are too wide for their
+// column are wrapped, never cut. Rows whose columns cannot stand side by side
+// are written as records, one field a line.
+func Write(w io.Writer, rows []controlapi.Row, width int) error {
+	var out strings.Builder
+	for _, group := range groups(rows) {
+		if out.Len() > 0 {
+			out.WriteByte('\n')
+		}
+		render(&out, group, width)
+	}
+	_, err := io.WriteString(w, out.String())
+	return err
+}
+
+// WriteJSON renders v as one line of JSON.
+func WriteJSON(w io.Writer, v any) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetEscapeHTML(false)
+	return encoder.Encode(v)
+}
+
+// groups splits rows into runs with the same columns.
+func groups(rows []controlapi.Row) [][]controlapi.Row {
+	var list [][]controlapi.Row
+	begin := 0
+	for i := 1; i <= len(rows); i++ {
+		if i < len(rows) && sameColumns(rows[begin], rows[i]) {
+			continue
+		}
+		list = append(list, rows[begin:i])
+		begin = i
+	}
+	return list
+}
+
+func sameColumns(a, b controlapi.Row) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i].Name != b[i].Name {
+			return false
+		}
+	}
+	return true
+}
+
+func render(out *strings.Builder, rows []controlapi.Row, width int) {
+	if len(rows[0]) == 0 {
+		return
+	}
+	widths, ok := fit(naturalWidths(rows), width)
+	if !ok || hasLineBreak(rows) {
+		renderRecords(out, rows, width)
+		return
+	}
+	header := make([]string, 0, len(widths))
+	for _, field := range rows[0] {
+		header = append(header, field.Name)
+	}
+	right := numericColumns(rows)
+	renderLine(out, header, widths, right)
+	for _, row := range rows {
+		renderLine(out, cells(row), widths, right)
+	}
+}
+
+func naturalWidths(rows []controlapi.Row) []int {
+	widths := make([]int, len(rows[0]))
+	for i, field := range rows[0] {
+		widths[i] = utf8.RuneCountInString(field.Name)
+	}
+	for _, row := range rows {
+		for i, cell := range cells(row) {
+			widths[i] = max(widths[i], utf8.RuneCountInString(cell))
+		}
+	}
+	return widths
+}
+
+// fit narrows the widest columns until the line fits width. It reports false if
+// that would make columns narrower than minColumn.
+func fit(widths []int, width int) ([]int, bool) {
+	if width <= 0 {
+		return widths, true
+	}
+	total := gap * (len(widths) - 1)
+	for _, w := range widths {
+		total += w
+	}
+	for total > width {
+		widest := 0
+		for i, w := range widths {
+			if w > widths[widest] {
+				widest = i
+			}
+		}
+		if widths[widest] <= minColumn {
+			return nil, false
+		}
+		widths[widest]--
+		total--
+	}
+	return widths, true
+}
+
+func numericColumns(rows []controlapi.Row) []bool {
+	right := make([]bool, len(rows[0]))
+	for i := range right {
+		right[i] = true
+		for _, row := range rows {
+			if _, text := row[i].Value.(string); text || row[i].Value == nil {
+				right[i] = false
+			}
+		}
+	}
+	return right
+}
+
+// renderLine writes one row, on several lines if cells wrap.
+func renderLine(out *strings.Builder, cells []string, widths []int, right []bool) {
+	wrapped := make([][]string, len(cells))
+	height := 1
+	for i, cell := range cells {
+		wrapped[i] = wrap(cell, widths[i])
+		height = max(height, len(wrapped[i]))
+	}
+	for line := range height {
+		var text strings.Builder
+		for i := range cells {
+			part := ""
+			if line < len(wrapped[i]) {
+				part = wrapped[i][line]
+			}
+			if i > 0 {
+				text.WriteString(strings.Repeat(" ", gap))
+			}
+			text.WriteString(pad(part, widths[i], right[i]))
+		}
+		out.WriteString(strings.TrimRight(text.String(), " "))
+		out.WriteByte('\n')
+	}
+}
+
+func pad(text string, width int, right bool) string {
+	space := strings.Repeat(" ", max(0, width-utf8.RuneCountInString(text)))
+	if right {
+		return space + text
+	}
+	return text + space
+}
+
+// wrap breaks text into lines of at most width characters, at spaces where there
+// are some.
+func wrap(text string, width int) []string {
+	var lines []string
+	runes := []rune(text)
+	for len(runes) > width {
+		end := width
+		for i := width; i > 0; i-- {
+			if runes[i] == ' ' {
+				end = i
+				break
+			}
+		}
+		lines = append(lines, string(runes[:end]))
+		runes = runes[end:]
+		for len(runes) > 0 && runes[0] == ' ' {
+			runes = runes[1:]
+		}
+	}
+	return append(lines, string(runes))
+}
+
+func hasLineBreak(rows []controlapi.Row) bool {
+	for _, row := range rows {
+		for _, field := range row {
+			if text, ok := field.Value.(string); ok && strings.Contains(strings.TrimSpace(text), "\n") {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// renderRecords writes each row as lines "name: value". The lines of a value
+// with line breaks follow its name.
+func renderRecords(out *strings.Builder, rows []controlapi.Row, width int) {
+	for i, row := range rows {
+		if i > 0 {
+			out.WriteByte('\n')
+		}
+		for _, field := range row {
+			renderField(out, field, width)
+		}
+	}
+}
+
+func renderField(out *strings.Builder, field controlapi.Field, width int) {
+	indent := strings.Repeat(" ", recordIdent)
+	if text, ok := field.Value.(string); ok && strings.Contains(strings.TrimSpace(text), "\n") {
+		fmt.Fprintf(out, "%s:\n", field.Name)
+		for line := range strings.Lines(text) {
+			out.WriteString(indent + Clean(strings.TrimRight(line, "\r\n")) + "\n")
+		}
+		return
+	}
+	lines := []string{field.Name + ": " + format(field.Value)}
+	if width > recordIdent {
+		lines = wrap(lines[0], width-recordIdent)
+	}
+	for i, line := range lines {
+		if i > 0 {
+			out.WriteString(indent)
+		}
+		out.WriteString(line + "\n")
+	}
+}
+
+func cells(row controlapi.Row) []string {
+	list := make([]string, 0, len(row))
+	for _, field := range row {
+		list = append(list, format(field.Value))
+	}
+	return list
+}
+
+func format(value any) string {
+	switch value := value.(type) {
+	case nil:
+		return ""
+	case string:
+		return Clean(strings.TrimSpace(value))
+	case float64:
+		return strconv.FormatFloat(value, 'f', -1, 64)
+	}
+	return Clean(fmt.Sprint(value))
+}
+
+// Clean replaces control characters, so that a name chosen elsewhere cannot
+// drive the operator's terminal.
+func Clean(text string) string {
+	return strings.Map(func(r rune) rune {
+		if unicode.IsControl(r) || !unicode.IsPrint(r) && r != ' ' {
+			return unicode.ReplacementChar
+		}
+		return r
+	}, text)
+}
