--- /dev/null
+++ b/storage/filesystem.go
@@ -0,0 +1,139 @@
+package storage
+
+import (
+	"errors"
+	"io"
+	"os"
+	"path/filepath"
+
+	"golang.org/x/sys/unix"
+
+	"mangohill.example/mangohill/kind"
+)
+
+// FileSystem is what the store needs of a file system. Written data and changes
+// of the folder last only once they are synced.
+type FileSystem interface {
+	// MakeFolder creates the folder and its parents where they are missing.
+	MakeFolder(path string) error
+	// List returns the names in the folder in order.
+	List(path string) ([]string, error)
+	// Open opens a file for reading.
+	Open(path string) (File, error)
+	// Create creates an empty file for writing.
+	Create(path string) (File, error)
+	// Append opens a file for writing at its end.
+	Append(path string) (File, error)
+	// Truncate cuts a file to size bytes.
+	Truncate(path string, size int64) error
+	// Rename moves a file over another one.
+	Rename(from, to string) error
+	// Remove deletes a file.
+	Remove(path string) error
+	// SyncFolder makes the changes of the folder durable.
+	SyncFolder(path string) error
+	// Lock takes the exclusive lock of a file, and fails if another process has
+	// it. It is released by Close.
+	Lock(path string) (io.Closer, error)
+}
+
+// File is an open file.
+type File interface {
+	io.ReadWriteCloser
+	// Sync makes the written data durable.
+	Sync() error
+}
+
+// Disk is the FileSystem of the operating system.
+type Disk struct{}
+
+const (
+	filePermissions   = 0o600
+	folderPermissions = 0o700
+)
+
+// MakeFolder implements FileSystem.
+func (Disk) MakeFolder(path string) error { return os.MkdirAll(path, folderPermissions) }
+
+// List implements FileSystem.
+func (Disk) List(path string) ([]string, error) {
+	entries, err := os.ReadDir(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	names := make([]string, len(entries))
+	for i, e := range entries {
+		names[i] = e.Name()
+	}
+	return names, nil
+}
+
+// Open implements FileSystem.
+func (Disk) Open(path string) (File, error) { return os.Open(path) }
+
+// Create implements FileSystem.
+func (Disk) Create(path string) (File, error) {
+	return os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, filePermissions)
+}
+
+// Append implements FileSystem.
+func (Disk) Append(path string) (File, error) {
+	return os.OpenFile(path, os.O_APPEND|os.O_WRONLY, filePermissions)
+}
+
+// Truncate implements FileSystem.
+func (Disk) Truncate(path string, size int64) error { return os.Truncate(path, size) }
+
+// Rename implements FileSystem.
+func (Disk) Rename(from, to string) error { return os.Rename(from, to) }
+
+// Remove implements FileSystem.
+func (Disk) Remove(path string) error { return os.Remove(path) }
+
+// SyncFolder implements FileSystem.
+func (Disk) SyncFolder(path string) error {
+	folder, err := os.Open(filepath.Clean(path))
+	if err != nil {
+		return err
+	}
+	return errors.Join(folder.Sync(), folder.Close())
+}
+
+// Lock implements FileSystem.
+func (Disk) Lock(path string) (io.Closer, error) {
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR, filePermissions)
+	if err != nil {
+		return nil, err
+	}
+	if err := unix.Flock(int(file.Fd()), unix.LOCK_EX|unix.LOCK_NB); err != nil {
+		return nil, errors.Join(kind.Errorf(kind.Storage, "file %q is locked by another process: %w", path, err), file.Close())
+	}
+	return file, nil
+}
+
+// writeAside writes a file under a temporary name, syncs it, renames it and
+// syncs the folder.
+func writeAside(fs FileSystem, folder, name string, write func(io.Writer) error) error {
+	aside := filepath.Join(folder, name+temporarySuffix)
+	file, err := fs.Create(aside)
+	if err != nil {
+		return err
+	}
+	if err := errors.Join(write(file), file.Sync(), file.Close()); err != nil {
+		return err
+	}
+	return settle(fs, folder, aside, name)
+}
+
+// settle gives a synced temporary file its name.
+func settle(fs FileSystem, folder, aside, name string) error {
+	if err := fs.Rename(aside, filepath.Join(folder, name)); err != nil {
+		return err
+	}
+	return fs.SyncFolder(folder)
+}
+
+const temporarySuffix = ".tmp"
