--- a/consensus/core.go
+++ b/consensus/core.go
@@ -70,6 +70,8 @@
 	heartbeatElapsed int
 	votes            ballot
 	progress         map[MemberID]*progress
+	// termStart is the index of the first entry of this leader.
+	termStart uint64
 
 	round         uint64
 	reads         []pendingRead
@@ -257,7 +259,8 @@
 	c.outbox = append(c.outbox, m)
 }
 
-func (c *Core) notLeader() error {
+// NotLeader returns the error of kind not_leader with the leader's address.
+func (c *Core) NotLeader() error {
 	leader, _ := c.membership().Find(c.leader)
 	return kind.Errorf(kind.NotLeader, "%s", leader.Address)
 }
@@ -265,11 +268,12 @@
 // HasReady reports whether Ready would return work.
 func (c *Core) HasReady() bool {
 	c.startReadRound()
-	return c.received != nil || c.hardState() != c.saved || c.log.stable < c.log.last() ||
+	return c.received != nil || c.HardState() != c.saved || c.log.stable < c.log.last() ||
 		len(c.outbox) > 0 || c.log.applied < c.log.committed || len(c.confirmed) > 0
 }
 
-func (c *Core) hardState() HardState { return HardState{Term: c.term, Vote: c.vote} }
+// HardState returns the present term and vote.
+func (c *Core) HardState() HardState { return HardState{Term: c.term, Vote: c.vote} }
 
 // maxApplyBytes bounds the entries in one Ready.Committed.
 const maxApplyBytes = 4 << 20
@@ -285,7 +289,7 @@
 		Committed: c.log.slice(c.log.applied+1, c.log.committed, maxApplyBytes),
 		Reads:     c.confirmed,
 	}
-	if state := c.hardState(); state != c.saved {
+	if state := c.HardState(); state != c.saved {
 		ready.HardState = &state
 	}
 	return ready
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -145,9 +145,10 @@
 func (c *Core) lead() {
 	c.become(Leader)
 	c.leader = c.id
+	c.round++
 	c.progress = make(map[MemberID]*progress)
 	c.syncProgress()
-	c.appendOwn(Entry{Type: EntryNoop})
+	c.termStart = c.appendOwn(Entry{Type: EntryNoop})
 }
 
 // checkQuorum steps down when no majority answered within the election timeout.
--- a/consensus/membership.go
+++ b/consensus/membership.go
@@ -156,7 +156,7 @@
 // more than one voter changes (Ongaro's dissertation, section 4.1).
 func (c *Core) ProposeMembership(next Membership) (uint64, error) {
 	if c.role != Leader {
-		return 0, c.notLeader()
+		return 0, c.NotLeader()
 	}
 	if c.membershipIndex() > c.log.committed || !c.hasCommittedInTerm() {
 		return 0, kind.Errorf(kind.InvalidTransition, "a membership change is under way")
--- a/consensus/readindex.go
+++ b/consensus/readindex.go
@@ -12,7 +12,7 @@
 // not_leader; reads that are pending when the leadership ends are dropped.
 func (c *Core) RequestRead(id uint64) error {
 	if c.role != Leader {
-		return c.notLeader()
+		return c.NotLeader()
 	}
 	c.reads = append(c.reads, pendingRead{id: id, round: c.round + 1})
 	c.readRequested = true
--- a/consensus/replication.go
+++ b/consensus/replication.go
@@ -6,7 +6,7 @@
 // first and their term. A follower refuses with not_leader.
 func (c *Core) Propose(commands ...[]byte) (first, term uint64, err error) {
 	if c.role != Leader {
-		return 0, 0, c.notLeader()
+		return 0, 0, c.NotLeader()
 	}
 	entries := make([]Entry, len(commands))
 	for i, data := range commands {
@@ -187,6 +187,12 @@
 	return c.log.matches(c.log.committed, c.term)
 }
 
+// TermStart returns the index of the first entry of this leader, false if it is
+// not committed or this member does not lead.
+func (c *Core) TermStart() (uint64, bool) {
+	return c.termStart, c.role == Leader && c.log.committed >= c.termStart
+}
+
 // ReportUnreachable tells that a message to the member was not delivered.
 func (c *Core) ReportUnreachable(id MemberID) {
 	if p := c.progress[id]; p != nil && p.state == replicating {
--- a/consensus/snapshot.go
+++ b/consensus/snapshot.go
@@ -66,5 +66,13 @@
 	return c.log.applied - min(c.snapshot.Index, c.log.applied), c.log.bytes
 }
 
+// NextSnapshot describes a snapshot of what was handed out as committed, false
+// if the latest snapshot covers it.
+func (c *Core) NextSnapshot() (SnapshotMeta, bool) {
+	index := c.log.applied
+	term, ok := c.log.term(index)
+	return SnapshotMeta{Index: index, Term: term, Membership: c.MembershipAt(index)}, ok && index > c.snapshot.Index
+}
+
 // Snapshot returns the latest snapshot that the core knows.
 func (c *Core) Snapshot() SnapshotMeta { return c.snapshot }
--- /dev/null
+++ b/replica/loop.go
@@ -0,0 +1,425 @@
+package replica
+
+import (
+	"time"
+
+	"mangohill.example/mangohill/consensus"
+	"mangohill.example/mangohill/controlapi"
+	"mangohill.example/mangohill/kind"
+	"mangohill.example/mangohill/storage"
+)
+
+// maxBatch bounds the proposals that share one sync.
+const maxBatch = 1024
+
+// maxApplyBacklog is the number of apply tasks beyond the channel above which no
+// more proposals are taken.
+const maxApplyBacklog = 256
+
+// proposal is a command on its way to the log.
+type proposal struct {
+	data []byte
+	done chan outcome
+}
+
+// request is one of: a read, an admission, a failure of the applier.
+type request struct {
+	read    bool
+	join    *consensus.Member
+	failure error
+	done    chan outcome
+}
+
+// inbound is what came from a peer: messages, with a snapshot that one of them
+// speaks of, or the news that a call failed. The messages to the peer that
+// become ready with it go to reply, where that is set.
+type inbound struct {
+	from           consensus.MemberID
+	messages       []consensus.Message
+	snapshot       *receivedSnapshot
+	unreachable    bool
+	transferFailed bool
+	reply          chan []consensus.Message
+	// out collects the answer.
+	out []consensus.Message
+}
+
+// loop owns the core and the log.
+type loop struct {
+	replica  *Replica
+	core     *consensus.Core
+	identity storage.Identity
+	senders  map[consensus.MemberID]*sender
+	// calls are the RPCs that wait for messages to their senders.
+	calls []inbound
+	// received holds the data of a snapshot while the core decides on it.
+	received *receivedSnapshot
+	// backlog is work for the applier that its channel had no room for.
+	backlog []applyTask
+	reads   map[uint64]chan outcome
+	readID  uint64
+	// rounds holds when each heartbeat round began that is not yet confirmed.
+	rounds       map[uint64]time.Time
+	leading      Leadership
+	snapshotting bool
+	ticks        uint64
+}
+
+func newLoop(r *Replica, core *consensus.Core, identity storage.Identity) *loop {
+	l := &loop{
+		replica:  r,
+		core:     core,
+		identity: identity,
+		senders:  make(map[consensus.MemberID]*sender),
+		reads:    make(map[uint64]chan outcome),
+		rounds:   make(map[uint64]time.Time),
+	}
+	if r.options.Bootstrap {
+		core.Campaign()
+	}
+	return l
+}
+
+func (l *loop) run() {
+	defer l.replica.group.Done()
+	ticker := time.NewTicker(l.replica.options.Tick)
+	defer ticker.Stop()
+	for {
+		running, err := l.turn(ticker.C)
+		if err == nil {
+			err = l.settle()
+		}
+		if err != nil || !running {
+			l.replica.finish(err)
+			return
+		}
+	}
+}
+
+// turn waits for one event and takes it. It returns false on a planned stop.
+func (l *loop) turn(tick <-chan time.Time) (bool, error) {
+	proposals := l.replica.proposals
+	if len(l.backlog) > maxApplyBacklog {
+		proposals = nil
+	}
+	var applies chan applyTask
+	var next applyTask
+	if len(l.backlog) > 0 {
+		applies, next = l.replica.applies, l.backlog[0]
+	}
+	select {
+	case <-tick:
+		l.tick()
+	case p := <-proposals:
+		l.propose(p)
+	case in := <-l.replica.inbound:
+		return true, l.receive(in)
+	case req := <-l.replica.requests:
+		return true, l.handle(req)
+	case applies <- next:
+		l.backlog = l.backlog[1:]
+	case meta := <-l.replica.snapshots:
+		return true, l.compact(meta)
+	case <-l.replica.applyPoke:
+	case <-l.replica.stop:
+		l.handOver()
+		return false, nil
+	}
+	return true, nil
+}
+
+func (l *loop) tick() {
+	l.ticks++
+	l.core.Tick()
+	l.maintainMembership()
+}
+
+// propose appends p and all proposals that wait, in one batch.
+func (l *loop) propose(p proposal) {
+	batch := []proposal{p}
+	for len(batch) < maxBatch && len(l.replica.proposals) > 0 {
+		batch = append(batch, <-l.replica.proposals)
+	}
+	commands := make([][]byte, len(batch))
+	for i := range batch {
+		commands[i] = batch[i].data
+	}
+	first, term, err := l.core.Propose(commands...)
+	for i := range batch {
+		if err != nil {
+			batch[i].done <- outcome{err: err}
+			continue
+		}
+		l.replica.waiters.add(first+uint64(i), term, batch[i].done)
+	}
+}
+
+// receive takes what waits from the peers, so that one sync serves all.
+func (l *loop) receive(in inbound) error {
+	for {
+		if err := l.step(in); err != nil {
+			return err
+		}
+		if in.snapshot != nil || len(l.replica.inbound) == 0 {
+			return nil
+		}
+		in = <-l.replica.inbound
+		if in.snapshot != nil {
+			// A snapshot is settled on its own.
+			if err := l.settle(); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (l *loop) step(in inbound) error {
+	if in.unreachable {
+		l.core.ReportUnreachable(in.from)
+		return nil
+	}
+	if in.transferFailed {
+		l.core.ReportSnapshot(in.from)
+		return nil
+	}
+	l.received = in.snapshot
+	if in.reply != nil {
+		l.calls = append(l.calls, in)
+	}
+	for _, m := range in.messages {
+		if err := l.core.Step(m); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (l *loop) handle(req request) error {
+	switch {
+	case req.failure != nil:
+		return req.failure
+	case req.read:
+		l.read(req)
+	case req.join != nil:
+		l.admit(req)
+	}
+	return nil
+}
+
+func (l *loop) read(req request) {
+	l.readID++
+	if err := l.core.RequestRead(l.readID); err != nil {
+		req.done <- outcome{err: err}
+		return
+	}
+	l.reads[l.readID] = req.done
+}
+
+// settle carries out what the core has ready, until nothing is left.
+func (l *loop) settle() error {
+	for l.core.HasReady() {
+		l.noteRound()
+		ready := l.core.Ready()
+		if err := l.persist(ready); err != nil {
+			return err
+		}
+		l.publish()
+		l.send(ready.Messages)
+		l.apply(ready)
+		l.core.Advance(ready)
+	}
+	l.answerCalls()
+	l.publish()
+	l.flush()
+	return nil
+}
+
+func (l *loop) persist(ready consensus.Ready) error {
+	if ready.Snapshot != nil {
+		if err := l.installSnapshot(*ready.Snapshot); err != nil {
+			return err
+		}
+	}
+	if ready.HardState == nil && len(ready.Entries) == 0 {
+		return nil
+	}
+	return l.replica.store.Append(l.core.HardState(), ready.Entries)
+}
+
+func (l *loop) installSnapshot(meta consensus.SnapshotMeta) error {
+	if l.received == nil || l.received.header.Meta.Index != meta.Index {
+		return kind.Errorf(kind.Internal, "snapshot %d is to be installed without its data", meta.Index)
+	}
+	if err := l.replica.store.StoreSnapshot(l.received.header, l.received.data); err != nil {
+		return err
+	}
+	if err := l.replica.store.Reset(meta); err != nil {
+		return err
+	}
+	return l.replica.store.RemoveSnapshots(meta.Index)
+}
+
+func (l *loop) apply(ready consensus.Ready) {
+	task := applyTask{entries: ready.Committed}
+	if ready.Snapshot != nil {
+		task.restore, task.data = ready.Snapshot, l.received.data
+		l.snapshotting = false
+	}
+	for _, read := range ready.Reads {
+		task.reads = append(task.reads, readTask{index: read.Index, done: l.reads[read.ID]})
+		delete(l.reads, read.ID)
+	}
+	if task.restore != nil || len(task.entries) > 0 || len(task.reads) > 0 {
+		l.backlog = append(l.backlog, task)
+	}
+}
+
+// flush hands the applier what its channel has room for.
+func (l *loop) flush() {
+	l.received = nil
+	l.startSnapshot()
+	for len(l.backlog) > 0 {
+		select {
+		case l.replica.applies <- l.backlog[0]:
+			l.backlog = l.backlog[1:]
+		default:
+			return
+		}
+	}
+}
+
+// send gives each message to the call that waits for it, or to the sender of its
+// receiver.
+func (l *loop) send(messages []consensus.Message) {
+	l.syncSenders()
+	for _, m := range messages {
+		if l.answer(m) {
+			continue
+		}
+		s := l.senders[m.To]
+		if s == nil {
+			continue
+		}
+		if m.Type == consensus.MessageSnapshot {
+			l.replica.group.Add(1)
+			go s.transfer(m)
+			continue
+		}
+		s.enqueue(m)
+	}
+}
+
+func (l *loop) answer(m consensus.Message) bool {
+	for i := range l.calls {
+		if l.calls[i].from == m.To {
+			l.calls[i].answers(m)
+			return true
+		}
+	}
+	return false
+}
+
+// answers collects a message for the answer of the call.
+func (in *inbound) answers(m consensus.Message) { in.out = append(in.out, m) }
+
+// answerCalls ends the RPCs whose messages were taken.
+func (l *loop) answerCalls() {
+	for _, call := range l.calls {
+		call.reply <- call.out
+	}
+	l.calls = nil
+}
+
+// syncSenders keeps one sender for each other member.
+func (l *loop) syncSenders() {
+	membership := l.core.Membership()
+	for id, s := range l.senders {
+		if member, ok := membership.Find(id); !ok || member.Address != s.member.Address {
+			s.cancel()
+			delete(l.senders, id)
+		}
+	}
+	for _, member := range membership.Members {
+		if member.ID != l.identity.Member && l.senders[member.ID] == nil {
+			l.senders[member.ID] = l.replica.startSender(l.identity, member)
+		}
+	}
+}
+
+// noteRound records when a new heartbeat round begins, before it is sent.
+func (l *loop) noteRound() {
+	round := l.core.Round()
+	if _, ok := l.rounds[round]; !ok && l.core.Status().Role == consensus.Leader {
+		l.rounds[round] = l.replica.options.Now()
+	}
+}
+
+// publish makes the present status visible before anything is sent.
+func (l *loop) publish() {
+	status := l.core.Status()
+	l.publishStatus(status)
+	l.publishContact(status)
+	l.publishLeadership(status)
+}
+
+func (l *loop) publishStatus(status consensus.Status) {
+	membership := l.core.Membership()
+	leader, _ := membership.Find(status.Leader)
+	view := &Status{
+		ID: status.ID, Role: status.Role.String(), Term: status.Term, Leader: leader.Address,
+		Commit: status.Commit, Syncs: l.replica.store.Syncs(),
+	}
+	for _, member := range membership.Members {
+		view.Members = append(view.Members, controlapi.Member{
+			Name: member.Name, Address: member.Address, Role: memberRole(member, status.Leader),
+		})
+	}
+	l.replica.status.Store(view)
+}
+
+func memberRole(member consensus.Member, leader consensus.MemberID) string {
+	switch {
+	case member.ID == leader:
+		return "leader"
+	case member.Voter:
+		return "voter"
+	default:
+		return "learner"
+	}
+}
+
+func (l *loop) publishContact(status consensus.Status) {
+	if status.Role != consensus.Leader {
+		l.replica.contact.Store(nil)
+		clear(l.rounds)
+		return
+	}
+	confirmed := l.core.QuorumRound()
+	at, ok := l.rounds[confirmed]
+	if !ok {
+		return
+	}
+	l.replica.contact.Store(&at)
+	for round := range l.rounds {
+		if round < confirmed {
+			delete(l.rounds, round)
+		}
+	}
+}
+
+// publishLeadership announces the leadership once this replica has applied the
+// first entry of its term.
+func (l *loop) publishLeadership(status consensus.Status) {
+	now := Leadership{Term: status.Term}
+	if status.Role == consensus.Leader {
+		start, ok := l.core.TermStart()
+		now.Leading = ok && l.replica.applied.Load() >= start
+	}
+	if now == l.leading || !now.Leading && !l.leading.Leading {
+		l.leading.Term = status.Term
+		return
+	}
+	l.leading = now
+	l.replica.announce(now)
+	l.replica.options.Logger.Info().Uint64("term", now.Term).Bool("leading", now.Leading).Msg("leadership changed")
+}
--- /dev/null
+++ b/replica/replica.go
@@ -0,0 +1,337 @@
+package replica
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"errors"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"mangohill.example/mangohill/consensus"
+	"mangohill.example/mangohill/controlapi"
+	"mangohill.example/mangohill/kind"
+	"mangohill.example/mangohill/storage"
+)
+
+// Capacities of the channels.
+const (
+	proposalCapacity = 1024
+	inboundCapacity  = 256
+	applyCapacity    = 64
+	outboundCapacity = 64
+	requestCapacity  = 64
+)
+
+// Leadership tells whether this replica leads in Term. A replica reports that it
+// leads once it has applied everything that earlier leaders committed.
+type Leadership struct {
+	Term    uint64
+	Leading bool
+}
+
+// Status is a replica's view of the group.
+type Status struct {
+	ID   consensus.MemberID
+	Role string // joining, follower, pre-candidate, candidate, leader or stopped
+	Term uint64
+	// Leader is the address of the leader, empty if none is known.
+	Leader  string
+	Commit  uint64
+	Applied uint64
+	Members []controlapi.Member
+	// Syncs counts the synced appends to the log since the start.
+	Syncs uint64
+}
+
+// Replica is a running member of the control group.
+type Replica struct {
+	options   Options
+	store     *storage.Store
+	identity  atomic.Pointer[storage.Identity]
+	proposals chan proposal
+	inbound   chan inbound
+	requests  chan request
+	applies   chan applyTask
+	snapshots chan consensus.SnapshotMeta
+	applyPoke chan struct{}
+
+	waiters    waiters
+	status     atomic.Pointer[Status]
+	contact    atomic.Pointer[time.Time]
+	leadership chan Leadership
+	applied    atomic.Uint64
+
+	ctx     context.Context
+	cancel  context.CancelFunc
+	stop    chan struct{}
+	stopped sync.Once
+	done    chan struct{}
+	failure atomic.Pointer[error]
+	group   sync.WaitGroup
+}
+
+// Start opens the data folder and starts the replica. With Bootstrap it creates
+// a new cluster, and refuses a folder that holds anything. Without, an empty
+// folder makes it ask for admission in the background, until it is admitted or
+// stopped.
+func Start(options Options) (*Replica, error) {
+	if err := options.setDefaults(); err != nil {
+		return nil, err
+	}
+	store, loaded, err := storage.Open(options.DataDir, storage.Options{FileSystem: options.FileSystem})
+	if err != nil {
+		return nil, err
+	}
+	r := newReplica(options, store)
+	if err := r.begin(loaded); err != nil {
+		return nil, errors.Join(err, store.Close())
+	}
+	return r, nil
+}
+
+func newReplica(options Options, store *storage.Store) *Replica {
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &Replica{
+		options:    options,
+		store:      store,
+		proposals:  make(chan proposal, proposalCapacity),
+		inbound:    make(chan inbound, inboundCapacity),
+		requests:   make(chan request, requestCapacity),
+		applies:    make(chan applyTask, applyCapacity),
+		snapshots:  make(chan consensus.SnapshotMeta, 1),
+		applyPoke:  make(chan struct{}, 1),
+		leadership: make(chan Leadership, 1),
+		ctx:        ctx,
+		cancel:     cancel,
+		stop:       make(chan struct{}),
+		done:       make(chan struct{}),
+	}
+	r.waiters.init()
+	r.status.Store(&Status{Role: "joining"})
+	return r
+}
+
+// begin starts the goroutines for what the folder holds.
+func (r *Replica) begin(loaded storage.Loaded) error {
+	if r.options.Bootstrap {
+		if loaded.Identity != nil {
+			return kind.Errorf(kind.AlreadyExists, "folder %q already holds member %s of cluster %016x: start without bootstrap", r.options.DataDir, loaded.Identity.Member, uint64(loaded.Identity.Cluster))
+		}
+		created, err := r.bootstrap()
+		if err != nil {
+			return err
+		}
+		loaded = created
+	}
+	if loaded.Identity == nil {
+		r.group.Add(1)
+		go r.runJoining()
+		return nil
+	}
+	return r.run(loaded)
+}
+
+// bootstrap creates the state of a new cluster with this replica as its only
+// member.
+func (r *Replica) bootstrap() (storage.Loaded, error) {
+	id := consensus.MemberID(randomID())
+	identity := storage.Identity{Cluster: storage.ClusterID(randomID()), Member: id, Name: r.options.Name}
+	self := consensus.Member{ID: id, Name: r.options.Name, Address: r.options.Address, Voter: true}
+	first := consensus.Entry{
+		Index: 1, Term: 1, Type: consensus.EntryMembership,
+		Data: consensus.Membership{Members: []consensus.Member{self}}.Encode(),
+	}
+	state := consensus.HardState{Term: 1}
+	entries := []consensus.Entry{first}
+	err := r.store.Create(identity, state, entries)
+	return storage.Loaded{Identity: &identity, Restored: consensus.Restored{HardState: state, Entries: entries}}, err
+}
+
+// run restores the state machine and starts loop and applier.
+func (r *Replica) run(loaded storage.Loaded) error {
+	meta := loaded.Restored.Snapshot
+	if meta.Index > 0 {
+		if err := r.restoreFrom(meta); err != nil {
+			return err
+		}
+	}
+	core, err := consensus.New(consensus.Config{
+		ID:             loaded.Identity.Member,
+		ElectionTicks:  r.options.ElectionTicks,
+		HeartbeatTicks: r.options.HeartbeatTicks,
+		Seed:           r.options.Seed,
+	}, loaded.Restored)
+	if err != nil {
+		return err
+	}
+	r.applied.Store(meta.Index)
+	l := newLoop(r, core, *loaded.Identity)
+	r.identity.Store(loaded.Identity)
+	r.group.Add(2)
+	go r.runApplier(meta.Index)
+	go l.run()
+	return nil
+}
+
+func (r *Replica) restoreFrom(meta consensus.SnapshotMeta) error {
+	_, data, err := r.store.ReadSnapshot(meta.Index)
+	if err != nil {
+		return err
+	}
+	return r.options.StateMachine.Restore(data)
+}
+
+// Propose replicates data and returns what Apply returned for it. The error is of kind
+// not_leader (with the leader's address as detail) or deadline_exceeded if the
+// command certainly does not run, and unknown_outcome if it may.
+func (r *Replica) Propose(ctx context.Context, data []byte) (any, error) {
+	p := proposal{data: data, done: make(chan outcome, 1)}
+	select {
+	case r.proposals <- p:
+	case <-ctx.Done():
+		return nil, kind.Errorf(kind.DeadlineExceeded, "the proposal was not taken: %w", ctx.Err())
+	case <-r.done:
+		return nil, r.stoppedError()
+	}
+	return r.await(ctx, p.done)
+}
+
+func (r *Replica) await(ctx context.Context, done chan outcome) (any, error) {
+	select {
+	case o := <-done:
+		return o.value, o.err
+	case <-ctx.Done():
+		return nil, kind.Errorf(kind.UnknownOutcome, "the proposal is not yet committed: %w", ctx.Err())
+	case <-r.done:
+	}
+	select {
+	case o := <-done:
+		return o.value, o.err
+	default:
+		return nil, kind.Errorf(kind.UnknownOutcome, "the replica stopped before the proposal was committed")
+	}
+}
+
+// Barrier returns once the state machine has applied everything that was
+// committed, by any leader, before the call. The error is of kind not_leader or
+// no_quorum.
+func (r *Replica) Barrier(ctx context.Context) error {
+	req := request{read: true, done: make(chan outcome, 1)}
+	_, err := r.ask(ctx, req)
+	if kind.Is(err, kind.UnknownOutcome) {
+		return kind.Errorf(kind.NoQuorum, "leadership was not confirmed: %w", err)
+	}
+	return err
+}
+
+func (r *Replica) ask(ctx context.Context, req request) (any, error) {
+	if r.identity.Load() == nil {
+		return nil, kind.Errorf(kind.NotLeader, "")
+	}
+	select {
+	case r.requests <- req:
+	case <-ctx.Done():
+		return nil, kind.Errorf(kind.DeadlineExceeded, "the request was not taken: %w", ctx.Err())
+	case <-r.done:
+		return nil, r.stoppedError()
+	}
+	return r.await(ctx, req.done)
+}
+
+// Status returns the replica's present view of the group.
+func (r *Replica) Status() Status {
+	status := *r.status.Load()
+	status.Applied = r.applied.Load()
+	return status
+}
+
+// Leadership returns the channel of changes of leadership. It holds the latest
+// change only: a consumer that is late sees the last one, and must compare the
+// terms.
+func (r *Replica) Leadership() <-chan Leadership { return r.leadership }
+
+// QuorumContact returns the latest instant at which a heartbeat round began that
+// a majority of the voters answered. It is zero where this replica does not
+// lead.
+func (r *Replica) QuorumContact() time.Time {
+	if at := r.contact.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
+// Register registers the service "Replica", which peers call.
+func (r *Replica) Register(server *rpc.Server) error {
+	return server.RegisterName(serviceName, &service{replica: r})
+}
+
+// Done is closed when the replica has stopped; Err then tells why, nil after
+// Stop.
+func (r *Replica) Done() <-chan struct{} { return r.done }
+
+// Err returns the error that stopped the replica.
+func (r *Replica) Err() error {
+	if err := r.failure.Load(); err != nil {
+		return *err
+	}
+	return nil
+}
+
+// Stop hands the leadership over, where this replica has it, and stops. It
+// returns when all goroutines have ended and the folder is closed.
+func (r *Replica) Stop() {
+	r.stopped.Do(func() { close(r.stop) })
+	<-r.done
+	r.group.Wait()
+}
+
+// finish ends all goroutines; err is nil for a planned stop.
+func (r *Replica) finish(err error) {
+	if err != nil {
+		r.options.Logger.Error().Err(err).Msg("replica stopped")
+		r.failure.Store(&err)
+	}
+	status := *r.status.Load()
+	status.Role = "stopped"
+	r.status.Store(&status)
+	r.contact.Store(nil)
+	r.announce(Leadership{Term: status.Term})
+	r.cancel()
+	if closeErr := r.store.Close(); closeErr != nil {
+		r.options.Logger.Warn().Err(closeErr).Msg("data folder not closed cleanly")
+	}
+	close(r.done)
+}
+
+func (r *Replica) stoppedError() error {
+	if err := r.Err(); err != nil {
+		return kind.Errorf(kind.Stopping, "the replica has stopped: %w", err)
+	}
+	return kind.Errorf(kind.Stopping, "the replica has stopped")
+}
+
+// announce replaces the leadership change that was not yet consumed. It is
+// called from one goroutine at a time.
+func (r *Replica) announce(change Leadership) {
+	select {
+	case <-r.leadership:
+	default:
+	}
+	r.leadership <- change
+}
+
+// randomID returns a random number that is not zero.
+func randomID() uint64 {
+	var buffer [8]byte
+	for {
+		if _, err := crand.Read(buffer[:]); err != nil {
+			panic("replica: no randomness: " + err.Error())
+		}
+		if id := binary.LittleEndian.Uint64(buffer[:]); id != 0 {
+			return id
+		}
+	}
+}
