--- /dev/null
+++ b/state/changes.go
@@ -0,0 +1,108 @@
+package state
+
+import "mangohill.example/mangohill/types"
+
+// changeSet collects what changed since the leader last took it. Its size is
+// bounded by the objects of the state: an object is listed once.
+type changeSet struct {
+	tracking bool
+	all      bool
+	config   bool
+	tasks    map[types.TaskID]struct{}
+	workers  map[types.WorkerID]struct{}
+	signal   chan struct{}
+}
+
+func newChangeSet() changeSet {
+	return changeSet{
+		tasks:   make(map[types.TaskID]struct{}),
+		workers: make(map[types.WorkerID]struct{}),
+		signal:  make(chan struct{}, 1),
+	}
+}
+
+func (c *changeSet) task(id types.TaskID) {
+	if c.tracking {
+		c.tasks[id] = struct{}{}
+	}
+}
+
+func (c *changeSet) worker(id types.WorkerID) {
+	if c.tracking {
+		c.workers[id] = struct{}{}
+	}
+}
+
+func (c *changeSet) notify() {
+	select {
+	case c.signal <- struct{}{}:
+	default: // A signal is already waiting.
+	}
+}
+
+// Changes lists what changed: the new values of tasks and workers, and the IDs
+// of those that were removed. All says that the lists are the whole state.
+type Changes struct {
+	All            bool
+	Config         bool
+	Tasks          []types.Task
+	Workers        []types.Worker
+	RemovedTasks   []types.TaskID
+	RemovedWorkers []types.WorkerID
+}
+
+// Track begins to collect changes; the first TakeChanges returns the whole
+// state. Only the leader tracks.
+func (s *Store) Track() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.changes.tracking = true
+	s.changes.all = true
+	s.changes.notify()
+}
+
+// Untrack stops collecting changes.
+func (s *Store) Untrack() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.changes.tracking = false
+	clear(s.changes.tasks)
+	clear(s.changes.workers)
+}
+
+// Signal returns a channel of capacity one that receives after entries were
+// applied.
+func (s *Store) Signal() <-chan struct{} { return s.changes.signal }
+
+// TakeChanges returns what changed since the last call, in ascending order of
+// IDs.
+func (s *Store) TakeChanges() Changes {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := &s.changes
+	out := Changes{All: c.all, Config: c.config || c.all}
+	taskIDs := sortedKeys(c.tasks)
+	workerIDs := sortedKeys(c.workers)
+	if c.all {
+		taskIDs = sortedKeys(s.tasks)
+		workerIDs = sortedKeys(s.workers)
+	}
+	for _, id := range taskIDs {
+		if t, ok := s.tasks[id]; ok {
+			out.Tasks = append(out.Tasks, *t)
+		} else {
+			out.RemovedTasks = append(out.RemovedTasks, id)
+		}
+	}
+	for _, id := range workerIDs {
+		if w, ok := s.workers[id]; ok {
+			out.Workers = append(out.Workers, w.Worker)
+		} else {
+			out.RemovedWorkers = append(out.RemovedWorkers, id)
+		}
+	}
+	c.all, c.config = false, false
+	clear(c.tasks)
+	clear(c.workers)
+	return out
+}
--- /dev/null
+++ b/state/codec.go
@@ -0,0 +1,135 @@
+package state
+
+import (
+	"github.com/fxamacker/cbor/v2"
+
+	"mangohill.example/mangohill/kind"
+)
+
+// maxEntryOps bounds the operations of one entry.
+const maxEntryOps = 4096
+
+var (
+	encMode = mustEncMode()
+	decMode = mustDecMode()
+)
+
+func mustEncMode() cbor.EncMode {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func mustDecMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: 4 << 20, MaxMapPairs: 4 << 20}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// Encode returns an entry with the given operations. nowMs is the leader's wall
+// clock in milliseconds since the Unix epoch.
+func Encode(nowMs int64, ops ...Op) ([]byte, error) {
+	e := entry{NowMs: nowMs, Ops: make([]rawOp, 0, len(ops))}
+	for _, op := range ops {
+		raw, err := encodeOp(op)
+		if err != nil {
+			return nil, err
+		}
+		e.Ops = append(e.Ops, raw)
+	}
+	return encMode.Marshal(e)
+}
+
+func encodeOp(op Op) (rawOp, error) {
+	var value any = op
+	if command, ok := op.(Command); ok {
+		inner, err := encodeOp(command.Op)
+		if err != nil {
+			return rawOp{}, err
+		}
+		value = rawCommand{ID: command.ID, Digest: command.Digest, Text: command.Text, Op: inner}
+	}
+	body, err := encMode.Marshal(value)
+	if err != nil {
+		return rawOp{}, kind.Errorf(kind.Internal, "encode operation %d: %w", op.code(), err)
+	}
+	return rawOp{Code: op.code(), Body: body}, nil
+}
+
+// Decode returns the time and the operations of an entry. The error is of kind
+// corrupt.
+func Decode(data []byte) (nowMs int64, ops []Op, err error) {
+	var e entry
+	if err := decMode.Unmarshal(data, &e); err != nil {
+		return 0, nil, kind.Errorf(kind.Corrupt, "entry: %w", err)
+	}
+	if len(e.Ops) > maxEntryOps {
+		return 0, nil, kind.Errorf(kind.Corrupt, "entry: %d operations exceed %d", len(e.Ops), maxEntryOps)
+	}
+	for _, raw := range e.Ops {
+		op, err := decodeOp(raw)
+		if err != nil {
+			return 0, nil, err
+		}
+		ops = append(ops, op)
+	}
+	return e.NowMs, ops, nil
+}
+
+var decoders = map[opCode]func(cbor.RawMessage) (Op, error){
+	codeRegister:   decodeAs[Register],
+	codeLeaseOver:  decodeAs[LeaseOver],
+	codeStart:      decodeAs[Start],
+	codeCheckpoint: decodeAs[Checkpoint],
+	codeThrottle:   decodeAs[Throttle],
+	codeStop:       decodeAs[Stop],
+	codeReport:     decodeAs[Report],
+	codeDeclare:    decodeAs[Declare],
+	codeCancel:     decodeAs[Cancel],
+	codeDrain:      decodeAs[Drain],
+	codeSetConfig:  decodeAs[SetConfig],
+	codeClaim:      decodeAs[Claim],
+	codeResolve:    decodeAs[Resolve],
+	codePark:       decodeAs[Park],
+	codeUnpark:     decodeAs[Unpark],
+	codeQuarantine: decodeAs[Quarantine],
+	codeRelease:    decodeAs[Release],
+}
+
+func decodeAs[T Op](body cbor.RawMessage) (Op, error) {
+	var op T
+	if err := decMode.Unmarshal(body, &op); err != nil {
+		return nil, kind.Errorf(kind.Corrupt, "operation %d: %w", op.code(), err)
+	}
+	return op, nil
+}
+
+func decodeOp(raw rawOp) (Op, error) {
+	if raw.Code == codeCommand {
+		return decodeCommand(raw.Body)
+	}
+	decode, ok := decoders[raw.Code]
+	if !ok {
+		return nil, kind.Errorf(kind.Corrupt, "operation code %d is not known to this version", raw.Code)
+	}
+	return decode(raw.Body)
+}
+
+func decodeCommand(body cbor.RawMessage) (Op, error) {
+	var raw rawCommand
+	if err := decMode.Unmarshal(body, &raw); err != nil {
+		return nil, kind.Errorf(kind.Corrupt, "command: %w", err)
+	}
+	if raw.Op.Code == codeCommand {
+		return nil, kind.Errorf(kind.Corrupt, "command %q holds another command", raw.ID)
+	}
+	op, err := decodeOp(raw.Op)
+	if err != nil {
+		return nil, err
+	}
+	return Command{ID: raw.ID, Digest: raw.Digest, Text: raw.Text, Op: op}, nil
+}
--- /dev/null
+++ b/state/jobs.go
@@ -0,0 +1,220 @@
+package state
+
+import (
+	"fmt"
+
+	"mangohill.example/mangohill/kind"
+	"mangohill.example/mangohill/types"
+)
+
+const (
+	// maxEndedTasks is the number of ended tasks that are kept for show and why.
+	maxEndedTasks = 4096
+	// maxReplicas bounds the replicas of a service.
+	maxReplicas = 4096
+	// maxTasks bounds the tasks of the cluster, ended ones included.
+	maxTasks = 100_000
+)
+
+func (op Declare) apply(s *Store) Result {
+	spec := op.Spec
+	if spec.Replicas == 0 {
+		spec.Replicas = 1
+	}
+	if err := checkSpec(&spec); err != nil {
+		return Result{Err: err}
+	}
+	if old, ok := s.jobs[spec.Name]; ok {
+		if err := s.checkRedeclare(spec.Name, old); err != nil {
+			return Result{Err: err}
+		}
+	}
+	names := taskNamesOf(&spec)
+	for _, name := range names {
+		id, taken := s.taskNames[name]
+		if taken && s.tasks[id].Job.Name != spec.Name {
+			return refuse(kind.AlreadyExists, "task name %q of job %q belongs to job %q", name, spec.Name, s.tasks[id].Job.Name)
+		}
+	}
+	if len(s.tasks)+len(names) > maxTasks {
+		return refuse(kind.Overloaded, "job %q: the cluster holds %d tasks", spec.Name, len(s.tasks))
+	}
+	s.removeJob(spec.Name)
+	s.createJob(&spec, names)
+	s.record(EventJobDeclared, spec.Name, string(spec.Kind))
+	return Result{}
+}
+
+func checkSpec(spec *types.JobSpec) *kind.Error {
+	switch {
+	case spec.Name == "":
+		return kind.Errorf(kind.BadRequest, "the job has no name")
+	case spec.Kind != types.KindService && spec.Kind != types.KindBatch && spec.Kind != types.KindWatcher:
+		return kind.Errorf(kind.BadRequest, "job %q: kind %q is not known", spec.Name, spec.Kind)
+	case spec.Request.IsNegative() || spec.Request.MilliProcessors == 0:
+		return kind.Errorf(kind.BadRequest, "job %q: requested resources %+v", spec.Name, spec.Request)
+	case spec.Replicas < 1 || spec.Replicas > maxReplicas:
+		return kind.Errorf(kind.BadRequest, "job %q: %d replicas are not between 1 and %d", spec.Name, spec.Replicas, maxReplicas)
+	}
+	return nil
+}
+
+func taskNamesOf(spec *types.JobSpec) []string {
+	if spec.Kind != types.KindService {
+		return []string{spec.Name}
+	}
+	names := make([]string, spec.Replicas)
+	for i := range names {
+		names[i] = fmt.Sprintf("%s-%d", spec.Name, i)
+	}
+	return names
+}
+
+func (s *Store) checkRedeclare(name string, old *job) *kind.Error {
+	for _, id := range old.tasks {
+		t := s.tasks[id]
+		if _, err := taskChart.Next(string(t.State), "declare"); err != nil {
+			return kind.Errorf(kind.AlreadyExists, "job %q exists: task %q is %s", name, t.Name, t.State)
+		}
+	}
+	return nil
+}
+
+func (s *Store) createJob(spec *types.JobSpec, names []string) {
+	j := &job{spec: spec}
+	for _, name := range names {
+		t := &types.Task{
+			ID:          s.nextTask,
+			Name:        name,
+			Job:         spec,
+			State:       types.TaskState(taskChart.Initial()),
+			Epoch:       s.epochFloor,
+			SubmittedMs: s.nowMs,
+			ChangedMs:   s.nowMs,
+		}
+		s.nextTask++
+		s.tasks[t.ID] = t
+		s.taskNames[name] = t.ID
+		j.tasks = append(j.tasks, t.ID)
+		s.changes.task(t.ID)
+	}
+	s.jobs[spec.Name] = j
+}
+
+// removeJob removes a job and its ended tasks. Workers refuse an epoch below one
+// that they have seen under a task's name, so later tasks start above it.
+func (s *Store) removeJob(name string) {
+	j, ok := s.jobs[name]
+	if !ok {
+		return
+	}
+	for _, id := range j.tasks {
+		s.removeTask(s.tasks[id])
+	}
+	delete(s.jobs, name)
+}
+
+func (s *Store) removeTask(t *types.Task) {
+	s.epochFloor = max(s.epochFloor, t.Epoch)
+	delete(s.tasks, t.ID)
+	delete(s.taskNames, t.Name)
+	s.changes.task(t.ID)
+}
+
+// end notes a task that reached a terminal state and removes the tasks that
+// ended longest ago.
+func (s *Store) end(t *types.Task) {
+	if !t.State.Terminal() {
+		return
+	}
+	s.record(endEvents[t.State], t.Name, t.Reason)
+	s.ended = append(s.ended, t.ID)
+	for len(s.ended) > maxEndedTasks {
+		s.forget(s.ended[0])
+		s.ended = s.ended[1:]
+	}
+}
+
+func (s *Store) forget(id types.TaskID) {
+	t, ok := s.tasks[id]
+	if !ok || !t.State.Terminal() {
+		return
+	}
+	j := s.jobs[t.Job.Name]
+	for i, other := range j.tasks {
+		if other == id {
+			j.tasks = append(j.tasks[:i:i], j.tasks[i+1:]...)
+			break
+		}
+	}
+	if len(j.tasks) == 0 {
+		delete(s.jobs, t.Job.Name)
+	}
+	s.removeTask(t)
+}
+
+func (op Cancel) apply(s *Store) Result {
+	ids := []types.TaskID(nil)
+	if j, ok := s.jobs[op.Name]; ok {
+		ids = append(ids, j.tasks...)
+	} else if id, ok := s.taskNames[op.Name]; ok {
+		ids = append(ids, id)
+	}
+	if len(ids) == 0 {
+		return refuse(kind.NotFound, "job or task %q does not exist", op.Name)
+	}
+	cancelled := 0
+	for _, id := range ids {
+		if s.cancelTask(s.tasks[id]) {
+			cancelled++
+		}
+	}
+	if cancelled == 0 {
+		return refuse(kind.InvalidTransition, "%q has already ended", op.Name)
+	}
+	return Result{}
+}
+
+// cancelTask cancels a task, or marks its attempt to be stopped first.
+func (s *Store) cancelTask(t *types.Task) bool {
+	if t.State.Placed() {
+		if t.Stopping == types.TaskCancelled {
+			return true
+		}
+		t.Stopping = types.TaskCancelled
+		t.Reason = "cancelled by an operator"
+		s.changes.task(t.ID)
+		return true
+	}
+	if err := s.setTask(t, "cancel"); err != nil {
+		return false
+	}
+	t.Reason = "cancelled by an operator"
+	s.end(t)
+	return true
+}
+
+func (op Park) apply(s *Store) Result {
+	t, ok := s.tasks[op.Task]
+	if !ok {
+		return refuse(kind.NotFound, "task %d does not exist", op.Task)
+	}
+	if err := s.setTask(t, "park"); err != nil {
+		return Result{Err: err}
+	}
+	t.Reason = op.Reason
+	s.record(EventTaskParked, t.Name, op.Reason)
+	return Result{}
+}
+
+func (op Unpark) apply(s *Store) Result {
+	t, ok := s.tasks[op.Task]
+	if !ok {
+		return refuse(kind.NotFound, "task %d does not exist", op.Task)
+	}
+	if err := s.setTask(t, "unpark"); err != nil {
+		return Result{Err: err}
+	}
+	t.Reason = ""
+	return Result{}
+}
--- /dev/null
+++ b/state/read.go
@@ -0,0 +1,190 @@
+package state
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"mangohill.example/mangohill/kind"
+	"mangohill.example/mangohill/types"
+)
+
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
+	return slices.Sorted(maps.Keys(m))
+}
+
+// Config returns the configuration in force.
+func (s *Store) Config() (version uint64, text string) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.configVersion, s.configText
+}
+
+// Now returns the time of the newest entry, in milliseconds since the Unix epoch.
+func (s *Store) Now() int64 {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.nowMs
+}
+
+// Tasks returns copies of all tasks in ascending order of IDs.
+func (s *Store) Tasks() []types.Task {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	out := make([]types.Task, 0, len(s.tasks))
+	for _, id := range sortedKeys(s.tasks) {
+		out = append(out, *s.tasks[id])
+	}
+	return out
+}
+
+// Task returns a copy of the task with the given ID.
+func (s *Store) Task(id types.TaskID) (types.Task, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	t, ok := s.tasks[id]
+	if !ok {
+		return types.Task{}, false
+	}
+	return *t, true
+}
+
+// TaskNamed returns a copy of the task with the given name.
+func (s *Store) TaskNamed(name string) (types.Task, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	t, ok := s.tasks[s.taskNames[name]]
+	if !ok {
+		return types.Task{}, false
+	}
+	return *t, true
+}
+
+// JobTasks returns copies of the tasks of a job, none if it does not exist.
+func (s *Store) JobTasks(name string) []types.Task {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	j, ok := s.jobs[name]
+	if !ok {
+		return nil
+	}
+	out := make([]types.Task, 0, len(j.tasks))
+	for _, id := range j.tasks {
+		out = append(out, *s.tasks[id])
+	}
+	return out
+}
+
+// Workers returns copies of all workers in ascending order of IDs.
+func (s *Store) Workers() []types.Worker {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	out := make([]types.Worker, 0, len(s.workers))
+	for _, id := range sortedKeys(s.workers) {
+		out = append(out, s.workers[id].Worker)
+	}
+	return out
+}
+
+// Worker returns a copy of the worker with the given ID.
+func (s *Store) Worker(id types.WorkerID) (types.Worker, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	w, ok := s.workers[id]
+	if !ok {
+		return types.Worker{}, false
+	}
+	return w.Worker, true
+}
+
+// WorkerNamed returns a copy of the worker with the given name.
+func (s *Store) WorkerNamed(name string) (types.Worker, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	w, ok := s.workers[s.workerNames[name]]
+	if !ok {
+		return types.Worker{}, false
+	}
+	return w.Worker, true
+}
+
+// Attempts returns copies of the tasks placed on a worker, in ascending order of
+// IDs.
+func (s *Store) Attempts(id types.WorkerID) []types.Task {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	w, ok := s.workers[id]
+	if !ok {
+		return nil
+	}
+	out := make([]types.Task, 0, len(w.attempts))
+	for _, task := range w.attempts {
+		out = append(out, *s.tasks[task])
+	}
+	return out
+}
+
+// Events returns the kept events at or after sinceMs, oldest first.
+func (s *Store) Events(sinceMs int64) []Event {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	all := s.events.ordered()
+	first, _ := slices.BinarySearchFunc(all, sinceMs, func(e Event, at int64) int { return cmp.Compare(e.AtMs, at) })
+	return all[first:]
+}
+
+// Outcomes returns the kept command outcomes, oldest first.
+func (s *Store) Outcomes() []Outcome {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	out := make([]Outcome, 0, len(s.commands.order))
+	for _, id := range s.commands.order {
+		out = append(out, *s.commands.outcomes[id])
+	}
+	return out
+}
+
+// CommandOutcome returns the result of a command that was applied before. Its
+// absence from an up-to-date store means that the command has not run.
+func (s *Store) CommandOutcome(id string, digest uint64) (Result, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.commands.lookup(id, digest)
+}
+
+// Check returns an error of kind internal if the state breaks an invariant: a
+// worker committed beyond its capacity or unlike the sum of its attempts, or a
+// task whose placement and worker disagree.
+func (s *Store) Check() error {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	for _, id := range sortedKeys(s.workers) {
+		if err := s.checkWorker(s.workers[id]); err != nil {
+			return err
+		}
+	}
+	for _, id := range sortedKeys(s.tasks) {
+		t := s.tasks[id]
+		if t.State.Placed() != (t.Worker != 0) {
+			return kind.Errorf(kind.Internal, "task %q is %s on worker %d", t.Name, t.State, t.Worker)
+		}
+		if t.Worker != 0 && !slices.Contains(s.workers[t.Worker].attempts, t.ID) {
+			return kind.Errorf(kind.Internal, "task %q is missing on worker %d", t.Name, t.Worker)
+		}
+	}
+	return nil
+}
+
+func (s *Store) checkWorker(w *worker) error {
+	var sum types.Resources
+	for _, id := range w.attempts {
+		sum = sum.Add(s.tasks[id].Job.Request)
+	}
+	if sum != w.Committed {
+		return kind.Errorf(kind.Internal, "worker %q: committed %+v, sum of attempts %+v", w.Name, w.Committed, sum)
+	}
+	if !sum.Fits(w.Capacity) {
+		return kind.Errorf(kind.Internal, "worker %q: committed %+v beyond %+v", w.Name, sum, w.Capacity)
+	}
+	return nil
+}
--- /dev/null
+++ b/state/snapshot.go
@@ -0,0 +1,250 @@
+package state
+
+import (
+	"bytes"
+	"slices"
+
+	"mangohill.example/mangohill/controlapi"
+	"mangohill.example/mangohill/kind"
+	"mangohill.example/mangohill/types"
+)
+
+// SnapshotVersion is the version of the snapshot's form. A change that an older
+// program would misread raises it.
+const SnapshotVersion = 1
+
+// snapshotHeader is the first item of a snapshot.
+type snapshotHeader struct {
+	_       struct{} `cbor:",toarray"`
+	Format  string
+	Version int
+}
+
+const snapshotFormat = "mangohill-state"
+
+type snapshotJob struct {
+	_     struct{} `cbor:",toarray"`
+	Spec  *types.JobSpec
+	Tasks []types.Task
+}
+
+type snapshotClaim struct {
+	_         struct{} `cbor:",toarray"`
+	Key       ClaimKey
+	Digest    uint64
+	Token     uint64
+	ChangedMs int64
+	Resolved  bool
+	Outcome   string
+	Answer    *controlapi.ClaimResult
+}
+
+type snapshotBody struct {
+	_             struct{} `cbor:",toarray"`
+	NowMs         int64
+	Index         uint64
+	NextTask      types.TaskID
+	NextWorker    types.WorkerID
+	EpochFloor    uint64
+	Workers       []types.Worker
+	Jobs          []snapshotJob
+	Ended         []types.TaskID
+	ConfigVersion uint64
+	ConfigText    string
+	Claims        []snapshotClaim
+	Touched       []touch
+	Kept          []ClaimKey
+	Outcomes      []*Outcome
+	Forgotten     []uint64
+	HorizonMs     int64
+	Events        []Event
+}
+
+// Snapshot encodes the whole state. Equal states have equal snapshots.
+func (s *Store) Snapshot() ([]byte, error) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	var out bytes.Buffer
+	encoder := encMode.NewEncoder(&out)
+	if err := encoder.Encode(snapshotHeader{Format: snapshotFormat, Version: SnapshotVersion}); err != nil {
+		return nil, kind.Errorf(kind.Internal, "snapshot header: %w", err)
+	}
+	if err := encoder.Encode(s.body()); err != nil {
+		return nil, kind.Errorf(kind.Internal, "snapshot: %w", err)
+	}
+	return out.Bytes(), nil
+}
+
+func (s *Store) body() *snapshotBody {
+	body := &snapshotBody{
+		NowMs:         s.nowMs,
+		Index:         s.index,
+		NextTask:      s.nextTask,
+		NextWorker:    s.nextWorker,
+		EpochFloor:    s.epochFloor,
+		Ended:         s.ended,
+		ConfigVersion: s.configVersion,
+		ConfigText:    s.configText,
+		Touched:       s.claims.touched,
+		Kept:          s.claims.kept,
+		Forgotten:     s.commands.hashes,
+		HorizonMs:     s.commands.horizonMs,
+		Events:        s.events.ordered(),
+	}
+	for _, id := range sortedKeys(s.workers) {
+		body.Workers = append(body.Workers, s.workers[id].Worker)
+	}
+	for _, name := range sortedKeys(s.jobs) {
+		body.Jobs = append(body.Jobs, s.snapshotJob(s.jobs[name]))
+	}
+	for _, id := range s.commands.order {
+		body.Outcomes = append(body.Outcomes, s.commands.outcomes[id])
+	}
+	body.Claims = s.claims.snapshot()
+	return body
+}
+
+func (s *Store) snapshotJob(j *job) snapshotJob {
+	out := snapshotJob{Spec: j.spec}
+	for _, id := range j.tasks {
+		out.Tasks = append(out.Tasks, *s.tasks[id])
+	}
+	return out
+}
+
+func (t *claimTable) snapshot() []snapshotClaim {
+	out := make([]snapshotClaim, 0, len(t.claims))
+	for key, c := range t.claims {
+		out = append(out, snapshotClaim{
+			Key:       key,
+			Digest:    c.digest,
+			Token:     c.token,
+			ChangedMs: c.changedMs,
+			Resolved:  c.resolved,
+			Outcome:   c.outcome,
+			Answer:    c.answer,
+		})
+	}
+	slices.SortFunc(out, func(a, b snapshotClaim) int { return bytes.Compare(a.Key[:], b.Key[:]) })
+	return out
+}
+
+// Restore replaces the whole state by a snapshot. The error is of kind corrupt;
+// it names the version of a snapshot that this program cannot read. The state
+// is unchanged after an error.
+func (s *Store) Restore(data []byte) error {
+	body, err := decodeSnapshot(data)
+	if err != nil {
+		return err
+	}
+	fresh := New()
+	if err := fresh.load(body); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.adopt(fresh)
+	return nil
+}
+
+func decodeSnapshot(data []byte) (*snapshotBody, error) {
+	var header snapshotHeader
+	rest, err := decMode.UnmarshalFirst(data, &header)
+	if err != nil || header.Format != snapshotFormat {
+		return nil, kind.Errorf(kind.Corrupt, "the snapshot does not begin with the format %q", snapshotFormat)
+	}
+	if header.Version != SnapshotVersion {
+		return nil, kind.Errorf(kind.Corrupt, "the snapshot has version %d; this program reads version %d", header.Version, SnapshotVersion)
+	}
+	var body snapshotBody
+	if err := decMode.Unmarshal(rest, &body); err != nil {
+		return nil, kind.Errorf(kind.Corrupt, "snapshot: %w", err)
+	}
+	return &body, nil
+}
+
+func (s *Store) load(body *snapshotBody) error {
+	s.nowMs, s.index = body.NowMs, body.Index
+	s.nextTask, s.nextWorker, s.epochFloor = body.NextTask, body.NextWorker, body.EpochFloor
+	s.ended = body.Ended
+	s.configVersion, s.configText = body.ConfigVersion, body.ConfigText
+	s.events.list = body.Events
+	for _, w := range body.Workers {
+		s.workers[w.ID] = &worker{Worker: w}
+		s.workerNames[w.Name] = w.ID
+	}
+	for _, j := range body.Jobs {
+		if err := s.loadJob(j); err != nil {
+			return err
+		}
+	}
+	s.loadClaims(body)
+	s.loadCommands(body)
+	return nil
+}
+
+func (s *Store) loadJob(in snapshotJob) error {
+	if in.Spec == nil {
+		return kind.Errorf(kind.Corrupt, "snapshot: a job has no declaration")
+	}
+	j := &job{spec: in.Spec}
+	s.jobs[in.Spec.Name] = j
+	for i := range in.Tasks {
+		t := &in.Tasks[i]
+		t.Job = in.Spec
+		s.tasks[t.ID] = t
+		s.taskNames[t.Name] = t.ID
+		j.tasks = append(j.tasks, t.ID)
+		if t.Worker == 0 {
+			continue
+		}
+		w, ok := s.workers[t.Worker]
+		if !ok {
+			return kind.Errorf(kind.Corrupt, "snapshot: task %q is on worker %d, which is missing", t.Name, t.Worker)
+		}
+		s.place(t, w)
+	}
+	return nil
+}
+
+func (s *Store) loadClaims(body *snapshotBody) {
+	s.claims.touched, s.claims.kept = body.Touched, body.Kept
+	for _, in := range body.Claims {
+		c := &claim{
+			digest:    in.Digest,
+			token:     in.Token,
+			changedMs: in.ChangedMs,
+			resolved:  in.Resolved,
+			outcome:   in.Outcome,
+			answer:    in.Answer,
+		}
+		s.claims.claims[in.Key] = c
+		if c.answer != nil {
+			s.claims.keptBytes += answerSize(c.answer)
+		}
+	}
+}
+
+func (s *Store) loadCommands(body *snapshotBody) {
+	c := &s.commands
+	for _, outcome := range body.Outcomes {
+		c.outcomes[outcome.ID] = outcome
+		c.order = append(c.order, outcome.ID)
+	}
+	c.hashes, c.horizonMs = body.Forgotten, body.HorizonMs
+	for _, hash := range body.Forgotten {
+		c.forgotten[hash] = struct{}{}
+	}
+}
+
+// adopt takes over the content of another store, which must not be used after.
+func (s *Store) adopt(other *Store) {
+	s.nowMs, s.index = other.nowMs, other.index
+	s.nextTask, s.nextWorker, s.epochFloor = other.nextTask, other.nextWorker, other.epochFloor
+	s.workers, s.workerNames = other.workers, other.workerNames
+	s.tasks, s.taskNames, s.jobs, s.ended = other.tasks, other.taskNames, other.jobs, other.ended
+	s.configVersion, s.configText = other.configVersion, other.configText
+	s.claims, s.commands, s.events = other.claims, other.commands, other.events
+	s.changes.all, s.changes.config = true, true
+	s.changes.notify()
+}
--- /dev/null
+++ b/state/store.go
@@ -0,0 +1,159 @@
+package state
+
+import (
+	"slices"
+	"sync"
+
+	"mangohill.example/mangohill/chart"
+	"mangohill.example/mangohill/controlapi"
+	"mangohill.example/mangohill/kind"
+	"mangohill.example/mangohill/types"
+)
+
+var (
+	taskChart   = chart.MustLoad("task")
+	workerChart = chart.MustLoad("worker")
+)
+
+// Result is the result of one operation. Err is nil if the operation took effect
+// or had done so before.
+type Result struct {
+	Err     *kind.Error
+	Version uint64
+	Message string
+	Worker  types.WorkerID
+	Claim   controlapi.ClaimReply
+}
+
+// Failure returns Err as an error, nil if there is none.
+func (r Result) Failure() error {
+	if r.Err == nil {
+		return nil
+	}
+	return r.Err
+}
+
+func refuse(k kind.Kind, format string, args ...any) Result {
+	return Result{Err: kind.Errorf(k, format, args...)}
+}
+
+type worker struct {
+	types.Worker
+	// attempts holds the tasks placed on the worker, in ascending order.
+	attempts []types.TaskID
+}
+
+type job struct {
+	spec  *types.JobSpec
+	tasks []types.TaskID
+}
+
+// Store is the state machine. It is safe for concurrent use; Apply, Snapshot and
+// Restore are called by the replica.
+type Store struct {
+	mu sync.RWMutex
+
+	nowMs      int64
+	index      uint64
+	nextTask   types.TaskID
+	nextWorker types.WorkerID
+	epochFloor uint64
+
+	workers     map[types.WorkerID]*worker
+	workerNames map[string]types.WorkerID
+	tasks       map[types.TaskID]*types.Task
+	taskNames   map[string]types.TaskID
+	jobs        map[string]*job
+	ended       []types.TaskID
+
+	configVersion uint64
+	configText    string
+
+	claims   claimTable
+	commands commandTable
+	events   eventRing
+
+	changes changeSet
+}
+
+// New returns the state of a new cluster.
+func New() *Store {
+	return &Store{
+		nextTask:      1,
+		nextWorker:    1,
+		workers:       make(map[types.WorkerID]*worker),
+		workerNames:   make(map[string]types.WorkerID),
+		tasks:         make(map[types.TaskID]*types.Task),
+		taskNames:     make(map[string]types.TaskID),
+		jobs:          make(map[string]*job),
+		configVersion: 1,
+		configText:    types.DefaultConfigText,
+		claims:        newClaimTable(),
+		commands:      newCommandTable(),
+		changes:       newChangeSet(),
+	}
+}
+
+// Apply applies an entry and returns a []Result, one for each operation. An
+// entry that does not decode has one result of kind corrupt and no effect.
+func (s *Store) Apply(index uint64, data []byte) any {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.index = index
+	nowMs, ops, err := Decode(data)
+	if err != nil {
+		return []Result{{Err: kind.Errorf(kind.Corrupt, "index %d: %w", index, err)}}
+	}
+	s.nowMs = max(s.nowMs, nowMs)
+	s.claims.expire(s.nowMs)
+	results := make([]Result, 0, len(ops))
+	for _, op := range ops {
+		results = append(results, op.apply(s))
+	}
+	s.changes.notify()
+	return results
+}
+
+// setTask moves a task along the chart. The error is of kind invalid_transition.
+func (s *Store) setTask(t *types.Task, event string) *kind.Error {
+	next, err := taskChart.Next(string(t.State), event)
+	if err != nil {
+		return kind.Errorf(kind.InvalidTransition, "task %q: %w", t.Name, err)
+	}
+	t.State = types.TaskState(next)
+	t.ChangedMs = s.nowMs
+	s.changes.task(t.ID)
+	return nil
+}
+
+func (s *Store) setWorker(w *worker, event string) *kind.Error {
+	next, err := workerChart.Next(string(w.State), event)
+	if err != nil {
+		return kind.Errorf(kind.InvalidTransition, "worker %q: %w", w.Name, err)
+	}
+	w.State = types.WorkerState(next)
+	s.changes.worker(w.ID)
+	return nil
+}
+
+// place commits the task to the worker.
+func (s *Store) place(t *types.Task, w *worker) {
+	t.Worker = w.ID
+	w.Committed = w.Committed.Add(t.Job.Request)
+	at, _ := slices.BinarySearch(w.attempts, t.ID)
+	w.attempts = slices.Insert(w.attempts, at, t.ID)
+	s.changes.worker(w.ID)
+}
+
+// release ends the task's commitment to its worker.
+func (s *Store) release(t *types.Task) {
+	w := s.workers[t.Worker]
+	w.Committed = w.Committed.Sub(t.Job.Request)
+	if at, ok := slices.BinarySearch(w.attempts, t.ID); ok {
+		w.attempts = slices.Delete(w.attempts, at, at+1)
+	}
+	t.Worker = 0
+	t.Stopping = ""
+	t.ShareMilli = 0
+	s.changes.worker(w.ID)
+}
--- /dev/null
+++ b/state/workers.go
@@ -0,0 +1,164 @@
+package state
+
+import (
+	"slices"
+
+	"mangohill.example/mangohill/kind"
+	"mangohill.example/mangohill/types"
+)
+
+// maxWorkers bounds the workers that the state knows, lost ones included.
+const maxWorkers = 4096
+
+func (op Register) apply(s *Store) Result {
+	if op.Worker == "" || op.Capacity.IsNegative() {
+		return refuse(kind.BadRequest, "worker %q: capacity %+v", op.Worker, op.Capacity)
+	}
+	w, ok := s.workers[s.workerNames[op.Worker]]
+	if !ok {
+		if len(s.workers) >= maxWorkers && !s.forgetLostWorker() {
+			return refuse(kind.Overloaded, "worker %q: the cluster holds %d workers", op.Worker, len(s.workers))
+		}
+		w = s.addWorker(op.Worker)
+	}
+	if op.Incarnation < w.Incarnation {
+		return refuse(kind.StaleIncarnation, "worker %q: incarnation %d is below %d", op.Worker, op.Incarnation, w.Incarnation)
+	}
+	if op.Incarnation > w.Incarnation {
+		s.endAttempts(w, "worker "+w.Name+" restarted")
+	}
+	if !w.Committed.Fits(op.Capacity) {
+		return refuse(kind.CapacityExceeded, "worker %q: capacity %+v is below the committed %+v of the same incarnation", w.Name, op.Capacity, w.Committed)
+	}
+	return s.enrol(w, op)
+}
+
+// enrol takes over what the worker says of itself. A leaving worker becomes ready
+// only under a new incarnation.
+func (s *Store) enrol(w *worker, op Register) Result {
+	stays := op.Incarnation == w.Incarnation && w.State == types.WorkerLeaving
+	w.Incarnation = op.Incarnation
+	w.FailureDomain = op.FailureDomain
+	w.Rack = op.Rack
+	w.Capacity = op.Capacity
+	s.changes.worker(w.ID)
+	returned := w.State == types.WorkerLost
+	if !stays {
+		if err := s.setWorker(w, "register"); err != nil {
+			return Result{Err: err}
+		}
+	}
+	if op.Leaving && !stays {
+		return s.leave(w)
+	}
+	if w.DrainRequested && w.State == types.WorkerReady {
+		return Result{Err: s.setWorker(w, "drain"), Worker: w.ID}
+	}
+	if returned {
+		s.record(EventWorkerJoined, w.Name, "")
+	}
+	return Result{Worker: w.ID}
+}
+
+func (s *Store) leave(w *worker) Result {
+	if err := s.setWorker(w, "leave"); err != nil {
+		return Result{Err: err}
+	}
+	s.record(EventWorkerLeaving, w.Name, "")
+	return Result{Worker: w.ID}
+}
+
+func (s *Store) addWorker(name string) *worker {
+	w := &worker{Worker: types.Worker{ID: s.nextWorker, Name: name, State: types.WorkerLost}}
+	s.nextWorker++
+	s.workers[w.ID] = w
+	s.workerNames[name] = w.ID
+	return w
+}
+
+// forgetLostWorker removes the lost worker with the lowest ID.
+func (s *Store) forgetLostWorker() bool {
+	var oldest *worker
+	for _, w := range s.workers {
+		if w.State == types.WorkerLost && len(w.attempts) == 0 && (oldest == nil || w.ID < oldest.ID) {
+			oldest = w
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	delete(s.workers, oldest.ID)
+	delete(s.workerNames, oldest.Name)
+	s.changes.worker(oldest.ID)
+	return true
+}
+
+// endAttempts ends every attempt on a worker that certainly runs none of them.
+func (s *Store) endAttempts(w *worker, reason string) {
+	for _, id := range slices.Clone(w.attempts) {
+		s.endAttempt(s.tasks[id], "evict", reason)
+	}
+}
+
+func (op LeaseOver) apply(s *Store) Result {
+	w, ok := s.workers[op.Worker]
+	if !ok {
+		return refuse(kind.NotFound, "worker %d does not exist", op.Worker)
+	}
+	if op.Incarnation != w.Incarnation {
+		return refuse(kind.StaleIncarnation, "worker %q: end of the lease of incarnation %d, current is %d", w.Name, op.Incarnation, w.Incarnation)
+	}
+	s.endAttempts(w, "the lease of worker "+w.Name+" is over")
+	if w.State == types.WorkerLost {
+		return Result{}
+	}
+	if err := s.setWorker(w, "lose"); err != nil {
+		return Result{Err: err}
+	}
+	s.record(EventWorkerLost, w.Name, "")
+	return Result{}
+}
+
+func (op Drain) apply(s *Store) Result {
+	w, ok := s.workers[s.workerNames[op.Worker]]
+	if !ok {
+		return refuse(kind.NotFound, "worker %q does not exist", op.Worker)
+	}
+	w.DrainRequested = !op.Undo
+	s.changes.worker(w.ID)
+	switch {
+	case !op.Undo && (w.State == types.WorkerReady || w.State == types.WorkerQuarantined):
+		s.record(EventWorkerDraining, w.Name, "")
+		return Result{Err: s.setWorker(w, "drain")}
+	case op.Undo && w.State == types.WorkerDraining:
+		s.record(EventWorkerUndrained, w.Name, "")
+		return Result{Err: s.setWorker(w, "undrain")}
+	}
+	return Result{}
+}
+
+func (op Quarantine) apply(s *Store) Result {
+	w, ok := s.workers[op.Worker]
+	if !ok {
+		return refuse(kind.NotFound, "worker %d does not exist", op.Worker)
+	}
+	if err := s.setWorker(w, "quarantine"); err != nil {
+		return Result{Err: err}
+	}
+	w.Reason = op.Reason
+	s.record(EventWorkerQuarantined, w.Name, op.Reason)
+	return Result{}
+}
+
+func (op Release) apply(s *Store) Result {
+	w, ok := s.workers[op.Worker]
+	if !ok {
+		return refuse(kind.NotFound, "worker %d does not exist", op.Worker)
+	}
+	if err := s.setWorker(w, "release"); err != nil {
+		return Result{Err: err}
+	}
+	w.Reason = ""
+	s.record(EventWorkerReleased, w.Name, "")
+	return Result{}
+}
