--- a/state/attempts.go
+++ b/state/attempts.go
@@ -97,9 +97,18 @@
 	if err != nil {
 		return Result{Err: err}
 	}
-	if t.Stopping == "" {
-		t.Stopping = types.TaskEvicted
+	then := op.Then
+	switch then {
+	case "":
+		then = types.TaskEvicted
+	case types.TaskEvicted, types.TaskFinished:
+	default:
+		return refuse(kind.BadRequest, "task %q: a stopped attempt cannot leave the task %s", t.Name, then)
 	}
+	if t.Stopping == types.TaskCancelled {
+		return Result{}
+	}
+	t.Stopping = then
 	t.Reason = op.Reason
 	s.changes.task(t.ID)
 	s.record(EventTaskStopping, t.Name, op.Reason)
@@ -157,8 +166,11 @@
 // endAttempt ends the current attempt without a verdict on the task: it becomes
 // pending again, or cancelled where that was asked for.
 func (s *Store) endAttempt(t *types.Task, event, reason string) Result {
-	if t.Stopping == types.TaskCancelled {
+	switch t.Stopping {
+	case types.TaskCancelled:
 		event = "cancel"
+	case types.TaskFinished:
+		event = "finish"
 	}
 	if err := s.setTask(t, event); err != nil {
 		return Result{Err: err}
@@ -181,8 +193,8 @@
 	if t.Job.Kind == types.KindService {
 		event = "exit"
 	}
-	if t.Stopping == types.TaskCancelled && event == "exit" {
-		event = "cancel"
+	if event == "exit" && t.Stopping != "" {
+		return s.endAttempt(t, "evict", reason)
 	}
 	if err := s.setTask(t, event); err != nil {
 		return Result{Err: err}
@@ -200,6 +212,8 @@
 	switch {
 	case t.Stopping == types.TaskCancelled:
 		event = "cancel"
+	case t.Stopping == types.TaskFinished:
+		event = "finish"
 	case t.Failures >= maxFailures && t.Job.Kind != types.KindService:
 		event = "exhaust"
 	}
--- a/state/codec.go
+++ b/state/codec.go
@@ -98,6 +98,7 @@
 	codeUnpark:     decodeAs[Unpark],
 	codeQuarantine: decodeAs[Quarantine],
 	codeRelease:    decodeAs[Release],
+	codeReplace:    decodeAs[Replace],
 }
 
 func decodeAs[T Op](body cbor.RawMessage) (Op, error) {
--- a/state/config.go
+++ b/state/config.go
@@ -13,7 +13,7 @@
 	if len(op.Text) > MaxConfigText {
 		return refuse(kind.BadConfig, "configuration of %d bytes exceeds %d", len(op.Text), MaxConfigText)
 	}
-	if op.IfVersion != s.configVersion {
+	if op.IfVersion != 0 && op.IfVersion != s.configVersion {
 		r := refuse(kind.VersionConflict, "version %d is not the current one: version %d is in force", op.IfVersion, s.configVersion)
 		r.Version = s.configVersion
 		return r
--- a/state/jobs.go
+++ b/state/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"mangohill.example/mangohill/kind"
 	"mangohill.example/mangohill/types"
@@ -30,12 +31,6 @@
 		}
 	}
 	names := taskNamesOf(&spec)
-	for _, name := range names {
-		id, taken := s.taskNames[name]
-		if taken && s.tasks[id].Job.Name != spec.Name {
-			return refuse(kind.AlreadyExists, "task name %q of job %q belongs to job %q", name, spec.Name, s.tasks[id].Job.Name)
-		}
-	}
 	if len(s.tasks)+len(names) > maxTasks {
 		return refuse(kind.Overloaded, "job %q: the cluster holds %d tasks", spec.Name, len(s.tasks))
 	}
@@ -47,8 +42,8 @@
 
 func checkSpec(spec *types.JobSpec) *kind.Error {
 	switch {
-	case spec.Name == "":
-		return kind.Errorf(kind.BadRequest, "the job has no name")
+	case spec.Name == "" || strings.Contains(spec.Name, "/"):
+		return kind.Errorf(kind.BadRequest, "job name %q is empty or holds a slash", spec.Name)
 	case spec.Kind != types.KindService && spec.Kind != types.KindBatch && spec.Kind != types.KindWatcher:
 		return kind.Errorf(kind.BadRequest, "job %q: kind %q is not known", spec.Name, spec.Kind)
 	case spec.Request.IsNegative() || spec.Request.MilliProcessors == 0:
@@ -65,11 +60,15 @@
 	}
 	names := make([]string, spec.Replicas)
 	for i := range names {
-		names[i] = fmt.Sprintf("%s-%d", spec.Name, i)
+		names[i] = replicaName(spec.Name, i)
 	}
 	return names
 }
 
+// replicaName returns the name of a replica. Job names hold no slash, so it never
+// meets the name of another job's task.
+func replicaName(job string, ordinal int) string { return fmt.Sprintf("%s/%d", job, ordinal) }
+
 func (s *Store) checkRedeclare(name string, old *job) *kind.Error {
 	for _, id := range old.tasks {
 		t := s.tasks[id]
@@ -81,26 +80,32 @@
 }
 
 func (s *Store) createJob(spec *types.JobSpec, names []string) {
-	j := &job{spec: spec}
+	j := &job{spec: spec, nextOrdinal: len(names)}
 	for _, name := range names {
-		t := &types.Task{
-			ID:          s.nextTask,
-			Name:        name,
-			Job:         spec,
-			State:       types.TaskState(taskChart.Initial()),
-			Epoch:       s.epochFloor,
-			SubmittedMs: s.nowMs,
-			ChangedMs:   s.nowMs,
-		}
-		s.nextTask++
-		s.tasks[t.ID] = t
-		s.taskNames[name] = t.ID
-		j.tasks = append(j.tasks, t.ID)
-		s.changes.task(t.ID)
+		s.createTask(j, name)
 	}
 	s.jobs[spec.Name] = j
 }
 
+// createTask adds a task in the chart's initial state to a job.
+func (s *Store) createTask(j *job, name string) *types.Task {
+	t := &types.Task{
+		ID:          s.nextTask,
+		Name:        name,
+		Job:         j.spec,
+		State:       types.TaskState(taskChart.Initial()),
+		Epoch:       s.epochFloor,
+		SubmittedMs: s.nowMs,
+		ChangedMs:   s.nowMs,
+	}
+	s.nextTask++
+	s.tasks[t.ID] = t
+	s.taskNames[name] = t.ID
+	j.tasks = append(j.tasks, t.ID)
+	s.changes.task(t.ID)
+	return t
+}
+
 // removeJob removes a job and its ended tasks. Workers refuse an epoch below one
 // that they have seen under a task's name, so later tasks start above it.
 func (s *Store) removeJob(name string) {
@@ -218,3 +223,38 @@
 	t.Reason = ""
 	return Result{}
 }
+
+// replacement returns the task that replaces t and has not ended, nil if there
+// is none.
+func (s *Store) replacement(t *types.Task) *types.Task {
+	for _, id := range s.jobs[t.Job.Name].tasks {
+		other := s.tasks[id]
+		if other.Replaces == t.ID && !other.State.Terminal() {
+			return other
+		}
+	}
+	return nil
+}
+
+func (op Replace) apply(s *Store) Result {
+	t, err := s.attempt(op.Task, op.Epoch)
+	if err != nil {
+		return Result{Err: err}
+	}
+	if t.Job.Kind != types.KindService {
+		return refuse(kind.BadRequest, "task %q is of kind %s: only replicas of services are replaced", t.Name, t.Job.Kind)
+	}
+	if t.Stopping != "" || s.replacement(t) != nil {
+		return Result{}
+	}
+	if len(s.tasks) >= maxTasks {
+		return refuse(kind.Overloaded, "task %q: the cluster holds %d tasks", t.Name, len(s.tasks))
+	}
+	j := s.jobs[t.Job.Name]
+	fresh := s.createTask(j, replicaName(t.Job.Name, j.nextOrdinal))
+	j.nextOrdinal++
+	fresh.Replaces = t.ID
+	fresh.Reason = op.Reason
+	s.record(EventTaskReplaced, t.Name, fresh.Name+": "+op.Reason)
+	return Result{}
+}
--- a/state/ops.go
+++ b/state/ops.go
@@ -37,7 +37,6 @@
 	codeRelease
 	codeCommand
 	codeReplace
-	codeNote
 )
 
 // Register records a full sync of a worker incarnation.
@@ -87,8 +86,19 @@
 	Reason     string
 }
 
-// Stop ends an attempt without a checkpoint; the task may be started again.
+// Stop ends an attempt without a checkpoint. Then is the state of the task after
+// that: evicted (to run again, also for the empty value) or finished.
 type Stop struct {
+	_      struct{} `cbor:",toarray"`
+	Task   types.TaskID
+	Epoch  uint64
+	Then   types.TaskState
+	Reason string
+}
+
+// Replace adds one replica to a service, which is to run before the given
+// replica stops. A repeat finds the replacement that exists.
+type Replace struct {
 	_      struct{} `cbor:",toarray"`
 	Task   types.TaskID
 	Epoch  uint64
@@ -156,7 +166,8 @@
 	Undo   bool
 }
 
-// SetConfig replaces the configuration if its version is IfVersion.
+// SetConfig replaces the configuration if its version is IfVersion, or whatever
+// its version where that is zero.
 type SetConfig struct {
 	_         struct{} `cbor:",toarray"`
 	Text      string
@@ -255,4 +266,5 @@
 func (Unpark) code() opCode     { return codeUnpark }
 func (Quarantine) code() opCode { return codeQuarantine }
 func (Release) code() opCode    { return codeRelease }
+func (Replace) code() opCode    { return codeReplace }
 func (Command) code() opCode    { return codeCommand }
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -26,6 +26,8 @@
 	_     struct{} `cbor:",toarray"`
 	Spec  *types.JobSpec
 	Tasks []types.Task
+	// NextOrdinal is the number of the next replica that is added.
+	NextOrdinal int
 }
 
 type snapshotClaim struct {
@@ -105,7 +107,7 @@
 }
 
 func (s *Store) snapshotJob(j *job) snapshotJob {
-	out := snapshotJob{Spec: j.spec}
+	out := snapshotJob{Spec: j.spec, NextOrdinal: j.nextOrdinal}
 	for _, id := range j.tasks {
 		out.Tasks = append(out.Tasks, *s.tasks[id])
 	}
@@ -187,7 +189,7 @@
 	if in.Spec == nil {
 		return kind.Errorf(kind.Corrupt, "snapshot: a job has no declaration")
 	}
-	j := &job{spec: in.Spec}
+	j := &job{spec: in.Spec, nextOrdinal: in.NextOrdinal}
 	s.jobs[in.Spec.Name] = j
 	for i := range in.Tasks {
 		t := &in.Tasks[i]
--- a/state/store.go
+++ b/state/store.go
@@ -46,6 +46,8 @@
 type job struct {
 	spec  *types.JobSpec
 	tasks []types.TaskID
+	// nextOrdinal is the number of the next replica that is added.
+	nextOrdinal int
 }
 
 // Store is the state machine. It is safe for concurrent use; Apply, Snapshot and
