control, workersync: the path from a declared batch job to its end

The leader grants leases under a recent quorum contact, feeds the scheduler from the state's changes, applies its actions and derives workers' commands from the state. Entry hosts gather syncs into one exchange at a time.

--- /dev/null
+++ b/control/exchange.go
@@ -0,0 +1,154 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"mangohill.example/mangohill/controlapi"
+	"mangohill.example/mangohill/kind"
+	"mangohill.example/mangohill/types"
+)
+
+const (
+	// maxHold bounds the hold of a long poll.
+	maxHold = 10 * time.Second
+	// maxCommandsPerReply bounds the commands in one answer; the rest follows in
+	// the next.
+	maxCommandsPerReply = 256
+	// entrySilence is the time without an exchange after which an entry host is
+	// shown as silent.
+	entrySilence = 5 * time.Second
+	// entryForget is the time without an exchange after which an entry host is
+	// forgotten.
+	entryForget = time.Hour
+)
+
+// entryState is what the leader knows of an entry host.
+type entryState struct {
+	// wake belongs to the newest exchange and receives when there may be something
+	// to answer it with.
+	wake    chan struct{}
+	version uint64
+	seenAt  time.Time
+}
+
+func (l *leader) entry(name string) *entryState {
+	e, ok := l.entries[name]
+	if !ok {
+		e = &entryState{wake: make(chan struct{}, 1)}
+		l.entries[name] = e
+	}
+	return e
+}
+
+func (e *entryState) signal() {
+	select {
+	case e.wake <- struct{}{}:
+	default: // A signal is already waiting.
+	}
+}
+
+func (l *leader) wakeAll() {
+	for _, e := range l.entries {
+		e.signal()
+	}
+}
+
+// wakeDue wakes the exchanges of entry hosts that have commands to deliver and
+// forgets entry hosts that were silent for long; l.mu is held.
+func (l *leader) wakeDue() {
+	now := l.service.now()
+	for name, e := range l.entries {
+		if now.Sub(e.seenAt) > entryForget {
+			delete(l.entries, name)
+			continue
+		}
+		if l.outbox.hasDue(now, name) {
+			e.signal()
+		}
+	}
+}
+
+// exchange grants leases and answers once there is a command, a newer
+// configuration, a refusal, or at the end of the hold.
+func (l *leader) exchange(ctx context.Context, args *controlapi.ExchangeArgs, reply *controlapi.ExchangeReply) error {
+	if args.Entry == "" {
+		return kind.Errorf(kind.BadRequest, "exchange without the name of the entry host")
+	}
+	if !l.inContact() {
+		return kind.Errorf(kind.NoQuorum, "no quorum confirmed the leader of term %d recently", l.term)
+	}
+	l.mu.Lock()
+	entry := l.entry(args.Entry)
+	entry.signal() // The exchange before, if it still waits, is answered.
+	wake := make(chan struct{}, 1)
+	entry.wake = wake
+	entry.seenAt = l.service.now()
+	entry.version = args.ConfigVersion
+	reply.Refused = l.grant(args)
+	l.mu.Unlock()
+
+	hold := min(time.Duration(args.HoldMs)*time.Millisecond, maxHold)
+	timer := time.NewTimer(hold)
+	defer timer.Stop()
+	expired := hold <= 0
+	for {
+		if l.fill(args, wake, reply) || expired {
+			return nil
+		}
+		select {
+		case <-wake:
+		case <-timer.C:
+			expired = true
+		case <-l.done:
+			return l.service.notLeader()
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (l *leader) inContact() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.leases.InContact(l.service.now(), l.service.replica.QuorumContact())
+}
+
+// grant renews leases and returns the workers that were refused; l.mu is held.
+func (l *leader) grant(args *controlapi.ExchangeArgs) (refused []string) {
+	now := l.service.now()
+	contact := l.service.replica.QuorumContact()
+	for _, renewal := range args.Renewals {
+		w, ok := l.store.WorkerNamed(renewal.Worker)
+		if !ok || w.State == types.WorkerLost || w.Incarnation != renewal.Incarnation {
+			refused = append(refused, renewal.Worker)
+			continue
+		}
+		if !l.leases.Renew(now, contact, w.ID, w.Incarnation, l.config.Leases.Duration) {
+			refused = append(refused, renewal.Worker)
+			continue
+		}
+		l.outbox.setEntry(w.ID, args.Entry)
+	}
+	return refused
+}
+
+// fill completes the reply and reports whether it is worth sending before the
+// end of the hold.
+func (l *leader) fill(args *controlapi.ExchangeArgs, wake chan struct{}, reply *controlapi.ExchangeReply) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	reply.Term = l.term
+	reply.LeaseMs = l.config.Leases.Duration.Milliseconds()
+	reply.HoldMs = l.config.Leases.Hold.Milliseconds()
+	reply.UsageMs = l.config.Leases.Usage.Milliseconds()
+	reply.ConfigVersion = l.version
+	if l.entry(args.Entry).wake != wake {
+		return true // A newer exchange of the entry host takes the commands.
+	}
+	if l.version > args.ConfigVersion {
+		reply.ConfigText = l.text
+	}
+	reply.Commands = l.outbox.take(l.service.now(), args.Entry, maxCommandsPerReply)
+	return len(reply.Commands) > 0 || len(reply.Refused) > 0 || reply.ConfigText != ""
+}
--- /dev/null
+++ b/control/execute.go
@@ -0,0 +1,83 @@
+package control
+
+import (
+	"context"
+
+	"mangohill.example/mangohill/clusterconfig"
+	"mangohill.example/mangohill/command"
+	"mangohill.example/mangohill/controlapi"
+	"mangohill.example/mangohill/kind"
+	"mangohill.example/mangohill/state"
+)
+
+// execute parses and executes a command. An error means that this process could
+// not take the command to an outcome; its kind tells what is known.
+func (l *leader) execute(ctx context.Context, args controlapi.CommandArgs) (controlapi.CommandReply, error) {
+	statement, err := command.Parse(args.Text)
+	if err != nil {
+		return failed(args, err), nil
+	}
+	if !statement.Mutates() {
+		return l.query(ctx, args, statement)
+	}
+	op, err := l.opFor(statement, args)
+	if err != nil {
+		return failed(args, err), nil
+	}
+	results, err := l.service.propose(ctx, state.Command{
+		ID:     args.ID,
+		Digest: state.CommandDigest(args.Text, args.File),
+		Text:   args.Text,
+		Op:     op,
+	})
+	if err != nil {
+		return controlapi.CommandReply{}, err
+	}
+	if err := results[0].Failure(); err != nil {
+		reply := failed(args, err)
+		reply.Version = results[0].Version
+		return reply, nil
+	}
+	return controlapi.CommandReply{
+		ID:      args.ID,
+		Outcome: kind.OutcomeDone,
+		Version: results[0].Version,
+		Message: results[0].Message,
+	}, nil
+}
+
+// failed returns the reply for a command that was not done.
+func failed(args controlapi.CommandArgs, err error) controlapi.CommandReply {
+	problem := kind.ProblemOf(err)
+	reply := controlapi.CommandReply{
+		ID:      args.ID,
+		Outcome: kind.OutcomeRefused,
+		Kind:    problem.Kind,
+		Message: problem.Detail,
+	}
+	if problem.Kind.Answer().Outcome == kind.OutcomeUnknown {
+		reply.Outcome = kind.OutcomeUnknown
+	}
+	return reply
+}
+
+// opFor translates a mutating statement into an operation.
+func (l *leader) opFor(statement command.Statement, args controlapi.CommandArgs) (state.Op, error) {
+	switch s := statement.(type) {
+	case command.Declare:
+		return state.Declare{Spec: s.Job}, nil
+	case command.Cancel:
+		return state.Cancel{Name: s.Name}, nil
+	case command.Drain:
+		return state.Drain{Worker: s.Worker}, nil
+	case command.Undrain:
+		return state.Drain{Worker: s.Worker, Undo: true}, nil
+	case command.SetConfig:
+		config, err := clusterconfig.Parse(args.File)
+		if err != nil {
+			return nil, err
+		}
+		return state.SetConfig{Text: args.File, IfVersion: s.Version, LeaseMs: config.Leases.Duration.Milliseconds()}, nil
+	}
+	return nil, kind.Errorf(kind.Internal, "statement %T has no operation", statement)
+}
--- /dev/null
+++ b/control/query.go
@@ -0,0 +1,227 @@
+package control
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"mangohill.example/mangohill/command"
+	"mangohill.example/mangohill/controlapi"
+	"mangohill.example/mangohill/kind"
+	"mangohill.example/mangohill/types"
+)
+
+// query answers a statement that changes nothing from an up-to-date state.
+func (l *leader) query(ctx context.Context, args controlapi.CommandArgs, statement command.Statement) (controlapi.CommandReply, error) {
+	if err := l.service.replica.Barrier(ctx); err != nil {
+		return controlapi.CommandReply{}, err
+	}
+	reply := controlapi.CommandReply{ID: args.ID, Outcome: kind.OutcomeDone}
+	var err error
+	switch s := statement.(type) {
+	case command.Show:
+		reply.Rows, err = l.show(s)
+	case command.Why:
+		reply.Rows, err = l.why(s.Task)
+	default:
+		err = kind.Errorf(kind.BadRequest, "an entry host answers this command, not the control group")
+	}
+	if err != nil {
+		return failed(args, err), nil
+	}
+	if s, ok := statement.(command.Show); ok && s.Topic == command.TopicConfig {
+		reply.Version, _ = l.store.Config()
+	}
+	return reply, nil
+}
+
+func (l *leader) show(s command.Show) ([]controlapi.Row, error) {
+	since := int64(0)
+	if s.Since > 0 {
+		since = l.service.now().Add(-s.Since).UnixMilli()
+	}
+	var rows []controlapi.Row
+	switch s.Topic {
+	case command.TopicTasks:
+		rows = l.taskRows(since)
+	case command.TopicWorkers:
+		rows = l.workerRows()
+	case command.TopicMembers:
+		rows = memberRows(l.service.replica.Status().Members)
+	case command.TopicEntries:
+		rows = l.entryRows()
+	case command.TopicConfig:
+		rows = l.configRows()
+	case command.TopicCommands:
+		rows = l.commandRows(since)
+	case command.TopicEvents:
+		rows = l.eventRows(since)
+	default:
+		return nil, kind.Errorf(kind.BadRequest, "an entry host answers show %s, not the control group", s.Topic)
+	}
+	return command.Filter(rows, s.Where)
+}
+
+func field(name string, value any) controlapi.Field {
+	return controlapi.Field{Name: name, Value: value}
+}
+
+func timeText(ms int64) string { return time.UnixMilli(ms).UTC().Format(time.RFC3339Nano) }
+
+func (l *leader) taskRows(since int64) []controlapi.Row {
+	names := make(map[types.WorkerID]string)
+	for _, w := range l.store.Workers() {
+		names[w.ID] = w.Name
+	}
+	var rows []controlapi.Row
+	for _, t := range l.store.Tasks() {
+		if t.ChangedMs < since {
+			continue
+		}
+		rows = append(rows, controlapi.Row{
+			field("task", t.Name),
+			field("kind", string(t.Job.Kind)),
+			field("class", t.Job.Class),
+			field("team", t.Job.Team),
+			field("state", string(t.State)),
+			field("worker", names[t.Worker]),
+			field("epoch", int64(t.Epoch)),
+			field("reason", t.Reason),
+			field("job", t.Job.Name),
+			field("urgent", t.Job.Urgent),
+			field("evictions", int64(t.Evictions)),
+			field("failures", int64(t.Failures)),
+			field("checkpoint", t.Checkpoint),
+			field("changed", timeText(t.ChangedMs)),
+		})
+	}
+	return rows
+}
+
+func (l *leader) workerRows() []controlapi.Row {
+	var rows []controlapi.Row
+	for _, w := range l.store.Workers() {
+		rows = append(rows, controlapi.Row{
+			field("worker", w.Name),
+			field("state", string(w.State)),
+			field("failure_domain", w.FailureDomain),
+			field("rack", w.Rack),
+			field("processors_committed", w.Committed.Processors()),
+			field("processors", w.Capacity.Processors()),
+			field("memory_committed_bytes", w.Committed.MemoryBytes),
+			field("memory_bytes", w.Capacity.MemoryBytes),
+			field("accelerators_committed", w.Committed.Accelerators),
+			field("accelerators", w.Capacity.Accelerators),
+			field("incarnation", int64(w.Incarnation)),
+			field("reason", w.Reason),
+		})
+	}
+	return rows
+}
+
+func memberRows(members []controlapi.Member) []controlapi.Row {
+	rows := make([]controlapi.Row, 0, len(members))
+	for _, m := range members {
+		rows = append(rows, controlapi.Row{field("name", m.Name), field("address", m.Address), field("role", m.Role)})
+	}
+	return rows
+}
+
+func (l *leader) entryRows() []controlapi.Row {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.service.now()
+	var rows []controlapi.Row
+	for _, name := range slices.Sorted(maps.Keys(l.entries)) {
+		e := l.entries[name]
+		state := "live"
+		if now.Sub(e.seenAt) > entrySilence {
+			state = "silent"
+		}
+		rows = append(rows, controlapi.Row{
+			field("name", name),
+			field("state", state),
+			field("config_version", int64(e.version)),
+		})
+	}
+	return rows
+}
+
+func (l *leader) configRows() []controlapi.Row {
+	version, text := l.store.Config()
+	return []controlapi.Row{{field("version", int64(version)), field("config", text)}}
+}
+
+func (l *leader) commandRows(since int64) []controlapi.Row {
+	var rows []controlapi.Row
+	for _, o := range l.store.Outcomes() {
+		if o.AtMs < since {
+			continue
+		}
+		outcome := kind.OutcomeDone
+		if o.Kind != "" {
+			outcome = kind.OutcomeRefused
+		}
+		rows = append(rows, controlapi.Row{
+			field("id", o.ID),
+			field("at", timeText(o.AtMs)),
+			field("command", o.Text),
+			field("outcome", string(outcome)),
+			field("kind", string(o.Kind)),
+			field("version", int64(o.Version)),
+			field("message", o.Message),
+		})
+	}
+	return rows
+}
+
+func (l *leader) eventRows(since int64) []controlapi.Row {
+	var rows []controlapi.Row
+	for _, e := range l.store.Events(since) {
+		rows = append(rows, controlapi.Row{
+			field("at", timeText(e.AtMs)),
+			field("event", string(e.Name)),
+			field("subject", e.Subject),
+			field("detail", e.Detail),
+		})
+	}
+	return rows
+}
+
+// why explains a task, or every task of a job, from the recorded decisions.
+func (l *leader) why(name string) ([]controlapi.Row, error) {
+	tasks := l.store.JobTasks(name)
+	if t, ok := l.store.TaskNamed(name); ok {
+		tasks = []types.Task{t}
+	}
+	if len(tasks) == 0 {
+		return nil, kind.Errorf(kind.NotFound, "job or task %q does not exist", name)
+	}
+	slices.SortFunc(tasks, func(a, b types.Task) int { return cmp.Compare(a.ID, b.ID) })
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var rows []controlapi.Row
+	for _, t := range tasks {
+		rows = append(rows, l.whyTask(t)...)
+	}
+	return rows, nil
+}
+
+func (l *leader) whyTask(t types.Task) []controlapi.Row {
+	line := func(text string) controlapi.Row {
+		return controlapi.Row{field("task", t.Name), field("state", string(t.State)), field("why", text)}
+	}
+	var rows []controlapi.Row
+	if t.Reason != "" {
+		rows = append(rows, line(t.Reason))
+	}
+	if t.State.Terminal() || t.State == types.TaskParked {
+		return rows
+	}
+	for _, text := range l.planner.Why(t.ID).Lines() {
+		rows = append(rows, line(text))
+	}
+	return rows
+}
--- /dev/null
+++ b/control/service.go
@@ -0,0 +1,212 @@
+package control
+
+import (
+	"context"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"mangohill.example/mangohill/kind"
+	"mangohill.example/mangohill/lease"
+	"mangohill.example/mangohill/schedule"
+	"mangohill.example/mangohill/state"
+	"mangohill.example/mangohill/types"
+)
+
+const (
+	// proposeTimeout bounds the wait for an entry of the leader's own duties.
+	proposeTimeout = 2 * time.Second
+	// rpcTimeout bounds the work of one call, beside the hold of a long poll.
+	rpcTimeout = 3 * time.Second
+	// planInterval is the longest time between two plans.
+	planInterval = 100 * time.Millisecond
+	// leaseInterval is the time between two searches for leases that are over.
+	leaseInterval = 250 * time.Millisecond
+)
+
+// Planner decides what runs where. schedule.Scheduler implements it.
+type Planner interface {
+	SetConfig(types.Config)
+	UpsertWorker(types.Worker)
+	RemoveWorker(types.WorkerID)
+	UpsertTask(types.Task)
+	RemoveTask(types.TaskID)
+	ObserveUsage(now time.Time, usage types.Usage)
+	Plan(now time.Time) []schedule.Action
+	Rejected(action schedule.Action, err error)
+	Why(types.TaskID) schedule.Explanation
+}
+
+// Options configures a Service.
+type Options struct {
+	Replica Replica
+	Store   *state.Store
+	Logger  zerolog.Logger
+	Lease   lease.Options
+	// NewPlanner makes the planner of one term. Nil makes a schedule.Scheduler.
+	NewPlanner func(term uint64) Planner
+	// Now is the clock, nil for time.Now.
+	Now func() time.Time
+}
+
+// Service is the control service of one process. Calls are answered while the
+// process leads, and refused with kind not_leader otherwise.
+type Service struct {
+	replica    Replica
+	store      *state.Store
+	log        zerolog.Logger
+	leaseOpts  lease.Options
+	newPlanner func(term uint64) Planner
+	now        func() time.Time
+
+	mu     sync.Mutex
+	leader *leader // nil while the process does not lead
+}
+
+// New returns a Service that is idle until Run.
+func New(options Options) *Service {
+	s := &Service{
+		replica:    options.Replica,
+		store:      options.Store,
+		log:        options.Logger,
+		leaseOpts:  options.Lease,
+		newPlanner: options.NewPlanner,
+		now:        options.Now,
+	}
+	if s.newPlanner == nil {
+		s.newPlanner = func(term uint64) Planner { return schedule.New(schedule.Options{Seed: term}) }
+	}
+	if s.now == nil {
+		s.now = time.Now
+	}
+	return s
+}
+
+// Register registers the service as "Control".
+func (s *Service) Register(server *rpc.Server) error {
+	if err := server.RegisterName("Control", &endpoint{service: s}); err != nil {
+		return kind.Errorf(kind.Internal, "register service Control: %w", err)
+	}
+	return nil
+}
+
+// Run follows the changes of leadership and performs the leader's duties until
+// ctx ends.
+func (s *Service) Run(ctx context.Context) {
+	stop := func() {}
+	defer func() { stop() }()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case change, ok := <-s.replica.Leadership():
+			if !ok {
+				return
+			}
+			stop()
+			stop = func() {}
+			if change.Leading {
+				stop = s.lead(ctx, change.Term)
+			}
+		}
+	}
+}
+
+// lead begins the duties of a term. The returned function ends them and waits.
+func (s *Service) lead(ctx context.Context, term uint64) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	var wait sync.WaitGroup
+	wait.Go(func() { s.serveTerm(ctx, term) })
+	return func() {
+		cancel()
+		wait.Wait()
+	}
+}
+
+func (s *Service) serveTerm(ctx context.Context, term uint64) {
+	if err := s.catchUp(ctx); err != nil {
+		return
+	}
+	l := newLeader(s, term)
+	s.setLeader(l)
+	defer s.setLeader(nil)
+	defer l.close()
+	s.store.Track()
+	defer s.store.Untrack()
+	s.log.Info().Uint64("term", term).Msg("leading")
+	var duties sync.WaitGroup
+	duties.Go(func() { l.planLoop(ctx) })
+	duties.Go(func() { l.leaseLoop(ctx) })
+	<-ctx.Done()
+	duties.Wait()
+	s.log.Info().Uint64("term", term).Msg("no longer leading")
+}
+
+// catchUp waits until the state holds all entries of earlier terms.
+func (s *Service) catchUp(ctx context.Context) error {
+	for {
+		attempt, cancel := context.WithTimeout(ctx, proposeTimeout)
+		err := s.replica.Barrier(attempt)
+		cancel()
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+		s.log.Warn().Err(err).Msg("waiting for the entries of earlier terms")
+		if !pause(ctx, planInterval) {
+			return ctx.Err()
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *Service) setLeader(l *leader) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leader = l
+}
+
+// current returns the leader's duties, or an error of kind not_leader whose
+// detail is the leader's address.
+func (s *Service) current() (*leader, error) {
+	s.mu.Lock()
+	l := s.leader
+	s.mu.Unlock()
+	if l == nil {
+		return nil, s.notLeader()
+	}
+	return l, nil
+}
+
+func (s *Service) notLeader() error {
+	status := s.replica.Status()
+	return kind.Errorf(kind.NotLeader, "%s", status.Leader)
+}
+
+// propose replicates operations and returns their results.
+func (s *Service) propose(ctx context.Context, ops ...state.Op) ([]state.Result, error) {
+	data, err := state.Encode(s.now().UnixMilli(), ops...)
+	if err != nil {
+		return nil, err
+	}
+	out, err := s.replica.Propose(ctx, data)
+	if err != nil {
+		return nil, err
+	}
+	results, ok := out.([]state.Result)
+	if !ok || len(results) != len(ops) {
+		return nil, kind.Errorf(kind.Internal, "entry of %d operations was answered by %T", len(ops), out)
+	}
+	return results, nil
+}
--- a/controlapi/workers.go
+++ b/controlapi/workers.go
@@ -116,7 +116,8 @@
 }
 
 // ReportReply answers a ReportArgs. Resync lists the workers that must send a
-// full sync.
+// full sync, Stale those whose incarnation is older than the registered one.
 type ReportReply struct {
 	Resync []string
+	Stale  []string
 }
--- a/lease/table.go
+++ b/lease/table.go
@@ -22,6 +22,8 @@
 type Holder struct {
 	Worker      types.WorkerID
 	Incarnation uint64
+	// Session is the number of the worker's registration in the replicated state.
+	Session uint64
 }
 
 // Options configures a Table.
@@ -40,6 +42,7 @@
 
 type record struct {
 	incarnation uint64
+	session     uint64
 	until       time.Time
 	// ending is set once the lease was reported as over: it is not granted again
 	// until the incarnation registers anew.
@@ -56,7 +59,7 @@
 	}
 	granted := electedAt.Add(withMargin(t.quorumBound))
 	for _, h := range holders {
-		t.holders[h.Worker] = &record{incarnation: h.Incarnation, until: granted.Add(withMargin(longest))}
+		t.holders[h.Worker] = &record{incarnation: h.Incarnation, session: h.Session, until: granted.Add(withMargin(longest))}
 	}
 	return t
 }
@@ -68,13 +71,13 @@
 func (t *Table) Register(now time.Time, h Holder, duration time.Duration) {
 	until := now.Add(withMargin(duration))
 	old, ok := t.holders[h.Worker]
-	if ok && old.incarnation > h.Incarnation {
+	if ok && old.session >= h.Session {
 		return
 	}
 	if ok && old.until.After(until) {
 		until = old.until
 	}
-	t.holders[h.Worker] = &record{incarnation: h.Incarnation, until: until}
+	t.holders[h.Worker] = &record{incarnation: h.Incarnation, session: h.Session, until: until}
 }
 
 // Remove forgets a worker.
@@ -83,14 +86,11 @@
 // Renew grants a lease of the given duration, or reports false: for an unknown
 // or old incarnation, for a lease that was reported as over, and when the latest
 // contact with a quorum is too old.
-func (t *Table) Renew(now, quorumContact time.Time, h Holder, duration time.Duration) bool {
-	r, ok := t.holders[h.Worker]
-	if !ok || r.incarnation != h.Incarnation || r.ending {
-		return false
-	}
-	if !t.InContact(now, quorumContact) {
+func (t *Table) Renew(now, quorumContact time.Time, worker types.WorkerID, incarnation uint64, duration time.Duration) bool {
+	if !t.MayRenew(worker, incarnation) || !t.InContact(now, quorumContact) {
 		return false
 	}
+	r := t.holders[worker]
 	until := now.Add(withMargin(duration))
 	if until.After(r.until) {
 		r.until = until
@@ -98,6 +98,13 @@
 	return true
 }
 
+// MayRenew reports whether the incarnation is registered and its lease was not
+// reported as over.
+func (t *Table) MayRenew(worker types.WorkerID, incarnation uint64) bool {
+	r, ok := t.holders[worker]
+	return ok && r.incarnation == incarnation && !r.ending
+}
+
 // InContact reports whether leases may be granted under a contact with a quorum
 // at quorumContact.
 func (t *Table) InContact(now, quorumContact time.Time) bool {
@@ -112,7 +119,7 @@
 	for id, r := range t.holders {
 		if r.ending || now.After(r.until) {
 			r.ending = true
-			over = append(over, Holder{Worker: id, Incarnation: r.incarnation})
+			over = append(over, Holder{Worker: id, Incarnation: r.incarnation, Session: r.session})
 		}
 	}
 	slices.SortFunc(over, func(a, b Holder) int { return cmp.Compare(a.Worker, b.Worker) })
@@ -127,3 +134,11 @@
 	}
 	return r.until, true
 }
+
+// Ended forgets a holder whose end of lease is recorded in the replicated state,
+// unless it registered anew meanwhile.
+func (t *Table) Ended(h Holder) {
+	if r, ok := t.holders[h.Worker]; ok && r.session == h.Session {
+		delete(t.holders, h.Worker)
+	}
+}
--- a/state/codec.go
+++ b/state/codec.go
@@ -33,6 +33,9 @@
 // Encode returns an entry with the given operations. nowMs is the leader's wall
 // clock in milliseconds since the Unix epoch.
 func Encode(nowMs int64, ops ...Op) ([]byte, error) {
+	if len(ops) > maxEntryOps {
+		return nil, kind.Errorf(kind.BodyTooLarge, "entry of %d operations exceeds %d", len(ops), maxEntryOps)
+	}
 	e := entry{NowMs: nowMs, Ops: make([]rawOp, 0, len(ops))}
 	for _, op := range ops {
 		raw, err := encodeOp(op)
--- a/state/config.go
+++ b/state/config.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"time"
 
 	"mangohill.example/mangohill/kind"
 )
@@ -9,6 +11,13 @@
 // MaxConfigText bounds the text of the configuration, in bytes.
 const MaxConfigText = 1 << 20
 
+const (
+	// defaultLeaseMs is the duration of leases under types.DefaultConfigText.
+	defaultLeaseMs = 10_000
+	// keptLeases is the number of configurations whose lease durations count.
+	keptLeases = 8
+)
+
 func (op SetConfig) apply(s *Store) Result {
 	if len(op.Text) > MaxConfigText {
 		return refuse(kind.BadConfig, "configuration of %d bytes exceeds %d", len(op.Text), MaxConfigText)
@@ -20,7 +29,23 @@
 	}
 	s.configVersion++
 	s.configText = op.Text
+	s.keepLease(op.LeaseMs)
 	s.changes.config = true
 	s.record(EventConfigSet, fmt.Sprintf("version %d", s.configVersion), "")
 	return Result{Version: s.configVersion}
 }
+
+func (s *Store) keepLease(ms int64) {
+	s.leasesMs = append(s.leasesMs, ms)
+	if len(s.leasesMs) > keptLeases {
+		s.leasesMs = s.leasesMs[1:]
+	}
+}
+
+// LongestLease returns the longest lease that may have been granted under the
+// newest configurations.
+func (s *Store) LongestLease() time.Duration {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return time.Duration(slices.Max(s.leasesMs)) * time.Millisecond
+}
--- a/state/ops.go
+++ b/state/ops.go
@@ -39,7 +39,8 @@
 	codeReplace
 )
 
-// Register records a full sync of a worker incarnation.
+// Register records a full sync of a worker incarnation. Each one begins a new
+// session of the worker.
 type Register struct {
 	_             struct{} `cbor:",toarray"`
 	Worker        string
@@ -51,11 +52,14 @@
 }
 
 // LeaseOver records that the lease of a worker incarnation has ended for
-// certain: none of its attempts runs any more.
+// certain: none of its attempts runs any more. Session is the registration under
+// which the lease was granted, so that an entry that is applied late ends nothing
+// newer.
 type LeaseOver struct {
 	_           struct{} `cbor:",toarray"`
 	Worker      types.WorkerID
 	Incarnation uint64
+	Session     uint64
 }
 
 // Start places a task on a worker. Epoch must be the task's epoch plus one.
@@ -172,6 +176,8 @@
 	_         struct{} `cbor:",toarray"`
 	Text      string
 	IfVersion uint64
+	// LeaseMs is the duration of workers' leases under the configuration.
+	LeaseMs int64
 }
 
 // Claim claims the key of a non-idempotent request. Key is the hash of service
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -53,6 +53,7 @@
 	Ended         []types.TaskID
 	ConfigVersion uint64
 	ConfigText    string
+	LeasesMs      []int64
 	Claims        []snapshotClaim
 	Touched       []touch
 	Kept          []ClaimKey
@@ -87,6 +88,7 @@
 		Ended:         s.ended,
 		ConfigVersion: s.configVersion,
 		ConfigText:    s.configText,
+		LeasesMs:      s.leasesMs,
 		Touched:       s.claims.touched,
 		Kept:          s.claims.kept,
 		Forgotten:     s.commands.hashes,
@@ -170,6 +172,7 @@
 	s.nextTask, s.nextWorker, s.epochFloor = body.NextTask, body.NextWorker, body.EpochFloor
 	s.ended = body.Ended
 	s.configVersion, s.configText = body.ConfigVersion, body.ConfigText
+	s.leasesMs = body.LeasesMs
 	s.events.list = body.Events
 	for _, w := range body.Workers {
 		s.workers[w.ID] = &worker{Worker: w}
@@ -245,7 +248,7 @@
 	s.nextTask, s.nextWorker, s.epochFloor = other.nextTask, other.nextWorker, other.epochFloor
 	s.workers, s.workerNames = other.workers, other.workerNames
 	s.tasks, s.taskNames, s.jobs, s.ended = other.tasks, other.taskNames, other.jobs, other.ended
-	s.configVersion, s.configText = other.configVersion, other.configText
+	s.configVersion, s.configText, s.leasesMs = other.configVersion, other.configText, other.leasesMs
 	s.claims, s.commands, s.events = other.claims, other.commands, other.events
 	s.changes.all, s.changes.config = true, true
 	s.changes.notify()
--- a/state/store.go
+++ b/state/store.go
@@ -18,7 +18,9 @@
 // Result is the result of one operation. Err is nil if the operation took effect
 // or had done so before.
 type Result struct {
-	Err     *kind.Error
+	Err *kind.Error
+	// Version is the version of the configuration in force after a SetConfig, and
+	// the session after a Register.
 	Version uint64
 	Message string
 	Worker  types.WorkerID
@@ -70,6 +72,9 @@
 
 	configVersion uint64
 	configText    string
+	// leasesMs lists the durations of leases of the newest configurations, oldest
+	// first: leases of all of them may still run.
+	leasesMs []int64
 
 	claims   claimTable
 	commands commandTable
@@ -90,6 +95,7 @@
 		jobs:          make(map[string]*job),
 		configVersion: 1,
 		configText:    types.DefaultConfigText,
+		leasesMs:      []int64{defaultLeaseMs},
 		claims:        newClaimTable(),
 		commands:      newCommandTable(),
 		changes:       newChangeSet(),
--- a/state/workers.go
+++ b/state/workers.go
@@ -38,6 +38,7 @@
 func (s *Store) enrol(w *worker, op Register) Result {
 	stays := op.Incarnation == w.Incarnation && w.State == types.WorkerLeaving
 	w.Incarnation = op.Incarnation
+	w.Session++
 	w.FailureDomain = op.FailureDomain
 	w.Rack = op.Rack
 	w.Capacity = op.Capacity
@@ -52,12 +53,12 @@
 		return s.leave(w)
 	}
 	if w.DrainRequested && w.State == types.WorkerReady {
-		return Result{Err: s.setWorker(w, "drain"), Worker: w.ID}
+		return Result{Err: s.setWorker(w, "drain"), Worker: w.ID, Version: w.Session}
 	}
 	if returned {
 		s.record(EventWorkerJoined, w.Name, "")
 	}
-	return Result{Worker: w.ID}
+	return Result{Worker: w.ID, Version: w.Session}
 }
 
 func (s *Store) leave(w *worker) Result {
@@ -65,7 +66,7 @@
 		return Result{Err: err}
 	}
 	s.record(EventWorkerLeaving, w.Name, "")
-	return Result{Worker: w.ID}
+	return Result{Worker: w.ID, Version: w.Session}
 }
 
 func (s *Store) addWorker(name string) *worker {
@@ -105,8 +106,9 @@
 	if !ok {
 		return refuse(kind.NotFound, "worker %d does not exist", op.Worker)
 	}
-	if op.Incarnation != w.Incarnation {
-		return refuse(kind.StaleIncarnation, "worker %q: end of the lease of incarnation %d, current is %d", w.Name, op.Incarnation, w.Incarnation)
+	if op.Incarnation != w.Incarnation || op.Session != w.Session {
+		return refuse(kind.StaleIncarnation, "worker %q: end of the lease of incarnation %d, session %d; current is %d, session %d",
+			w.Name, op.Incarnation, op.Session, w.Incarnation, w.Session)
 	}
 	s.endAttempts(w, "the lease of worker "+w.Name+" is over")
 	if w.State == types.WorkerLost {
--- a/types/worker.go
+++ b/types/worker.go
@@ -27,6 +27,9 @@
 	// DrainRequested is set by an operator's drain and cleared by undrain.
 	DrainRequested bool   `cbor:"8,keyasint,omitempty"`
 	Reason         string `cbor:"9,keyasint,omitempty"`
+	// Session counts the registrations of the worker. The end of a lease names the
+	// session that it ends.
+	Session uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 // Usage is one report of a task's measured consumption. TakenMs is on the
--- /dev/null
+++ b/workersync/report.go
@@ -0,0 +1,125 @@
+package workersync
+
+import (
+	"context"
+	"slices"
+
+	"mangohill.example/mangohill/controlapi"
+	"mangohill.example/mangohill/kind"
+	"mangohill.example/mangohill/platform"
+)
+
+// queuedReport is a report on its way to the leader.
+type queuedReport struct {
+	report *controlapi.WorkerReport
+	done   chan reported
+}
+
+type reported struct {
+	resync bool
+	stale  bool
+	err    error
+}
+
+// report passes the changes of a sync to the leader and waits until they are
+// replicated. After an error the worker repeats the sync.
+func (s *Service) report(ctx context.Context, name string, w *workerState, sync *platform.SyncRequest) error {
+	report := s.reportOf(name, w, sync)
+	if report == nil {
+		return nil
+	}
+	queued := &queuedReport{report: report, done: make(chan reported, 1)}
+	select {
+	case s.reports <- queued:
+	default:
+		return kind.Errorf(kind.Overloaded, "entry %q: %d reports wait", s.options.Entry, reportQueue)
+	}
+	select {
+	case result := <-queued.done:
+		return s.noteReported(name, w, report, result)
+	case <-s.stopped:
+		return kind.Errorf(kind.Stopping, "entry %q", s.options.Entry)
+	case <-ctx.Done():
+		return kind.Errorf(kind.Canceled, "sync of worker %q: %w", name, ctx.Err())
+	}
+}
+
+func (s *Service) noteReported(name string, w *workerState, report *controlapi.WorkerReport, result reported) error {
+	if result.err != nil {
+		return result.err
+	}
+	if result.stale {
+		return kind.Errorf(kind.StaleIncarnation, "worker %q: a newer incarnation than %d is registered", name, report.Incarnation)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if result.resync {
+		w.resync = true
+		return nil
+	}
+	if report.Registration != nil {
+		w.resync = false
+		w.leaving = report.Registration.Leaving
+	}
+	return nil
+}
+
+// reportLoop sends the queued reports. What comes in while a report is under way
+// shares the next one.
+func (s *Service) reportLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case first := <-s.reports:
+			s.send(ctx, s.batch(first))
+		}
+	}
+}
+
+func (s *Service) batch(first *queuedReport) []*queuedReport {
+	batch := []*queuedReport{first}
+	for len(batch) < maxReportBatch {
+		select {
+		case next := <-s.reports:
+			batch = append(batch, next)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+func (s *Service) send(ctx context.Context, batch []*queuedReport) {
+	args := &controlapi.ReportArgs{Entry: s.options.Entry}
+	for _, queued := range batch {
+		args.Syncs = append(args.Syncs, *queued.report)
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	reply := new(controlapi.ReportReply)
+	err := s.options.Caller.Call(ctx, "Control.Report", args, reply)
+	s.count(func(m *Metrics) {
+		m.Reports++
+		if err != nil {
+			m.ReportErrors++
+		}
+	})
+	for _, queued := range batch {
+		name := queued.report.Worker
+		queued.done <- reported{
+			resync: slices.Contains(reply.Resync, name),
+			stale:  slices.Contains(reply.Stale, name),
+			err:    unavailable(err),
+		}
+	}
+}
+
+// unavailable turns an error of the control group into one that tells the worker
+// to repeat its sync, which is always safe.
+func unavailable(err error) error {
+	if err == nil || kind.Of(err).Answer().Status == 503 {
+		return err
+	}
+	return kind.Errorf(kind.NoQuorum, "the report was not confirmed: %w", err)
+}
--- /dev/null
+++ b/workersync/usage.go
@@ -0,0 +1,71 @@
+package workersync
+
+import (
+	"time"
+
+	"mangohill.example/mangohill/controlapi"
+	"mangohill.example/mangohill/platform"
+)
+
+const (
+	// usageRefresh is the longest time for which an unchanged usage is not
+	// forwarded.
+	usageRefresh = time.Minute
+	// usageChangeDivisor: a value counts as changed by more than this fraction of
+	// the one that was forwarded.
+	usageChangeDivisor = 8
+	// maxFilteredTasks bounds the usage remembered for one worker.
+	maxFilteredTasks = 1024
+)
+
+// usageFilter forwards the usage of an attempt when it changed.
+type usageFilter struct {
+	last map[string]forwarded
+}
+
+type forwarded struct {
+	at    time.Time
+	usage controlapi.UsageReport
+}
+
+func newUsageFilter() usageFilter { return usageFilter{last: make(map[string]forwarded)} }
+
+func usageOf(sample *platform.UsageSample, sentMs int64) controlapi.UsageReport {
+	return controlapi.UsageReport{
+		Task:            sample.Task,
+		Epoch:           sample.Epoch,
+		AgeMs:           max(0, sentMs-sample.TakenMs),
+		MilliProcessors: int64(sample.Processors * 1000),
+		MemoryBytes:     sample.MemoryBytes,
+		LatencyP99Us:    int64(sample.LatencyP99Ms * 1000),
+		ProgressMilli:   int64(sample.Progress * 1000),
+	}
+}
+
+// pass returns the reports that are worth forwarding.
+func (f *usageFilter) pass(now time.Time, reports []controlapi.UsageReport) []controlapi.UsageReport {
+	var out []controlapi.UsageReport
+	for _, r := range reports {
+		last, ok := f.last[r.Task]
+		if ok && last.usage.Epoch == r.Epoch && now.Sub(last.at) < usageRefresh && !changed(last.usage, r) {
+			continue
+		}
+		if !ok && len(f.last) >= maxFilteredTasks {
+			clear(f.last)
+		}
+		f.last[r.Task] = forwarded{at: now, usage: r}
+		out = append(out, r)
+	}
+	return out
+}
+
+func changed(old, fresh controlapi.UsageReport) bool {
+	return differs(old.MilliProcessors, fresh.MilliProcessors) ||
+		differs(old.MemoryBytes, fresh.MemoryBytes) ||
+		differs(old.LatencyP99Us, fresh.LatencyP99Us)
+}
+
+func differs(old, fresh int64) bool {
+	distance := max(old-fresh, fresh-old)
+	return distance > old/usageChangeDivisor
+}
--- /dev/null
+++ b/workersync/workers.go
@@ -0,0 +1,233 @@
+package workersync
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"mangohill.example/mangohill/controlapi"
+	"mangohill.example/mangohill/kind"
+	"mangohill.example/mangohill/platform"
+)
+
+// maxPendingCommands bounds the commands kept for one worker. The leader sends
+// again what was dropped.
+const maxPendingCommands = 256
+
+// workerState is what the entry host keeps of one worker.
+type workerState struct {
+	incarnation uint64
+	seenAt      time.Time
+	// sentMs is the newest sync's time on the worker's clock; renew says that it
+	// was not yet part of an exchange.
+	sentMs int64
+	renew  bool
+	// lease is the newest granted lease, nil for none.
+	lease    *platform.Lease
+	resync   bool
+	leaving  bool
+	commands []platform.Command
+	// wake belongs to the newest sync.
+	wake  chan struct{}
+	usage usageFilter
+}
+
+// sentRenewal is a renewal that an exchange carried.
+type sentRenewal struct {
+	worker      string
+	incarnation uint64
+	sentMs      int64
+}
+
+func (w *workerState) signal() {
+	select {
+	case w.wake <- struct{}{}:
+	default: // A signal is already waiting.
+	}
+}
+
+// waiter is one sync that waits for its answer.
+type waiter struct {
+	worker   *workerState
+	wake     chan struct{}
+	hadLease bool
+}
+
+// admit notes a sync, which from now on is the worker's newest one. The error is
+// of kind stale_incarnation, stopping or overloaded.
+func (s *Service) admit(name string, sync *platform.SyncRequest) (*waiter, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping() {
+		return nil, kind.Errorf(kind.Stopping, "entry %q", s.options.Entry)
+	}
+	w, ok := s.workers[name]
+	if ok && sync.Incarnation < w.incarnation {
+		return nil, kind.Errorf(kind.StaleIncarnation, "worker %q: incarnation %d is below %d", name, sync.Incarnation, w.incarnation)
+	}
+	if !ok && len(s.workers) >= maxWorkers {
+		return nil, kind.Errorf(kind.Overloaded, "entry %q serves %d workers", s.options.Entry, len(s.workers))
+	}
+	if !ok || sync.Incarnation > w.incarnation {
+		if ok {
+			w.signal()
+		}
+		w = &workerState{incarnation: sync.Incarnation, usage: newUsageFilter()}
+		s.workers[name] = w
+	}
+	w.seenAt = s.now()
+	w.signal() // The sync before, if it still waits, is answered.
+	w.wake = make(chan struct{}, 1)
+	s.metrics.Syncs++
+	return &waiter{worker: w, wake: w.wake, hadLease: w.lease != nil}, nil
+}
+
+func (s *Service) stopping() bool {
+	select {
+	case <-s.stopped:
+		return true
+	default:
+		return false
+	}
+}
+
+// requestRenewal notes that the lease is to be renewed from sentMs on.
+func (s *Service) requestRenewal(w *workerState, sentMs int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w.sentMs = max(w.sentMs, sentMs)
+	w.renew = true
+}
+
+// gather builds the next exchange and forgets workers that no longer sync.
+func (s *Service) gather() (*controlapi.ExchangeArgs, []sentRenewal) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var sent []sentRenewal
+	for name, w := range s.workers {
+		if s.now().Sub(w.seenAt) > workerForget {
+			delete(s.workers, name)
+			continue
+		}
+		if w.renew {
+			w.renew = false
+			sent = append(sent, sentRenewal{worker: name, incarnation: w.incarnation, sentMs: w.sentMs})
+		}
+	}
+	slices.SortFunc(sent, func(a, b sentRenewal) int { return cmp.Compare(a.worker, b.worker) })
+	args := &controlapi.ExchangeArgs{Entry: s.options.Entry, HoldMs: s.exchangeHoldMs(), ConfigVersion: s.configVersion()}
+	for _, r := range sent {
+		args.Renewals = append(args.Renewals, controlapi.Renewal{Worker: r.worker, Incarnation: r.incarnation})
+	}
+	s.metrics.Exchanges++
+	s.metrics.Renewals += uint64(len(sent))
+	return args, sent
+}
+
+func (s *Service) exchangeHoldMs() int64 {
+	hold := maxExchangeHold.Milliseconds()
+	if s.leaseMs > 0 {
+		hold = min(hold, s.leaseMs/holdDivisor)
+	}
+	return hold
+}
+
+func (s *Service) renewAgain(sent []sentRenewal) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range sent {
+		if w, ok := s.workers[r.worker]; ok && w.incarnation == r.incarnation {
+			w.renew = true
+		}
+	}
+}
+
+// takeIn applies the answer to an exchange.
+func (s *Service) takeIn(sent []sentRenewal, reply *controlapi.ExchangeReply) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaseMs, s.holdMs, s.usageMs = reply.LeaseMs, reply.HoldMs, reply.UsageMs
+	for _, r := range sent {
+		w, ok := s.workers[r.worker]
+		if !ok || w.incarnation != r.incarnation {
+			continue
+		}
+		if slices.Contains(reply.Refused, r.worker) {
+			s.metrics.Refusals++
+			w.resync = true
+			w.signal()
+			continue
+		}
+		s.metrics.Grants++
+		w.grant(r.sentMs, reply.LeaseMs)
+	}
+	for i := range reply.Commands {
+		s.deliver(&reply.Commands[i])
+	}
+}
+
+// grant notes a lease. The first one answers the waiting sync, so that the
+// worker may begin.
+func (w *workerState) grant(sentMs, durationMs int64) {
+	first := w.lease == nil
+	if !first && sentMs < w.lease.CountedFromSentMs {
+		return
+	}
+	w.lease = &platform.Lease{CountedFromSentMs: sentMs, DurationMs: durationMs}
+	if first {
+		w.signal()
+	}
+}
+
+func (s *Service) deliver(c *controlapi.WorkerCommand) {
+	w, ok := s.workers[c.Worker]
+	if !ok || w.incarnation != c.Incarnation {
+		return
+	}
+	s.metrics.Commands++
+	w.commands = slices.DeleteFunc(w.commands, func(old platform.Command) bool { return old.Task == c.Task && old.Epoch <= c.Epoch })
+	if len(w.commands) < maxPendingCommands {
+		w.commands = append(w.commands, commandOf(c))
+	}
+	w.signal()
+}
+
+func commandOf(c *controlapi.WorkerCommand) platform.Command {
+	capacity := platform.CapacityOf(c.Request)
+	return platform.Command{
+		Task:         c.Task,
+		Epoch:        c.Epoch,
+		Verb:         string(c.Verb),
+		Class:        c.Class,
+		Processors:   capacity.Processors,
+		MemoryBytes:  capacity.MemoryBytes,
+		Accelerators: capacity.Accelerators,
+		ResumeFrom:   c.ResumeFrom,
+		Share:        float64(c.ShareMilli) / 1000,
+		Payload:      c.Payload,
+	}
+}
+
+// ready reports whether there is a reason to answer before the end of the hold.
+func (s *Service) ready(waiting *waiter) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w := waiting.worker
+	if w.wake != waiting.wake || s.stopping() {
+		return true
+	}
+	return w.resync || len(w.commands) > 0 || (!waiting.hadLease && w.lease != nil)
+}
+
+// answer returns the answer to a sync. The newest one takes the pending commands.
+func (s *Service) answer(waiting *waiter) *platform.SyncAnswer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w := waiting.worker
+	out := &platform.SyncAnswer{Lease: w.lease, UsageMs: s.usageMs}
+	if w.wake == waiting.wake {
+		out.Commands, w.commands = w.commands, nil
+		out.Resync, w.resync = w.resync, false
+	}
+	return out
+}
