--- /dev/null
+++ b/route/admit.go
@@ -0,0 +1,53 @@
+package route
+
+import "time"
+
+const (
+	shortestRetryAfter = time.Second
+	longestRetryAfter  = 30 * time.Second
+)
+
+// admit decides whether a request may wait. It refuses at once what could not
+// be answered before its deadline.
+func (p *Pool) admit(now time.Time, r Request) Reason {
+	if p.queue.len() >= p.options.QueueLimit {
+		return QueueFull
+	}
+	wait := p.expectedWait() + p.service.mean
+	if r.Deadline.Sub(now).Seconds() < wait {
+		return TooLate
+	}
+	return NoReason
+}
+
+// expectedWait returns the time in seconds that a request joining the queue is
+// expected to wait.
+func (p *Pool) expectedWait() float64 {
+	slots := p.slots()
+	if slots == 0 {
+		return 0
+	}
+	return float64(p.queue.len()) * p.service.mean / float64(slots)
+}
+
+func (p *Pool) slots() int {
+	total := 0
+	for _, t := range p.targets {
+		if t.Ready {
+			total += t.Share
+		}
+	}
+	return total
+}
+
+func (p *Pool) refuse(r Request, reason Reason) Decision {
+	return Decision{Request: r.ID, Action: Refuse, Reason: reason, RetryAfter: p.retryAfter()}
+}
+
+// retryAfter returns the time in which the present queue is expected to drain,
+// in whole seconds as the header field Retry-After has it (RFC 9110, 10.2.3).
+func (p *Pool) retryAfter() time.Duration {
+	drain := time.Duration(p.expectedWait() * float64(time.Second))
+	whole := (drain + time.Second - 1).Truncate(time.Second)
+	return min(max(whole, shortestRetryAfter), longestRetryAfter)
+}
--- /dev/null
+++ b/route/estimate.go
@@ -0,0 +1,80 @@
+package route
+
+import "time"
+
+// estimate is an exponentially weighted mean of service times in seconds.
+type estimate struct {
+	mean    float64
+	samples int
+}
+
+// estimateWeight is the weight of a new sample once the estimate is warm.
+const estimateWeight = 1.0 / 16
+
+func (e *estimate) add(d time.Duration) {
+	e.samples++
+	weight := 1 / float64(e.samples)
+	if weight < estimateWeight {
+		weight = estimateWeight
+	}
+	e.mean += weight * (d.Seconds() - e.mean)
+}
+
+// Verdict is what a send showed about its target.
+type Verdict uint8
+
+// Verdicts of a send.
+const (
+	// Answered: the target gave its whole answer.
+	Answered Verdict = iota
+	// Refused: the target refused the request; it is alive but full or leaving.
+	Refused
+	// Failed: the target or its connection failed.
+	Failed
+	// Abandoned: the caller went away; nothing is learnt.
+	Abandoned
+)
+
+// health is the record of failures of a target.
+type health struct {
+	consecutive int
+	ejections   int
+	until       time.Time
+}
+
+const (
+	// ejectAfter is the number of consecutive failures that eject a target.
+	ejectAfter = 3
+	// firstEjection and longestEjection bound the time that an ejected target
+	// gets nothing. It doubles with each ejection in a row.
+	firstEjection   = time.Second
+	longestEjection = 16 * time.Second
+	// refusalPause is the time that a target which refused gets nothing.
+	refusalPause = 20 * time.Millisecond
+)
+
+func (h *health) fail(now time.Time) {
+	h.consecutive++
+	if h.consecutive < ejectAfter {
+		return
+	}
+	pause := firstEjection << min(h.ejections, 4)
+	h.until = now.Add(min(pause, longestEjection))
+	h.ejections++
+}
+
+func (h *health) succeed() { *h = health{} }
+
+func (p *Pool) learn(now time.Time, t *target, took time.Duration, v Verdict) {
+	switch v {
+	case Answered:
+		t.health.succeed()
+		t.service.add(took)
+		p.service.add(took)
+	case Failed:
+		t.health.fail(now)
+	case Refused:
+		t.health.until = now.Add(refusalPause)
+	case Abandoned:
+	}
+}
