--- /dev/null
+++ b/exchange/client.go
@@ -0,0 +1,198 @@
+package exchange
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"mangohill.example/mangohill/internal/tcpopt"
+)
+
+// Options configures a Client.
+type Options struct {
+	// Address is the peer, host:port.
+	Address string
+	// MaxConnections bounds the connections that are open at a time.
+	MaxConnections int
+	// IdleAge is the time after which an unused connection is closed.
+	IdleAge time.Duration
+	// Dial opens connections. Nil dials TCP with the options of package tcpopt.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Now is the clock; nil takes time.Now.
+	Now func() time.Time
+}
+
+// Default values of Options.
+const (
+	DefaultMaxConnections = 64
+	DefaultIdleAge        = 5 * time.Second
+)
+
+// Client keeps the connections to one address. It is safe for concurrent use.
+type Client struct {
+	options Options
+	mu      sync.Mutex
+	idle    []*connection
+	open    int
+	max     int
+	freed   chan struct{}
+	closed  bool
+}
+
+// New returns a Client without connections.
+func New(options Options) *Client {
+	if options.MaxConnections == 0 {
+		options.MaxConnections = DefaultMaxConnections
+	}
+	if options.IdleAge == 0 {
+		options.IdleAge = DefaultIdleAge
+	}
+	if options.Dial == nil {
+		options.Dial = dialTCP
+	}
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	return &Client{options: options, max: options.MaxConnections, freed: make(chan struct{}, 1)}
+}
+
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	return tcpopt.Dialer().DialContext(ctx, "tcp", address)
+}
+
+// SetMaxConnections changes the bound. Idle connections beyond it are closed.
+func (c *Client) SetMaxConnections(limit int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.max = max(limit, 1)
+	for c.open > c.max && len(c.idle) > 0 {
+		c.closeOldest()
+	}
+}
+
+// Open returns the number of open connections.
+func (c *Client) Open() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.open
+}
+
+// CloseIdle closes the unused connections.
+func (c *Client) CloseIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for len(c.idle) > 0 {
+		c.closeOldest()
+	}
+}
+
+// CloseAged closes the connections that were unused for the idle age. It is to
+// be called now and then.
+func (c *Client) CloseAged() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	limit := c.options.Now().Add(-c.options.IdleAge)
+	for len(c.idle) > 0 && !c.idle[0].idleSince.After(limit) {
+		c.closeOldest()
+	}
+}
+
+// Close closes the unused connections, and those in use as they are returned.
+func (c *Client) Close() {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	c.CloseIdle()
+}
+
+// closeOldest closes the connection that has been idle longest. The caller
+// holds the lock.
+func (c *Client) closeOldest() {
+	oldest := c.idle[0]
+	c.idle = c.idle[1:]
+	c.open--
+	_ = oldest.Conn.Close() // Nothing is under way on it.
+}
+
+// acquire returns a connection; a fresh one if reuse is false.
+func (c *Client) acquire(ctx context.Context, reuse bool) (conn *connection, err error) {
+	for {
+		conn, dial := c.reserve(reuse)
+		if conn != nil {
+			return conn, nil
+		}
+		if dial {
+			return c.dial(ctx)
+		}
+		select {
+		case <-c.freed:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// reserve takes an idle connection or room for a fresh one.
+func (c *Client) reserve(reuse bool) (conn *connection, dial bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for reuse && len(c.idle) > 0 {
+		last := c.idle[len(c.idle)-1]
+		c.idle = c.idle[:len(c.idle)-1]
+		if last.usable(c.options.Now(), c.options.IdleAge) {
+			last.reused = true
+			return last, false
+		}
+		c.open--
+		_ = last.Conn.Close() // Nothing is under way on it.
+	}
+	if c.open >= c.max && len(c.idle) > 0 {
+		c.closeOldest()
+	}
+	if c.open >= c.max {
+		return nil, false
+	}
+	c.open++
+	return nil, true
+}
+
+func (c *Client) dial(ctx context.Context) (*connection, error) {
+	raw, err := c.options.Dial(ctx, c.options.Address)
+	if err != nil {
+		c.release()
+		return nil, err
+	}
+	return newConnection(raw), nil
+}
+
+// release gives back the room of a connection that is closed.
+func (c *Client) release() {
+	c.mu.Lock()
+	c.open--
+	c.mu.Unlock()
+	c.wake()
+}
+
+func (c *Client) wake() {
+	select {
+	case c.freed <- struct{}{}:
+	default:
+	}
+}
+
+// put returns a connection after a whole answer, or closes it.
+func (c *Client) put(conn *connection, keep bool) {
+	c.mu.Lock()
+	if keep && !c.closed && c.open <= c.max && conn.reader.Buffered() == 0 {
+		conn.idleSince = c.options.Now()
+		c.idle = append(c.idle, conn)
+		c.mu.Unlock()
+		c.wake()
+		return
+	}
+	c.open--
+	c.mu.Unlock()
+	_ = conn.Conn.Close() // Its exchange is over.
+	c.wake()
+}
--- /dev/null
+++ b/exchange/do.go
@@ -0,0 +1,194 @@
+package exchange
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+)
+
+// Errors of an exchange, wrapped in an Error.
+var (
+	// ErrSilent: nothing arrived for the silence limit.
+	ErrSilent = errors.New("the connection went silent")
+	// ErrMismatch: the answer names another request.
+	ErrMismatch = errors.New("the answer belongs to another request")
+	// ErrUnframed: the answer ends only with its connection, so that it cannot be
+	// told from a truncated one (RFC 9112, 6.3).
+	ErrUnframed = errors.New("the answer has no length")
+	// ErrSwitched: the peer switched the protocol without being asked.
+	ErrSwitched = errors.New("the peer switched the protocol")
+)
+
+// Error is the failure of an exchange.
+type Error struct {
+	// Sent is false only if no byte of the request can have reached the peer.
+	Sent bool
+	// Reused tells whether the connection had carried an exchange before.
+	Reused bool
+	cause  error
+}
+
+// Error returns the cause and whether the request was sent.
+func (e *Error) Error() string {
+	return fmt.Sprintf("sent=%t reused=%t: %v", e.Sent, e.Reused, e.cause)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.cause }
+
+// Params are the terms of one exchange.
+type Params struct {
+	// Reuse allows a connection that carried an exchange before. It must be false
+	// for a request that must not run twice.
+	Reuse bool
+	// Silence is the time without a byte from the peer after which the exchange
+	// is given up, zero for none.
+	Silence time.Duration
+	// Echo is the value of the header EchoHeader that an answer must carry if it
+	// carries that header at all.
+	Echo       string
+	EchoHeader string
+}
+
+// maxInformational bounds the 1xx answers before the final one.
+const maxInformational = 8
+
+// inlineBody is the size in bytes up to which a body is written before the
+// answer is read: it fits into the buffers of the two sockets.
+const inlineBody = 16 << 10
+
+// Answer is the answer of the peer. Its body must be closed, which returns the
+// connection if the answer was read whole and closes it otherwise.
+type Answer struct {
+	*http.Response
+	client *Client
+	conn   *connection
+	stop   func() bool
+	whole  bool
+	failed bool
+	wrote  <-chan error
+}
+
+// Do sends the request once and reads the header of its answer. The request's
+// body is written by req.Write; GetBody is never called.
+func (c *Client) Do(ctx context.Context, req *http.Request, params Params) (*Answer, error) {
+	conn, err := c.acquire(ctx, params.Reuse)
+	if err != nil {
+		return nil, &Error{cause: err}
+	}
+	deadline, _ := ctx.Deadline()
+	if err := conn.begin(deadline, params.Silence); err != nil {
+		c.put(conn, false)
+		return nil, &Error{Reused: conn.reused, cause: err}
+	}
+	stop := context.AfterFunc(ctx, conn.cancel)
+	wrote := conn.startSend(req)
+	answer, err := conn.receive(req, params)
+	if err != nil {
+		stop()
+		c.put(conn, false)
+		<-wrote // The closed connection ends the write; after it the body is free.
+		return nil, &Error{Sent: conn.written.Load() > 0, Reused: conn.reused, cause: conn.explain(ctx, err)}
+	}
+	return &Answer{Response: answer, client: c, conn: conn, stop: stop, wrote: wrote}, nil
+}
+
+// startSend writes the request: a small one at once, a larger one beside the
+// reading of the answer, which may come before the peer has read the request.
+func (c *connection) startSend(req *http.Request) <-chan error {
+	wrote := make(chan error, 1)
+	if req.ContentLength <= inlineBody {
+		wrote <- c.send(req)
+		return wrote
+	}
+	go func() { wrote <- c.send(req) }()
+	return wrote
+}
+
+func (c *connection) send(req *http.Request) error {
+	if err := req.Write(c.writer); err != nil {
+		return err
+	}
+	return c.writer.Flush()
+}
+
+// receive reads the header of the final answer.
+func (c *connection) receive(req *http.Request, params Params) (*http.Response, error) {
+	for range maxInformational {
+		answer, err := http.ReadResponse(c.reader, req)
+		if err != nil {
+			return nil, err
+		}
+		if answer.StatusCode == http.StatusSwitchingProtocols {
+			return nil, ErrSwitched
+		}
+		if answer.StatusCode < http.StatusOK {
+			continue
+		}
+		if echo := answer.Header.Get(params.EchoHeader); params.EchoHeader != "" && echo != "" && echo != params.Echo {
+			return nil, ErrMismatch
+		}
+		if isUnframed(req, answer) {
+			return nil, ErrUnframed
+		}
+		c.headerLeft = unlimited
+		return answer, nil
+	}
+	return nil, fmt.Errorf("more than %d informational answers", maxInformational)
+}
+
+// isUnframed reports whether the body ends with the connection only.
+func isUnframed(req *http.Request, answer *http.Response) bool {
+	if req.Method == http.MethodHead || answer.StatusCode == http.StatusNoContent || answer.StatusCode == http.StatusNotModified {
+		return false
+	}
+	return answer.ContentLength < 0 && len(answer.TransferEncoding) == 0
+}
+
+// explain names the cause behind a failed read.
+func (c *connection) explain(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	if c.silent {
+		return ErrSilent
+	}
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// Read reads the body of the answer. An early end is io.ErrUnexpectedEOF or
+// another error, never io.EOF.
+func (a *Answer) Read(p []byte) (int, error) {
+	n, err := a.Response.Body.Read(p)
+	if errors.Is(err, io.EOF) {
+		a.whole = true
+		return n, io.EOF
+	}
+	if err != nil {
+		a.failed = true
+	}
+	return n, err
+}
+
+// Silent reports whether the body ended because nothing arrived any more.
+func (a *Answer) Silent() bool { return a.conn.silent }
+
+// Close ends the exchange.
+func (a *Answer) Close() {
+	stopped := a.stop()
+	keep := stopped && a.whole && !a.failed && !a.Response.Close
+	select {
+	case err := <-a.wrote:
+		a.client.put(a.conn, keep && err == nil)
+	default:
+		// The peer answered before it read the whole request.
+		a.client.put(a.conn, false)
+		<-a.wrote
+	}
+}
--- /dev/null
+++ b/internal/fake/relay.go
@@ -0,0 +1,147 @@
+package fake
+
+import (
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+)
+
+// Relay is a TCP relay that can fall silent: on command it drops what passes on
+// the connections that are open, in both directions and without closing them,
+// as a lost connection track does. New connections work.
+type Relay struct {
+	listener net.Listener
+	target   string
+	mu       sync.Mutex
+	links    map[*link]struct{}
+	wait     sync.WaitGroup
+	accepted atomic.Int64
+	cut      atomic.Bool
+}
+
+type link struct {
+	near, far net.Conn
+	silent    atomic.Bool
+}
+
+// StartRelay listens on a free loopback port and passes connections on to
+// target, host:port.
+func StartRelay(target string) (*Relay, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	r := &Relay{listener: listener, target: target, links: make(map[*link]struct{})}
+	r.wait.Add(1)
+	go r.accept()
+	return r, nil
+}
+
+// Address returns the address on which the relay listens.
+func (r *Relay) Address() string { return r.listener.Addr().String() }
+
+// Accepted returns the number of connections that were opened.
+func (r *Relay) Accepted() int64 { return r.accepted.Load() }
+
+// Open returns the number of connections that are open.
+func (r *Relay) Open() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.links)
+}
+
+// Silence makes the open connections silent for good.
+func (r *Relay) Silence() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for l := range r.links {
+		l.silent.Store(true)
+	}
+}
+
+// Cut makes all connections silent, the later ones too, until it is called with
+// false.
+func (r *Relay) Cut(on bool) {
+	r.cut.Store(on)
+	if on {
+		r.Silence()
+	}
+}
+
+func (r *Relay) accept() {
+	defer r.wait.Done()
+	for {
+		near, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		r.accepted.Add(1)
+		r.wait.Add(1)
+		go r.serve(near)
+	}
+}
+
+func (r *Relay) serve(near net.Conn) {
+	defer r.wait.Done()
+	far, err := net.Dial("tcp", r.target)
+	if err != nil {
+		_ = near.Close() // The target is down: so is the relayed connection.
+		return
+	}
+	l := &link{near: near, far: far}
+	l.silent.Store(r.cut.Load())
+	r.mu.Lock()
+	r.links[l] = struct{}{}
+	r.mu.Unlock()
+	var both sync.WaitGroup
+	both.Add(2)
+	go func() { defer both.Done(); l.pump(near, far) }()
+	go func() { defer both.Done(); l.pump(far, near) }()
+	both.Wait()
+	r.mu.Lock()
+	delete(r.links, l)
+	r.mu.Unlock()
+}
+
+// pump passes bytes on until an end closes. On a silent link it drops them, and
+// the close as well.
+func (l *link) pump(from, to net.Conn) {
+	buffer := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 && !l.silent.Load() {
+			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
+				err = writeErr
+			}
+		}
+		if err == nil {
+			continue
+		}
+		if l.silent.Load() {
+			return
+		}
+		l.shut(to, err)
+		return
+	}
+}
+
+func (l *link) shut(to net.Conn, err error) {
+	if half, ok := to.(*net.TCPConn); ok && err == io.EOF {
+		_ = half.CloseWrite() // The other direction may go on.
+		return
+	}
+	_ = to.Close() // The connection broke.
+}
+
+// Close ends the relay and its connections.
+func (r *Relay) Close() {
+	_ = r.listener.Close() // Ends accept.
+	r.mu.Lock()
+	for l := range r.links {
+		_ = l.near.Close() // Ends its pumps.
+		_ = l.far.Close()  // As above.
+	}
+	r.mu.Unlock()
+	r.wait.Wait()
+}
--- /dev/null
+++ b/internal/fake/target.go
@@ -0,0 +1,410 @@
+package fake
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"mangohill.example/mangohill/platform"
+	"mangohill.example/mangohill/types"
+)
+
+// Behavior is how a Target answers.
+type Behavior uint8
+
+// Behaviors of a Target.
+const (
+	// Answer answers in full.
+	Answer Behavior = iota
+	// RefuseRun answers 503 with the outcome not-run and runs nothing.
+	RefuseRun
+	// Truncate runs the request and closes in the middle of the answer.
+	Truncate
+	// Hang runs the request and never answers.
+	Hang
+	// HangMidBody runs the request and stops in the middle of the answer.
+	HangMidBody
+	// CloseEarly runs the request and closes without an answer.
+	CloseEarly
+	// CloseUnread closes without reading the request; nothing runs.
+	CloseUnread
+	// Endless runs the request and sends an answer that never ends.
+	Endless
+	// Double runs the request and sends its answer twice.
+	Double
+	// Mislabel answers with the request ID of another request.
+	Mislabel
+	// Unframed sends an answer that ends only with the connection.
+	Unframed
+	// Fail runs the request and answers 500.
+	Fail
+)
+
+// TargetOptions configures a Target.
+type TargetOptions struct {
+	Name          string
+	Service       string
+	FailureDomain string
+	Incarnation   uint64
+	Slots         int
+	Connections   int
+	// Listen is the address to serve on; empty takes a free loopback port.
+	Listen string
+	// AnnounceAddress replaces the address that is announced, for a relay in
+	// between.
+	AnnounceAddress string
+	// Platforms are the platform addresses of entry hosts; they are announced to
+	// in turn, as a balancer would spread the announcements.
+	Platforms []string
+	// Delay is the time that a request runs.
+	Delay time.Duration
+}
+
+// Target is a stand-in for a server process of a service. It records every
+// execution by the caller's request ID.
+type Target struct {
+	options  TargetOptions
+	listener net.Listener
+	server   *http.Server
+	client   *http.Client
+
+	mu       sync.Mutex
+	behavior Behavior
+	delay    time.Duration
+	state    types.TargetState
+	runs     map[string]int
+	inFlight int
+	peak     int
+	conns    int
+	connPeak int
+
+	next   atomic.Uint64
+	cancel context.CancelFunc
+	wait   sync.WaitGroup
+	hung   chan struct{}
+}
+
+// StartTarget serves and, if there are Platforms, announces itself to them.
+func StartTarget(options TargetOptions) (*Target, error) {
+	options = targetDefaults(options)
+	listener, err := net.Listen("tcp", options.Listen)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t := &Target{
+		options: options, listener: listener, client: &http.Client{Timeout: 3 * time.Second},
+		delay: options.Delay, state: types.TargetReady, runs: make(map[string]int), cancel: cancel, hung: make(chan struct{}),
+	}
+	t.server = &http.Server{Handler: t, ConnState: t.countConns, ReadHeaderTimeout: 10 * time.Second}
+	t.wait.Add(1)
+	go func() {
+		defer t.wait.Done()
+		_ = t.server.Serve(listener) // It ends with the target.
+	}()
+	if len(options.Platforms) > 0 {
+		t.wait.Add(1)
+		go t.announceLoop(ctx)
+	}
+	return t, nil
+}
+
+func targetDefaults(options TargetOptions) TargetOptions {
+	if options.Listen == "" {
+		options.Listen = "127.0.0.1:0"
+	}
+	if options.Slots == 0 {
+		options.Slots = 8
+	}
+	if options.Connections == 0 {
+		options.Connections = 60
+	}
+	if options.Incarnation == 0 {
+		options.Incarnation = 1
+	}
+	return options
+}
+
+// Address returns the address on which the target serves.
+func (t *Target) Address() string { return t.listener.Addr().String() }
+
+// Record returns the target as its announcement has it.
+func (t *Target) Record() types.Target {
+	address := t.options.AnnounceAddress
+	if address == "" {
+		address = t.Address()
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return types.Target{
+		Name: t.options.Name, Service: t.options.Service, Address: address, FailureDomain: t.options.FailureDomain,
+		Incarnation: t.options.Incarnation, Slots: t.options.Slots, Connections: t.options.Connections,
+		State: t.state, InFlight: t.inFlight,
+	}
+}
+
+// Set changes how the target answers, and for how long a request runs.
+func (t *Target) Set(behavior Behavior, delay time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.behavior = behavior
+	t.delay = delay
+}
+
+// Runs returns the number of executions under a request ID.
+func (t *Target) Runs(requestID string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.runs[requestID]
+}
+
+// TotalRuns returns the number of executions.
+func (t *Target) TotalRuns() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	total := 0
+	for _, n := range t.runs {
+		total += n
+	}
+	return total
+}
+
+// Peak returns the largest number of requests that ran at a time.
+func (t *Target) Peak() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.peak
+}
+
+// ConnectionPeak returns the largest number of connections open at a time.
+func (t *Target) ConnectionPeak() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.connPeak
+}
+
+// InFlight returns the number of requests that run now.
+func (t *Target) InFlight() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.inFlight
+}
+
+func (t *Target) countConns(_ net.Conn, state http.ConnState) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		t.conns++
+		t.connPeak = max(t.connPeak, t.conns)
+	case http.StateClosed, http.StateHijacked:
+		t.conns--
+	case http.StateActive, http.StateIdle:
+	}
+}
+
+// ServeHTTP runs one request. The answer names the target and carries the body
+// of the request.
+func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	t.mu.Lock()
+	behavior, delay := t.behavior, t.delay
+	t.mu.Unlock()
+	if behavior == CloseUnread {
+		panic(http.ErrAbortHandler)
+	}
+	if behavior == RefuseRun {
+		w.Header().Set("Mangohill-Outcome", "not-run")
+		http.Error(w, "full", http.StatusServiceUnavailable)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	t.begin(r.Header.Get("Mangohill-Request-Id"))
+	defer t.end()
+	if delay > 0 {
+		time.Sleep(delay)
+	}
+	t.respond(w, r, behavior, body)
+}
+
+func (t *Target) begin(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.runs[id]++
+	t.inFlight++
+	t.peak = max(t.peak, t.inFlight)
+}
+
+func (t *Target) end() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.inFlight--
+}
+
+func (t *Target) respond(w http.ResponseWriter, r *http.Request, behavior Behavior, body []byte) {
+	w.Header().Set("X-Target", t.options.Name)
+	w.Header().Set("X-Path", r.URL.RequestURI())
+	switch behavior {
+	case Answer:
+		_, _ = w.Write(body) // The peer may be gone.
+	case Fail:
+		http.Error(w, "failed", http.StatusInternalServerError)
+	case Mislabel:
+		w.Header().Set("Mangohill-Request-Id", "another")
+		_, _ = w.Write(body) // As above.
+	case Hang:
+		<-t.hung
+		panic(http.ErrAbortHandler)
+	case CloseEarly:
+		panic(http.ErrAbortHandler)
+	case Endless:
+		t.endless(w, r)
+	case Truncate, HangMidBody, Double, Unframed:
+		t.raw(w, behavior, body)
+	case RefuseRun, CloseUnread:
+	}
+}
+
+func (t *Target) endless(w http.ResponseWriter, r *http.Request) {
+	piece := bytes.Repeat([]byte("x"), 32<<10)
+	for r.Context().Err() == nil {
+		if _, err := w.Write(piece); err != nil {
+			return
+		}
+	}
+}
+
+// raw writes an answer that net/http would not write.
+func (t *Target) raw(w http.ResponseWriter, behavior Behavior, body []byte) {
+	conn, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer func() { _ = conn.Close() }() // The answer is over.
+	const framed = "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s"
+	switch behavior {
+	case Truncate:
+		fmt.Fprintf(buffered, framed, len(body)+10, body)
+	case HangMidBody:
+		fmt.Fprintf(buffered, framed, len(body)+10, body)
+		_ = buffered.Flush() // The hang follows either way.
+		<-t.hung
+	case Double:
+		answer := fmt.Sprintf(framed, len(body), body)
+		_, _ = buffered.WriteString(answer + answer) // The peer may be gone.
+		_ = buffered.Flush()                         // As above.
+		_, _ = io.Copy(io.Discard, conn)             // Until the peer closes.
+	case Unframed:
+		fmt.Fprintf(buffered, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n%s", body)
+	default:
+	}
+	_ = buffered.Flush() // The peer may be gone.
+}
+
+// Announce announces the state once, to the next of the platforms.
+func (t *Target) Announce(ctx context.Context) (time.Duration, error) {
+	record := t.Record()
+	body, err := json.Marshal(platform.Announcement{
+		Service: record.Service, Address: record.Address, FailureDomain: record.FailureDomain, Incarnation: record.Incarnation,
+		Slots: record.Slots, Connections: record.Connections, State: string(record.State), InFlight: record.InFlight,
+	})
+	if err != nil {
+		return 0, err
+	}
+	response, err := t.call(ctx, http.MethodPut, "", bytes.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = response.Body.Close() }() // It was read or is not needed.
+	if response.StatusCode != http.StatusOK {
+		return 0, fmt.Errorf("announcement of %q: status %d", record.Name, response.StatusCode)
+	}
+	var answer platform.AnnouncementAnswer
+	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
+		return 0, err
+	}
+	return time.Duration(answer.AnnounceWithinMs) * time.Millisecond, nil
+}
+
+func (t *Target) call(ctx context.Context, method, query string, body io.Reader) (*http.Response, error) {
+	platforms := t.options.Platforms
+	address := platforms[t.next.Add(1)%uint64(len(platforms))]
+	url := "http://" + address + "/v1/targets/" + t.options.Name + query
+	request, err := http.NewRequestWithContext(ctx, method, url, body)
+	if err != nil {
+		return nil, err
+	}
+	return t.client.Do(request)
+}
+
+// announceLoop repeats the announcement at half the interval asked for.
+func (t *Target) announceLoop(ctx context.Context) {
+	defer t.wait.Done()
+	for {
+		within, err := t.Announce(ctx)
+		if err != nil {
+			within = 400 * time.Millisecond
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(within / 2):
+		}
+	}
+}
+
+// Leave announces the state leaving until an entry host has confirmed it.
+func (t *Target) Leave(ctx context.Context) error {
+	t.mu.Lock()
+	t.state = types.TargetLeaving
+	t.mu.Unlock()
+	for {
+		if _, err := t.Announce(ctx); err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+}
+
+// Withdraw withdraws the target.
+func (t *Target) Withdraw(ctx context.Context) error {
+	query := "?incarnation=" + strconv.FormatUint(t.options.Incarnation, 10)
+	response, err := t.call(ctx, http.MethodDelete, query, nil)
+	if err != nil {
+		return err
+	}
+	_ = response.Body.Close() // It has none.
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return fmt.Errorf("withdrawal of %q: status %d", t.options.Name, response.StatusCode)
+	}
+	return nil
+}
+
+// Stop ends the announcements and the server with all its connections.
+func (t *Target) Stop() {
+	t.cancel()
+	t.mu.Lock()
+	select {
+	case <-t.hung:
+	default:
+		close(t.hung)
+	}
+	t.mu.Unlock()
+	_ = t.server.Close() // Ends Serve.
+	t.wait.Wait()
+	t.client.CloseIdleConnections()
+}
--- /dev/null
+++ b/membership/core.go
@@ -0,0 +1,208 @@
+package membership
+
+import (
+	"sort"
+	"time"
+
+	"mangohill.example/mangohill/chart"
+)
+
+// State is the state of a member. The transitions stand in the chart "member".
+type State string
+
+// States of a member.
+const (
+	Unknown State = "unknown"
+	Live    State = "live"
+	Suspect State = "suspect"
+	Dead    State = "dead"
+	Left    State = "left"
+)
+
+// Events of the chart "member".
+const (
+	eventHeard  = "heard"
+	eventQuiet  = "quiet"
+	eventSilent = "silent"
+	eventLeft   = "left"
+)
+
+// Peer is another entry host.
+type Peer struct {
+	Name string
+	// Peers and Callers are its listeners, host:port.
+	Peers   string
+	Callers string
+	// Token proves to the peer that a hop comes from an entry host.
+	Token         uint64
+	Incarnation   uint64
+	ConfigVersion uint64
+	State         State
+	// Since is the instant of the last change of State.
+	Since time.Time
+	// Direct is the instant of the last heartbeat that came straight from it.
+	Direct time.Time
+	Loads  []ServiceLoad
+}
+
+// Change is a change of a member's state.
+type Change struct {
+	Peer   Peer
+	Before State
+}
+
+// CoreOptions configures a Core.
+type CoreOptions struct {
+	// Self is the member's own heartbeat without Heard and Loads; Beat holds the
+	// value before the first one.
+	Self Heartbeat
+	// SuspectAfter and DeadAfter are times without a new heartbeat.
+	SuspectAfter time.Duration
+	DeadAfter    time.Duration
+}
+
+// Core is the pure state of the failure detector.
+type Core struct {
+	options CoreOptions
+	self    Heartbeat
+	peers   map[uint32]*member
+	chart   *chart.Chart
+}
+
+type member struct {
+	Peer
+	beat  uint64
+	heard time.Time
+}
+
+// Default times of a Core.
+const (
+	DefaultInterval     = 250 * time.Millisecond
+	DefaultSuspectAfter = 3 * DefaultInterval
+	DefaultDeadAfter    = 5 * DefaultInterval
+)
+
+// NewCore returns a Core that knows no peer.
+func NewCore(options CoreOptions) *Core {
+	if options.SuspectAfter == 0 {
+		options.SuspectAfter = DefaultSuspectAfter
+	}
+	if options.DeadAfter == 0 {
+		options.DeadAfter = DefaultDeadAfter
+	}
+	return &Core{
+		options: options,
+		self:    options.Self,
+		peers:   make(map[uint32]*member),
+		chart:   chart.MustLoad("member"),
+	}
+}
+
+// Next returns the next heartbeat of this member.
+func (c *Core) Next(configVersion uint64, loads []ServiceLoad) Heartbeat {
+	c.self.Beat++
+	h := c.self
+	h.ConfigVersion = configVersion
+	h.Loads = loads
+	for id, m := range c.peers {
+		if m.State == Live || m.State == Suspect {
+			h.Heard = append(h.Heard, Heard{ID: id, Beat: m.beat})
+		}
+	}
+	sort.Slice(h.Heard, func(i, j int) bool { return h.Heard[i].ID < h.Heard[j].ID })
+	return h
+}
+
+// Leave makes the following heartbeats say that this member is leaving.
+func (c *Core) Leave() { c.self.Leaving = true }
+
+// Receive takes in a heartbeat and returns the changes that it makes. Heartbeats
+// that are not newer than what is known have no effect.
+func (c *Core) Receive(now time.Time, h Heartbeat) []Change {
+	if h.Name == c.self.Name {
+		return nil
+	}
+	var changes []Change
+	id := memberID(h.Name)
+	m, ok := c.peers[id]
+	if !ok {
+		m = &member{Peer: Peer{Name: h.Name, State: Unknown, Since: now}}
+		c.peers[id] = m
+	}
+	if h.Beat > m.beat {
+		m.adopt(now, h)
+		event := eventHeard
+		if h.Leaving {
+			event = eventLeft
+		}
+		changes = c.step(now, m, event, changes)
+	}
+	for _, other := range h.Heard {
+		changes = c.hearsay(now, other, changes)
+	}
+	return changes
+}
+
+func (m *member) adopt(now time.Time, h Heartbeat) {
+	m.beat = h.Beat
+	m.heard = now
+	m.Direct = now
+	m.Peers, m.Callers, m.Token = h.Peers, h.Callers, h.Token
+	m.Incarnation = h.Incarnation()
+	m.ConfigVersion = h.ConfigVersion
+	m.Loads = h.Loads
+}
+
+func (c *Core) hearsay(now time.Time, other Heard, changes []Change) []Change {
+	m, ok := c.peers[other.ID]
+	if !ok || other.Beat <= m.beat || m.State == Left {
+		return changes
+	}
+	m.beat = other.Beat
+	m.heard = now
+	return c.step(now, m, eventHeard, changes)
+}
+
+// Tick returns the changes that follow from the passing of time.
+func (c *Core) Tick(now time.Time) []Change {
+	var changes []Change
+	for _, m := range c.sorted() {
+		quiet := now.Sub(m.heard)
+		if quiet >= c.options.SuspectAfter && m.State == Live {
+			changes = c.step(now, m, eventQuiet, changes)
+		}
+		if quiet >= c.options.DeadAfter && (m.State == Suspect || m.State == Left) {
+			changes = c.step(now, m, eventSilent, changes)
+		}
+	}
+	return changes
+}
+
+func (c *Core) step(now time.Time, m *member, event string, changes []Change) []Change {
+	next, err := c.chart.Next(string(m.State), event)
+	if err != nil || State(next) == m.State {
+		return changes
+	}
+	before := m.State
+	m.State = State(next)
+	m.Since = now
+	return append(changes, Change{Peer: m.Peer, Before: before})
+}
+
+// Peers returns all known peers, sorted by name.
+func (c *Core) Peers() []Peer {
+	var out []Peer
+	for _, m := range c.sorted() {
+		out = append(out, m.Peer)
+	}
+	return out
+}
+
+func (c *Core) sorted() []*member {
+	out := make([]*member, 0, len(c.peers))
+	for _, m := range c.peers {
+		out = append(out, m)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
--- /dev/null
+++ b/membership/driver.go
@@ -0,0 +1,279 @@
+package membership
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"mangohill.example/mangohill/kind"
+)
+
+// Local is what a heartbeat says about its sender.
+type Local struct {
+	ConfigVersion uint64
+	Loads         []ServiceLoad
+}
+
+// Metrics are the counters of a Driver. Nil fields are not counted.
+type Metrics struct {
+	SentBytes     *expvar.Int
+	SentDatagrams *expvar.Int
+	BadDatagrams  *expvar.Int
+}
+
+// Options configures a Driver.
+type Options struct {
+	Name string
+	// Peers is the address of this member's peers listener, host:port; the UDP
+	// socket is bound to it. Callers is its callers listener.
+	Peers   string
+	Callers string
+	// Entries are the peers addresses of all entry hosts; the own one is passed
+	// over.
+	Entries []string
+	// Incarnation grows with each start of the process. Zero takes the Unix time.
+	Incarnation uint64
+	// Token is the secret that peers show when they hand over a request.
+	Token    uint64
+	Interval time.Duration
+	// Local is asked before each heartbeat. It must not block.
+	Local func() Local
+	// Changed is told each change of a peer's state, Observed each heartbeat that
+	// a peer sent. Both are called from the driver's goroutine and must not block.
+	Changed  func(Change)
+	Observed func(Peer)
+	Logger   zerolog.Logger
+	Metrics  Metrics
+}
+
+// Driver sends and receives the heartbeats of one entry host.
+type Driver struct {
+	options Options
+	conn    *net.UDPConn
+	targets []*net.UDPAddr
+	mu      sync.Mutex
+	core    *Core
+	wait    sync.WaitGroup
+	inbox   chan Heartbeat
+	stop    chan struct{}
+	once    sync.Once
+}
+
+// inboxCapacity is the number of heartbeats that may wait for the driver. More
+// are dropped: the next ones carry the same news.
+const inboxCapacity = 64
+
+// Start binds the socket and starts the heartbeats.
+func Start(options Options) (*Driver, error) {
+	if options.Interval == 0 {
+		options.Interval = DefaultInterval
+	}
+	if options.Incarnation == 0 {
+		options.Incarnation = uint64(time.Now().Unix())
+	}
+	conn, err := listen(options.Peers)
+	if err != nil {
+		return nil, err
+	}
+	d := &Driver{options: options, conn: conn, inbox: make(chan Heartbeat, inboxCapacity), stop: make(chan struct{})}
+	for _, address := range options.Entries {
+		if address == options.Peers {
+			continue
+		}
+		resolved, err := net.ResolveUDPAddr("udp", address)
+		if err != nil {
+			_ = conn.Close() // Nothing was sent on it.
+			return nil, kind.Errorf(kind.BadSettings, "entry address %q: %w", address, err)
+		}
+		d.targets = append(d.targets, resolved)
+	}
+	d.core = NewCore(CoreOptions{
+		Self: Heartbeat{
+			Name: options.Name, Peers: options.Peers, Callers: options.Callers,
+			Beat: FirstBeat(options.Incarnation), Token: options.Token,
+		},
+		SuspectAfter: 3 * options.Interval,
+		DeadAfter:    5 * options.Interval,
+	})
+	d.wait.Add(2)
+	go d.receive()
+	go d.run()
+	return d, nil
+}
+
+func listen(address string) (*net.UDPConn, error) {
+	resolved, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, kind.Errorf(kind.BadSettings, "peers address %q: %w", address, err)
+	}
+	conn, err := net.ListenUDP("udp", resolved)
+	if err != nil {
+		return nil, kind.Errorf(kind.BadSettings, "listen on UDP %s: %w", address, err)
+	}
+	return conn, nil
+}
+
+func (d *Driver) receive() {
+	defer d.wait.Done()
+	buffer := make([]byte, MaxDatagram+1)
+	for {
+		n, _, err := d.conn.ReadFromUDP(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue // An ICMP refusal of an earlier datagram; the peer is down.
+		}
+		h, err := Decode(buffer[:n])
+		if err != nil {
+			count(d.options.Metrics.BadDatagrams, 1)
+			continue
+		}
+		select {
+		case d.inbox <- h:
+		default:
+		}
+	}
+}
+
+func (d *Driver) run() {
+	defer d.wait.Done()
+	ticker := time.NewTicker(d.options.Interval)
+	defer ticker.Stop()
+	d.beat()
+	for {
+		select {
+		case <-d.stop:
+			return
+		case h := <-d.inbox:
+			d.take(h)
+		case <-ticker.C:
+			d.drain()
+			d.beat()
+			d.report(d.tick())
+		}
+	}
+}
+
+// drain takes in what arrived before a tick, so that a process that was held up
+// does not suspect peers whose heartbeats wait in the inbox.
+func (d *Driver) drain() {
+	for {
+		select {
+		case h := <-d.inbox:
+			d.take(h)
+		default:
+			return
+		}
+	}
+}
+
+func (d *Driver) take(h Heartbeat) {
+	d.mu.Lock()
+	changes := d.core.Receive(time.Now(), h)
+	peer, known := d.core.peers[memberID(h.Name)]
+	var seen Peer
+	if known {
+		seen = peer.Peer
+	}
+	d.mu.Unlock()
+	d.report(changes)
+	if known && d.options.Observed != nil {
+		d.options.Observed(seen)
+	}
+}
+
+func (d *Driver) tick() []Change {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.core.Tick(time.Now())
+}
+
+func (d *Driver) report(changes []Change) {
+	for _, change := range changes {
+		d.options.Logger.Info().Str("member", change.Peer.Name).Str("before", string(change.Before)).
+			Str("state", string(change.Peer.State)).Msg("member changed")
+		if d.options.Changed != nil {
+			d.options.Changed(change)
+		}
+	}
+}
+
+func (d *Driver) beat() {
+	var local Local
+	if d.options.Local != nil {
+		local = d.options.Local()
+	}
+	d.mu.Lock()
+	h := d.core.Next(local.ConfigVersion, local.Loads)
+	d.mu.Unlock()
+	data, err := h.Encode()
+	if err != nil {
+		d.options.Logger.Error().Err(err).Msg("heartbeat not encoded")
+		return
+	}
+	for _, target := range d.targets {
+		if _, err := d.conn.WriteToUDP(data, target); err != nil {
+			continue // The peer misses one heartbeat.
+		}
+		count(d.options.Metrics.SentBytes, int64(len(data)))
+		count(d.options.Metrics.SentDatagrams, 1)
+	}
+}
+
+func count(counter *expvar.Int, delta int64) {
+	if counter != nil {
+		counter.Add(delta)
+	}
+}
+
+// Peers returns all known peers, sorted by name.
+func (d *Driver) Peers() []Peer {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.core.Peers()
+}
+
+// Live returns the peers that are live or suspected, sorted by name.
+func (d *Driver) Live() []Peer {
+	var out []Peer
+	for _, p := range d.Peers() {
+		if p.State == Live || p.State == Suspect {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// Leave tells the peers that this entry host takes no new work.
+func (d *Driver) Leave() {
+	d.mu.Lock()
+	d.core.Leave()
+	d.mu.Unlock()
+	d.beat()
+}
+
+// Stop ends the heartbeats and waits for the driver's goroutines. ctx bounds
+// the wait.
+func (d *Driver) Stop(ctx context.Context) error {
+	d.once.Do(func() {
+		close(d.stop)
+		_ = d.conn.Close() // Ends the receiving goroutine.
+	})
+	done := make(chan struct{})
+	go func() {
+		d.wait.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/proxy/call.go
@@ -0,0 +1,261 @@
+package proxy
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
+	"mangohill.example/mangohill/kind"
+	"mangohill.example/mangohill/types"
+)
+
+const (
+	pathPrefix = "/v1/services/"
+	// defaultTimeout is the timeout of a service that configures none.
+	defaultTimeout = 2 * time.Second
+	// longestTimeout bounds what a caller may ask for.
+	longestTimeout = 10 * time.Minute
+	maxNameLength  = 128
+	maxKeyLength   = 256
+)
+
+// call is one request of a caller, read whole.
+type call struct {
+	id         string
+	service    string
+	caller     string
+	method     string
+	host       string
+	target     *url.URL
+	header     http.Header
+	body       []byte
+	idempotent bool
+	key        string
+	hopped     bool
+	deadline   time.Time
+}
+
+// splitPath parts an escaped request path into the service and the escaped path
+// that the target gets.
+func splitPath(escaped string) (service, rest string, err error) {
+	tail, found := strings.CutPrefix(escaped, pathPrefix)
+	if !found {
+		return "", "", kind.Errorf(kind.NotFound, "path %q is not below %s", escaped, pathPrefix)
+	}
+	name, rest, _ := strings.Cut(tail, "/")
+	service, err = url.PathUnescape(name)
+	if err != nil || service == "" || len(service) > maxNameLength {
+		return "", "", kind.Errorf(kind.BadRequest, "service name %q is empty, too long or badly escaped", name)
+	}
+	return service, "/" + rest, nil
+}
+
+// targetURL builds the URL that the target gets. The escaping of the caller is
+// kept.
+func targetURL(escaped, query string) (*url.URL, error) {
+	path, err := url.PathUnescape(escaped)
+	if err != nil {
+		return nil, kind.Errorf(kind.BadRequest, "path %q: %w", escaped, err)
+	}
+	return &url.URL{Scheme: "http", Path: path, RawPath: escaped, RawQuery: query}, nil
+}
+
+// readCall reads a request of a caller but for its body.
+func (p *Proxy) readCall(r *http.Request) (*call, error) {
+	service, rest, err := splitPath(r.URL.EscapedPath())
+	if err != nil {
+		return nil, err
+	}
+	if r.Method == http.MethodConnect {
+		return nil, kind.Errorf(kind.MethodNotAllowed, "method CONNECT")
+	}
+	target, err := targetURL(rest, r.URL.RawQuery)
+	if err != nil {
+		return nil, err
+	}
+	c := &call{
+		id: requestID(r), service: service, caller: callerOf(r), method: r.Method, host: r.Host,
+		target: target, header: r.Header,
+	}
+	c.hopped, err = p.isHop(r)
+	if err != nil {
+		return nil, err
+	}
+	if c.idempotent, err = isIdempotent(r); err != nil {
+		return nil, err
+	}
+	if c.key, err = idempotencyKey(r, c.idempotent); err != nil {
+		return nil, err
+	}
+	timeout, err := p.timeoutOf(r, service)
+	if err != nil {
+		return nil, err
+	}
+	c.deadline = p.options.Now().Add(timeout)
+	return c, nil
+}
+
+func requestID(r *http.Request) string {
+	id := r.Header.Get(HeaderRequestID)
+	if id == "" || len(id) > maxKeyLength {
+		return uuid.NewString()
+	}
+	return id
+}
+
+func callerOf(r *http.Request) string {
+	if name := r.Header.Get(HeaderCaller); name != "" && len(name) <= maxNameLength {
+		return name
+	}
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr
+	}
+	return host
+}
+
+// isHop reports whether another entry host handed the request over. A wrong
+// token is refused: it comes from an entry host that knows an earlier process.
+func (p *Proxy) isHop(r *http.Request) (bool, error) {
+	text := r.Header.Get(HeaderHop)
+	if text == "" {
+		return false, nil
+	}
+	if token, err := strconv.ParseUint(text, 16, 64); err != nil || token != p.options.Token || token == 0 {
+		return false, kind.Errorf(kind.Unreachable, "the hop token is not that of this process")
+	}
+	return true, nil
+}
+
+// isIdempotent reads the caller's word, or else goes by the method (RFC 9110,
+// 9.2.2).
+func isIdempotent(r *http.Request) (bool, error) {
+	switch text := r.Header.Get(HeaderIdempotent); text {
+	case "true":
+		return true, nil
+	case "false":
+		return false, nil
+	case "":
+	default:
+		return false, kind.Errorf(kind.BadRequest, "header %s: %q is neither true nor false", HeaderIdempotent, text)
+	}
+	switch r.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPut, http.MethodDelete:
+		return true, nil
+	}
+	return false, nil
+}
+
+// idempotencyKey returns the key of a request that must be claimed, empty for
+// one that need not.
+func idempotencyKey(r *http.Request, idempotent bool) (string, error) {
+	values := r.Header.Values(HeaderIdempotencyKey)
+	if len(values) > 1 {
+		return "", kind.Errorf(kind.BadRequest, "header %s is given %d times", HeaderIdempotencyKey, len(values))
+	}
+	if idempotent || len(values) == 0 {
+		return "", nil
+	}
+	if len(values[0]) > maxKeyLength {
+		return "", kind.Errorf(kind.BadRequest, "header %s: %d bytes exceed %d", HeaderIdempotencyKey, len(values[0]), maxKeyLength)
+	}
+	return values[0], nil
+}
+
+func (p *Proxy) timeoutOf(r *http.Request, service string) (time.Duration, error) {
+	timeout := defaultTimeout
+	if config, ok := p.serviceConfig(service); ok && config.Timeout > 0 {
+		timeout = config.Timeout
+	}
+	text := r.Header.Get(HeaderTimeout)
+	if text == "" {
+		return timeout, nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || ms <= 0 {
+		return 0, kind.Errorf(kind.BadRequest, "header %s: %q is not a positive number", HeaderTimeout, text)
+	}
+	if ms > longestTimeout.Milliseconds() {
+		return longestTimeout, nil
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
+func (p *Proxy) serviceConfig(service string) (types.ServiceConfig, bool) {
+	if p.options.Config == nil {
+		return types.ServiceConfig{}, false
+	}
+	config := p.options.Config()
+	if config == nil {
+		return types.ServiceConfig{}, false
+	}
+	found, ok := config.Services[service]
+	return found, ok
+}
+
+// readBody reads the caller's body whole, before a slot is taken.
+func (p *Proxy) readBody(w http.ResponseWriter, r *http.Request, c *call) error {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil
+	}
+	if r.ContentLength > p.options.MaxBody {
+		return kind.Errorf(kind.BodyTooLarge, "body of %d bytes exceeds %d", r.ContentLength, p.options.MaxBody)
+	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(c.deadline) // Not supported by recorders in tests.
+	var buffer bytes.Buffer
+	if r.ContentLength > 0 {
+		buffer.Grow(int(r.ContentLength) + bytes.MinRead)
+	}
+	_, err := buffer.ReadFrom(http.MaxBytesReader(w, r.Body, p.options.MaxBody))
+	_ = control.SetReadDeadline(time.Time{}) // As above.
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return kind.Errorf(kind.BodyTooLarge, "body exceeds %d bytes", p.options.MaxBody)
+	}
+	if err != nil {
+		return kind.Errorf(kind.BadRequest, "body: %w", err)
+	}
+	c.body = buffer.Bytes()
+	return nil
+}
+
+// digest identifies what the caller asked for, to find a key that is used for
+// two different requests.
+func (c *call) digest() uint64 {
+	hash := xxhash.New()
+	for _, part := range []string{c.method, c.target.RequestURI()} {
+		_, _ = hash.WriteString(part) // A hash never fails.
+		_, _ = hash.Write([]byte{0})  // As above.
+	}
+	_, _ = hash.Write(c.body) // As above.
+	return hash.Sum64()
+}
+
+// outgoing builds the request as it is sent. It has no GetBody.
+func (c *call) outgoing(now time.Time, host string) *http.Request {
+	header := endToEnd(c.header)
+	if _, ok := header["User-Agent"]; !ok {
+		header["User-Agent"] = []string{""} // Keeps net/http from adding its own.
+	}
+	header.Set(HeaderRequestID, c.id)
+	left := max(c.deadline.Sub(now).Milliseconds(), 1)
+	header.Set(HeaderTimeout, strconv.FormatInt(left, 10))
+	request := &http.Request{
+		Method: c.method, URL: c.target, Host: host, Header: header,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, ContentLength: int64(len(c.body)),
+	}
+	if len(c.body) > 0 {
+		request.Body = io.NopCloser(bytes.NewReader(c.body))
+	}
+	return request
+}
--- /dev/null
+++ b/proxy/claim.go
@@ -0,0 +1,107 @@
+package proxy
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+
+	"mangohill.example/mangohill/controlapi"
+	"mangohill.example/mangohill/kind"
+)
+
+const (
+	// resolveTimeout bounds the wait for the record of a claim's end before the
+	// caller is answered; resolveTries repeat it in the background after that.
+	resolveTimeout = time.Second
+	resolveTries   = 5
+)
+
+// claim is a granted claim.
+type claim struct {
+	proxy   *Proxy
+	service string
+	key     string
+	token   string
+}
+
+// claim claims the key of a call. A nil claim with a nil result means that the
+// call needs none; a result ends the call without a send.
+func (p *Proxy) claim(ctx context.Context, c *call) (*claim, *result) {
+	if c.key == "" || c.hopped {
+		return nil, nil
+	}
+	if p.options.Claimer == nil {
+		return nil, refusedClaim(kind.Errorf(kind.NoQuorum, "keys cannot be claimed on this entry host"))
+	}
+	count(p.options.Metrics.Claims)
+	granted := &claim{proxy: p, service: c.service, key: c.key, token: uuid.NewString()}
+	reply, err := p.options.Claimer.Claim(ctx, controlapi.ClaimArgs{
+		Service: c.service, Key: c.key, Token: granted.token, Digest: c.digest(),
+	})
+	if err != nil {
+		granted.release()
+		return nil, refusedClaim(kind.Errorf(kind.NoQuorum, "claim of key %q: %w", c.key, err))
+	}
+	switch reply.State {
+	case controlapi.ClaimGranted:
+		return granted, nil
+	case controlapi.ClaimMismatch:
+		return nil, refusedClaim(kind.Errorf(kind.CommandReused, "key %q belongs to another request", c.key))
+	case controlapi.ClaimResolved:
+		if reply.Result.Kept {
+			stored := resultOf(reply.Result)
+			return nil, &stored
+		}
+	case controlapi.ClaimHeld:
+	}
+	return nil, refusedClaim(kind.Errorf(kind.AlreadyClaimed, "key %q is already claimed", c.key))
+}
+
+func refusedClaim(err *kind.Error) *result {
+	return &result{attempt: attempt{err: err}, outcome: err.Kind.Answer().Outcome, wait: defaultRetryAfter}
+}
+
+// release gives a claim back, in the background, whose grant may have been lost
+// on the way. The call was not sent.
+func (l *claim) release() {
+	l.proxy.active.Add(1)
+	go func() {
+		defer l.proxy.active.Done()
+		l.repeat(controlapi.ClaimResult{Outcome: string(kind.OutcomeNotRun)})
+	}()
+}
+
+// resolve records the end of a claimed call. It waits for the record, so that a
+// resend after the answer finds it, but not for longer than resolveTimeout.
+func (l *claim) resolve(r controlapi.ClaimResult) {
+	if l == nil {
+		return
+	}
+	if l.try(r) == nil {
+		return
+	}
+	l.proxy.active.Add(1)
+	go func() {
+		defer l.proxy.active.Done()
+		l.repeat(r)
+	}()
+}
+
+func (l *claim) try(r controlapi.ClaimResult) error {
+	ctx, cancel := context.WithTimeout(context.Background(), resolveTimeout)
+	defer cancel()
+	return l.proxy.options.Claimer.Resolve(ctx, controlapi.ResolveArgs{
+		Service: l.service, Key: l.key, Token: l.token, Result: r,
+	})
+}
+
+func (l *claim) repeat(r controlapi.ClaimResult) {
+	for range resolveTries {
+		if l.try(r) == nil {
+			return
+		}
+		time.Sleep(resolveTimeout / resolveTries)
+	}
+	l.proxy.options.Logger.Warn().Str("service", l.service).Str("key", l.key).Msg("end of a claimed request not recorded")
+}
--- /dev/null
+++ b/proxy/execute.go
@@ -0,0 +1,170 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"mangohill.example/mangohill/controlapi"
+	"mangohill.example/mangohill/kind"
+	"mangohill.example/mangohill/route"
+)
+
+// result is the final answer to a call.
+type result struct {
+	attempt
+	outcome  kind.Outcome
+	attempts int
+	// wait is the Retry-After of a 503.
+	wait time.Duration
+}
+
+const (
+	// maxAttempts bounds the sends of one idempotent request.
+	maxAttempts = 3
+	// maxRefusals bounds the targets that one request is offered to.
+	maxRefusals = 6
+)
+
+// execution is the course of one call.
+type execution struct {
+	service *service
+	call    *call
+	request route.Request
+	sends   int
+	tries   int
+	ran     bool
+	hops    int
+}
+
+// execute brings a call to its end: queue, sends and retries.
+func (s *service) execute(ctx context.Context, c *call) result {
+	s.earnRetry()
+	e := &execution{service: s, call: c, request: route.Request{
+		ID: route.RequestID(s.proxy.nextID.Add(1)), Caller: c.caller, Deadline: c.deadline, Hopped: c.hopped,
+	}}
+	for {
+		decision := s.acquire(ctx, e.request)
+		if decision.Action == route.Refuse {
+			return e.refusal(decision)
+		}
+		a := s.send(ctx, c, decision, e.sends)
+		e.note(decision, a)
+		if a.fate == answered {
+			return result{attempt: a, outcome: kind.OutcomeDone, attempts: e.sends}
+		}
+		if !e.mayRetry(ctx, a) {
+			return e.failure(ctx, a)
+		}
+		count(s.proxy.options.Metrics.Retries)
+	}
+}
+
+func (e *execution) note(d route.Decision, a attempt) {
+	e.tries++
+	if a.sent {
+		e.sends++
+		count(e.service.proxy.options.Metrics.Sends)
+	}
+	if a.fate == mayHaveRun {
+		e.ran = true
+	}
+	if d.Action == route.Send {
+		e.request.Avoid = append(e.request.Avoid, d.Name)
+		return
+	}
+	e.hops++
+	count(e.service.proxy.options.Metrics.Hops)
+	if a.fate != answered {
+		e.request.Hopped = true // It stays here now.
+	}
+}
+
+// mayRetry decides whether the call is sent again.
+func (e *execution) mayRetry(ctx context.Context, a attempt) bool {
+	if ctx.Err() != nil || a.rest != nil {
+		return false
+	}
+	if e.ran && !e.call.idempotent {
+		return false
+	}
+	if e.sends >= maxAttempts && e.ran || e.tries >= maxRefusals {
+		return false
+	}
+	return e.service.spendRetry()
+}
+
+// refusal is the end of a call that was not placed.
+func (e *execution) refusal(d route.Decision) result {
+	err := kind.Errorf(kind.NoTarget, "service %q has no ready target", e.call.service)
+	switch d.Reason {
+	case route.QueueFull:
+		err = kind.Errorf(kind.Overloaded, "the queue of service %q is full", e.call.service)
+	case route.TooLate:
+		err = kind.Errorf(kind.DeadlineExceeded, "no target of service %q is expected to be free in time", e.call.service)
+	case route.NoTarget, route.NoReason:
+	}
+	return e.end(attempt{err: err}, d.RetryAfter)
+}
+
+// failure is the end of a call after its last send.
+func (e *execution) failure(ctx context.Context, a attempt) result {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) && a.fate == mayHaveRun {
+		a.err = kind.Errorf(kind.UnknownOutcome, "%q did not answer before the deadline", a.name)
+	}
+	wait := defaultRetryAfter
+	if seconds, err := strconv.Atoi(a.retryAfter); err == nil && seconds > 0 {
+		wait = time.Duration(seconds) * time.Second
+	}
+	if a.fate == mayHaveRun && a.status != 0 {
+		// A peer entry host reported the failure; its words are passed on.
+		return result{attempt: a, outcome: kind.OutcomeUnknown, attempts: e.sends}
+	}
+	return e.end(a, wait)
+}
+
+const defaultRetryAfter = time.Second
+
+// end makes the answer of a failed call. If any send may have run, the outcome
+// is unknown, whatever the last one was.
+func (e *execution) end(a attempt, wait time.Duration) result {
+	if e.ran && kind.Of(a.err).Answer().Outcome == kind.OutcomeNotRun {
+		a.err = kind.Errorf(kind.UnknownOutcome, "an earlier send may have run; the last one: %w", a.err)
+	}
+	return result{attempt: a, outcome: kind.Of(a.err).Answer().Outcome, attempts: e.sends, wait: wait}
+}
+
+// kept returns what is stored of a result for the resends of a claimed call.
+func (r *result) kept(limit int) controlapi.ClaimResult {
+	out := controlapi.ClaimResult{Outcome: string(r.outcome)}
+	if r.err != nil || r.rest != nil || r.outcome != kind.OutcomeDone || len(r.body) > limit {
+		return out
+	}
+	out.Kept = true
+	out.Status = r.status
+	out.Header = make(map[string]string)
+	for _, name := range keptHeaders {
+		if value := r.header.Get(name); value != "" {
+			out.Header[name] = value
+		}
+	}
+	out.Body = r.body
+	return out
+}
+
+// keptHeaders are the header fields that are stored of an answer.
+var keptHeaders = []string{"Content-Type", "Content-Language", "Content-Encoding", "Location", "Etag", "Last-Modified"}
+
+// resultOf rebuilds a stored answer.
+func resultOf(stored controlapi.ClaimResult) result {
+	header := make(http.Header, len(stored.Header))
+	for name, value := range stored.Header {
+		header.Set(name, value)
+	}
+	return result{
+		attempt: attempt{fate: answered, status: stored.Status, header: header, body: stored.Body},
+		outcome: kind.Outcome(stored.Outcome),
+	}
+}
--- /dev/null
+++ b/proxy/header.go
@@ -0,0 +1,55 @@
+package proxy
+
+import (
+	"net/http"
+	"net/textproto"
+	"strings"
+)
+
+// Header fields of the contract with callers, and between entry hosts.
+const (
+	HeaderIdempotent     = "Mangohill-Idempotent"
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderRequestID      = "Mangohill-Request-Id"
+	HeaderTimeout        = "Mangohill-Timeout-Ms"
+	HeaderOutcome        = "Mangohill-Outcome"
+	HeaderTarget         = "Mangohill-Target"
+	HeaderAttempts       = "Mangohill-Attempts"
+	// HeaderCaller names the caller for the fair queue. Without it the caller is
+	// the remote IP address.
+	HeaderCaller = "Mangohill-Caller"
+	// HeaderHop carries the token of the entry host that a request is handed to.
+	HeaderHop = "Mangohill-Hop"
+	// HeaderLoad carries the sender's load with the answer to a hop.
+	HeaderLoad = "Mangohill-Load"
+)
+
+const headerPrefix = "Mangohill-"
+
+// hopByHop are the fields that concern one connection only (RFC 9110, 7.6.1),
+// and Expect, which this host answers itself.
+var hopByHop = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+}
+
+// endToEnd copies the fields of source that are meant for the far end, without
+// those of this system.
+func endToEnd(source http.Header) http.Header {
+	out := make(http.Header, len(source)+2)
+	for name, values := range source {
+		if strings.HasPrefix(name, headerPrefix) {
+			continue
+		}
+		out[name] = values
+	}
+	for _, line := range source["Connection"] {
+		for token := range strings.SplitSeq(line, ",") {
+			delete(out, textproto.CanonicalMIMEHeaderKey(textproto.TrimString(token)))
+		}
+	}
+	for _, name := range hopByHop {
+		delete(out, name)
+	}
+	return out
+}
--- /dev/null
+++ b/proxy/proxy.go
@@ -0,0 +1,322 @@
+package proxy
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"mangohill.example/mangohill/controlapi"
+	"mangohill.example/mangohill/kind"
+	"mangohill.example/mangohill/membership"
+	"mangohill.example/mangohill/route"
+	"mangohill.example/mangohill/types"
+)
+
+// Claimer claims idempotency keys in the replicated state.
+type Claimer interface {
+	Claim(ctx context.Context, args controlapi.ClaimArgs) (controlapi.ClaimReply, error)
+	Resolve(ctx context.Context, args controlapi.ResolveArgs) error
+}
+
+// Metrics are the counters of a Proxy. Nil fields are not counted.
+type Metrics struct {
+	Requests *expvar.Int
+	Sends    *expvar.Int
+	Retries  *expvar.Int
+	Hops     *expvar.Int
+	Done     *expvar.Int
+	NotRun   *expvar.Int
+	Unknown  *expvar.Int
+	Canceled *expvar.Int
+	Silent   *expvar.Int
+	Claims   *expvar.Int
+}
+
+// Options configures a Proxy.
+type Options struct {
+	// Name is the name of this entry host.
+	Name string
+	// Token is the secret by which peers prove that a request was handed over by
+	// an entry host. They learn it from the heartbeats.
+	Token uint64
+	// Config returns the configuration in force, nil before there is one.
+	Config func() *types.Config
+	// Claimer claims idempotency keys. Without one, requests with a key are
+	// refused.
+	Claimer Claimer
+	// Settle is the time for which a change of the members is waited out before
+	// slots of another entry host are taken over.
+	Settle time.Duration
+	// MaxAnswer is the size in bytes up to which an answer is read whole before
+	// it is passed on; MaxBody bounds the body of a request.
+	MaxAnswer int64
+	MaxBody   int64
+	// MaxKept is the size in bytes up to which the answer to a claimed request is
+	// kept for its resends.
+	MaxKept int
+	// Dial opens connections; nil dials TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Now is the clock; nil takes time.Now.
+	Now func() time.Time
+	// Observe is told the service, the total time and the outcome of each
+	// request. It must not block.
+	Observe func(service string, took time.Duration, outcome kind.Outcome, status int)
+	Seed    uint64
+	Logger  zerolog.Logger
+	Metrics Metrics
+}
+
+// Default values of Options.
+const (
+	DefaultSettle    = 2 * time.Second
+	DefaultMaxAnswer = 1 << 20
+	DefaultMaxBody   = 8 << 20
+	DefaultMaxKept   = 16 << 10
+)
+
+// Proxy is the http.Handler for callers. It is safe for concurrent use.
+type Proxy struct {
+	options  Options
+	mu       sync.Mutex
+	services map[string]*service
+	peers    map[string]membership.Peer
+	allot    *route.Allotment
+	settled  bool
+	nextID   atomic.Uint64
+	active   sync.WaitGroup
+	stopMu   sync.RWMutex
+	stopping bool
+}
+
+// New returns a Proxy that knows no target and no peer.
+func New(options Options) *Proxy {
+	if options.Settle == 0 {
+		options.Settle = DefaultSettle
+	}
+	if options.MaxAnswer == 0 {
+		options.MaxAnswer = DefaultMaxAnswer
+	}
+	if options.MaxBody == 0 {
+		options.MaxBody = DefaultMaxBody
+	}
+	if options.MaxKept == 0 {
+		options.MaxKept = DefaultMaxKept
+	}
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	return &Proxy{
+		options:  options,
+		services: make(map[string]*service),
+		peers:    make(map[string]membership.Peer),
+		allot:    route.NewAllotment(options.Name, options.Settle),
+	}
+}
+
+// SetTarget takes in the present record of a target. A target in another state
+// than ready gets nothing new from then on.
+func (p *Proxy) SetTarget(t types.Target) {
+	if t.Service == "" {
+		return // Withdrawn before it was ever announced here.
+	}
+	p.mu.Lock()
+	s, ok := p.services[t.Service]
+	if !ok {
+		s = newService(p, t.Service)
+		p.services[t.Service] = s
+	}
+	for name, other := range p.services {
+		if name != t.Service {
+			other.removeTarget(t.Name)
+		}
+	}
+	p.mu.Unlock()
+	s.setTarget(t)
+}
+
+// SetMembers tells which entry hosts are live, with their addresses. The slots
+// of every target are divided among them and this host.
+func (p *Proxy) SetMembers(peers []membership.Peer) {
+	now := p.options.Now()
+	members := []string{p.options.Name}
+	live := make(map[string]membership.Peer, len(peers))
+	for _, peer := range peers {
+		members = append(members, peer.Name)
+		live[peer.Name] = peer
+	}
+	p.mu.Lock()
+	p.peers = live
+	p.allot.SetMembers(now, members)
+	p.settled = false
+	services := p.allServices()
+	p.mu.Unlock()
+	for _, s := range services {
+		s.keepPeers(live)
+		s.refreshShares()
+	}
+}
+
+// ObservePeer takes in the loads that a peer's heartbeat carried.
+func (p *Proxy) ObservePeer(peer membership.Peer) {
+	p.mu.Lock()
+	_, live := p.peers[peer.Name]
+	if live {
+		p.peers[peer.Name] = peer
+	}
+	p.mu.Unlock()
+	if !live {
+		return
+	}
+	for _, load := range peer.Loads {
+		if s := p.service(load.Service); s != nil {
+			s.setPeer(peer.Name, route.Load{Slots: load.Slots, Free: load.Free, Queued: load.Queued})
+		}
+	}
+}
+
+// Loads returns the load of every service for the heartbeats.
+func (p *Proxy) Loads() []membership.ServiceLoad {
+	p.mu.Lock()
+	services := p.allServices()
+	p.mu.Unlock()
+	var out []membership.ServiceLoad
+	for _, s := range services {
+		load := s.load()
+		out = append(out, membership.ServiceLoad{Service: s.name, Slots: load.Slots, Free: load.Free, Queued: load.Queued})
+	}
+	return out
+}
+
+// Settled reports whether this entry host may use its full part of the slots.
+func (p *Proxy) Settled() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.allot.Settled(p.options.Now())
+}
+
+// tickInterval is the time between checks of queues and shares.
+const tickInterval = 50 * time.Millisecond
+
+// Run expires queued requests, grows shares after a change of the members and
+// closes aged connections, until ctx ends.
+func (p *Proxy) Run(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			p.tick()
+		}
+	}
+}
+
+func (p *Proxy) tick() {
+	p.mu.Lock()
+	settled := p.allot.Settled(p.options.Now())
+	grow := settled && !p.settled
+	p.settled = settled
+	services := p.allServices()
+	p.mu.Unlock()
+	for _, s := range services {
+		if grow {
+			s.refreshShares()
+		}
+		s.tick()
+	}
+}
+
+// Stop refuses new requests and waits until those under way are answered, at
+// most until ctx ends.
+func (p *Proxy) Stop(ctx context.Context) error {
+	p.stopMu.Lock()
+	p.stopping = true
+	p.stopMu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		p.active.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+		return kind.Errorf(kind.DeadlineExceeded, "requests were still under way: %w", ctx.Err())
+	}
+	p.mu.Lock()
+	services := p.allServices()
+	p.mu.Unlock()
+	for _, s := range services {
+		s.close()
+	}
+	return nil
+}
+
+// enter counts a request as under way, unless the process is stopping.
+func (p *Proxy) enter() error {
+	p.stopMu.RLock()
+	defer p.stopMu.RUnlock()
+	if p.stopping {
+		return kind.Errorf(kind.Stopping, "entry host %q is stopping", p.options.Name)
+	}
+	p.active.Add(1)
+	return nil
+}
+
+func (p *Proxy) service(name string) *service {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.services[name]
+}
+
+// known returns the service, which exists if it is configured or a target
+// announced it.
+func (p *Proxy) known(name string) (*service, error) {
+	if s := p.service(name); s != nil {
+		return s, nil
+	}
+	if _, ok := p.serviceConfig(name); !ok {
+		return nil, kind.Errorf(kind.UnknownService, "service %q is neither configured nor announced", name)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s, ok := p.services[name]
+	if !ok {
+		s = newService(p, name)
+		p.services[name] = s
+	}
+	return s, nil
+}
+
+// allServices returns the services. The caller holds the lock.
+func (p *Proxy) allServices() []*service {
+	out := make([]*service, 0, len(p.services))
+	for _, s := range p.services {
+		out = append(out, s)
+	}
+	return out
+}
+
+func (p *Proxy) share(target string, amount int) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.allot.Share(p.options.Now(), target, amount)
+}
+
+func (p *Proxy) peer(name string) (membership.Peer, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	peer, ok := p.peers[name]
+	return peer, ok
+}
+
+func count(counter *expvar.Int) {
+	if counter != nil {
+		counter.Add(1)
+	}
+}
--- /dev/null
+++ b/registry/table.go
@@ -0,0 +1,192 @@
+package registry
+
+import (
+	"sort"
+	"time"
+
+	"mangohill.example/mangohill/chart"
+	"mangohill.example/mangohill/kind"
+	"mangohill.example/mangohill/types"
+)
+
+// Events of the chart "target".
+const (
+	eventReady    = "ready"
+	eventLeaving  = "leaving"
+	eventWithdraw = "withdraw"
+	eventTimeout  = "timeout"
+)
+
+// stateUnknown is the state before the first announcement of an incarnation.
+const stateUnknown = types.TargetState("unknown")
+
+// Table is the pure table of targets. It is not safe for concurrent use.
+type Table struct {
+	chart       *chart.Chart
+	silentAfter time.Duration
+	forgetAfter time.Duration
+	records     map[string]*record
+}
+
+type record struct {
+	types.Target
+	heard time.Time
+}
+
+// NewTable returns an empty table. A target that was not heard of for
+// silentAfter counts as silent, one that withdrew is forgotten after
+// forgetAfter.
+func NewTable(silentAfter, forgetAfter time.Duration) *Table {
+	return &Table{
+		chart:       chart.MustLoad("target"),
+		silentAfter: silentAfter,
+		forgetAfter: forgetAfter,
+		records:     make(map[string]*record),
+	}
+}
+
+// Announce takes in the announcement t, heard at the instant heard. It reports
+// whether anything but the load changed. The error is of kind stale_incarnation
+// or invalid_transition.
+func (b *Table) Announce(heard time.Time, t types.Target) (bool, error) {
+	event := eventReady
+	if t.State == types.TargetLeaving {
+		event = eventLeaving
+	}
+	return b.apply(heard, t, event)
+}
+
+// Withdraw records that an incarnation of a target withdrew.
+func (b *Table) Withdraw(heard time.Time, name string, incarnation uint64) (bool, error) {
+	t := types.Target{Name: name, Incarnation: incarnation}
+	if known, ok := b.records[name]; ok && known.Incarnation == incarnation {
+		t = known.Target
+	}
+	return b.apply(heard, t, eventWithdraw)
+}
+
+func (b *Table) apply(heard time.Time, t types.Target, event string) (bool, error) {
+	before := types.Target{State: stateUnknown}
+	known, ok := b.records[t.Name]
+	if ok && t.Incarnation < known.Incarnation {
+		return false, kind.Errorf(kind.StaleIncarnation, "target %q: incarnation %d is below %d", t.Name, t.Incarnation, known.Incarnation)
+	}
+	if ok && t.Incarnation == known.Incarnation {
+		before = known.Target
+	}
+	next, err := b.chart.Next(string(before.State), event)
+	if err != nil {
+		return false, kind.Errorf(kind.InvalidTransition, "target %q incarnation %d: %s cannot follow %s", t.Name, t.Incarnation, event, before.State)
+	}
+	t.State = types.TargetState(next)
+	if ok && heard.Before(known.heard) {
+		heard = known.heard
+	}
+	b.records[t.Name] = &record{Target: t, heard: heard}
+	before.InFlight = t.InFlight
+	return t != before, nil
+}
+
+// Refresh records that a target repeated its announcement without a change. It
+// reports false if the table holds something else of that target.
+func (b *Table) Refresh(heard time.Time, r Refresh) bool {
+	known, ok := b.records[r.Target]
+	if !ok || known.Incarnation < r.Incarnation {
+		return false
+	}
+	if known.Incarnation > r.Incarnation {
+		return true
+	}
+	if known.State != r.State {
+		// A state that is further on stays; the sender learns of it by its table.
+		return known.State == types.TargetLeaving || known.State == types.TargetWithdrawn
+	}
+	if heard.After(known.heard) {
+		known.heard = heard
+	}
+	known.InFlight = r.InFlight
+	return true
+}
+
+// Tick returns the targets that fell silent and forgets those that withdrew
+// long ago.
+func (b *Table) Tick(now time.Time) []types.Target {
+	var changed []types.Target
+	for _, name := range b.names() {
+		r := b.records[name]
+		quiet := now.Sub(r.heard)
+		if r.State == types.TargetWithdrawn && quiet >= b.forgetAfter {
+			delete(b.records, name)
+			continue
+		}
+		if quiet < b.silentAfter || r.State == types.TargetSilent || r.State == types.TargetWithdrawn {
+			continue
+		}
+		next, err := b.chart.Next(string(r.State), eventTimeout)
+		if err != nil {
+			continue // The chart names no timeout for this state.
+		}
+		r.State = types.TargetState(next)
+		changed = append(changed, r.Target)
+	}
+	return changed
+}
+
+// Get returns the named target.
+func (b *Table) Get(name string) (types.Target, bool) {
+	r, ok := b.records[name]
+	if !ok {
+		return types.Target{}, false
+	}
+	return r.Target, true
+}
+
+// Targets returns all targets, sorted by name.
+func (b *Table) Targets() []types.Target {
+	out := make([]types.Target, 0, len(b.records))
+	for _, name := range b.names() {
+		out = append(out, b.records[name].Target)
+	}
+	return out
+}
+
+// Export returns all records with the time since each was heard of.
+func (b *Table) Export(now time.Time) []Record {
+	out := make([]Record, 0, len(b.records))
+	for _, name := range b.names() {
+		r := b.records[name]
+		out = append(out, Record{Target: r.Target, AgeMs: now.Sub(r.heard).Milliseconds()})
+	}
+	return out
+}
+
+// Import takes in a record of a peer's table and reports whether it changed
+// anything.
+func (b *Table) Import(now time.Time, r Record) bool {
+	heard := now.Add(-time.Duration(r.AgeMs) * time.Millisecond)
+	if known, ok := b.records[r.Target.Name]; ok && known.Incarnation == r.Target.Incarnation && known.State == r.Target.State {
+		if heard.After(known.heard) {
+			known.heard = heard
+		}
+		return false
+	}
+	event := string(r.Target.State)
+	switch r.Target.State {
+	case types.TargetWithdrawn:
+		event = eventWithdraw
+	case types.TargetSilent:
+		event = eventReady // Tick finds by its age that it is silent.
+	case types.TargetReady, types.TargetLeaving:
+	}
+	changed, err := b.apply(heard, r.Target, event)
+	return changed && err == nil
+}
+
+func (b *Table) names() []string {
+	names := make([]string, 0, len(b.records))
+	for name := range b.records {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
--- a/route/admit.go
+++ b/route/admit.go
@@ -8,16 +8,22 @@
 )
 
 // admit decides whether a request may wait. It refuses at once what could not
-// be answered before its deadline.
-func (p *Pool) admit(now time.Time, r Request) Reason {
-	if p.queue.len() >= p.options.QueueLimit {
-		return QueueFull
-	}
+// be answered before its deadline. In a full queue, a request of a caller that
+// has less waiting than another one takes the place of the other's newest.
+func (p *Pool) admit(now time.Time, r Request) ([]Decision, Reason) {
 	wait := p.expectedWait() + p.service.mean
 	if r.Deadline.Sub(now).Seconds() < wait {
-		return TooLate
+		return nil, TooLate
+	}
+	if p.queue.len() < p.options.QueueLimit {
+		return nil, NoReason
+	}
+	caller, waiting := p.queue.longest()
+	if p.queue.waiting(r.Caller)+1 >= waiting {
+		return nil, QueueFull
 	}
-	return NoReason
+	evicted := p.queue.evictNewest(caller)
+	return []Decision{p.refuse(evicted, QueueFull)}, NoReason
 }
 
 // expectedWait returns the time in seconds that a request joining the queue is
--- /dev/null
+++ b/route/allotment.go
@@ -0,0 +1,96 @@
+package route
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Allotment divides the slots of each target among the entry hosts. Every entry
+// host computes it by itself from the members that it takes for live.
+//
+// While views differ, two hosts could count on the same slot. A host therefore
+// uses a slot only if every view that it held during the last settle period
+// grants it: it gives slots up at once and takes others over late.
+type Allotment struct {
+	self   string
+	settle time.Duration
+	views  []view
+}
+
+type view struct {
+	members []string
+	// until is the instant at which the view was replaced, zero for the last one.
+	until time.Time
+}
+
+// NewAllotment returns an Allotment of the entry host self. It grants nothing
+// until the first view is settled.
+func NewAllotment(self string, settle time.Duration) *Allotment {
+	return &Allotment{self: self, settle: settle}
+}
+
+// SetMembers records the members that this entry host now takes for live, with
+// itself if it takes part.
+func (a *Allotment) SetMembers(now time.Time, members []string) {
+	sorted := slices.Clone(members)
+	sort.Strings(sorted)
+	if len(a.views) == 0 {
+		a.views = append(a.views, view{until: now})
+	}
+	last := &a.views[len(a.views)-1]
+	if last.until.IsZero() {
+		if slices.Equal(last.members, sorted) {
+			return
+		}
+		last.until = now
+	}
+	a.views = append(a.views, view{members: sorted})
+	a.forget(now)
+}
+
+func (a *Allotment) forget(now time.Time) {
+	a.views = slices.DeleteFunc(a.views, func(v view) bool {
+		return !v.until.IsZero() && now.Sub(v.until) >= a.settle
+	})
+}
+
+// Settled reports whether only one view counts.
+func (a *Allotment) Settled(now time.Time) bool {
+	a.forget(now)
+	return len(a.views) == 1 && a.views[0].until.IsZero()
+}
+
+// Share returns the number of the target's slots that this entry host may use
+// now.
+func (a *Allotment) Share(now time.Time, target string, slots int) int {
+	a.forget(now)
+	if len(a.views) == 0 {
+		return 0
+	}
+	share := slots
+	for _, v := range a.views {
+		share = min(share, Share(a.self, v.members, target, slots))
+	}
+	return share
+}
+
+// Share returns the part of a target's slots that falls to self among members,
+// which must be sorted: an equal part, and one of the remaining slots for the
+// members that come first in an order drawn from the target's name.
+func Share(self string, members []string, target string, slots int) int {
+	position, ok := slices.BinarySearch(members, self)
+	if !ok {
+		return 0
+	}
+	count := len(members)
+	first := int(xxhash.Sum64String(target) % uint64(count))
+	rank := (position - first + count) % count
+	share := slots / count
+	if rank < slots%count {
+		share++
+	}
+	return share
+}
--- a/route/peers.go
+++ b/route/peers.go
@@ -50,9 +50,9 @@
 	return p.dispatch(now, nil)
 }
 
-// RemovePeer forgets a peer entry host.
-func (p *Pool) RemovePeer(name string) {
-	p.peers = slices.DeleteFunc(p.peers, func(x *peer) bool { return x.Name == name })
+// KeepPeers forgets the peer entry hosts for which keep is false.
+func (p *Pool) KeepPeers(keep func(name string) bool) {
+	p.peers = slices.DeleteFunc(p.peers, func(x *peer) bool { return !keep(x.Name) })
 }
 
 // pickPeer returns the peer with the most free slots, nil if none is known to
--- a/route/pick.go
+++ b/route/pick.go
@@ -24,12 +24,16 @@
 // pick returns the target with a free slot that is expected to answer first, or
 // nil if waiting for a faster one is expected to end sooner.
 func (p *Pool) pick(now time.Time, r Request, queued int) *target {
+	avoid := r.Avoid
+	if len(avoid) > 0 && !p.readyBeside(avoid) {
+		avoid = nil
+	}
 	ignoreEjection := p.belowFloor(now)
 	reference := p.reference()
 	var best, slow *target
 	ties := 0
 	for _, t := range p.targets {
-		if !t.usable(now, ignoreEjection) || slices.Contains(r.Avoid, t.Name) {
+		if !t.usable(now, ignoreEjection) || slices.Contains(avoid, t.Name) {
 			continue
 		}
 		expected := t.expected(now)
@@ -58,6 +62,13 @@
 	return slow
 }
 
+// readyBeside reports whether a target that is not in avoid is ready.
+func (p *Pool) readyBeside(avoid []string) bool {
+	return slices.ContainsFunc(p.targets, func(t *target) bool {
+		return t.Ready && t.Share > 0 && !slices.Contains(avoid, t.Name)
+	})
+}
+
 // compareLoad compares the shares in use of a and b; a nil b is the fullest.
 func compareLoad(a, b *target) int {
 	if b == nil {
--- a/route/pool.go
+++ b/route/pool.go
@@ -61,6 +61,8 @@
 	Reason Reason
 	// RetryAfter is the time after which a refused request is worth a resend.
 	RetryAfter time.Duration
+	// At is the instant of a Send, by which Done finds it again.
+	At time.Time
 }
 
 // Target is what the pool needs to know about a target.
@@ -84,14 +86,13 @@
 // Pool is the routing state of one service on one entry host. It is not safe
 // for concurrent use.
 type Pool struct {
-	options  Options
-	random   *rand.Rand
-	targets  []*target
-	byName   map[string]*target
-	peers    []*peer
-	queue    *fairQueue
-	service  estimate
-	inFlight int
+	options Options
+	random  *rand.Rand
+	targets []*target
+	byName  map[string]*target
+	peers   []*peer
+	queue   *fairQueue
+	service estimate
 }
 
 type target struct {
@@ -147,12 +148,12 @@
 	return p.dispatch(now, nil)
 }
 
-// RemoveTarget forgets a target. Requests in flight to it may still be ended by
-// Done.
-func (p *Pool) RemoveTarget(name string) {
+// RemoveTarget forgets a target and returns the decisions that follow. Requests
+// in flight to it may still be ended by Done, to no effect.
+func (p *Pool) RemoveTarget(now time.Time, name string) []Decision {
 	known, ok := p.byName[name]
 	if !ok {
-		return
+		return nil
 	}
 	delete(p.byName, name)
 	for i, t := range p.targets {
@@ -161,40 +162,41 @@
 			break
 		}
 	}
-	p.inFlight -= known.inFlight
+	return p.dispatch(now, nil)
 }
 
 // Offer decides on a new request, or on one that is to be sent again. A
-// decision with the action Wait means that the request is queued.
-func (p *Pool) Offer(now time.Time, r Request) Decision {
+// decision with the action Wait means that the request is queued. The further
+// decisions are refusals of queued requests that had to make room.
+func (p *Pool) Offer(now time.Time, r Request) (Decision, []Decision) {
 	if !r.Deadline.After(now) {
-		return p.refuse(r, TooLate)
+		return p.refuse(r, TooLate), nil
 	}
 	if p.queue.len() == 0 {
 		if d, ok := p.place(now, r, 0); ok {
-			return d
+			return d, nil
 		}
 	}
 	if !p.hasTarget(r.Hopped) {
-		return p.refuse(r, NoTarget)
+		return p.refuse(r, NoTarget), nil
 	}
-	if reason := p.admit(now, r); reason != NoReason {
-		return p.refuse(r, reason)
+	evicted, reason := p.admit(now, r)
+	if reason != NoReason {
+		return p.refuse(r, reason), nil
 	}
+	r.Avoid = nil // A queued request takes the first slot that frees.
 	p.queue.push(r)
-	return Decision{Request: r.ID, Action: Wait}
+	return Decision{Request: r.ID, Action: Wait}, evicted
 }
 
 // Done ends a send to the named target. It returns the decisions for queued
 // requests that got the freed slot.
 func (p *Pool) Done(now time.Time, name string, sent time.Time, v Verdict) []Decision {
 	t, ok := p.byName[name]
-	if !ok {
+	if !ok || !t.forget(sent) {
 		return nil
 	}
 	t.inFlight--
-	p.inFlight--
-	t.forget(sent)
 	p.learn(now, t, now.Sub(sent), v)
 	return p.dispatch(now, nil)
 }
@@ -213,6 +215,15 @@
 	return p.dispatch(now, out)
 }
 
+// Refusal returns the refusal of a request that its caller of this package
+// gives up.
+func (p *Pool) Refusal(r Request, reason Reason) Decision { return p.refuse(r, reason) }
+
+// ServiceTime returns the present estimate of the service time.
+func (p *Pool) ServiceTime() time.Duration {
+	return time.Duration(p.service.mean * float64(time.Second))
+}
+
 // Queued returns the number of waiting requests.
 func (p *Pool) Queued() int { return p.queue.len() }
 
@@ -226,6 +237,9 @@
 }
 
 func (p *Pool) dispatch(now time.Time, out []Decision) []Decision {
+	if p.queue.len() > 0 && !p.hasTarget(false) {
+		return p.flush(out)
+	}
 	for p.queue.len() > 0 {
 		r, ok := p.queue.peek()
 		if !ok {
@@ -241,13 +255,22 @@
 	return out
 }
 
+// flush refuses all queued requests.
+func (p *Pool) flush(out []Decision) []Decision {
+	for p.queue.len() > 0 {
+		r, _ := p.queue.peek()
+		p.queue.pop()
+		out = append(out, p.refuse(r, NoTarget))
+	}
+	return out
+}
+
 func (p *Pool) place(now time.Time, r Request, queued int) (Decision, bool) {
 	if t := p.pick(now, r, queued); t != nil {
 		t.inFlight++
-		p.inFlight++
 		t.lastSend = now
 		t.oldest = append(t.oldest, now)
-		return Decision{Request: r.ID, Action: Send, Name: t.Name}, true
+		return Decision{Request: r.ID, Action: Send, Name: t.Name, At: now}, true
 	}
 	if r.Hopped {
 		return Decision{}, false
@@ -258,11 +281,13 @@
 	return Decision{}, false
 }
 
-func (t *target) forget(sent time.Time) {
+// forget removes a send from those in flight and reports whether it was one.
+func (t *target) forget(sent time.Time) bool {
 	for i, at := range t.oldest {
 		if at.Equal(sent) {
 			t.oldest = append(t.oldest[:i], t.oldest[i+1:]...)
-			return
+			return true
 		}
 	}
+	return false
 }
