Compose the daemons and start them as separate processes

node joins the packages to sockets and files; e2e starts 3 control and 2 entry processes and injects kills, SIGSTOP, a lost data folder and racing operators.

First run of TestDiskLossThenSecondHostLoss failed: it killed the second host before the repaired one voted, since the lost member still counted as one of three voters. Ruled out: a lost repair (the log showed none had begun). Members now show their identity and the test waits for the new one. why on a finished task gave no row; it now gives its state and attempts.

--- /dev/null
+++ b/configcache/cache.go
@@ -0,0 +1,93 @@
+// Package configcache holds the cluster's configuration that is in force on an
+// entry host, and tells for how long it has not been known to be current.
+package configcache
+
+import (
+	"sync"
+	"time"
+
+	"mangohill.example/mangohill/clusterconfig"
+	"mangohill.example/mangohill/types"
+)
+
+// Cache holds one version of the configuration. A lower version never replaces
+// a higher one. It is safe for concurrent use.
+type Cache struct {
+	mu        sync.Mutex
+	version   uint64
+	text      string
+	config    *types.Config
+	confirmed time.Time
+}
+
+// New returns a Cache without a configuration.
+func New() *Cache { return &Cache{} }
+
+// Offer puts a version in force if it is higher than the present one, and
+// reports whether it did. A text that does not parse is refused: it cannot have
+// been accepted by this version of the program.
+func (c *Cache) Offer(version uint64, text string) (bool, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if version <= c.version {
+		return false, nil
+	}
+	config, err := clusterconfig.Parse(text)
+	if err != nil {
+		return false, err
+	}
+	c.version, c.text, c.config = version, text, config
+	return true, nil
+}
+
+// Version returns the version in force, zero for none.
+func (c *Cache) Version() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.version
+}
+
+// Text returns the version in force and its text.
+func (c *Cache) Text() (uint64, string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.version, c.text
+}
+
+// Config returns the configuration in force, nil for none. It is not to be
+// changed.
+func (c *Cache) Config() *types.Config {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.config
+}
+
+// Confirm records that version was the newest accepted one at the instant at.
+func (c *Cache) Confirm(at time.Time, version uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if version <= c.version && at.After(c.confirmed) {
+		c.confirmed = at
+	}
+}
+
+// Confirmed returns the newest instant at which the version in force was known
+// to be current.
+func (c *Cache) Confirmed() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.confirmed
+}
+
+// Serving reports whether the entry host may serve at the instant now: it holds
+// a configuration, and the time without a confirmation is within the policy's
+// bound, if it has one.
+func (c *Cache) Serving(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.config == nil {
+		return false
+	}
+	bound := c.config.Entry.StopWhenStale
+	return bound == 0 || now.Sub(c.confirmed) <= bound
+}
--- /dev/null
+++ b/configcache/cache_test.go
@@ -0,0 +1,42 @@
+package configcache
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func TestLowerVersionNeverReplacesAHigherOne(t *testing.T) {
+	c := New()
+	changed, err := c.Offer(3, "weights: {tail_latency: 3, evictions: 1, throughput: 1}\n")
+	require.NoError(t, err)
+	assert.True(t, changed)
+	changed, err = c.Offer(2, "weights: {tail_latency: 2, evictions: 1, throughput: 1}\n")
+	require.NoError(t, err)
+	assert.False(t, changed)
+	assert.EqualValues(t, 3, c.Config().Weights.TailLatency)
+	_, err = c.Offer(4, "weights: {no_such_weight: 1}\n")
+	require.Error(t, err)
+	assert.EqualValues(t, 3, c.Version())
+}
+
+func TestServingEndsWithoutConfirmation(t *testing.T) {
+	start := time.Unix(1000, 0)
+	texts := map[string]bool{
+		"entry: {stop_when_stale: 5s}\n": false,
+		"entry: {stop_when_stale: 0s}\n": true,
+	}
+	for text, servesOn := range texts {
+		c := New()
+		assert.False(t, c.Serving(start), "no configuration yet")
+		_, err := c.Offer(1, text)
+		require.NoError(t, err)
+		c.Confirm(start, 1)
+		assert.True(t, c.Serving(start.Add(5*time.Second)))
+		assert.Equal(t, servesOn, c.Serving(start.Add(6*time.Second)), text)
+		c.Confirm(start.Add(6*time.Second), 2)
+		assert.Equal(t, servesOn, c.Serving(start.Add(6*time.Second)), "a newer version exists: this one is not current")
+	}
+}
--- a/control/query.go
+++ b/control/query.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -124,7 +125,7 @@
 func memberRows(members []controlapi.Member) []controlapi.Row {
 	rows := make([]controlapi.Row, 0, len(members))
 	for _, m := range members {
-		rows = append(rows, controlapi.Row{field("name", m.Name), field("address", m.Address), field("role", m.Role)})
+		rows = append(rows, controlapi.Row{field("name", m.Name), field("address", m.Address), field("role", m.Role), field("member", m.ID)})
 	}
 	return rows
 }
@@ -218,7 +219,7 @@
 		rows = append(rows, line(t.Reason))
 	}
 	if t.State.Terminal() || t.State == types.TaskParked {
-		return rows
+		return append(rows, line(fmt.Sprintf("%s after %d attempts", t.State, t.Epoch)))
 	}
 	for _, text := range l.planner.Why(t.ID).Lines() {
 		rows = append(rows, line(text))
--- a/controlapi/commands.go
+++ b/controlapi/commands.go
@@ -47,6 +47,9 @@
 
 // Member is one member of the control group.
 type Member struct {
+	// ID is the identity under which the member votes. A process that lost its
+	// disk comes back under another one.
+	ID      string
 	Name    string
 	Address string
 	Role    string // leader, voter or learner
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -225,6 +225,21 @@
 	})
 }
 
+// memberID returns the identity of the voter at control host i, empty if there
+// is none.
+func (c *cluster) memberID(i int) string {
+	reply, err := c.try(0, uuid.NewString(), "show members", "")
+	if err != nil {
+		return ""
+	}
+	for _, row := range reply.Rows {
+		if row.Get("address") == c.host("control", i)+":7400" && row.Get("role") != "learner" {
+			return fmt.Sprint(row.Get("member"))
+		}
+	}
+	return ""
+}
+
 // leader returns the index of the leading control process.
 func (c *cluster) leader() int {
 	index := -1
--- a/e2e/tasks_test.go
+++ b/e2e/tasks_test.go
@@ -83,7 +83,12 @@
 	first.kill()
 	removeAll(t, c.data((leader+1)%3))
 	c.command(0, `declare batch during { processors 1 memory 1GiB }`)
+	lost := c.memberID((leader + 1) % 3)
 	first.start()
+	c.eventually("the repaired host votes under a new identity", func() bool {
+		id := c.memberID((leader + 1) % 3)
+		return id != "" && id != lost
+	})
 	c.awaitVoters(3)
 	second.kill()
 	c.command(0, `declare batch afterwards { processors 1 memory 1GiB }`)
--- /dev/null
+++ b/node/entry.go
@@ -0,0 +1,283 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"mangohill.example/mangohill/configcache"
+	"mangohill.example/mangohill/controlapi"
+	"mangohill.example/mangohill/kind"
+	"mangohill.example/mangohill/membership"
+	"mangohill.example/mangohill/operator"
+	"mangohill.example/mangohill/proxy"
+	"mangohill.example/mangohill/registry"
+	"mangohill.example/mangohill/rpcclient"
+	"mangohill.example/mangohill/rpcserver"
+	"mangohill.example/mangohill/settings"
+	"mangohill.example/mangohill/workersync"
+)
+
+// EntryOptions configures an entry process.
+type EntryOptions struct {
+	Settings *settings.Settings
+	Logger   zerolog.Logger
+	// Caller replaces the net/rpc client, for tests that cut connections.
+	Caller controlapi.Caller
+}
+
+// Entry is a running entry process.
+type Entry struct {
+	settings *settings.Settings
+	log      zerolog.Logger
+	client   *rpcclient.Client
+	caller   controlapi.Caller
+	leader   *controlapi.LeaderClient
+	config   *configcache.Cache
+	peers    *rpcserver.Server
+	members  *membership.Driver
+	targets  *registry.Registry
+	workers  *workersync.Service
+	proxy    *proxy.Proxy
+	vars     *entryVars
+	token    uint64 // proves to peers that a request was handed over by this host
+
+	listeners []*listener
+	changed   chan struct{} // signals a change of the members
+	stopping  atomic.Bool
+	cancel    context.CancelFunc
+	duties    sync.WaitGroup
+}
+
+// StartEntry starts an entry process.
+func StartEntry(o EntryOptions) (*Entry, error) {
+	peers, err := rpcserver.Listen(o.Settings.Listen.Peers)
+	if err != nil {
+		return nil, err
+	}
+	e := newEntry(o, peers)
+	if err := e.start(); err != nil {
+		return nil, errors.Join(err, e.close(context.Background()))
+	}
+	return e, nil
+}
+
+func newEntry(o EntryOptions, peers *rpcserver.Server) *Entry {
+	e := &Entry{
+		settings: o.Settings,
+		log:      o.Logger,
+		client:   rpcclient.New(rpcclient.Options{}),
+		caller:   o.Caller,
+		config:   configcache.New(),
+		peers:    peers,
+		vars:     newEntryVars(),
+		token:    rand.Uint64(),
+		changed:  make(chan struct{}, 1),
+	}
+	if e.caller == nil {
+		e.caller = e.client
+	}
+	e.leader = controlapi.NewLeaderClient(e.caller, o.Settings.Control)
+	e.proxy = e.newProxy()
+	e.targets = registry.New(registry.Options{
+		Name:    o.Settings.Name,
+		Peers:   e.registryPeers,
+		Call:    e.caller.Call,
+		Changed: e.proxy.SetTarget,
+		Logger:  o.Logger,
+		Metrics: e.vars.registry,
+	})
+	e.workers = workersync.New(workersync.Options{
+		Entry:         o.Settings.Name,
+		Caller:        leaderCaller{client: e.leader},
+		Logger:        o.Logger,
+		ConfigVersion: e.config.Version,
+		OnConfig:      e.takeConfig,
+		OnCurrent:     func(version uint64) { e.config.Confirm(time.Now(), version) },
+	})
+	e.vars.entry(e)
+	return e
+}
+
+func (e *Entry) newProxy() *proxy.Proxy {
+	return proxy.New(proxy.Options{
+		Name:    e.settings.Name,
+		Token:   e.token,
+		Config:  e.config.Config,
+		Claimer: claimer{client: e.leader},
+		Observe: e.observe,
+		Seed:    rand.Uint64(),
+		Logger:  e.log,
+		Metrics: e.vars.proxy,
+	})
+}
+
+func (e *Entry) start() error {
+	if err := e.peers.RPC().RegisterName("Peer", e.targets.PeerService()); err != nil {
+		return err
+	}
+	if err := e.peers.RPC().RegisterName("Entry", &entryService{entry: e}); err != nil {
+		return err
+	}
+	if err := e.startMembership(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	e.cancel = cancel
+	e.duties.Go(e.peers.Serve)
+	e.duties.Go(func() { e.proxy.Run(ctx) })
+	e.duties.Go(func() { e.targets.Run(ctx) })
+	e.duties.Go(func() { e.workers.Run(ctx) })
+	e.duties.Go(func() { e.followMembers(ctx) })
+	e.duties.Go(func() { e.followConfig(ctx) })
+	e.duties.Go(func() { e.pullTargets(ctx) })
+	return e.listen()
+}
+
+func (e *Entry) startMembership() error {
+	members, err := membership.Start(membership.Options{
+		Name:    e.settings.Name,
+		Peers:   e.settings.Listen.Peers,
+		Callers: e.settings.Listen.Callers,
+		Entries: e.settings.Entries,
+		Token:   e.token,
+		Local: func() membership.Local {
+			return membership.Local{ConfigVersion: e.config.Version(), Loads: e.proxy.Loads()}
+		},
+		Changed:  e.memberChanged,
+		Observed: e.proxy.ObservePeer,
+		Logger:   e.log,
+		Metrics:  e.vars.membership,
+	})
+	if err != nil {
+		return err
+	}
+	e.members = members
+	return nil
+}
+
+func (e *Entry) listen() error {
+	platform := http.NewServeMux()
+	platform.Handle("/v1/targets/", e.targets.Handler())
+	platform.Handle("/v1/workers/", e.workers.Handler())
+	handlers := []struct {
+		name, address string
+		handler       http.Handler
+	}{
+		{"operators", e.settings.Listen.Operators, e.operatorsMux()},
+		{"platform", e.settings.Listen.Platform, platform},
+		{"callers", e.settings.Listen.Callers, e.proxy},
+	}
+	for _, h := range handlers {
+		l, err := listen(h.name, h.address, h.handler)
+		if err != nil {
+			return err
+		}
+		e.listeners = append(e.listeners, l)
+	}
+	return nil
+}
+
+func (e *Entry) operatorsMux() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(operator.Path, operator.Handler(&executor{entry: e}))
+	mux.Handle("GET /debug/vars", varsHandler("entry", e.vars.all))
+	mux.Handle("GET /healthz", health(func() bool { return true }))
+	mux.Handle("GET /readyz", health(e.Ready))
+	return mux
+}
+
+// Ready reports whether the balancer may send requests here: the configuration
+// is in force and current, the targets are known, and no stop is planned.
+func (e *Entry) Ready() bool {
+	return !e.stopping.Load() && e.targets.Synced() && e.config.Serving(time.Now())
+}
+
+// memberChanged is called from the heartbeats' goroutine.
+func (e *Entry) memberChanged(change membership.Change) {
+	e.log.Info().Str("peer", change.Peer.Name).Str("state", string(change.Peer.State)).Msg("peer_state")
+	select {
+	case e.changed <- struct{}{}:
+	default: // A signal is waiting already.
+	}
+}
+
+// followMembers tells the proxy of each change of the live entry hosts.
+func (e *Entry) followMembers(ctx context.Context) {
+	for {
+		e.proxy.SetMembers(e.members.Live())
+		select {
+		case <-ctx.Done():
+			return
+		case <-e.changed:
+		}
+	}
+}
+
+func (e *Entry) registryPeers() []registry.Peer {
+	live := e.members.Live()
+	peers := make([]registry.Peer, 0, len(live))
+	for _, p := range live {
+		peers = append(peers, registry.Peer{Name: p.Name, Address: p.Peers})
+	}
+	return peers
+}
+
+func (e *Entry) observe(service string, took time.Duration, outcome kind.Outcome, status int) {
+	e.vars.observe(service, took, outcome, status)
+}
+
+func (e *Entry) takeConfig(version uint64, text string) {
+	changed, err := e.config.Offer(version, text)
+	if err != nil {
+		e.log.Error().Err(err).Uint64("version", version).Msg("config_refused")
+		return
+	}
+	if changed {
+		e.log.Info().Uint64("version", version).Msg("config_in_force")
+	}
+}
+
+// Stop ends the process as planned: readiness first, then new requests are
+// refused, those in flight finish until ctx ends, then everything closes.
+func (e *Entry) Stop(ctx context.Context) error {
+	e.stopping.Store(true)
+	e.members.Leave()
+	err := e.proxy.Stop(ctx)
+	return errors.Join(err, e.close(ctx))
+}
+
+func (e *Entry) close(ctx context.Context) error {
+	if e.cancel != nil {
+		e.cancel()
+	}
+	var errs []error
+	for _, l := range e.listeners {
+		errs = append(errs, l.shutdown(ctx))
+	}
+	if e.members != nil {
+		errs = append(errs, e.members.Stop(ctx))
+	}
+	e.client.Close()
+	e.peers.Close()
+	e.duties.Wait()
+	return errors.Join(errs...)
+}
+
+// RunEntry runs an entry process until ctx ends, and stops it as planned.
+func RunEntry(ctx context.Context, s *settings.Settings) error {
+	e, err := StartEntry(EntryOptions{Settings: s, Logger: newLogger(s)})
+	if err != nil {
+		return err
+	}
+	<-ctx.Done()
+	stopCtx, cancel := context.WithTimeout(context.Background(), s.StopTimeout)
+	defer cancel()
+	return e.Stop(stopCtx)
+}
--- /dev/null
+++ b/node/entry_config.go
@@ -0,0 +1,120 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"mangohill.example/mangohill/controlapi"
+	"mangohill.example/mangohill/kind"
+	"mangohill.example/mangohill/membership"
+)
+
+const (
+	// configInterval is the time between checks of the configuration.
+	configInterval = 500 * time.Millisecond
+	// confirmWithin is the age of the last confirmation from which the entry host
+	// looks for another one by itself.
+	confirmWithin = 2 * time.Second
+	// configTimeout bounds one question about the configuration.
+	configTimeout = time.Second
+)
+
+// followConfig keeps the configuration in force: it reads it through the leader
+// at the start, takes newer versions from peers, and looks for a proof that it
+// is current while the workers' exchanges bring none.
+func (e *Entry) followConfig(ctx context.Context) {
+	ticker := time.NewTicker(configInterval)
+	defer ticker.Stop()
+	for {
+		e.refreshConfig(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (e *Entry) refreshConfig(ctx context.Context) {
+	if peer, ok := e.newestPeer(); ok {
+		e.pullConfig(ctx, peer.Peers)
+	}
+	if time.Since(e.config.Confirmed()) < confirmWithin {
+		return
+	}
+	e.readThroughLeader(ctx)
+}
+
+// newestPeer returns the live peer with the highest version above the own one.
+func (e *Entry) newestPeer() (newest membership.Peer, found bool) {
+	version := e.config.Version()
+	for _, peer := range e.members.Live() {
+		if peer.ConfigVersion > version {
+			newest, version, found = peer, peer.ConfigVersion, true
+		}
+	}
+	return newest, found
+}
+
+func (e *Entry) pullConfig(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, configTimeout)
+	defer cancel()
+	reply := new(controlapi.ConfigReply)
+	err := e.caller.Call(ctx, address, "Entry.Config", &controlapi.ConfigArgs{}, reply)
+	if err != nil {
+		return // The next round asks again.
+	}
+	e.takeConfig(reply.Version, reply.Text)
+}
+
+func (e *Entry) readThroughLeader(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, configTimeout)
+	defer cancel()
+	asked := time.Now()
+	reply, err := controlapi.Call[controlapi.ConfigReply](ctx, e.leader, "Control.Config", &controlapi.ConfigArgs{})
+	if err != nil {
+		return // The next round asks again.
+	}
+	e.takeConfig(reply.Version, reply.Text)
+	e.config.Confirm(asked, reply.Version)
+}
+
+// pullTargets copies the targets from a peer at the start, so that requests are
+// not refused until the targets announce themselves again.
+func (e *Entry) pullTargets(ctx context.Context) {
+	ticker := time.NewTicker(configInterval)
+	defer ticker.Stop()
+	for tries := 0; !e.targets.Synced(); tries++ {
+		peers := e.registryPeers()
+		if len(peers) == 0 && tries >= aloneTries {
+			e.targets.MarkSynced()
+			return
+		}
+		if len(peers) > 0 && e.targets.Pull(ctx, peers[tries%len(peers)]) == nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// aloneTries is the number of rounds after which an entry host that hears no
+// other one takes itself for the only one.
+const aloneTries = 3
+
+// entryService is the net/rpc service "Entry" for the other entry hosts.
+type entryService struct{ entry *Entry }
+
+// Config returns the configuration in force here.
+func (s *entryService) Config(_ *controlapi.ConfigArgs, reply *controlapi.ConfigReply) error {
+	reply.Version, reply.Text = s.entry.config.Text()
+	return nil
+}
+
+// Query returns rows that only this entry host holds.
+func (s *entryService) Query(args *controlapi.LocalQueryArgs, _ *controlapi.LocalQueryReply) error {
+	return kind.Errorf(kind.NotFound, "entry host %q has no local rows for %q", s.entry.settings.Name, args.Text)
+}
--- /dev/null
+++ b/node/entry_vars.go
@@ -0,0 +1,73 @@
+package node
+
+import (
+	"expvar"
+	"time"
+
+	"mangohill.example/mangohill/kind"
+	"mangohill.example/mangohill/membership"
+	"mangohill.example/mangohill/proxy"
+	"mangohill.example/mangohill/registry"
+)
+
+// entryVars are the variables of an entry process. Their number is fixed.
+type entryVars struct {
+	all        *expvar.Map
+	proxy      proxy.Metrics
+	registry   registry.Metrics
+	membership membership.Metrics
+	requestUs  *expvar.Int
+}
+
+func newEntryVars() *entryVars {
+	v := &entryVars{all: new(expvar.Map)}
+	v.proxy = proxy.Metrics{
+		Requests: v.counter("requests"),
+		Sends:    v.counter("sends"),
+		Retries:  v.counter("retries"),
+		Hops:     v.counter("hops"),
+		Done:     v.counter("requests_done"),
+		NotRun:   v.counter("requests_not_run"),
+		Unknown:  v.counter("requests_unknown"),
+		Canceled: v.counter("requests_canceled"),
+		Silent:   v.counter("silent_connections"),
+		Claims:   v.counter("claims"),
+	}
+	v.registry = registry.Metrics{
+		Announcements: v.counter("announcements"),
+		Spreads:       v.counter("announcement_spreads"),
+		SpreadsFailed: v.counter("announcement_spreads_failed"),
+		Refreshes:     v.counter("target_refreshes"),
+	}
+	v.membership = membership.Metrics{
+		SentBytes:     v.counter("heartbeat_bytes"),
+		SentDatagrams: v.counter("heartbeats"),
+		BadDatagrams:  v.counter("bad_heartbeats"),
+	}
+	v.requestUs = v.counter("request_microseconds")
+	return v
+}
+
+func (v *entryVars) counter(name string) *expvar.Int {
+	counter := new(expvar.Int)
+	v.all.Set(name, counter)
+	return counter
+}
+
+// entry adds the variables that are read from the parts of the process.
+func (v *entryVars) entry(e *Entry) {
+	v.all.Set("ready", expvar.Func(func() any { return e.Ready() }))
+	v.all.Set("config_version", expvar.Func(func() any { return e.config.Version() }))
+	v.all.Set("targets", expvar.Func(func() any { return len(e.targets.Targets()) }))
+	v.all.Set("workers", expvar.Func(func() any { return e.workers.Metrics().Workers }))
+	v.all.Set("syncs", expvar.Func(func() any { return e.workers.Metrics().Syncs }))
+	v.all.Set("sync_bytes_in", expvar.Func(func() any { return e.workers.Metrics().SyncBytesIn }))
+	v.all.Set("sync_bytes_out", expvar.Func(func() any { return e.workers.Metrics().SyncBytesOut }))
+	v.all.Set("exchanges", expvar.Func(func() any { return e.workers.Metrics().Exchanges }))
+	v.all.Set("exchange_errors", expvar.Func(func() any { return e.workers.Metrics().ExchangeErrors }))
+}
+
+// observe records the end of a caller's request.
+func (v *entryVars) observe(_ string, took time.Duration, _ kind.Outcome, _ int) {
+	v.requestUs.Add(took.Microseconds())
+}
--- /dev/null
+++ b/node/leader.go
@@ -0,0 +1,63 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"mangohill.example/mangohill/controlapi"
+	"mangohill.example/mangohill/kind"
+)
+
+const (
+	// exchangeMargin is the time that an exchange may take beyond its hold.
+	exchangeMargin = time.Second
+	// claimTimeout bounds a claim whose caller set no shorter deadline.
+	claimTimeout = 5 * time.Second
+)
+
+// leaderCaller calls the leader for the workers' gathering.
+type leaderCaller struct{ client *controlapi.LeaderClient }
+
+// Call implements workersync.Caller.
+func (l leaderCaller) Call(ctx context.Context, method string, args, reply any) error {
+	switch out := reply.(type) {
+	case *controlapi.ExchangeReply:
+		hold := time.Duration(args.(*controlapi.ExchangeArgs).HoldMs) * time.Millisecond
+		answer, err := controlapi.CallWithin[controlapi.ExchangeReply](ctx, l.client, hold+exchangeMargin, method, args)
+		return store(out, answer, err)
+	case *controlapi.ReportReply:
+		answer, err := controlapi.Call[controlapi.ReportReply](ctx, l.client, method, args)
+		return store(out, answer, err)
+	default:
+		return kind.Errorf(kind.Internal, "method %s has no place for an answer of type %T", method, reply)
+	}
+}
+
+func store[T any](out, answer *T, err error) error {
+	if err == nil {
+		*out = *answer
+	}
+	return err
+}
+
+// claimer claims idempotency keys at the leader.
+type claimer struct{ client *controlapi.LeaderClient }
+
+// Claim implements proxy.Claimer.
+func (c claimer) Claim(ctx context.Context, args controlapi.ClaimArgs) (controlapi.ClaimReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	reply, err := controlapi.Call[controlapi.ClaimReply](ctx, c.client, "Control.Claim", &args)
+	if err != nil {
+		return controlapi.ClaimReply{}, err
+	}
+	return *reply, nil
+}
+
+// Resolve implements proxy.Claimer.
+func (c claimer) Resolve(ctx context.Context, args controlapi.ResolveArgs) error {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	_, err := controlapi.Call[controlapi.ResolveReply](ctx, c.client, "Control.Resolve", &args)
+	return err
+}
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -371,7 +371,7 @@
 	}
 	for _, member := range membership.Members {
 		view.Members = append(view.Members, controlapi.Member{
-			Name: member.Name, Address: member.Address, Role: memberRole(member, status.Leader),
+			ID: member.ID.String(), Name: member.Name, Address: member.Address, Role: memberRole(member, status.Leader),
 		})
 	}
 	l.replica.status.Store(view)
