--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -345,3 +345,21 @@
 	})
 	return list
 }
+
+// counter returns a counter of entry host i, or -1 if it cannot be read.
+func (c *cluster) counter(i int, name string) int64 {
+	response, err := client.Get(c.operators(i) + "/debug/vars")
+	if err != nil {
+		return -1
+	}
+	defer response.Body.Close()
+	var vars struct{ Entry map[string]any }
+	if err := json.NewDecoder(response.Body).Decode(&vars); err != nil {
+		return -1
+	}
+	value, ok := vars.Entry[name].(float64)
+	if !ok {
+		return -1
+	}
+	return int64(value)
+}
--- a/load/load.go
+++ b/load/load.go
@@ -19,6 +19,8 @@
 	maxLatencyUs = int64(60 * time.Second / time.Microsecond)
 	// histogramDigits is the number of significant digits of recorded latencies.
 	histogramDigits = 3
+	// pathHeader is where a stand-in target names the path and query that it saw.
+	pathHeader = "X-Path"
 	// maxAnswerBytes bounds an answer that is read for the check.
 	maxAnswerBytes = 1 << 20
 )
@@ -162,7 +164,7 @@
 	if err := r.histogram.RecordValue(max(1, elapsed.Microseconds())); err != nil {
 		r.bad(err.Error())
 	}
-	if !strings.Contains(body, id) {
+	if !strings.Contains(body+response.Header.Get(pathHeader), id) {
 		r.result.Wrong++
 		r.bad(fmt.Sprintf("request %s: the answer does not name it: %.200s", id, body))
 		return
--- a/node/entry.go
+++ b/node/entry.go
@@ -21,6 +21,7 @@
 	"mangohill.example/mangohill/rpcclient"
 	"mangohill.example/mangohill/rpcserver"
 	"mangohill.example/mangohill/settings"
+	"mangohill.example/mangohill/types"
 	"mangohill.example/mangohill/workersync"
 )
 
@@ -51,6 +52,7 @@
 	listeners []*listener
 	changed   chan struct{} // signals a change of the members
 	stopping  atomic.Bool
+	settled   atomic.Bool // the first view of the members was settled
 	cancel    context.CancelFunc
 	duties    sync.WaitGroup
 }
@@ -194,9 +196,14 @@
 }
 
 // Ready reports whether the balancer may send requests here: the configuration
-// is in force and current, the targets are known, and no stop is planned.
+// is in force and current, the targets and this host's part of their slots are
+// known, and no stop is planned. A later change of the members keeps it ready:
+// the part that it is sure of serves on.
 func (e *Entry) Ready() bool {
-	return !e.stopping.Load() && e.targets.Synced() && e.config.Serving(time.Now())
+	if !e.settled.Load() && e.proxy.Settled() {
+		e.settled.Store(true)
+	}
+	return !e.stopping.Load() && e.settled.Load() && e.targets.Synced() && e.config.Serving(time.Now())
 }
 
 // memberChanged is called from the heartbeats' goroutine.
@@ -281,3 +288,14 @@
 	defer cancel()
 	return e.Stop(stopCtx)
 }
+
+// ReadyTargets returns the number of targets that are ready for requests.
+func (e *Entry) ReadyTargets() int {
+	ready := 0
+	for _, t := range e.targets.Targets() {
+		if t.State == types.TargetReady {
+			ready++
+		}
+	}
+	return ready
+}
--- a/node/executor.go
+++ b/node/executor.go
@@ -98,3 +98,8 @@
 		{Name: "address", Value: address},
 	}
 }
+
+// Execute executes an operator's command as the operators' listener does.
+func (e *Entry) Execute(ctx context.Context, args controlapi.CommandArgs) (controlapi.CommandReply, error) {
+	return (&executor{entry: e}).Execute(ctx, args)
+}
