--- a/internal/callload/pooled.go
+++ b/internal/callload/pooled.go
@@ -101,11 +101,30 @@
 	w.offer(entry, req)
 }
 
+// hop lets a request arrive at the entry host that it was handed to, or back at
+// its origin after a refusal.
 func (w *pooled) hop(entry, req int32) {
+	if entry == w.lost && w.requests[req].origin == w.lost {
+		w.drop(req)
+		return
+	}
+	if entry == w.lost {
+		w.bounce(req)
+		return
+	}
 	w.requests[req].entry = entry
 	w.offer(entry, req)
 }
 
+// bounce sends a request that a peer did not take back to its origin, where it
+// stays.
+func (w *pooled) bounce(req int32) {
+	q := &w.requests[req]
+	q.entry = q.origin
+	q.bounced = true
+	w.events.push(event{at: w.now + int64(w.config.HopDelay), kind: evHop, entry: q.origin, req: req})
+}
+
 func (w *pooled) offer(entry, req int32) {
 	d, evicted := w.pools[entry].Offer(w.time(), w.request(req))
 	w.act(entry, d)
@@ -131,6 +150,11 @@
 		}
 		w.events.push(event{at: w.now + int64(w.config.HopDelay), kind: evHop, entry: w.byName[d.Name], req: req})
 	case route.Refuse:
+		q := &w.requests[req]
+		if q.hops > 0 && !q.bounced {
+			w.bounce(req)
+			return
+		}
 		w.refuse(req)
 	}
 }
@@ -144,7 +168,7 @@
 	}
 	name := w.targets[q.target]
 	w.perform(entry, w.pools[entry].Done(w.time(), name, epoch.Add(time.Duration(q.sent)), route.Answered))
-	if q.hops == 0 {
+	if entry == q.origin {
 		w.complete(req)
 		return
 	}
--- a/internal/callload/run.go
+++ b/internal/callload/run.go
@@ -18,6 +18,7 @@
 	target   int32
 	hops     int8
 	live     bool
+	bounced  bool
 	measured bool
 }
 
@@ -112,9 +113,7 @@
 	case evFinish:
 		r.finish(ev.req)
 	case evHop:
-		if ev.entry != r.lost {
-			r.way.hop(ev.entry, ev.req)
-		}
+		r.way.hop(ev.entry, ev.req)
 	case evReturn:
 		r.complete(ev.req)
 	case evTick:
--- a/route/peers.go
+++ b/route/peers.go
@@ -55,17 +55,67 @@
 	p.peers = slices.DeleteFunc(p.peers, func(x *peer) bool { return !keep(x.Name) })
 }
 
-// pickPeer returns the peer with the most free slots, nil if none is known to
-// have one.
-func (p *Pool) pickPeer(time.Time) *peer {
+// reportAge is the age, in service times, from which the report of a peer says
+// nothing about its queue any more.
+const reportAge = 1.0
+
+// hopMargin is the factor by which the wait at a peer counts, so that small
+// differences, which the report may overstate, cause no hop.
+const hopMargin = 1.25
+
+// pickPeer returns the peer that is expected to answer a request soonest, nil if
+// none is expected to beat this entry host, where ahead others wait before it.
+func (p *Pool) pickPeer(now time.Time, ahead int) *peer {
+	if len(p.peers) == 0 {
+		return nil
+	}
+	reference := p.reference()
+	local := p.waitFor(reference, ahead)
+	hop := p.options.HopTime.Seconds()
+	if local <= hop {
+		return nil
+	}
 	var best *peer
-	for _, x := range p.peers {
-		if x.Free > 0 && (best == nil || x.Free > best.Free) {
-			best = x
+	least := local
+	offset := p.random.IntN(len(p.peers))
+	for i := range p.peers {
+		x := p.peers[(i+offset)%len(p.peers)]
+		if x.Slots == 0 {
+			continue
+		}
+		if wait := x.wait(now, reference, local) + hop; wait < least {
+			best, least = x, wait
 		}
 	}
 	if best != nil {
-		best.Free--
+		best.noteHop(now, reference)
 	}
 	return best
 }
+
+// wait returns the time in seconds that a request is expected to wait at the
+// peer. A peer whose report is old is taken to be half as busy as this host, so
+// that it is tried when the wait here is long.
+func (x *peer) wait(now time.Time, reference, local float64) float64 {
+	if now.Sub(x.at).Seconds() > reportAge*reference {
+		return min(local, 1) / 2
+	}
+	if x.Free > 0 {
+		return 0
+	}
+	return float64(x.Queued+1) * reference / float64(x.Slots) * hopMargin
+}
+
+// noteHop counts a request that was handed to the peer. A report that was too
+// old is replaced by the guess that led to the hop.
+func (x *peer) noteHop(now time.Time, reference float64) {
+	if now.Sub(x.at).Seconds() > reportAge*reference {
+		x.Free, x.Queued = 0, 0
+		x.at = now
+	}
+	if x.Free > 0 {
+		x.Free--
+		return
+	}
+	x.Queued++
+}
--- a/route/pool.go
+++ b/route/pool.go
@@ -81,6 +81,8 @@
 	QueueLimit int
 	// ServiceTime is the estimate used before any answer was seen.
 	ServiceTime time.Duration
+	// HopTime is the time that a hop adds to an answer.
+	HopTime time.Duration
 }
 
 // Pool is the routing state of one service on one entry host. It is not safe
@@ -107,6 +109,7 @@
 const (
 	defaultQueueLimit  = 200
 	defaultServiceTime = 20 * time.Millisecond
+	defaultHopTime     = time.Millisecond
 )
 
 // NewPool returns an empty pool.
@@ -117,6 +120,9 @@
 	if options.ServiceTime == 0 {
 		options.ServiceTime = defaultServiceTime
 	}
+	if options.HopTime == 0 {
+		options.HopTime = defaultHopTime
+	}
 	return &Pool{
 		options: options,
 		random:  rand.New(rand.NewPCG(options.Seed, options.Seed^0x9e3779b97f4a7c15)),
@@ -177,6 +183,9 @@
 			return d, nil
 		}
 	}
+	if d, ok := p.handOver(now, r, p.queue.len()); ok {
+		return d, nil
+	}
 	if !p.hasTarget(r.Hopped) {
 		return p.refuse(r, NoTarget), nil
 	}
@@ -245,7 +254,10 @@
 		if !ok {
 			break
 		}
-		d, placed := p.place(now, r, p.queue.len())
+		d, placed := p.place(now, r, p.queue.len()-1)
+		if !placed {
+			d, placed = p.handOver(now, r, 0)
+		}
 		if !placed {
 			break
 		}
@@ -265,20 +277,30 @@
 	return out
 }
 
+// place gives a request a slot of this entry host. Queued is the number of
+// requests that wait behind it or before it.
 func (p *Pool) place(now time.Time, r Request, queued int) (Decision, bool) {
-	if t := p.pick(now, r, queued); t != nil {
-		t.inFlight++
-		t.lastSend = now
-		t.oldest = append(t.oldest, now)
-		return Decision{Request: r.ID, Action: Send, Name: t.Name, At: now}, true
+	t := p.pick(now, r, queued)
+	if t == nil {
+		return Decision{}, false
 	}
+	t.inFlight++
+	t.lastSend = now
+	t.oldest = append(t.oldest, now)
+	return Decision{Request: r.ID, Action: Send, Name: t.Name, At: now}, true
+}
+
+// handOver gives a request to a peer if that is expected to answer it sooner
+// than this entry host, where ahead others wait before it.
+func (p *Pool) handOver(now time.Time, r Request, ahead int) (Decision, bool) {
 	if r.Hopped {
 		return Decision{}, false
 	}
-	if peer := p.pickPeer(now); peer != nil {
-		return Decision{Request: r.ID, Action: Hop, Name: peer.Name}, true
+	x := p.pickPeer(now, ahead)
+	if x == nil {
+		return Decision{}, false
 	}
-	return Decision{}, false
+	return Decision{Request: r.ID, Action: Hop, Name: x.Name}, true
 }
 
 // forget removes a send from those in flight and reports whether it was one.
