Hand requests to a peer only where that is expected to answer sooner

Change: the expected wait here is compared with the expected wait there plus the time of a hop; an old report is replaced by half of what the peer typically reports.

--- a/route/peers.go
+++ b/route/peers.go
@@ -19,8 +19,14 @@
 	Name string
 	Load
 	at time.Time
+	// typical is a moving mean of the number of requests for each slot that
+	// waited at the peer.
+	typical float64
 }
 
+// typicalWeight is the weight of a new report in the moving mean.
+const typicalWeight = 1.0 / 8
+
 // Load returns the load of this pool.
 func (p *Pool) Load(now time.Time) Load {
 	load := Load{Queued: p.queue.len()}
@@ -45,11 +51,23 @@
 		p.peers = append(p.peers, &peer{Name: name})
 		i = len(p.peers) - 1
 	}
-	p.peers[i].Load = load
-	p.peers[i].at = now
+	p.peers[i].report(now, load)
 	return p.dispatch(now, nil)
 }
 
+func (x *peer) report(now time.Time, load Load) {
+	x.Load = load
+	x.at = now
+	if load.Slots == 0 {
+		return
+	}
+	waiting := 0.0
+	if load.Free == 0 {
+		waiting = float64(load.Queued) / float64(load.Slots)
+	}
+	x.typical += typicalWeight * (waiting - x.typical)
+}
+
 // KeepPeers forgets the peer entry hosts for which keep is false.
 func (p *Pool) KeepPeers(keep func(name string) bool) {
 	p.peers = slices.DeleteFunc(p.peers, func(x *peer) bool { return !keep(x.Name) })
@@ -57,7 +75,11 @@
 
 // reportAge is the age, in service times, from which the report of a peer says
 // nothing about its queue any more.
-const reportAge = 1.0
+const reportAge = 2.0
+
+// exploration is the factor by which the typical wait at a peer counts whose
+// report is old. Below one it makes hops that bring new reports.
+const exploration = 0.5
 
 // hopMargin is the factor by which the wait at a peer counts, so that small
 // differences, which the report may overstate, cause no hop.
@@ -83,7 +105,7 @@
 		if x.Slots == 0 {
 			continue
 		}
-		if wait := x.wait(now, reference, local) + hop; wait < least {
+		if wait := x.wait(now, reference) + hop; wait < least {
 			best, least = x, wait
 		}
 	}
@@ -94,11 +116,10 @@
 }
 
 // wait returns the time in seconds that a request is expected to wait at the
-// peer. A peer whose report is old is taken to be half as busy as this host, so
-// that it is tried when the wait here is long.
-func (x *peer) wait(now time.Time, reference, local float64) float64 {
+// peer. An old report is replaced by what the peer typically reports.
+func (x *peer) wait(now time.Time, reference float64) float64 {
 	if now.Sub(x.at).Seconds() > reportAge*reference {
-		return min(local, 1) / 2
+		return x.typical * reference * exploration
 	}
 	if x.Free > 0 {
 		return 0
@@ -110,7 +131,7 @@
 // old is replaced by the guess that led to the hop.
 func (x *peer) noteHop(now time.Time, reference float64) {
 	if now.Sub(x.at).Seconds() > reportAge*reference {
-		x.Free, x.Queued = 0, 0
+		x.Free, x.Queued = 0, int(x.typical*float64(x.Slots))
 		x.at = now
 	}
 	if x.Free > 0 {
