lease, workersync: bind commands to the session of a fresh grant

A start held back at an entry host could reach a worker that had lost its lease and registered again, while the task ran elsewhere. Commands now carry the worker's session and go out only with a lease granted for the very sync that is answered.

--- a/control/exchange.go
+++ b/control/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"mangohill.example/mangohill/controlapi"
@@ -85,7 +86,7 @@
 	entry.wake = wake
 	entry.seenAt = l.service.now()
 	entry.version = args.ConfigVersion
-	reply.Refused = l.grant(args)
+	reply.Sessions = l.grant(args)
 	l.mu.Unlock()
 
 	hold := min(time.Duration(args.HoldMs)*time.Millisecond, maxHold)
@@ -114,23 +115,25 @@
 	return l.leases.InContact(l.service.now(), l.service.replica.QuorumContact())
 }
 
-// grant renews leases and returns the workers that were refused; l.mu is held.
-func (l *leader) grant(args *controlapi.ExchangeArgs) (refused []string) {
+// grant renews leases and returns the session of each, zero for a refused one;
+// l.mu is held.
+func (l *leader) grant(args *controlapi.ExchangeArgs) []uint64 {
+	sessions := make([]uint64, 0, len(args.Renewals))
 	now := l.service.now()
 	contact := l.service.replica.QuorumContact()
 	for _, renewal := range args.Renewals {
 		w, ok := l.store.WorkerNamed(renewal.Worker)
-		if !ok || w.State == types.WorkerLost || w.Incarnation != renewal.Incarnation {
-			refused = append(refused, renewal.Worker)
+		if !ok || w.State == types.WorkerLost {
+			sessions = append(sessions, 0)
 			continue
 		}
-		if !l.leases.Renew(now, contact, w.ID, w.Incarnation, l.config.Leases.Duration) {
-			refused = append(refused, renewal.Worker)
-			continue
+		session, granted := l.leases.Renew(now, contact, w.ID, renewal.Incarnation, l.config.Leases.Duration)
+		if granted {
+			l.outbox.setEntry(w.ID, args.Entry)
 		}
-		l.outbox.setEntry(w.ID, args.Entry)
+		sessions = append(sessions, session)
 	}
-	return refused
+	return sessions
 }
 
 // fill completes the reply and reports whether it is worth sending before the
@@ -150,5 +153,5 @@
 		reply.ConfigText = l.text
 	}
 	reply.Commands = l.outbox.take(l.service.now(), args.Entry, maxCommandsPerReply)
-	return len(reply.Commands) > 0 || len(reply.Refused) > 0 || reply.ConfigText != ""
+	return len(reply.Commands) > 0 || reply.ConfigText != "" || slices.Contains(reply.Sessions, 0)
 }
--- a/control/leader.go
+++ b/control/leader.go
@@ -27,15 +27,14 @@
 	term    uint64
 	done    chan struct{}
 
-	mu       sync.Mutex
-	planner  Planner
-	leases   *lease.Table
-	config   types.Config
-	version  uint64
-	text     string
-	outbox   *outbox
-	entries  map[string]*entryState
-	observed []types.Usage
+	mu      sync.Mutex
+	planner Planner
+	leases  *lease.Table
+	config  types.Config
+	version uint64
+	text    string
+	outbox  *outbox
+	entries map[string]*entryState
 }
 
 func newLeader(s *Service, term uint64) *leader {
--- a/control/outbox.go
+++ b/control/outbox.go
@@ -165,7 +165,7 @@
 			}
 			p.sentAt, p.sentTo = now, entry
 			command := p.command
-			command.Worker, command.Incarnation = b.worker.Name, b.worker.Incarnation
+			command.Worker, command.Incarnation, command.Session = b.worker.Name, b.worker.Incarnation, b.worker.Session
 			out = append(out, command)
 		}
 	}
--- a/control/service.go
+++ b/control/service.go
@@ -97,6 +97,7 @@
 func (s *Service) Run(ctx context.Context) {
 	stop := func() {}
 	defer func() { stop() }()
+	var current Leadership
 	for {
 		select {
 		case <-ctx.Done():
@@ -105,6 +106,10 @@
 			if !ok {
 				return
 			}
+			if change == current {
+				continue
+			}
+			current = change
 			stop()
 			stop = func() {}
 			if change.Leading {
--- a/controlapi/workers.go
+++ b/controlapi/workers.go
@@ -29,12 +29,12 @@
 	HoldMs int64
 }
 
-// ExchangeReply answers an ExchangeArgs. Leases are granted to every renewal
-// but those named in Refused.
+// ExchangeReply answers an ExchangeArgs.
 type ExchangeReply struct {
-	// Refused lists the workers without a lease: unknown to the leader, or of an
-	// old incarnation. They must register with a full sync.
-	Refused []string
+	// Sessions holds, for each renewal in its order, the session of the worker
+	// under which the lease is granted. Zero refuses: the worker is unknown to the
+	// leader, or of an old incarnation, and must register with a full sync.
+	Sessions []uint64
 	// LeaseMs is the duration of the granted leases, counted by the worker from
 	// the moment it sent the renewal.
 	LeaseMs  int64
@@ -63,9 +63,14 @@
 
 // WorkerCommand is a command for one attempt. It is repeated until a sync of
 // the worker reports its effect.
+//
+// It may be handed to the worker only with a lease that was granted, for the very
+// sync that is answered, under the same Session: a start that was held back while
+// the worker lost its lease would run a task that has moved on.
 type WorkerCommand struct {
 	Worker      string
 	Incarnation uint64
+	Session     uint64
 	Task        string
 	Epoch       uint64
 	Verb        Verb
--- a/lease/table.go
+++ b/lease/table.go
@@ -83,19 +83,19 @@
 // Remove forgets a worker.
 func (t *Table) Remove(worker types.WorkerID) { delete(t.holders, worker) }
 
-// Renew grants a lease of the given duration, or reports false: for an unknown
-// or old incarnation, for a lease that was reported as over, and when the latest
-// contact with a quorum is too old.
-func (t *Table) Renew(now, quorumContact time.Time, worker types.WorkerID, incarnation uint64, duration time.Duration) bool {
+// Renew grants a lease of the given duration and returns the worker's session, or
+// reports false: for an unknown or old incarnation, for a lease that was reported
+// as over, and when the latest contact with a quorum is too old.
+func (t *Table) Renew(now, quorumContact time.Time, worker types.WorkerID, incarnation uint64, duration time.Duration) (session uint64, granted bool) {
 	if !t.MayRenew(worker, incarnation) || !t.InContact(now, quorumContact) {
-		return false
+		return 0, false
 	}
 	r := t.holders[worker]
 	until := now.Add(withMargin(duration))
 	if until.After(r.until) {
 		r.until = until
 	}
-	return true
+	return r.session, true
 }
 
 // MayRenew reports whether the incarnation is registered and its lease was not
--- a/workersync/handler.go
+++ b/workersync/handler.go
@@ -64,6 +64,9 @@
 	}
 	s.requestRenewal(waiting.worker, request.SentMs)
 	s.wait(r.Context(), waiting, request.HoldMs)
+	if err := r.Context().Err(); err != nil {
+		return nil, kind.Errorf(kind.Canceled, "sync of worker %q: %w", name, err)
+	}
 	return s.answer(waiting), nil
 }
 
--- a/workersync/service.go
+++ b/workersync/service.go
@@ -33,6 +33,8 @@
 	maxExchangeHold = time.Second
 	// holdDivisor keeps the hold of an exchange to this fraction of the lease.
 	holdDivisor = 8
+	// maxExchanges bounds the exchanges under way.
+	maxExchanges = 2
 	// retryDelay is the pause after an exchange that failed.
 	retryDelay = 200 * time.Millisecond
 )
@@ -66,6 +68,7 @@
 	log     zerolog.Logger
 	now     func() time.Time
 	reports chan *queuedReport
+	kicked  chan struct{}
 	stopped chan struct{} // closed by stop
 
 	mu      sync.Mutex
@@ -101,6 +104,7 @@
 		log:     options.Logger,
 		now:     options.Now,
 		reports: make(chan *queuedReport, reportQueue),
+		kicked:  make(chan struct{}, 1),
 		stopped: make(chan struct{}),
 		workers: make(map[string]*workerState),
 		holdMs:  defaultHoldMs,
@@ -161,17 +165,38 @@
 	return s.options.ConfigVersion()
 }
 
+// exchangeLoop keeps one exchange with the leader under way. Where a worker waits
+// for a grant, a second one begins, and the leader answers the first.
 func (s *Service) exchangeLoop(ctx context.Context) {
+	var underWay sync.WaitGroup
+	defer underWay.Wait()
+	ended := make(chan error, maxExchanges)
+	running, wanted := 0, true
 	for ctx.Err() == nil {
-		begun := s.now()
-		if err := s.exchange(ctx); err != nil {
-			s.count(func(m *Metrics) { m.ExchangeErrors++ })
-			s.log.Debug().Err(err).Msg("exchange failed")
-			pause(ctx, retryDelay)
-			continue
+		if wanted && running < maxExchanges {
+			running++
+			wanted = false
+			underWay.Go(func() { ended <- s.exchange(ctx) })
+			pause(ctx, minExchangeInterval)
 		}
-		pause(ctx, minExchangeInterval-s.now().Sub(begun))
+		select {
+		case <-s.kicked:
+			wanted = true
+		case err := <-ended:
+			running--
+			wanted = wanted || running == 0
+			s.noteExchange(ctx, err)
+		}
+	}
+}
+
+func (s *Service) noteExchange(ctx context.Context, err error) {
+	if err == nil || ctx.Err() != nil {
+		return
 	}
+	s.count(func(m *Metrics) { m.ExchangeErrors++ })
+	s.log.Debug().Err(err).Msg("exchange failed")
+	pause(ctx, retryDelay)
 }
 
 func (s *Service) count(change func(*Metrics)) {
--- a/workersync/workers.go
+++ b/workersync/workers.go
@@ -22,16 +22,25 @@
 	// was not yet part of an exchange.
 	sentMs int64
 	renew  bool
-	// lease is the newest granted lease, nil for none.
+	// lease is the newest granted lease, nil for none, and session the worker's
+	// session under which it was granted.
 	lease    *platform.Lease
+	session  uint64
 	resync   bool
 	leaving  bool
-	commands []platform.Command
+	commands []pendingCommand
 	// wake belongs to the newest sync.
 	wake  chan struct{}
 	usage usageFilter
 }
 
+// pendingCommand is a command that waits for a sync whose lease was granted under
+// the same session.
+type pendingCommand struct {
+	session uint64
+	command platform.Command
+}
+
 // sentRenewal is a renewal that an exchange carried.
 type sentRenewal struct {
 	worker      string
@@ -97,6 +106,17 @@
 	defer s.mu.Unlock()
 	w.sentMs = max(w.sentMs, sentMs)
 	w.renew = true
+	if w.lease == nil || len(w.commands) > 0 {
+		s.kick()
+	}
+}
+
+// kick asks for an exchange beside the one that is held.
+func (s *Service) kick() {
+	select {
+	case s.kicked <- struct{}{}:
+	default: // An exchange is already asked for.
+	}
 }
 
 // gather builds the next exchange and forgets workers that no longer sync.
@@ -147,19 +167,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.leaseMs, s.holdMs, s.usageMs = reply.LeaseMs, reply.HoldMs, reply.UsageMs
-	for _, r := range sent {
+	for i, r := range sent {
 		w, ok := s.workers[r.worker]
-		if !ok || w.incarnation != r.incarnation {
+		if !ok || w.incarnation != r.incarnation || i >= len(reply.Sessions) {
 			continue
 		}
-		if slices.Contains(reply.Refused, r.worker) {
+		if reply.Sessions[i] == 0 {
 			s.metrics.Refusals++
 			w.resync = true
 			w.signal()
 			continue
 		}
 		s.metrics.Grants++
-		w.grant(r.sentMs, reply.LeaseMs)
+		w.grant(r.sentMs, reply.LeaseMs, reply.Sessions[i])
 	}
 	for i := range reply.Commands {
 		s.deliver(&reply.Commands[i])
@@ -167,16 +187,20 @@
 }
 
 // grant notes a lease. The first one answers the waiting sync, so that the
-// worker may begin.
-func (w *workerState) grant(sentMs, durationMs int64) {
-	first := w.lease == nil
-	if !first && sentMs < w.lease.CountedFromSentMs {
+// worker may begin; so does one that allows a waiting command.
+func (w *workerState) grant(sentMs, durationMs int64, session uint64) {
+	if w.lease != nil && sentMs < w.lease.CountedFromSentMs {
 		return
 	}
 	w.lease = &platform.Lease{CountedFromSentMs: sentMs, DurationMs: durationMs}
-	if first {
-		w.signal()
-	}
+	w.session = session
+	w.signal()
+}
+
+// deliverable reports whether a command may go out with the answer to the newest
+// sync: its own renewal was granted, under the command's session.
+func (w *workerState) deliverable(c pendingCommand) bool {
+	return w.lease != nil && w.lease.CountedFromSentMs >= w.sentMs && c.session == w.session
 }
 
 func (s *Service) deliver(c *controlapi.WorkerCommand) {
@@ -185,9 +209,14 @@
 		return
 	}
 	s.metrics.Commands++
-	w.commands = slices.DeleteFunc(w.commands, func(old platform.Command) bool { return old.Task == c.Task && old.Epoch <= c.Epoch })
+	w.commands = slices.DeleteFunc(w.commands, func(old pendingCommand) bool {
+		return old.session < c.Session || (old.command.Task == c.Task && old.command.Epoch <= c.Epoch)
+	})
 	if len(w.commands) < maxPendingCommands {
-		w.commands = append(w.commands, commandOf(c))
+		w.commands = append(w.commands, pendingCommand{session: c.Session, command: commandOf(c)})
+	}
+	if w.renew {
+		s.kick()
 	}
 	w.signal()
 }
@@ -216,7 +245,7 @@
 	if w.wake != waiting.wake || s.stopping() {
 		return true
 	}
-	return w.resync || len(w.commands) > 0 || (!waiting.hadLease && w.lease != nil)
+	return w.resync || slices.ContainsFunc(w.commands, w.deliverable) || (!waiting.hadLease && w.lease != nil)
 }
 
 // answer returns the answer to a sync. The newest one takes the pending commands.
@@ -226,8 +255,22 @@
 	w := waiting.worker
 	out := &platform.SyncAnswer{Lease: w.lease, UsageMs: s.usageMs}
 	if w.wake == waiting.wake {
-		out.Commands, w.commands = w.commands, nil
+		out.Commands = w.takeCommands()
 		out.Resync, w.resync = w.resync, false
 	}
 	return out
 }
+
+func (w *workerState) takeCommands() []platform.Command {
+	var out []platform.Command
+	kept := w.commands[:0]
+	for _, c := range w.commands {
+		if w.deliverable(c) {
+			out = append(out, c.command)
+			continue
+		}
+		kept = append(kept, c)
+	}
+	w.commands = kept
+	return out
+}
