--- /dev/null
+++ b/consensus/admission.go
@@ -0,0 +1,75 @@
+package consensus
+
+import "mangohill.example/mangohill/kind"
+
+// Admit proposes to take a member in as a learner, in place of learners at its
+// address, and returns the index of the change. The index is zero if the member
+// is in already. It is refused with already_exists while a member at the same
+// address is active, and as ProposeMembership refuses.
+func (c *Core) Admit(member Member) (uint64, error) {
+	if c.role != Leader {
+		return 0, c.NotLeader()
+	}
+	if _, ok := c.membership().Find(member.ID); ok {
+		return 0, nil
+	}
+	for _, old := range c.membership().Members {
+		if old.Address == member.Address && c.IsActive(old.ID) {
+			return 0, kind.Errorf(kind.AlreadyExists, "address %s belongs to the live member %s", old.Address, old.ID)
+		}
+	}
+	return c.ProposeMembership(c.membership().AddLearner(member))
+}
+
+// MaintainMembership proposes the next step of a repair, if one is due. Once a
+// learner holds every committed entry durably, the voter that had its address
+// before is removed, and then the learner is made a voter. In this order the
+// group needs no more live members at any step than before the repair, and the
+// loss of the learner costs nothing.
+//
+// It returns the member concerned, false if nothing was proposed.
+func (c *Core) MaintainMembership() (MemberID, bool) {
+	if c.role != Leader || c.membershipIndex() > c.log.committed {
+		return 0, false
+	}
+	learner, ok := c.caughtUpLearner()
+	if !ok {
+		return 0, false
+	}
+	id, next := c.nextMembership(learner)
+	_, err := c.ProposeMembership(next)
+	return id, err == nil
+}
+
+func (c *Core) nextMembership(learner Member) (MemberID, Membership) {
+	for _, old := range c.membership().Members {
+		if old.Voter && old.Address == learner.Address {
+			return old.ID, c.membership().Remove(old.ID)
+		}
+	}
+	return learner.ID, c.membership().Promote(learner.ID)
+}
+
+// caughtUpLearner returns a learner that holds every committed entry durably.
+func (c *Core) caughtUpLearner() (Member, bool) {
+	for _, m := range c.membership().Members {
+		p := c.progress[m.ID]
+		if m.Voter || p == nil {
+			continue
+		}
+		if p.match >= c.log.committed && p.match > 0 && p.silence < c.electionTicks {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
+// IsActive reports whether the leader heard from the member within the election
+// timeout.
+func (c *Core) IsActive(id MemberID) bool {
+	if id == c.id {
+		return true
+	}
+	p := c.progress[id]
+	return p != nil && p.silence < c.electionTicks
+}
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -5,21 +5,19 @@
 
 // result tells whether the majority of the voters granted, or refused.
 func (c *Core) result() (won, lost bool) {
-	granted, refused, voters := 0, 0, 0
+	granted, refused := 0, 0
 	for _, m := range c.membership().Members {
-		if !m.Voter && !c.safeguards.countLearners {
+		vote, answered := c.votes[m.ID]
+		if !answered || !c.counts(m) {
 			continue
 		}
-		voters++
-		vote, answered := c.votes[m.ID]
-		if answered && vote {
+		if vote {
 			granted++
-		}
-		if answered && !vote {
+		} else {
 			refused++
 		}
 	}
-	return granted >= quorumSize(voters), refused >= quorumSize(voters)
+	return granted >= c.quorum(), refused >= c.quorum()
 }
 
 func (c *Core) tickElection() {
@@ -78,7 +76,7 @@
 func (c *Core) requestVotes(m Message) {
 	m.Index, m.LogTerm = c.log.last(), c.log.lastTerm()
 	for _, member := range c.membership().Members {
-		if member.ID != c.id && (member.Voter || c.safeguards.countLearners) {
+		if member.ID != c.id && c.counts(member) {
 			m.To = member.ID
 			c.send(m)
 		}
--- /dev/null
+++ b/consensus/export_test.go
@@ -0,0 +1,13 @@
+package consensus
+
+// Safeguards that tests switch off.
+
+func (c *Core) DisablePreVote()     { c.safeguards.noPreVote = true }
+func (c *Core) DisableCheckQuorum() { c.safeguards.noCheckQuorum = true }
+func (c *Core) CountLearners()      { c.safeguards.countLearners = true }
+
+// TermAt returns the term of an entry, false if the log does not hold it.
+func (c *Core) TermAt(index uint64) (uint64, bool) { return c.log.term(index) }
+
+// Base returns the index of the last compacted entry.
+func (c *Core) Base() uint64 { return c.log.base }
--- a/consensus/membership.go
+++ b/consensus/membership.go
@@ -71,19 +71,6 @@
 	return Membership{Members: kept}
 }
 
-// Replaced returns a voter whose address a later voter has.
-func (m Membership) Replaced() (MemberID, bool) {
-	for i, old := range m.Members {
-		replaced := slices.ContainsFunc(m.Members[i+1:], func(later Member) bool {
-			return later.Voter && later.Address == old.Address
-		})
-		if old.Voter && replaced {
-			return old.ID, true
-		}
-	}
-	return 0, false
-}
-
 // changedVoters counts the voters that only one of the memberships has.
 func changedVoters(a, b Membership) int {
 	changed := 0
@@ -147,7 +134,7 @@
 
 func (c *Core) isVoter() bool {
 	member, ok := c.membership().Find(c.id)
-	return ok && (member.Voter || c.safeguards.countLearners)
+	return ok && member.Voter
 }
 
 // ProposeMembership appends a change of the membership and returns its index.
@@ -206,30 +193,3 @@
 		}
 	}
 }
-
-// CaughtUpLearner returns a learner that holds every committed entry durably.
-func (c *Core) CaughtUpLearner() (MemberID, bool) {
-	if c.role != Leader {
-		return 0, false
-	}
-	for _, m := range c.membership().Members {
-		p := c.progress[m.ID]
-		if m.Voter || p == nil {
-			continue
-		}
-		if p.match >= c.log.committed && p.match > 0 && p.silence < c.electionTicks {
-			return m.ID, true
-		}
-	}
-	return 0, false
-}
-
-// IsActive reports whether the leader heard from the member within the election
-// timeout.
-func (c *Core) IsActive(id MemberID) bool {
-	if id == c.id {
-		return true
-	}
-	p := c.progress[id]
-	return p != nil && p.silence < c.electionTicks
-}
--- a/consensus/readindex.go
+++ b/consensus/readindex.go
@@ -30,9 +30,9 @@
 }
 
 // QuorumRound returns the latest heartbeat round that a majority of the voters
-// answered. Round returns the latest that was sent.
+// answered, zero if there is none.
 func (c *Core) QuorumRound() uint64 {
-	return quorumIndex(c.voterValues(c.round, func(p *progress) uint64 { return p.round }))
+	return c.byQuorum(c.round, func(p *progress) uint64 { return p.round })
 }
 
 // Round returns the latest heartbeat round of this leader. Rounds never go back.
--- a/consensus/replication.go
+++ b/consensus/replication.go
@@ -172,7 +172,7 @@
 // advanceCommit commits what a majority of the voters holds durably, if its last
 // entry is of the current term (Raft paper, section 5.4.2).
 func (c *Core) advanceCommit() {
-	index := quorumIndex(c.voterValues(c.log.stable, func(p *progress) uint64 { return p.match }))
+	index := c.byQuorum(c.log.stable, func(p *progress) uint64 { return p.match })
 	if index <= c.log.committed || !c.log.matches(index, c.term) {
 		return
 	}
--- a/replica/members.go
+++ b/replica/members.go
@@ -2,69 +2,32 @@
 
 import (
 	"mangohill.example/mangohill/consensus"
-	"mangohill.example/mangohill/kind"
 )
 
-// admit adds a member as a learner, in place of learners at its address.
+// admit takes a member in as a learner, and answers once that is committed.
 func (l *loop) admit(req request) {
-	membership := l.core.Membership()
-	if status := l.core.Status(); status.Role != consensus.Leader {
-		req.done <- outcome{err: l.core.NotLeader()}
-		return
-	}
-	if _, ok := membership.Find(req.join.ID); ok {
-		req.done <- outcome{}
-		return
-	}
-	if old, ok := l.activeMemberAt(req.join.Address); ok {
-		req.done <- outcome{err: kind.Errorf(kind.AlreadyExists, "address %s belongs to the live member %s", old.Address, old.ID)}
-		return
-	}
-	index, err := l.core.ProposeMembership(membership.AddLearner(*req.join))
-	if err != nil {
+	index, err := l.core.Admit(*req.join)
+	if err != nil || index == 0 {
 		req.done <- outcome{err: err}
 		return
 	}
 	l.replica.waiters.add(index, l.core.Status().Term, req.done)
 }
 
-func (l *loop) activeMemberAt(address string) (consensus.Member, bool) {
-	for _, member := range l.core.Membership().Members {
-		if member.Address == address && l.core.IsActive(member.ID) {
-			return member, true
-		}
-	}
-	return consensus.Member{}, false
-}
-
-// maintainMembership promotes a learner that holds everything durably, and
-// removes the voter whose address a later voter took. One change at a time: the
-// core refuses another one meanwhile.
+// maintainMembership takes the next step of a repair, or asks for admission
+// again where that is due.
 func (l *loop) maintainMembership() {
-	membership := l.core.Membership()
-	if l.core.Status().Role != consensus.Leader {
-		l.askAgain(membership)
-		return
-	}
-	if old, ok := membership.Replaced(); ok {
-		l.change(membership.Remove(old), "removed the member that was replaced", old)
-		return
-	}
-	if id, ok := l.core.CaughtUpLearner(); ok {
-		l.change(membership.Promote(id), "promoted a learner to voter", id)
-	}
-}
-
-func (l *loop) change(next consensus.Membership, done string, id consensus.MemberID) {
-	if _, err := l.core.ProposeMembership(next); err == nil {
-		l.replica.options.Logger.Info().Stringer("member", id).Msg(done)
+	if id, ok := l.core.MaintainMembership(); ok {
+		_, kept := l.core.Membership().Find(id)
+		l.replica.options.Logger.Info().Stringer("member", id).Bool("promoted", kept).Bool("removed", !kept).Msg("membership changed")
 	}
+	l.askAgain()
 }
 
 // askAgain repeats the request for admission of a member that no membership it
 // knows contains: its admission was lost with a leader.
-func (l *loop) askAgain(membership consensus.Membership) {
-	if _, ok := membership.Find(l.identity.Member); ok || l.core.Status().Leader != 0 {
+func (l *loop) askAgain() {
+	if _, ok := l.core.Membership().Find(l.identity.Member); ok || l.core.Status().Leader != 0 {
 		return
 	}
 	if l.ticks%uint64(2*l.replica.options.ElectionTicks) != 0 {
--- a/storage/identity.go
+++ b/storage/identity.go
@@ -41,11 +41,11 @@
 		return nil, err
 	}
 	record, err := decodeRecord(data, 0)
-	if err != nil || record.kind != identityRecord {
-		return nil, corrupt(path, 0, errors.Join(err, errRecordKind))
+	if err != nil {
+		return nil, corrupt(path, 0, err)
 	}
 	var identity Identity
-	if err := cbor.Unmarshal(record.payload, &identity); err != nil {
+	if err := decodePayload(record, identityRecord, &identity); err != nil {
 		return nil, corrupt(path, 0, err)
 	}
 	return &identity, nil
--- a/storage/store.go
+++ b/storage/store.go
@@ -20,8 +20,6 @@
 type Options struct {
 	FileSystem   FileSystem
 	SegmentBytes int64
-	// skipSync is set by tests that show what the syncs are for.
-	skipSync bool
 }
 
 // Store is the open folder of one replica. It is not safe for concurrent use,
@@ -39,7 +37,7 @@
 	state    consensus.HardState
 	next     uint64
 	failed   error
-	// Syncs counts the appends that were synced.
+	// syncs counts the appends that were synced.
 	syncs uint64
 }
 
@@ -289,9 +287,6 @@
 		return err
 	}
 	s.size += int64(len(data))
-	if s.options.skipSync {
-		return nil
-	}
 	s.syncs++
 	return s.current.Sync()
 }
