Measure the burn of error budgets on each entry host and merge it

Counters and packed HdrHistograms in four rings of slots, 2 significant digits, bounded by 128 services. One request costs one count and one histogram entry; coarser rings take over closed slots.

--- /dev/null
+++ b/burn/recorder.go
@@ -0,0 +1,117 @@
+package burn
+
+import (
+	"sync"
+	"time"
+
+	"mangohill.example/mangohill/kind"
+)
+
+// Windows of the report. Window30m serves the alerts only.
+const (
+	Window5m  = 5 * time.Minute
+	Window30m = 30 * time.Minute
+	Window1h  = time.Hour
+	Window6h  = 6 * time.Hour
+	Window3d  = 72 * time.Hour
+)
+
+// windows lists the windows of a set, the shortest first.
+var windows = []time.Duration{Window5m, Window30m, Window1h, Window6h, Window3d}
+
+// maxServices bounds the services that a recorder tells apart. Requests for
+// others are counted under OtherServices.
+const maxServices = 128
+
+// OtherServices is the name under which services beyond the bound are counted.
+const OtherServices = "(other)"
+
+// Recorder counts the requests of one entry host. It is safe for concurrent use.
+// Memory is bounded by the number of services, not by the number of requests.
+type Recorder struct {
+	host    string
+	started time.Time
+
+	mu       sync.RWMutex
+	services map[string]*service
+}
+
+type service struct {
+	mu     sync.Mutex
+	finest *ring
+}
+
+// NewRecorder returns an empty recorder of the entry host called host.
+func NewRecorder(host string, now time.Time) *Recorder {
+	return &Recorder{host: host, started: now, services: make(map[string]*service)}
+}
+
+// Observe counts a request of a service that ended at now. Took is the time from
+// its arrival to the end of its answer; status is the HTTP status that the
+// caller got.
+func (r *Recorder) Observe(now time.Time, name string, took time.Duration, outcome kind.Outcome, status int) {
+	if !counts(outcome, status) {
+		return
+	}
+	s := r.service(name, now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.finest.advance(now)
+	s.finest.totals.observe(took, outcome, status)
+}
+
+func (r *Recorder) service(name string, now time.Time) *service {
+	r.mu.RLock()
+	s := r.services[name]
+	r.mu.RUnlock()
+	if s != nil {
+		return s
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s := r.services[name]; s != nil {
+		return s
+	}
+	if len(r.services) >= maxServices {
+		name = OtherServices
+	}
+	if s := r.services[name]; s != nil {
+		return s
+	}
+	s = &service{finest: newRings(now)}
+	r.services[name] = s
+	return s
+}
+
+// Set returns the totals of every service over every window at now.
+func (r *Recorder) Set(now time.Time) *Set {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	set := &Set{Host: r.host, Covered: now.Sub(r.started), Services: make(map[string][]Totals, len(r.services))}
+	for name, s := range r.services {
+		set.Services[name] = s.totals(now)
+	}
+	return set
+}
+
+func (s *service) totals(now time.Time) []Totals {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.finest.advance(now)
+	list := make([]Totals, 0, len(windows))
+	for _, window := range windows {
+		totals := newTotals()
+		s.ringOf(window).addWindow(window, s.finest, &totals)
+		list = append(list, totals)
+	}
+	return list
+}
+
+// ringOf returns the finest ring that keeps the window.
+func (s *service) ringOf(window time.Duration) *ring {
+	r := s.finest
+	for r.next != nil && time.Duration(r.keep)*r.span < window {
+		r = r.next
+	}
+	return r
+}
