Write glossary, settings, operations and metrics pages, compared with the code

internal/doccheck compares settings keys, variables, log events, recorded events, error kinds with their answers, links, and every command line of the pages with the code.

--- a/burn/burn_test.go
+++ b/burn/burn_test.go
@@ -1,6 +1,7 @@
 package burn
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"testing"
@@ -196,3 +197,25 @@
 		r.Observe(now, "quote", time.Duration(i%10_000)*time.Microsecond, kind.OutcomeDone, http.StatusOK)
 	}
 }
+
+func TestAHostThatGivesNoAnswerIsNamed(t *testing.T) {
+	a := NewRecorder("entry-1", start)
+	b := NewRecorder("entry-2", start)
+	observeMany(a, start, 2, time.Millisecond, kind.OutcomeDone, http.StatusOK)
+	observeMany(b, start, 3, time.Millisecond, kind.OutcomeDone, http.StatusOK)
+	ask := func(_ context.Context, address string) ([]byte, error) {
+		switch address {
+		case "b":
+			return b.Set(start).Encode()
+		case "broken":
+			return []byte("?"), nil
+		}
+		return nil, kind.Errorf(kind.Unreachable, "%s", address)
+	}
+	hosts := []Host{{"entry-4", "broken"}, {"entry-2", "b"}, {"entry-3", "gone"}}
+	merged, missing := Gather(t.Context(), a.Set(start), hosts, ask)
+	assert.Equal(t, int64(5), merged.Services["quote"][0].Requests)
+	assert.Equal(t, []string{"entry-3", "entry-4"}, missing)
+	assert.Contains(t, MissingText(missing), "entry-3, entry-4")
+	assert.Empty(t, MissingText(nil))
+}
--- a/clusterconfig/parse.go
+++ b/clusterconfig/parse.go
@@ -83,7 +83,7 @@
 		Entry:    readEntry(root.Map("entry")),
 	}
 	config.CreditsEnd = readTime(root, "credits_end")
-	root.Close("services", "weights", "teams", "credits_end", "leases", "entry")
+	root.Close(topKeys...)
 	return config
 }
 
@@ -101,7 +101,7 @@
 		QueueLimit: int(m.Int("queue_limit", DefaultQueueLimit, 0, maxQueueLimit)),
 		Objective:  readObjective(m.Map("objective")),
 	}
-	m.Close("timeout", "queue_limit", "objective")
+	m.Close(serviceKeys...)
 	return service
 }
 
@@ -113,7 +113,7 @@
 	if objective.Success == 0 || objective.Success == 1 {
 		m.Reject("success", "must lie between 0 and 1, so that there is an error budget")
 	}
-	m.Close("p99", "success")
+	m.Close(objectiveKeys...)
 	return objective
 }
 
@@ -123,7 +123,7 @@
 		Evictions:   m.Float("evictions", DefaultWeight, 0, maxWeight),
 		Throughput:  m.Float("throughput", DefaultWeight, 0, maxWeight),
 	}
-	m.Close("tail_latency", "evictions", "throughput")
+	m.Close(weightKeys...)
 	return weights
 }
 
@@ -149,7 +149,7 @@
 	} else if _, err := types.ParseSize(quota.Memory); err != nil {
 		m.Reject("memory", "%v", err)
 	}
-	m.Close("processors", "memory", "accelerators")
+	m.Close(teamKeys...)
 	return quota
 }
 
@@ -167,13 +167,13 @@
 	if 2*leases.Hold >= leases.Duration {
 		m.Reject("hold", "%s must be less than half of the lease duration %s", leases.Hold, leases.Duration)
 	}
-	m.Close("duration", "hold", "usage")
+	m.Close(leaseKeys...)
 	return leases
 }
 
 func readEntry(m *yamltree.Map) types.EntryConfig {
 	entry := types.EntryConfig{StopWhenStale: m.Duration("stop_when_stale", DefaultStopWhenStale)}
-	m.Close("stop_when_stale")
+	m.Close(entryKeys...)
 	return entry
 }
 
--- a/clusterconfig/parse_test.go
+++ b/clusterconfig/parse_test.go
@@ -84,3 +84,12 @@
 		}
 	})
 }
+
+func TestKeysListsEveryKeyOfEveryMapping(t *testing.T) {
+	var mappings int
+	for _, keys := range [][]string{topKeys, serviceKeys, objectiveKeys, weightKeys, teamKeys, leaseKeys, entryKeys} {
+		mappings += len(keys)
+	}
+	nested := len([]string{"services", "weights", "teams", "leases", "entry", "objective"})
+	assert.Len(t, Keys(), mappings-nested)
+}
--- /dev/null
+++ b/internal/doccheck/commands_test.go
@@ -0,0 +1,101 @@
+package doccheck
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"mangohill.example/mangohill/command"
+)
+
+// fence finds the code blocks of a page: language and content.
+var fence = regexp.MustCompile("(?ms)^```([a-z]*)\n(.*?)^```$")
+
+// programOptions are the options of mangohill with the number of their values.
+var programOptions = map[string]int{"--entry": 1, "--json": 0, "--timeout": 1, "--picture": 1}
+
+// TestCommandsInThePagesParse reads every code block of the pages. Blocks of the
+// language "mangohill" are scripts; in blocks of "sh", lines that call mangohill
+// must carry a command.
+func TestCommandsInThePagesParse(t *testing.T) {
+	read := 0
+	for _, page := range pages(t) {
+		for _, block := range fence.FindAllStringSubmatch(readDoc(t, page), -1) {
+			switch block[1] {
+			case "mangohill":
+				commands, err := command.ParseScript(block[2])
+				assert.NoError(t, err, page)
+				read += len(commands)
+			case "sh":
+				read += checkShell(t, page, block[2])
+			}
+		}
+	}
+	assert.NotZero(t, read)
+}
+
+func checkShell(t *testing.T, page, text string) int {
+	t.Helper()
+	read := 0
+	for line := range strings.Lines(strings.ReplaceAll(text, "\\\n", " ")) {
+		line, _, _ = strings.Cut(strings.TrimSpace(line), " #")
+		words := strings.Fields(line)
+		checkFolders(t, page, words)
+		if rest, ok := afterProgram(words); ok {
+			checkCall(t, page, rest)
+			read++
+		}
+	}
+	return read
+}
+
+// checkFolders checks that packages named in a line exist.
+func checkFolders(t *testing.T, page string, words []string) {
+	t.Helper()
+	for _, word := range words {
+		if !strings.HasPrefix(word, "./") || strings.Contains(word, "...") || strings.HasPrefix(word, "./bin") || strings.HasPrefix(word, "./data") {
+			continue
+		}
+		_, err := os.Stat(filepath.Join(root, strings.TrimSuffix(word, "/")))
+		assert.NoError(t, err, page)
+	}
+}
+
+// afterProgram returns the words behind the name of the command line.
+func afterProgram(words []string) ([]string, bool) {
+	for i, word := range words {
+		base := filepath.Base(word)
+		if base == "mangohill" && (i == 0 || words[0] == "go" && words[1] == "run") {
+			return words[i+1:], true
+		}
+	}
+	return nil, false
+}
+
+func checkCall(t *testing.T, page string, words []string) {
+	t.Helper()
+	for len(words) > 0 && strings.HasPrefix(words[0], "--") {
+		values, known := programOptions[words[0]]
+		require.True(t, known, "%s: option %s", page, words[0])
+		words = words[1+values:]
+	}
+	if len(words) == 0 {
+		return
+	}
+	switch words[0] {
+	case "try":
+	case "run", "check":
+		assert.Len(t, words, 2, page)
+		_, err := os.Stat(filepath.Join(root, words[1]))
+		assert.NoError(t, err, page)
+	default:
+		text := strings.Trim(strings.Join(words, " "), "'")
+		_, err := command.Parse(text)
+		assert.NoError(t, err, "%s: %s", page, text)
+	}
+}
--- /dev/null
+++ b/internal/logging/events.go
@@ -0,0 +1,33 @@
+package logging
+
+// Events returns the closed list of events. The message of every line of the
+// log is one of them.
+func Events() []string {
+	return []string{
+		"action refused",
+		"admission not granted",
+		"config_in_force",
+		"config_refused",
+		"data folder not closed cleanly",
+		"end of a claimed request not recorded",
+		"ends of leases were not recorded",
+		"exchange failed",
+		"heartbeat not encoded",
+		"leadership changed",
+		"leading",
+		"member changed",
+		"no longer leading",
+		"peer answers",
+		"peer does not answer",
+		"peer_state",
+		"registration refused",
+		"replica stopped",
+		"report ignored",
+		"request answered",
+		"snapshot not transferred",
+		"target changed",
+		"the configuration in force does not parse",
+		"the data folder is empty, asking for admission",
+		"waiting for the entries of earlier terms",
+	}
+}
