--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"encoding/gob"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -48,21 +47,11 @@
 	return len(p), nil
 }
 
-// rpcBytes returns the bytes of one call in each direction on a connection of
-// net/rpc that has carried the types before.
-func rpcBytes(b *testing.B, method string, args, reply any) (sent, received int) {
-	b.Helper()
-	size := func(header, body any) int {
-		var out discard
-		encoder := gob.NewEncoder(&out)
-		for range 2 {
-			out.bytes = 0
-			require.NoError(b, encoder.Encode(header))
-			require.NoError(b, encoder.Encode(body))
-		}
-		return out.bytes
-	}
-	return size(&rpc.Request{ServiceMethod: method, Seq: 100_000}, args), size(&rpc.Response{ServiceMethod: method, Seq: 100_000}, reply)
+// rpcBytes returns the bytes of one call in each direction.
+func rpcBytes(method string, args, reply any) (sent, received int64) {
+	sent = gobBytes(&rpc.Request{ServiceMethod: method, Seq: 100_000}, args)
+	received = gobBytes(&rpc.Response{ServiceMethod: method, Seq: 100_000}, reply)
+	return sent, received
 }
 
 func apply(b *testing.B, store *state.Store, index uint64, ops ...state.Op) int {
@@ -209,7 +198,7 @@
 			}
 			reply := &controlapi.ExchangeReply{LeaseMs: 10_000, HoldMs: 3000, UsageMs: 10_000, ConfigVersion: 260, Term: 7}
 			for range b.N {
-				sent, received := rpcBytes(b, "Control.Exchange", args, reply)
+				sent, received := rpcBytes("Control.Exchange", args, reply)
 				b.ReportMetric(float64(sent), "B-sent")
 				b.ReportMetric(float64(received), "B-received")
 			}
@@ -231,11 +220,22 @@
 		report.Syncs = append(report.Syncs, w)
 	}
 	for range b.N {
-		sent, _ := rpcBytes(b, "Control.Report", report, &controlapi.ReportReply{})
+		sent, _ := rpcBytes("Control.Report", report, &controlapi.ReportReply{})
 		b.ReportMetric(float64(sent)/(workersPerEntry*tasksPerWorker), "B/task")
 	}
 }
 
+// BenchmarkUsageSampleBytes gives the bytes of one task in the usage that a
+// worker sends to its entry host.
+func BenchmarkUsageSampleBytes(b *testing.B) {
+	for range b.N {
+		sample := platform.UsageSample{Task: "route-05000", Epoch: 2, TakenMs: 81_225_000, Processors: 11.5, MemoryBytes: 6 * gib, Progress: 0.4}
+		data, err := json.Marshal(sample)
+		require.NoError(b, err)
+		b.ReportMetric(float64(len(data)+1), "B/task")
+	}
+}
+
 // BenchmarkHeartbeatBytes gives the bytes of a heartbeat among the planned number
 // of entry hosts, without UDP and IP.
 func BenchmarkHeartbeatBytes(b *testing.B) {
