Answer report burn from all entry hosts; leave out empty columns in narrow tables

The entry host that is asked gathers the encoded counts of its peers over Entry.Query and names those that gave none. The budget used counts the covered part of a window only: a trial with 3 s of history showed 10000 % for 3d.

--- a/burn/burn_test.go
+++ b/burn/burn_test.go
@@ -46,7 +46,7 @@
 	observeMany(r, start, 3, time.Millisecond, kind.OutcomeNotRun, http.StatusServiceUnavailable)
 	observeMany(r, start, 2, time.Millisecond, kind.OutcomeDone, http.StatusInternalServerError)
 	observeMany(r, start, 50, time.Millisecond, kind.OutcomeNotRun, http.StatusRequestEntityTooLarge)
-	l := lineOf(t, r, start, GoalSuccess, Window5m)
+	l := lineOf(t, r, start.Add(5*time.Minute), GoalSuccess, Window5m)
 	assert.Equal(t, int64(1000), l.Requests, "a fault of the caller's does not count")
 	assert.Equal(t, int64(10), l.Bad)
 	assert.Equal(t, int64(5), l.Unknown)
@@ -54,6 +54,14 @@
 	assert.InDelta(t, 10.0*5/(30*24*60), l.BudgetUsed, 1e-9)
 }
 
+func TestAShortHistoryUsesUpLittleBudget(t *testing.T) {
+	r := NewRecorder("entry-1", start)
+	observeMany(r, start, 10, time.Millisecond, kind.OutcomeUnknown, http.StatusBadGateway)
+	l := lineOf(t, r, start.Add(30*time.Second), GoalSuccess, Window3d)
+	assert.Equal(t, 30*time.Second, l.Covered)
+	assert.InDelta(t, 1000*0.5/(30*24*60), l.BudgetUsed, 1e-9)
+}
+
 func TestLatencyBurnIsTheShareOfSlowAnswers(t *testing.T) {
 	r := NewRecorder("entry-1", start)
 	observeMany(r, start, 970, 20*time.Millisecond, kind.OutcomeDone, http.StatusOK)
--- a/burn/report.go
+++ b/burn/report.go
@@ -62,8 +62,9 @@
 	// Burn is the burn rate: the share of bad requests over the share that the
 	// objective allows.
 	Burn float64
-	// BudgetUsed is the share of the budget of BudgetPeriod that the window used
-	// up, if the traffic of the period is like that of the window.
+	// BudgetUsed is the share of the budget of BudgetPeriod that the covered part
+	// of the window used up, if the traffic of the period is like that of the
+	// window.
 	BudgetUsed float64
 	// Alert is set in the line of the long window of a rule that fires.
 	Alert Alert
@@ -108,6 +109,7 @@
 		l.Service = name
 		l.Alert = alertOf(all, window)
 		l.Covered = min(window, set.Covered)
+		l.BudgetUsed = l.Burn * float64(l.Covered) / float64(BudgetPeriod)
 		list = append(list, l)
 	}
 	return list
@@ -124,7 +126,6 @@
 	if l.Requests > 0 && allowed > 0 {
 		l.Burn = float64(l.Bad) / float64(l.Requests) / allowed
 	}
-	l.BudgetUsed = l.Burn * float64(window) / float64(BudgetPeriod)
 	return l
 }
 
--- a/clusterconfig/parse.go
+++ b/clusterconfig/parse.go
@@ -62,6 +62,12 @@
 	return config
 }
 
+// DefaultObjective returns the objective of a service that the configuration
+// does not list.
+func DefaultObjective() types.Objective {
+	return types.Objective{P99: DefaultObjectiveP99, Success: DefaultSuccess}
+}
+
 func faultError(faults []yamltree.Fault) error {
 	lines := make([]string, 0, len(faults))
 	for _, fault := range faults {
--- a/node/entry.go
+++ b/node/entry.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"mangohill.example/mangohill/burn"
 	"mangohill.example/mangohill/configcache"
 	"mangohill.example/mangohill/controlapi"
 	"mangohill.example/mangohill/kind"
@@ -46,6 +47,7 @@
 	workers  *workersync.Service
 	proxy    *proxy.Proxy
 	vars     *entryVars
+	burn     *burn.Recorder
 	token    uint64 // proves to peers that a request was handed over by this host
 
 	listeners []*listener
@@ -77,6 +79,7 @@
 		config:   configcache.New(),
 		peers:    peers,
 		vars:     newEntryVars(),
+		burn:     burn.NewRecorder(o.Settings.Name, time.Now()),
 		token:    rand.Uint64(),
 		changed:  make(chan struct{}, 1),
 	}
@@ -231,6 +234,7 @@
 
 func (e *Entry) observe(service string, took time.Duration, outcome kind.Outcome, status int) {
 	e.vars.observe(service, took, outcome, status)
+	e.burn.Observe(time.Now(), service, took, outcome, status)
 }
 
 func (e *Entry) takeConfig(version uint64, text string) {
--- a/node/entry_config.go
+++ b/node/entry_config.go
@@ -114,7 +114,12 @@
 	return nil
 }
 
-// Query returns rows that only this entry host holds.
-func (s *entryService) Query(args *controlapi.LocalQueryArgs, _ *controlapi.LocalQueryReply) error {
-	return kind.Errorf(kind.NotFound, "entry host %q has no local rows for %q", s.entry.settings.Name, args.Text)
+// Query returns what only this entry host holds.
+func (s *entryService) Query(args *controlapi.LocalQueryArgs, reply *controlapi.LocalQueryReply) error {
+	if args.Text != burnQuery {
+		return kind.Errorf(kind.NotFound, "entry host %q has no local rows for %q", s.entry.settings.Name, args.Text)
+	}
+	data, err := s.entry.encodedBurn()
+	reply.Burn = data
+	return err
 }
--- a/node/executor.go
+++ b/node/executor.go
@@ -32,6 +32,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
+	if _, ok := statement.(command.ReportBurn); ok {
+		return x.entry.reportBurn(ctx, args.ID), nil
+	}
 	reply, err := controlapi.Call[controlapi.CommandReply](ctx, x.entry.leader, "Control.Command", &args)
 	if err != nil {
 		return controlapi.CommandReply{}, err
--- a/table/table.go
+++ b/table/table.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 	"strconv"
 	"strings"
 	"unicode"
@@ -20,9 +21,10 @@
 )
 
 // Write renders rows to w. No line is longer than width characters where that
-// can be had; a width of zero means no limit. Cells that are too wide for their
-// column are wrapped, never cut. Rows whose columns cannot stand side by side
-// are written as records, one field a line.
+// can be had; a width of zero means no limit. Where space is short, columns
+// that are empty in all rows are left out, and cells that are too wide for their
+// column are wrapped, never cut. Rows whose columns cannot stand side by side are
+// written as records, one field a line.
 func Write(w io.Writer, rows []controlapi.Row, width int) error {
 	var out strings.Builder
 	for _, group := range groups(rows) {
@@ -72,7 +74,12 @@
 	if len(rows[0]) == 0 {
 		return
 	}
-	widths, ok := fit(naturalWidths(rows), width)
+	natural := naturalWidths(rows)
+	if width > 0 && total(natural) > width {
+		rows = withoutEmptyColumns(rows)
+		natural = naturalWidths(rows)
+	}
+	widths, ok := fit(natural, width)
 	if !ok || hasLineBreak(rows) {
 		renderRecords(out, rows, width)
 		return
@@ -101,17 +108,45 @@
 	return widths
 }
 
+// total returns the length of a line with columns of these widths.
+func total(widths []int) int {
+	sum := gap * (len(widths) - 1)
+	for _, w := range widths {
+		sum += w
+	}
+	return sum
+}
+
+// withoutEmptyColumns leaves out the columns that are empty in every row, but
+// never all of them.
+func withoutEmptyColumns(rows []controlapi.Row) []controlapi.Row {
+	var keep []int
+	for i := range rows[0] {
+		if slices.ContainsFunc(rows, func(row controlapi.Row) bool { return format(row[i].Value) != "" }) {
+			keep = append(keep, i)
+		}
+	}
+	if len(keep) == 0 {
+		return rows
+	}
+	short := make([]controlapi.Row, 0, len(rows))
+	for _, row := range rows {
+		var fields controlapi.Row
+		for _, i := range keep {
+			fields = append(fields, row[i])
+		}
+		short = append(short, fields)
+	}
+	return short
+}
+
 // fit narrows the widest columns until the line fits width. It reports false if
 // that would make columns narrower than minColumn.
 func fit(widths []int, width int) ([]int, bool) {
 	if width <= 0 {
 		return widths, true
 	}
-	total := gap * (len(widths) - 1)
-	for _, w := range widths {
-		total += w
-	}
-	for total > width {
+	for total(widths) > width {
 		widest := 0
 		for i, w := range widths {
 			if w > widths[widest] {
@@ -122,7 +157,6 @@
 			return nil, false
 		}
 		widths[widest]--
-		total--
 	}
 	return widths, true
 }
--- a/table/table_test.go
+++ b/table/table_test.go
@@ -33,6 +33,15 @@
 	assert.Equal(t, "task:\n  route-7\nepoch: 7\nreason:\n  none\n", out.String())
 }
 
+func TestEmptyColumnsGiveWayWhenSpaceIsShort(t *testing.T) {
+	rows := []controlapi.Row{row("route-7", "", 7)}
+	var wide, narrow strings.Builder
+	require.NoError(t, Write(&wide, rows, 80))
+	assert.Contains(t, wide.String(), "reason")
+	require.NoError(t, Write(&narrow, rows, 16))
+	assert.Equal(t, "task     epoch\nroute-7      7\n", narrow.String())
+}
+
 func TestTextWithLineBreaksIsKept(t *testing.T) {
 	var out strings.Builder
 	rows := []controlapi.Row{{{Name: "version", Value: int64(3)}, {Name: "text", Value: "weights:\n  evictions: 2\n"}}}
