--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"mangohill.example/mangohill/interference"
 	"mangohill.example/mangohill/types"
 )
 
@@ -22,8 +23,16 @@
 	teams    map[string]*team
 	total    types.Resources // capacity of the hosts that accept tasks
 	queue    *queue
+	orphans  int     // bound tasks whose worker is unknown
 	assumed  []*task // tasks with an unconfirmed start, oldest first
-	cursor   int     // host at which the next search begins
+
+	learned      map[string]*learned
+	learnedRest  *learned // shared by the classes beyond the bound
+	observations []observation
+	relieving    []*host
+	claims       []*task // tasks with a claim, oldest first
+	budget       budget
+	trials       [interference.MaxClasses]int // running trials by class
 
 	filters []filter
 	scorers []scorer
@@ -41,8 +50,14 @@
 		jobs:     map[string]*job{},
 		teams:    map[string]*team{},
 		queue:    newQueue(),
+		learned:  map[string]*learned{},
+
+		learnedRest: &learned{expectedUse: 1},
 	}
 	s.filters = defaultFilters()
+	if s.options.FirstFit {
+		s.filters = firstFitFilters()
+	}
 	s.scorers = defaultScorers()
 	s.weigh()
 	return s
@@ -64,6 +79,7 @@
 	if h == nil {
 		h = &host{worker: w}
 		s.insertHost(h)
+		s.adoptOrphans(h)
 	} else if h.accepting() {
 		s.total = s.total.Sub(h.worker.Capacity)
 	}
@@ -87,6 +103,11 @@
 	for len(h.tasks) > 0 {
 		s.unbind(h.tasks[0])
 	}
+	for _, t := range s.claims {
+		if t.claim != nil && t.claim.host == h {
+			s.reclaim(t)
+		}
+	}
 	delete(s.hostByID, id)
 	s.deleteHost(h)
 }
@@ -113,26 +134,40 @@
 		return
 	}
 	s.queue.remove(t)
+	s.dropClaim(t)
 	s.unbind(t)
 	t.assumedEpoch = 0
 	s.leaveJob(t)
 	delete(s.tasks, id)
 }
 
-// ObserveUsage takes in a usage report that was received at now.
-func (s *Scheduler) ObserveUsage(now time.Time, usage types.Usage) {}
-
 // Rejected undoes what was assumed of an action that the state refused.
 func (s *Scheduler) Rejected(action Action, err error) {
-	start, ok := action.(Start)
-	if !ok {
-		return
+	switch a := action.(type) {
+	case Start:
+		s.rejectedStart(a)
+	case Checkpoint:
+		s.rejected(a.Task)
+	case Throttle:
+		s.rejected(a.Task)
+	case Unthrottle:
+		s.rejected(a.Task)
+	case Stop:
+		s.rejected(a.Task)
 	}
-	t := s.tasks[start.Task]
-	if t == nil || t.assumedEpoch != start.Epoch {
-		return
+}
+
+func (s *Scheduler) rejectedStart(a Start) {
+	t := s.tasks[a.Task]
+	if t != nil && t.assumedEpoch == a.Epoch {
+		s.dropAssumption(t)
+	}
+}
+
+func (s *Scheduler) rejected(id types.TaskID) {
+	if t := s.tasks[id]; t != nil {
+		t.settleAwait()
 	}
-	s.dropAssumption(t)
 }
 
 // Plan decides what to do at now. The caller applies the actions in their order.
@@ -140,27 +175,17 @@
 	s.now = now
 	s.actions = s.actions[:0]
 	s.expireAssumptions()
+	s.budget.resize(len(s.hosts), s.config.Weights)
+	s.learnLatencies()
+	s.relief()
 	s.queue.release(now)
+	s.checkClaims()
 	s.placePending()
 	return append([]Action(nil), s.actions...)
 }
 
 func (s *Scheduler) emit(a Action) { s.actions = append(s.actions, a) }
 
-// adopt replaces the record of t by the confirmed update.
-func (s *Scheduler) adopt(t *task, update types.Task) {
-	s.queue.remove(t)
-	s.unbind(t)
-	t.assumedEpoch = 0
-	t.Task = update
-	switch {
-	case update.State.Placed():
-		s.bind(t, s.hostByID[update.Worker])
-	case update.State.Pending():
-		s.enqueue(t)
-	}
-}
-
 func (s *Scheduler) enqueue(t *task) {
 	t.order = queueOrder(t)
 	if t.Failures > 0 {
