Report the slots settled only once they are in use

Cause: Settled was true as soon as the view of the members was, but the shares were recomputed up to 50 ms later; a request in between found no target. Ruled out: lost announcements (show targets listed all of them).

--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -196,7 +196,7 @@
 func (p *Proxy) Settled() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.allot.Settled(p.options.Now())
+	return p.settled
 }
 
 // tickInterval is the time between checks of queues and shares.
@@ -221,7 +221,6 @@
 	p.mu.Lock()
 	settled := p.allot.Settled(p.options.Now())
 	grow := settled && !p.settled
-	p.settled = settled
 	services := p.allServices()
 	p.mu.Unlock()
 	for _, s := range services {
@@ -230,6 +229,17 @@
 		}
 		s.tick()
 	}
+	if grow {
+		p.markSettled()
+	}
+}
+
+// markSettled records that the shares of the settled view are in use, unless
+// the members changed meanwhile.
+func (p *Proxy) markSettled() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.settled = p.allot.Settled(p.options.Now())
 }
 
 // Stop refuses new requests and waits until those under way are answered, at
