--- /dev/null
+++ b/e2e/config_test.go
@@ -0,0 +1,115 @@
+package e2e
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// An accepted configuration is in force at every entry host, also at one that
+// was stopped meanwhile, and a restart never brings a lower one back.
+func TestAcceptedConfigurationIsInForceEverywhere(t *testing.T) {
+	c := newCluster(t, 3, 3)
+	for i := range 3 {
+		c.eventually("the first version", func() bool { return c.counter(i, "config_version") == 1 })
+	}
+	c.entries[2].kill()
+	for version := 1; version <= 5; version++ {
+		text := fmt.Sprintf("services:\n  quote: {timeout: %ds, queue_limit: 50}\n", version)
+		reply, err := c.try(0, uuid.NewString(), fmt.Sprintf("set config from FILE if version %d", version), text)
+		require.NoError(t, err)
+		require.EqualValues(t, "done", reply.Outcome, reply.Message)
+	}
+	c.entries[2].start()
+	for i := range 3 {
+		lowest := int64(0)
+		c.eventually("version 6 is in force", func() bool {
+			version := c.counter(i, "config_version")
+			if version > 0 {
+				assert.GreaterOrEqual(t, version, lowest)
+				lowest = version
+			}
+			return version == 6
+		})
+	}
+}
+
+// An entry host that cannot prove its configuration current stops serving after
+// the policy's bound, or serves on where the policy says so.
+func TestEntryHostCutOffFromControl(t *testing.T) {
+	policies := map[string]bool{"stop_when_stale: 2s": false, "stop_when_stale: 0s": true}
+	for policy, servesOn := range policies {
+		t.Run(policy, func(t *testing.T) {
+			c := newCluster(t, 1, 1)
+			c.setConfig("entry: {" + policy + "}\n")
+			c.targets("quote", 1, 0)
+			c.eventually("version 2", func() bool { return c.counter(0, "config_version") == 2 })
+			c.control[0].kill()
+			if servesOn {
+				got := c.request(0, "PUT", "quote", "", "quote")
+				assert.Equal(t, "done", got.outcome, got.body)
+				assert.True(t, c.ready(0))
+				return
+			}
+			c.eventually("readiness ends", func() bool { return !c.ready(0) })
+			c.control[0].start()
+			c.eventually("readiness returns", func() bool { return c.ready(0) })
+		})
+	}
+}
+
+func exitCode(t *testing.T, args ...string) (int, string) {
+	t.Helper()
+	cmd := exec.Command(filepath.Join(binaries, args[0]), args[1:]...)
+	output, err := cmd.CombinedOutput()
+	var exit *exec.ExitError
+	if err != nil {
+		require.ErrorAs(t, err, &exit)
+	}
+	return cmd.ProcessState.ExitCode(), string(output)
+}
+
+func TestBadStartsAreRefusedWithAClearError(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	entry := filepath.Join(c.folder, "entry-1.yaml")
+
+	code, output := exitCode(t, "mangohill-entry", "--settings", entry)
+	assert.Equal(t, 2, code)
+	assert.Contains(t, output, "address already in use")
+
+	code, output = exitCode(t, "mangohill-control", "--settings", filepath.Join(c.folder, "control-1.yaml"), "--bootstrap")
+	assert.NotEqual(t, 0, code, output)
+
+	good, err := os.ReadFile(entry)
+	require.NoError(t, err)
+	bad := filepath.Join(c.folder, "bad.yaml")
+	require.NoError(t, os.WriteFile(bad, append(good, []byte("no_such_key: 1\nstop_timeout: soon\n")...), 0o600))
+	code, output = exitCode(t, "mangohill-entry", "--settings", bad, "--check")
+	assert.Equal(t, 2, code)
+	assert.Contains(t, output, "no_such_key")
+	assert.Contains(t, output, "stop_timeout")
+
+	code, _ = exitCode(t, "mangohill-entry", "--settings", entry, "--check")
+	assert.Equal(t, 0, code)
+}
+
+func TestCommandLineExitCodes(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	entry := c.host("entry", 0) + ":8082"
+	run := func(words ...string) int {
+		code, _ := exitCode(t, append([]string{"mangohill", "--entry", entry}, words...)...)
+		return code
+	}
+	assert.Equal(t, 0, run("declare batch route-7 { processors 1 memory 1GiB }"))
+	assert.Equal(t, 1, run("declare batch route-7 { processors 1 memory 1GiB }"), "it exists already")
+	assert.Equal(t, 2, run("declare batch route-8 { processors many }"))
+	c.entries[0].kill()
+	code, _ := exitCode(t, "mangohill", "--entry", entry, "--timeout", "1s", "cancel route-7")
+	assert.Contains(t, []int{1, 3}, code)
+}
--- a/trial/trial.go
+++ b/trial/trial.go
@@ -157,9 +157,10 @@
 	}
 	report.Placements = tasks.Rows
 	burn, err := c.command(ctx, "report burn", "")
-	if err == nil {
-		report.Burn = burn.Rows
+	if err != nil {
+		return err
 	}
+	report.Burn = burn.Rows
 	return nil
 }
 
