--- a/replica/loop.go
+++ b/replica/loop.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"runtime"
 	"time"
 
 	"mangohill.example/mangohill/consensus"
@@ -134,12 +135,20 @@
 	l.maintainMembership()
 }
 
-// propose appends p and all proposals that wait, in one batch.
-func (l *loop) propose(p proposal) {
-	batch := []proposal{p}
+// gather collects the proposals that wait. It yields once to callers whose last
+// proposals were just answered, so that their next ones share the sync.
+func (l *loop) gather(first proposal) []proposal {
+	runtime.Gosched()
+	batch := []proposal{first}
 	for len(batch) < maxBatch && len(l.replica.proposals) > 0 {
 		batch = append(batch, <-l.replica.proposals)
 	}
+	return batch
+}
+
+// propose appends p and all proposals that wait, in one batch.
+func (l *loop) propose(p proposal) {
+	batch := l.gather(p)
 	commands := make([][]byte, len(batch))
 	for i := range batch {
 		commands[i] = batch[i].data
--- /dev/null
+++ b/replica/measure_test.go
@@ -0,0 +1,113 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"mangohill.example/mangohill/consensus"
+	"mangohill.example/mangohill/rpcclient"
+)
+
+// countedConn counts the bytes in both directions.
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// acknowledger answers every step as a follower that accepts would.
+type acknowledger struct{}
+
+func (acknowledger) Step(args *Packet, reply *Packet) error {
+	var e envelope
+	if err := decode(args.B, &e); err != nil {
+		return err
+	}
+	m := e.Messages[0]
+	answer := consensus.Message{Type: consensus.MessageAppendResponse, Term: m.Term, Index: m.Index + uint64(len(m.Entries)), Round: m.Round}
+	data, err := encode([]consensus.Message{answer})
+	reply.B = data
+	return err
+}
+
+// bytesOnTheWire returns the bytes of one call with the given number of entries,
+// both ways, on a connection in use.
+func bytesOnTheWire(t *testing.T, entries, dataBytes int) int64 {
+	server := rpc.NewServer()
+	require.NoError(t, server.RegisterName(serviceName, acknowledger{}))
+	var count atomic.Int64
+	client := rpcclient.New(rpcclient.Options{Dial: func(context.Context, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		go server.ServeConn(far)
+		return countedConn{near, &count}, nil
+	}})
+	defer client.Close()
+	s := &sender{replica: &Replica{options: Options{Caller: client}}}
+	m := consensus.Message{Type: consensus.MessageAppend, Term: 12, Index: 1_000_000, LogTerm: 12, Commit: 999_990, Round: 100_000}
+	for range entries {
+		m.Entries = append(m.Entries, consensus.Entry{Term: 12, Data: make([]byte, dataBytes)})
+	}
+	e := envelope{Cluster: 1 << 63, From: 1 << 63, To: 1 << 63, Messages: []consensus.Message{m}}
+	for range 1000 { // The sequence numbers of net/rpc grow to their usual size.
+		_, err := s.exchange(context.Background(), stepMethod, e)
+		require.NoError(t, err)
+	}
+	before := count.Load()
+	_, err := s.exchange(context.Background(), stepMethod, e)
+	require.NoError(t, err)
+	return count.Load() - before
+}
+
+func TestReplicationOverheadOnTheWire(t *testing.T) {
+	const dataBytes = 30
+	heartbeat := bytesOnTheWire(t, 0, 0)
+	single := bytesOnTheWire(t, 1, dataBytes)
+	batch := bytesOnTheWire(t, 20, dataBytes)
+	t.Logf("heartbeat and answer %d bytes; one entry of %d: %d; batch of 20: %d, %.1f for each entry",
+		heartbeat, dataBytes, single, batch, float64(batch)/20)
+	assert.LessOrEqual(t, single-dataBytes, int64(160))
+	assert.LessOrEqual(t, batch/20-dataBytes, int64(16))
+}
+
+func TestConcurrentProposalsShareSyncs(t *testing.T) {
+	const proposers, each = 200, 20
+	nodes := newNodes(t, 3, nil)
+	startGroup(t, nodes)
+	leader := leaderOf(nodes)
+	before := leader.replica.Status().Syncs
+	var group sync.WaitGroup
+	var failed atomic.Int64
+	for p := range proposers {
+		group.Go(func() {
+			for i := range each {
+				if _, err := leader.replica.Propose(context.Background(), []byte(fmt.Sprint(p, " ", i))); err != nil {
+					failed.Add(1)
+				}
+			}
+		})
+	}
+	group.Wait()
+	syncs := leader.replica.Status().Syncs - before
+	t.Logf("%d commands, %d failed, in %d syncs: %.1f for each", proposers*each, failed.Load(), syncs, float64(proposers*each)/float64(syncs))
+	assert.Zero(t, failed.Load())
+	assert.GreaterOrEqual(t, uint64(proposers*each), 20*syncs)
+}
