--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -30,6 +30,9 @@
 	learnedRest  *learned // shared by the classes beyond the bound
 	observations []observation
 	relieving    []*host
+	suspects     []*host // hosts with failures since their last success
+	drains       []*host // draining hosts
+	replacements []*task
 	claims       []*task // tasks with a claim, oldest first
 	budget       budget
 	trials       [interference.MaxClasses]int // running trials by class
@@ -80,16 +83,28 @@
 		h = &host{worker: w}
 		s.insertHost(h)
 		s.adoptOrphans(h)
-	} else if h.accepting() {
-		s.total = s.total.Sub(h.worker.Capacity)
+	}
+	if h.worker.State == types.WorkerQuarantined && w.State == types.WorkerReady {
+		h.health.quarantined = false
 	}
 	h.worker = w
+	s.count(h)
+	s.listDrain(h)
 	if h.accepting() {
-		s.total = s.total.Add(w.Capacity)
 		s.queue.unblock()
 	}
 }
 
+// count adds the capacity of h to the cluster's total while it accepts tasks.
+func (s *Scheduler) count(h *host) {
+	s.total = s.total.Sub(h.counted)
+	h.counted = types.Resources{}
+	if h.accepting() {
+		h.counted = h.worker.Capacity
+	}
+	s.total = s.total.Add(h.counted)
+}
+
 // RemoveWorker forgets a worker. Its tasks lose their host until their next
 // update.
 func (s *Scheduler) RemoveWorker(id types.WorkerID) {
@@ -97,9 +112,7 @@
 	if h == nil {
 		return
 	}
-	if h.accepting() {
-		s.total = s.total.Sub(h.worker.Capacity)
-	}
+	s.total = s.total.Sub(h.counted)
 	for len(h.tasks) > 0 {
 		s.unbind(h.tasks[0])
 	}
@@ -154,6 +167,15 @@
 		s.rejected(a.Task)
 	case Stop:
 		s.rejected(a.Task)
+	case Replace:
+		s.rejected(a.Task)
+		if t := s.tasks[a.Task]; t != nil {
+			t.irreplaceable = true
+		}
+	case Park:
+		s.rejectedPark(a.Task)
+	case Quarantine:
+		s.rejectedQuarantine(a.Worker)
 	}
 }
 
@@ -164,6 +186,18 @@
 	}
 }
 
+// rejectedPark queues the task again after a pause.
+func (s *Scheduler) rejectedPark(id types.TaskID) {
+	s.rejected(id)
+	t := s.tasks[id]
+	if t == nil || !t.State.Pending() || t.bound {
+		return
+	}
+	s.queue.remove(t)
+	t.notBefore = s.now.Add(s.options.AssumeFor)
+	s.queue.add(t)
+}
+
 func (s *Scheduler) rejected(id types.TaskID) {
 	if t := s.tasks[id]; t != nil {
 		t.settleAwait()
@@ -178,6 +212,9 @@
 	s.budget.resize(len(s.hosts), s.config.Weights)
 	s.learnLatencies()
 	s.relief()
+	s.judge()
+	s.drain()
+	s.finishReplacements()
 	s.queue.release(now)
 	s.checkClaims()
 	s.placePending()
@@ -188,6 +225,7 @@
 
 func (s *Scheduler) enqueue(t *task) {
 	t.order = queueOrder(t)
+	t.notBefore = time.Time{}
 	if t.Failures > 0 {
 		t.notBefore = unixMs(t.ChangedMs).Add(backoff(t.Failures))
 	}
