Count a connection as open until the peer has closed it too

Cause: with 3 hosts, 4 slots and 9 connections announced, the target saw 11 connections at a time: a closed connection was replaced before the target had noticed the close. Change: retire half-closes and waits for the peer's end. The stand-in target uncounts before its close can be seen. Adds the tests of the request path under faults.

--- a/exchange/client.go
+++ b/exchange/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -66,7 +67,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.max = max(limit, 1)
-	for c.open > c.max && len(c.idle) > 0 {
+	for excess := c.open - c.max; excess > 0 && len(c.idle) > 0; excess-- {
 		c.closeOldest()
 	}
 }
@@ -111,14 +112,45 @@
 func (c *Client) closeOldest() {
 	oldest := c.idle[0]
 	c.idle = c.idle[1:]
-	c.open--
-	_ = oldest.Conn.Close() // Nothing is under way on it.
+	go c.retire(oldest)
+}
+
+// retire closes a connection in good order. It counts as open until the peer
+// has closed it as well, so that the peer never sees more than the bound.
+func (c *Client) retire(conn *connection) {
+	half, ok := conn.Conn.(interface{ CloseWrite() error })
+	if ok && half.CloseWrite() == nil {
+		_ = conn.Conn.SetReadDeadline(time.Now().Add(retireTimeout)) // Close follows either way.
+		_, _ = io.Copy(io.Discard, conn.Conn)                        // Until the peer closes.
+	}
+	_ = conn.Conn.Close() // Nothing is under way on it.
+	c.release()
+}
+
+// abandon closes a connection in the middle of an exchange at once. The peer may
+// need a moment to notice.
+func (c *Client) abandon(conn *connection) {
+	if tcp, ok := conn.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // The reset tells the peer to stop.
+	}
+	_ = conn.Conn.Close() // The exchange failed.
+	time.AfterFunc(abandonTime, c.release)
 }
 
+const (
+	// retireTimeout bounds the wait for the peer's close.
+	retireTimeout = time.Second
+	// abandonTime is the time for which a reset connection counts as open.
+	abandonTime = 20 * time.Millisecond
+)
+
 // acquire returns a connection; a fresh one if reuse is false.
 func (c *Client) acquire(ctx context.Context, reuse bool) (conn *connection, err error) {
 	for {
 		conn, dial := c.reserve(reuse)
+		if conn != nil || dial {
+			c.wake() // There may be room for the next one that waits.
+		}
 		if conn != nil {
 			return conn, nil
 		}
@@ -144,8 +176,7 @@
 			last.reused = true
 			return last, false
 		}
-		c.open--
-		_ = last.Conn.Close() // Nothing is under way on it.
+		go c.retire(last)
 	}
 	if c.open >= c.max && len(c.idle) > 0 {
 		c.closeOldest()
@@ -182,17 +213,19 @@
 }
 
 // put returns a connection after a whole answer, or closes it.
-func (c *Client) put(conn *connection, keep bool) {
+func (c *Client) put(conn *connection, whole, keep bool) {
+	if !whole {
+		c.abandon(conn)
+		return
+	}
 	c.mu.Lock()
-	if keep && !c.closed && c.open <= c.max && conn.reader.Buffered() == 0 {
-		conn.idleSince = c.options.Now()
-		c.idle = append(c.idle, conn)
+	if !keep || c.closed || c.open > c.max || conn.reader.Buffered() > 0 {
 		c.mu.Unlock()
-		c.wake()
+		go c.retire(conn)
 		return
 	}
-	c.open--
+	conn.idleSince = c.options.Now()
+	c.idle = append(c.idle, conn)
 	c.mu.Unlock()
-	_ = conn.Conn.Close() // Its exchange is over.
 	c.wake()
 }
--- a/exchange/do.go
+++ b/exchange/do.go
@@ -81,7 +81,7 @@
 	}
 	deadline, _ := ctx.Deadline()
 	if err := conn.begin(deadline, params.Silence); err != nil {
-		c.put(conn, false)
+		c.put(conn, false, false)
 		return nil, &Error{Reused: conn.reused, cause: err}
 	}
 	stop := context.AfterFunc(ctx, conn.cancel)
@@ -89,7 +89,7 @@
 	answer, err := conn.receive(req, params)
 	if err != nil {
 		stop()
-		c.put(conn, false)
+		c.put(conn, false, false)
 		<-wrote // The closed connection ends the write; after it the body is free.
 		return nil, &Error{Sent: conn.written.Load() > 0, Reused: conn.reused, cause: conn.explain(ctx, err)}
 	}
@@ -182,13 +182,13 @@
 // Close ends the exchange.
 func (a *Answer) Close() {
 	stopped := a.stop()
-	keep := stopped && a.whole && !a.failed && !a.Response.Close
+	whole := stopped && a.whole && !a.failed
 	select {
 	case err := <-a.wrote:
-		a.client.put(a.conn, keep && err == nil)
+		a.client.put(a.conn, whole && err == nil, !a.Response.Close)
 	default:
 		// The peer answered before it read the whole request.
-		a.client.put(a.conn, false)
+		a.client.put(a.conn, false, false)
 		<-a.wrote
 	}
 }
--- a/internal/fake/target.go
+++ b/internal/fake/target.go
@@ -104,11 +104,11 @@
 		options: options, listener: listener, client: &http.Client{Timeout: 3 * time.Second},
 		delay: options.Delay, state: types.TargetReady, runs: make(map[string]int), cancel: cancel, hung: make(chan struct{}),
 	}
-	t.server = &http.Server{Handler: t, ConnState: t.countConns, ReadHeaderTimeout: 10 * time.Second}
+	t.server = &http.Server{Handler: t, ReadHeaderTimeout: 10 * time.Second}
 	t.wait.Add(1)
 	go func() {
 		defer t.wait.Done()
-		_ = t.server.Serve(listener) // It ends with the target.
+		_ = t.server.Serve(countingListener{Listener: listener, target: t}) // It ends with the target.
 	}()
 	if len(options.Platforms) > 0 {
 		t.wait.Add(1)
@@ -198,17 +198,48 @@
 	return t.inFlight
 }
 
-func (t *Target) countConns(_ net.Conn, state http.ConnState) {
+// countingListener counts the connections that are open at a time.
+type countingListener struct {
+	net.Listener
+	target *Target
+}
+
+// Accept waits for a connection and counts it.
+func (l countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.target.countConn(1)
+	return &countedConn{Conn: conn, target: l.target}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	target *Target
+	once   sync.Once
+}
+
+// Close uncounts the connection before the peer can see that it is closed.
+func (c *countedConn) Close() error {
+	c.once.Do(func() { c.target.countConn(-1) })
+	return c.Conn.Close()
+}
+
+// CloseWrite is what net/http calls before Close.
+func (c *countedConn) CloseWrite() error {
+	c.once.Do(func() { c.target.countConn(-1) })
+	if half, ok := c.Conn.(*net.TCPConn); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+func (t *Target) countConn(delta int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	switch state {
-	case http.StateNew:
-		t.conns++
-		t.connPeak = max(t.connPeak, t.conns)
-	case http.StateClosed, http.StateHijacked:
-		t.conns--
-	case http.StateActive, http.StateIdle:
-	}
+	t.conns += delta
+	t.connPeak = max(t.connPeak, t.conns)
 }
 
 // ServeHTTP runs one request. The answer names the target and carries the body
--- /dev/null
+++ b/proxy/cluster_test.go
@@ -0,0 +1,214 @@
+package proxy_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"mangohill.example/mangohill/controlapi"
+	"mangohill.example/mangohill/internal/fake"
+	"mangohill.example/mangohill/kind"
+	"mangohill.example/mangohill/proxy"
+	"mangohill.example/mangohill/types"
+)
+
+func TestSlotsAndConnectionsHoldAcrossAllHosts(t *testing.T) {
+	hosts := startHosts(t, 3, proxy.Options{})
+	target := startTarget(t, hosts, fake.TargetOptions{Name: "t1", Slots: 4, Connections: 9, Delay: 2 * time.Millisecond})
+	waitForTargets(t, hosts, 1)
+	var wait sync.WaitGroup
+	var mu sync.Mutex
+	outcomes := make(map[string]int)
+	for i := range 60 {
+		wait.Go(func() {
+			for range 10 {
+				method := []string{http.MethodGet, http.MethodPost}[i%2]
+				got := ask(hosts[i%3], method, "/v1/services/quote/", nil, nil)
+				mu.Lock()
+				outcomes[got.outcome()]++
+				mu.Unlock()
+			}
+		})
+	}
+	wait.Wait()
+	assert.Equal(t, 600, outcomes["done"], outcomes)
+	assert.LessOrEqual(t, target.Peak(), 4)
+	assert.LessOrEqual(t, target.ConnectionPeak(), 9)
+}
+
+func TestHostWithoutASlotHandsTheRequestOverOnce(t *testing.T) {
+	hosts := startHosts(t, 3, proxy.Options{})
+	target := startTarget(t, hosts, fake.TargetOptions{Name: "t1", Slots: 1})
+	waitForTargets(t, hosts, 1)
+	for i, h := range hosts {
+		require.Eventually(t, func() bool {
+			got := ask(h, http.MethodPost, "/v1/services/quote/a%2Fb", []byte("x"), quick(fmt.Sprint("r", i), "false"))
+			return got.outcome() == "done" && got.header.Get(proxy.HeaderTarget) == "t1" && got.header.Get("X-Path") == "/a%2Fb"
+		}, 10*time.Second, 10*time.Millisecond)
+		assert.Equal(t, 1, target.Runs(fmt.Sprint("r", i)))
+	}
+	forged := ask(hosts[0], http.MethodPost, "/v1/services/quote/", nil, http.Header{proxy.HeaderHop: {"1f"}})
+	assert.Equal(t, "not-run", forged.outcome())
+}
+
+func TestLeavingTargetGetsNothingNewThoughTheHostItToldDies(t *testing.T) {
+	hosts := startHosts(t, 3, proxy.Options{})
+	target := startTarget(t, hosts, fake.TargetOptions{Name: "t1", Slots: 6})
+	waitForTargets(t, hosts, 1)
+	for _, h := range hosts {
+		require.Eventually(t, func() bool {
+			return ask(h, http.MethodGet, "/v1/services/quote/", nil, nil).outcome() == "done"
+		}, 10*time.Second, 10*time.Millisecond)
+	}
+	record := target.Record()
+	record.State = types.TargetLeaving
+	require.NoError(t, hosts[0].registry.Announce(context.Background(), record))
+	hosts[0].kill()
+	before := target.TotalRuns()
+	for _, h := range hosts[1:] {
+		got := ask(h, http.MethodGet, "/v1/services/quote/", nil, nil)
+		assert.Equal(t, http.StatusServiceUnavailable, got.status)
+		assert.Equal(t, "not-run", got.outcome())
+	}
+	assert.Equal(t, before, target.TotalRuns())
+}
+
+func TestRequestsGoOnWhenAnEntryHostDies(t *testing.T) {
+	hosts := startHosts(t, 3, proxy.Options{})
+	startTarget(t, hosts[1:], fake.TargetOptions{Name: "t1", Slots: 1})
+	waitForTargets(t, hosts, 1)
+	hosts[2].kill()
+	hosts[1].kill()
+	require.Eventually(t, func() bool {
+		return ask(hosts[0], http.MethodGet, "/v1/services/quote/", nil, nil).outcome() == "done"
+	}, 10*time.Second, 20*time.Millisecond)
+}
+
+// claims is the replicated state's part of a claim.
+type claims struct {
+	mu      sync.Mutex
+	tokens  map[string]string
+	digests map[string]uint64
+	results map[string]controlapi.ClaimResult
+	down    bool
+	calls   int
+}
+
+func newClaims() *claims {
+	return &claims{tokens: map[string]string{}, digests: map[string]uint64{}, results: map[string]controlapi.ClaimResult{}}
+}
+
+func (c *claims) Claim(_ context.Context, args controlapi.ClaimArgs) (controlapi.ClaimReply, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls++
+	if c.down {
+		return controlapi.ClaimReply{}, kind.Errorf(kind.NoQuorum, "no leader")
+	}
+	token, held := c.tokens[args.Key]
+	switch {
+	case !held:
+		c.tokens[args.Key], c.digests[args.Key] = args.Token, args.Digest
+		return controlapi.ClaimReply{State: controlapi.ClaimGranted}, nil
+	case c.digests[args.Key] != args.Digest:
+		return controlapi.ClaimReply{State: controlapi.ClaimMismatch}, nil
+	case token == args.Token:
+		return controlapi.ClaimReply{State: controlapi.ClaimGranted}, nil
+	}
+	if result, ok := c.results[args.Key]; ok {
+		return controlapi.ClaimReply{State: controlapi.ClaimResolved, Result: result}, nil
+	}
+	return controlapi.ClaimReply{State: controlapi.ClaimHeld}, nil
+}
+
+func (c *claims) Resolve(_ context.Context, args controlapi.ResolveArgs) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.tokens[args.Key] != args.Token {
+		return nil
+	}
+	if args.Result.Outcome == string(kind.OutcomeNotRun) {
+		delete(c.tokens, args.Key)
+		return nil
+	}
+	c.results[args.Key] = args.Result
+	return nil
+}
+
+func booking(id, key string) http.Header {
+	return http.Header{proxy.HeaderRequestID: {id}, proxy.HeaderIdempotencyKey: {key}, proxy.HeaderTimeout: {"1000"}}
+}
+
+func TestKeyRunsOnceThroughTwoHosts(t *testing.T) {
+	state := newClaims()
+	hosts := startHosts(t, 2, proxy.Options{Claimer: state})
+	target := startTarget(t, hosts, fake.TargetOptions{Name: "t1", Delay: 20 * time.Millisecond})
+	waitForTargets(t, hosts, 1)
+	var wait sync.WaitGroup
+	answers := make([]reply, 16)
+	for i := range answers {
+		wait.Go(func() {
+			answers[i] = ask(hosts[i%2], http.MethodPost, "/v1/services/quote/book", []byte("field 7"), booking(fmt.Sprint("r", i), "k1"))
+		})
+	}
+	wait.Wait()
+	done := 0
+	for _, got := range answers {
+		if got.outcome() == "done" {
+			done++
+			assert.Equal(t, "field 7", string(got.body))
+			continue
+		}
+		assert.Equal(t, http.StatusConflict, got.status)
+		assert.Contains(t, string(got.body), "already_claimed")
+	}
+	assert.GreaterOrEqual(t, done, 1)
+	assert.Equal(t, 1, target.TotalRuns())
+
+	again := ask(hosts[1], http.MethodPost, "/v1/services/quote/book", []byte("field 7"), booking("again", "k1"))
+	assert.Equal(t, "done", again.outcome())
+	assert.Equal(t, "field 7", string(again.body))
+	other := ask(hosts[0], http.MethodPost, "/v1/services/quote/book", []byte("field 8"), booking("other", "k1"))
+	assert.Equal(t, http.StatusConflict, other.status)
+	assert.Equal(t, "not-run", other.outcome())
+	assert.Equal(t, 1, target.TotalRuns())
+}
+
+func TestUnknownEndOfAKeyStaysUnknown(t *testing.T) {
+	state := newClaims()
+	hosts := startHosts(t, 2, proxy.Options{Claimer: state})
+	target := startTarget(t, hosts, fake.TargetOptions{Name: "t1"})
+	waitForTargets(t, hosts, 1)
+	target.Set(fake.CloseEarly, 0)
+	first := ask(hosts[0], http.MethodPost, "/v1/services/quote/book", []byte("x"), booking("a", "k"))
+	target.Set(fake.Answer, 0)
+	second := ask(hosts[1], http.MethodPost, "/v1/services/quote/book", []byte("x"), booking("b", "k"))
+	assert.Equal(t, "unknown", first.outcome())
+	assert.Equal(t, "unknown", second.outcome())
+	assert.Equal(t, http.StatusConflict, second.status)
+	assert.Equal(t, 1, target.TotalRuns())
+}
+
+func TestKeyWithoutAClaimIsNotSent(t *testing.T) {
+	state := newClaims()
+	state.down = true
+	hosts := startHosts(t, 1, proxy.Options{Claimer: state})
+	target := startTarget(t, hosts, fake.TargetOptions{Name: "t1"})
+	waitForTargets(t, hosts, 1)
+	got := ask(hosts[0], http.MethodPost, "/v1/services/quote/book", []byte("x"), booking("a", "k"))
+	assert.Equal(t, http.StatusServiceUnavailable, got.status)
+	assert.Equal(t, "not-run", got.outcome())
+	assert.NotEmpty(t, got.header.Get("Retry-After"))
+	plain := ask(hosts[0], http.MethodPost, "/v1/services/quote/book", []byte("x"), nil)
+	assert.Equal(t, "done", plain.outcome(), "requests without a key need no claim")
+	assert.Equal(t, 1, target.TotalRuns())
+	state.down = false
+	released := ask(hosts[0], http.MethodPost, "/v1/services/quote/book", []byte("x"), booking("b", "k"))
+	assert.Equal(t, "done", released.outcome())
+}
--- /dev/null
+++ b/proxy/fault_test.go
@@ -0,0 +1,216 @@
+package proxy_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"mangohill.example/mangohill/internal/fake"
+	"mangohill.example/mangohill/proxy"
+)
+
+// faults are the ways in which a target may fail, with the most executions that
+// a request which may not run twice can have had.
+var faults = []struct {
+	name     string
+	behavior fake.Behavior
+	runs     int
+	outcome  string
+}{
+	{"refuse", fake.RefuseRun, 0, "not-run"},
+	{"truncate", fake.Truncate, 1, "unknown"},
+	{"hang", fake.Hang, 1, "unknown"},
+	{"hang in the body", fake.HangMidBody, 1, "unknown"},
+	{"close early", fake.CloseEarly, 1, "unknown"},
+	{"close unread", fake.CloseUnread, 0, "unknown"},
+	{"mislabel", fake.Mislabel, 1, "unknown"},
+	{"unframed", fake.Unframed, 1, "unknown"},
+	{"double", fake.Double, 1, "done"},
+	{"fail", fake.Fail, 1, "done"},
+}
+
+func quick(id, idempotent string) http.Header {
+	return http.Header{
+		proxy.HeaderRequestID: {id}, proxy.HeaderIdempotent: {idempotent}, proxy.HeaderTimeout: {"400"},
+	}
+}
+
+func TestNonIdempotentRequestIsSentOnceUnderEachFault(t *testing.T) {
+	hosts := startHosts(t, 1, proxy.Options{})
+	target := startTarget(t, hosts, fake.TargetOptions{Name: "t1"})
+	waitForTargets(t, hosts, 1)
+	for i, fault := range faults {
+		t.Run(fault.name, func(t *testing.T) {
+			target.Set(fault.behavior, 0)
+			id := fmt.Sprintf("booking-%d", i)
+			got := ask(hosts[0], http.MethodPost, "/v1/services/quote/book", []byte("booking"), quick(id, "false"))
+			require.NoError(t, got.err)
+			assert.Equal(t, fault.runs, target.Runs(id))
+			assert.Equal(t, fault.outcome, got.outcome(), string(got.body))
+			if fault.behavior != fake.RefuseRun {
+				assert.Equal(t, "1", got.header.Get(proxy.HeaderAttempts))
+			}
+			if got.status == http.StatusServiceUnavailable {
+				assert.NotEmpty(t, got.header.Get("Retry-After"))
+			}
+		})
+	}
+}
+
+func TestIdempotentRequestReachesAnotherTargetUnderEachFault(t *testing.T) {
+	hosts := startHosts(t, 1, proxy.Options{})
+	bad := startTarget(t, hosts, fake.TargetOptions{Name: "bad"})
+	good := startTarget(t, hosts, fake.TargetOptions{Name: "good"})
+	waitForTargets(t, hosts, 2)
+	for i, fault := range faults {
+		if fault.outcome == "done" || fault.behavior == fake.Hang || fault.behavior == fake.HangMidBody {
+			continue // Answered, or given up after a second: the test of silence has it.
+		}
+		t.Run(fault.name, func(t *testing.T) {
+			bad.Set(fault.behavior, 0)
+			for n := range 4 {
+				id := fmt.Sprintf("quote-%d-%d", i, n)
+				got := ask(hosts[0], http.MethodPut, "/v1/services/quote/ask", []byte(id), quick(id, "true"))
+				require.NoError(t, got.err)
+				assert.Equal(t, "done", got.outcome(), string(got.body))
+				assert.Equal(t, id, string(got.body))
+				assert.Equal(t, "good", got.header.Get(proxy.HeaderTarget))
+				assert.LessOrEqual(t, bad.Runs(id)+good.Runs(id), 2)
+			}
+		})
+	}
+}
+
+func TestDoubledAnswerReachesNoOtherRequest(t *testing.T) {
+	hosts := startHosts(t, 1, proxy.Options{})
+	target := startTarget(t, hosts, fake.TargetOptions{Name: "t1"})
+	waitForTargets(t, hosts, 1)
+	for n := range 20 {
+		target.Set(fake.Double, 0)
+		first := ask(hosts[0], http.MethodPut, "/v1/services/quote/", []byte("first"), quick(fmt.Sprint("a", n), "true"))
+		target.Set(fake.Answer, 0)
+		second := ask(hosts[0], http.MethodPut, "/v1/services/quote/", []byte("second"), quick(fmt.Sprint("b", n), "true"))
+		assert.Equal(t, "first", string(first.body))
+		assert.Equal(t, "second", string(second.body))
+	}
+}
+
+func TestUnreachableTargetIsNotRun(t *testing.T) {
+	hosts := startHosts(t, 1, proxy.Options{})
+	target := startTarget(t, hosts, fake.TargetOptions{Name: "t1", AnnounceAddress: "127.0.0.1:1"})
+	waitForTargets(t, hosts, 1)
+	got := ask(hosts[0], http.MethodPost, "/v1/services/quote/", []byte("x"), quick("r", "false"))
+	assert.Equal(t, http.StatusServiceUnavailable, got.status)
+	assert.Equal(t, "not-run", got.outcome())
+	assert.Equal(t, "0", got.header.Get(proxy.HeaderAttempts))
+	assert.NotEmpty(t, got.header.Get("Retry-After"))
+	assert.Zero(t, target.TotalRuns())
+}
+
+func TestLongAnswerIsStreamedAndItsBreakIsVisible(t *testing.T) {
+	hosts := startHosts(t, 1, proxy.Options{MaxAnswer: 1000})
+	target := startTarget(t, hosts, fake.TargetOptions{Name: "t1"})
+	waitForTargets(t, hosts, 1)
+	long := []byte(strings.Repeat("0123456789", 20_000))
+	whole := ask(hosts[0], http.MethodPut, "/v1/services/quote/", long, quick("r1", "true"))
+	require.NoError(t, whole.err)
+	assert.Equal(t, string(long), string(whole.body))
+	assert.Equal(t, "done", whole.outcome())
+
+	target.Set(fake.Truncate, 0)
+	broken := ask(hosts[0], http.MethodPut, "/v1/services/quote/", long, quick("r2", "true"))
+	assert.Error(t, broken.err, "a short answer must not look complete")
+
+	target.Set(fake.Endless, 0)
+	endless := ask(hosts[0], http.MethodPut, "/v1/services/quote/", long, quick("r3", "true"))
+	assert.Error(t, endless.err, "an answer cut at the deadline must not look complete")
+	require.Eventually(t, func() bool { return target.InFlight() == 0 }, 10*time.Second, time.Millisecond)
+}
+
+func TestQueueHonoursTheDeadlineAndAnswersAtOnce(t *testing.T) {
+	hosts := startHosts(t, 1, proxy.Options{})
+	target := startTarget(t, hosts, fake.TargetOptions{Name: "t1", Slots: 1})
+	waitForTargets(t, hosts, 1)
+	target.Set(fake.Hang, 0)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go askContext(ctx, hosts[0], http.MethodPost, "/v1/services/quote/", nil, http.Header{proxy.HeaderTimeout: {"60000"}})
+	require.Eventually(t, func() bool { return target.InFlight() == 1 }, 10*time.Second, time.Millisecond)
+	got := ask(hosts[0], http.MethodPost, "/v1/services/quote/", nil, quick("late", "false"))
+	assert.Equal(t, http.StatusServiceUnavailable, got.status)
+	assert.Equal(t, "not-run", got.outcome())
+	assert.NotEmpty(t, got.header.Get("Retry-After"))
+	assert.Zero(t, target.Runs("late"))
+}
+
+func TestCanceledRequestsFreeTheirSlots(t *testing.T) {
+	hosts := startHosts(t, 1, proxy.Options{})
+	target := startTarget(t, hosts, fake.TargetOptions{Name: "t1", Slots: 4})
+	waitForTargets(t, hosts, 1)
+	target.Set(fake.Hang, 0)
+	ctx, cancel := context.WithCancel(context.Background())
+	var burst sync.WaitGroup
+	for range 40 {
+		burst.Go(func() {
+			askContext(ctx, hosts[0], http.MethodPost, "/v1/services/quote/", nil, http.Header{proxy.HeaderTimeout: {"60000"}})
+		})
+	}
+	require.Eventually(t, func() bool { return target.InFlight() == 4 }, 10*time.Second, time.Millisecond)
+	cancel()
+	burst.Wait()
+	target.Set(fake.Answer, 0)
+	require.Eventually(t, func() bool { return hosts[0].proxy.Loads()[0].Free == 4 }, 10*time.Second, time.Millisecond)
+	got := ask(hosts[0], http.MethodPost, "/v1/services/quote/", []byte("next"), nil)
+	assert.Equal(t, "next", string(got.body))
+}
+
+func TestSilentConnectionsAreGivenUpWithoutAVisibleFailure(t *testing.T) {
+	hosts := startHosts(t, 1, proxy.Options{})
+	target := startTarget(t, nil, fake.TargetOptions{Name: "t1"})
+	relay, err := fake.StartRelay(target.Address())
+	require.NoError(t, err)
+	t.Cleanup(relay.Close)
+	record := target.Record()
+	record.Address = relay.Address()
+	hosts[0].proxy.SetTarget(record)
+	for range 3 {
+		got := ask(hosts[0], http.MethodGet, "/v1/services/quote/warm", nil, nil)
+		require.Equal(t, "done", got.outcome(), string(got.body))
+	}
+	assert.EqualValues(t, 1, relay.Accepted(), "the connection is used again")
+	relay.Silence()
+	booking := ask(hosts[0], http.MethodPost, "/v1/services/quote/book", []byte("b"), nil)
+	assert.Equal(t, "done", booking.outcome(), "a fresh connection works")
+	assert.Equal(t, "1", booking.header.Get(proxy.HeaderAttempts))
+	// The booking's connection may have been kept; silence it as well.
+	relay.Silence()
+	quote := ask(hosts[0], http.MethodGet, "/v1/services/quote/ask", nil, http.Header{proxy.HeaderTimeout: {"2000"}})
+	assert.Equal(t, "done", quote.outcome(), string(quote.body))
+	assert.Equal(t, "2", quote.header.Get(proxy.HeaderAttempts))
+}
+
+func TestPlannedStopFinishesWhatIsUnderWay(t *testing.T) {
+	hosts := startHosts(t, 1, proxy.Options{})
+	target := startTarget(t, hosts, fake.TargetOptions{Name: "t1", Delay: 300 * time.Millisecond})
+	waitForTargets(t, hosts, 1)
+	answers := make(chan reply, 1)
+	go func() { answers <- ask(hosts[0], http.MethodPost, "/v1/services/quote/", []byte("last"), nil) }()
+	require.Eventually(t, func() bool { return target.InFlight() == 1 }, 10*time.Second, time.Millisecond)
+	stopped := make(chan error, 1)
+	go func() { stopped <- hosts[0].proxy.Stop(context.Background()) }()
+	require.Eventually(t, func() bool {
+		got := ask(hosts[0], http.MethodPost, "/v1/services/quote/", nil, quick("refused", "false"))
+		return got.status == http.StatusServiceUnavailable && got.outcome() == "not-run"
+	}, 10*time.Second, time.Millisecond)
+	last := <-answers
+	assert.Equal(t, "last", string(last.body))
+	assert.Equal(t, "done", last.outcome())
+	require.NoError(t, <-stopped)
+}
