--- a/exchange/connection.go
+++ b/exchange/connection.go
@@ -27,6 +27,7 @@
 	// headerLeft is the number of bytes that the header of the answer may still
 	// take, unlimited while its body is read.
 	headerLeft int
+	writing    write
 }
 
 const (
--- a/exchange/do.go
+++ b/exchange/do.go
@@ -69,7 +69,7 @@
 	stop   func() bool
 	whole  bool
 	failed bool
-	wrote  <-chan error
+	wrote  *write
 }
 
 // Do sends the request once and reads the header of its answer. The request's
@@ -90,22 +90,53 @@
 	if err != nil {
 		stop()
 		c.put(conn, false, false)
-		<-wrote // The closed connection ends the write; after it the body is free.
+		wrote.wait() // The closed connection ends the write; after it the body is free.
 		return nil, &Error{Sent: conn.written.Load() > 0, Reused: conn.reused, cause: conn.explain(ctx, err)}
 	}
 	return &Answer{Response: answer, client: c, conn: conn, stop: stop, wrote: wrote}, nil
 }
 
+// write is the sending of a request, which may go on beside the reading of its
+// answer.
+type write struct {
+	err  error
+	done chan struct{} // nil if it ended at once
+}
+
+// ended reports whether the request was written whole.
+func (w *write) ended() bool {
+	if w.done == nil {
+		return true
+	}
+	select {
+	case <-w.done:
+		return true
+	default:
+		return false
+	}
+}
+
+func (w *write) wait() {
+	if w.done != nil {
+		<-w.done
+	}
+}
+
 // startSend writes the request: a small one at once, a larger one beside the
 // reading of the answer, which may come before the peer has read the request.
-func (c *connection) startSend(req *http.Request) <-chan error {
-	wrote := make(chan error, 1)
+func (c *connection) startSend(req *http.Request) *write {
+	w := &c.writing
+	*w = write{}
 	if req.ContentLength <= inlineBody {
-		wrote <- c.send(req)
-		return wrote
+		w.err = c.send(req)
+		return w
 	}
-	go func() { wrote <- c.send(req) }()
-	return wrote
+	w.done = make(chan struct{})
+	go func() {
+		defer close(w.done)
+		w.err = c.send(req)
+	}()
+	return w
 }
 
 func (c *connection) send(req *http.Request) error {
@@ -183,12 +214,11 @@
 func (a *Answer) Close() {
 	stopped := a.stop()
 	whole := stopped && a.whole && !a.failed
-	select {
-	case err := <-a.wrote:
-		a.client.put(a.conn, whole && err == nil, !a.Response.Close)
-	default:
+	if !a.wrote.ended() {
 		// The peer answered before it read the whole request.
 		a.client.put(a.conn, false, false)
-		<-a.wrote
+		a.wrote.wait()
+		return
 	}
+	a.client.put(a.conn, whole && a.wrote.err == nil, !a.Response.Close)
 }
--- a/internal/callload/pooled.go
+++ b/internal/callload/pooled.go
@@ -244,6 +244,7 @@
 		w.allots[entry].SetMembers(now, live)
 	}
 	w.settled = false
+	w.refresh()
 }
 
 // moveShares divides the slots by the arrivals of the last heartbeats. A slot is
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"mangohill.example/mangohill/exchange"
@@ -113,15 +112,12 @@
 	return request
 }
 
-// finisher returns a function that gives the slot of d back, once.
+// finisher returns a function that gives the slot of d back.
 func (s *service) finisher(d route.Decision) func(route.Verdict) {
-	var once sync.Once
 	return func(v route.Verdict) {
-		once.Do(func() {
-			if d.Action == route.Send {
-				s.done(d, v)
-			}
-		})
+		if d.Action == route.Send {
+			s.done(d, v)
+		}
 	}
 }
 
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -12,8 +12,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/google/uuid"
-
 	"mangohill.example/mangohill/kind"
 	"mangohill.example/mangohill/types"
 )
@@ -83,7 +81,7 @@
 		return nil, err
 	}
 	c := &call{
-		id: requestID(r), service: service, caller: callerOf(r), method: r.Method, host: r.Host,
+		id: p.requestID(r), service: service, caller: callerOf(r), method: r.Method, host: r.Host,
 		target: target, header: r.Header,
 	}
 	c.hopped, err = p.isHop(r)
@@ -104,10 +102,11 @@
 	return c, nil
 }
 
-func requestID(r *http.Request) string {
+// requestID returns the caller's ID of a request, or makes one.
+func (p *Proxy) requestID(r *http.Request) string {
 	id := r.Header.Get(HeaderRequestID)
 	if id == "" || len(id) > maxKeyLength {
-		return uuid.NewString()
+		return p.idPrefix + strconv.FormatUint(p.nextID.Add(1), 36)
 	}
 	return id
 }
@@ -241,15 +240,20 @@
 	return hash.Sum64()
 }
 
+// noUserAgent keeps net/http from adding its own.
+var noUserAgent = []string{""}
+
 // outgoing builds the request as it is sent. It has no GetBody.
 func (c *call) outgoing(now time.Time, host string) *http.Request {
-	header := endToEnd(c.header)
+	header := make(http.Header, len(c.header)+4)
+	endToEnd(header, c.header)
 	if _, ok := header["User-Agent"]; !ok {
-		header["User-Agent"] = []string{""} // Keeps net/http from adding its own.
+		header["User-Agent"] = noUserAgent
 	}
-	header.Set(HeaderRequestID, c.id)
 	left := max(c.deadline.Sub(now).Milliseconds(), 1)
-	header.Set(HeaderTimeout, strconv.FormatInt(left, 10))
+	own := []string{c.id, strconv.FormatInt(left, 10)}
+	header[HeaderRequestID] = own[:1:1]
+	header[HeaderTimeout] = own[1:]
 	request := &http.Request{
 		Method: c.method, URL: c.target, Host: host, Header: header,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, ContentLength: int64(len(c.body)),
--- a/proxy/cluster_test.go
+++ b/proxy/cluster_test.go
@@ -96,8 +96,8 @@
 	tokens  map[string]string
 	digests map[string]uint64
 	results map[string]controlapi.ClaimResult
-	down    bool
-	calls   int
+	// down answers with an error, lost after the claim took effect.
+	down, lost bool
 }
 
 func newClaims() *claims {
@@ -107,11 +107,13 @@
 func (c *claims) Claim(_ context.Context, args controlapi.ClaimArgs) (controlapi.ClaimReply, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.calls++
-	if c.down {
-		return controlapi.ClaimReply{}, kind.Errorf(kind.NoQuorum, "no leader")
-	}
 	token, held := c.tokens[args.Key]
+	if c.lost && !held {
+		c.tokens[args.Key], c.digests[args.Key] = args.Token, args.Digest
+	}
+	if c.down || c.lost {
+		return controlapi.ClaimReply{}, kind.Errorf(kind.UnknownOutcome, "no answer")
+	}
 	switch {
 	case !held:
 		c.tokens[args.Key], c.digests[args.Key] = args.Token, args.Digest
@@ -208,7 +210,19 @@
 	plain := ask(hosts[0], http.MethodPost, "/v1/services/quote/book", []byte("x"), nil)
 	assert.Equal(t, "done", plain.outcome(), "requests without a key need no claim")
 	assert.Equal(t, 1, target.TotalRuns())
-	state.down = false
-	released := ask(hosts[0], http.MethodPost, "/v1/services/quote/book", []byte("x"), booking("b", "k"))
-	assert.Equal(t, "done", released.outcome())
+	state.setLost(true)
+	lost := ask(hosts[0], http.MethodPost, "/v1/services/quote/book", []byte("x"), booking("b", "k"))
+	assert.Equal(t, "not-run", lost.outcome())
+	state.setLost(false)
+	require.Eventually(t, func() bool {
+		got := ask(hosts[0], http.MethodPost, "/v1/services/quote/book", []byte("x"), booking("c", "k"))
+		return got.outcome() == "done"
+	}, 10*time.Second, 10*time.Millisecond, "the claim whose grant was lost is given back")
+	assert.Equal(t, 2, target.TotalRuns())
+}
+
+func (c *claims) setLost(lost bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.down, c.lost = false, lost
 }
--- a/proxy/execute.go
+++ b/proxy/execute.go
@@ -71,8 +71,10 @@
 	if a.fate == mayHaveRun {
 		e.ran = true
 	}
-	if d.Action == route.Send {
+	if d.Action == route.Send && a.fate != answered {
 		e.request.Avoid = append(e.request.Avoid, d.Name)
+	}
+	if d.Action == route.Send {
 		return
 	}
 	e.hops++
--- a/proxy/fault_test.go
+++ b/proxy/fault_test.go
@@ -203,14 +203,17 @@
 	answers := make(chan reply, 1)
 	go func() { answers <- ask(hosts[0], http.MethodPost, "/v1/services/quote/", []byte("last"), nil) }()
 	require.Eventually(t, func() bool { return target.InFlight() == 1 }, 10*time.Second, time.Millisecond)
-	stopped := make(chan error, 1)
-	go func() { stopped <- hosts[0].proxy.Stop(context.Background()) }()
+	stopped := make(chan int, 1)
+	go func() {
+		assert.NoError(t, hosts[0].proxy.Stop(context.Background()))
+		stopped <- target.InFlight()
+	}()
 	require.Eventually(t, func() bool {
 		got := ask(hosts[0], http.MethodPost, "/v1/services/quote/", nil, quick("refused", "false"))
 		return got.status == http.StatusServiceUnavailable && got.outcome() == "not-run"
 	}, 10*time.Second, time.Millisecond)
+	assert.Zero(t, <-stopped, "the stop waits for the request under way")
 	last := <-answers
 	assert.Equal(t, "last", string(last.body))
 	assert.Equal(t, "done", last.outcome())
-	require.NoError(t, <-stopped)
 }
--- a/proxy/header.go
+++ b/proxy/header.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/textproto"
+	"slices"
 	"strings"
 )
 
@@ -33,23 +34,26 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
 }
 
-// endToEnd copies the fields of source that are meant for the far end, without
-// those of this system.
-func endToEnd(source http.Header) http.Header {
-	out := make(http.Header, len(source)+2)
+// endToEnd copies the fields of source that are meant for the far end into out,
+// without those of this system.
+func endToEnd(out, source http.Header) {
 	for name, values := range source {
-		if strings.HasPrefix(name, headerPrefix) {
+		if strings.HasPrefix(name, headerPrefix) || slices.Contains(hopByHop, name) {
 			continue
 		}
 		out[name] = values
 	}
 	for _, line := range source["Connection"] {
 		for token := range strings.SplitSeq(line, ",") {
-			delete(out, textproto.CanonicalMIMEHeaderKey(textproto.TrimString(token)))
+			dropNamed(out, textproto.CanonicalMIMEHeaderKey(textproto.TrimString(token)))
 		}
 	}
-	for _, name := range hopByHop {
+}
+
+// dropNamed removes a field that Connection names. The fields that this host
+// sets itself stay.
+func dropNamed(out http.Header, name string) {
+	if !strings.HasPrefix(name, headerPrefix) {
 		delete(out, name)
 	}
-	return out
 }
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/rs/zerolog"
 
 	"mangohill.example/mangohill/controlapi"
@@ -88,6 +89,7 @@
 	allot    *route.Allotment
 	settled  bool
 	nextID   atomic.Uint64
+	idPrefix string
 	active   sync.WaitGroup
 	stopMu   sync.RWMutex
 	stopping bool
@@ -115,6 +117,7 @@
 		services: make(map[string]*service),
 		peers:    make(map[string]membership.Peer),
 		allot:    route.NewAllotment(options.Name, options.Settle),
+		idPrefix: uuid.NewString() + "-",
 	}
 }
 
--- a/proxy/serve.go
+++ b/proxy/serve.go
@@ -160,9 +160,7 @@
 
 func (p *Proxy) copyHeader(w http.ResponseWriter, final *result) {
 	header := w.Header()
-	for name, values := range endToEnd(final.header) {
-		header[name] = values
-	}
+	endToEnd(header, final.header)
 	if _, ok := header["Content-Type"]; !ok {
 		header["Content-Type"] = nil // Keeps net/http from guessing one.
 	}
@@ -173,7 +171,7 @@
 func (p *Proxy) answerError(w http.ResponseWriter, r *http.Request, id string, err error) {
 	count(p.options.Metrics.NotRun)
 	if id == "" {
-		id = requestID(r)
+		id = p.requestID(r)
 	}
 	header := w.Header()
 	header.Set(HeaderRequestID, id)
--- a/route/allotment.go
+++ b/route/allotment.go
@@ -77,20 +77,34 @@
 	return share
 }
 
-// Share returns the part of a target's slots that falls to self among members,
-// which must be sorted: an equal part, and one of the remaining slots for the
-// members that come first in an order drawn from the target's name.
+// Share returns the part of a target's slots that falls to self among members:
+// an equal part, and one of the remaining slots for the members that rank first
+// for that target. The ranking is by rendezvous hashing, so that the loss of a
+// member moves only its own slots.
 func Share(self string, members []string, target string, slots int) int {
-	position, ok := slices.BinarySearch(members, self)
-	if !ok {
+	if !slices.Contains(members, self) {
 		return 0
 	}
-	count := len(members)
-	first := int(xxhash.Sum64String(target) % uint64(count))
-	rank := (position - first + count) % count
-	share := slots / count
-	if rank < slots%count {
+	own := weight(target, self)
+	rank := 0
+	for _, member := range members {
+		other := weight(target, member)
+		if other > own || other == own && member < self {
+			rank++
+		}
+	}
+	share := slots / len(members)
+	if rank < slots%len(members) {
 		share++
 	}
 	return share
 }
+
+func weight(target, member string) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.WriteString(target) // A hash never fails.
+	_, _ = digest.Write([]byte{0})    // As above.
+	_, _ = digest.WriteString(member) // As above.
+	return digest.Sum64()
+}
--- /dev/null
+++ b/route/pool_test.go
@@ -0,0 +1,240 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1000, 0)
+
+func newTestPool(limit int, targets ...Target) *Pool {
+	p := NewPool(Options{Seed: 1, QueueLimit: limit, ServiceTime: 10 * time.Millisecond})
+	for _, t := range targets {
+		p.SetTarget(start, t)
+	}
+	return p
+}
+
+func request(id int, caller string) Request {
+	return Request{ID: RequestID(id), Caller: caller, Deadline: start.Add(time.Second)}
+}
+
+func TestQueueServesCallersInTurn(t *testing.T) {
+	p := newTestPool(100, Target{Name: "t", Share: 1, Ready: true})
+	first, _ := p.Offer(start, request(0, "greedy"))
+	require.Equal(t, Send, first.Action)
+	for i := 1; i <= 20; i++ {
+		p.Offer(start, request(i, "greedy"))
+	}
+	p.Offer(start, request(100, "modest"))
+	var served []RequestID
+	sent := first.At
+	for range 3 {
+		next := p.Done(start, "t", sent, Answered)
+		require.Len(t, next, 1)
+		served = append(served, next[0].Request)
+	}
+	assert.Contains(t, served, RequestID(100), "a caller with one request waits for one of the other's at most")
+}
+
+func TestFullQueueShedsTheCallerWithTheMost(t *testing.T) {
+	p := newTestPool(10, Target{Name: "t", Share: 1, Ready: true})
+	for i := range 11 {
+		p.Offer(start, request(i, "greedy"))
+	}
+	d, evicted := p.Offer(start, request(50, "modest"))
+	assert.Equal(t, Wait, d.Action)
+	require.Len(t, evicted, 1)
+	assert.Equal(t, RequestID(10), evicted[0].Request)
+	assert.Equal(t, QueueFull, evicted[0].Reason)
+	d, evicted = p.Offer(start, request(51, "greedy"))
+	assert.Equal(t, Refuse, d.Action)
+	assert.Empty(t, evicted)
+	assert.GreaterOrEqual(t, d.RetryAfter, time.Second)
+}
+
+func TestRequestThatCannotBeInTimeIsRefusedAtOnce(t *testing.T) {
+	p := newTestPool(1000, Target{Name: "t", Share: 1, Ready: true})
+	for i := range 101 {
+		p.Offer(start, request(i, "c"))
+	}
+	d, _ := p.Offer(start, request(200, "c"))
+	assert.Equal(t, TooLate, d.Reason, "100 requests of 10 ms wait before it, and it has one second")
+}
+
+func TestRetryAfterFollowsTheQueue(t *testing.T) {
+	p := newTestPool(400, Target{Name: "t", Share: 1, Ready: true})
+	for i := range 401 {
+		r := request(i, "c")
+		r.Deadline = start.Add(time.Hour)
+		p.Offer(start, r)
+	}
+	r := request(999, "c")
+	r.Deadline = start.Add(time.Hour)
+	d, _ := p.Offer(start, r)
+	assert.Equal(t, 4*time.Second, d.RetryAfter)
+}
+
+func TestFailingTargetIsEjectedButNeverAll(t *testing.T) {
+	p := newTestPool(10, Target{Name: "a", Share: 4, Ready: true}, Target{Name: "b", Share: 4, Ready: true})
+	fail := func(name string) {
+		for range ejectAfter {
+			p.byName[name].health.fail(start)
+		}
+	}
+	fail("a")
+	for i := range 4 {
+		d, _ := p.Offer(start, request(i, "c"))
+		assert.Equal(t, "b", d.Name)
+	}
+	fail("b")
+	d, _ := p.Offer(start, request(10, "c"))
+	assert.Equal(t, Send, d.Action, "with every target ejected, ejections do not count")
+	later := start.Add(firstEjection)
+	d, _ = p.Offer(later, Request{ID: 11, Deadline: later.Add(time.Second)})
+	assert.Equal(t, "a", d.Name, "an ejection ends")
+}
+
+func TestSlowTargetIsPassedOverAndProbed(t *testing.T) {
+	p := newTestPool(100, Target{Name: "fast", Share: 100, Ready: true}, Target{Name: "slow", Share: 100, Ready: true})
+	p.byName["slow"].service = estimate{mean: 0.1, samples: 50}
+	p.byName["fast"].service = estimate{mean: 0.01, samples: 50}
+	p.byName["slow"].lastSend = start
+	for i := range 50 {
+		d, _ := p.Offer(start, request(i, "c"))
+		require.Equal(t, "fast", d.Name)
+	}
+	later := start.Add(probeInterval)
+	sent := make(map[string]int)
+	for i := range 20 {
+		d, _ := p.Offer(later, Request{ID: RequestID(100 + i), Deadline: later.Add(time.Second)})
+		sent[d.Name]++
+	}
+	assert.Equal(t, 1, sent["slow"], "one request probes the slow target")
+}
+
+func TestHopIsTakenOnlyWhereItIsSooner(t *testing.T) {
+	p := newTestPool(100, Target{Name: "t", Share: 2, Ready: true})
+	p.SetPeer(start, "peer", Load{Slots: 2, Free: 2})
+	for i := range 2 {
+		d, _ := p.Offer(start, request(i, "c"))
+		require.Equal(t, Send, d.Action)
+	}
+	d, _ := p.Offer(start, request(2, "c"))
+	assert.Equal(t, Hop, d.Action)
+	hopped := request(3, "c")
+	hopped.Hopped = true
+	d, _ = p.Offer(start, hopped)
+	assert.Equal(t, Wait, d.Action, "a request that was handed over stays")
+	p.SetPeer(start, "peer", Load{Slots: 2, Queued: 50})
+	d, _ = p.Offer(start, request(4, "c"))
+	assert.Equal(t, Wait, d.Action)
+}
+
+func TestBudgetBoundsRetries(t *testing.T) {
+	b := NewBudget()
+	retries := 0
+	for range 1000 {
+		b.Earn()
+		if b.Spend() {
+			retries++
+		}
+	}
+	assert.InDelta(t, 1000*retryShare+retryReserve, retries, 2)
+}
+
+func TestSharesNeverExceedTheSlots(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(1, 8).Draw(t, "hosts")
+		slots := rapid.IntRange(1, 20).Draw(t, "slots")
+		names := make([]string, count)
+		allots := make(map[string]*Allotment)
+		now := start
+		for i := range names {
+			names[i] = fmt.Sprint("entry-", i)
+		}
+		for _, name := range names {
+			allots[name] = NewAllotment(name, 2*time.Second)
+			allots[name].SetMembers(now.Add(-time.Hour), names)
+		}
+		// The hosts see changes of the members at different instants, apart by less
+		// than the settle time.
+		live := rapid.SliceOfNDistinct(rapid.SampledFrom(names), 1, count, rapid.ID[string]).Draw(t, "live")
+		seen := make(map[string]time.Duration)
+		for _, name := range live {
+			seen[name] = time.Duration(rapid.IntRange(0, 1900).Draw(t, "seen")) * time.Millisecond
+		}
+		for step := time.Duration(0); step < 5*time.Second; step += 100 * time.Millisecond {
+			total := 0
+			for _, name := range live {
+				if step >= seen[name] {
+					allots[name].SetMembers(now.Add(step), live)
+				}
+				total += allots[name].Share(now.Add(step), "target", slots)
+			}
+			if total > slots {
+				t.Fatalf("%d slots in use of %d, %v after the change", total, slots, step)
+			}
+			if step > 4*time.Second && total != slots {
+				t.Fatalf("%d slots in use of %d after the settle time", total, slots)
+			}
+		}
+	})
+}
+
+func TestPoolKeepsEveryRequestAndNoTargetOverItsShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := newTestPool(5, Target{Name: "a", Share: 2, Ready: true}, Target{Name: "b", Share: 1, Ready: true})
+		now := start
+		open := make(map[RequestID]bool)
+		sends := make(map[RequestID]Decision)
+		next := 0
+		settle := func(d Decision) {
+			switch d.Action {
+			case Send:
+				sends[d.Request] = d
+			case Refuse, Hop:
+				delete(open, d.Request)
+			case Wait:
+			}
+		}
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 30).Draw(t, "ms")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "offer") || len(sends) == 0 {
+				next++
+				id := RequestID(next)
+				open[id] = true
+				caller := rapid.SampledFrom([]string{"x", "y"}).Draw(t, "caller")
+				d, evicted := p.Offer(now, Request{ID: id, Caller: caller, Deadline: now.Add(40 * time.Millisecond)})
+				settle(d)
+				for _, e := range evicted {
+					settle(e)
+				}
+			} else {
+				for id, d := range sends {
+					delete(sends, id)
+					delete(open, id)
+					verdict := Verdict(rapid.IntRange(0, 3).Draw(t, "verdict"))
+					for _, e := range p.Done(now, d.Name, d.At, verdict) {
+						settle(e)
+					}
+					break
+				}
+			}
+			for _, d := range p.Tick(now) {
+				settle(d)
+			}
+			if p.InFlight("a") > 2 || p.InFlight("b") > 1 {
+				t.Fatalf("in flight: a %d of 2, b %d of 1", p.InFlight("a"), p.InFlight("b"))
+			}
+			if len(open) != len(sends)+p.Queued() {
+				t.Fatalf("%d requests open, %d sent, %d queued", len(open), len(sends), p.Queued())
+			}
+		}
+	})
+}
