--- a/cmd/mangohill/main_test.go
+++ b/cmd/mangohill/main_test.go
@@ -73,6 +73,17 @@
 	assert.Equal(t, "  drain w7\n        ^\nmangohill: column 7: expected \"worker\", found \"w7\"\n", errors.String())
 }
 
+func TestABadCommandIsAReplyInJSON(t *testing.T) {
+	_, s, out, errors := start(t)
+	s.json = true
+	assert.Equal(t, kind.ExitUsage, s.execute("drain w7"))
+	var reply controlapi.CommandReply
+	require.NoError(t, json.Unmarshal([]byte(out.String()), &reply))
+	assert.Equal(t, kind.BadSyntax, reply.Kind)
+	assert.Equal(t, kind.OutcomeRefused, reply.Outcome)
+	assert.Empty(t, errors.String())
+}
+
 func TestTheFileOfAConfigurationIsSent(t *testing.T) {
 	r, s, _, _ := start(t)
 	path := filepath.Join(t.TempDir(), "cluster.yaml")
--- a/cmd/mangohill/session.go
+++ b/cmd/mangohill/session.go
@@ -121,8 +121,13 @@
 
 func (s *session) report(err error) { fmt.Fprintln(s.errors, "mangohill:", err) }
 
-// printSyntaxError shows the line with a mark under the column.
+// printSyntaxError shows the line with a mark under the column; as JSON, the
+// reply that an entry host would give.
 func (s *session) printSyntaxError(text string, err error) {
+	if s.json {
+		_ = table.WriteJSON(s.out, operator.ReplyOf(err)) // The exit code tells it as well.
+		return
+	}
 	var syntax *command.SyntaxError
 	if !errors.As(err, &syntax) {
 		s.report(err)
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -6,6 +6,7 @@
 	return []string{
 		"action refused",
 		"admission not granted",
+		"command answered",
 		"config_in_force",
 		"config_refused",
 		"data folder not closed cleanly",
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -134,3 +135,15 @@
 	handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, Path, strings.NewReader(body)))
 	return recorder
 }
+
+func TestACommandIsLoggedWithItsID(t *testing.T) {
+	var out strings.Builder
+	args := NewArgs("cancel x", "")
+	executor := Logged(executorFunc(func(controlapi.CommandArgs) (controlapi.CommandReply, error) {
+		return controlapi.CommandReply{}, kind.Errorf(kind.NoQuorum, "no leader")
+	}), zerolog.New(&out))
+	_, err := executor.Execute(t.Context(), args)
+	assert.Equal(t, kind.NoQuorum, kind.Of(err))
+	assert.Contains(t, out.String(), args.ID)
+	assert.Contains(t, out.String(), `"outcome":"refused","kind":"no_quorum"`)
+}
