Prove the command line and the burn report with real processes

Lost answer, exit codes, unknown outcome under a stopped control process, burn over two entry hosts, bad settings.

--- /dev/null
+++ b/e2e/commands_test.go
@@ -0,0 +1,187 @@
+package e2e
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"mangohill.example/mangohill/controlapi"
+	"mangohill.example/mangohill/internal/fake"
+	"mangohill.example/mangohill/kind"
+	"mangohill.example/mangohill/operator"
+)
+
+// call is one run of a program to its end.
+type call struct {
+	exit           int
+	output, errors string
+}
+
+func runProgram(t *testing.T, program string, args ...string) call {
+	t.Helper()
+	cmd := exec.Command(filepath.Join(binaries, program), args...)
+	var output, errors bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &output, &errors
+	_ = cmd.Run() // The exit code tells.
+	require.NotNil(t, cmd.ProcessState, "%s did not start", program)
+	return call{cmd.ProcessState.ExitCode(), output.String(), errors.String()}
+}
+
+// losingEntry passes commands on to an entry host and loses the first answers:
+// the connection closes without one.
+type losingEntry struct {
+	target string
+	lose   atomic.Int64
+}
+
+func (l *losingEntry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	response, err := client.Post(l.target+operator.Path, "application/json", r.Body)
+	if err != nil || l.lose.Add(-1) >= 0 {
+		panic(http.ErrAbortHandler)
+	}
+	defer response.Body.Close()
+	w.Header().Set("Content-Type", response.Header.Get("Content-Type"))
+	w.WriteHeader(response.StatusCode)
+	_, _ = io.Copy(w, response.Body) // The command line may be gone.
+}
+
+// A command whose answer is lost is resent under its ID, through another entry
+// host, and runs once.
+func TestCommandLineResendsALostCommand(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	losing := &losingEntry{target: c.operators(0)}
+	losing.lose.Store(1)
+	server := httptest.NewServer(losing)
+	defer server.Close()
+	file := filepath.Join(c.folder, "cluster.yaml")
+	require.NoError(t, os.WriteFile(file, []byte("weights: {evictions: 5}\n"), 0o600))
+
+	done := runProgram(t, "mangohill", "--entry", host(server.URL), "--entry", host(c.operators(1)), "set", "config", "from", file, "if", "version", "1")
+	assert.Equal(t, kind.ExitDone, done.exit, done.errors)
+	assert.Equal(t, "done, version 2\n", done.output, "the resend must not find version 2 in its way")
+
+	commands := runProgram(t, "mangohill", "--entry", host(c.operators(1)), "--json", "show", "commands")
+	var reply controlapi.CommandReply
+	require.NoError(t, json.Unmarshal([]byte(commands.output), &reply))
+	assert.Len(t, reply.Rows, 1)
+}
+
+func host(url string) string { return strings.TrimPrefix(url, "http://") }
+
+func TestCommandLineExitCodes(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	entry := host(c.operators(0))
+	script := filepath.Join(c.folder, "night.mh")
+	require.NoError(t, os.WriteFile(script, []byte("declare batch a { processors 1 memory 1GiB }\nshow tasks where task = a\n"), 0o600))
+	cases := []struct {
+		exit int
+		args []string
+	}{
+		{kind.ExitDone, []string{"--entry", entry, "run", script}},
+		{kind.ExitDone, []string{"--entry", entry, "why", "a"}},
+		{kind.ExitDone, []string{"help", "why"}},
+		{kind.ExitRefused, []string{"--entry", entry, "cancel", "nobody"}},
+		{kind.ExitRefused, []string{"--entry", entry, "drain", "worker", "nobody"}},
+		{kind.ExitRefused, []string{"--entry", host(c.callers(0)), "--timeout", "200ms", "show", "tasks"}},
+		{kind.ExitUsage, []string{"--entry", entry, "show", "nothing"}},
+		{kind.ExitUsage, []string{"--entry", entry, "show", "tasks", "where", "colour", "=", "red"}},
+		{kind.ExitUsage, []string{"--nonsense"}},
+		{kind.ExitUsage, []string{"--entry", entry, "run", script + ".missing"}},
+	}
+	for _, c := range cases {
+		ended := runProgram(t, "mangohill", c.args...)
+		assert.Equal(t, c.exit, ended.exit, "%v: %s", c.args, ended.errors)
+	}
+}
+
+// With control stopped after it took the command, the outcome is unknown, and
+// known again once control goes on.
+func TestCommandLineTellsAnUnknownOutcome(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	entry := host(c.operators(0))
+	c.control[0].signal(syscall.SIGSTOP)
+	unknown := runProgram(t, "mangohill", "--entry", entry, "--timeout", "2s", "declare", "batch", "a", "{", "processors", "1", "memory", "1GiB", "}")
+	assert.Equal(t, kind.ExitUnknown, unknown.exit, unknown.errors)
+	query := runProgram(t, "mangohill", "--entry", entry, "--timeout", "1s", "show", "tasks")
+	assert.Equal(t, kind.ExitRefused, query.exit, "a query changes nothing")
+	c.control[0].signal(syscall.SIGCONT)
+	c.eventually("control answers", func() bool {
+		return runProgram(t, "mangohill", "--entry", entry, "show", "members").exit == kind.ExitDone
+	})
+}
+
+func TestBurnIsMergedOverEntryHosts(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	target := startTarget(t, c)
+	for i := range 20 {
+		c.eventually("a request is done", func() bool {
+			response, err := client.Get(c.callers(i%2) + "/v1/services/quote/")
+			if err != nil {
+				return false
+			}
+			defer response.Body.Close()
+			return response.Header.Get("Mangohill-Outcome") == "done"
+		})
+	}
+	var answered int64
+	c.eventually("a whole report", func() bool {
+		ended := runProgram(t, "mangohill", "--entry", host(c.operators(1)), "--json", "report", "burn")
+		var reply controlapi.CommandReply
+		require.NoError(t, json.Unmarshal([]byte(ended.output), &reply))
+		if len(reply.Rows) == 0 || reply.Message != "" {
+			return false
+		}
+		answered = reply.Rows[4].Get("requests").(int64)
+		return true
+	})
+	assert.EqualValues(t, target.TotalRuns(), answered, "every answer of the target, counted by the host that took the request")
+
+	c.entries[0].kill()
+	ended := runProgram(t, "mangohill", "--entry", host(c.operators(1)), "report", "burn")
+	assert.Equal(t, kind.ExitDone, ended.exit)
+	assert.Contains(t, ended.output, "incomplete: the requests of entry-1 are not counted")
+}
+
+func startTarget(t *testing.T, c *cluster) *fake.Target {
+	t.Helper()
+	target, err := fake.StartTarget(fake.TargetOptions{Name: "q1", Service: "quote", Platforms: hosts(c.platforms())})
+	require.NoError(t, err)
+	t.Cleanup(target.Stop)
+	return target
+}
+
+func hosts(urls []string) []string {
+	list := make([]string, 0, len(urls))
+	for _, url := range urls {
+		list = append(list, host(url))
+	}
+	return list
+}
+
+// Every program checks its settings as a whole and exits with 2.
+func TestBadSettingsAreReportedAtOnce(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "bad.yaml")
+	require.NoError(t, os.WriteFile(path, []byte("cluster: a\ncolour: red\nlisten:\n  peers: nowhere\ncontrol: [127.0.0.1:1]\n"), 0o600))
+	for _, program := range []string{"mangohill-control", "mangohill-entry"} {
+		for _, args := range [][]string{{"--settings", path, "--check"}, {"--settings", path}} {
+			ended := runProgram(t, program, args...)
+			assert.Equal(t, kind.ExitUsage, ended.exit, program)
+			text := ended.output + ended.errors
+			assert.Contains(t, text, path+":2: colour: is not a known key")
+			assert.Contains(t, text, path+":4: listen.peers: \"nowhere\" is not an IP address")
+			assert.Contains(t, text, "name: is missing")
+		}
+	}
+}
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -17,6 +17,7 @@
 		"leadership changed",
 		"leading",
 		"member changed",
+		"membership changed",
 		"no longer leading",
 		"peer answers",
 		"peer does not answer",
