Prove silent partitions on whole processes in one test process

A leader cut off with an entry host and its worker must neither renew leases nor accept commands; a returning follower must not depose the leader; a command without a quorum is unknown.

--- /dev/null
+++ b/node/partition_test.go
@@ -0,0 +1,94 @@
+package node
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"mangohill.example/mangohill/internal/fake"
+	"mangohill.example/mangohill/kind"
+)
+
+const shortLeases = "leases: {duration: 3s, hold: 500ms, usage: 1s}\nentry: {stop_when_stale: 2s}\n"
+
+// A leader that is silently cut off, together with an entry host and its worker,
+// must not renew that worker's lease nor accept commands. The new leader starts
+// the worker's task elsewhere only after the lease, so that the task is never
+// live in two places.
+func TestCutOffLeaderNeitherRenewsNorAccepts(t *testing.T) {
+	g := newGroup(t, 3, 2)
+	g.mustCommand(0, "set config from FILE", shortLeases)
+	journal := fake.NewJournal()
+	g.worker(journal, "w1", 0)
+	g.mustCommand(0, `declare batch long { processors 1 memory 1GiB payload "{}" }`, "")
+	g.eventually("long runs on w1", func() bool { return journal.Live("long") == `worker "w1" epoch 1` })
+	g.worker(journal, "w2", 1)
+
+	old := g.leader()
+	inside := []string{g.controlHost(old) + ":7400", g.entryHost(0) + ":7400"}
+	outside := []string{g.entryHost(1) + ":7400"}
+	for i := range g.control {
+		if i != old {
+			outside = append(outside, g.controlHost(i)+":7400")
+		}
+	}
+	g.network.split(inside, outside)
+
+	g.eventually("a new leader", func() bool { l := g.leader(); return l >= 0 && l != old })
+	g.eventually("long moves to w2", func() bool { return journal.Live("long") == `worker "w2" epoch 2` })
+	assert.Empty(t, journal.Violations())
+	g.eventually("the cut-off leader steps down", func() bool { return g.control[old].Status().Role != "leader" })
+	_, err := g.command(0, "declare batch lost { processors 1 memory 1GiB }", "")
+	require.Error(t, err, "the cut-off side must not accept a command")
+	assert.False(t, g.entries[0].Ready(), "its configuration cannot be known to be current")
+	g.mustCommand(1, "set config from FILE", shortLeases+"weights: {tail_latency: 1, evictions: 1, throughput: 1}\n")
+
+	g.network.heal()
+	g.eventually("the new configuration is in force on both sides", func() bool {
+		return g.entries[0].config.Version() == 3 && g.entries[1].config.Version() == 3
+	})
+	g.eventually("both sides serve", func() bool { return g.entries[0].Ready() && g.entries[1].Ready() })
+	assert.Equal(t, `worker "w2" epoch 2`, journal.Live("long"))
+	assert.Empty(t, journal.Violations())
+}
+
+// A follower that was cut off for long comes back without deposing the leader,
+// and holds every command accepted meanwhile.
+func TestReturningFollowerDoesNotDisturb(t *testing.T) {
+	g := newGroup(t, 3, 1)
+	leader := g.leader()
+	term := g.control[leader].Status().Term
+	follower := (leader + 1) % 3
+	var others []string
+	for i := range g.control {
+		if i != follower {
+			others = append(others, g.controlHost(i)+":7400")
+		}
+	}
+	g.network.split([]string{g.controlHost(follower) + ":7400"}, others)
+	g.eventually("the follower misses the leader", func() bool { return g.control[follower].Status().Leader == "" })
+	for range 300 {
+		g.mustCommand(0, "set config from FILE", shortLeases)
+	}
+	g.network.heal()
+	g.eventually("the follower has caught up", func() bool {
+		return g.control[follower].Status().Applied >= g.control[leader].Status().Commit
+	})
+	assert.Equal(t, leader, g.leader())
+	assert.Equal(t, term, g.control[leader].Status().Term)
+}
+
+// A command that cannot reach a quorum is never reported as refused.
+func TestCommandWithoutQuorumIsUnknown(t *testing.T) {
+	g := newGroup(t, 3, 1)
+	leader := g.leader()
+	for i := range g.control {
+		if i != leader {
+			g.network.split([]string{g.controlHost(leader) + ":7400", g.entryHost(0) + ":7400"}, []string{g.controlHost(i) + ":7400"})
+		}
+	}
+	_, err := g.command(0, "declare batch open { processors 1 memory 1GiB }", "")
+	require.Error(t, err)
+	assert.Equal(t, kind.UnknownOutcome, kind.Of(err))
+}
