--- a/e2e/capacity_test.go
+++ b/e2e/capacity_test.go
@@ -98,10 +98,14 @@
 		}
 		c.declareMany(tasks, size.tasks)
 		tasks = size.tasks
+		begun := time.Now()
 		c.eventually(fmt.Sprintf("%d attempts", size.tasks), func() bool { return journal.Starts() >= size.tasks })
+		fmt.Printf("all attempts started %.1f s after the last declaration\n", time.Since(begun).Seconds())
 		time.Sleep(5 * time.Second)
 		c.measure(fmt.Sprintf("%d workers %d tasks", size.workers, size.tasks), window)
 	}
+	c.measureUrgent(journal)
+	c.measureStarts(journal)
 	if violations := journal.Violations(); len(violations) > 0 {
 		t.Fatal(violations[0])
 	}
@@ -132,3 +136,45 @@
 	}
 	require.False(c.t, c.t.Failed())
 }
+
+// measureUrgent prints how long urgent jobs wait from their declaration to
+// their start on a worker.
+func (c *cluster) measureUrgent(journal *fake.Journal) {
+	for i := range 10 {
+		name := fmt.Sprintf("urgent-%d", i)
+		begun := time.Now()
+		c.command(i%8, fmt.Sprintf(`declare batch %s { processors 2 memory 1GiB urgent payload "{}" }`, name))
+		declared := time.Since(begun)
+		c.eventually(name+" runs", func() bool { return journal.Live(name) != "" })
+		fmt.Printf("urgent: declared in %.0f ms, running after %.0f ms\n", 1000*declared.Seconds(), 1000*time.Since(begun).Seconds())
+	}
+}
+
+// measureStarts declares 200 short jobs a second for a while and measures.
+func (c *cluster) measureStarts(journal *fake.Journal) {
+	const rate, seconds = 200, 20
+	before := journal.Starts()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		var wait sync.WaitGroup
+		ticker := time.NewTicker(time.Second / rate)
+		defer ticker.Stop()
+		for i := range rate * seconds {
+			<-ticker.C
+			wait.Go(func() {
+				text := fmt.Sprintf(`declare batch short-%d { processors 1 memory 1GiB class routing payload "{\"run_ms\": 2000}" }`, i)
+				if reply, err := c.try(i%8, uuid.NewString(), text, ""); err != nil || reply.Outcome != "done" {
+					c.t.Errorf("short job %d: %v %+v", i, err, reply)
+				}
+			})
+		}
+		wait.Wait()
+	}()
+	time.Sleep(3 * time.Second)
+	c.measure(fmt.Sprintf("%d starts a second", rate), 15*time.Second)
+	<-done
+	begun := time.Now()
+	c.eventually("all short jobs started", func() bool { return journal.Starts() >= before+rate*seconds })
+	fmt.Printf("the last short job started %.2f s after the last declaration\n", time.Since(begun).Seconds())
+}
--- a/e2e/config_test.go
+++ b/e2e/config_test.go
@@ -98,18 +98,3 @@
 	code, _ = exitCode(t, "mangohill-entry", "--settings", entry, "--check")
 	assert.Equal(t, 0, code)
 }
-
-func TestCommandLineExitCodes(t *testing.T) {
-	c := newCluster(t, 1, 1)
-	entry := c.host("entry", 0) + ":8082"
-	run := func(words ...string) int {
-		code, _ := exitCode(t, append([]string{"mangohill", "--entry", entry}, words...)...)
-		return code
-	}
-	assert.Equal(t, 0, run("declare batch route-7 { processors 1 memory 1GiB }"))
-	assert.Equal(t, 1, run("declare batch route-7 { processors 1 memory 1GiB }"), "it exists already")
-	assert.Equal(t, 2, run("declare batch route-8 { processors many }"))
-	c.entries[0].kill()
-	code, _ := exitCode(t, "mangohill", "--entry", entry, "--timeout", "1s", "cancel route-7")
-	assert.Contains(t, []int{1, 3}, code)
-}
