--- a/e2e/config_test.go
+++ b/e2e/config_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"testing"
 
@@ -64,37 +63,26 @@
 	}
 }
 
-func exitCode(t *testing.T, args ...string) (int, string) {
-	t.Helper()
-	cmd := exec.Command(filepath.Join(binaries, args[0]), args[1:]...)
-	output, err := cmd.CombinedOutput()
-	var exit *exec.ExitError
-	if err != nil {
-		require.ErrorAs(t, err, &exit)
-	}
-	return cmd.ProcessState.ExitCode(), string(output)
-}
-
 func TestBadStartsAreRefusedWithAClearError(t *testing.T) {
 	c := newCluster(t, 1, 1)
 	entry := filepath.Join(c.folder, "entry-1.yaml")
 
-	code, output := exitCode(t, "mangohill-entry", "--settings", entry)
-	assert.Equal(t, 2, code)
-	assert.Contains(t, output, "address already in use")
+	ended := runProgram(t, "mangohill-entry", "--settings", entry)
+	assert.Equal(t, 2, ended.exit)
+	assert.Contains(t, ended.errors, "address already in use")
 
-	code, output = exitCode(t, "mangohill-control", "--settings", filepath.Join(c.folder, "control-1.yaml"), "--bootstrap")
-	assert.NotEqual(t, 0, code, output)
+	ended = runProgram(t, "mangohill-control", "--settings", filepath.Join(c.folder, "control-1.yaml"), "--bootstrap")
+	assert.NotEqual(t, 0, ended.exit, ended.errors)
 
 	good, err := os.ReadFile(entry)
 	require.NoError(t, err)
 	bad := filepath.Join(c.folder, "bad.yaml")
 	require.NoError(t, os.WriteFile(bad, append(good, []byte("no_such_key: 1\nstop_timeout: soon\n")...), 0o600))
-	code, output = exitCode(t, "mangohill-entry", "--settings", bad, "--check")
-	assert.Equal(t, 2, code)
-	assert.Contains(t, output, "no_such_key")
-	assert.Contains(t, output, "stop_timeout")
+	ended = runProgram(t, "mangohill-entry", "--settings", bad, "--check")
+	assert.Equal(t, 2, ended.exit)
+	assert.Contains(t, ended.output+ended.errors, "no_such_key")
+	assert.Contains(t, ended.output+ended.errors, "stop_timeout")
 
-	code, _ = exitCode(t, "mangohill-entry", "--settings", entry, "--check")
-	assert.Equal(t, 0, code)
+	ended = runProgram(t, "mangohill-entry", "--settings", entry, "--check")
+	assert.Equal(t, 0, ended.exit)
 }
