Keep the leader under 64 MB by collecting garbage earlier

Cause: with Go's default the heap may double between collections; at 560 workers and 11,300 tasks the leader's RSS was 81 MB at rest and 100 MB at 200 starts a second (processor 1.35 % and 48.8 %). Ruled out: a smaller state alone, since what is alive is about 40 MB.

--- a/e2e/capacity_test.go
+++ b/e2e/capacity_test.go
@@ -72,12 +72,15 @@
 // TestCapacity prints what control and entry processes spend as workers and
 // running tasks grow. It has no verdict: docs/CAPACITY.md is worked out from its
 // figures. Programs are built with the race detector unless CAPACITY_BINARIES
-// names a folder with others.
+// names a folder with others. CAPACITY_LARGEST measures only the largest size.
 func TestCapacity(t *testing.T) {
 	if folder := os.Getenv("CAPACITY_BINARIES"); folder != "" {
 		binaries = folder
 	}
 	sizes := []struct{ workers, tasks int }{{0, 0}, {70, 0}, {140, 0}, {280, 0}, {560, 0}, {560, 2800}, {560, 11300}}
+	if os.Getenv("CAPACITY_LARGEST") != "" {
+		sizes = sizes[len(sizes)-1:]
+	}
 	window := 20 * time.Second
 	c := newCluster(t, 3, 8)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/node/control.go
+++ b/node/control.go
@@ -4,6 +4,8 @@
 	"context"
 	"expvar"
 	"net/http"
+	"os"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -138,8 +140,15 @@
 	c.peers.Close()
 }
 
+// controlGCPercent keeps a leader of 560 workers and 11,300 tasks under 64 MB at
+// a fifth more processor time. The environment variable GOGC overrides it.
+const controlGCPercent = 25
+
 // RunControl runs a control process until ctx ends.
 func RunControl(ctx context.Context, s *settings.Settings, bootstrap bool) error {
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(controlGCPercent)
+	}
 	c, err := StartControl(ControlOptions{Settings: s, Bootstrap: bootstrap, Logger: newLogger(s)})
 	if err != nil {
 		return err
