--- a/consensus/core.go
+++ b/consensus/core.go
@@ -144,9 +144,13 @@
 	}
 }
 
-// Step takes a message from another member. An error means that the member must
-// stop: its log conflicts with the leader's.
+// Step takes a message from another member. An error of kind bad_request means
+// that the message is malformed and was not taken. Any other error means that
+// the member must stop: its log conflicts with the leader's.
 func (c *Core) Step(m Message) error {
+	if err := m.check(); err != nil {
+		return err
+	}
 	if m.Term > c.term && !c.acceptTerm(m) {
 		return nil
 	}
--- a/consensus/types.go
+++ b/consensus/types.go
@@ -1,6 +1,10 @@
 package consensus
 
-import "fmt"
+import (
+	"fmt"
+
+	"mangohill.example/mangohill/kind"
+)
 
 // MemberID identifies one member for the life of its disk. It is random; zero
 // stands for no member.
@@ -121,6 +125,34 @@
 	Snapshot *SnapshotMeta
 }
 
+// check refuses a message that no member sends.
+func (m Message) check() error {
+	if m.Type < MessageAppend || m.Type > MessageTimeoutNow {
+		return kind.Errorf(kind.BadRequest, "message of unknown type %d", m.Type)
+	}
+	if (m.Type == MessageSnapshot) != (m.Snapshot != nil) {
+		return kind.Errorf(kind.BadRequest, "message of type %d with or without a snapshot", m.Type)
+	}
+	for _, e := range m.Entries {
+		if err := e.check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (e Entry) check() error {
+	switch e.Type {
+	case EntryCommand, EntryNoop:
+		return nil
+	case EntryMembership:
+		_, err := DecodeMembership(e.Data)
+		return kind.Wrap(kind.BadRequest, err, "entry")
+	default:
+		return kind.Errorf(kind.BadRequest, "entry of unknown type %d", e.Type)
+	}
+}
+
 // ReadState tells that a read requested under ID may be served once the state
 // machine has applied Index.
 type ReadState struct {
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -196,7 +196,12 @@
 		l.calls = append(l.calls, in)
 	}
 	for _, m := range in.messages {
-		if err := l.core.Step(m); err != nil {
+		err := l.core.Step(m)
+		if kind.Is(err, kind.BadRequest) {
+			l.replica.options.Logger.Warn().Err(err).Stringer("member", m.From).Msg("message refused")
+			continue
+		}
+		if err != nil {
 			return err
 		}
 	}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -186,8 +186,12 @@
 
 // Propose replicates data and returns what Apply returned for it. The error is of kind
 // not_leader (with the leader's address as detail) or deadline_exceeded if the
-// command certainly does not run, and unknown_outcome if it may.
+// command certainly does not run, body_too_large over 1 MiB, and unknown_outcome
+// if it may run.
 func (r *Replica) Propose(ctx context.Context, data []byte) (any, error) {
+	if err := r.checkProposal(data); err != nil {
+		return nil, err
+	}
 	p := proposal{data: data, done: make(chan outcome, 1)}
 	select {
 	case r.proposals <- p:
@@ -199,6 +203,19 @@
 	return r.await(ctx, p.done)
 }
 
+// maxProposalBytes bounds one command.
+const maxProposalBytes = 1 << 20
+
+func (r *Replica) checkProposal(data []byte) error {
+	if r.identity.Load() == nil {
+		return kind.Errorf(kind.NotLeader, "")
+	}
+	if len(data) > maxProposalBytes {
+		return kind.Errorf(kind.BodyTooLarge, "a command of %d bytes is over %d", len(data), maxProposalBytes)
+	}
+	return nil
+}
+
 func (r *Replica) await(ctx context.Context, done chan outcome) (any, error) {
 	select {
 	case o := <-done:
@@ -263,6 +280,15 @@
 	return time.Time{}
 }
 
+// ContactBound returns how long after QuorumContact no other replica can have
+// become leader, unless this one handed the leadership over and says so in
+// Status. Two ticks are taken off for the phases of the tickers and one
+// hundredth for the rates of the clocks.
+func (r *Replica) ContactBound() time.Duration {
+	bound := time.Duration(r.options.ElectionTicks-2) * r.options.Tick
+	return bound - bound/100
+}
+
 // Register registers the service "Replica", which peers call.
 func (r *Replica) Register(server *rpc.Server) error {
 	return server.RegisterName(serviceName, &service{replica: r})
