--- a/replica/cluster_test.go
+++ b/replica/cluster_test.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"mangohill.example/mangohill/kind"
 	"mangohill.example/mangohill/rpcclient"
 )
 
@@ -46,6 +47,13 @@
 	return json.Unmarshal(data, &j.Commands)
 }
 
+// forget empties the journal, as a state machine that keeps nothing would.
+func (j *journal) forget() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.Commands = nil
+}
+
 func (j *journal) commands() []string {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -57,6 +65,7 @@
 type node struct {
 	t       testing.TB
 	options Options
+	wire    *wire
 	journal *journal
 	replica *Replica
 	server  *listener
@@ -106,8 +115,9 @@
 func newNodes(t testing.TB, count int, change func(*Options)) []*node {
 	addresses := reserve(t, count)
 	var nodes []*node
+	shared := &wire{}
 	for i, address := range addresses {
-		n := &node{t: t, options: Options{
+		n := &node{t: t, wire: shared, options: Options{
 			Name: fmt.Sprintf("control-%d", i+1), Address: address, ControlAddresses: addresses,
 			DataDir: t.TempDir(), Logger: quietLogger(t),
 			Tick: 10 * time.Millisecond, Bootstrap: i == 0, Seed: uint64(i + 1),
@@ -120,11 +130,53 @@
 	return nodes
 }
 
+// wire carries the calls between nodes. A node that is cut reaches nobody and is
+// reached by nobody: calls stay without an answer, as on a silent connection.
+type wire struct {
+	mu  sync.Mutex
+	cut map[string]bool
+}
+
+func (w *wire) set(address string, cut bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.cut == nil {
+		w.cut = make(map[string]bool)
+	}
+	w.cut[address] = cut
+}
+
+func (w *wire) isCut(a, b string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.cut[a] || w.cut[b]
+}
+
+// wiredCaller is the caller of one node.
+type wiredCaller struct {
+	*rpcclient.Client
+	wire *wire
+	from string
+}
+
+func (c wiredCaller) Call(ctx context.Context, address, method string, args, reply any) error {
+	if c.wire.isCut(c.from, address) {
+		<-ctx.Done()
+		return kind.Errorf(kind.UnknownOutcome, "%s at %s: %w", method, address, ctx.Err())
+	}
+	err := c.Client.Call(ctx, address, method, args, reply)
+	if c.wire.isCut(c.from, address) {
+		<-ctx.Done()
+		return kind.Errorf(kind.UnknownOutcome, "%s at %s: %w", method, address, ctx.Err())
+	}
+	return err
+}
+
 func (n *node) start() {
 	n.journal = &journal{}
 	n.options.StateMachine = n.journal
 	client := rpcclient.New(rpcclient.Options{})
-	n.options.Caller = client
+	n.options.Caller = wiredCaller{client, n.wire, n.options.Address}
 	r, err := Start(n.options)
 	require.NoError(n.t, err)
 	n.replica = r
@@ -152,13 +204,18 @@
 	require.Eventually(t, holds, patience, 5*time.Millisecond, what)
 }
 
+// leaderOf returns the node that leads in the highest term.
 func leaderOf(nodes []*node) *node {
+	var best *node
 	for _, n := range nodes {
-		if n.replica != nil && n.replica.Status().Role == "leader" {
-			return n
+		if n.replica == nil || n.replica.Status().Role != "leader" {
+			continue
+		}
+		if best == nil || n.replica.Status().Term > best.replica.Status().Term {
+			best = n
 		}
 	}
-	return nil
+	return best
 }
 
 func voters(n *node) int {
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -245,10 +245,22 @@
 	}
 	l.answerCalls()
 	l.publish()
+	l.dropReads()
 	l.flush()
 	return nil
 }
 
+// dropReads refuses the reads that wait when the leadership has ended.
+func (l *loop) dropReads() {
+	if len(l.reads) == 0 || l.core.Status().Role == consensus.Leader {
+		return
+	}
+	for id, done := range l.reads {
+		done <- outcome{err: l.core.NotLeader()}
+		delete(l.reads, id)
+	}
+}
+
 func (l *loop) persist(ready consensus.Ready) error {
 	if ready.Snapshot != nil {
 		if err := l.installSnapshot(*ready.Snapshot); err != nil {
@@ -281,8 +293,10 @@
 		l.snapshotting = false
 	}
 	for _, read := range ready.Reads {
-		task.reads = append(task.reads, readTask{index: read.Index, done: l.reads[read.ID]})
-		delete(l.reads, read.ID)
+		if done, ok := l.reads[read.ID]; ok {
+			task.reads = append(task.reads, readTask{index: read.Index, done: done})
+			delete(l.reads, read.ID)
+		}
 	}
 	if task.restore != nil || len(task.entries) > 0 || len(task.reads) > 0 {
 		l.backlog = append(l.backlog, task)
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -4,14 +4,19 @@
 	"context"
 	"fmt"
 	"os"
+	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
 
 	"mangohill.example/mangohill/kind"
 )
 
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 func TestThreeReplicasFormAGroupAndReplicate(t *testing.T) {
 	nodes := newNodes(t, 3, nil)
 	startGroup(t, nodes)
@@ -73,3 +78,121 @@
 	}
 	assert.Equal(t, 201, propose(t, nodes, "last"))
 }
+
+func TestSilentlyCutLeaderStepsDownAndNothingIsLost(t *testing.T) {
+	nodes := newNodes(t, 3, nil)
+	startGroup(t, nodes)
+	propose(t, nodes, "before")
+	old := leaderOf(nodes)
+	old.wire.set(old.options.Address, true)
+
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	barrier := make(chan error, 1)
+	go func() { barrier <- old.replica.Barrier(ctx) }()
+	eventually(t, "the leader without a quorum steps down", func() bool { return old.replica.Status().Role != "leader" })
+	assert.True(t, old.replica.QuorumContact().IsZero())
+	eventually(t, "the others elect a leader", func() bool { return leaderOf(nodes) != nil })
+	propose(t, nodes, "during")
+	_, err := old.replica.Propose(ctx, []byte("refused"))
+	assert.Equal(t, kind.NotLeader, kind.Of(err))
+
+	old.wire.set(old.options.Address, false)
+	propose(t, nodes, "after")
+	eventually(t, "the old leader catches up", func() bool { return len(old.journal.commands()) == 3 })
+	assert.Equal(t, []string{"before", "during", "after"}, old.journal.commands())
+	assert.Equal(t, kind.NotLeader, kind.Of(<-barrier), "a read at a leader without a quorum must not be served")
+}
+
+func TestLargeSnapshotIsTransferredInParts(t *testing.T) {
+	nodes := newNodes(t, 3, func(o *Options) { o.SnapshotEntries = 8 })
+	startGroup(t, nodes[:2])
+	const size = 256 << 10
+	for range 24 {
+		propose(t, nodes, strings.Repeat("x", size))
+	}
+	eventually(t, "the log is compacted", func() bool {
+		names, err := filepath.Glob(filepath.Join(leaderOf(nodes).options.DataDir, "snapshot-*.state"))
+		return err == nil && len(names) > 0
+	})
+	nodes[2].start()
+	awaitGroup(t, nodes, 3)
+	eventually(t, "the new member holds 6 MiB", func() bool { return len(nodes[2].journal.commands()) == 24 })
+}
+
+func TestReplicaOfAnotherClusterIsRefused(t *testing.T) {
+	nodes := newNodes(t, 3, nil)
+	startGroup(t, nodes)
+	propose(t, nodes, "first")
+	stranger := nodes[2]
+	stranger.halt()
+	stranger.options.DataDir = t.TempDir()
+	stranger.options.Bootstrap = true
+	stranger.start()
+	eventually(t, "the stranger leads its own cluster", func() bool { return stranger.replica.Status().Role == "leader" })
+	propose(t, nodes[:2], "second")
+	eventually(t, "both members have it", func() bool {
+		return len(nodes[0].journal.commands()) == 2 && len(nodes[1].journal.commands()) == 2
+	})
+	assert.Empty(t, stranger.journal.commands())
+
+	envelope := envelope{Cluster: nodes[0].replica.identity.Load().Cluster, To: stranger.replica.identity.Load().Member}
+	packet, err := encode(envelope)
+	require.NoError(t, err)
+	err = (&service{replica: stranger.replica}).Step(&Packet{B: packet}, &Packet{})
+	assert.Equal(t, kind.BadRequest, kind.Of(err))
+}
+
+func TestPlannedStopHandsTheLeadershipOver(t *testing.T) {
+	nodes := newNodes(t, 3, nil)
+	startGroup(t, nodes)
+	propose(t, nodes, "first")
+	eventually(t, "all hold the command", func() bool {
+		for _, n := range nodes {
+			if len(n.journal.commands()) != 1 {
+				return false
+			}
+		}
+		return true
+	})
+	old := leaderOf(nodes)
+	term := old.replica.Status().Term
+	old.halt()
+	eventually(t, "another replica leads", func() bool { return leaderOf(nodes) != nil })
+	assert.Equal(t, term+1, leaderOf(nodes).replica.Status().Term)
+	propose(t, nodes, "second")
+}
+
+func TestLeadershipIsAnnouncedOnceTheStateIsCurrent(t *testing.T) {
+	nodes := newNodes(t, 1, nil)
+	startGroup(t, nodes)
+	propose(t, nodes, "first")
+	nodes[0].halt()
+	nodes[0].start()
+	change := <-nodes[0].replica.Leadership()
+	assert.True(t, change.Leading)
+	assert.Equal(t, []string{"first"}, nodes[0].journal.commands())
+	nodes[0].replica.Stop()
+	assert.False(t, (<-nodes[0].replica.Leadership()).Leading)
+}
+
+func TestCompactionBoundsTheFolder(t *testing.T) {
+	nodes := newNodes(t, 1, func(o *Options) { o.SnapshotEntries = 100; o.SnapshotBytes = 1 << 20 })
+	startGroup(t, nodes)
+	const commands, size = 1000, 100 << 10
+	for range commands {
+		propose(t, nodes, strings.Repeat("x", size))
+		nodes[0].journal.forget()
+	}
+	nodes[0].halt()
+	names, err := filepath.Glob(filepath.Join(nodes[0].options.DataDir, "*"))
+	require.NoError(t, err)
+	total := int64(0)
+	for _, name := range names {
+		info, err := os.Stat(name)
+		require.NoError(t, err)
+		total += info.Size()
+	}
+	t.Logf("%d bytes proposed, %d kept in %d files", commands*size, total, len(names))
+	assert.Less(t, total, int64(commands*size/5))
+}
