Model the lease handover as package lease does it

Cause: the model relied on elections later than the contact bound; the product waits out the bound after an election at any time instead. Change: the new leader waits bound, lease and margin; NO_BOUND replaces SHORT_ELECTION.

--- a/spec/lease.pml
+++ b/spec/lease.pml
@@ -5,9 +5,9 @@
  * contact with a quorum is at most BOUND old. It may be cut off, and it may
  * freeze at any point, also between this check and its answer. The worker counts
  * the lease from the moment it sent the renewal, by a clock that may lose a tick,
- * and runs the task until the lease ends. A new leader is elected no earlier than
- * ELECTION after the last quorum contact. It waits LEASE and MARGIN before it
- * starts the task elsewhere.
+ * and runs the task until the lease ends. A new leader is elected at any time after
+ * the last quorum contact began. It waits BOUND, LEASE and MARGIN before it starts
+ * the task elsewhere.
  *
  * Checked: the task never runs twice at a time.
  *
@@ -15,17 +15,17 @@
  *   NO_CONTACT_CHECK   the old leader renews without a quorum contact
  *   COUNT_FROM_ANSWER  the worker counts from the answer
  *   NO_WAIT            the new leader does not wait out the lease
+ *   NO_BOUND           the new leader does not wait out the contact bound
  *   NO_MARGIN          the new leader allows nothing for the worker's clock
- *   SHORT_ELECTION     an election is possible within the contact bound
  */
 #ifndef LEASE
 #define LEASE 4
 #endif
 #define BOUND 2
-#ifdef SHORT_ELECTION
-#define ELECTION 0
+#ifdef NO_BOUND
+#define EXTRA 0
 #else
-#define ELECTION BOUND
+#define EXTRA BOUND
 #endif
 #ifdef NO_MARGIN
 #define MARGIN 0
@@ -93,10 +93,10 @@
 }
 
 active proctype newLeader() {
-	atomic { now >= contact + ELECTION && cut -> elected = true; electedAt = now };
+	atomic { elected = true; electedAt = now };
 #ifdef NO_WAIT
 	atomic { startedElsewhere = true; assert(!running) }
 #else
-	atomic { now >= electedAt + LEASE + MARGIN -> startedElsewhere = true; assert(!running) }
+	atomic { now >= electedAt + EXTRA + LEASE + MARGIN -> startedElsewhere = true; assert(!running) }
 #endif
 }
