Stop a joining replica at once and refuse proposals of a stopped one

Cause: Stop waited for a call to a silent peer, and a proposal after a failed disk was reported as unknown. Checked: go test -race -count=2 ./replica passes, with a disk that fails its syncs.

--- a/replica/join.go
+++ b/replica/join.go
@@ -55,7 +55,7 @@
 }
 
 func (r *Replica) askToJoin(address string, id consensus.MemberID) (storage.ClusterID, error) {
-	ctx, cancel := context.WithTimeout(r.ctx, 2*r.options.electionTimeout())
+	ctx, cancel := context.WithTimeout(r.stopping, 2*r.options.electionTimeout())
 	defer cancel()
 	args := JoinArgs{Member: id, Name: r.options.Name, Address: r.options.Address}
 	reply := new(JoinReply)
@@ -83,7 +83,7 @@
 	select {
 	case <-timer.C:
 		return true
-	case <-r.stop:
+	case <-r.stopping.Done():
 		return false
 	}
 }
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -122,7 +122,7 @@
 	case meta := <-l.replica.snapshots:
 		return true, l.compact(meta)
 	case <-l.replica.applyPoke:
-	case <-l.replica.stop:
+	case <-l.replica.stopping.Done():
 		l.handOver()
 		return false, nil
 	}
--- a/replica/options.go
+++ b/replica/options.go
@@ -29,8 +29,8 @@
 	DefaultTick            = 50 * time.Millisecond
 	DefaultElectionTicks   = consensus.DefaultElectionTicks
 	DefaultHeartbeatTicks  = consensus.DefaultHeartbeatTicks
-	DefaultSnapshotEntries = 10_000
-	DefaultSnapshotBytes   = 8 << 20
+	DefaultSnapshotEntries = 5000
+	DefaultSnapshotBytes   = 2 << 20
 )
 
 // Options configures a replica. Zero values of the last group stand for the
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -64,13 +64,14 @@
 	leadership chan Leadership
 	applied    atomic.Uint64
 
-	ctx     context.Context
-	cancel  context.CancelFunc
-	stop    chan struct{}
-	stopped sync.Once
-	done    chan struct{}
-	failure atomic.Pointer[error]
-	group   sync.WaitGroup
+	// ctx ends when the goroutines must end, stopping when a stop is asked for.
+	ctx      context.Context
+	cancel   context.CancelFunc
+	stopping context.Context
+	stop     context.CancelFunc
+	done     chan struct{}
+	failure  atomic.Pointer[error]
+	group    sync.WaitGroup
 }
 
 // Start opens the data folder and starts the replica. With Bootstrap it creates
@@ -94,6 +95,7 @@
 
 func newReplica(options Options, store *storage.Store) *Replica {
 	ctx, cancel := context.WithCancel(context.Background())
+	stopping, stop := context.WithCancel(ctx)
 	r := &Replica{
 		options:    options,
 		store:      store,
@@ -106,7 +108,8 @@
 		leadership: make(chan Leadership, 1),
 		ctx:        ctx,
 		cancel:     cancel,
-		stop:       make(chan struct{}),
+		stopping:   stopping,
+		stop:       stop,
 		done:       make(chan struct{}),
 	}
 	r.waiters.init()
@@ -207,8 +210,8 @@
 const maxProposalBytes = 1 << 20
 
 func (r *Replica) checkProposal(data []byte) error {
-	if r.identity.Load() == nil {
-		return kind.Errorf(kind.NotLeader, "")
+	if err := r.checkRunning(); err != nil {
+		return err
 	}
 	if len(data) > maxProposalBytes {
 		return kind.Errorf(kind.BodyTooLarge, "a command of %d bytes is over %d", len(data), maxProposalBytes)
@@ -216,6 +219,19 @@
 	return nil
 }
 
+// checkRunning refuses what would certainly not be taken.
+func (r *Replica) checkRunning() error {
+	select {
+	case <-r.done:
+		return r.stoppedError()
+	default:
+	}
+	if r.identity.Load() == nil {
+		return kind.Errorf(kind.NotLeader, "")
+	}
+	return nil
+}
+
 func (r *Replica) await(ctx context.Context, done chan outcome) (any, error) {
 	select {
 	case o := <-done:
@@ -245,8 +261,8 @@
 }
 
 func (r *Replica) ask(ctx context.Context, req request) (any, error) {
-	if r.identity.Load() == nil {
-		return nil, kind.Errorf(kind.NotLeader, "")
+	if err := r.checkRunning(); err != nil {
+		return nil, err
 	}
 	select {
 	case r.requests <- req:
@@ -309,7 +325,7 @@
 // Stop hands the leadership over, where this replica has it, and stops. It
 // returns when all goroutines have ended and the folder is closed.
 func (r *Replica) Stop() {
-	r.stopped.Do(func() { close(r.stop) })
+	r.stop()
 	<-r.done
 	r.group.Wait()
 }
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -6,13 +6,16 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
+	"golang.org/x/sys/unix"
 
 	"mangohill.example/mangohill/kind"
+	"mangohill.example/mangohill/storage"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -196,3 +199,59 @@
 	t.Logf("%d bytes proposed, %d kept in %d files", commands*size, total, len(names))
 	assert.Less(t, total, int64(commands*size/5))
 }
+
+// failingDisk fails every sync once it is told to.
+type failingDisk struct {
+	storage.Disk
+	failing *atomic.Bool
+}
+
+type failingFile struct {
+	storage.File
+	failing *atomic.Bool
+}
+
+func (d failingDisk) Append(path string) (storage.File, error) {
+	file, err := d.Disk.Append(path)
+	return failingFile{file, d.failing}, err
+}
+
+func (d failingDisk) Create(path string) (storage.File, error) {
+	file, err := d.Disk.Create(path)
+	return failingFile{file, d.failing}, err
+}
+
+func (f failingFile) Sync() error {
+	if f.failing.Load() {
+		return unix.EIO
+	}
+	return f.File.Sync()
+}
+
+func TestReplicaWhoseDiskFailsStopsAndAcknowledgesNothing(t *testing.T) {
+	var failing atomic.Bool
+	nodes := newNodes(t, 1, func(o *Options) { o.FileSystem = failingDisk{failing: &failing} })
+	startGroup(t, nodes)
+	propose(t, nodes, "first")
+	failing.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	_, err := nodes[0].replica.Propose(ctx, []byte("second"))
+	assert.Equal(t, kind.UnknownOutcome, kind.Of(err))
+	<-nodes[0].replica.Done()
+	assert.Equal(t, kind.Storage, kind.Of(nodes[0].replica.Err()))
+	_, err = nodes[0].replica.Propose(ctx, []byte("third"))
+	assert.Equal(t, kind.Stopping, kind.Of(err))
+	assert.Equal(t, []string{"first"}, nodes[0].journal.commands())
+}
+
+func TestStopEndsARequestForAdmission(t *testing.T) {
+	nodes := newNodes(t, 2, nil)
+	nodes[1].wire.set(nodes[1].options.Address, true)
+	nodes[1].start()
+	_, err := nodes[1].replica.Propose(context.Background(), []byte("early"))
+	assert.Equal(t, kind.NotLeader, kind.Of(err))
+	assert.Equal(t, "joining", nodes[1].replica.Status().Role)
+	nodes[1].replica.Stop()
+	assert.NoError(t, nodes[1].replica.Err())
+}
