--- a/consensus/sim_test.go
+++ b/consensus/sim_test.go
@@ -11,12 +11,14 @@
 )
 
 const (
-	simElectionTicks  = 10
-	simHeartbeatTicks = 2
+	simElectionTicks  = consensus.DefaultElectionTicks
+	simHeartbeatTicks = consensus.DefaultHeartbeatTicks
 	// simSnapshotEntries is small, so that most runs transfer snapshots.
 	simSnapshotEntries = 12
 	simSegmentBytes    = 2 << 10
 	simFolder          = "data"
+	// warmUp is a time in ticks in which a group without faults elects a leader.
+	warmUp = 6 * simElectionTicks
 	// rateUnit is one tick of a clock that runs at its nominal rate.
 	rateUnit = 100
 )
@@ -51,12 +53,15 @@
 
 	leaders   map[uint64]consensus.MemberID
 	committed map[uint64]string
-	last      uint64
-	members   consensus.Membership
-	acked     map[string]uint64
-	ackedTo   uint64
-	commands  int
-	elections int
+	// committedIn holds for each entry the term of the host that applied it first,
+	// which is at least the term in which it was committed.
+	committedIn map[uint64]uint64
+	last        uint64
+	members     consensus.Membership
+	acked       map[string]uint64
+	ackedTo     uint64
+	commands    int
+	elections   int
 }
 
 // host is one control host.
@@ -100,7 +105,7 @@
 func newSim(seed uint64, size int, f faults) *sim {
 	s := &sim{
 		random: rand.New(rand.NewPCG(seed, 1)), faults: f, cut: map[*host]bool{}, links: map[[2]*host]bool{},
-		leaders: map[uint64]consensus.MemberID{}, committed: map[uint64]string{}, acked: map[string]uint64{},
+		leaders: map[uint64]consensus.MemberID{}, committed: map[uint64]string{}, committedIn: map[uint64]uint64{}, acked: map[string]uint64{},
 	}
 	var members consensus.Membership
 	for i := range size {
@@ -264,14 +269,13 @@
 	for h.core != nil && h.core.HasReady() {
 		h.noteRound()
 		ready := h.core.Ready()
+		h.sendAll(ready, true)
 		if err := h.persist(ready); err != nil {
 			h.crash()
 			return
 		}
 		h.observe()
-		for _, m := range ready.Messages {
-			h.send(m)
-		}
+		h.sendAll(ready, false)
 		h.apply(ready)
 		h.core.Advance(ready)
 	}
@@ -280,6 +284,14 @@
 	}
 }
 
+func (h *host) sendAll(ready consensus.Ready, early bool) {
+	for _, m := range ready.Messages {
+		if ready.Early(m) == early {
+			h.send(m)
+		}
+	}
+}
+
 func (h *host) persist(ready consensus.Ready) error {
 	if meta := ready.Snapshot; meta != nil {
 		if err := h.store.StoreSnapshot(h.incoming.header, h.incoming.data); err != nil {
@@ -308,7 +320,7 @@
 	}
 	for _, r := range ready.Reads {
 		if floor := h.reads[r.ID]; r.Index < floor {
-			violate("%s: read at %d misses acknowledged entry %d", h.address, r.Index, floor)
+			violate("stale read: %s serves at %d, entry %d was acknowledged before", h.address, r.Index, floor)
 		}
 	}
 }
--- a/replica/cluster_test.go
+++ b/replica/cluster_test.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"mangohill.example/mangohill/kind"
 	"mangohill.example/mangohill/rpcclient"
 )
 
@@ -46,6 +47,13 @@
 	return json.Unmarshal(data, &j.Commands)
 }
 
+// forget empties the journal, as a state machine that keeps nothing would.
+func (j *journal) forget() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.Commands = nil
+}
+
 func (j *journal) commands() []string {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -55,8 +63,9 @@
 // node is one control host: a listener at a fixed address and the replica behind
 // it, which can be stopped and started again.
 type node struct {
-	t       *testing.T
+	t       testing.TB
 	options Options
+	wire    *wire
 	journal *journal
 	replica *Replica
 	server  *listener
@@ -92,7 +101,7 @@
 }
 
 // reserve returns loopback addresses that are free now.
-func reserve(t *testing.T, count int) []string {
+func reserve(t testing.TB, count int) []string {
 	var addresses []string
 	for range count {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -103,14 +112,15 @@
 	return addresses
 }
 
-func newNodes(t *testing.T, count int, change func(*Options)) []*node {
+func newNodes(t testing.TB, count int, change func(*Options)) []*node {
 	addresses := reserve(t, count)
 	var nodes []*node
+	shared := &wire{}
 	for i, address := range addresses {
-		n := &node{t: t, options: Options{
+		n := &node{t: t, wire: shared, options: Options{
 			Name: fmt.Sprintf("control-%d", i+1), Address: address, ControlAddresses: addresses,
-			DataDir: t.TempDir(), Logger: zerolog.New(zerolog.NewTestWriter(t)).Level(zerolog.InfoLevel),
-			Tick: 20 * time.Millisecond, Bootstrap: i == 0, Seed: uint64(i + 1),
+			DataDir: t.TempDir(), Logger: quietLogger(t),
+			Tick: 10 * time.Millisecond, Bootstrap: i == 0, Seed: uint64(i + 1),
 		}}
 		if change != nil {
 			change(&n.options)
@@ -120,11 +130,53 @@
 	return nodes
 }
 
+// wire carries the calls between nodes. A node that is cut reaches nobody and is
+// reached by nobody: calls stay without an answer, as on a silent connection.
+type wire struct {
+	mu  sync.Mutex
+	cut map[string]bool
+}
+
+func (w *wire) set(address string, cut bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.cut == nil {
+		w.cut = make(map[string]bool)
+	}
+	w.cut[address] = cut
+}
+
+func (w *wire) isCut(a, b string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.cut[a] || w.cut[b]
+}
+
+// wiredCaller is the caller of one node.
+type wiredCaller struct {
+	*rpcclient.Client
+	wire *wire
+	from string
+}
+
+func (c wiredCaller) Call(ctx context.Context, address, method string, args, reply any) error {
+	if c.wire.isCut(c.from, address) {
+		<-ctx.Done()
+		return kind.Errorf(kind.UnknownOutcome, "%s at %s: %w", method, address, ctx.Err())
+	}
+	err := c.Client.Call(ctx, address, method, args, reply)
+	if c.wire.isCut(c.from, address) {
+		<-ctx.Done()
+		return kind.Errorf(kind.UnknownOutcome, "%s at %s: %w", method, address, ctx.Err())
+	}
+	return err
+}
+
 func (n *node) start() {
 	n.journal = &journal{}
 	n.options.StateMachine = n.journal
 	client := rpcclient.New(rpcclient.Options{})
-	n.options.Caller = client
+	n.options.Caller = wiredCaller{client, n.wire, n.options.Address}
 	r, err := Start(n.options)
 	require.NoError(n.t, err)
 	n.replica = r
@@ -147,18 +199,23 @@
 	n.replica = nil
 }
 
-func eventually(t *testing.T, what string, holds func() bool) {
+func eventually(t testing.TB, what string, holds func() bool) {
 	t.Helper()
 	require.Eventually(t, holds, patience, 5*time.Millisecond, what)
 }
 
+// leaderOf returns the node that leads in the highest term.
 func leaderOf(nodes []*node) *node {
+	var best *node
 	for _, n := range nodes {
-		if n.replica != nil && n.replica.Status().Role == "leader" {
-			return n
+		if n.replica == nil || n.replica.Status().Role != "leader" {
+			continue
+		}
+		if best == nil || n.replica.Status().Term > best.replica.Status().Term {
+			best = n
 		}
 	}
-	return nil
+	return best
 }
 
 func voters(n *node) int {
@@ -172,7 +229,7 @@
 }
 
 // startGroup starts all nodes and waits until all are voters.
-func startGroup(t *testing.T, nodes []*node) {
+func startGroup(t testing.TB, nodes []*node) {
 	t.Helper()
 	for _, n := range nodes {
 		n.start()
@@ -181,7 +238,7 @@
 	awaitGroup(t, nodes, len(nodes))
 }
 
-func awaitGroup(t *testing.T, nodes []*node, size int) {
+func awaitGroup(t testing.TB, nodes []*node, size int) {
 	t.Helper()
 	eventually(t, "all members are voters", func() bool {
 		leader := leaderOf(nodes)
@@ -190,7 +247,7 @@
 }
 
 // propose repeats a command until the leader answers for it.
-func propose(t *testing.T, nodes []*node, command string) any {
+func propose(t testing.TB, nodes []*node, command string) any {
 	t.Helper()
 	var result any
 	eventually(t, "the command is accepted", func() bool {
@@ -206,3 +263,11 @@
 	})
 	return result
 }
+
+// quietLogger logs to tests, and nowhere in benchmarks.
+func quietLogger(t testing.TB) zerolog.Logger {
+	if _, ok := t.(*testing.B); ok {
+		return zerolog.Nop()
+	}
+	return zerolog.New(zerolog.NewTestWriter(t)).Level(zerolog.InfoLevel)
+}
