--- a/state/claims.go
+++ b/state/claims.go
@@ -166,4 +166,12 @@
 			delete(t.claims, first.Key)
 		}
 	}
+	for len(t.kept) > 0 && !t.hasAnswer(t.kept[0]) {
+		t.kept = t.kept[1:]
+	}
+}
+
+func (t *claimTable) hasAnswer(key ClaimKey) bool {
+	c, ok := t.claims[key]
+	return ok && c.answer != nil
 }
