--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -225,6 +225,21 @@
 	})
 }
 
+// memberID returns the identity of the voter at control host i, empty if there
+// is none.
+func (c *cluster) memberID(i int) string {
+	reply, err := c.try(0, uuid.NewString(), "show members", "")
+	if err != nil {
+		return ""
+	}
+	for _, row := range reply.Rows {
+		if row.Get("address") == c.host("control", i)+":7400" && row.Get("role") != "learner" {
+			return fmt.Sprint(row.Get("member"))
+		}
+	}
+	return ""
+}
+
 // leader returns the index of the leading control process.
 func (c *cluster) leader() int {
 	index := -1
@@ -330,3 +345,21 @@
 	})
 	return list
 }
+
+// counter returns a counter of entry host i, or -1 if it cannot be read.
+func (c *cluster) counter(i int, name string) int64 {
+	response, err := client.Get(c.operators(i) + "/debug/vars")
+	if err != nil {
+		return -1
+	}
+	defer response.Body.Close()
+	var vars struct{ Entry map[string]any }
+	if err := json.NewDecoder(response.Body).Decode(&vars); err != nil {
+		return -1
+	}
+	value, ok := vars.Entry[name].(float64)
+	if !ok {
+		return -1
+	}
+	return int64(value)
+}
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"mangohill.example/mangohill/interference"
 	"mangohill.example/mangohill/types"
 )
 
@@ -22,8 +23,19 @@
 	teams    map[string]*team
 	total    types.Resources // capacity of the hosts that accept tasks
 	queue    *queue
+	orphans  int     // bound tasks whose worker is unknown
 	assumed  []*task // tasks with an unconfirmed start, oldest first
-	cursor   int     // host at which the next search begins
+
+	learned      map[string]*learned
+	learnedRest  *learned // shared by the classes beyond the bound
+	observations []observation
+	relieving    []*host
+	suspects     []*host // hosts with failures since their last success
+	drains       []*host // draining hosts
+	replacements []*task
+	claims       []*task // tasks with a claim, oldest first
+	budget       budget
+	trials       [interference.MaxClasses]int // running trials by class
 
 	filters []filter
 	scorers []scorer
@@ -41,8 +53,14 @@
 		jobs:     map[string]*job{},
 		teams:    map[string]*team{},
 		queue:    newQueue(),
+		learned:  map[string]*learned{},
+
+		learnedRest: &learned{expectedUse: 1},
 	}
 	s.filters = defaultFilters()
+	if s.options.FirstFit {
+		s.filters = firstFitFilters()
+	}
 	s.scorers = defaultScorers()
 	s.weigh()
 	return s
@@ -64,16 +82,29 @@
 	if h == nil {
 		h = &host{worker: w}
 		s.insertHost(h)
-	} else if h.accepting() {
-		s.total = s.total.Sub(h.worker.Capacity)
+		s.adoptOrphans(h)
+	}
+	if h.worker.State == types.WorkerQuarantined && w.State == types.WorkerReady {
+		h.health.quarantined = false
 	}
 	h.worker = w
+	s.count(h)
+	s.listDrain(h)
 	if h.accepting() {
-		s.total = s.total.Add(w.Capacity)
 		s.queue.unblock()
 	}
 }
 
+// count adds the capacity of h to the cluster's total while it accepts tasks.
+func (s *Scheduler) count(h *host) {
+	s.total = s.total.Sub(h.counted)
+	h.counted = types.Resources{}
+	if h.accepting() {
+		h.counted = h.worker.Capacity
+	}
+	s.total = s.total.Add(h.counted)
+}
+
 // RemoveWorker forgets a worker. Its tasks lose their host until their next
 // update.
 func (s *Scheduler) RemoveWorker(id types.WorkerID) {
@@ -81,12 +112,15 @@
 	if h == nil {
 		return
 	}
-	if h.accepting() {
-		s.total = s.total.Sub(h.worker.Capacity)
-	}
+	s.total = s.total.Sub(h.counted)
 	for len(h.tasks) > 0 {
 		s.unbind(h.tasks[0])
 	}
+	for _, t := range s.claims {
+		if t.claim != nil && t.claim.host == h {
+			s.reclaim(t)
+		}
+	}
 	delete(s.hostByID, id)
 	s.deleteHost(h)
 }
@@ -113,26 +147,61 @@
 		return
 	}
 	s.queue.remove(t)
+	s.dropClaim(t)
 	s.unbind(t)
 	t.assumedEpoch = 0
 	s.leaveJob(t)
 	delete(s.tasks, id)
 }
 
-// ObserveUsage takes in a usage report that was received at now.
-func (s *Scheduler) ObserveUsage(now time.Time, usage types.Usage) {}
-
 // Rejected undoes what was assumed of an action that the state refused.
 func (s *Scheduler) Rejected(action Action, err error) {
-	start, ok := action.(Start)
-	if !ok {
-		return
+	switch a := action.(type) {
+	case Start:
+		s.rejectedStart(a)
+	case Checkpoint:
+		s.rejected(a.Task)
+	case Throttle:
+		s.rejected(a.Task)
+	case Unthrottle:
+		s.rejected(a.Task)
+	case Stop:
+		s.rejected(a.Task)
+	case Replace:
+		s.rejected(a.Task)
+		if t := s.tasks[a.Task]; t != nil {
+			t.irreplaceable = true
+		}
+	case Park:
+		s.rejectedPark(a.Task)
+	case Quarantine:
+		s.rejectedQuarantine(a.Worker)
 	}
-	t := s.tasks[start.Task]
-	if t == nil || t.assumedEpoch != start.Epoch {
+}
+
+func (s *Scheduler) rejectedStart(a Start) {
+	t := s.tasks[a.Task]
+	if t != nil && t.assumedEpoch == a.Epoch {
+		s.dropAssumption(t)
+	}
+}
+
+// rejectedPark queues the task again after a pause.
+func (s *Scheduler) rejectedPark(id types.TaskID) {
+	s.rejected(id)
+	t := s.tasks[id]
+	if t == nil || !t.State.Pending() || t.bound {
 		return
 	}
-	s.dropAssumption(t)
+	s.queue.remove(t)
+	t.notBefore = s.now.Add(s.options.AssumeFor)
+	s.queue.add(t)
+}
+
+func (s *Scheduler) rejected(id types.TaskID) {
+	if t := s.tasks[id]; t != nil {
+		t.settleAwait()
+	}
 }
 
 // Plan decides what to do at now. The caller applies the actions in their order.
@@ -140,29 +209,23 @@
 	s.now = now
 	s.actions = s.actions[:0]
 	s.expireAssumptions()
+	s.budget.resize(len(s.hosts), s.config.Weights)
+	s.learnLatencies()
+	s.relief()
+	s.judge()
+	s.drain()
+	s.finishReplacements()
 	s.queue.release(now)
+	s.checkClaims()
 	s.placePending()
 	return append([]Action(nil), s.actions...)
 }
 
 func (s *Scheduler) emit(a Action) { s.actions = append(s.actions, a) }
 
-// adopt replaces the record of t by the confirmed update.
-func (s *Scheduler) adopt(t *task, update types.Task) {
-	s.queue.remove(t)
-	s.unbind(t)
-	t.assumedEpoch = 0
-	t.Task = update
-	switch {
-	case update.State.Placed():
-		s.bind(t, s.hostByID[update.Worker])
-	case update.State.Pending():
-		s.enqueue(t)
-	}
-}
-
 func (s *Scheduler) enqueue(t *task) {
 	t.order = queueOrder(t)
+	t.notBefore = time.Time{}
 	if t.Failures > 0 {
 		t.notBefore = unixMs(t.ChangedMs).Add(backoff(t.Failures))
 	}
