Judge targets by more than their first answers and shorten the takeover

Estimates began with one sample of weight one, and a single long service time could raise a warm one; with one slot of a target a host, falsely slow targets stayed unused until the next probe. Ruled out: the choice of peers (the same with reports of other ages), the learning of truly slow targets (a quarter of a second). Change: the first mean counts for 8 samples, and a sample for 4 means at most. The settle time is 1 s: detection (1.25 s) and it exceed the default timeout.

--- a/internal/callload/run.go
+++ b/internal/callload/run.go
@@ -97,7 +97,7 @@
 	// detectAfter is the time after which a lost entry host is known as dead.
 	detectAfter = 1250 * time.Millisecond
 	// settle is the time until its slots are taken over.
-	settle = 2 * time.Second
+	settle = time.Second
 	// balancerAfter is the time for which the balancer still sends to it.
 	balancerAfter = 100 * time.Millisecond
 	// heartbeatBytes is the size of a heartbeat on the wire, with UDP and IP
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -81,7 +81,7 @@
 
 // Default values of Options.
 const (
-	DefaultSettle    = 2 * time.Second
+	DefaultSettle    = time.Second
 	DefaultMaxAnswer = 1 << 20
 	DefaultMaxBody   = 8 << 20
 	DefaultMaxKept   = 16 << 10
--- a/route/estimate.go
+++ b/route/estimate.go
@@ -8,16 +8,24 @@
 	samples int
 }
 
-// estimateWeight is the weight of a new sample once the estimate is warm.
-const estimateWeight = 1.0 / 16
+const (
+	// estimateWeight is the weight of a new sample once the estimate is warm.
+	estimateWeight = 1.0 / 16
+	// priorSamples is the number of samples that the initial mean counts for.
+	priorSamples = 8
+	// longestSample bounds a sample, in means: service times have a long tail, and
+	// a single one of them must not make a target count as slow.
+	longestSample = 4
+)
 
 func (e *estimate) add(d time.Duration) {
 	e.samples++
-	weight := 1 / float64(e.samples)
-	if weight < estimateWeight {
-		weight = estimateWeight
+	weight := max(1/float64(e.samples+priorSamples), estimateWeight)
+	sample := d.Seconds()
+	if e.mean > 0 {
+		sample = min(sample, longestSample*e.mean)
 	}
-	e.mean += weight * (d.Seconds() - e.mean)
+	e.mean += weight * (sample - e.mean)
 }
 
 // Verdict is what a send showed about its target.
