--- a/node/entry.go
+++ b/node/entry.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"mangohill.example/mangohill/burn"
 	"mangohill.example/mangohill/configcache"
 	"mangohill.example/mangohill/controlapi"
 	"mangohill.example/mangohill/kind"
@@ -21,6 +22,7 @@
 	"mangohill.example/mangohill/rpcclient"
 	"mangohill.example/mangohill/rpcserver"
 	"mangohill.example/mangohill/settings"
+	"mangohill.example/mangohill/types"
 	"mangohill.example/mangohill/workersync"
 )
 
@@ -46,11 +48,13 @@
 	workers  *workersync.Service
 	proxy    *proxy.Proxy
 	vars     *entryVars
+	burn     *burn.Recorder
 	token    uint64 // proves to peers that a request was handed over by this host
 
 	listeners []*listener
 	changed   chan struct{} // signals a change of the members
 	stopping  atomic.Bool
+	settled   atomic.Bool // the first view of the members was settled
 	cancel    context.CancelFunc
 	duties    sync.WaitGroup
 }
@@ -77,6 +81,7 @@
 		config:   configcache.New(),
 		peers:    peers,
 		vars:     newEntryVars(),
+		burn:     burn.NewRecorder(o.Settings.Name, time.Now()),
 		token:    rand.Uint64(),
 		changed:  make(chan struct{}, 1),
 	}
@@ -186,7 +191,7 @@
 
 func (e *Entry) operatorsMux() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(operator.Path, operator.Handler(&executor{entry: e}))
+	mux.Handle(operator.Path, operator.Handler(operator.Logged(&executor{entry: e}, e.log)))
 	mux.Handle("GET /debug/vars", varsHandler("entry", e.vars.all))
 	mux.Handle("GET /healthz", health(func() bool { return true }))
 	mux.Handle("GET /readyz", health(e.Ready))
@@ -194,9 +199,14 @@
 }
 
 // Ready reports whether the balancer may send requests here: the configuration
-// is in force and current, the targets are known, and no stop is planned.
+// is in force and current, the targets and this host's part of their slots are
+// known, and no stop is planned. A later change of the members keeps it ready:
+// the part that it is sure of serves on.
 func (e *Entry) Ready() bool {
-	return !e.stopping.Load() && e.targets.Synced() && e.config.Serving(time.Now())
+	if !e.settled.Load() && e.proxy.Settled() {
+		e.settled.Store(true)
+	}
+	return !e.stopping.Load() && e.settled.Load() && e.targets.Synced() && e.config.Serving(time.Now())
 }
 
 // memberChanged is called from the heartbeats' goroutine.
@@ -231,6 +241,7 @@
 
 func (e *Entry) observe(service string, took time.Duration, outcome kind.Outcome, status int) {
 	e.vars.observe(service, took, outcome, status)
+	e.burn.Observe(time.Now(), service, took, outcome, status)
 }
 
 func (e *Entry) takeConfig(version uint64, text string) {
@@ -281,3 +292,14 @@
 	defer cancel()
 	return e.Stop(stopCtx)
 }
+
+// ReadyTargets returns the number of targets that are ready for requests.
+func (e *Entry) ReadyTargets() int {
+	ready := 0
+	for _, t := range e.targets.Targets() {
+		if t.State == types.TargetReady {
+			ready++
+		}
+	}
+	return ready
+}
--- a/node/executor.go
+++ b/node/executor.go
@@ -32,6 +32,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
+	if _, ok := statement.(command.ReportBurn); ok {
+		return x.entry.reportBurn(ctx, args.ID), nil
+	}
 	reply, err := controlapi.Call[controlapi.CommandReply](ctx, x.entry.leader, "Control.Command", &args)
 	if err != nil {
 		return controlapi.CommandReply{}, err
@@ -98,3 +101,8 @@
 		{Name: "address", Value: address},
 	}
 }
+
+// Execute executes an operator's command as the operators' listener does.
+func (e *Entry) Execute(ctx context.Context, args controlapi.CommandArgs) (controlapi.CommandReply, error) {
+	return (&executor{entry: e}).Execute(ctx, args)
+}
--- a/schedule/queue.go
+++ b/schedule/queue.go
@@ -24,7 +24,23 @@
 type group struct {
 	shape   shape
 	tasks   taskHeap
-	blocked uint64 // generation of the queue in which no host was found
+	blocked uint64    // generation of the queue in which no host was found
+	retryAt time.Time // when it is tried again although nothing was freed
+}
+
+// retryBlocked is the time after which a group that found no host is tried again:
+// loads and predictions change without an event.
+const retryBlocked = 10 * time.Second
+
+// block keeps the group back until room may have come up.
+func (q *queue) block(g *group, now time.Time) {
+	g.blocked = q.generation
+	g.retryAt = now.Add(retryBlocked)
+}
+
+// open reports whether the group may be tried.
+func (q *queue) open(g *group, now time.Time) bool {
+	return g.blocked != q.generation || !now.Before(g.retryAt)
 }
 
 // queue holds the pending tasks in groups, and the tasks in back-off apart.
@@ -48,7 +64,7 @@
 	if t.Job.Kind == types.KindService {
 		key.job = t.job.name
 	}
-	if len(t.FailedOn) > 0 {
+	if len(t.FailedOn) > 0 || t.avoidHost != 0 || t.claim != nil {
 		key.single = t.ID
 	}
 	return key
@@ -121,20 +137,20 @@
 // next returns the first task of the open group that goes first: lowest band,
 // then the team with the least share, then the oldest. It returns nil if no
 // group is open.
-func (q *queue) next(total types.Resources) *task {
+func (q *queue) next(total types.Resources, now time.Time) *task {
 	for b := range q.bands {
-		if t := q.nextOf(band(b), total); t != nil {
+		if t := q.nextOf(band(b), total, now); t != nil {
 			return t
 		}
 	}
 	return nil
 }
 
-func (q *queue) nextOf(b band, total types.Resources) *task {
+func (q *queue) nextOf(b band, total types.Resources, now time.Time) *task {
 	var best *task
 	var bestShare float64
 	for _, g := range q.bands[b] {
-		if g.blocked == q.generation {
+		if !q.open(g, now) {
 			continue
 		}
 		t := g.tasks[0]
