--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -190,10 +190,20 @@
 		return result
 	}
 	answer.Close()
-	finish(route.Answered)
+	finish(verdictOf(result.status))
 	return result
 }
 
+// verdictOf returns what a whole answer shows about its target. A server error
+// is passed on as the answer that it is, but a target that gives many of them,
+// quickly, must not draw more requests.
+func verdictOf(status int) route.Verdict {
+	if status >= http.StatusInternalServerError {
+		return route.Failed
+	}
+	return route.Answered
+}
+
 // fateOfHop reads the outcome that a peer entry host reported.
 func fateOfHop(answer *exchange.Answer) fate {
 	if answer.Header.Get(HeaderOutcome) == string(kind.OutcomeUnknown) {
--- a/proxy/cluster_test.go
+++ b/proxy/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"fmt"
 	"net/http"
 	"sync"
@@ -42,6 +43,27 @@
 	assert.LessOrEqual(t, target.ConnectionPeak(), 9)
 }
 
+func TestHostsBorrowSlotsUnderSkew(t *testing.T) {
+	hops := new(expvar.Int)
+	hosts := startHosts(t, 3, proxy.Options{Metrics: proxy.Metrics{Hops: hops}})
+	target := startTarget(t, hosts, fake.TargetOptions{Name: "t1", Slots: 9, Connections: 30, Delay: 20 * time.Millisecond})
+	waitForTargets(t, hosts, 1)
+	var wait sync.WaitGroup
+	for range 30 {
+		wait.Go(func() {
+			for range 5 {
+				got := ask(hosts[0], http.MethodPost, "/v1/services/quote/", []byte("x"), nil)
+				assert.Equal(t, "done", got.outcome(), string(got.body))
+			}
+		})
+	}
+	wait.Wait()
+	assert.Equal(t, 150, target.TotalRuns())
+	assert.NotZero(t, hops.Value())
+	assert.Greater(t, target.Peak(), 3, "more than the host's own part was used")
+	assert.LessOrEqual(t, target.Peak(), 9)
+}
+
 func TestHostWithoutASlotHandsTheRequestOverOnce(t *testing.T) {
 	hosts := startHosts(t, 3, proxy.Options{})
 	target := startTarget(t, hosts, fake.TargetOptions{Name: "t1", Slots: 1})
--- a/proxy/fault_test.go
+++ b/proxy/fault_test.go
@@ -88,6 +88,19 @@
 	}
 }
 
+func TestTargetThatFailsQuicklyDrawsNoMoreRequests(t *testing.T) {
+	hosts := startHosts(t, 1, proxy.Options{})
+	bad := startTarget(t, hosts, fake.TargetOptions{Name: "bad"})
+	good := startTarget(t, hosts, fake.TargetOptions{Name: "good"})
+	waitForTargets(t, hosts, 2)
+	bad.Set(fake.Fail, 0)
+	for range 200 {
+		ask(hosts[0], http.MethodPost, "/v1/services/quote/", nil, nil)
+	}
+	assert.Equal(t, 200, bad.TotalRuns()+good.TotalRuns())
+	assert.Less(t, bad.TotalRuns(), 50)
+}
+
 func TestDoubledAnswerReachesNoOtherRequest(t *testing.T) {
 	hosts := startHosts(t, 1, proxy.Options{})
 	target := startTarget(t, hosts, fake.TargetOptions{Name: "t1"})
--- a/proxy/serve.go
+++ b/proxy/serve.go
@@ -104,7 +104,7 @@
 	err := pass(w, final)
 	final.rest.Close()
 	if err == nil {
-		final.finish(route.Answered)
+		final.finish(verdictOf(final.status))
 		granted.resolve(controlapi.ClaimResult{Outcome: string(kind.OutcomeDone)})
 		return kind.OutcomeDone, final.status
 	}
