--- a/node/entry.go
+++ b/node/entry.go
@@ -53,6 +53,7 @@
 
 	listeners []*listener
 	changed   chan struct{} // signals a change of the members
+	repairs   chan registry.Peer
 	stopping  atomic.Bool
 	settled   atomic.Bool // the first view of the members was settled
 	cancel    context.CancelFunc
@@ -84,6 +85,7 @@
 		burn:     burn.NewRecorder(o.Settings.Name, time.Now()),
 		token:    rand.Uint64(),
 		changed:  make(chan struct{}, 1),
+		repairs:  make(chan registry.Peer, repairCapacity),
 	}
 	if e.caller == nil {
 		e.caller = e.client
@@ -114,6 +116,8 @@
 	return proxy.New(proxy.Options{
 		Name:    e.settings.Name,
 		Token:   e.token,
+		Entries: len(e.settings.Entries),
+		Resumed: e.resumed,
 		Config:  e.config.Config,
 		Claimer: claimer{client: e.leader},
 		Observe: e.observe,
@@ -142,6 +146,7 @@
 	e.duties.Go(func() { e.followMembers(ctx) })
 	e.duties.Go(func() { e.followConfig(ctx) })
 	e.duties.Go(func() { e.pullTargets(ctx) })
+	e.duties.Go(func() { e.repairTargets(ctx) })
 	return e.listen()
 }
 
@@ -212,6 +217,7 @@
 // memberChanged is called from the heartbeats' goroutine.
 func (e *Entry) memberChanged(change membership.Change) {
 	e.log.Info().Str("peer", change.Peer.Name).Str("state", string(change.Peer.State)).Msg("peer_state")
+	e.noteReturn(change)
 	select {
 	case e.changed <- struct{}{}:
 	default: // A signal is waiting already.
