--- a/proxy/cluster_test.go
+++ b/proxy/cluster_test.go
@@ -75,8 +75,12 @@
 		}, 10*time.Second, 10*time.Millisecond)
 		assert.Equal(t, 1, target.Runs(fmt.Sprint("r", i)))
 	}
-	forged := ask(hosts[0], http.MethodPost, "/v1/services/quote/", nil, http.Header{proxy.HeaderHop: {"1f"}})
-	assert.Equal(t, "not-run", forged.outcome())
+	before := target.TotalRuns()
+	for _, h := range hosts {
+		forged := ask(h, http.MethodPost, "/v1/services/quote/", nil, http.Header{proxy.HeaderHop: {"1f"}})
+		assert.Equal(t, "not-run", forged.outcome(), "a caller cannot pass its request off as handed over")
+	}
+	assert.Equal(t, before, target.TotalRuns())
 }
 
 func TestLeavingTargetGetsNothingNewThoughTheHostItToldDies(t *testing.T) {
