--- a/command/declare.go
+++ b/command/declare.go
@@ -13,7 +13,7 @@
 // Bounds of declared values.
 const (
 	maxNameBytes    = 64
-	maxReplicas     = 10_000
+	maxReplicas     = 4096
 	maxAccelerators = 1_000_000
 	maxPayloadBytes = 16 << 10
 	// maxDuration is the longest declared time.
--- a/internal/doccheck/doccheck_test.go
+++ b/internal/doccheck/doccheck_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"mangohill.example/mangohill/clusterconfig"
+	"mangohill.example/mangohill/internal/capacity"
 	"mangohill.example/mangohill/internal/logging"
 	"mangohill.example/mangohill/kind"
 	"mangohill.example/mangohill/settings"
@@ -45,6 +46,20 @@
 	assert.Equal(t, inCode, firstCells(tableRows(section(t, page, "Events of the cluster"))))
 }
 
+func TestCapacityPageGivesTheBytesOfTheCode(t *testing.T) {
+	slopes, err := capacity.Messages()
+	require.NoError(t, err)
+	measured := make(map[string]string)
+	for _, slope := range slopes {
+		measured[slope.Name] = strings.TrimSuffix(fmt.Sprintf("%.1f", slope.Value), ".0") + " " + slope.Unit
+	}
+	documented := make(map[string]string)
+	for _, row := range tableRows(section(t, readDoc(t, "docs/CAPACITY.md"), "Slopes")) {
+		documented[row[0]] = row[1]
+	}
+	assert.Equal(t, measured, documented)
+}
+
 func TestEveryErrorKindIsDocumentedWithItsAnswer(t *testing.T) {
 	rows := tableRows(section(t, readDoc(t, "docs/OPERATIONS.md"), "Error kinds"))
 	documented := make(map[kind.Kind][]string)
