--- a/internal/callload/pooled.go
+++ b/internal/callload/pooled.go
@@ -42,7 +42,7 @@
 		w.pools = append(w.pools, route.NewPool(route.Options{
 			Seed: r.config.Seed + uint64(i), QueueLimit: r.config.QueueLimit, ServiceTime: r.config.Mean,
 		}))
-		w.allots = append(w.allots, route.NewAllotment(name, settle))
+		w.allots = append(w.allots, route.NewAllotment(name, settle, r.config.Entries))
 	}
 	for i := range r.config.Targets {
 		name := fmt.Sprintf("target-%02d", i+1)
@@ -244,6 +244,7 @@
 		w.allots[entry].SetMembers(now, live)
 	}
 	w.settled = false
+	w.refresh()
 }
 
 // moveShares divides the slots by the arrivals of the last heartbeats. A slot is
--- a/schedule/adopt.go
+++ b/schedule/adopt.go
@@ -27,6 +27,7 @@
 	case update.State.Pending():
 		s.enqueue(t)
 	}
+	s.noteReplacement(t)
 	s.followAttempt(t, before)
 }
 
@@ -36,6 +37,9 @@
 	if t.Epoch != before.Epoch || !t.State.Placed() {
 		s.endAttempt(t, before, at)
 	}
+	if t.State.Placed() && t.startedAt.IsZero() {
+		t.startedAt = at
+	}
 	switch {
 	case t.State == types.TaskRunning && t.runningSince.IsZero():
 		s.beginRunning(t, at)
@@ -56,12 +60,11 @@
 	if h := s.hostByID[before.Worker]; h != nil {
 		h.history.End(uint64(t.ID), at)
 	}
-	if t.State == types.TaskFinished {
-		t.learnRuntime(at)
-	}
+	s.noteOutcome(t, before, at)
 	if before.State == types.TaskCheckpointing && !t.runningSince.IsZero() {
 		t.ranBefore += at.Sub(t.runningSince)
 	}
+	t.startedAt = time.Time{}
 	t.runningSince = time.Time{}
 	t.usedAt = time.Time{}
 	t.throttledAt = time.Time{}
@@ -70,6 +73,7 @@
 	t.throttles = 0
 	t.reliefAt = time.Time{}
 	t.leaving = false
+	t.irreplaceable = false
 }
 
 // adoptOrphans binds the tasks of a worker that became known after them.
@@ -84,3 +88,23 @@
 		}
 	}
 }
+
+// noteOutcome learns from the end of an attempt about its class and its worker.
+func (s *Scheduler) noteOutcome(t *task, before types.Task, at time.Time) {
+	h := s.hostByID[before.Worker]
+	failed := t.Failures > before.Failures
+	if t.State == types.TaskFinished {
+		t.learnRuntime(at)
+	}
+	if h == nil || before.Worker == 0 {
+		return
+	}
+	if failed {
+		s.noteFailure(t, h, at)
+		return
+	}
+	proven := !t.runningSince.IsZero() && at.Sub(t.runningSince) >= provenRun
+	if proven || t.State == types.TaskFinished {
+		h.noteSuccess()
+	}
+}
