--- a/internal/capacity/process.go
+++ b/internal/capacity/process.go
@@ -60,10 +60,9 @@
 }
 
 // ticksOf returns the user and system time of a stat line. The name of the
-// program, in parentheses, may hold spaces.
+// program, in parentheses, may hold spaces and parentheses.
 func ticksOf(stat string) (int64, error) {
-	_, rest, _ := strings.Cut(stat, ") ")
-	fields := strings.Fields(rest)
+	fields := strings.Fields(stat[strings.LastIndexByte(stat, ')')+1:])
 	const userTime, systemTime = 11, 12 // utime and stime, counted behind the name
 	if len(fields) <= systemTime {
 		return 0, fmt.Errorf("stat line %q is too short", stat)
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -26,6 +26,7 @@
 		"replica stopped",
 		"report ignored",
 		"request answered",
+		"slots given up after a pause",
 		"snapshot not transferred",
 		"target changed",
 		"the configuration in force does not parse",
