Log the outcome of a command at the leader; check names in one place

Names were checked by three pieces of code with the same rule: types.CheckName is the one left, and names of services and teams in the configuration are checked too. control answers failures by operator.ReplyOf in place of its own copy.

--- a/clusterconfig/parse.go
+++ b/clusterconfig/parse.go
@@ -96,11 +96,18 @@
 func readServices(m *yamltree.Map) map[string]types.ServiceConfig {
 	services := make(map[string]types.ServiceConfig)
 	for _, name := range m.Names() {
+		checkName(m, name)
 		services[name] = readService(m.Map(name))
 	}
 	return services
 }
 
+func checkName(m *yamltree.Map, name string) {
+	if err := types.CheckName(name); err != nil {
+		m.Reject(name, "%v", err)
+	}
+}
+
 func readService(m *yamltree.Map) types.ServiceConfig {
 	service := types.ServiceConfig{
 		Timeout:    positiveDuration(m, "timeout", DefaultServiceTimeout),
@@ -129,6 +136,9 @@
 		Evictions:   m.Float("evictions", DefaultWeight, 0, maxWeight),
 		Throughput:  m.Float("throughput", DefaultWeight, 0, maxWeight),
 	}
+	if weights == (types.Weights{}) {
+		m.Reject("tail_latency", "the weights must not all be 0")
+	}
 	m.Close(weightKeys...)
 	return weights
 }
@@ -136,6 +146,7 @@
 func readTeams(m *yamltree.Map) map[string]types.TeamQuota {
 	teams := make(map[string]types.TeamQuota)
 	for _, name := range m.Names() {
+		checkName(m, name)
 		teams[name] = readTeam(m.Map(name))
 	}
 	return teams
--- a/clusterconfig/parse_test.go
+++ b/clusterconfig/parse_test.go
@@ -49,6 +49,7 @@
 func TestEveryFaultIsNamedWithItsLine(t *testing.T) {
 	_, err := Parse(`services:
   quote: {timeout: 0s, objective: {success: 1}}
+  a b: {}
 weights: {speed: 1, evictions: .nan}
 teams:
   a: {processors: 1}
@@ -61,13 +62,14 @@
 	for _, want := range []string{
 		"line 2: services.quote.timeout: must be more than 0",
 		"line 2: services.quote.objective.success: must lie between 0 and 1",
-		"line 3: weights.speed: is not a known key",
-		"line 3: weights.evictions:",
-		"line 5: teams.a.memory: is missing",
-		`line 6: teams.b.memory: "huge" is not a size`,
-		"line 6: teams.b.processors: -1 is outside",
-		`line 7: credits_end: "tomorrow" is not a time`,
-		"line 8: leases.hold: 1s must be less than half",
+		`line 3: services.a b: "a b" holds ' '`,
+		"line 4: weights.speed: is not a known key",
+		"line 4: weights.evictions:",
+		"line 6: teams.a.memory: is missing",
+		`line 7: teams.b.memory: "huge" is not a size`,
+		"line 7: teams.b.processors: -1 is outside",
+		`line 8: credits_end: "tomorrow" is not a time`,
+		"line 9: leases.hold: 1s must be less than half",
 	} {
 		assert.ErrorContains(t, err, want)
 	}
@@ -85,6 +87,11 @@
 	})
 }
 
+func TestWeightsMustNotAllBeZero(t *testing.T) {
+	_, err := Parse("weights: {tail_latency: 0, evictions: 0, throughput: 0}\n")
+	assert.ErrorContains(t, err, "must not all be 0")
+}
+
 func TestKeysListsEveryKeyOfEveryMapping(t *testing.T) {
 	var mappings int
 	for _, keys := range [][]string{topKeys, serviceKeys, objectiveKeys, weightKeys, teamKeys, leaseKeys, entryKeys} {
--- a/command/declare.go
+++ b/command/declare.go
@@ -12,7 +12,6 @@
 
 // Bounds of declared values.
 const (
-	maxNameBytes    = 64
 	maxReplicas     = 4096
 	maxAccelerators = 1_000_000
 	maxPayloadBytes = 16 << 10
@@ -120,23 +119,12 @@
 // jobName reads a name of letters, digits, '-', '_' and '.'.
 func (p *parser) jobName(what string) (string, error) {
 	t := p.peek()
-	if t.rule != ruleWord || len(t.text) > maxNameBytes || !isName(t.text) {
-		return "", p.expected(fmt.Sprintf("%s of letters, digits, '-', '_' and '.', at most %d", what, maxNameBytes))
+	if t.rule != ruleWord || types.CheckName(t.text) != nil {
+		return "", p.expected(fmt.Sprintf("%s of letters, digits, '-', '_' and '.', at most %d", what, types.MaxNameBytes))
 	}
 	return p.take().text, nil
 }
 
-func isName(text string) bool {
-	for _, r := range text {
-		letter := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z'
-		digit := r >= '0' && r <= '9'
-		if !letter && !digit && r != '-' && r != '_' && r != '.' {
-			return false
-		}
-	}
-	return true
-}
-
 func (p *parser) int(what string, least, most int64) (int64, error) {
 	t := p.peek()
 	number, err := strconv.ParseInt(t.text, 10, 64)
--- a/control/execute.go
+++ b/control/execute.go
@@ -6,7 +6,9 @@
 	"mangohill.example/mangohill/clusterconfig"
 	"mangohill.example/mangohill/command"
 	"mangohill.example/mangohill/controlapi"
+	"mangohill.example/mangohill/internal/logging"
 	"mangohill.example/mangohill/kind"
+	"mangohill.example/mangohill/operator"
 	"mangohill.example/mangohill/state"
 )
 
@@ -20,6 +22,18 @@
 	if !statement.Mutates() {
 		return l.query(ctx, args, statement)
 	}
+	reply, err := l.change(ctx, args, statement)
+	if err != nil {
+		l.service.log.Warn().Err(err).Str(logging.FieldCommand, args.ID).Msg("command without an outcome")
+		return reply, err
+	}
+	l.service.log.Info().Str(logging.FieldCommand, args.ID).Str("outcome", string(reply.Outcome)).Str("kind", string(reply.Kind)).
+		Uint64("version", reply.Version).Msg("command executed")
+	return reply, nil
+}
+
+// change executes a statement that changes the replicated state.
+func (l *leader) change(ctx context.Context, args controlapi.CommandArgs, statement command.Statement) (controlapi.CommandReply, error) {
 	op, err := l.opFor(statement, args)
 	if err != nil {
 		return failed(args, err), nil
@@ -48,16 +62,8 @@
 
 // failed returns the reply for a command that was not done.
 func failed(args controlapi.CommandArgs, err error) controlapi.CommandReply {
-	problem := kind.ProblemOf(err)
-	reply := controlapi.CommandReply{
-		ID:      args.ID,
-		Outcome: kind.OutcomeRefused,
-		Kind:    problem.Kind,
-		Message: problem.Detail,
-	}
-	if problem.Kind.Answer().Outcome == kind.OutcomeUnknown {
-		reply.Outcome = kind.OutcomeUnknown
-	}
+	reply := operator.ReplyOf(err)
+	reply.ID = args.ID
 	return reply
 }
 
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -7,6 +7,8 @@
 		"action refused",
 		"admission not granted",
 		"command answered",
+		"command executed",
+		"command without an outcome",
 		"config_in_force",
 		"config_refused",
 		"data folder not closed cleanly",
--- a/settings/check.go
+++ b/settings/check.go
@@ -10,9 +10,6 @@
 	"mangohill.example/mangohill/internal/yamltree"
 )
 
-// maxNameBytes bounds the names of processes, clusters and failure domains.
-const maxNameBytes = 64
-
 func check(s *Settings, root *yamltree.Map, program Program) {
 	requireText(root, keyCluster, s.Cluster, program)
 	requireText(root, keyName, s.Name, program)
@@ -107,20 +104,6 @@
 	return closeErr
 }
 
-func checkName(text string) error {
-	if len(text) > maxNameBytes {
-		return fmt.Errorf("has %d bytes, want at most %d", len(text), maxNameBytes)
-	}
-	for _, r := range text {
-		letter := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z'
-		digit := r >= '0' && r <= '9'
-		if !letter && !digit && r != '-' && r != '_' && r != '.' {
-			return fmt.Errorf("%q holds %q, want letters, digits, '-', '_' and '.'", text, r)
-		}
-	}
-	return nil
-}
-
 func sortFaults(faults []Fault) {
 	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.Line, b.Line) })
 }
--- a/settings/read.go
+++ b/settings/read.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"mangohill.example/mangohill/internal/yamltree"
+	"mangohill.example/mangohill/types"
 )
 
 // Keys of the settings file. Nested keys are dotted.
@@ -136,7 +137,10 @@
 	if !ok {
 		return ""
 	}
-	if err := checkName(text); err != nil {
+	if text == "" {
+		return "" // It is reported as empty.
+	}
+	if err := types.CheckName(text); err != nil {
 		m.Reject(key, "%v", err)
 	}
 	return text
--- a/types/resources.go
+++ b/types/resources.go
@@ -65,3 +65,22 @@
 	}
 	return int64(math.Round(processors * MilliPerProcessor)), nil
 }
+
+// MaxNameBytes bounds the names of processes, jobs, teams and the like.
+const MaxNameBytes = 64
+
+// CheckName reports why text cannot be a name: names have 1 to MaxNameBytes
+// letters, digits, '-', '_' and '.'.
+func CheckName(text string) error {
+	if text == "" || len(text) > MaxNameBytes {
+		return fmt.Errorf("has %d bytes, want 1 to %d", len(text), MaxNameBytes)
+	}
+	for _, r := range text {
+		letter := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z'
+		digit := r >= '0' && r <= '9'
+		if !letter && !digit && r != '-' && r != '_' && r != '.' {
+			return fmt.Errorf("%q holds %q, want letters, digits, '-', '_' and '.'", text, r)
+		}
+	}
+	return nil
+}
