--- a/schedule/adopt.go
+++ b/schedule/adopt.go
@@ -40,10 +40,10 @@
 	if t.State.Placed() && t.startedAt.IsZero() {
 		t.startedAt = at
 	}
-	switch {
-	case t.State == types.TaskRunning && t.runningSince.IsZero():
-		s.beginRunning(t, at)
-	case t.State == types.TaskThrottled && before.ShareMilli != t.ShareMilli:
+	if t.State.Placed() && t.State != types.TaskStarting && t.runningSince.IsZero() {
+		s.beginRunning(t, at) // A new leader may first hear of a throttled attempt.
+	}
+	if t.State == types.TaskThrottled && before.ShareMilli != t.ShareMilli {
 		t.throttledAt = at
 	}
 }
--- a/schedule/scenario_test.go
+++ b/schedule/scenario_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"mangohill.example/mangohill/kind"
 	"mangohill.example/mangohill/types"
 )
 
@@ -75,6 +76,11 @@
 	assert.Equal(t, types.TaskID(1), actions[0].(Replace).Task)
 	assert.Equal(t, types.TaskID(2), actions[1].(Checkpoint).Task)
 
+	s.Rejected(actions[0], kind.Errorf(kind.NoQuorum, "no leader"))
+	again := s.Plan(now)
+	require.Len(t, again, 1, "a refusal that may pass does not stop the service")
+	assert.IsType(t, Replace{}, again[0])
+
 	replacement := testTask(3, types.KindService, 1000)
 	replacement.Job = tasks[1].Job
 	replacement.Replaces = 1
@@ -203,3 +209,33 @@
 		assert.LessOrEqual(t, n, 2, fmt.Sprint("rack ", rack))
 	}
 }
+
+func TestNewLeaderKnowsWhatRanBefore(t *testing.T) {
+	s := New(Options{Seed: 1})
+	throttled := testTask(1, types.KindBatch, 2000)
+	throttled.State, throttled.Worker, throttled.Epoch, throttled.ShareMilli = types.TaskThrottled, 1, 4, 500
+	throttled.ChangedMs = epoch0.UnixMilli()
+	s.UpsertTask(throttled)
+	s.UpsertWorker(testWorker(1))
+	assert.Equal(t, throttled.Job.Request, s.hostByID[1].committed, "a task that was fed before its worker counts")
+	s.UpsertTask(testTask(2, types.KindBatch, 6001))
+	assert.Empty(t, starts(s.Plan(epoch0.Add(time.Hour))))
+	assert.InDelta(t, 2*(moveCost+checkpointRisk*3600), s.loss(s.tasks[1]), 1)
+}
+
+func TestUnknownClassIsTriedAloneBesideAService(t *testing.T) {
+	s := New(Options{Seed: 1})
+	s.UpsertWorker(testWorker(1))
+	tasks := submitAll(s, testTask(1, types.KindService, 1000))
+	settleStarts(s, tasks, epoch0)
+	for id := 2; id <= 4; id++ {
+		unknown := testTask(id, types.KindBatch, 1500)
+		unknown.Job.Class = "unknown"
+		tasks[unknown.ID] = &unknown
+		s.UpsertTask(unknown)
+	}
+	assert.Len(t, starts(settleStarts(s, tasks, epoch0)), 1)
+	why := s.Why(4)
+	require.NotEmpty(t, why.RuledOut)
+	assert.Equal(t, "interference", why.RuledOut[0].Filter)
+}
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"mangohill.example/mangohill/interference"
+	"mangohill.example/mangohill/kind"
 	"mangohill.example/mangohill/types"
 )
 
@@ -178,8 +179,8 @@
 		s.rejected(a.Task)
 	case Replace:
 		s.rejected(a.Task)
-		if t := s.tasks[a.Task]; t != nil {
-			t.irreplaceable = true
+		if t := s.tasks[a.Task]; t != nil && kind.Is(err, kind.BadRequest) {
+			t.irreplaceable = true // Other refusals may pass.
 		}
 	case Park:
 		s.rejectedPark(a.Task)
