Schedule: let the weights set how far services may be slowed down

One limit (1.14) for both users left the Consortium's p99 at 1.09 of 1.15 although it weighs throughput more than tail latency. The limit now follows the weights (1.11 to 1.18), and relief begins and ends at fixed distances from it.

--- a/schedule/ease.go
+++ b/schedule/ease.go
@@ -9,7 +9,7 @@
 // easeOff lifts one throttle on a host whose services are calm, if the hold of
 // the throttle is over and the prediction allows the full use.
 func (s *Scheduler) easeOff(h *host) {
-	if !h.calm() {
+	if !s.calm(h) {
 		return
 	}
 	s.refresh(h)
@@ -26,12 +26,12 @@
 
 // calm reports whether all services of the host are calm by reports that were
 // taken after the last step.
-func (h *host) calm() bool {
+func (s *Scheduler) calm(h *host) bool {
 	for _, t := range h.tasks {
 		if t.Job.Kind != types.KindService || t.usedAt.IsZero() {
 			continue
 		}
-		if !t.suffers.calm() {
+		if !t.suffers.calm(s.slowdownLimit) {
 			return false
 		}
 	}
@@ -61,7 +61,7 @@
 	}
 	for i := range h.exposures {
 		sum := s.added(h, &h.exposures[i], t.job.index, more/capacity)
-		if sum.upper() > logSlowdownLimit {
+		if sum.upper() > s.slowdownLimit {
 			return false
 		}
 	}
--- a/schedule/filter_interference.go
+++ b/schedule/filter_interference.go
@@ -15,7 +15,7 @@
 	if t.Job.Kind == types.KindService {
 		own := exposure{task: t, load: t.expectedLoad()}
 		s.exposeNewcomer(h, &own)
-		if own.upper() > logSlowdownLimit {
+		if own.upper() > s.slowdownLimit {
 			return false
 		}
 	}
@@ -27,7 +27,7 @@
 	share := t.shareOf(h)
 	for i := range h.exposures {
 		sum := s.added(h, &h.exposures[i], t.job.index, share)
-		if sum.upper() > logSlowdownLimit {
+		if sum.upper() > s.slowdownLimit {
 			return false
 		}
 	}
--- a/schedule/pressure.go
+++ b/schedule/pressure.go
@@ -8,9 +8,12 @@
 )
 
 const (
-	// slowdownLimit is the predicted slowdown of a service beyond which no batch
-	// task is added to its host.
-	slowdownLimit = 1.14
+	// slowdownMargin is the predicted slowdown of a service beyond which no batch
+	// task is added to its host, less 1, at equal weights of the goals.
+	slowdownMargin = 0.14
+	// minMarginFactor and maxMarginFactor bound what the weights make of it.
+	minMarginFactor = 0.8
+	maxMarginFactor = 1.3
 	// careful is the number of standard deviations that predictions add.
 	careful = 1.0
 	// loadAhead is how much more than its recent peak a service is expected to be
@@ -20,7 +23,17 @@
 	minLoad = 0.6
 )
 
-var logSlowdownLimit = math.Log(slowdownLimit)
+// limitSlowdown sets the limit for predicted slowdowns, as a logarithm: lower
+// where tail latency weighs more than the other goals.
+func (s *Scheduler) limitSlowdown() {
+	w := s.config.Weights
+	factor := 1.0
+	if w.TailLatency > 0 {
+		factor = math.Sqrt((w.Evictions + w.Throughput) / 2 / w.TailLatency)
+	}
+	factor = min(max(factor, minMarginFactor), maxMarginFactor)
+	s.slowdownLimit = math.Log1p(slowdownMargin * factor)
+}
 
 // exposure is the predicted slowdown of one service on a host, as a logarithm.
 type exposure struct {
--- a/schedule/relief.go
+++ b/schedule/relief.go
@@ -9,10 +9,11 @@
 )
 
 const (
-	// sufferLimit and calmLimit are the measured slowdowns of a service at which
-	// relief begins and may be taken back. The gap between them is the hysteresis.
-	sufferLimit = 1.25
-	calmLimit   = 1.12
+	// sufferGap and calmGap set the measured slowdowns of a service at which relief
+	// begins and may be taken back, as distances from the limit for predicted ones,
+	// in logarithms. The gap between them is the hysteresis.
+	sufferGap = 0.09
+	calmGap   = -0.02
 	// severeLimit is the slowdown that needs no second report.
 	severeLimit = 1.6
 	// confirmations is the number of reports that a decision on relief needs, and
@@ -46,8 +47,6 @@
 )
 
 var (
-	logSufferLimit = math.Log(sufferLimit)
-	logCalmLimit   = math.Log(calmLimit)
 	logSevereLimit = math.Log(severeLimit)
 )
 
@@ -68,14 +67,16 @@
 	f.smooth += weight * (slowdown - f.smooth)
 }
 
-func (f *sufferer) suffers() bool {
+func (f *sufferer) suffers(limit float64) bool {
 	if f.reports >= confirmations {
-		return f.smooth > logSufferLimit
+		return f.smooth > limit+sufferGap
 	}
 	return f.reports > 0 && f.slowdown > logSevereLimit
 }
 
-func (f *sufferer) calm() bool { return f.reports >= confirmations && f.smooth < logCalmLimit }
+func (f *sufferer) calm(limit float64) bool {
+	return f.reports >= confirmations && f.smooth < limit+calmGap
+}
 
 // feel compares a report of a service with what it would be alone.
 func (s *Scheduler) feel(o *observation) {
@@ -113,7 +114,7 @@
 	if s.options.FirstFit {
 		return
 	}
-	victim := h.suffering()
+	victim := s.suffering(h)
 	if victim != nil {
 		s.relieveVictim(h, victim)
 		return
@@ -130,10 +131,10 @@
 }
 
 // suffering returns the service that suffers most, nil if there is none.
-func (h *host) suffering() *task {
+func (s *Scheduler) suffering(h *host) *task {
 	var worst *task
 	for _, t := range h.tasks {
-		if !t.suffers.suffers() {
+		if !t.suffers.suffers(s.slowdownLimit) {
 			continue
 		}
 		if worst == nil || t.suffers.smooth > worst.suffers.smooth {
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -33,16 +33,18 @@
 	learned      map[string]*learned
 	learnedRest  *learned // shared by the classes beyond the bound
 	observations []observation
-	relieving    []*host
-	suspects     []*host // hosts with failures since their last success
-	drains       []*host // draining hosts
-	replacements []*task
-	gentle       []*task // started, to be throttled when they run
-	claims       []*task // tasks with a claim, oldest first
-	holds        int     // claims that wait for room to come up
-	budget       budget
-	trials       [interference.MaxClasses]int // running trials by class
-	gently       [interference.MaxClasses]int // attempts with a throttled start by class
+	// slowdownLimit bounds the predicted slowdowns of services, as a logarithm.
+	slowdownLimit float64
+	relieving     []*host
+	suspects      []*host // hosts with failures since their last success
+	drains        []*host // draining hosts
+	replacements  []*task
+	gentle        []*task // started, to be throttled when they run
+	claims        []*task // tasks with a claim, oldest first
+	holds         int     // claims that wait for room to come up
+	budget        budget
+	trials        [interference.MaxClasses]int // running trials by class
+	gently        [interference.MaxClasses]int // attempts with a throttled start by class
 
 	filters []filter
 	scorers []scorer
@@ -70,6 +72,7 @@
 	}
 	s.scorers = defaultScorers()
 	s.weigh()
+	s.limitSlowdown()
 	return s
 }
 
@@ -80,6 +83,7 @@
 		t.setQuota(config.Teams[t.name])
 	}
 	s.weigh()
+	s.limitSlowdown()
 	s.queue.unblock()
 	for _, f := range s.queue.fits {
 		f.failed = false
--- a/schedule/score_interference.go
+++ b/schedule/score_interference.go
@@ -15,5 +15,5 @@
 		sum := s.added(h, &h.exposures[i], t.job.index, share)
 		harm += max(sum.mean-h.exposures[i].mean, 0)
 	}
-	return 1 / (1 + harm/logSlowdownLimit)
+	return 1 / (1 + harm/s.slowdownLimit)
 }
--- a/schedule/trial.go
+++ b/schedule/trial.go
@@ -30,10 +30,10 @@
 	for i := range h.exposures {
 		e := &h.exposures[i]
 		sum := s.added(h, e, t.job.index, share)
-		if sum.upper() <= logSlowdownLimit {
+		if sum.upper() <= s.slowdownLimit {
 			continue
 		}
-		if e.upper() > logSlowdownLimit || sum.upper() > logTrialLimit {
+		if e.upper() > s.slowdownLimit || sum.upper() > logTrialLimit {
 			return false
 		}
 		if sum.variance-e.variance < unknownDeviation*unknownDeviation {
