--- a/schedule/pressure.go
+++ b/schedule/pressure.go
@@ -15,7 +15,7 @@
 	minMarginFactor = 0.8
 	maxMarginFactor = 1.3
 	// careful is the number of standard deviations that predictions add.
-	careful = 1.0
+	careful = 0.5
 	// loadAhead is how much more than its recent peak a service is expected to be
 	// loaded.
 	loadAhead = 1.1
