--- a/schedule/bench_test.go
+++ b/schedule/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -56,10 +57,12 @@
 func (c *crowd) settle() int {
 	total := 0
 	for {
-		begun := starts(c.s.Plan(c.now))
-		if len(begun) == 0 {
+		actions := c.s.Plan(c.now)
+		if len(actions) == 0 {
 			return total
 		}
+		c.evict(actions)
+		begun := starts(actions)
 		total += len(begun)
 		for _, a := range begun {
 			task := c.tasks[a.Task-1]
@@ -69,6 +72,19 @@
 	}
 }
 
+// evict ends the attempts that make room for services.
+func (c *crowd) evict(actions []Action) {
+	for _, action := range actions {
+		a, ok := action.(Checkpoint)
+		if !ok {
+			continue
+		}
+		task := c.tasks[a.Task-1]
+		task.State, task.Worker, task.ChangedMs = types.TaskEvicted, 0, c.now.UnixMilli()
+		c.s.UpsertTask(*task)
+	}
+}
+
 // finish ends n random batch tasks that run.
 func (c *crowd) finish(n int) {
 	for n > 0 {
@@ -119,3 +135,55 @@
 		})
 	}
 }
+
+// second lets one second pass and returns the number of starts.
+func (c *crowd) second() int {
+	begun := 0
+	for range 10 {
+		c.now = c.now.Add(100 * time.Millisecond)
+		c.report(len(c.tasks) / 100)
+		begun += c.settle()
+	}
+	return begun
+}
+
+// BenchmarkSteadySecond measures one second without starts on a full cluster: ten
+// plans and the usage reports, one of each task in ten seconds.
+func BenchmarkSteadySecond(b *testing.B) {
+	for _, workers := range []int{65, 260, 560, 1120} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			c := newCrowd(workers)
+			for range 60 {
+				c.second() // Measured use lets more start.
+			}
+			begun := 0
+			b.ReportAllocs()
+			for b.Loop() {
+				begun += c.second()
+			}
+			b.ReportMetric(float64(begun)/float64(b.N), "starts/op")
+			b.ReportMetric(100*b.Elapsed().Seconds()/float64(b.N), "%core")
+		})
+	}
+}
+
+// BenchmarkMemory reports the heap that a full cluster's view takes.
+func BenchmarkMemory(b *testing.B) {
+	for _, workers := range []int{65, 560} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			for b.Loop() {
+				before := heapBytes()
+				c := newCrowd(workers)
+				b.ReportMetric(float64(heapBytes()-before)/(1<<20), "MiB")
+				runtime.KeepAlive(c)
+			}
+		})
+	}
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
--- a/schedule/fit.go
+++ b/schedule/fit.go
@@ -68,7 +68,7 @@
 	f.failed = true
 	f.decision = *d
 	f.retryAt = s.now.Add(retryBatch)
-	if f.key.privileged {
+	if f.key.privileged && f.key.single == 0 {
 		f.retryAt = s.now.Add(retryPrivileged)
 	}
 }
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -201,13 +201,14 @@
 }
 
 func (s *Scheduler) rate(t *task, h *host) float64 {
-	var parts [maxScorers]float64
+	var parts [maxScorers]float32
 	total := 0.0
 	for i, sc := range s.scorers {
-		parts[i] = s.scratch.weights[i] * sc.score(s, t, h)
-		total += parts[i]
+		part := s.scratch.weights[i] * sc.score(s, t, h)
+		parts[i] = float32(part)
+		total += part
 	}
-	t.decision.keep(h.worker.ID, total, parts)
+	t.decision.keep(h.worker.ID, float32(total), parts)
 	return total
 }
 
--- a/schedule/why.go
+++ b/schedule/why.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	maxExamples = 3
+	maxExamples = 2
 	maxKept     = 4
 )
 
@@ -39,8 +39,8 @@
 
 type rating struct {
 	worker types.WorkerID
-	total  float64
-	parts  [maxScorers]float64
+	total  float32
+	parts  [maxScorers]float32
 }
 
 func (d *decision) reset(now time.Time) { *d = decision{at: now} }
@@ -54,7 +54,7 @@
 }
 
 // keep inserts a rating into the best ones.
-func (d *decision) keep(w types.WorkerID, total float64, parts [maxScorers]float64) {
+func (d *decision) keep(w types.WorkerID, total float32, parts [maxScorers]float32) {
 	d.kept++
 	r := rating{w, total, parts}
 	for i := range min(int(d.kept), maxKept) {
@@ -135,9 +135,9 @@
 }
 
 func (s *Scheduler) kept(r rating) Kept {
-	k := Kept{Worker: s.hostName(r.worker), Total: r.total}
+	k := Kept{Worker: s.hostName(r.worker), Total: float64(r.total)}
 	for i, sc := range s.scorers {
-		k.Scores = append(k.Scores, Score{sc.name(), r.parts[i]})
+		k.Scores = append(k.Scores, Score{sc.name(), float64(r.parts[i])})
 	}
 	return k
 }
