--- a/schedule/pressure.go
+++ b/schedule/pressure.go
@@ -13,7 +13,7 @@
 	slowdownMargin = 0.14
 	// minMarginFactor and maxMarginFactor bound what the weights make of it.
 	minMarginFactor = 0.8
-	maxMarginFactor = 1.3
+	maxMarginFactor = 1.2
 	// careful is the number of standard deviations that predictions add.
 	careful = 0.5
 	// loadAhead is how much more than its recent peak a service is expected to be
