Schedule: prove the search of freed hosts, the trust in workers and throttled starts

Seen failing with the safeguard removed: log of freed hosts, trust in workers, reopening by time, throttled start, its throttle. The search of freed hosts does not see at once that a trial ended elsewhere (at most 10 s late): found by the test, left so.

--- a/schedule/bench_test.go
+++ b/schedule/bench_test.go
@@ -22,8 +22,8 @@
 
 const crowdPerWorker = 20
 
-func newCrowd(n int) *crowd {
-	c := &crowd{s: New(Options{Seed: 1}), random: rand.New(rand.NewPCG(1, 1)), now: epoch0}
+func newCrowd(n int, model Model) *crowd {
+	c := &crowd{s: New(Options{Seed: 1, Model: model}), random: rand.New(rand.NewPCG(1, 1)), now: epoch0}
 	c.s.SetConfig(types.Config{Weights: types.Weights{TailLatency: 3, Evictions: 3, Throughput: 2}})
 	for i := range n {
 		w := testWorker(i + 1)
@@ -118,7 +118,7 @@
 func BenchmarkDecision(b *testing.B) {
 	for _, workers := range []int{65, 260, 560, 1120} {
 		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
-			c := newCrowd(workers)
+			c := newCrowd(workers, nil)
 			begun := 0
 			b.ReportAllocs()
 			for b.Loop() {
@@ -152,7 +152,7 @@
 func BenchmarkSteadySecond(b *testing.B) {
 	for _, workers := range []int{65, 260, 560, 1120} {
 		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
-			c := newCrowd(workers)
+			c := newCrowd(workers, nil)
 			for range 60 {
 				c.second() // Measured use lets more start.
 			}
@@ -173,7 +173,7 @@
 		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
 			for b.Loop() {
 				before := heapBytes()
-				c := newCrowd(workers)
+				c := newCrowd(workers, nil)
 				b.ReportMetric(float64(heapBytes()-before)/(1<<20), "MiB")
 				runtime.KeepAlive(c)
 			}
--- a/schedule/cost_test.go
+++ b/schedule/cost_test.go
@@ -5,12 +5,14 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+
+	"mangohill.example/mangohill/interference"
 )
 
 // evaluationsPerStart runs the load of BenchmarkDecision for a while and returns
 // how many hosts were asked for each start.
 func evaluationsPerStart(workers int) float64 {
-	c := newCrowd(workers)
+	c := newCrowd(workers, nil)
 	before, begun := c.s.evaluations, 0
 	for range 60 {
 		c.now = c.now.Add(100 * time.Millisecond)
@@ -31,7 +33,7 @@
 }
 
 func TestStartAllocatesLittle(t *testing.T) {
-	c := newCrowd(65)
+	c := newCrowd(65, nil)
 	begun := 0
 	rounds := 0
 	allocations := testing.AllocsPerRun(50, func() {
@@ -47,3 +49,30 @@
 	t.Logf("%.1f allocations for each start, with its job", perStart)
 	assert.Less(t, perStart, 20.0)
 }
+
+func TestSearchOfFreedHostsMissesNone(t *testing.T) {
+	c := newCrowd(40, fixedModel{interference.NewModel()}) // No trials, which wait for other hosts.
+	for range 300 {
+		c.submit(false)
+	}
+	c.settle()
+	for range 200 {
+		c.now = c.now.Add(20 * time.Millisecond) // Before all hosts are due again.
+		c.finish(3)
+		c.settle()
+		c.s.scratch.all = true
+		for _, g := range c.s.queue.groups {
+			saved := g.tasks[0].decision
+			host := c.s.search(g.tasks[0])
+			g.tasks[0].decision = saved
+			if host != nil && g.tasks[0].team.allows(g.shape.fit.request) {
+				t.Fatalf("task %d waits although worker %s has room", g.tasks[0].ID, host.worker.Name)
+			}
+		}
+		if c.s.queue.length < 50 { // Keep some waiting.
+			for range 100 {
+				c.submit(false)
+			}
+		}
+	}
+}
--- a/schedule/health_test.go
+++ b/schedule/health_test.go
@@ -168,3 +168,27 @@
 	}
 	return list
 }
+
+func TestFailuresOnSuspectWorkersDoNotParkAJob(t *testing.T) {
+	w := newWard(4, nil)
+	w.submit(4)
+	fail := func(id types.TaskID, worker types.WorkerID) {
+		task := w.tasks[id]
+		task.Worker = worker
+		task.Epoch++
+		w.set(task, types.TaskRunning)
+		w.now = w.now.Add(time.Second)
+		task.Failures++
+		task.FailedOn = append(task.FailedOn, worker)
+		task.Worker = 0
+		w.set(task, types.TaskWaiting)
+	}
+	for worker := range types.WorkerID(3) {
+		fail(1, worker+1)
+		fail(types.TaskID(worker)+2, worker+1)
+	}
+	w.now = w.now.Add(10 * time.Second)
+	actions := w.s.Plan(w.now)
+	assert.Zero(t, count[Park](actions), "other jobs failed on each of these workers too")
+	assert.Positive(t, count[Start](actions))
+}
--- a/schedule/relief_test.go
+++ b/schedule/relief_test.go
@@ -217,3 +217,17 @@
 	excess, _ := model.Excess(s.tasks[1].job.victim, model.Class("noisy"), 0.5, share)
 	assert.InDelta(t, math.Log(2), excess, 0.05)
 }
+
+func TestClassThatHarmsEverywhereStartsThrottledAfterAWhile(t *testing.T) {
+	s := New(Options{Seed: 1, Model: fixedModel{interference.NewModel()}})
+	s.UpsertWorker(testWorker(1))
+	noisy := testTask(2, types.KindBatch, 4000)
+	noisy.Job.Class = "noisy"
+	tasks := submitAll(s, testTask(1, types.KindService, 1000), noisy)
+	assert.Len(t, starts(settleStarts(s, tasks, epoch0)), 1)
+	now := epoch0.Add(gentleAfter)
+	assert.Len(t, starts(settleStarts(s, tasks, now)), 1)
+	actions := s.Plan(now.Add(100 * time.Millisecond))
+	require.Len(t, actions, 1)
+	assert.Equal(t, Throttle{Task: 2, Epoch: 1, ShareMilli: firstShare, Reason: actions[0].Cause()}, actions[0])
+}
--- a/schedule/scenario_test.go
+++ b/schedule/scenario_test.go
@@ -239,3 +239,19 @@
 	require.NotEmpty(t, why.RuledOut)
 	assert.Equal(t, "interference", why.RuledOut[0].Filter)
 }
+
+func TestWaitingTaskStartsWhenTheMeasuredUseFalls(t *testing.T) {
+	s := New(Options{Seed: 1})
+	s.UpsertWorker(testWorker(1))
+	tasks := submitAll(s, testTask(1, types.KindBatch, 4000))
+	settleStarts(s, tasks, epoch0)
+	now := epoch0.Add(10 * time.Second)
+	s.ObserveUsage(now, types.Usage{Task: 1, Epoch: 1, Worker: 1, MilliProcessors: 6800})
+	second := testTask(2, types.KindBatch, 1000)
+	s.UpsertTask(second)
+	assert.Empty(t, starts(s.Plan(now)))
+	assert.Equal(t, "headroom", s.Why(2).RuledOut[0].Filter)
+	now = now.Add(time.Second)
+	s.ObserveUsage(now, types.Usage{Task: 1, Epoch: 1, Worker: 1, MilliProcessors: 1000})
+	assert.Len(t, starts(s.Plan(now.Add(retryBatch))), 1)
+}
