--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -13,9 +13,9 @@
 // maxUrgentStart is how soon urgent work starts on a full cluster.
 const maxUrgentStart = 1600 * time.Millisecond
 
-// letterOne is a full cluster of the size that is expected within two years.
-func letterOne() Spec {
-	spec := base("letter-1", 1)
+// largeCluster is a full cluster of the size that is expected within two years.
+func largeCluster() Spec {
+	spec := base("large", 1)
 	spec.Workers, spec.PerRack, spec.Domains = 560, 8, 5
 	spec.Capacity = size(64, 250)
 	spec.Weights = types.Weights{TailLatency: 3, Evictions: 3, Throughput: 2}
@@ -27,7 +27,7 @@
 }
 
 func TestUrgentWorkStartsInTimeOnAFullCluster(t *testing.T) {
-	spec := letterOne()
+	spec := largeCluster()
 	f := New(&spec, schedule.New(schedule.Options{Seed: 1}))
 	for range 600 {
 		f.Step()
--- a/schedule/adopt.go
+++ b/schedule/adopt.go
@@ -69,12 +69,12 @@
 	t.usedAt = time.Time{}
 	t.throttledAt = time.Time{}
 	t.used, t.fullUse, t.load, t.loadPeak = 0, 0, 0, 0
-	t.suffers = sufferer{}
+	t.slowness = slowness{}
 	t.throttles = 0
 	t.reliefAt = time.Time{}
 	t.leaving = false
 	if !t.State.Placed() {
-		t.gentle = 0
+		t.startShareMilli = 0
 	}
 	t.irreplaceable = false
 }
--- a/schedule/bench_test.go
+++ b/schedule/bench_test.go
@@ -10,9 +10,9 @@
 	"mangohill.example/mangohill/types"
 )
 
-// crowd is a scheduler with n workers at letter 1's density: 20 tasks a worker,
+// fullCluster is a scheduler with n workers with 20 tasks a worker,
 // of which about a tenth are replicas of services.
-type crowd struct {
+type fullCluster struct {
 	s      *Scheduler
 	random *rand.Rand
 	tasks  []*types.Task
@@ -20,10 +20,10 @@
 	nextID types.TaskID
 }
 
-const crowdPerWorker = 20
+const tasksPerWorker = 20
 
-func newCrowd(n int, model Model) *crowd {
-	c := &crowd{s: New(Options{Seed: 1, Model: model}), random: rand.New(rand.NewPCG(1, 1)), now: epoch0}
+func newFullCluster(n int, model Model) *fullCluster {
+	c := &fullCluster{s: New(Options{Seed: 1, Model: model}), random: rand.New(rand.NewPCG(1, 1)), now: epoch0}
 	c.s.SetConfig(types.Config{Weights: types.Weights{TailLatency: 3, Evictions: 3, Throughput: 2}})
 	for i := range n {
 		w := testWorker(i + 1)
@@ -31,14 +31,14 @@
 		w.Capacity = types.Resources{MilliProcessors: 64_000, MemoryBytes: 250 * gib, Accelerators: int64(i % 3)}
 		c.s.UpsertWorker(w)
 	}
-	for i := range n * crowdPerWorker {
+	for i := range n * tasksPerWorker {
 		c.submit(i%8 == 0)
 	}
 	c.settle()
 	return c
 }
 
-func (c *crowd) submit(service bool) {
+func (c *fullCluster) submit(service bool) {
 	c.nextID++
 	task := testTask(int(c.nextID), types.KindBatch, 1500+100*c.random.Int64N(8))
 	task.Job.Class = fmt.Sprintf("class-%d", c.random.IntN(8))
@@ -54,7 +54,7 @@
 }
 
 // settle plans and lets what starts run, until nothing starts.
-func (c *crowd) settle() int {
+func (c *fullCluster) settle() int {
 	total := 0
 	for {
 		actions := c.s.Plan(c.now)
@@ -73,7 +73,7 @@
 }
 
 // evict ends the attempts that make room for services.
-func (c *crowd) evict(actions []Action) {
+func (c *fullCluster) evict(actions []Action) {
 	for _, action := range actions {
 		a, ok := action.(Checkpoint)
 		if !ok {
@@ -86,7 +86,7 @@
 }
 
 // finish ends n random batch tasks that run.
-func (c *crowd) finish(n int) {
+func (c *fullCluster) finish(n int) {
 	for n > 0 {
 		task := c.tasks[c.random.IntN(len(c.tasks))]
 		if task.State != types.TaskRunning || task.Job.Kind == types.KindService {
@@ -99,7 +99,7 @@
 }
 
 // report delivers the usage reports of n random tasks that run.
-func (c *crowd) report(n int) {
+func (c *fullCluster) report(n int) {
 	for range n {
 		task := c.tasks[c.random.IntN(len(c.tasks))]
 		if task.State != types.TaskRunning {
@@ -118,12 +118,12 @@
 func BenchmarkDecision(b *testing.B) {
 	for _, workers := range []int{65, 260, 560, 1120} {
 		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
-			c := newCrowd(workers, nil)
+			c := newFullCluster(workers, nil)
 			begun := 0
 			b.ReportAllocs()
 			for b.Loop() {
 				c.now = c.now.Add(100 * time.Millisecond)
-				c.report(workers * crowdPerWorker / 100)
+				c.report(workers * tasksPerWorker / 100)
 				c.finish(20)
 				for range 20 {
 					c.submit(false)
@@ -137,7 +137,7 @@
 }
 
 // second lets one second pass and returns the number of starts.
-func (c *crowd) second() int {
+func (c *fullCluster) second() int {
 	begun := 0
 	for range 10 {
 		c.now = c.now.Add(100 * time.Millisecond)
@@ -152,7 +152,7 @@
 func BenchmarkSteadySecond(b *testing.B) {
 	for _, workers := range []int{65, 260, 560, 1120} {
 		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
-			c := newCrowd(workers, nil)
+			c := newFullCluster(workers, nil)
 			for range 60 {
 				c.second() // Measured use lets more start.
 			}
@@ -173,7 +173,7 @@
 		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
 			for b.Loop() {
 				before := heapBytes()
-				c := newCrowd(workers, nil)
+				c := newFullCluster(workers, nil)
 				b.ReportMetric(float64(heapBytes()-before)/(1<<20), "MiB")
 				runtime.KeepAlive(c)
 			}
--- a/schedule/cost_test.go
+++ b/schedule/cost_test.go
@@ -12,11 +12,11 @@
 // evaluationsPerStart runs the load of BenchmarkDecision for a while and returns
 // how many hosts were asked for each start.
 func evaluationsPerStart(workers int) float64 {
-	c := newCrowd(workers, nil)
+	c := newFullCluster(workers, nil)
 	before, begun := c.s.evaluations, 0
 	for range 60 {
 		c.now = c.now.Add(100 * time.Millisecond)
-		c.report(workers * crowdPerWorker / 100)
+		c.report(workers * tasksPerWorker / 100)
 		c.finish(20)
 		for range 20 {
 			c.submit(false)
@@ -33,7 +33,7 @@
 }
 
 func TestStartAllocatesLittle(t *testing.T) {
-	c := newCrowd(65, nil)
+	c := newFullCluster(65, nil)
 	begun := 0
 	rounds := 0
 	allocations := testing.AllocsPerRun(50, func() {
@@ -51,7 +51,7 @@
 }
 
 func TestSearchOfFreedHostsMissesNone(t *testing.T) {
-	c := newCrowd(40, fixedModel{interference.NewModel()}) // No trials, which wait for other hosts.
+	c := newFullCluster(40, fixedModel{interference.NewModel()}) // No trials, which wait for other hosts.
 	for range 300 {
 		c.submit(false)
 	}
--- a/schedule/filter_interference.go
+++ b/schedule/filter_interference.go
@@ -19,11 +19,11 @@
 			return false
 		}
 	}
-	return s.spares(t, h) || s.mayTry(t, h)
+	return s.keepsLimit(t, h) || s.mayTry(t, h)
 }
 
-// spares reports whether no service on h is expected to exceed the limit with t.
-func (s *Scheduler) spares(t *task, h *host) bool {
+// keepsLimit reports whether no service on h is expected to exceed the limit with t.
+func (s *Scheduler) keepsLimit(t *task, h *host) bool {
 	share := t.shareOf(h)
 	for i := range h.exposures {
 		sum := s.added(h, &h.exposures[i], t.job.index, share)
--- a/schedule/fit.go
+++ b/schedule/fit.go
@@ -21,15 +21,15 @@
 // fit remembers the last fruitless search for a key, so that the next one looks
 // only at the hosts that were freed since.
 type fit struct {
-	key      fitKey
-	groups   int
-	failed   bool
-	tried    uint64 // the scheduler's sequence number at the last search
-	retryAt  time.Time
-	roomAt   time.Time // no room can be made before
-	holdAt   time.Time // no host is held before
-	gentleAt time.Time // no throttled start is sought before
-	decision decision
+	key              fitKey
+	groups           int
+	failed           bool
+	tried            uint64 // the scheduler's sequence number at the last search
+	retryAt          time.Time
+	preemptAt        time.Time // no room can be made before
+	holdAt           time.Time // no host is held before
+	throttledStartAt time.Time // no throttled start is sought before
+	decision         decision
 }
 
 const (
--- a/schedule/health.go
+++ b/schedule/health.go
@@ -84,8 +84,8 @@
 	}
 }
 
-// forgive takes a worker that was quarantined out of the job's failures.
-func (j *job) forgive(w types.WorkerID) {
+// forgetFailureOn takes a worker that was quarantined out of the job's failures.
+func (j *job) forgetFailureOn(w types.WorkerID) {
 	if i := slices.Index(j.failedOn, w); i >= 0 {
 		j.failedOn = slices.Delete(j.failedOn, i, i+1)
 	}
@@ -151,12 +151,12 @@
 	return true
 }
 
-// judge quarantines the suspects that failed different jobs, and releases the
+// reviewHealth quarantines the suspects that failed different jobs, and releases the
 // quarantined workers whose time is over.
-func (s *Scheduler) judge() {
+func (s *Scheduler) reviewHealth() {
 	kept := s.suspects[:0]
 	for _, h := range s.suspects {
-		if s.judgeHost(h) {
+		if s.reviewHost(h) {
 			kept = append(kept, h)
 		}
 	}
@@ -164,8 +164,8 @@
 	s.suspects = kept
 }
 
-// judgeHost reports whether the host stays a suspect.
-func (s *Scheduler) judgeHost(h *host) bool {
+// reviewHost reports whether the host stays a suspect.
+func (s *Scheduler) reviewHost(h *host) bool {
 	if s.hostByID[h.worker.ID] != h {
 		return false
 	}
@@ -225,7 +225,7 @@
 	h.health.quarantined = true
 	s.count(h)
 	for _, f := range h.health.failures {
-		f.job.forgive(h.worker.ID)
+		f.job.forgetFailureOn(h.worker.ID)
 	}
 	reason := fmt.Sprintf("tasks of %d different jobs failed on worker %s and none succeeded since", jobs, h.worker.Name)
 	h.health.suspended = false
@@ -260,9 +260,9 @@
 	return pause
 }
 
-// mayPark parks the job of t if it failed on several trusted workers.
-func (s *Scheduler) mayPark(t *task) bool {
-	n := s.failedElsewhere(t.job, nowhere)
+// parkIfCondemned parks the job of t if it failed on several trusted workers.
+func (s *Scheduler) parkIfCondemned(t *task) bool {
+	n := s.failedElsewhere(t.job, noHost)
 	if n < condemningWorkers {
 		return false
 	}
@@ -273,5 +273,5 @@
 	return true
 }
 
-// nowhere stands for no host.
-var nowhere = &host{}
+// noHost stands for no host.
+var noHost = &host{}
--- a/schedule/health_test.go
+++ b/schedule/health_test.go
@@ -10,8 +10,8 @@
 	"mangohill.example/mangohill/types"
 )
 
-// ward is a set of workers on which attempts fail as the test says.
-type ward struct {
+// healthFixture is a set of workers on which attempts fail as the test says.
+type healthFixture struct {
 	s       *Scheduler
 	now     time.Time
 	workers map[types.WorkerID]types.Worker
@@ -23,8 +23,8 @@
 	parked      map[types.TaskID]string
 }
 
-func newWard(workers int, fails func(types.Task) bool) *ward {
-	w := &ward{
+func newHealthFixture(workers int, fails func(types.Task) bool) *healthFixture {
+	w := &healthFixture{
 		s: New(Options{Seed: 1}), now: epoch0, fails: fails,
 		workers: map[types.WorkerID]types.Worker{}, tasks: map[types.TaskID]*types.Task{},
 		starts: map[types.WorkerID]int{}, quarantined: map[types.WorkerID]int{}, parked: map[types.TaskID]string{},
@@ -37,7 +37,7 @@
 	return w
 }
 
-func (w *ward) submit(jobs int) {
+func (w *healthFixture) submit(jobs int) {
 	for range jobs {
 		task := testTask(len(w.tasks)+1, types.KindBatch, 1000)
 		task.ChangedMs = w.now.UnixMilli()
@@ -47,7 +47,7 @@
 }
 
 // step plans, starts, and a second later fails or, after the run time, finishes.
-func (w *ward) step(t *testing.T) {
+func (w *healthFixture) step(t *testing.T) {
 	w.now = w.now.Add(time.Second)
 	for id := range types.TaskID(len(w.tasks)) {
 		w.advance(w.tasks[id+1])
@@ -71,7 +71,7 @@
 	}
 }
 
-func (w *ward) advance(task *types.Task) {
+func (w *healthFixture) advance(task *types.Task) {
 	age := w.now.UnixMilli() - task.ChangedMs
 	switch {
 	case task.State != types.TaskRunning:
@@ -86,13 +86,13 @@
 	}
 }
 
-func (w *ward) set(task *types.Task, state types.TaskState) {
+func (w *healthFixture) set(task *types.Task, state types.TaskState) {
 	task.State = state
 	task.ChangedMs = w.now.UnixMilli()
 	w.s.UpsertTask(*task)
 }
 
-func (w *ward) setWorker(id types.WorkerID, state types.WorkerState) {
+func (w *healthFixture) setWorker(id types.WorkerID, state types.WorkerState) {
 	worker := w.workers[id]
 	worker.State = state
 	w.workers[id] = worker
@@ -101,7 +101,7 @@
 
 func TestBadWorkerIsQuarantinedAndProbedBackIn(t *testing.T) {
 	broken := true
-	w := newWard(8, func(task types.Task) bool { return broken && task.Worker == 3 })
+	w := newHealthFixture(8, func(task types.Task) bool { return broken && task.Worker == 3 })
 	for i := range 1200 {
 		if i%10 == 0 {
 			w.submit(8)
@@ -123,7 +123,7 @@
 }
 
 func TestBadJobsAreParkedAndCondemnNoWorker(t *testing.T) {
-	w := newWard(8, func(task types.Task) bool { return task.ID%5 == 0 })
+	w := newHealthFixture(8, func(task types.Task) bool { return task.ID%5 == 0 })
 	for i := range 600 {
 		if i%10 == 0 {
 			w.submit(5)
@@ -139,7 +139,7 @@
 }
 
 func TestOnlyWorkerIsNotCondemnedByBadJobs(t *testing.T) {
-	w := newWard(1, func(task types.Task) bool { return task.ID%2 == 0 })
+	w := newHealthFixture(1, func(task types.Task) bool { return task.ID%2 == 0 })
 	for i := range 300 {
 		if i%15 == 0 {
 			w.submit(2)
@@ -150,7 +150,7 @@
 }
 
 func TestSeveralBadWorkersCondemnNoJob(t *testing.T) {
-	w := newWard(8, func(task types.Task) bool { return task.Worker <= 4 })
+	w := newHealthFixture(8, func(task types.Task) bool { return task.Worker <= 4 })
 	for i := range 900 {
 		if i%10 == 0 {
 			w.submit(8)
@@ -170,7 +170,7 @@
 }
 
 func TestFailuresOnSuspectWorkersDoNotParkAJob(t *testing.T) {
-	w := newWard(4, nil)
+	w := newHealthFixture(4, nil)
 	w.submit(4)
 	fail := func(id types.TaskID, worker types.WorkerID) {
 		task := w.tasks[id]
--- a/schedule/host.go
+++ b/schedule/host.go
@@ -108,7 +108,7 @@
 	}
 	t.host = nil
 	s.endTrial(t, h)
-	s.endGentle(t)
+	s.endThrottledStart(t)
 	s.noteFreed(h)
 	h.dirty = true
 	h.committed = h.committed.Sub(t.Job.Request)
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -35,7 +35,7 @@
 // place starts t on the best host and returns true. Where there is none it
 // records the reason and takes t or its group out of the open ones.
 func (s *Scheduler) place(t *task) bool {
-	if s.mayPark(t) {
+	if s.parkIfCondemned(t) {
 		return false
 	}
 	if t.replacement != nil {
@@ -75,10 +75,10 @@
 		best = s.searchAll(t, f)
 	}
 	if best == nil && t.privileged() {
-		s.seekRoom(t, f)
+		s.tryPreemption(t, f)
 	}
 	if best == nil {
-		best = s.startGently(t, f)
+		best = s.searchThrottled(t, f)
 	}
 	if best == nil {
 		s.holdRoom(t, f)
@@ -104,17 +104,17 @@
 	return best
 }
 
-// seekRoom makes room for t if it can. Where no host has any, the next try for
+// tryPreemption makes room for t if it can. Where no host has any, the next try for
 // tasks like it comes later.
-func (s *Scheduler) seekRoom(t *task, f *fit) {
-	if t.claim != nil || s.options.FirstFit || s.now.Before(f.roomAt) {
+func (s *Scheduler) tryPreemption(t *task, f *fit) {
+	if t.claim != nil || s.options.FirstFit || s.now.Before(f.preemptAt) {
 		return
 	}
-	if !s.makeRoom(t) {
-		f.roomAt = s.now.Add(retryPrivileged)
+	if !s.preempt(t) {
+		f.preemptAt = s.now.Add(retryPrivileged)
 		return
 	}
-	t.decision.outcome = waitsForRoom
+	t.decision.outcome = waitsForPreemption
 	t.group.fit.fail(s, &t.decision, true)
 }
 
@@ -221,10 +221,10 @@
 	s.assumed = append(s.assumed, t)
 	s.beginTrial(t, h)
 	s.bind(t, h)
-	if t.gentle != 0 {
-		s.gentle = append(s.gentle, t)
-		s.gently[t.job.index]++
-		t.gently = true
+	if t.startShareMilli != 0 {
+		s.throttledStarts = append(s.throttledStarts, t)
+		s.throttledStartCount[t.job.index]++
+		t.throttledStart = true
 	}
 	t.decision.outcome = placed
 	t.decision.worker = h.worker.ID
--- a/schedule/room.go
+++ b/schedule/preempt.go
@@ -14,8 +14,8 @@
 	claimGrace = 900 * time.Millisecond
 	// claimLimit is how long a claim lasts before another host is sought.
 	claimLimit = 20 * time.Second
-	// enoughRooms is the number of hosts that are compared for making room.
-	enoughRooms = 48
+	// enoughPreemptions is the number of hosts that are compared for making room.
+	enoughPreemptions = 48
 )
 
 // claim is a host's room that is kept for a task while others leave.
@@ -30,22 +30,22 @@
 // urgent.
 func (t *task) privileged() bool { return t.band() <= bandService }
 
-// room is a way to make room on a host.
-type room struct {
+// preemption is a way to make room on a host.
+type preemption struct {
 	host    *host
 	victims []*task
 	cost    float64
 }
 
-// makeRoom picks the host on which making room for t loses least, asks the tasks
+// preempt picks the host on which making room for t loses least, asks the tasks
 // there to leave, and claims the room. It reports whether there is such a host.
-func (s *Scheduler) makeRoom(t *task) bool {
-	best := room{}
+func (s *Scheduler) preempt(t *task) bool {
+	best := preemption{}
 	found := 0
 	n := len(s.hosts)
 	first := s.firstHost(n)
 	for i := range n {
-		r, ok := s.roomOn(s.hosts[(first+i)%n], t)
+		r, ok := s.preemptionOn(s.hosts[(first+i)%n], t)
 		if !ok {
 			continue
 		}
@@ -53,22 +53,22 @@
 			best = r
 		}
 		found++
-		if found == enoughRooms {
+		if found == enoughPreemptions {
 			break
 		}
 	}
 	if best.host == nil {
 		return false
 	}
-	s.takeRoom(t, best)
+	s.carryOut(t, best)
 	return true
 }
 
-// roomOn finds the tasks on h whose end makes room for t, those that lose least
+// preemptionOn finds the tasks on h whose end makes room for t, those that lose least
 // first.
-func (s *Scheduler) roomOn(h *host, t *task) (room, bool) {
+func (s *Scheduler) preemptionOn(h *host, t *task) (preemption, bool) {
 	if !h.accepting() || !t.Job.Request.Fits(h.worker.Capacity) {
-		return room{}, false
+		return preemption{}, false
 	}
 	available := h.free()
 	candidates := s.scratch.tasks[:0]
@@ -84,8 +84,8 @@
 	return s.choose(h, t, available, candidates)
 }
 
-func (s *Scheduler) choose(h *host, t *task, available types.Resources, candidates []*task) (room, bool) {
-	r := room{host: h}
+func (s *Scheduler) choose(h *host, t *task, available types.Resources, candidates []*task) (preemption, bool) {
+	r := preemption{host: h}
 	chosen := 0
 	for chosen < len(candidates) && !t.Job.Request.Fits(available) {
 		available = available.Add(candidates[chosen].Job.Request)
@@ -127,7 +127,7 @@
 	return s.relievable(t) && !t.Job.Urgent
 }
 
-func (s *Scheduler) takeRoom(t *task, r room) {
+func (s *Scheduler) carryOut(t *task, r preemption) {
 	for _, victim := range r.victims {
 		victim.await(s)
 		victim.leaving = true
@@ -174,7 +174,7 @@
 			continue
 		}
 		if age >= claimGrace {
-			s.hurry(t)
+			s.stopOverdue(t)
 		}
 		kept = append(kept, t)
 	}
@@ -192,8 +192,8 @@
 	}
 }
 
-// hurry stops the attempts on the claimed host that are still in checkpoint.
-func (s *Scheduler) hurry(t *task) {
+// stopOverdue stops the attempts on the claimed host that are still in checkpoint.
+func (s *Scheduler) stopOverdue(t *task) {
 	for _, o := range t.claim.host.tasks {
 		if o.State != types.TaskCheckpointing || !o.leaving || s.awaits(o) {
 			continue
--- a/schedule/pressure.go
+++ b/schedule/pressure.go
@@ -61,8 +61,8 @@
 
 // startShare is the part of its use that t starts with.
 func (t *task) startShare() float64 {
-	if t.gentle > 0 {
-		return float64(t.gentle) / 1000
+	if t.startShareMilli > 0 {
+		return float64(t.startShareMilli) / 1000
 	}
 	if t.State == types.TaskThrottled {
 		return float64(t.ShareMilli) / 1000
--- a/schedule/relief.go
+++ b/schedule/relief.go
@@ -9,10 +9,10 @@
 )
 
 const (
-	// sufferGap and calmGap set the measured slowdowns of a service at which relief
+	// reliefGap and calmGap set the measured slowdowns of a service at which relief
 	// begins and may be taken back, as distances from the limit for predicted ones,
 	// in logarithms. The gap between them is the hysteresis.
-	sufferGap = 0.09
+	reliefGap = 0.09
 	calmGap   = -0.02
 	// severeLimit is the slowdown that needs no second report.
 	severeLimit = 1.6
@@ -50,8 +50,8 @@
 	logSevereLimit = math.Log(severeLimit)
 )
 
-// sufferer is the state of a service replica with respect to relief.
-type sufferer struct {
+// slowness is the state of a service replica with respect to relief.
+type slowness struct {
 	slowdown float64 // last measured, as a logarithm
 	smooth   float64 // moving average since the last step on the host
 	reports  int     // since the last step on the host
@@ -59,7 +59,7 @@
 }
 
 // take adds a measured slowdown.
-func (f *sufferer) take(slowdown float64, taken time.Time) {
+func (f *slowness) take(slowdown float64, taken time.Time) {
 	f.slowdown = slowdown
 	f.taken = taken
 	f.reports++
@@ -67,19 +67,19 @@
 	f.smooth += weight * (slowdown - f.smooth)
 }
 
-func (f *sufferer) suffers(limit float64) bool {
+func (f *slowness) exceeds(limit float64) bool {
 	if f.reports >= confirmations {
-		return f.smooth > limit+sufferGap
+		return f.smooth > limit+reliefGap
 	}
 	return f.reports > 0 && f.slowdown > logSevereLimit
 }
 
-func (f *sufferer) calm(limit float64) bool {
+func (f *slowness) calm(limit float64) bool {
 	return f.reports >= confirmations && f.smooth < limit+calmGap
 }
 
-// feel compares a report of a service with what it would be alone.
-func (s *Scheduler) feel(o *observation) {
+// measureSlowdown compares a report of a service with what it would be alone.
+func (s *Scheduler) measureSlowdown(o *observation) {
 	mean, variance := s.options.Model.Baseline(o.task.job.victim, o.load)
 	if variance > maxBaselineVariance {
 		return
@@ -87,7 +87,7 @@
 	if o.taken.Before(o.task.host.relievedAt.Add(settle)) {
 		return // The report precedes the last step.
 	}
-	o.task.suffers.take(o.logLatency-mean, o.taken)
+	o.task.slowness.take(o.logLatency-mean, o.taken)
 	s.considerRelief(o.task.host)
 }
 
@@ -114,30 +114,30 @@
 	if s.options.FirstFit {
 		return
 	}
-	victim := s.suffering(h)
+	victim := s.slowestService(h)
 	if victim != nil {
 		s.relieveVictim(h, victim)
 		return
 	}
-	s.easeOff(h)
+	s.liftThrottle(h)
 }
 
 // stepped notes that a step was taken on h: reports from before it no longer count.
 func (s *Scheduler) stepped(h *host) {
 	h.relievedAt = s.now
 	for _, t := range h.tasks {
-		t.suffers = sufferer{}
+		t.slowness = slowness{}
 	}
 }
 
-// suffering returns the service that suffers most, nil if there is none.
-func (s *Scheduler) suffering(h *host) *task {
+// slowestService returns the service that is slowed down most beyond the limit, nil if there is none.
+func (s *Scheduler) slowestService(h *host) *task {
 	var worst *task
 	for _, t := range h.tasks {
-		if !t.suffers.suffers(s.slowdownLimit) {
+		if !t.slowness.exceeds(s.slowdownLimit) {
 			continue
 		}
-		if worst == nil || t.suffers.smooth > worst.suffers.smooth {
+		if worst == nil || t.slowness.smooth > worst.slowness.smooth {
 			worst = t
 		}
 	}
@@ -249,7 +249,7 @@
 
 func (s *Scheduler) harmText(victim, t *task) string {
 	return fmt.Sprintf("service task %q runs %.2f times as slow as alone; class %q on %s contributes",
-		victim.Name, math.Exp(victim.suffers.smooth), t.job.class, t.host.worker.Name)
+		victim.Name, math.Exp(victim.slowness.smooth), t.job.class, t.host.worker.Name)
 }
 
 // cheapestMove returns the task whose move costs least for the relief it gives,
--- a/schedule/relief_test.go
+++ b/schedule/relief_test.go
@@ -29,8 +29,8 @@
 	return 0, 0
 }
 
-// patient is one worker with a service and neighbours, whose latency the test sets.
-type patient struct {
+// reliefFixture is one worker with a service and neighbours, whose latency the test sets.
+type reliefFixture struct {
 	s     *Scheduler
 	now   time.Time
 	tasks map[types.TaskID]*types.Task
@@ -38,8 +38,8 @@
 	at    []time.Time // of the actions
 }
 
-func newPatient(t *testing.T, weights types.Weights) *patient {
-	p := &patient{s: New(Options{Seed: 1, Model: fixedModel{interference.NewModel()}}), now: epoch0, tasks: map[types.TaskID]*types.Task{}}
+func newReliefFixture(t *testing.T, weights types.Weights) *reliefFixture {
+	p := &reliefFixture{s: New(Options{Seed: 1, Model: fixedModel{interference.NewModel()}}), now: epoch0, tasks: map[types.TaskID]*types.Task{}}
 	p.s.SetConfig(types.Config{Weights: weights})
 	p.s.UpsertWorker(testWorker(1))
 	for id, class := range []string{"quote", "noisy", "noisy", "quiet"} {
@@ -60,7 +60,7 @@
 	return p
 }
 
-func (p *patient) set(id types.TaskID, state types.TaskState) {
+func (p *reliefFixture) set(id types.TaskID, state types.TaskState) {
 	task := p.tasks[id]
 	task.State = state
 	task.ChangedMs = p.now.UnixMilli()
@@ -68,7 +68,7 @@
 }
 
 // plan applies the actions, but for the end of checkpoints.
-func (p *patient) plan() {
+func (p *reliefFixture) plan() {
 	for _, action := range p.s.Plan(p.now) {
 		p.log = append(p.log, action)
 		p.at = append(p.at, p.now)
@@ -90,7 +90,7 @@
 }
 
 // report moves on by 10 s and reports the slowdown of the service.
-func (p *patient) report(slowdown float64) {
+func (p *reliefFixture) report(slowdown float64) {
 	p.now = p.now.Add(10 * time.Second)
 	for id := range types.TaskID(4) {
 		task := p.tasks[id+1]
@@ -117,7 +117,7 @@
 }
 
 func TestReliefThrottlesWhoHarmsBeforeItMovesAndKills(t *testing.T) {
-	p := newPatient(t, types.Weights{TailLatency: 3, Evictions: 2, Throughput: 2})
+	p := newReliefFixture(t, types.Weights{TailLatency: 3, Evictions: 2, Throughput: 2})
 	for range 30 {
 		p.report(1.45)
 	}
@@ -151,7 +151,7 @@
 }
 
 func TestReliefDoesNotFlap(t *testing.T) {
-	p := newPatient(t, types.Weights{TailLatency: 3, Evictions: 3, Throughput: 2})
+	p := newReliefFixture(t, types.Weights{TailLatency: 3, Evictions: 3, Throughput: 2})
 	const hours = 6
 	for i := range hours * 360 {
 		slowdown := 1.0
@@ -168,7 +168,7 @@
 }
 
 func TestReliefKeepsToTheEvictionBudget(t *testing.T) {
-	p := newPatient(t, types.Weights{TailLatency: 3, Evictions: 2, Throughput: 2})
+	p := newReliefFixture(t, types.Weights{TailLatency: 3, Evictions: 2, Throughput: 2})
 	const hours = 6
 	for range hours * 360 {
 		p.report(1.45)
@@ -225,7 +225,7 @@
 	noisy.Job.Class = "noisy"
 	tasks := submitAll(s, testTask(1, types.KindService, 1000), noisy)
 	assert.Len(t, starts(settleStarts(s, tasks, epoch0)), 1)
-	now := epoch0.Add(gentleAfter)
+	now := epoch0.Add(throttledStartAfter)
 	assert.Len(t, starts(settleStarts(s, tasks, now)), 1)
 	actions := s.Plan(now.Add(100 * time.Millisecond))
 	require.Len(t, actions, 1)
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -34,17 +34,17 @@
 	learnedRest  *learned // shared by the classes beyond the bound
 	observations []observation
 	// slowdownLimit bounds the predicted slowdowns of services, as a logarithm.
-	slowdownLimit float64
-	relieving     []*host
-	suspects      []*host // hosts with failures since their last success
-	drains        []*host // draining hosts
-	replacements  []*task
-	gentle        []*task // started, to be throttled when they run
-	claims        []*task // tasks with a claim, oldest first
-	holds         int     // claims that wait for room to come up
-	budget        budget
-	trials        [interference.MaxClasses]int // running trials by class
-	gently        [interference.MaxClasses]int // attempts with a throttled start by class
+	slowdownLimit       float64
+	relieving           []*host
+	suspects            []*host // hosts with failures since their last success
+	drains              []*host // draining hosts
+	replacements        []*task
+	throttledStarts     []*task // started, to be throttled when they run
+	claims              []*task // tasks with a claim, oldest first
+	holds               int     // claims that wait for room to come up
+	budget              budget
+	trials              [interference.MaxClasses]int // running trials by class
+	throttledStartCount [interference.MaxClasses]int // attempts with a throttled start by class
 
 	filters []filter
 	scorers []scorer
@@ -226,8 +226,8 @@
 	s.budget.resize(len(s.hosts), s.config.Weights)
 	s.learnLatencies()
 	s.relief()
-	s.keepGentle()
-	s.judge()
+	s.throttleStarted()
+	s.reviewHealth()
 	s.drain()
 	s.finishReplacements()
 	s.queue.release(now)
@@ -239,7 +239,7 @@
 func (s *Scheduler) enqueue(t *task) {
 	t.order = queueOrder(t)
 	t.notBefore = time.Time{}
-	t.gentle = 0
+	t.startShareMilli = 0
 	if t.Failures > 0 {
 		t.notBefore = unixMs(t.ChangedMs).Add(backoff(t.Failures))
 	}
--- a/schedule/task.go
+++ b/schedule/task.go
@@ -25,28 +25,28 @@
 	delayed   bool
 
 	// Measurements of the current attempt.
-	used          float64 // thousandths of processors
-	fullUse       float64 // the same while not throttled
-	usedAt        time.Time
-	load          float64 // services: used against requested processors
-	loadPeak      float64
-	progress      int64
-	throttledAt   time.Time
-	startedAt     time.Time // of the current attempt
-	runningSince  time.Time
-	suffers       sufferer
-	throttles     int       // of the current attempt
-	reliefAt      time.Time // when relief evicted the attempt
-	claim         *claim    // room that is kept while the task waits
-	replacement   *task     // the replica that runs in its stead
-	irreplaceable bool      // the state refused a replacement
-	gentle        int64     // share with which the attempt begins, in thousandths, zero for all
-	gently        bool      // the attempt began so
-	leaving       bool      // the attempt was asked to make room
-	awaitUntil    time.Time // an action is under way until then
-	avoidHost     types.WorkerID
-	avoidUntil    time.Time
-	ranBefore     time.Duration // run time of earlier attempts that was kept
+	used            float64 // thousandths of processors
+	fullUse         float64 // the same while not throttled
+	usedAt          time.Time
+	load            float64 // services: used against requested processors
+	loadPeak        float64
+	progress        int64
+	throttledAt     time.Time
+	startedAt       time.Time // of the current attempt
+	runningSince    time.Time
+	slowness        slowness
+	throttles       int       // of the current attempt
+	reliefAt        time.Time // when relief evicted the attempt
+	claim           *claim    // room that is kept while the task waits
+	replacement     *task     // the replica that runs in its stead
+	irreplaceable   bool      // the state refused a replacement
+	startShareMilli int64     // share with which the attempt begins, in thousandths, zero for all
+	throttledStart  bool      // the attempt began so
+	leaving         bool      // the attempt was asked to make room
+	awaitUntil      time.Time // an action is under way until then
+	avoidHost       types.WorkerID
+	avoidUntil      time.Time
+	ranBefore       time.Duration // run time of earlier attempts that was kept
 
 	decision decision
 	events   []Event
--- a/schedule/trial.go
+++ b/schedule/trial.go
@@ -47,7 +47,7 @@
 // beginTrial counts t as a trial if its start exceeds the limit.
 func (s *Scheduler) beginTrial(t *task, h *host) {
 	s.refresh(h)
-	if t.Job.Kind != types.KindBatch || s.spares(t, h) {
+	if t.Job.Kind != types.KindBatch || s.keepsLimit(t, h) {
 		return
 	}
 	t.trial = true
--- a/schedule/ease.go
+++ b/schedule/unthrottle.go
@@ -6,9 +6,9 @@
 	"mangohill.example/mangohill/types"
 )
 
-// easeOff lifts one throttle on a host whose services are calm, if the hold of
+// liftThrottle lifts one throttle on a host whose services are calm, if the hold of
 // the throttle is over and the prediction allows the full use.
-func (s *Scheduler) easeOff(h *host) {
+func (s *Scheduler) liftThrottle(h *host) {
 	if !s.calm(h) {
 		return
 	}
@@ -17,7 +17,7 @@
 		if t.State != types.TaskThrottled || !s.relievable(t) || s.now.Before(t.throttledAt.Add(t.hold())) {
 			continue
 		}
-		if s.sparesUnthrottled(t, h) {
+		if s.keepsLimitUnthrottled(t, h) {
 			s.unthrottle(h, t)
 			return
 		}
@@ -31,7 +31,7 @@
 		if t.Job.Kind != types.KindService || t.usedAt.IsZero() {
 			continue
 		}
-		if !t.suffers.calm(s.slowdownLimit) {
+		if !t.slowness.calm(s.slowdownLimit) {
 			return false
 		}
 	}
@@ -51,9 +51,9 @@
 	return hold
 }
 
-// sparesUnthrottled reports whether the services on h keep within the limit when
+// keepsLimitUnthrottled reports whether the services on h keep within the limit when
 // t uses what it used before the throttle.
-func (s *Scheduler) sparesUnthrottled(t *task, h *host) bool {
+func (s *Scheduler) keepsLimitUnthrottled(t *task, h *host) bool {
 	capacity := float64(h.worker.Capacity.MilliProcessors)
 	more := max(t.unthrottledUse()-t.expectedUse(), 0)
 	if h.expected+more > headroomLimit*capacity {
--- a/schedule/usage.go
+++ b/schedule/usage.go
@@ -86,7 +86,7 @@
 	for i := range s.observations {
 		o := &s.observations[i]
 		if o.task.host != nil && o.task.Epoch == o.epoch {
-			s.feel(o)
+			s.measureSlowdown(o)
 			s.learnLatency(o)
 		}
 	}
--- a/schedule/why.go
+++ b/schedule/why.go
@@ -20,7 +20,7 @@
 	placed
 	waitsForHost
 	waitsForQuota
-	waitsForRoom
+	waitsForPreemption
 	waitsForHold
 	waitsInVain
 	parked
@@ -165,7 +165,7 @@
 		return s.tooLateText(t)
 	case parked:
 		return "parked: its job failed on several healthy workers"
-	case waitsForRoom:
+	case waitsForPreemption:
 		return "waits for batch tasks to leave the host that is kept for it"
 	case waitsForQuota:
 		return fmt.Sprintf("waits for the quota of team %q", t.team.name)
