Schedule: condemn a worker only when a task that failed there works elsewhere

The verdict now waits until a task that failed there lives on elsewhere, one minute at most; the worker takes nothing new meanwhile. Seen failing without it: TestThreeBadJobsInARowDoNotCondemnAWorker.

--- a/schedule/health.go
+++ b/schedule/health.go
@@ -18,6 +18,9 @@
 	// for its worker, against the lives of those that failed there.
 	minSurvival    = 5 * time.Second
 	survivalFactor = 3
+	// verdictWait is how long a worker stays a suspect until a task that failed
+	// there lives on elsewhere.
+	verdictWait = time.Minute
 	// condemningWorkers is the number of healthy workers on which a job has to
 	// fail before it is parked.
 	condemningWorkers = 3
@@ -36,6 +39,7 @@
 
 // failure is a failed attempt on a worker.
 type failure struct {
+	task *task
 	job  *job
 	at   time.Time
 	life time.Duration // from the start of the attempt to its failure
@@ -58,7 +62,7 @@
 	if len(f.failures) == maxFailures {
 		f.failures = slices.Delete(f.failures, 0, 1)
 	}
-	f.failures = append(f.failures, failure{t.job, at, at.Sub(t.startedAt)})
+	f.failures = append(f.failures, failure{t, t.job, at, at.Sub(t.startedAt)})
 	s.suspects = appendOnce(s.suspects, h)
 }
 
@@ -189,13 +193,34 @@
 		limit = suspectJobsProbing
 	}
 	n := s.condemnedBy(h, s.now)
-	h.health.suspended = n >= limit && undecided
-	if n >= limit && !undecided && h.worker.State == types.WorkerReady {
+	condemned := n >= limit && !undecided && s.confirmed(h)
+	h.health.suspended = n >= limit && !condemned
+	if condemned && h.worker.State == types.WorkerReady {
 		s.quarantine(h, n)
 	}
 	return len(h.health.failures) > 0
 }
 
+// confirmed reports whether one of the tasks that failed on h lives on elsewhere,
+// or has had the time to.
+func (s *Scheduler) confirmed(h *host) bool {
+	last := h.health.failures[len(h.health.failures)-1]
+	if s.now.Sub(last.at) >= verdictWait {
+		return true
+	}
+	for _, f := range h.health.failures {
+		t := f.task
+		elsewhere := t.host != nil && t.host != h && s.now.Sub(t.startedAt) >= f.proof()
+		if t.State == types.TaskFinished || t.State.Placed() && t.assumedEpoch == 0 && elsewhere {
+			return true
+		}
+	}
+	return false
+}
+
+// proof is how long another attempt has to live to count as one that works.
+func (f failure) proof() time.Duration { return max(minSurvival, survivalFactor*f.life) }
+
 // survivors looks at the attempts that were started on h after its first
 // failure: whether one lives on much longer than those that failed, and whether
 // there are younger ones.
@@ -205,7 +230,7 @@
 	}
 	proof := minSurvival
 	for _, f := range h.health.failures {
-		proof = max(proof, survivalFactor*f.life)
+		proof = max(proof, f.proof())
 	}
 	for _, t := range h.tasks {
 		if t.startedAt.Before(h.health.failures[0].at) {
--- a/schedule/health_test.go
+++ b/schedule/health_test.go
@@ -140,13 +140,26 @@
 
 func TestOnlyWorkerIsNotCondemnedByBadJobs(t *testing.T) {
 	w := newHealthFixture(1, func(task types.Task) bool { return task.ID%2 == 0 })
+	mostWaiting := 0
 	for i := range 300 {
 		if i%15 == 0 {
 			w.submit(2)
 		}
 		w.step(t)
+		mostWaiting = max(mostWaiting, w.goodTasksWaiting())
 	}
-	assert.Empty(t, w.quarantined, "attempts that live on speak for the worker")
+	assert.Empty(t, w.quarantined)
+	assert.Zero(t, mostWaiting, "attempts that live on speak for the worker, so that it goes on")
+}
+
+func (w *healthFixture) goodTasksWaiting() int {
+	n := 0
+	for _, task := range w.tasks {
+		if task.State == types.TaskWaiting && !w.fails(*task) {
+			n++
+		}
+	}
+	return n
 }
 
 func TestSeveralBadWorkersCondemnNoJob(t *testing.T) {
@@ -192,3 +205,13 @@
 	assert.Zero(t, count[Park](actions), "other jobs failed on each of these workers too")
 	assert.Positive(t, count[Start](actions))
 }
+
+func TestThreeBadJobsInARowDoNotCondemnAWorker(t *testing.T) {
+	w := newHealthFixture(6, func(types.Task) bool { return true })
+	w.submit(3)
+	for range 300 {
+		w.step(t)
+	}
+	assert.Empty(t, w.quarantined)
+	assert.Len(t, w.parked, 3)
+}
