--- a/schedule/adopt.go
+++ b/schedule/adopt.go
@@ -63,11 +63,13 @@
 	s.noteOutcome(t, before, at)
 	if before.State == types.TaskCheckpointing && !t.runningSince.IsZero() {
 		t.ranBefore += at.Sub(t.runningSince)
+		t.savedProgress = t.progress
 	}
 	t.startedAt = time.Time{}
 	t.runningSince = time.Time{}
 	t.usedAt = time.Time{}
 	t.throttledAt = time.Time{}
+	t.progress, t.usedMemory = 0, 0
 	t.used, t.fullUse, t.load, t.loadPeak = 0, 0, 0, 0
 	t.slowness = slowness{}
 	t.throttles = 0
--- a/schedule/horizon.go
+++ b/schedule/horizon.go
@@ -43,7 +43,11 @@
 	if t.Job.Kind != types.KindBatch {
 		return 0
 	}
-	return max(t.expectedRuntime(horizonQuantile)-t.ranBefore, 0)
+	whole := t.expectedRuntime(horizonQuantile)
+	if t.savedProgress > 0 {
+		return whole * time.Duration(1000-min(t.savedProgress, 1000)) / 1000
+	}
+	return max(whole-t.ranBefore, 0)
 }
 
 func (s *Scheduler) tooLateText(t *task) string {
--- a/schedule/host.go
+++ b/schedule/host.go
@@ -29,10 +29,11 @@
 	evictedAt  time.Time // last relief eviction
 
 	// What follows is recomputed from the tasks while dirty is set.
-	dirty     bool
-	expected  float64 // thousandths of processors, services at their peak
-	shares    interference.Shares
-	exposures []exposure
+	dirty          bool
+	expected       float64 // thousandths of processors, services at their peak
+	expectedMemory float64 // bytes
+	shares         interference.Shares
+	exposures      []exposure
 }
 
 // accepting reports whether new tasks may start on the host.
--- a/schedule/learn.go
+++ b/schedule/learn.go
@@ -24,8 +24,16 @@
 	use     sketch // processors
 	memory  sketch
 	runtime sketch
-	// expectedUse caches the quantile of use.
-	expectedUse float64
+	// expectedUse and expectedMemory cache the quantiles of use and memory.
+	expectedUse    float64
+	expectedMemory float64
+}
+
+func newLearned() *learned { return &learned{expectedUse: 1, expectedMemory: 1} }
+
+func (l *learned) addMemory(ratio float64) {
+	l.memory.add(ratio)
+	l.expectedMemory = l.memory.quantile(useQuantile, usePrior)
 }
 
 func (l *learned) addUse(ratio float64) {
@@ -42,7 +50,7 @@
 	if len(s.learned) >= maxLearnedClasses {
 		return s.learnedRest
 	}
-	l = &learned{expectedUse: 1}
+	l = newLearned()
 	s.learned[class] = l
 	return l
 }
--- a/schedule/pressure.go
+++ b/schedule/pressure.go
@@ -59,6 +59,14 @@
 	return request * t.job.learned.expectedUse * t.startShare()
 }
 
+// expectedMemory is the number of bytes that t will use on its host.
+func (t *task) expectedMemory() float64 {
+	if t.usedMemory > 0 {
+		return t.usedMemory
+	}
+	return float64(t.Job.Request.MemoryBytes) * t.job.learned.expectedMemory
+}
+
 // startShare is the part of its use that t starts with.
 func (t *task) startShare() float64 {
 	if t.startShareMilli > 0 {
@@ -86,11 +94,13 @@
 	h.dirty = false
 	h.shares = interference.Shares{}
 	h.expected = 0
+	h.expectedMemory = 0
 	h.exposures = h.exposures[:0]
 	capacity := float64(h.worker.Capacity.MilliProcessors)
 	for _, t := range h.tasks {
 		use := t.expectedUse()
 		h.expected += use
+		h.expectedMemory += t.expectedMemory()
 		if capacity > 0 {
 			h.shares[t.job.index] += use / capacity
 		}
--- a/schedule/scenario_test.go
+++ b/schedule/scenario_test.go
@@ -255,3 +255,45 @@
 	s.ObserveUsage(now, types.Usage{Task: 1, Epoch: 1, Worker: 1, MilliProcessors: 1000})
 	assert.Len(t, starts(s.Plan(now.Add(retryBatch))), 1)
 }
+
+func TestLearnedMemoryOfAClassKeepsAHostFromRunningOut(t *testing.T) {
+	s := New(Options{Seed: 1})
+	s.UpsertWorker(testWorker(1))
+	var list []types.Task
+	for id := 1; id <= 5; id++ {
+		task := testTask(id, types.KindBatch, 100)
+		task.Job.Class = "large"
+		task.Job.Request.MemoryBytes = 4 * gib
+		list = append(list, task)
+	}
+	tasks := submitAll(s, list[:3]...)
+	settleStarts(s, tasks, epoch0)
+	now := epoch0.Add(10 * time.Second)
+	for range 20 {
+		for id := range types.TaskID(3) {
+			s.ObserveUsage(now, types.Usage{Task: id + 1, Epoch: 1, Worker: 1, MilliProcessors: 100, MemoryBytes: 8 * gib})
+		}
+		now = now.Add(10 * time.Second)
+	}
+	s.UpsertTask(list[3])
+	assert.Empty(t, starts(s.Plan(now)), "24 of 32 GiB are used, and the class takes 8")
+	assert.Equal(t, "headroom", s.Why(4).RuledOut[0].Filter)
+}
+
+func TestResumedTaskNeedsOnlyWhatItsCheckpointLacks(t *testing.T) {
+	s := New(Options{Seed: 1})
+	s.SetConfig(types.Config{CreditsEnd: epoch0.Add(3 * time.Hour)})
+	s.UpsertWorker(testWorker(1))
+	task := testTask(1, types.KindBatch, 1000)
+	task.Job.ExpectedMs = (2 * time.Hour).Milliseconds()
+	tasks := submitAll(s, task)
+	settleStarts(s, tasks, epoch0)
+	now := epoch0.Add(90 * time.Minute)
+	s.ObserveUsage(now, types.Usage{Task: 1, Epoch: 1, Worker: 1, MilliProcessors: 900, ProgressMilli: 750})
+	for _, state := range []types.TaskState{types.TaskCheckpointing, types.TaskEvicted} {
+		tasks[1].State, tasks[1].ChangedMs = state, now.UnixMilli()
+		s.UpsertTask(*tasks[1])
+	}
+	assert.Equal(t, 30*time.Minute, s.remaining(s.tasks[1]).Round(time.Minute))
+	assert.Len(t, starts(s.Plan(epoch0.Add(2*time.Hour))), 1)
+}
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -64,7 +64,7 @@
 		queue:    newQueue(),
 		learned:  map[string]*learned{},
 
-		learnedRest: &learned{expectedUse: 1},
+		learnedRest: newLearned(),
 	}
 	s.filters = defaultFilters()
 	if s.options.FirstFit {
--- a/schedule/task.go
+++ b/schedule/task.go
@@ -30,7 +30,9 @@
 	usedAt          time.Time
 	load            float64 // services: used against requested processors
 	loadPeak        float64
-	progress        int64
+	usedMemory      float64 // bytes
+	progress        int64   // last reported, in thousandths
+	savedProgress   int64   // at the last checkpoint
 	throttledAt     time.Time
 	startedAt       time.Time // of the current attempt
 	runningSince    time.Time
--- a/schedule/usage.go
+++ b/schedule/usage.go
@@ -14,6 +14,8 @@
 	maxObservations = 8192
 	// peakDecay is the part of a service's peak load that is left after a report.
 	peakDecay = 0.98
+	// loadSmoothing is the weight of a report in the load of its job.
+	loadSmoothing = 0.05
 	// crowded is the used part of a host's processors beyond which latencies say
 	// nothing about classes.
 	crowded = 0.9
@@ -49,6 +51,7 @@
 func (s *Scheduler) observeUse(t *task, taken time.Time, usage types.Usage) {
 	h := t.host
 	t.used = float64(usage.MilliProcessors)
+	t.usedMemory = float64(usage.MemoryBytes)
 	t.usedAt = taken
 	t.progress = usage.ProgressMilli
 	h.dirty = true
@@ -63,7 +66,7 @@
 		t.job.learned.addUse(t.used / float64(t.Job.Request.MilliProcessors))
 	}
 	if usage.MemoryBytes > 0 && t.Job.Request.MemoryBytes > 0 {
-		t.job.learned.memory.add(float64(usage.MemoryBytes) / float64(t.Job.Request.MemoryBytes))
+		t.job.learned.addMemory(float64(usage.MemoryBytes) / float64(t.Job.Request.MemoryBytes))
 	}
 }
 
@@ -75,6 +78,7 @@
 func (s *Scheduler) observeLatency(t *task, taken time.Time, usage types.Usage) {
 	t.load = t.used / float64(t.Job.Request.MilliProcessors)
 	t.loadPeak = max(t.load, t.loadPeak*peakDecay)
+	t.job.load += loadSmoothing * (t.load - t.job.load)
 	if len(s.observations) == maxObservations {
 		s.observations = s.observations[1:]
 	}
