Let a learner ask again when its admission was lost with a leader

Change: a member that is no voter and hears from no leader asks again. Seen failing first: TestPlansThatFailedOnce without the change.

--- a/consensus/admission.go
+++ b/consensus/admission.go
@@ -2,6 +2,11 @@
 
 import "mangohill.example/mangohill/kind"
 
+// NeedsAdmission reports whether this member must ask to be taken in (again): it
+// is no voter and hears from no leader. Its own log does not decide, since it may
+// hold an admission that was never committed.
+func (c *Core) NeedsAdmission() bool { return !c.isVoter() && c.leader == 0 }
+
 // Admit proposes to take a member in as a learner, in place of learners at its
 // address, and returns the index of the change. The index is zero if the member
 // is in already. It is refused with already_exists while a member at the same
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -21,11 +21,10 @@
 		return
 	}
 	c.electionElapsed = 0
-	if !c.isVoter() {
-		return
-	}
 	c.leader = 0
-	c.startElection()
+	if c.isVoter() {
+		c.startElection()
+	}
 }
 
 // Campaign starts an election at once, where this member is a voter.
--- a/consensus/faults_test.go
+++ b/consensus/faults_test.go
@@ -122,6 +122,12 @@
 			{"run", 4, 17, false}, {"lose disk", 4, 20, false}, {"cut", 4, 29, false}, {"run", 1, 2, true},
 			{"rate", 0, 12, true}, {"run", 1, 2, false},
 		}},
+		"a learner holds its own admission, which was never committed": {5, faults{loss: 0.2, duplicate: 0.1, delay: 1}, 0x47, []action{
+			{"run", 0, 8, false}, {"crash", 4, 13, true}, {"run", 0, 5, false}, {"run", 4, 4, false}, {"run", 2, 3, false},
+			{"run", 3, 38, true}, {"start", 0, 10, false}, {"run", 3, 2, false}, {"hand over", 1, 38, true},
+			{"crash", 4, 26, true}, {"run", 3, 3, false}, {"lose disk", 2, 2, true}, {"crash at write", 3, 2, true},
+			{"start", 2, 13, true}, {"crash at write", 0, 23, false},
+		}},
 	}
 	for name, plan := range plans {
 		assert.Empty(t, follow(newSim(plan.seed, plan.size, plan.faults), plan.actions), name)
--- a/consensus/sim_test.go
+++ b/consensus/sim_test.go
@@ -245,9 +245,9 @@
 	h.settle()
 }
 
-// askToJoin asks a leader for admission while no known membership has this host.
+// askToJoin asks a leader for admission where that is due.
 func (h *host) askToJoin() {
-	if _, ok := h.core.Membership().Find(h.id); ok || h.sim.now%5 != 0 {
+	if !h.core.NeedsAdmission() || h.sim.now%5 != 0 {
 		return
 	}
 	for _, leader := range h.sim.hosts {
--- a/replica/members.go
+++ b/replica/members.go
@@ -24,13 +24,9 @@
 	l.askAgain()
 }
 
-// askAgain repeats the request for admission of a member that no membership it
-// knows contains: its admission was lost with a leader.
+// askAgain repeats the request for admission where it is due.
 func (l *loop) askAgain() {
-	if _, ok := l.core.Membership().Find(l.identity.Member); ok || l.core.Status().Leader != 0 {
-		return
-	}
-	if l.ticks%uint64(2*l.replica.options.ElectionTicks) != 0 {
+	if !l.core.NeedsAdmission() || l.ticks%uint64(2*l.replica.options.ElectionTicks) != 0 {
 		return
 	}
 	l.replica.group.Add(1)
