--- a/clusterconfig/parse.go
+++ b/clusterconfig/parse.go
@@ -62,6 +62,12 @@
 	return config
 }
 
+// DefaultObjective returns the objective of a service that the configuration
+// does not list.
+func DefaultObjective() types.Objective {
+	return types.Objective{P99: DefaultObjectiveP99, Success: DefaultSuccess}
+}
+
 func faultError(faults []yamltree.Fault) error {
 	lines := make([]string, 0, len(faults))
 	for _, fault := range faults {
@@ -83,25 +89,32 @@
 		Entry:    readEntry(root.Map("entry")),
 	}
 	config.CreditsEnd = readTime(root, "credits_end")
-	root.Close("services", "weights", "teams", "credits_end", "leases", "entry")
+	root.Close(topKeys...)
 	return config
 }
 
 func readServices(m *yamltree.Map) map[string]types.ServiceConfig {
 	services := make(map[string]types.ServiceConfig)
 	for _, name := range m.Names() {
+		checkName(m, name)
 		services[name] = readService(m.Map(name))
 	}
 	return services
 }
 
+func checkName(m *yamltree.Map, name string) {
+	if err := types.CheckName(name); err != nil {
+		m.Reject(name, "%v", err)
+	}
+}
+
 func readService(m *yamltree.Map) types.ServiceConfig {
 	service := types.ServiceConfig{
 		Timeout:    positiveDuration(m, "timeout", DefaultServiceTimeout),
 		QueueLimit: int(m.Int("queue_limit", DefaultQueueLimit, 0, maxQueueLimit)),
 		Objective:  readObjective(m.Map("objective")),
 	}
-	m.Close("timeout", "queue_limit", "objective")
+	m.Close(serviceKeys...)
 	return service
 }
 
@@ -113,7 +126,7 @@
 	if objective.Success == 0 || objective.Success == 1 {
 		m.Reject("success", "must lie between 0 and 1, so that there is an error budget")
 	}
-	m.Close("p99", "success")
+	m.Close(objectiveKeys...)
 	return objective
 }
 
@@ -123,13 +136,17 @@
 		Evictions:   m.Float("evictions", DefaultWeight, 0, maxWeight),
 		Throughput:  m.Float("throughput", DefaultWeight, 0, maxWeight),
 	}
-	m.Close("tail_latency", "evictions", "throughput")
+	if weights == (types.Weights{}) {
+		m.Reject("tail_latency", "the weights must not all be 0")
+	}
+	m.Close(weightKeys...)
 	return weights
 }
 
 func readTeams(m *yamltree.Map) map[string]types.TeamQuota {
 	teams := make(map[string]types.TeamQuota)
 	for _, name := range m.Names() {
+		checkName(m, name)
 		teams[name] = readTeam(m.Map(name))
 	}
 	return teams
@@ -149,7 +166,7 @@
 	} else if _, err := types.ParseSize(quota.Memory); err != nil {
 		m.Reject("memory", "%v", err)
 	}
-	m.Close("processors", "memory", "accelerators")
+	m.Close(teamKeys...)
 	return quota
 }
 
@@ -167,13 +184,13 @@
 	if 2*leases.Hold >= leases.Duration {
 		m.Reject("hold", "%s must be less than half of the lease duration %s", leases.Hold, leases.Duration)
 	}
-	m.Close("duration", "hold", "usage")
+	m.Close(leaseKeys...)
 	return leases
 }
 
 func readEntry(m *yamltree.Map) types.EntryConfig {
 	entry := types.EntryConfig{StopWhenStale: m.Duration("stop_when_stale", DefaultStopWhenStale)}
-	m.Close("stop_when_stale")
+	m.Close(entryKeys...)
 	return entry
 }
 
--- a/schedule/host.go
+++ b/schedule/host.go
@@ -3,7 +3,9 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
+	"mangohill.example/mangohill/interference"
 	"mangohill.example/mangohill/types"
 )
 
@@ -13,11 +15,29 @@
 	committed types.Resources // sum of the requests of tasks
 	reserved  types.Resources // promised to tasks that wait for room
 	tasks     []*task         // bound tasks, sorted by ID
+	counted   types.Resources // part of the cluster's total
+	freed     uint64          // sequence number at which room last came up
+	history   interference.History
+
+	trials int // bound tasks that are trials
+
+	health      health
+	drainListed bool
+
+	relieve    bool      // a report came since the last plan
+	relievedAt time.Time // last step of relief
+	evictedAt  time.Time // last relief eviction
+
+	// What follows is recomputed from the tasks while dirty is set.
+	dirty     bool
+	expected  float64 // thousandths of processors, services at their peak
+	shares    interference.Shares
+	exposures []exposure
 }
 
 // accepting reports whether new tasks may start on the host.
 func (h *host) accepting() bool {
-	return h.worker.State == types.WorkerReady && !h.worker.DrainRequested
+	return h.worker.State == types.WorkerReady && !h.worker.DrainRequested && !h.health.quarantined
 }
 
 // free returns what is neither committed nor reserved.
@@ -48,9 +68,11 @@
 	t.team.used = t.team.used.Add(t.Job.Request)
 	t.bound = true
 	if h == nil {
+		s.orphans++
 		return
 	}
 	t.host = h
+	h.dirty = true
 	h.committed = h.committed.Add(t.Job.Request)
 	i, _ := slices.BinarySearchFunc(h.tasks, t, compareTasks)
 	h.tasks = slices.Insert(h.tasks, i, t)
@@ -67,9 +89,14 @@
 	s.queue.unblock()
 	h := t.host
 	if h == nil {
+		s.orphans--
 		return
 	}
 	t.host = nil
+	s.endTrial(t, h)
+	s.endGentle(t)
+	s.noteFreed(h)
+	h.dirty = true
 	h.committed = h.committed.Sub(t.Job.Request)
 	i, found := slices.BinarySearchFunc(h.tasks, t, compareTasks)
 	if found {
--- a/schedule/options.go
+++ b/schedule/options.go
@@ -1,6 +1,21 @@
 package schedule
 
-import "time"
+import (
+	"time"
+
+	"mangohill.example/mangohill/interference"
+)
+
+// Model predicts the interference between the neighbours on a host. It is
+// interference.Model, but for experiments.
+type Model interface {
+	Class(name string) interference.Class
+	Acquire(victim string) interference.VictimID
+	Release(interference.VictimID)
+	Observe(taken time.Time, id interference.VictimID, load float64, shares *interference.Shares, logLatency float64)
+	Baseline(id interference.VictimID, load float64) (mean, variance float64)
+	Excess(id interference.VictimID, c interference.Class, load, share float64) (mean, variance float64)
+}
 
 // Options sets up a Scheduler. Zero fields take the defaults.
 type Options struct {
@@ -8,16 +23,21 @@
 	Seed uint64
 	// MaxStarts bounds the starts of one Plan.
 	MaxStarts int
-	// MaxTrials bounds the placements that one Plan tries, failed ones included.
-	MaxTrials int
+	// MaxSearches bounds the repeated searches of all hosts in one Plan.
+	MaxSearches int
 	// AssumeFor is how long an action counts as applied without confirmation.
 	AssumeFor time.Duration
+	// Model predicts interference; the default is a new interference.Model.
+	Model Model
+	// FirstFit takes the first host with room and gives services no relief. It is
+	// the baseline of experiments.
+	FirstFit bool
 }
 
 const (
-	defaultMaxStarts = 256
-	defaultMaxTrials = 512
-	defaultAssumeFor = 30 * time.Second
+	defaultMaxStarts   = 256
+	defaultMaxSearches = 64
+	defaultAssumeFor   = 30 * time.Second
 	// enoughHosts is the number of acceptable hosts after which the search for a
 	// batch task ends.
 	enoughHosts = 64
@@ -33,11 +53,14 @@
 	if o.MaxStarts == 0 {
 		o.MaxStarts = defaultMaxStarts
 	}
-	if o.MaxTrials == 0 {
-		o.MaxTrials = defaultMaxTrials
+	if o.MaxSearches == 0 {
+		o.MaxSearches = defaultMaxSearches
 	}
 	if o.AssumeFor == 0 {
 		o.AssumeFor = defaultAssumeFor
 	}
+	if o.Model == nil {
+		o.Model = interference.NewModel()
+	}
 	return o
 }
