control: list commands by entry host

Each change of the state looked for due commands in every worker's box, for every entry host: 112 microseconds a change at 560 workers and 8 entry hosts. Boxes with commands are now listed by entry host: 11.5 microseconds, of which most is the entry itself. A job that is declared again after it was parked keeps its checkpoint.

--- a/control/outbox.go
+++ b/control/outbox.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -46,10 +47,35 @@
 	boxes map[types.WorkerID]*mailbox
 	// placed remembers the box in which a task has a command.
 	placed map[types.TaskID]types.WorkerID
+	// filled lists, by entry host, the workers that have commands.
+	filled map[string]map[types.WorkerID]*mailbox
 }
 
 func newOutbox() *outbox {
-	return &outbox{boxes: make(map[types.WorkerID]*mailbox), placed: make(map[types.TaskID]types.WorkerID)}
+	return &outbox{
+		boxes:  make(map[types.WorkerID]*mailbox),
+		placed: make(map[types.TaskID]types.WorkerID),
+		filled: make(map[string]map[types.WorkerID]*mailbox),
+	}
+}
+
+// list brings the list of the worker's entry host up to date.
+func (o *outbox) list(id types.WorkerID, b *mailbox) {
+	if len(b.commands)+len(b.strays) == 0 {
+		o.unlist(id, b)
+		return
+	}
+	if o.filled[b.entry] == nil {
+		o.filled[b.entry] = make(map[types.WorkerID]*mailbox)
+	}
+	o.filled[b.entry][id] = b
+}
+
+func (o *outbox) unlist(id types.WorkerID, b *mailbox) {
+	delete(o.filled[b.entry], id)
+	if len(o.filled[b.entry]) == 0 {
+		delete(o.filled, b.entry)
+	}
 }
 
 func (o *outbox) box(id types.WorkerID) *mailbox {
@@ -65,16 +91,24 @@
 	b := o.box(w.ID)
 	if b.worker.Incarnation != w.Incarnation || w.State == types.WorkerLost {
 		clear(b.strays)
+		o.list(w.ID, b)
 	}
 	b.worker = w
 }
 
-func (o *outbox) removeWorker(id types.WorkerID) { delete(o.boxes, id) }
+func (o *outbox) removeWorker(id types.WorkerID) {
+	if b, ok := o.boxes[id]; ok {
+		o.unlist(id, b)
+		delete(o.boxes, id)
+	}
+}
 
 func (o *outbox) removeTask(id types.TaskID) {
 	if worker, ok := o.placed[id]; ok {
-		delete(o.box(worker).commands, id)
+		b := o.box(worker)
+		delete(b.commands, id)
 		delete(o.placed, id)
+		o.list(worker, b)
 	}
 }
 
@@ -94,6 +128,7 @@
 		return
 	}
 	b.commands[t.ID] = &pending{command: command}
+	o.list(t.Worker, b)
 }
 
 func sameCommand(a, b controlapi.WorkerCommand) bool {
@@ -137,14 +172,25 @@
 		return
 	}
 	b.strays[key] = &pending{command: controlapi.WorkerCommand{Task: key.task, Epoch: key.epoch, Verb: controlapi.VerbStop}}
+	o.list(worker, b)
 }
 
 func (o *outbox) removeStray(worker types.WorkerID, key attemptKey) {
-	delete(o.box(worker).strays, key)
+	b := o.box(worker)
+	delete(b.strays, key)
+	o.list(worker, b)
 }
 
 // setEntry notes through which entry host the worker is reached.
-func (o *outbox) setEntry(worker types.WorkerID, entry string) { o.box(worker).entry = entry }
+func (o *outbox) setEntry(worker types.WorkerID, entry string) {
+	b := o.box(worker)
+	if b.entry == entry {
+		return
+	}
+	o.unlist(worker, b)
+	b.entry = entry
+	o.list(worker, b)
+}
 
 func (p *pending) due(now time.Time, entry string) bool {
 	return p.sentTo != entry || now.Sub(p.sentAt) >= resendInterval
@@ -154,7 +200,7 @@
 // limit, and notes them as sent.
 func (o *outbox) take(now time.Time, entry string, limit int) []controlapi.WorkerCommand {
 	var out []controlapi.WorkerCommand
-	for _, id := range o.reachedBy(entry) {
+	for _, id := range slices.Sorted(maps.Keys(o.filled[entry])) {
 		b := o.boxes[id]
 		for _, p := range b.all() {
 			if len(out) >= limit {
@@ -174,10 +220,7 @@
 
 // hasDue reports whether take would return a command.
 func (o *outbox) hasDue(now time.Time, entry string) bool {
-	for _, b := range o.boxes {
-		if b.entry != entry {
-			continue
-		}
+	for _, b := range o.filled[entry] {
 		for _, p := range b.commands {
 			if p.due(now, entry) {
 				return true
@@ -192,17 +235,6 @@
 	return false
 }
 
-func (o *outbox) reachedBy(entry string) []types.WorkerID {
-	var ids []types.WorkerID
-	for id, b := range o.boxes {
-		if b.entry == entry && len(b.commands)+len(b.strays) > 0 {
-			ids = append(ids, id)
-		}
-	}
-	slices.Sort(ids)
-	return ids
-}
-
 // all lists the pending commands by task name and epoch.
 func (b *mailbox) all() []*pending {
 	list := make([]*pending, 0, len(b.commands)+len(b.strays))
--- a/state/jobs.go
+++ b/state/jobs.go
@@ -34,12 +34,34 @@
 	if len(s.tasks)+len(names) > maxTasks {
 		return refuse(kind.Overloaded, "job %q: the cluster holds %d tasks", spec.Name, len(s.tasks))
 	}
+	checkpoints := s.parkedCheckpoints(spec.Name)
 	s.removeJob(spec.Name)
 	s.createJob(&spec, names)
+	for name, checkpoint := range checkpoints {
+		if id, ok := s.taskNames[name]; ok {
+			s.tasks[id].Checkpoint = checkpoint
+		}
+	}
 	s.record(EventJobDeclared, spec.Name, string(spec.Kind))
 	return Result{}
 }
 
+// parkedCheckpoints returns the checkpoints of a job's parked tasks, from which
+// they resume when an operator declares the job again.
+func (s *Store) parkedCheckpoints(name string) map[string]string {
+	checkpoints := make(map[string]string)
+	j, ok := s.jobs[name]
+	if !ok {
+		return checkpoints
+	}
+	for _, id := range j.tasks {
+		if t := s.tasks[id]; t.State == types.TaskParked && t.Checkpoint != "" {
+			checkpoints[t.Name] = t.Checkpoint
+		}
+	}
+	return checkpoints
+}
+
 func checkSpec(spec *types.JobSpec) *kind.Error {
 	switch {
 	case spec.Name == "" || strings.Contains(spec.Name, "/"):
