--- a/control/replica_test.go
+++ b/control/replica_test.go
@@ -20,6 +20,8 @@
 	leadership chan Leadership
 	// lose decides on each proposal: drop it, or apply it and lose the answer.
 	lose func() (drop, loseAnswer bool)
+	// now is the clock of the quorum contact, nil for time.Now.
+	now func() time.Time
 	// bytes counts the encoded entries.
 	bytes   int
 	entries int
@@ -65,4 +67,9 @@
 
 func (r *soleReplica) Leadership() <-chan Leadership { return r.leadership }
 
-func (r *soleReplica) QuorumContact() time.Time { return time.Now() }
+func (r *soleReplica) QuorumContact() time.Time {
+	if r.now != nil {
+		return r.now()
+	}
+	return time.Now()
+}
