--- a/state/jobs.go
+++ b/state/jobs.go
@@ -13,6 +13,8 @@
 	maxEndedTasks = 4096
 	// maxReplicas bounds the replicas of a service.
 	maxReplicas = 4096
+	// maxAmount bounds each dimension of a request or capacity: 1 PiB of memory.
+	maxAmount = 1 << 50
 	// maxTasks bounds the tasks of the cluster, ended ones included.
 	maxTasks = 100_000
 )
@@ -68,7 +70,7 @@
 		return kind.Errorf(kind.BadRequest, "job name %q is empty or holds a slash", spec.Name)
 	case spec.Kind != types.KindService && spec.Kind != types.KindBatch && spec.Kind != types.KindWatcher:
 		return kind.Errorf(kind.BadRequest, "job %q: kind %q is not known", spec.Name, spec.Kind)
-	case spec.Request.IsNegative() || spec.Request.MilliProcessors == 0:
+	case !plausible(spec.Request) || spec.Request.MilliProcessors == 0:
 		return kind.Errorf(kind.BadRequest, "job %q: requested resources %+v", spec.Name, spec.Request)
 	case spec.Replicas < 1 || spec.Replicas > maxReplicas:
 		return kind.Errorf(kind.BadRequest, "job %q: %d replicas are not between 1 and %d", spec.Name, spec.Replicas, maxReplicas)
@@ -87,6 +89,13 @@
 	return names
 }
 
+// plausible reports whether an amount is neither negative nor so large that sums
+// of amounts overflow.
+func plausible(r types.Resources) bool {
+	largest := types.Resources{MilliProcessors: maxAmount, MemoryBytes: maxAmount, Accelerators: maxAmount}
+	return !r.IsNegative() && r.Fits(largest)
+}
+
 // replicaName returns the name of a replica. Job names hold no slash, so it never
 // meets the name of another job's task.
 func replicaName(job string, ordinal int) string { return fmt.Sprintf("%s/%d", job, ordinal) }
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -164,6 +164,9 @@
 	if err := decMode.Unmarshal(rest, &body); err != nil {
 		return nil, kind.Errorf(kind.Corrupt, "snapshot: %w", err)
 	}
+	if slices.Contains(body.Outcomes, nil) {
+		return nil, kind.Errorf(kind.Corrupt, "snapshot: an outcome of a command is missing")
+	}
 	return &body, nil
 }
 
@@ -172,7 +175,9 @@
 	s.nextTask, s.nextWorker, s.epochFloor = body.NextTask, body.NextWorker, body.EpochFloor
 	s.ended = body.Ended
 	s.configVersion, s.configText = body.ConfigVersion, body.ConfigText
-	s.leasesMs = body.LeasesMs
+	if len(body.LeasesMs) > 0 {
+		s.leasesMs = body.LeasesMs
+	}
 	s.events.list = body.Events
 	for _, w := range body.Workers {
 		s.workers[w.ID] = &worker{Worker: w}
@@ -185,6 +190,9 @@
 	}
 	s.loadClaims(body)
 	s.loadCommands(body)
+	if err := s.Check(); err != nil {
+		return kind.Errorf(kind.Corrupt, "snapshot: %w", err)
+	}
 	return nil
 }
 
@@ -204,8 +212,8 @@
 			continue
 		}
 		w, ok := s.workers[t.Worker]
-		if !ok {
-			return kind.Errorf(kind.Corrupt, "snapshot: task %q is on worker %d, which is missing", t.Name, t.Worker)
+		if !ok || !t.State.Placed() {
+			return kind.Errorf(kind.Corrupt, "snapshot: task %q is %s on worker %d, which cannot be", t.Name, t.State, t.Worker)
 		}
 		s.place(t, w)
 	}
--- a/state/workers.go
+++ b/state/workers.go
@@ -11,7 +11,7 @@
 const maxWorkers = 4096
 
 func (op Register) apply(s *Store) Result {
-	if op.Worker == "" || op.Capacity.IsNegative() {
+	if op.Worker == "" || !plausible(op.Capacity) {
 		return refuse(kind.BadRequest, "worker %q: capacity %+v", op.Worker, op.Capacity)
 	}
 	w, ok := s.workers[s.workerNames[op.Worker]]
