--- a/schedule/scenario_test.go
+++ b/schedule/scenario_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"mangohill.example/mangohill/kind"
 	"mangohill.example/mangohill/types"
 )
 
@@ -75,6 +76,11 @@
 	assert.Equal(t, types.TaskID(1), actions[0].(Replace).Task)
 	assert.Equal(t, types.TaskID(2), actions[1].(Checkpoint).Task)
 
+	s.Rejected(actions[0], kind.Errorf(kind.NoQuorum, "no leader"))
+	again := s.Plan(now)
+	require.Len(t, again, 1, "a refusal that may pass does not stop the service")
+	assert.IsType(t, Replace{}, again[0])
+
 	replacement := testTask(3, types.KindService, 1000)
 	replacement.Job = tasks[1].Job
 	replacement.Replaces = 1
@@ -149,6 +155,37 @@
 	assert.Len(t, starts(s.Plan(epoch0)), 6, "what the headroom of one worker allows")
 }
 
+func TestLargeTaskIsNotStarvedBySmallOnes(t *testing.T) {
+	s := New(Options{Seed: 1})
+	s.UpsertWorker(testWorker(1))
+	tasks := map[types.TaskID]*types.Task{}
+	submit := func(milli int64, now time.Time) {
+		task := testTask(len(tasks)+1, types.KindBatch, milli)
+		task.SubmittedMs, task.ChangedMs = now.UnixMilli(), now.UnixMilli()
+		tasks[task.ID] = &task
+		s.UpsertTask(task)
+	}
+	for i := range 6 {
+		submit(1000, epoch0.Add(time.Duration(i)*time.Millisecond))
+	}
+	settleStarts(s, tasks, epoch0)
+	submit(6000, epoch0)
+	large := tasks[7]
+	for i := 1; large.State == types.TaskWaiting && i < 60; i++ {
+		now := epoch0.Add(time.Duration(i) * time.Minute)
+		submit(1000, now)
+		for id := range types.TaskID(len(tasks)) {
+			task := tasks[id+1]
+			if task.State == types.TaskRunning && now.UnixMilli()-task.ChangedMs >= 5*60_000+int64(task.ID%6)*60_000 {
+				task.State, task.Worker, task.ChangedMs = types.TaskFinished, 0, now.UnixMilli()
+				s.UpsertTask(*task)
+			}
+		}
+		settleStarts(s, tasks, now)
+	}
+	assert.Equal(t, types.TaskRunning, large.State)
+}
+
 func TestReplicasSpreadOverDomainsAndRacks(t *testing.T) {
 	s := New(Options{Seed: 1})
 	for i := range 64 {
@@ -172,3 +209,33 @@
 		assert.LessOrEqual(t, n, 2, fmt.Sprint("rack ", rack))
 	}
 }
+
+func TestNewLeaderKnowsWhatRanBefore(t *testing.T) {
+	s := New(Options{Seed: 1})
+	throttled := testTask(1, types.KindBatch, 2000)
+	throttled.State, throttled.Worker, throttled.Epoch, throttled.ShareMilli = types.TaskThrottled, 1, 4, 500
+	throttled.ChangedMs = epoch0.UnixMilli()
+	s.UpsertTask(throttled)
+	s.UpsertWorker(testWorker(1))
+	assert.Equal(t, throttled.Job.Request, s.hostByID[1].committed, "a task that was fed before its worker counts")
+	s.UpsertTask(testTask(2, types.KindBatch, 6001))
+	assert.Empty(t, starts(s.Plan(epoch0.Add(time.Hour))))
+	assert.InDelta(t, 2*(moveCost+checkpointRisk*3600), s.loss(s.tasks[1]), 1)
+}
+
+func TestUnknownClassIsTriedAloneBesideAService(t *testing.T) {
+	s := New(Options{Seed: 1})
+	s.UpsertWorker(testWorker(1))
+	tasks := submitAll(s, testTask(1, types.KindService, 1000))
+	settleStarts(s, tasks, epoch0)
+	for id := 2; id <= 4; id++ {
+		unknown := testTask(id, types.KindBatch, 1500)
+		unknown.Job.Class = "unknown"
+		tasks[unknown.ID] = &unknown
+		s.UpsertTask(unknown)
+	}
+	assert.Len(t, starts(settleStarts(s, tasks, epoch0)), 1)
+	why := s.Why(4)
+	require.NotEmpty(t, why.RuledOut)
+	assert.Equal(t, "interference", why.RuledOut[0].Filter)
+}
