Keep no slot free while every target looks slow

Cause: if each target held one long request, all counted as slow, and requests waited for ordinary slots that did not exist, beside free ones. Change: a slow target is passed over only for the sake of ordinary ones. The sums behind the reference are kept up, not made anew for each request.

--- a/route/admit.go
+++ b/route/admit.go
@@ -29,21 +29,10 @@
 // expectedWait returns the time in seconds that a request joining the queue is
 // expected to wait.
 func (p *Pool) expectedWait() float64 {
-	slots := p.slots()
-	if slots == 0 {
+	if p.slots == 0 {
 		return 0
 	}
-	return float64(p.queue.len()) * p.service.mean / float64(slots)
-}
-
-func (p *Pool) slots() int {
-	total := 0
-	for _, t := range p.targets {
-		if t.Ready {
-			total += t.Share
-		}
-	}
-	return total
+	return float64(p.queue.len()) * p.service.mean / float64(p.slots)
 }
 
 func (p *Pool) refuse(r Request, reason Reason) Decision {
--- a/route/estimate.go
+++ b/route/estimate.go
@@ -16,6 +16,8 @@
 	// longestSample bounds a sample, in means: service times have a long tail, and
 	// a single one of them must not make a target count as slow.
 	longestSample = 4
+	// shortestMean bounds an estimate from below, in seconds.
+	shortestMean = 1e-6
 )
 
 func (e *estimate) add(d time.Duration) {
@@ -25,7 +27,7 @@
 	if e.mean > 0 {
 		sample = min(sample, longestSample*e.mean)
 	}
-	e.mean += weight * (sample - e.mean)
+	e.mean = max(e.mean+weight*(sample-e.mean), shortestMean)
 }
 
 // Verdict is what a send showed about its target.
@@ -77,12 +79,30 @@
 	switch v {
 	case Answered:
 		t.health.succeed()
-		t.service.add(took)
-		p.service.add(took)
+		p.learnTime(t, took)
 	case Failed:
 		t.health.fail(now)
 	case Refused:
 		t.health.until = now.Add(refusalPause)
 	case Abandoned:
 	}
+	if t.health.until.After(p.ejectedUntil) {
+		p.ejectedUntil = t.health.until
+	}
+}
+
+// recountAfter is the number of changes after which the sums are made anew, so
+// that rounding errors do not add up.
+const recountAfter = 1024
+
+func (p *Pool) learnTime(t *target, took time.Duration) {
+	before := t.rate()
+	t.service.add(took)
+	p.service.add(took)
+	if t.Ready {
+		p.rate += t.rate() - before
+	}
+	if p.learnt++; p.learnt >= recountAfter {
+		p.recount()
+	}
 }
--- a/route/pick.go
+++ b/route/pick.go
@@ -24,42 +24,75 @@
 // pick returns the target with a free slot that is expected to answer first, or
 // nil if waiting for a faster one is expected to end sooner.
 func (p *Pool) pick(now time.Time, r Request, queued int) *target {
-	avoid := r.Avoid
-	if len(avoid) > 0 && !p.readyBeside(avoid) {
-		avoid = nil
-	}
-	ignoreEjection := p.belowFloor(now)
-	reference := p.reference()
-	var best, slow *target
-	ties := 0
+	s := scan{pool: p, now: now, avoid: r.Avoid, limit: slowFactor * p.reference()}
+	if len(s.avoid) > 0 && !p.readyBeside(s.avoid) {
+		s.avoid = nil
+	}
+	s.ignoreEjection = now.Before(p.ejectedUntil) && p.belowFloor(now)
 	for _, t := range p.targets {
-		if !t.usable(now, ignoreEjection) || slices.Contains(avoid, t.Name) {
-			continue
-		}
-		expected := t.expected(now)
-		if expected > slowFactor*reference && now.Sub(t.lastSend) < probeInterval {
-			if slow == nil || expected < slow.expected(now) {
-				slow = t
-			}
-			continue
-		}
-		switch c := compareLoad(t, best); {
-		case c < 0:
-			best, ties = t, 1
-		case c == 0:
-			ties++
-			if p.random.IntN(ties) == 0 {
-				best = t
-			}
-		}
+		s.see(t)
 	}
-	if best != nil || slow == nil {
-		return best
+	if s.best != nil || s.slow == nil || s.ordinary == 0 {
+		return s.choice()
 	}
-	if p.waitFor(reference, queued) < slow.expected(now)-reference {
+	wait := float64(queued+1) * p.reference() / float64(s.ordinary)
+	if wait < s.slow.expected(now)-p.reference() {
 		return nil
 	}
-	return slow
+	return s.slow
+}
+
+// scan is one look at all targets.
+type scan struct {
+	pool           *Pool
+	now            time.Time
+	avoid          []string
+	limit          float64 // the expected time from which a target counts as slow
+	ignoreEjection bool
+	best, slow     *target
+	ties           int
+	ordinary       int // the slots, free or not, of targets that are not slow
+}
+
+func (s *scan) choice() *target {
+	if s.best != nil {
+		return s.best
+	}
+	return s.slow
+}
+
+func (s *scan) see(t *target) {
+	if !t.Ready || t.Share == 0 || !s.ignoreEjection && s.now.Before(t.health.until) {
+		return
+	}
+	isSlow := t.expected(s.now) > s.limit
+	if !isSlow {
+		s.ordinary += t.Share
+	}
+	if t.inFlight >= t.Share || slices.Contains(s.avoid, t.Name) {
+		return
+	}
+	if isSlow && s.now.Sub(t.lastSend) < probeInterval {
+		if s.slow == nil || t.expected(s.now) < s.slow.expected(s.now) {
+			s.slow = t
+		}
+		return
+	}
+	s.compare(t)
+}
+
+// compare keeps the target with the smaller share in use, at random among equal
+// ones.
+func (s *scan) compare(t *target) {
+	switch c := compareLoad(t, s.best); {
+	case c < 0:
+		s.best, s.ties = t, 1
+	case c == 0:
+		s.ties++
+		if s.pool.random.IntN(s.ties) == 0 {
+			s.best = t
+		}
+	}
 }
 
 // readyBeside reports whether a target that is not in avoid is ready.
@@ -115,35 +148,38 @@
 // reference returns the service time in seconds of an ordinary target: the mean
 // weighted by rate, in which slow targets count little.
 func (p *Pool) reference() float64 {
-	rate, slots := 0.0, 0
-	for _, t := range p.targets {
-		if !t.Ready || t.Share == 0 || t.service.mean <= 0 {
-			continue
-		}
-		rate += float64(t.Share) / t.service.mean
-		slots += t.Share
-	}
-	if rate == 0 {
+	if p.rate <= 0 {
 		return p.service.mean
 	}
-	return float64(slots) / rate
+	return float64(p.slots) / p.rate
 }
 
-// waitFor returns the expected time in seconds until a slot of an ordinary
-// target frees for the request behind queued others.
-func (p *Pool) waitFor(reference float64, queued int) float64 {
-	slots := 0
+// recount sums the slots and rates of the ready targets anew.
+func (p *Pool) recount() {
+	p.slots, p.rate, p.learnt = 0, 0, 0
 	for _, t := range p.targets {
-		if t.Ready && t.service.mean <= slowFactor*reference {
-			slots += t.Share
+		if t.Ready {
+			p.slots += t.Share
+			p.rate += t.rate()
 		}
 	}
-	if slots == 0 {
-		return 1e9
+}
+
+// rate returns the requests a second that the share of a target can serve.
+func (t *target) rate() float64 { return float64(t.Share) / t.service.mean }
+
+// waitFor returns the expected time in seconds until a slot frees for the
+// request behind queued others.
+func (p *Pool) waitFor(reference float64, queued int) float64 {
+	if p.slots == 0 {
+		return noSlotWait
 	}
-	return float64(queued+1) * reference / float64(slots)
+	return float64(queued+1) * reference / float64(p.slots)
 }
 
+// noSlotWait is the wait in seconds at a host that may use no slot.
+const noSlotWait = 1e9
+
 // hasTarget reports whether a request could be placed at all, now or later.
 func (p *Pool) hasTarget(hopped bool) bool {
 	for _, t := range p.targets {
--- a/route/pool.go
+++ b/route/pool.go
@@ -95,6 +95,13 @@
 	peers   []*peer
 	queue   *fairQueue
 	service estimate
+	// slots and rate are the sums over the ready targets, kept up by learn and
+	// summed anew after learnt changes.
+	slots  int
+	rate   float64
+	learnt int
+	// ejectedUntil is the end of the latest ejection.
+	ejectedUntil time.Time
 }
 
 type target struct {
@@ -144,13 +151,13 @@
 func (p *Pool) SetTarget(now time.Time, t Target) []Decision {
 	known, ok := p.byName[t.Name]
 	if !ok {
-		known = &target{service: estimate{mean: p.service.mean}}
+		known = &target{Target: t, service: estimate{mean: p.service.mean}}
 		p.byName[t.Name] = known
 		p.targets = append(p.targets, known)
 		sort.Slice(p.targets, func(i, j int) bool { return p.targets[i].Name < p.targets[j].Name })
 	}
 	known.Target = t
-	sort.Slice(p.targets, func(i, j int) bool { return p.targets[i].Name < p.targets[j].Name })
+	p.recount()
 	return p.dispatch(now, nil)
 }
 
@@ -168,6 +175,7 @@
 			break
 		}
 	}
+	p.recount()
 	return p.dispatch(now, nil)
 }
 
