Send each heartbeat to three peers, and refreshes half as often

Cause: docs/CAPACITY.md counts 12.3 KB/s of heartbeats for an entry host, both directions, out of 13 KB/s for all control; refreshes of targets cost a call a second to each of 7 peers beside it. Change: a heartbeat goes to 3 peers in turn and reaches the others as hearsay in theirs; suspicion after 4 and death after 6 intervals; the first heartbeats and the last go to all. Refreshes every 2 s, silence of a target after 6 s.

--- a/internal/callload/config.go
+++ b/internal/callload/config.go
@@ -98,11 +98,11 @@
 	}},
 	{"waves", func(c *Config) { c.Wave, c.WaveDepth = time.Second/2, 0.25 }},
 	{"entry host lost", func(c *Config) { c.LoseEntryAt = c.Warmup + c.Duration/4 }},
-	{"after the loss", func(c *Config) { c.LoseEntryAt = c.Warmup / 100; c.Warmup += 2500 * time.Millisecond }},
+	{"after the loss", func(c *Config) { c.LoseEntryAt = c.Warmup / 100; c.Warmup += 3 * time.Second }},
 	{"skew, slow and lost", func(c *Config) {
 		c.Skew, c.SlowShare, c.SlowFactor = 2, 0.1, 4
 		c.LoseEntryAt = c.Warmup / 100
-		c.Warmup += 2500 * time.Millisecond
+		c.Warmup += 3 * time.Second
 	}},
 }
 
--- a/internal/callload/pooled.go
+++ b/internal/callload/pooled.go
@@ -20,6 +20,7 @@
 	shares  [][]int
 	pending [][]int
 	settled bool
+	round   int
 }
 
 func newWay(r *run) way {
@@ -202,17 +203,16 @@
 	if w.config.Way == MovedShares {
 		w.moveShares()
 	}
+	w.round++
 	for from, pool := range w.pools {
 		if int32(from) == w.lost {
 			continue
 		}
 		load := pool.Load(now)
-		for to := range w.pools {
-			if to == from || int32(to) == w.lost {
-				continue
-			}
+		for i := range fanout {
+			to := (from + 1 + (w.round*fanout+i)%(len(w.pools)-1)) % len(w.pools)
 			w.message(heartbeatBytes)
-			if w.borrows() {
+			if w.borrows() && int32(to) != w.lost {
 				w.perform(int32(to), w.pools[to].SetPeer(now, w.names[from], load))
 			}
 		}
--- a/internal/callload/run.go
+++ b/internal/callload/run.go
@@ -95,14 +95,17 @@
 const (
 	tickInterval = 50 * time.Millisecond
 	// detectAfter is the time after which a lost entry host is known as dead.
-	detectAfter = 1250 * time.Millisecond
+	detectAfter = 1900 * time.Millisecond
 	// settle is the time until its slots are taken over.
 	settle = time.Second
 	// balancerAfter is the time for which the balancer still sends to it.
 	balancerAfter = 100 * time.Millisecond
+	// fanout is the number of peers that get each heartbeat, as in package
+	// membership.
+	fanout = 3
 	// heartbeatBytes is the size of a heartbeat on the wire, with UDP and IP
 	// headers.
-	heartbeatBytes = 250
+	heartbeatBytes = 220
 )
 
 func (r *run) handle(ev event) {
--- a/membership/core.go
+++ b/membership/core.go
@@ -78,10 +78,40 @@
 // Default times of a Core.
 const (
 	DefaultInterval     = 250 * time.Millisecond
-	DefaultSuspectAfter = 3 * DefaultInterval
-	DefaultDeadAfter    = 5 * DefaultInterval
+	DefaultSuspectAfter = suspectIntervals * DefaultInterval
+	DefaultDeadAfter    = deadIntervals * DefaultInterval
+	// suspectIntervals and deadIntervals are the numbers of heartbeat intervals
+	// without news of a member after which it is suspected and taken for dead.
+	suspectIntervals = 4
+	deadIntervals    = 6
+	// fanout is the number of peers that get each heartbeat. The others learn of
+	// it from them, so that the bytes of a host grow with fanout and not with the
+	// number of its peers.
+	fanout = 3
 )
 
+// recipients returns the indexes of the peers, out of count, that get the
+// heartbeat of a round: fanout of them in turn.
+func recipients(count int, round uint64) []int {
+	if count <= fanout {
+		return all(count)
+	}
+	first := int(round % uint64(count) * fanout % uint64(count))
+	out := make([]int, 0, fanout)
+	for i := range fanout {
+		out = append(out, (first+i)%count)
+	}
+	return out
+}
+
+func all(count int) []int {
+	out := make([]int, count)
+	for i := range out {
+		out[i] = i
+	}
+	return out
+}
+
 // NewCore returns a Core that knows no peer.
 func NewCore(options CoreOptions) *Core {
 	if options.SuspectAfter == 0 {
--- a/membership/driver.go
+++ b/membership/driver.go
@@ -97,8 +97,8 @@
 			Name: options.Name, Peers: options.Peers, Callers: options.Callers,
 			Beat: FirstBeat(options.Incarnation), Token: options.Token,
 		},
-		SuspectAfter: 3 * options.Interval,
-		DeadAfter:    5 * options.Interval,
+		SuspectAfter: suspectIntervals * options.Interval,
+		DeadAfter:    deadIntervals * options.Interval,
 	})
 	d.wait.Add(2)
 	go d.receive()
@@ -217,8 +217,8 @@
 		d.options.Logger.Error().Err(err).Msg("heartbeat not encoded")
 		return
 	}
-	for _, target := range d.targets {
-		if _, err := d.conn.WriteToUDP(data, target); err != nil {
+	for _, i := range d.recipients(h) {
+		if _, err := d.conn.WriteToUDP(data, d.targets[i]); err != nil {
 			continue // The peer misses one heartbeat.
 		}
 		count(d.options.Metrics.SentBytes, int64(len(data)))
@@ -226,6 +226,21 @@
 	}
 }
 
+// recipients returns the indexes of the addresses that get a heartbeat. The
+// first ones of a process and the last one, which says that it leaves, go to
+// all.
+func (d *Driver) recipients(h Heartbeat) []int {
+	round := h.Beat - FirstBeat(d.options.Incarnation)
+	if h.Leaving || round <= introductions {
+		return all(len(d.targets))
+	}
+	return recipients(len(d.targets), round)
+}
+
+// introductions is the number of heartbeats by which a process makes itself
+// known to all.
+const introductions = 4
+
 func count(counter *expvar.Int, delta int64) {
 	if counter != nil {
 		counter.Add(delta)
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -53,9 +53,9 @@
 // Default times of a Registry.
 const (
 	DefaultAnnounceWithin = 1500 * time.Millisecond
-	DefaultSilentAfter    = 4 * time.Second
-	DefaultSpreadTimeout  = 1800 * time.Millisecond
-	refreshInterval       = time.Second
+	DefaultSilentAfter    = 6 * time.Second
+	DefaultSpreadTimeout  = 2500 * time.Millisecond
+	refreshInterval       = 2 * time.Second
 	spreadRetryPause      = 100 * time.Millisecond
 	withdrawnKept         = 10 * time.Minute
 )
