--- a/proxy/cost_test.go
+++ b/proxy/cost_test.go
@@ -1,7 +1,6 @@
 package proxy_test
 
 import (
-	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -104,7 +103,7 @@
 		{"bytes", with.bytes - direct.bytes, without.bytes - direct.bytes},
 		{"processor ns", with.processor - direct.processor, without.processor - direct.processor},
 	} {
-		t.Log(fmt.Sprintf("%s a request: %.0f, bare %.0f, ratio %.2f", row.name, row.with, row.without, row.with/row.without))
+		t.Logf("%s a request: %.0f, bare %.0f, ratio %.2f", row.name, row.with, row.without, row.with/row.without)
 		if row.name != "processor ns" {
 			assert.Less(t, row.with/row.without, 1.5, row.name)
 		}
