Measure hedging and decide on it within a bound of slots

A second send of an idempotent request after three service times, into a slot that nobody waits for, at most one for 16 slots of the host. The copy that is not needed keeps its slot: a target cannot be made to stop.

--- a/cmd/mangohill-bench/route.go
+++ b/cmd/mangohill-bench/route.go
@@ -71,13 +71,13 @@
 func printRoute(scenario string, load float64, results []*callload.Result) error {
 	fmt.Printf("\n%s, load %.0f%%\n", scenario, load*100)
 	table := tabwriter.NewWriter(os.Stdout, 0, 8, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(table, "way\tp50 ms\tp99 ms\tp99.9 ms\tp99 ratio\tdelay p50\tdelay p99\tdelay p99.9\trefused\tlost\thops\tpeak\tgoodput/s\tmsg/s/host\tB/s/host\t")
+	fmt.Fprintln(table, "way\tp50 ms\tp99 ms\tp99.9 ms\tp99 ratio\tdelay p50\tdelay p99\tdelay p99.9\trefused\tlost\thops\thedges\tpeak\tgoodput/s\tmsg/s/host\tB/s/host\t")
 	reference := float64(results[0].Quantile(99))
 	for _, r := range results {
-		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%.3f\t%s\t%s\t%s\t%.2f%%\t%d\t%.1f%%\t%d\t%.0f\t%.0f\t%.0f\t\n",
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%.3f\t%s\t%s\t%s\t%.2f%%\t%d\t%.1f%%\t%.1f%%\t%d\t%.0f\t%.0f\t%.0f\t\n",
 			r.Config.Way, ms(r.Quantile(50)), ms(r.Quantile(99)), ms(r.Quantile(99.9)), float64(r.Quantile(99))/reference,
 			ms(r.DelayQuantile(50)), ms(r.DelayQuantile(99)), ms(r.DelayQuantile(99.9)), 100*r.RefusedShare(), r.Lost,
-			100*r.HopShare(), r.Peak, r.Goodput(), r.HostMessages(), r.HostBytes())
+			100*r.HopShare(), 100*r.HedgeShare(), r.Peak, r.Goodput(), r.HostMessages(), r.HostBytes())
 	}
 	return table.Flush()
 }
--- a/internal/callload/central.go
+++ b/internal/callload/central.go
@@ -80,10 +80,11 @@
 // nothing implements the events that a way does not use.
 type nothing struct{}
 
-func (nothing) start()         {}
-func (nothing) hop(_, _ int32) {}
-func (nothing) tick()          {}
-func (nothing) heartbeat()     {}
-func (nothing) announce()      {}
-func (nothing) lose(int32)     {}
-func (nothing) members()       {}
+func (nothing) start()             {}
+func (nothing) hop(_, _ int32)     {}
+func (nothing) tick()              {}
+func (nothing) heartbeat()         {}
+func (nothing) announce()          {}
+func (nothing) lose(int32)         {}
+func (nothing) hedge(int32, int64) {}
+func (nothing) members()           {}
--- a/internal/callload/config.go
+++ b/internal/callload/config.go
@@ -27,13 +27,18 @@
 	MovedShares Way = "shares moved by demand"
 	// Borrow is Shares, and hands a request to a peer with a free slot.
 	Borrow Way = "shares, borrow by a hop"
+	// Hedge is Borrow, and sends a second copy of a request that takes long to a
+	// free slot. Both take the time that the request asks for.
+	Hedge Way = "borrow, hedge equal work"
+	// HedgeRedraw is Hedge where the copy takes a time of its own.
+	HedgeRedraw Way = "borrow, hedge redrawn work"
 	// Owners gives all slots of a target to one host, which gets the requests of
 	// the others by a hop.
 	Owners Way = "owner hosts, hop"
 )
 
 // Ways lists all ways, the reference first.
-var Ways = []Way{Central, Random, RoundRobin, WeightedRoundRobin, TwoChoices, LeastOutstanding, Shares, MovedShares, Borrow, Owners}
+var Ways = []Way{Central, Random, RoundRobin, WeightedRoundRobin, TwoChoices, LeastOutstanding, Shares, MovedShares, Borrow, Owners, Hedge, HedgeRedraw}
 
 // Config describes a run. Times are virtual.
 type Config struct {
--- a/internal/callload/event.go
+++ b/internal/callload/event.go
@@ -13,6 +13,7 @@
 	evAnnounce
 	evLose
 	evMembers
+	evHedge
 )
 
 // event is something that happens at an instant, in nanoseconds.
@@ -22,6 +23,7 @@
 	kind  eventKind
 	entry int32
 	req   int32
+	sent  int64 // of evHedge: when the request was sent
 }
 
 // events is a binary heap by instant and order of creation.
--- a/internal/callload/pooled.go
+++ b/internal/callload/pooled.go
@@ -27,7 +27,7 @@
 	switch r.config.Way {
 	case Central:
 		return &central{run: r}
-	case Shares, MovedShares, Borrow, Owners:
+	case Shares, MovedShares, Borrow, Owners, Hedge, HedgeRedraw:
 		return newPooled(r)
 	default:
 		return newDirect(r)
@@ -53,7 +53,9 @@
 	return w
 }
 
-func (w *pooled) borrows() bool { return w.config.Way == Borrow || w.config.Way == Owners }
+func (w *pooled) borrows() bool { return w.config.Way != Shares && w.config.Way != MovedShares }
+
+func (w *pooled) hedges() bool { return w.config.Way == Hedge || w.config.Way == HedgeRedraw }
 
 func (w *pooled) start() {
 	for _, a := range w.allots {
@@ -144,6 +146,9 @@
 	case route.Wait:
 	case route.Send:
 		w.send(req, w.byName[d.Name])
+		if w.hedges() && w.requests[req].twin == 0 {
+			w.events.push(event{at: w.now + int64(w.pools[entry].HedgeAfter()), sent: w.now, kind: evHedge, req: req})
+		}
 	case route.Hop:
 		w.requests[req].hops++
 		if w.requests[req].measured {
@@ -169,6 +174,17 @@
 	}
 	name := w.targets[q.target]
 	w.perform(entry, w.pools[entry].Done(w.time(), name, epoch.Add(time.Duration(q.sent)), route.Answered))
+	q = &w.requests[req]
+	if q.hedge {
+		w.pools[entry].EndHedge()
+	}
+	if q.void {
+		w.release(req)
+		return
+	}
+	if q.twin > 0 {
+		w.requests[q.twin-1].void = true
+	}
 	if entry == q.origin {
 		w.complete(req)
 		return
--- a/internal/callload/result.go
+++ b/internal/callload/result.go
@@ -19,6 +19,8 @@
 	Lost int
 	// Hops counts the requests that were handed to a peer.
 	Hops int
+	// Hedges counts the second sends.
+	Hedges int
 	// MaxHops is the largest number of hops of one request.
 	MaxHops int
 	// Peak is the largest number of requests that a target had at a time.
@@ -57,6 +59,9 @@
 // HopShare returns the share of the offered requests that took a hop.
 func (r *Result) HopShare() float64 { return share(r.Hops, r.Offered) }
 
+// HedgeShare returns the share of the offered requests that were sent twice.
+func (r *Result) HedgeShare() float64 { return share(r.Hedges, r.Offered) }
+
 // HostBytes returns the bytes a second that one entry host sent beside the
 // requests.
 func (r *Result) HostBytes() float64 {
--- a/internal/callload/run.go
+++ b/internal/callload/run.go
@@ -19,6 +19,11 @@
 	hops     int8
 	live     bool
 	bounced  bool
+	// twin is the other copy of a hedged request, plus one; void is set for the
+	// copy that came second.
+	twin     int32
+	void     bool
+	hedge    bool
 	measured bool
 }
 
@@ -56,6 +61,7 @@
 	announce()
 	lose(entry int32)
 	members()
+	hedge(req int32, sent int64)
 }
 
 var epoch = time.Unix(0, 0)
@@ -134,6 +140,8 @@
 		r.way.lose(ev.entry)
 	case evMembers:
 		r.way.members()
+	case evHedge:
+		r.way.hedge(ev.req, ev.sent)
 	}
 }
 
@@ -161,7 +169,7 @@
 	index := r.take()
 	q := &r.requests[index]
 	*q = request{
-		arrived: r.now, deadline: r.now + int64(r.config.Timeout), service: r.lognormal(), origin: entry, entry: entry,
+		arrived: r.now, deadline: r.now + int64(r.config.Timeout), service: r.draw(r.random), origin: entry, entry: entry,
 		target: -1, live: true, measured: r.now >= int64(r.config.Warmup),
 	}
 	if q.measured {
@@ -184,11 +192,12 @@
 	return r.rate * (1 - r.config.WaveDepth)
 }
 
-// lognormal draws a service time in seconds with coefficient of variation one.
-func (r *run) lognormal() float64 {
+// draw draws a lognormal service time in seconds with coefficient of variation
+// one.
+func (r *run) draw(random *rand.Rand) float64 {
 	sigma2 := math.Ln2
 	mu := math.Log(r.config.Mean.Seconds()) - sigma2/2
-	return math.Exp(mu + math.Sqrt(sigma2)*r.random.NormFloat64())
+	return math.Exp(mu + math.Sqrt(sigma2)*random.NormFloat64())
 }
 
 // balance draws the entry host of an arrival.
--- a/route/pool.go
+++ b/route/pool.go
@@ -100,6 +100,8 @@
 	slots  int
 	rate   float64
 	learnt int
+	// hedges is the number of second sends under way.
+	hedges int
 	// ejectedUntil is the end of the latest ejection.
 	ejectedUntil time.Time
 }
