Keep the first columns of wide tables and name the ones left out

show workers has 12 columns: at 80 characters it fell apart into records of 12 lines each. Words stay whole where they can, headers break behind '_', and the last columns give way, with a line that says which.

--- a/table/table.go
+++ b/table/table.go
@@ -8,23 +8,16 @@
 	"strconv"
 	"strings"
 	"unicode"
-	"unicode/utf8"
 
 	"mangohill.example/mangohill/controlapi"
 )
 
-// Layout constants, in characters.
-const (
-	gap         = 2
-	minColumn   = 6
-	recordIdent = 2
-)
-
 // Write renders rows to w. No line is longer than width characters where that
 // can be had; a width of zero means no limit. Where space is short, columns
-// that are empty in all rows are left out, and cells that are too wide for their
-// column are wrapped, never cut. Rows whose columns cannot stand side by side are
-// written as records, one field a line.
+// that are empty in all rows are left out, cells that are too wide for their
+// column are wrapped, never cut, and the last columns that cannot stand beside
+// the others are left out and named below the table. Rows of which not even the
+// first columns fit are written as records, one field a line.
 func Write(w io.Writer, rows []controlapi.Row, width int) error {
 	var out strings.Builder
 	for _, group := range groups(rows) {
@@ -74,47 +67,55 @@
 	if len(rows[0]) == 0 {
 		return
 	}
-	natural := naturalWidths(rows)
-	if width > 0 && total(natural) > width {
+	if width > 0 && total(naturalWidths(rows)) > width {
 		rows = withoutEmptyColumns(rows)
-		natural = naturalWidths(rows)
 	}
-	widths, ok := fit(natural, width)
-	if !ok || hasLineBreak(rows) {
+	shown, widths := fitting(rows, width)
+	if widths == nil || hasLineBreak(rows) {
 		renderRecords(out, rows, width)
 		return
 	}
-	header := make([]string, 0, len(widths))
-	for _, field := range rows[0] {
-		header = append(header, field.Name)
+	renderTable(out, shown, widths)
+	if left := columnNames(rows[0])[len(widths):]; len(left) > 0 {
+		note := "columns left out: " + strings.Join(left, ", ") + " (a wider terminal or --json shows them)"
+		out.WriteString(strings.Join(wrap(note, width), "\n") + "\n")
 	}
-	right := numericColumns(rows)
-	renderLine(out, header, widths, right)
-	for _, row := range rows {
-		renderLine(out, cells(row), widths, right)
+}
+
+// fitting returns the rows with as many of their first columns as fit, and the
+// widths of these. The widths are nil if too few fit.
+func fitting(rows []controlapi.Row, width int) ([]controlapi.Row, []int) {
+	for count := len(rows[0]); count >= min(minColumns, len(rows[0])); count-- {
+		shown := firstColumns(rows, count)
+		if widths, ok := fit(naturalWidths(shown), leastWidths(shown), width); ok {
+			return shown, widths
+		}
 	}
+	return nil, nil
 }
 
-func naturalWidths(rows []controlapi.Row) []int {
-	widths := make([]int, len(rows[0]))
-	for i, field := range rows[0] {
-		widths[i] = utf8.RuneCountInString(field.Name)
+func firstColumns(rows []controlapi.Row, count int) []controlapi.Row {
+	short := make([]controlapi.Row, 0, len(rows))
+	for _, row := range rows {
+		short = append(short, row[:count])
 	}
+	return short
+}
+
+func renderTable(out *strings.Builder, rows []controlapi.Row, widths []int) {
+	right := numericColumns(rows)
+	renderLine(out, columnNames(rows[0]), widths, right)
 	for _, row := range rows {
-		for i, cell := range cells(row) {
-			widths[i] = max(widths[i], utf8.RuneCountInString(cell))
-		}
+		renderLine(out, cells(row), widths, right)
 	}
-	return widths
 }
 
-// total returns the length of a line with columns of these widths.
-func total(widths []int) int {
-	sum := gap * (len(widths) - 1)
-	for _, w := range widths {
-		sum += w
+func columnNames(row controlapi.Row) []string {
+	names := make([]string, 0, len(row))
+	for _, field := range row {
+		names = append(names, field.Name)
 	}
-	return sum
+	return names
 }
 
 // withoutEmptyColumns leaves out the columns that are empty in every row, but
@@ -140,27 +141,6 @@
 	return short
 }
 
-// fit narrows the widest columns until the line fits width. It reports false if
-// that would make columns narrower than minColumn.
-func fit(widths []int, width int) ([]int, bool) {
-	if width <= 0 {
-		return widths, true
-	}
-	for total(widths) > width {
-		widest := 0
-		for i, w := range widths {
-			if w > widths[widest] {
-				widest = i
-			}
-		}
-		if widths[widest] <= minColumn {
-			return nil, false
-		}
-		widths[widest]--
-	}
-	return widths, true
-}
-
 func numericColumns(rows []controlapi.Row) []bool {
 	right := make([]bool, len(rows[0]))
 	for i := range right {
@@ -199,36 +179,6 @@
 	}
 }
 
-func pad(text string, width int, right bool) string {
-	space := strings.Repeat(" ", max(0, width-utf8.RuneCountInString(text)))
-	if right {
-		return space + text
-	}
-	return text + space
-}
-
-// wrap breaks text into lines of at most width characters, at spaces where there
-// are some.
-func wrap(text string, width int) []string {
-	var lines []string
-	runes := []rune(text)
-	for len(runes) > width {
-		end := width
-		for i := width; i > 0; i-- {
-			if runes[i] == ' ' {
-				end = i
-				break
-			}
-		}
-		lines = append(lines, string(runes[:end]))
-		runes = runes[end:]
-		for len(runes) > 0 && runes[0] == ' ' {
-			runes = runes[1:]
-		}
-	}
-	return append(lines, string(runes))
-}
-
 func hasLineBreak(rows []controlapi.Row) bool {
 	for _, row := range rows {
 		for _, field := range row {
--- a/table/table_test.go
+++ b/table/table_test.go
@@ -33,6 +33,28 @@
 	assert.Equal(t, "task:\n  route-7\nepoch: 7\nreason:\n  none\n", out.String())
 }
 
+func TestColumnsThatDoNotFitAreNamed(t *testing.T) {
+	worker := controlapi.Row{
+		{Name: "worker", Value: "w7"}, {Name: "state", Value: "ready"}, {Name: "processors_committed", Value: 12.5},
+		{Name: "memory_committed_bytes", Value: int64(8 << 30)}, {Name: "reason", Value: "a host"},
+	}
+	var out strings.Builder
+	require.NoError(t, Write(&out, []controlapi.Row{worker}, 36))
+	assert.Equal(t, `worker  state  processors_committed
+w7      ready                  12.5
+columns left out:
+memory_committed_bytes, reason (a
+wider terminal or --json shows them)
+`, out.String())
+	out.Reset()
+	require.NoError(t, Write(&out, []controlapi.Row{worker}, 48))
+	assert.Equal(t, `worker  state  processors_       memory_  reason
+                 committed    committed_
+                                   bytes
+w7      ready         12.5    8589934592  a host
+`, out.String())
+}
+
 func TestEmptyColumnsGiveWayWhenSpaceIsShort(t *testing.T) {
 	rows := []controlapi.Row{row("route-7", "", 7)}
 	var wide, narrow strings.Builder
