--- a/replica/loop.go
+++ b/replica/loop.go
@@ -122,7 +122,7 @@
 	case meta := <-l.replica.snapshots:
 		return true, l.compact(meta)
 	case <-l.replica.applyPoke:
-	case <-l.replica.stop:
+	case <-l.replica.stopping.Done():
 		l.handOver()
 		return false, nil
 	}
@@ -196,7 +196,12 @@
 		l.calls = append(l.calls, in)
 	}
 	for _, m := range in.messages {
-		if err := l.core.Step(m); err != nil {
+		err := l.core.Step(m)
+		if kind.Is(err, kind.BadRequest) {
+			l.replica.options.Logger.Warn().Err(err).Stringer("member", m.From).Msg("message refused")
+			continue
+		}
+		if err != nil {
 			return err
 		}
 	}
@@ -228,21 +233,34 @@
 func (l *loop) settle() error {
 	for l.core.HasReady() {
 		l.noteRound()
+		l.publish()
 		ready := l.core.Ready()
+		l.send(ready, true)
 		if err := l.persist(ready); err != nil {
 			return err
 		}
-		l.publish()
-		l.send(ready.Messages)
+		l.send(ready, false)
 		l.apply(ready)
 		l.core.Advance(ready)
 	}
 	l.answerCalls()
 	l.publish()
+	l.dropReads()
 	l.flush()
 	return nil
 }
 
+// dropReads refuses the reads that wait when the leadership has ended.
+func (l *loop) dropReads() {
+	if len(l.reads) == 0 || l.core.Status().Role == consensus.Leader {
+		return
+	}
+	for id, done := range l.reads {
+		done <- outcome{err: l.core.NotLeader()}
+		delete(l.reads, id)
+	}
+}
+
 func (l *loop) persist(ready consensus.Ready) error {
 	if ready.Snapshot != nil {
 		if err := l.installSnapshot(*ready.Snapshot); err != nil {
@@ -275,8 +293,10 @@
 		l.snapshotting = false
 	}
 	for _, read := range ready.Reads {
-		task.reads = append(task.reads, readTask{index: read.Index, done: l.reads[read.ID]})
-		delete(l.reads, read.ID)
+		if done, ok := l.reads[read.ID]; ok {
+			task.reads = append(task.reads, readTask{index: read.Index, done: done})
+			delete(l.reads, read.ID)
+		}
 	}
 	if task.restore != nil || len(task.entries) > 0 || len(task.reads) > 0 {
 		l.backlog = append(l.backlog, task)
@@ -298,11 +318,11 @@
 }
 
 // send gives each message to the call that waits for it, or to the sender of its
-// receiver.
-func (l *loop) send(messages []consensus.Message) {
+// receiver: those that may go out before the sync, or the others.
+func (l *loop) send(ready consensus.Ready, early bool) {
 	l.syncSenders()
-	for _, m := range messages {
-		if l.answer(m) {
+	for _, m := range ready.Messages {
+		if ready.Early(m) != early || l.answer(m) {
 			continue
 		}
 		s := l.senders[m.To]
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -23,8 +23,10 @@
 	teams    map[string]*team
 	total    types.Resources // capacity of the hosts that accept tasks
 	queue    *queue
-	orphans  int     // bound tasks whose worker is unknown
-	assumed  []*task // tasks with an unconfirmed start, oldest first
+	sequence uint64      // counts the events that free hosts
+	freed    []freedHost // log of freed hosts, oldest first
+	orphans  int         // bound tasks whose worker is unknown
+	assumed  []*task     // tasks with an unconfirmed start, oldest first
 
 	learned      map[string]*learned
 	learnedRest  *learned // shared by the classes beyond the bound
@@ -33,9 +35,11 @@
 	suspects     []*host // hosts with failures since their last success
 	drains       []*host // draining hosts
 	replacements []*task
+	gentle       []*task // started, to be throttled when they run
 	claims       []*task // tasks with a claim, oldest first
 	budget       budget
 	trials       [interference.MaxClasses]int // running trials by class
+	gently       [interference.MaxClasses]int // attempts with a throttled start by class
 
 	filters []filter
 	scorers []scorer
@@ -74,6 +78,9 @@
 	}
 	s.weigh()
 	s.queue.unblock()
+	for _, f := range s.queue.fits {
+		f.failed = false
+	}
 }
 
 // UpsertWorker adds a worker or takes over its new state.
@@ -91,7 +98,7 @@
 	s.count(h)
 	s.listDrain(h)
 	if h.accepting() {
-		s.queue.unblock()
+		s.noteFreed(h)
 	}
 }
 
@@ -212,6 +219,7 @@
 	s.budget.resize(len(s.hosts), s.config.Weights)
 	s.learnLatencies()
 	s.relief()
+	s.keepGentle()
 	s.judge()
 	s.drain()
 	s.finishReplacements()
@@ -226,6 +234,7 @@
 func (s *Scheduler) enqueue(t *task) {
 	t.order = queueOrder(t)
 	t.notBefore = time.Time{}
+	t.gentle = 0
 	if t.Failures > 0 {
 		t.notBefore = unixMs(t.ChangedMs).Add(backoff(t.Failures))
 	}
