--- a/node/burn.go
+++ b/node/burn.go
@@ -50,3 +50,16 @@
 
 // encodedBurn answers a peer's question for the burn counts.
 func (e *Entry) encodedBurn() ([]byte, error) { return e.burn.Set(time.Now()).Encode() }
+
+// firing returns the number of lines of the report whose rule fires with the
+// given alert, by the counts of this entry host alone.
+func (e *Entry) firing(alert burn.Alert) int {
+	report := burn.NewReport(e.burn.Set(time.Now()), e.serviceConfigs(), clusterconfig.DefaultObjective())
+	count := 0
+	for _, line := range report.Alerts() {
+		if line.Alert == alert {
+			count++
+		}
+	}
+	return count
+}
--- a/node/entry_vars.go
+++ b/node/entry_vars.go
@@ -4,6 +4,7 @@
 	"expvar"
 	"time"
 
+	"mangohill.example/mangohill/burn"
 	"mangohill.example/mangohill/kind"
 	"mangohill.example/mangohill/membership"
 	"mangohill.example/mangohill/proxy"
@@ -58,6 +59,8 @@
 func (v *entryVars) entry(e *Entry) {
 	v.all.Set("ready", expvar.Func(func() any { return e.Ready() }))
 	v.all.Set("config_version", expvar.Func(func() any { return e.config.Version() }))
+	v.all.Set("burn_alerts_fast", expvar.Func(func() any { return e.firing(burn.AlertFast) }))
+	v.all.Set("burn_alerts_slow", expvar.Func(func() any { return e.firing(burn.AlertSlow) }))
 	v.all.Set("targets", expvar.Func(func() any { return len(e.targets.Targets()) }))
 	v.all.Set("workers", expvar.Func(func() any { return e.workers.Metrics().Workers }))
 	v.all.Set("syncs", expvar.Func(func() any { return e.workers.Metrics().Syncs }))
--- a/table/layout.go
+++ b/table/layout.go
@@ -11,49 +11,38 @@
 const (
 	gap         = 2
 	recordIdent = 2
-	// minColumn is the least width of a column that was narrowed, maxPiece the
+	// minColumn is the least width of a column that was narrowed, maxWord the
 	// width up to which a word is kept whole.
 	minColumn = 6
-	maxPiece  = 24
+	maxWord   = 24
 	// minColumns is the number of columns below which rows become records.
 	minColumns = 3
 )
 
-// leastWidths returns the widths below which columns would break words.
+// leastWidths returns the widths below which columns would break words. Headers
+// may break behind '_'.
 func leastWidths(rows []controlapi.Row) []int {
 	widths := make([]int, len(rows[0]))
 	for i, name := range columnNames(rows[0]) {
-		widths[i] = max(minColumn, longestPiece(name))
+		widths[i] = max(minColumn, longestWord(strings.ReplaceAll(name, "_", "_ ")))
 	}
 	for _, row := range rows {
 		for i, cell := range cells(row) {
-			widths[i] = max(widths[i], longestPiece(cell))
+			widths[i] = max(widths[i], longestWord(cell))
 		}
 	}
 	return widths
 }
 
-// longestPiece returns the length of the longest part of text that wrap keeps
-// whole, up to maxPiece.
-func longestPiece(text string) int {
-	longest, piece := 0, 0
-	for _, r := range text {
-		if r == ' ' {
-			piece = 0
-			continue
-		}
-		piece++
-		longest = max(longest, piece)
-		if isBreak(r) {
-			piece = 0
-		}
+// longestWord returns the length of the longest word of text, up to maxWord.
+func longestWord(text string) int {
+	longest := 0
+	for word := range strings.FieldsSeq(text) {
+		longest = max(longest, utf8.RuneCountInString(word))
 	}
-	return min(longest, maxPiece)
+	return min(longest, maxWord)
 }
 
-// isBreak reports whether a line may end behind r.
-func isBreak(r rune) bool { return r == '_' || r == '-' || r == '/' || r == ':' }
-
 func naturalWidths(rows []controlapi.Row) []int {
 	widths := make([]int, len(rows[0]))
 	for i, field := range rows[0] {
@@ -113,6 +102,9 @@
 	return append(lines, string(runes))
 }
 
+// isBreak reports whether a line may end behind r.
+func isBreak(r rune) bool { return r == '_' || r == '-' || r == '/' || r == ':' }
+
 // lineEnd returns where to break runes, which are longer than width.
 func lineEnd(runes []rune, width int) int {
 	for i := width; i > 0; i-- {
--- a/table/table.go
+++ b/table/table.go
@@ -71,7 +71,7 @@
 		rows = withoutEmptyColumns(rows)
 	}
 	shown, widths := fitting(rows, width)
-	if widths == nil || hasLineBreak(rows) {
+	if widths == nil || len(rows) == 1 && hasLineBreak(rows[0]) {
 		renderRecords(out, rows, width)
 		return
 	}
@@ -179,15 +179,13 @@
 	}
 }
 
-func hasLineBreak(rows []controlapi.Row) bool {
-	for _, row := range rows {
-		for _, field := range row {
-			if text, ok := field.Value.(string); ok && strings.Contains(strings.TrimSpace(text), "\n") {
-				return true
-			}
-		}
-	}
-	return false
+// hasLineBreak reports whether a value of the row has several lines, such as the
+// text of a configuration. In a table of several rows they are joined.
+func hasLineBreak(row controlapi.Row) bool {
+	return slices.ContainsFunc(row, func(field controlapi.Field) bool {
+		text, ok := field.Value.(string)
+		return ok && strings.Contains(strings.TrimSpace(text), "\n")
+	})
 }
 
 // renderRecords writes each row as lines "name: value". The lines of a value
@@ -237,7 +235,7 @@
 	case nil:
 		return ""
 	case string:
-		return Clean(strings.TrimSpace(value))
+		return Clean(strings.Join(strings.Fields(value), " "))
 	case float64:
 		return strconv.FormatFloat(value, 'f', -1, 64)
 	}
--- a/table/table_test.go
+++ b/table/table_test.go
@@ -71,6 +71,12 @@
 	assert.Equal(t, "version: 3\ntext:\n  weights:\n    evictions: 2\n", out.String())
 }
 
+func TestLineBreaksAreJoinedInATableOfSeveralRows(t *testing.T) {
+	var out strings.Builder
+	require.NoError(t, Write(&out, []controlapi.Row{row("a", "one\n  two", 1), row("b", "three", 2)}, 80))
+	assert.Equal(t, "task  epoch  reason\na         1  one two\nb         2  three\n", out.String())
+}
+
 func TestControlCharactersNeverReachTheTerminal(t *testing.T) {
 	var out strings.Builder
 	require.NoError(t, Write(&out, []controlapi.Row{row("a\x1b[2J", "b\u202e", 1)}, 0))
