--- a/internal/fake/journal.go
+++ b/internal/fake/journal.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 )
 
@@ -87,6 +88,20 @@
 	return j.live[task]
 }
 
+// LiveOn returns the number of live attempts on worker of tasks whose names begin
+// with prefix; an empty worker stands for all workers.
+func (j *Journal) LiveOn(worker, prefix string) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	count := 0
+	for task, place := range j.live {
+		if strings.HasPrefix(task, prefix) && (worker == "" || strings.HasPrefix(place, fmt.Sprintf("worker %q ", worker))) {
+			count++
+		}
+	}
+	return count
+}
+
 // Violations returns a description of every broken promise so far.
 func (j *Journal) Violations() []string {
 	j.mu.Lock()
