--- /dev/null
+++ b/consensus/repair_test.go
@@ -0,0 +1,74 @@
+package consensus_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"mangohill.example/mangohill/consensus"
+)
+
+// drain carries out all work of a core in memory and returns its messages.
+func drain(core *consensus.Core) []consensus.Message {
+	var sent []consensus.Message
+	for core.HasReady() {
+		ready := core.Ready()
+		sent = append(sent, ready.Messages...)
+		core.Advance(ready)
+	}
+	return sent
+}
+
+// snapshotsIn returns the indexes of the snapshots offered.
+func snapshotsIn(messages []consensus.Message) []uint64 {
+	var indexes []uint64
+	for _, m := range messages {
+		if m.Type == consensus.MessageSnapshot {
+			indexes = append(indexes, m.Snapshot.Index)
+		}
+	}
+	return indexes
+}
+
+// TestInstalledSnapshotIsNoticedThoughItsAnswerWasLost: the follower's next
+// answer shows that it has the snapshot, though the leader has compacted past it.
+func TestInstalledSnapshotIsNoticedThoughItsAnswerWasLost(t *testing.T) {
+	members := consensus.Membership{Members: []consensus.Member{{ID: 1, Voter: true}, {ID: 2, Voter: true}, {ID: 3, Voter: true}}}
+	core, err := consensus.New(consensus.Config{ID: 1}, consensus.Restored{
+		HardState: consensus.HardState{Term: 3},
+		Snapshot:  consensus.SnapshotMeta{Index: 10, Term: 3, Membership: members},
+	})
+	require.NoError(t, err)
+	elect(core, 4)
+	drain(core)
+	lagging := consensus.Message{From: 3, To: 1, Type: consensus.MessageAppendResponse, Term: 4, Index: 10, Reject: true}
+	require.NoError(t, core.Step(lagging))
+	assert.Equal(t, []uint64{10}, snapshotsIn(drain(core)))
+
+	require.NoError(t, core.Step(consensus.Message{From: 2, To: 1, Type: consensus.MessageAppendResponse, Term: 4, Index: 11}))
+	drain(core)
+	core.Compact(consensus.SnapshotMeta{Index: 11, Term: 4, Membership: members}, 11)
+	lagging.Index, lagging.Hint = 11, 10
+	require.NoError(t, core.Step(lagging))
+	assert.Equal(t, []uint64{11}, snapshotsIn(drain(core)))
+}
+
+// TestLearnerAsksAgainWhateverItsLogSays: the log of a learner may hold its own
+// admission without that being committed.
+func TestLearnerAsksAgainWhateverItsLogSays(t *testing.T) {
+	members := consensus.Membership{Members: []consensus.Member{{ID: 1, Voter: true}, {ID: 9}}}
+	core, err := consensus.New(consensus.Config{ID: 9}, consensus.Restored{
+		HardState: consensus.HardState{Term: 1},
+		Entries:   []consensus.Entry{{Index: 1, Term: 1, Type: consensus.EntryMembership, Data: members.Encode()}},
+	})
+	require.NoError(t, err)
+	heartbeat := consensus.Message{From: 1, To: 9, Type: consensus.MessageAppend, Term: 1, Index: 1, LogTerm: 1}
+	require.NoError(t, core.Step(heartbeat))
+	assert.False(t, core.NeedsAdmission())
+	for range 2 * consensus.DefaultElectionTicks {
+		core.Tick()
+	}
+	assert.True(t, core.NeedsAdmission())
+	assert.Equal(t, consensus.Follower, core.Status().Role, "a learner starts no election")
+}
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -237,7 +237,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	_, err := nodes[0].replica.Propose(ctx, []byte("second"))
-	assert.Equal(t, kind.UnknownOutcome, kind.Of(err))
+	require.Equal(t, kind.UnknownOutcome, kind.Of(err))
 	<-nodes[0].replica.Done()
 	assert.Equal(t, kind.Storage, kind.Of(nodes[0].replica.Err()))
 	_, err = nodes[0].replica.Propose(ctx, []byte("third"))
