state: count the age of claims by the time that has certainly passed

A leader whose clock was ahead by more than the retention ended every claim, and a resend could run a booking twice. Claims now age by the steps between entries, at most 10 s each; wall clocks that jump to and fro add only that. Events: 8,192 are kept.

--- a/control/cluster_test.go
+++ b/control/cluster_test.go
@@ -29,9 +29,8 @@
 
 // simTask is an attempt that a simulated worker runs.
 type simTask struct {
-	epoch     uint64
-	progress  int
-	throttled bool
+	epoch    uint64
+	progress int
 }
 
 // simWorker keeps its lease, refuses epochs that it has seen, and reports.
--- a/control/query.go
+++ b/control/query.go
@@ -221,7 +221,12 @@
 	if t.State.Terminal() || t.State == types.TaskParked {
 		return append(rows, line(fmt.Sprintf("%s after %d attempts", t.State, t.Epoch)))
 	}
-	for _, text := range l.planner.Why(t.ID).Lines() {
+	explanation := l.planner.Why(t.ID)
+	if t.State.Placed() && explanation.At.IsZero() {
+		w, _ := l.store.Worker(t.Worker)
+		return append(rows, line("runs on "+w.Name+" by the decision of an earlier leader, whose scores are gone"))
+	}
+	for _, text := range explanation.Lines() {
 		rows = append(rows, line(text))
 	}
 	return rows
--- a/state/attempts_test.go
+++ b/state/attempts_test.go
@@ -56,7 +56,6 @@
 	live     map[string]simAttempt
 	commands []simCommand
 	resumed  map[string]uint64 // last epoch that truly started, by task
-	jobs     int
 }
 
 const simHosts = 3
--- a/state/claims.go
+++ b/state/claims.go
@@ -13,7 +13,8 @@
 	// maxClaims bounds the claims. A claim beyond it is refused, so the request is
 	// not sent; a claim is never dropped before its retention ends.
 	maxClaims = 200_000
-	// claimRetentionMs is how long a key stays claimed after its last change.
+	// claimRetentionMs is how long a key stays claimed after its last change, at
+	// least: a jump of the leader's clock does not shorten it.
 	claimRetentionMs = 30 * 60 * 1000
 	// MaxKeptAnswer bounds a kept answer's header and body, in bytes.
 	MaxKeptAnswer = 4096
@@ -52,7 +53,8 @@
 	answer    *controlapi.ClaimResult
 }
 
-// touch is a change of a claim, in the order of the entries.
+// touch is a change of a claim at an age of the state, in the order of the
+// entries.
 type touch struct {
 	_    struct{} `cbor:",toarray"`
 	AtMs int64
@@ -72,7 +74,7 @@
 func (op Claim) apply(s *Store) Result {
 	c, ok := s.claims.claims[op.Key]
 	if !ok {
-		return s.claims.grant(op, s.nowMs)
+		return s.claims.grant(op, s.ageMs)
 	}
 	switch {
 	case c.digest != op.Digest:
@@ -96,12 +98,12 @@
 	return controlapi.ClaimResult{Outcome: c.outcome}
 }
 
-func (t *claimTable) grant(op Claim, nowMs int64) Result {
+func (t *claimTable) grant(op Claim, ageMs int64) Result {
 	if len(t.claims) >= maxClaims {
 		return refuse(kind.Overloaded, "the table of claims holds %d keys", len(t.claims))
 	}
-	t.claims[op.Key] = &claim{digest: op.Digest, token: op.Token, changedMs: nowMs}
-	t.touched = append(t.touched, touch{AtMs: nowMs, Key: op.Key})
+	t.claims[op.Key] = &claim{digest: op.Digest, token: op.Token, changedMs: ageMs}
+	t.touched = append(t.touched, touch{AtMs: ageMs, Key: op.Key})
 	return claimed(controlapi.ClaimGranted)
 }
 
@@ -118,9 +120,9 @@
 		return Result{}
 	}
 	c.resolved = true
-	c.changedMs = s.nowMs
+	c.changedMs = s.ageMs
 	c.outcome = op.Result.Outcome
-	s.claims.touched = append(s.claims.touched, touch{AtMs: s.nowMs, Key: op.Key})
+	s.claims.touched = append(s.claims.touched, touch{AtMs: s.ageMs, Key: op.Key})
 	s.claims.keep(op.Key, c, op.Result)
 	return Result{}
 }
@@ -156,8 +158,8 @@
 }
 
 // expire removes the claims whose retention has ended.
-func (t *claimTable) expire(nowMs int64) {
-	for len(t.touched) > 0 && t.touched[0].AtMs+claimRetentionMs <= nowMs {
+func (t *claimTable) expire(ageMs int64) {
+	for len(t.touched) > 0 && t.touched[0].AtMs+claimRetentionMs <= ageMs {
 		first := t.touched[0]
 		t.touched = t.touched[1:]
 		c, ok := t.claims[first.Key]
--- a/state/claims_test.go
+++ b/state/claims_test.go
@@ -32,6 +32,10 @@
 	s := New()
 	applyOps(t, s, 1, claimOp("k", "a"))
 	applyOps(t, s, 1000, resolveOp("k", "a", "done", []byte("x")))
+	now := int64(1000)
+	for ; now < claimRetentionMs; now += maxAgeStepMs {
+		applyOps(t, s, now)
+	}
 	held := applyOps(t, s, 1+claimRetentionMs, claimOp("k", "b"))[0].Claim
 	assert.Equal(t, controlapi.ClaimResolved, held.State)
 	assert.Equal(t, []byte("x"), held.Result.Body)
@@ -60,3 +64,12 @@
 	}
 	assert.True(t, kind.Is(applyOps(t, s, int64(answers), claimOp("new", "t"))[0].Err, kind.Overloaded))
 }
+
+func TestJumpingClockEndsNoClaim(t *testing.T) {
+	s := New()
+	applyOps(t, s, testNowMs, claimOp("k", "a"))
+	for i := range int64(20) {
+		ahead := testNowMs + i%2*10*claimRetentionMs
+		assert.Equal(t, controlapi.ClaimHeld, applyOps(t, s, ahead, claimOp("k", "b"))[0].Claim.State)
+	}
+}
--- a/state/events.go
+++ b/state/events.go
@@ -3,7 +3,7 @@
 import "mangohill.example/mangohill/types"
 
 // maxEvents is the number of events that are kept.
-const maxEvents = 2048
+const maxEvents = 8192
 
 // EventName is the name of an event.
 type EventName string
--- a/state/read.go
+++ b/state/read.go
@@ -128,9 +128,7 @@
 func (s *Store) Events(sinceMs int64) []Event {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	all := s.events.ordered()
-	first, _ := slices.BinarySearchFunc(all, sinceMs, func(e Event, at int64) int { return cmp.Compare(e.AtMs, at) })
-	return all[first:]
+	return slices.DeleteFunc(s.events.ordered(), func(e Event) bool { return e.AtMs < sinceMs })
 }
 
 // Outcomes returns the kept command outcomes, oldest first.
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -44,6 +44,7 @@
 type snapshotBody struct {
 	_             struct{} `cbor:",toarray"`
 	NowMs         int64
+	AgeMs         int64
 	Index         uint64
 	NextTask      types.TaskID
 	NextWorker    types.WorkerID
@@ -81,6 +82,7 @@
 func (s *Store) body() *snapshotBody {
 	body := &snapshotBody{
 		NowMs:         s.nowMs,
+		AgeMs:         s.ageMs,
 		Index:         s.index,
 		NextTask:      s.nextTask,
 		NextWorker:    s.nextWorker,
@@ -171,7 +173,7 @@
 }
 
 func (s *Store) load(body *snapshotBody) error {
-	s.nowMs, s.index = body.NowMs, body.Index
+	s.nowMs, s.ageMs, s.index = body.NowMs, body.AgeMs, body.Index
 	s.nextTask, s.nextWorker, s.epochFloor = body.NextTask, body.NextWorker, body.EpochFloor
 	s.ended = body.Ended
 	s.configVersion, s.configText = body.ConfigVersion, body.ConfigText
@@ -252,7 +254,7 @@
 
 // adopt takes over the content of another store, which must not be used after.
 func (s *Store) adopt(other *Store) {
-	s.nowMs, s.index = other.nowMs, other.index
+	s.nowMs, s.ageMs, s.index = other.nowMs, other.ageMs, other.index
 	s.nextTask, s.nextWorker, s.epochFloor = other.nextTask, other.nextWorker, other.epochFloor
 	s.workers, s.workerNames = other.workers, other.workerNames
 	s.tasks, s.taskNames, s.jobs, s.ended = other.tasks, other.taskNames, other.jobs, other.ended
--- a/state/store.go
+++ b/state/store.go
@@ -15,6 +15,9 @@
 	workerChart = chart.MustLoad("worker")
 )
 
+// maxAgeStepMs bounds the time that counts as passed between two entries.
+const maxAgeStepMs = 10_000
+
 // Result is the result of one operation. Err is nil if the operation took effect
 // or had done so before.
 type Result struct {
@@ -57,7 +60,10 @@
 type Store struct {
 	mu sync.RWMutex
 
+	// nowMs is the leader's wall clock at the newest entry. ageMs is the time that
+	// has certainly passed: it is deaf to jumps of clocks and to changes of leader.
 	nowMs      int64
+	ageMs      int64
 	index      uint64
 	nextTask   types.TaskID
 	nextWorker types.WorkerID
@@ -112,8 +118,9 @@
 	if err != nil {
 		return []Result{{Err: kind.Errorf(kind.Corrupt, "index %d: %w", index, err)}}
 	}
-	s.nowMs = max(s.nowMs, nowMs)
-	s.claims.expire(s.nowMs)
+	s.ageMs += min(max(nowMs-s.nowMs, 0), maxAgeStepMs)
+	s.nowMs = nowMs
+	s.claims.expire(s.ageMs)
 	results := make([]Result, 0, len(ops))
 	for _, op := range ops {
 		results = append(results, op.apply(s))
