--- a/control/scale_test.go
+++ b/control/scale_test.go
@@ -108,3 +108,11 @@
 		l.mu.Unlock()
 	}
 }
+
+// BenchmarkPlanIdle plans where nothing is to be done.
+func BenchmarkPlanIdle(b *testing.B) {
+	l := scaleLeader(b)
+	for b.Loop() {
+		l.planOnce(b.Context())
+	}
+}
--- a/state/attempts_test.go
+++ b/state/attempts_test.go
@@ -164,7 +164,7 @@
 
 // send puts the start commands that the state asks for on their way.
 func (c *cluster) send() {
-	for id := range c.hosts {
+	for id := types.WorkerID(1); id <= simHosts; id++ {
 		w, _ := c.store.Worker(id)
 		for _, task := range c.store.Attempts(id) {
 			if task.State == types.TaskStarting && task.Stopping == "" {
--- a/state/changes.go
+++ b/state/changes.go
@@ -34,6 +34,9 @@
 }
 
 func (c *changeSet) notify() {
+	if len(c.tasks)+len(c.workers) == 0 && !c.config && !c.all {
+		return // Claims change nothing that the leader's feed carries.
+	}
 	select {
 	case c.signal <- struct{}{}:
 	default: // A signal is already waiting.
