control: end the leases of workers whose registration went unanswered

The lease table learned of a registration from its answer only. Where that was lost and the worker fell silent, it stayed ready in the state, without a lease that could end: its tasks waited for ever. The table now follows the state's changes. An exchange under an old quorum contact is refused as a whole, in one reading of the clock.

--- a/control/exchange.go
+++ b/control/exchange.go
@@ -76,17 +76,19 @@
 	if args.Entry == "" {
 		return kind.Errorf(kind.BadRequest, "exchange without the name of the entry host")
 	}
-	if !l.inContact() {
+	l.mu.Lock()
+	now, contact := l.service.now(), l.service.replica.QuorumContact()
+	if !l.leases.InContact(now, contact) {
+		l.mu.Unlock()
 		return kind.Errorf(kind.NoQuorum, "no quorum confirmed the leader of term %d recently", l.term)
 	}
-	l.mu.Lock()
 	entry := l.entry(args.Entry)
 	entry.signal() // The exchange before, if it still waits, is answered.
 	wake := make(chan struct{}, 1)
 	entry.wake = wake
-	entry.seenAt = l.service.now()
+	entry.seenAt = now
 	entry.version = args.ConfigVersion
-	reply.Sessions = l.grant(args)
+	reply.Sessions = l.grant(now, contact, args)
 	l.mu.Unlock()
 
 	hold := min(time.Duration(args.HoldMs)*time.Millisecond, maxHold)
@@ -109,18 +111,10 @@
 	}
 }
 
-func (l *leader) inContact() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.leases.InContact(l.service.now(), l.service.replica.QuorumContact())
-}
-
 // grant renews leases and returns the session of each, zero for a refused one;
 // l.mu is held.
-func (l *leader) grant(args *controlapi.ExchangeArgs) []uint64 {
+func (l *leader) grant(now, contact time.Time, args *controlapi.ExchangeArgs) []uint64 {
 	sessions := make([]uint64, 0, len(args.Renewals))
-	now := l.service.now()
-	contact := l.service.replica.QuorumContact()
 	for _, renewal := range args.Renewals {
 		w, ok := l.store.WorkerNamed(renewal.Worker)
 		if !ok || w.State == types.WorkerLost {
--- a/control/leader.go
+++ b/control/leader.go
@@ -125,6 +125,7 @@
 	for _, w := range changes.Workers {
 		l.planner.UpsertWorker(w)
 		l.outbox.updateWorker(w)
+		l.watchLease(w)
 	}
 	for _, t := range changes.Tasks {
 		l.planner.UpsertTask(t)
@@ -142,6 +143,17 @@
 	l.wakeDue()
 }
 
+// watchLease sees to it that every worker which is not lost has a lease that may
+// be renewed or ends, also where the answer to its registration was lost; l.mu is
+// held.
+func (l *leader) watchLease(w types.Worker) {
+	if w.State == types.WorkerLost {
+		return
+	}
+	holder := lease.Holder{Worker: w.ID, Incarnation: w.Incarnation, Session: w.Session}
+	l.leases.Register(l.service.now(), holder, l.config.Leases.Duration)
+}
+
 // applyActions proposes actions as one entry. It reports whether planning may go
 // on at once.
 func (l *leader) applyActions(ctx context.Context, actions []schedule.Action) bool {
--- a/control/scale_test.go
+++ b/control/scale_test.go
@@ -104,7 +104,7 @@
 	}
 	for b.Loop() {
 		l.mu.Lock()
-		l.grant(args)
+		l.grant(l.service.now(), l.service.now(), args)
 		l.mu.Unlock()
 	}
 }
--- a/control/scenario_test.go
+++ b/control/scenario_test.go
@@ -213,3 +213,15 @@
 		seen:        make(map[string]uint64),
 	}
 }
+
+func TestWorkerWhoseRegistrationWentUnansweredIsLostInTime(t *testing.T) {
+	c := newSimCluster(t, 1, 1)
+	c.replica.lose = func() (drop, loseAnswer bool) { return false, true }
+	c.step()
+	c.workers["w1"].cut = true
+	c.replica.lose = nil
+	w, ok := c.store.WorkerNamed("w1")
+	assert.True(t, ok)
+	assert.Equal(t, types.WorkerReady, w.State)
+	c.run(20*time.Second, func() bool { w, _ := c.store.WorkerNamed("w1"); return w.State == types.WorkerLost })
+}
