Hedge idempotent requests that take long

The first send runs beside the request's goroutine if the host has slots enough to spend one; the first whole answer counts, and the other send is left to its end.

--- a/proxy/execute.go
+++ b/proxy/execute.go
@@ -50,8 +50,7 @@
 		if decision.Action == route.Refuse {
 			return e.refusal(decision)
 		}
-		a := s.send(ctx, c, decision, e.sends)
-		e.note(decision, a)
+		a := e.send(ctx, decision)
 		if a.fate == answered {
 			return result{attempt: a, outcome: kind.OutcomeDone, attempts: e.sends}
 		}
@@ -62,6 +61,16 @@
 	}
 }
 
+// send carries out a decision and takes note of its end.
+func (e *execution) send(ctx context.Context, d route.Decision) attempt {
+	if d.Action == route.Send && e.call.idempotent && e.sends == 0 && e.service.mayHedge() {
+		return e.race(ctx, d)
+	}
+	a := e.service.send(ctx, e.call, d, e.sends)
+	e.note(d, a)
+	return a
+}
+
 func (e *execution) note(d route.Decision, a attempt) {
 	e.tries++
 	if a.sent {
--- a/proxy/fault_test.go
+++ b/proxy/fault_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"fmt"
 	"net/http"
 	"strings"
@@ -230,3 +231,28 @@
 	assert.Equal(t, "last", string(last.body))
 	assert.Equal(t, "done", last.outcome())
 }
+
+func TestSlowRequestIsHedged(t *testing.T) {
+	hedges := new(expvar.Int)
+	hosts := startHosts(t, 1, proxy.Options{Metrics: proxy.Metrics{Hedges: hedges}})
+	slow := startTarget(t, hosts, fake.TargetOptions{Name: "slow", Slots: 16})
+	fast := startTarget(t, hosts, fake.TargetOptions{Name: "fast", Slots: 16})
+	waitForTargets(t, hosts, 2)
+	slow.Set(fake.Hang, 0)
+	hedged := 0
+	for n := range 8 {
+		id := fmt.Sprintf("quote-%d", n)
+		got := ask(hosts[0], http.MethodPut, "/v1/services/quote/", []byte(id), http.Header{
+			proxy.HeaderRequestID: {id}, proxy.HeaderTimeout: {"60000"},
+		})
+		assert.Equal(t, "done", got.outcome(), string(got.body))
+		assert.Equal(t, id, string(got.body))
+		assert.LessOrEqual(t, slow.Runs(id)+fast.Runs(id), 2)
+		hedged += slow.Runs(id)
+	}
+	require.NotZero(t, hedged)
+	assert.LessOrEqual(t, hedges.Value(), int64(8))
+	booking := ask(hosts[0], http.MethodPost, "/v1/services/quote/", nil, quick("b", "false"))
+	assert.LessOrEqual(t, slow.Runs("b")+fast.Runs("b"), 1, "a request that may not run twice is not hedged")
+	assert.NotEmpty(t, booking.outcome())
+}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -30,6 +30,7 @@
 	Sends    *expvar.Int
 	Retries  *expvar.Int
 	Hops     *expvar.Int
+	Hedges   *expvar.Int
 	Done     *expvar.Int
 	NotRun   *expvar.Int
 	Unknown  *expvar.Int
--- a/proxy/serve.go
+++ b/proxy/serve.go
@@ -49,7 +49,7 @@
 		final = &done
 	}
 	if final.rest != nil {
-		return p.stream(w, c, granted, final)
+		return p.stream(ctx, w, c, granted, final)
 	}
 	if granted != nil {
 		granted.resolve(final.kept(p.options.MaxKept))
@@ -97,7 +97,7 @@
 
 // stream passes on an answer that is longer than the bound. If it breaks off,
 // the caller's connection is closed in the middle of the message.
-func (p *Proxy) stream(w http.ResponseWriter, c *call, granted *claim, final *result) (kind.Outcome, int) {
+func (p *Proxy) stream(ctx context.Context, w http.ResponseWriter, c *call, granted *claim, final *result) (kind.Outcome, int) {
 	p.setOutcome(w, c, final)
 	p.copyHeader(w, final)
 	w.WriteHeader(final.status)
@@ -109,7 +109,7 @@
 		return kind.OutcomeDone, final.status
 	}
 	verdict := route.Failed
-	if errors.Is(err, errCallerGone) {
+	if errors.Is(err, errCallerGone) || errors.Is(ctx.Err(), context.Canceled) {
 		verdict = route.Abandoned
 	}
 	final.finish(verdict)
--- a/proxy/service.go
+++ b/proxy/service.go
@@ -255,3 +255,24 @@
 	defer s.mu.Unlock()
 	return s.pool.ServiceTime()
 }
+
+// hedgeAfter returns the time after which a request is worth a second send.
+func (s *service) hedgeAfter() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pool.HedgeAfter()
+}
+
+// mayHedge reports whether this host has so many slots that some may be spent on
+// second sends.
+func (s *service) mayHedge() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pool.MayHedge()
+}
+
+func (s *service) endHedge() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pool.EndHedge()
+}
--- a/route/hedge.go
+++ b/route/hedge.go
@@ -20,6 +20,9 @@
 	return max(hedgeServiceTimes*p.ServiceTime(), shortestHedge)
 }
 
+// MayHedge reports whether the pool has slots enough for any second send.
+func (p *Pool) MayHedge() bool { return p.slots >= hedgeSlots }
+
 // Hedge decides on a second send of a request that is under way. It gets a slot
 // only if no request waits for one. A hedge that was granted is ended by Done,
 // as every send, and by EndHedge.
