Prove the pause of a host without processes, and name the mutants of the request path

The process-level test of a stopped host passes now and then without its safeguard: the host reads the announcement that waited in its socket before a request. The new test stops the clock instead. The instant of a tick is the one that was checked: a stop between the two went unnoticed.

--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -238,3 +238,19 @@
 		<-done
 	})
 }
+
+// TestStrayAnswerEndsTheConnection has a server send an answer twice.
+func TestStrayAnswerEndsTheConnection(t *testing.T) {
+	s := startScript(t, ok+ok, ok)
+	c := New(Options{Address: s.listener.Addr().String()})
+	defer c.Close()
+	answer, err := c.Do(context.Background(), get(http.MethodGet, "", nil), Params{Reuse: true})
+	require.NoError(t, err)
+	_, err = io.Copy(io.Discard, answer)
+	require.NoError(t, err)
+	require.NotZero(t, answer.conn.reader.Buffered(), "the second answer came with the first")
+	answer.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	assert.Empty(t, c.idle)
+}
--- /dev/null
+++ b/proxy/heldup_test.go
@@ -0,0 +1,52 @@
+package proxy_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"mangohill.example/mangohill/proxy"
+	"mangohill.example/mangohill/types"
+)
+
+// TestHeldUpHostSendsNothingUntilItIsSettled stops the clock's ticks for five
+// seconds, as a stop signal would. Meanwhile the target may have left, and its
+// slots may have been taken over.
+func TestHeldUpHostSendsNothingUntilItIsSettled(t *testing.T) {
+	var passed, resumed atomic.Int64
+	start := time.Now()
+	target := &pipeTarget{answer: plain}
+	p := proxy.New(proxy.Options{
+		Name: "entry-1", Dial: target.dial, Logger: zerolog.Nop(), Resumed: func() { resumed.Add(1) },
+		Now: func() time.Time { return start.Add(time.Duration(passed.Load())) },
+	})
+	send := func() string {
+		recorder := httptest.NewRecorder()
+		p.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, "/v1/services/quote/", nil))
+		return recorder.Header().Get(proxy.HeaderOutcome)
+	}
+	p.SetMembers(nil)
+	passed.Add(int64(proxy.DefaultSettle))
+	p.SetTarget(types.Target{Name: "t1", Service: "quote", Address: "127.0.0.1:1", Slots: 8, State: types.TargetReady})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go p.Run(ctx)
+	require.Eventually(t, p.Settled, 10*time.Second, time.Millisecond)
+	require.Equal(t, "done", send())
+
+	passed.Add(int64(5 * time.Second))
+	assert.Equal(t, "not-run", send())
+	assert.EqualValues(t, 1, resumed.Load())
+	require.Eventually(t, func() bool {
+		passed.Add(int64(proxy.DefaultSettle / 10))
+		return send() == "done"
+	}, 10*time.Second, 10*time.Millisecond)
+	assert.EqualValues(t, 1, resumed.Load())
+}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -234,8 +234,8 @@
 // checkHeldUp gives up all slots until the settle time is over if the process
 // was held up, such as by a stop signal or a frozen machine. It is called
 // before each decision, because requests may be served before the next tick.
-func (p *Proxy) checkHeldUp() {
-	now := p.options.Now().UnixNano()
+func (p *Proxy) checkHeldUp(at time.Time) {
+	now := at.UnixNano()
 	last := p.lastTick.Load()
 	if last == 0 || now-last < heldUpAfter.Nanoseconds() || !p.lastTick.CompareAndSwap(last, now) {
 		return
@@ -270,8 +270,9 @@
 }
 
 func (p *Proxy) tick() {
-	p.checkHeldUp()
-	p.lastTick.Store(p.options.Now().UnixNano())
+	now := p.options.Now()
+	p.checkHeldUp(now)
+	p.lastTick.Store(now.UnixNano()) // Not a later instant: the process may be held up in between.
 	p.mu.Lock()
 	settled := p.allot.Settled(p.options.Now())
 	grow := settled && !p.settled
--- a/proxy/service.go
+++ b/proxy/service.go
@@ -176,7 +176,7 @@
 // acquire gets a decision for a request and waits in the queue if it must. A
 // wait that ctx ends becomes a refusal.
 func (s *service) acquire(ctx context.Context, r route.Request) route.Decision {
-	s.proxy.checkHeldUp()
+	s.proxy.checkHeldUp(s.proxy.options.Now())
 	s.mu.Lock()
 	decision, evicted := s.pool.Offer(s.proxy.options.Now(), r)
 	s.deliver(evicted)
--- a/route/pool_test.go
+++ b/route/pool_test.go
@@ -288,3 +288,23 @@
 	assert.Zero(t, a.Share(later, "target", 8))
 	assert.Equal(t, 4, a.Share(later.Add(time.Second), "target", 8))
 }
+
+func TestHedgesAreBoundedByTheSlots(t *testing.T) {
+	p := newTestPool(100, Target{Name: "a", Share: 20, Ready: true}, Target{Name: "b", Share: 20, Ready: true})
+	granted := 0
+	var last Decision
+	for i := range 10 {
+		if d, ok := p.Hedge(start, request(i, "c")); ok {
+			granted++
+			last = d
+		}
+	}
+	assert.Equal(t, 2, granted, "one for 16 slots")
+	p.Done(start, last.Name, last.At, Answered)
+	p.EndHedge()
+	_, ok := p.Hedge(start, request(20, "c"))
+	assert.True(t, ok)
+	small := newTestPool(100, Target{Name: "a", Share: 15, Ready: true})
+	_, ok = small.Hedge(start, request(0, "c"))
+	assert.False(t, ok)
+}
