--- a/route/pool_test.go
+++ b/route/pool_test.go
@@ -308,3 +308,13 @@
 	_, ok = small.Hedge(start, request(0, "c"))
 	assert.False(t, ok)
 }
+
+func TestOneLongAnswerMakesNoTargetSlow(t *testing.T) {
+	e := estimate{mean: 0.01, samples: 100}
+	e.add(10 * time.Second)
+	assert.Less(t, e.mean, 0.01*slowFactor)
+	for range 60 {
+		e.add(40 * time.Millisecond)
+	}
+	assert.InDelta(t, 0.04, e.mean, 0.002, "a target that is slower is still found to be")
+}
