--- a/schedule/place.go
+++ b/schedule/place.go
@@ -80,6 +80,9 @@
 	if best == nil {
 		best = s.startGently(t, f)
 	}
+	if best == nil {
+		s.holdRoom(t, f)
+	}
 	return best
 }
 
@@ -142,6 +145,7 @@
 
 // consider asks the filters and the scores about one host.
 func (s *Scheduler) consider(t *task, h *host, r *ranking) {
+	s.evaluations++
 	if !s.passes(t, h) {
 		return
 	}
