--- a/command/help.go
+++ b/command/help.go
@@ -44,7 +44,7 @@
 			"show TOPIC [where COLUMN = VALUE [and COLUMN = VALUE]...] [since DURATION]",
 		},
 		summary: "Lists rows of a topic: tasks, workers, targets, members, entries, config, commands or events. " +
-			"All conditions must hold. A value with spaces stands in quotes. since keeps what changed within the duration.",
+			"All conditions must hold. A value with spaces stands in quotes. since keeps the tasks, commands and events of the last while.",
 		examples: []string{
 			"show tasks where worker = w7 and kind = batch",
 			"show workers",
--- a/command/parse.go
+++ b/command/parse.go
@@ -156,14 +156,14 @@
 				return nil, err
 			}
 			show.Where = where
-		case next.is("since") && show.Since == 0:
+		case next.is("since") && show.Since == 0 && show.Topic.hasTimes():
 			since, err := p.since()
 			if err != nil {
 				return nil, err
 			}
 			show.Since = since
 		default:
-			return nil, p.expected(`"where", "since" or the end of the command`)
+			return nil, show.expectedNext(p)
 		}
 	}
 	p.optional = show.optionalWords()
@@ -175,12 +175,20 @@
 	if s.Where == nil {
 		words = append(words, "where")
 	}
-	if s.Since == 0 {
+	if s.Since == 0 && s.Topic.hasTimes() {
 		words = append(words, "since")
 	}
 	return words
 }
 
+func (s Show) expectedNext(p *parser) error {
+	words := s.optionalWords()
+	if len(words) == 0 {
+		return p.expected("the end of the command")
+	}
+	return expectedAt(p.peek(), oneOf(words)+" or the end of the command", words...)
+}
+
 func (p *parser) where() ([]Condition, error) {
 	var conditions []Condition
 	for {
--- a/command/parse_test.go
+++ b/command/parse_test.go
@@ -66,6 +66,8 @@
 		{"dance", 1, 1, `"cancel"`},
 		{"show", 1, 5, `"tasks"`},
 		{"show tasks were a = b", 1, 12, `"where"`},
+		{"show workers since 10m", 1, 14, `"where" or the end`},
+		{"show tasks since 1h since 2h", 1, 21, `"where" or the end`},
 		{"show tasks where a b", 1, 20, `"="`},
 		{"show tasks where a = ", 1, 21, "a value"},
 		{"show events since ten", 1, 19, "a duration"},
--- a/command/statement.go
+++ b/command/statement.go
@@ -42,6 +42,11 @@
 	return []Topic{TopicTasks, TopicWorkers, TopicTargets, TopicMembers, TopicEntries, TopicConfig, TopicCommands, TopicEvents}
 }
 
+// hasTimes reports whether the rows of a topic have a time, which since compares.
+func (t Topic) hasTimes() bool {
+	return t == TopicTasks || t == TopicCommands || t == TopicEvents
+}
+
 // Show lists rows of a topic. All conditions of Where hold for a listed row.
 // Since is zero without a limit of age.
 type Show struct {
