Do not hold an exchange that a worker waits for

Cause: a renewal that a waiting start needs went out with the next exchange, and the leader held that one for up to a second. Ruled out: lost commands (their resend takes 2 s, and the waits were 1.0 to 1.1 s). Such exchanges, and those that carry a worker's first lease, now ask for no hold; the test failed first (hold 1000 ms, expected 0).

--- a/e2e/capacity_test.go
+++ b/e2e/capacity_test.go
@@ -143,7 +143,7 @@
 // measureUrgent prints how long urgent jobs wait from their declaration to
 // their start on a worker.
 func (c *cluster) measureUrgent(journal *fake.Journal) {
-	for i := range 10 {
+	for i := range 30 {
 		name := fmt.Sprintf("urgent-%d", i)
 		begun := time.Now()
 		c.command(i%8, fmt.Sprintf(`declare batch %s { processors 2 memory 1GiB urgent payload "{}" }`, name))
--- a/workersync/service_test.go
+++ b/workersync/service_test.go
@@ -208,3 +208,23 @@
 	sample.Epoch = 2
 	assert.Len(t, filter.pass(begin.Add(21*time.Second+usageRefresh), []controlapi.UsageReport{sample}), 1)
 }
+
+// An exchange that a worker waits for is not held by the leader: a renewal that
+// a waiting command needs, or a worker's first lease.
+func TestExchangeThatAWorkerWaitsForIsNotHeld(t *testing.T) {
+	s := New(Options{Entry: "entry-1", Logger: zerolog.Nop()})
+	lease := &platform.Lease{CountedFromSentMs: 1, DurationMs: 8000}
+	w := &workerState{incarnation: 1, seenAt: s.now(), lease: lease, session: 1, sentMs: 2, renew: true, wake: make(chan struct{}, 1)}
+	s.workers["w1"] = w
+	idle, _ := s.gather()
+	assert.Equal(t, maxExchangeHold.Milliseconds(), idle.HoldMs)
+
+	w.renew = true
+	s.deliver(&controlapi.WorkerCommand{Worker: "w1", Incarnation: 1, Session: 1, Task: "urgent", Epoch: 1, Verb: controlapi.VerbStart})
+	waiting, _ := s.gather()
+	assert.Zero(t, waiting.HoldMs, "the command goes out once this renewal is granted")
+
+	s.workers["w2"] = &workerState{incarnation: 1, seenAt: s.now(), sentMs: 2, renew: true, wake: make(chan struct{}, 1)}
+	first, _ := s.gather()
+	assert.Zero(t, first.HoldMs, "the worker may not begin without its first lease")
+}
--- a/workersync/workers.go
+++ b/workersync/workers.go
@@ -106,11 +106,15 @@
 	defer s.mu.Unlock()
 	w.sentMs = max(w.sentMs, sentMs)
 	w.renew = true
-	if w.lease == nil || len(w.commands) > 0 {
+	if w.awaitsGrant() {
 		s.kick()
 	}
 }
 
+// awaitsGrant reports whether the worker can do nothing before its next grant:
+// it holds no lease yet, or a command waits for one.
+func (w *workerState) awaitsGrant() bool { return w.lease == nil || len(w.commands) > 0 }
+
 // kick asks for an exchange beside the one that is held.
 func (s *Service) kick() {
 	select {
@@ -124,6 +128,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var sent []sentRenewal
+	holdMs := s.exchangeHoldMs()
 	for name, w := range s.workers {
 		if s.now().Sub(w.seenAt) > workerForget {
 			delete(s.workers, name)
@@ -131,11 +136,14 @@
 		}
 		if w.renew {
 			w.renew = false
+			if w.awaitsGrant() {
+				holdMs = 0
+			}
 			sent = append(sent, sentRenewal{worker: name, incarnation: w.incarnation, sentMs: w.sentMs})
 		}
 	}
 	slices.SortFunc(sent, func(a, b sentRenewal) int { return cmp.Compare(a.worker, b.worker) })
-	args := &controlapi.ExchangeArgs{Entry: s.options.Entry, HoldMs: s.exchangeHoldMs(), ConfigVersion: s.configVersion()}
+	args := &controlapi.ExchangeArgs{Entry: s.options.Entry, HoldMs: holdMs, ConfigVersion: s.configVersion()}
 	for _, r := range sent {
 		args.Renewals = append(args.Renewals, controlapi.Renewal{Worker: r.worker, Incarnation: r.incarnation})
 	}
