List workers by name; give commands IDs that hold their time

A command ID without a time cannot be told from a new one once the table of outcomes has forgotten it; UUIDs of version 7 can. Workers were listed in the order of their registration, which is random.

--- a/control/query.go
+++ b/control/query.go
@@ -103,7 +103,9 @@
 
 func (l *leader) workerRows() []controlapi.Row {
 	var rows []controlapi.Row
-	for _, w := range l.store.Workers() {
+	workers := l.store.Workers()
+	slices.SortFunc(workers, func(a, b types.Worker) int { return cmp.Compare(a.Name, b.Name) })
+	for _, w := range workers {
 		rows = append(rows, controlapi.Row{
 			field("worker", w.Name),
 			field("state", string(w.State)),
--- a/operator/client.go
+++ b/operator/client.go
@@ -47,9 +47,19 @@
 	Transport http.RoundTripper
 }
 
-// NewArgs returns the arguments of a command under a new ID.
+// NewArgs returns the arguments of a command under a new ID. The ID holds the
+// time (UUID version 7, RFC 9562), so that the control group knows one that is
+// older than its table of outcomes.
 func NewArgs(text, file string) controlapi.CommandArgs {
-	return controlapi.CommandArgs{ID: uuid.NewString(), Text: text, File: file}
+	return controlapi.CommandArgs{ID: newID(), Text: text, File: file}
+}
+
+func newID() string {
+	id, err := uuid.NewV7()
+	if err != nil {
+		return uuid.NewString() // It holds no time, and is as unique.
+	}
+	return id.String()
 }
 
 // Execute sends the command and resends it under its ID until an answer settles
