replica: keep a sole leader in contact while it is at rest

Cause: heartbeat rounds are dated when there is something to send. A sole voter sends nothing, so its quorum contact stood still between proposals; after 1.5 s the leader granted no leases, and workers lost theirs while the cluster was idle. Seen as evictions every 8 s in a group of one; ruled out: the entry host's exchanges and the hold. Change: rounds are dated before the status is published, too. The new test failed before.

--- a/replica/loop.go
+++ b/replica/loop.go
@@ -243,6 +243,7 @@
 		l.core.Advance(ready)
 	}
 	l.answerCalls()
+	l.noteRound() // A sole voter's round sends nothing.
 	l.publish()
 	l.dropReads()
 	l.flush()
