--- a/node/entry_vars.go
+++ b/node/entry_vars.go
@@ -27,6 +27,7 @@
 		Sends:    v.counter("sends"),
 		Retries:  v.counter("retries"),
 		Hops:     v.counter("hops"),
+		Hedges:   v.counter("hedges"),
 		Done:     v.counter("requests_done"),
 		NotRun:   v.counter("requests_not_run"),
 		Unknown:  v.counter("requests_unknown"),
