--- a/registry/peer.go
+++ b/registry/peer.go
@@ -1,31 +1,47 @@
 package registry
 
 import (
+	"encoding/binary"
+	"hash/fnv"
 	"time"
 
 	"mangohill.example/mangohill/controlapi"
 	"mangohill.example/mangohill/types"
 )
 
-// Refresh says that a target repeated its announcement without a change.
-type Refresh struct {
-	Target      string
-	Incarnation uint64
-	State       types.TargetState
-	InFlight    int
-}
-
 // RefreshArgs is the message that an entry host sends to each peer at every
-// refresh interval.
+// refresh interval. It names the targets that repeated their announcement
+// without a change.
 type RefreshArgs struct {
-	From      string
-	Refreshes []Refresh
+	From string
+	// Packed holds, for each target, the four bytes of its refresh ID and one byte
+	// with its requests in flight, at most 255. The short form carries 1,300
+	// targets within the budget of a host.
+	Packed []byte
 }
 
-// RefreshReply names the targets of which the callee holds something else; the
-// caller announces them.
+// RefreshReply names the refresh IDs that the callee does not know; the caller
+// announces their targets.
 type RefreshReply struct {
-	Want []string
+	Want []uint32
+}
+
+// packedSize is the size in bytes of one target in Packed.
+const packedSize = 5
+
+// refreshID identifies a target, its incarnation and its state.
+func refreshID(t types.Target) uint32 {
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(t.Name))                                          // A hash never fails.
+	_, _ = hash.Write(binary.BigEndian.AppendUint64([]byte{0}, t.Incarnation)) // As above.
+	_, _ = hash.Write([]byte(t.State))                                         // As above.
+	return hash.Sum32()
+}
+
+// pack appends the refresh of a target.
+func pack(out []byte, t types.Target) []byte {
+	out = binary.BigEndian.AppendUint32(out, refreshID(t))
+	return append(out, byte(min(t.InFlight, 255)))
 }
 
 // TargetsArgs asks for the whole table.
@@ -60,9 +76,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.options.Now()
-	for _, refresh := range args.Refreshes {
-		if !r.table.Refresh(now, refresh) {
-			reply.Want = append(reply.Want, refresh.Target)
+	for packed := args.Packed; len(packed) >= packedSize; packed = packed[packedSize:] {
+		id := binary.BigEndian.Uint32(packed)
+		if !r.table.Refresh(now, id, int(packed[4])) {
+			reply.Want = append(reply.Want, id)
 		}
 	}
 	return nil
--- a/registry/refresh_test.go
+++ b/registry/refresh_test.go
@@ -37,7 +37,7 @@
 // that one of 8 entry hosts hears of, out of 65 that announce themselves every
 // second and a half.
 func TestBytesOfARefresh(t *testing.T) {
-	const targets, rounds, bound = 11, 20, 700
+	const targets, rounds, bound = 11, 20, 200
 	g := newGroup("b")
 	server := rpc.NewServer()
 	require.NoError(t, server.RegisterName("Peer", g.members["b"].PeerService()))
@@ -54,7 +54,7 @@
 		record.Name = fmt.Sprintf("booking-%02d", i)
 		_, err := g.members["b"].apply(record, false)
 		require.NoError(t, err)
-		args.Refreshes = append(args.Refreshes, Refresh{Target: record.Name, Incarnation: 1, State: types.TargetReady, InFlight: 5})
+		args.Packed = pack(args.Packed, record)
 	}
 	call := func() {
 		var reply RefreshReply
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -66,7 +66,7 @@
 	options Options
 	mu      sync.Mutex
 	table   *Table
-	fresh   map[string]Refresh
+	fresh   map[string]struct{}
 	// confirmed holds the incarnation of each leaving target whose state every
 	// live peer is known to have.
 	confirmed map[string]uint64
@@ -93,7 +93,7 @@
 	return &Registry{
 		options: options,
 		table:   NewTable(options.SilentAfter, withdrawnKept),
-		fresh:   make(map[string]Refresh),
+		fresh:   make(map[string]struct{}),
 
 		confirmed: make(map[string]uint64),
 	}
@@ -191,7 +191,7 @@
 func (r *Registry) noteFresh(t types.Target) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.fresh[t.Name] = Refresh{Target: t.Name, Incarnation: t.Incarnation, State: t.State, InFlight: t.InFlight}
+	r.fresh[t.Name] = struct{}{}
 }
 
 // spread passes a change to every live peer. It fails with kind unreachable if
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -123,7 +123,7 @@
 	for range 3 {
 		g.now = g.now.Add(DefaultSilentAfter - time.Second)
 		require.NoError(t, g.members["a"].Announce(ctx, sample(1, types.TargetReady)))
-		args := RefreshArgs{From: "a", Refreshes: g.members["a"].takeFresh()}
+		args := RefreshArgs{From: "a", Packed: g.members["a"].takeFresh()}
 		g.members["a"].refreshPeer(ctx, Peer{Name: "b", Address: "b"}, args)
 		g.members["b"].tick()
 		assert.Equal(t, types.TargetReady, g.state("b", "t"), "the other host passes the announcements on")
@@ -145,11 +145,27 @@
 	assert.True(t, g.members["b"].Synced())
 	// A refresh of a target that the peer has not heard of makes it ask.
 	require.NoError(t, g.members["a"].Announce(ctx, types.Target{Name: "u", Service: "quote", State: types.TargetReady, Incarnation: 1}))
-	args := RefreshArgs{From: "a", Refreshes: []Refresh{{Target: "u", Incarnation: 1, State: types.TargetReady}}}
+	other, ok := g.members["a"].target("u")
+	require.True(t, ok)
+	args := RefreshArgs{From: "a", Packed: pack(nil, other)}
 	g.members["a"].refreshPeer(ctx, Peer{Name: "b", Address: "b"}, args)
 	assert.Equal(t, types.TargetReady, g.state("b", "u"))
 }
 
+// TestHostThatMissedALeavingTargetLearnsOfItByItsOwnRefresh has a host refresh
+// a target that left while the host was cut off.
+func TestHostThatMissedALeavingTargetLearnsOfItByItsOwnRefresh(t *testing.T) {
+	g := newGroup("a", "b")
+	ctx := context.Background()
+	require.NoError(t, g.members["a"].Announce(ctx, sample(1, types.TargetReady)))
+	_, err := g.members["b"].apply(sample(1, types.TargetLeaving), false)
+	require.NoError(t, err)
+	stale, _ := g.members["a"].target("t")
+	g.members["a"].refreshPeer(ctx, Peer{Name: "b", Address: "b"}, RefreshArgs{From: "a", Packed: pack(nil, stale)})
+	assert.Equal(t, types.TargetLeaving, g.state("a", "t"))
+	assert.Equal(t, types.TargetLeaving, g.state("b", "t"))
+}
+
 func FuzzAnnouncement(f *testing.F) {
 	f.Add("t", `{"service":"quote","address":"127.0.0.1:9","incarnation":7,"slots":8,"connections":60,"state":"ready"}`)
 	f.Add("t", `{"service":1}`)
--- a/registry/run.go
+++ b/registry/run.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"mangohill.example/mangohill/controlapi"
+	"mangohill.example/mangohill/kind"
 	"mangohill.example/mangohill/types"
 )
 
@@ -39,8 +40,8 @@
 }
 
 func (r *Registry) refreshPeers(ctx context.Context) {
-	args := RefreshArgs{From: r.options.Name, Refreshes: r.takeFresh()}
-	if len(args.Refreshes) == 0 {
+	args := RefreshArgs{From: r.options.Name, Packed: r.takeFresh()}
+	if len(args.Packed) == 0 {
 		return
 	}
 	for _, peer := range r.options.Peers() {
@@ -48,12 +49,14 @@
 	}
 }
 
-func (r *Registry) takeFresh() []Refresh {
+func (r *Registry) takeFresh() []byte {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	out := make([]Refresh, 0, len(r.fresh))
-	for _, f := range r.fresh {
-		out = append(out, f)
+	var out []byte
+	for name := range r.fresh {
+		if t, ok := r.table.Get(name); ok {
+			out = pack(out, t)
+		}
 	}
 	clear(r.fresh)
 	return out
@@ -61,24 +64,36 @@
 
 func (r *Registry) refreshPeer(ctx context.Context, peer Peer, args RefreshArgs) {
 	count(r.options.Metrics.Refreshes, 1)
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var reply RefreshReply
-	if err := r.options.Call(callCtx, peer.Address, methodRefresh, &args, &reply); err != nil {
+	if err := r.options.Call(ctx, peer.Address, methodRefresh, &args, &reply); err != nil {
 		return // The next refresh repeats it.
 	}
-	for _, name := range reply.Want {
-		t, ok := r.target(name)
-		if !ok {
-			continue
-		}
-		announce := controlapi.AnnounceArgs{From: r.options.Name, Target: t, Withdrawn: t.State == types.TargetWithdrawn}
-		if err := r.options.Call(callCtx, peer.Address, methodAnnounce, &announce, new(controlapi.AnnounceReply)); err != nil {
+	for _, id := range reply.Want {
+		if !r.announceTo(ctx, peer, id) {
 			return // The peer asks again at the next refresh.
 		}
 	}
 }
 
+// announceTo tells a peer of the target that it asked for. If the peer knows
+// something newer, its table is read.
+func (r *Registry) announceTo(ctx context.Context, peer Peer, id uint32) bool {
+	r.mu.Lock()
+	t, ok := r.table.ByID(id)
+	r.mu.Unlock()
+	if !ok {
+		return true // It changed meanwhile, and that was spread.
+	}
+	announce := controlapi.AnnounceArgs{From: r.options.Name, Target: t, Withdrawn: t.State == types.TargetWithdrawn}
+	err := r.options.Call(ctx, peer.Address, methodAnnounce, &announce, new(controlapi.AnnounceReply))
+	if k := kind.Of(err); k == kind.StaleIncarnation || k == kind.InvalidTransition {
+		err = r.Pull(ctx, peer)
+	}
+	return err == nil
+}
+
 func (r *Registry) target(name string) (types.Target, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/registry/table.go
+++ b/registry/table.go
@@ -26,6 +26,7 @@
 	silentAfter time.Duration
 	forgetAfter time.Duration
 	records     map[string]*record
+	byID        map[uint32]*record
 }
 
 type record struct {
@@ -42,6 +43,7 @@
 		silentAfter: silentAfter,
 		forgetAfter: forgetAfter,
 		records:     make(map[string]*record),
+		byID:        make(map[uint32]*record),
 	}
 }
 
@@ -82,32 +84,50 @@
 	if ok && heard.Before(known.heard) {
 		heard = known.heard
 	}
-	b.records[t.Name] = &record{Target: t, heard: heard}
+	b.put(&record{Target: t, heard: heard})
 	before.InFlight = t.InFlight
 	return t != before, nil
 }
 
 // Refresh records that a target repeated its announcement without a change. It
-// reports false if the table holds something else of that target.
-func (b *Table) Refresh(heard time.Time, r Refresh) bool {
-	known, ok := b.records[r.Target]
-	if !ok || known.Incarnation < r.Incarnation {
+// reports false if the table holds no target in the state that id stands for.
+func (b *Table) Refresh(heard time.Time, id uint32, inFlight int) bool {
+	known, ok := b.byID[id]
+	if !ok {
 		return false
 	}
-	if known.Incarnation > r.Incarnation {
-		return true
-	}
-	if known.State != r.State {
-		// A state that is further on stays; the sender learns of it by its table.
-		return known.State == types.TargetLeaving || known.State == types.TargetWithdrawn
-	}
 	if heard.After(known.heard) {
 		known.heard = heard
 	}
-	known.InFlight = r.InFlight
+	known.InFlight = inFlight
 	return true
 }
 
+// ByID returns the target that a refresh ID stands for.
+func (b *Table) ByID(id uint32) (types.Target, bool) {
+	known, ok := b.byID[id]
+	if !ok {
+		return types.Target{}, false
+	}
+	return known.Target, true
+}
+
+// put stores a record in place of the one before.
+func (b *Table) put(r *record) {
+	b.remove(r.Name)
+	b.records[r.Name] = r
+	b.byID[refreshID(r.Target)] = r
+}
+
+func (b *Table) remove(name string) {
+	known, ok := b.records[name]
+	if !ok {
+		return
+	}
+	delete(b.records, name)
+	delete(b.byID, refreshID(known.Target))
+}
+
 // Tick returns the targets that fell silent and forgets those that withdrew
 // long ago.
 func (b *Table) Tick(now time.Time) []types.Target {
@@ -116,7 +136,7 @@
 		r := b.records[name]
 		quiet := now.Sub(r.heard)
 		if r.State == types.TargetWithdrawn && quiet >= b.forgetAfter {
-			delete(b.records, name)
+			b.remove(name)
 			continue
 		}
 		if quiet < b.silentAfter || r.State == types.TargetSilent || r.State == types.TargetWithdrawn {
@@ -126,8 +146,10 @@
 		if err != nil {
 			continue // The chart names no timeout for this state.
 		}
-		r.State = types.TargetState(next)
-		changed = append(changed, r.Target)
+		silent := record{Target: r.Target, heard: r.heard}
+		silent.State = types.TargetState(next)
+		b.put(&silent)
+		changed = append(changed, silent.Target)
 	}
 	return changed
 }
