Bound the length and the depth of YAML texts

Texts above 64 KiB or nested deeper than 32 are refused before they are parsed, and a panic of the library is a fault of the text.

--- a/clusterconfig/parse.go
+++ b/clusterconfig/parse.go
@@ -26,7 +26,6 @@
 
 // Bounds of values.
 const (
-	maxTextBytes     = 1 << 20
 	maxQueueLimit    = 1_000_000
 	maxWeight        = 1000.0
 	maxProcessors    = 1_000_000.0
@@ -38,9 +37,6 @@
 // Parse reads the text of a configuration, fills in the defaults and checks it.
 // An error is of kind BadConfig and names every fault with its line.
 func Parse(text string) (*types.Config, error) {
-	if len(text) > maxTextBytes {
-		return nil, kind.Errorf(kind.BadConfig, "the configuration has %d bytes, want at most %d", len(text), maxTextBytes)
-	}
 	var faults []yamltree.Fault
 	root := yamltree.Parse(text, &faults)
 	if root == nil {
--- a/clusterconfig/parse_test.go
+++ b/clusterconfig/parse_test.go
@@ -1,12 +1,14 @@
 package clusterconfig
 
 import (
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"mangohill.example/mangohill/internal/yamltree"
 	"mangohill.example/mangohill/kind"
 	"mangohill.example/mangohill/types"
 )
@@ -92,6 +94,13 @@
 	assert.ErrorContains(t, err, "must not all be 0")
 }
 
+func TestHugeAndDeepTextsAreRefusedBeforeTheyAreParsed(t *testing.T) {
+	_, err := Parse(strings.Repeat("#", yamltree.MaxTextBytes+1))
+	assert.ErrorContains(t, err, "line 1: has 65537 bytes")
+	_, err = Parse("weights:\n" + strings.Repeat("[", 1000))
+	assert.ErrorContains(t, err, "line 2: is nested deeper than 32")
+}
+
 func TestKeysListsEveryKeyOfEveryMapping(t *testing.T) {
 	var mappings int
 	for _, keys := range [][]string{topKeys, serviceKeys, objectiveKeys, weightKeys, teamKeys, leaseKeys, entryKeys} {
--- a/cmd/mangohill/check.go
+++ b/cmd/mangohill/check.go
@@ -14,15 +14,15 @@
 )
 
 // Lines that tell the files apart: only settings have a listen key, and only an
-// entry process listens for callers.
+// entry process listens for callers and for the platform.
 var (
 	settingsLine = regexp.MustCompile(`(?m)^listen\s*:`)
-	callersLine  = regexp.MustCompile(`(?m)\bcallers\s*:`)
+	entryLine    = regexp.MustCompile(`(?m)\b(callers|platform)\s*:`)
 )
 
 // checkFile checks a file without sending anything. A .yaml or .yml file with a
-// key listen is a settings file, for an entry process if it listens for callers;
-// any other one is a cluster configuration. Other files are scripts.
+// key listen is a settings file, for an entry process if it listens for callers or
+// the platform; any other one is a cluster configuration. Other files are scripts.
 func (s *session) checkFile(path string) int {
 	content, err := os.ReadFile(path)
 	if err != nil {
@@ -51,7 +51,7 @@
 		return errorLines(path, err)
 	}
 	program := settings.Control
-	if callersLine.MatchString(text) {
+	if entryLine.MatchString(text) {
 		program = settings.Entry
 	}
 	_, faults := settings.Load(path, program)
--- a/internal/yamltree/map.go
+++ b/internal/yamltree/map.go
@@ -32,10 +32,22 @@
 	read bool
 }
 
+// Bounds of a document. The time of the YAML library grows with the square of
+// the length and of the depth.
+const (
+	MaxTextBytes = 64 << 10
+	maxDepth     = 32
+)
+
 // Parse reads text and returns its top mapping. The returned Map collects its
-// faults in faults. It is nil if the text is not a mapping at all.
+// faults in faults. It is nil if the text is not a mapping at all, or exceeds
+// the bounds.
 func Parse(text string, faults *[]Fault) *Map {
-	file, err := parser.ParseBytes([]byte(text), 0, parser.AllowDuplicateMapKey())
+	if fault := exceeds(text); fault != nil {
+		*faults = append(*faults, *fault)
+		return nil
+	}
+	file, err := parseFile(text)
 	if err != nil {
 		*faults = append(*faults, syntaxFault(err))
 		return nil
@@ -50,6 +62,40 @@
 	return newMap("", file.Docs[0].Body, faults)
 }
 
+// parseFile turns a panic of the library into an error: a text from an operator
+// must not end a daemon.
+func parseFile(text string) (file *ast.File, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = fmt.Errorf("cannot be parsed: %v", cause)
+		}
+	}()
+	return parser.ParseBytes([]byte(text), 0, parser.AllowDuplicateMapKey())
+}
+
+// exceeds returns the fault of a text that is too long or too deep. Brackets in
+// strings and comments count as well.
+func exceeds(text string) *Fault {
+	if len(text) > MaxTextBytes {
+		return &Fault{Line: 1, Problem: fmt.Sprintf("has %d bytes, want at most %d", len(text), MaxTextBytes)}
+	}
+	line, depth := 1, 0
+	for _, r := range text {
+		switch r {
+		case '\n':
+			line++
+		case '[', '{':
+			depth++
+		case ']', '}':
+			depth--
+		}
+		if depth > maxDepth {
+			return &Fault{Line: line, Problem: fmt.Sprintf("is nested deeper than %d", maxDepth)}
+		}
+	}
+	return nil
+}
+
 func syntaxFault(err error) Fault {
 	fault := Fault{Line: 1, Problem: err.Error()}
 	var syntax yaml.Error
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -32,7 +32,7 @@
 	DefaultLogFormat   = FormatJSON
 )
 
-// maxFileBytes bounds a settings file.
+// maxFileBytes bounds what is read of a settings file.
 const maxFileBytes = 1 << 20
 
 // Settings are the settings of one process.
