--- a/cmd/mangohill/script.go
+++ b/cmd/mangohill/script.go
@@ -10,7 +10,7 @@
 )
 
 // maxScriptBytes bounds a script.
-const maxScriptBytes = 16 << 20
+const maxScriptBytes = 1 << 20
 
 func (s *session) runScript(path string) int {
 	file, err := os.Open(path)
@@ -25,7 +25,10 @@
 // runScriptFrom checks the whole script before it sends the first command. It
 // stops at the first command that is not done and returns its exit code.
 func (s *session) runScriptFrom(name string, reader io.Reader) int {
-	text, err := io.ReadAll(io.LimitReader(reader, maxScriptBytes))
+	text, err := io.ReadAll(io.LimitReader(reader, maxScriptBytes+1))
+	if err == nil && len(text) > maxScriptBytes {
+		err = fmt.Errorf("%s has more than %d bytes", name, maxScriptBytes)
+	}
 	if err != nil {
 		s.report(err)
 		return kind.ExitUsage
