--- a/control/scale_test.go
+++ b/control/scale_test.go
@@ -104,7 +104,15 @@
 	}
 	for b.Loop() {
 		l.mu.Lock()
-		l.grant(args)
+		l.grant(l.service.now(), l.service.now(), args)
 		l.mu.Unlock()
 	}
 }
+
+// BenchmarkPlanIdle plans where nothing is to be done.
+func BenchmarkPlanIdle(b *testing.B) {
+	l := scaleLeader(b)
+	for b.Loop() {
+		l.planOnce(b.Context())
+	}
+}
--- a/proxy/fault_test.go
+++ b/proxy/fault_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"fmt"
 	"net/http"
 	"strings"
@@ -250,3 +251,32 @@
 	assert.Equal(t, "last", string(last.body))
 	assert.Equal(t, "done", last.outcome())
 }
+
+func TestSlowRequestIsHedged(t *testing.T) {
+	hedges := new(expvar.Int)
+	hosts := startHosts(t, 1, proxy.Options{Metrics: proxy.Metrics{Hedges: hedges}})
+	slow := startTarget(t, hosts, fake.TargetOptions{Name: "slow", Slots: 16})
+	fast := startTarget(t, hosts, fake.TargetOptions{Name: "fast", Slots: 16})
+	waitForTargets(t, hosts, 2)
+	slow.Set(fake.Hang, 0)
+	for n := range 6 {
+		id := fmt.Sprintf("booking-%d", n)
+		ask(hosts[0], http.MethodPost, "/v1/services/quote/", nil, quick(id, "false"))
+		assert.LessOrEqual(t, slow.Runs(id)+fast.Runs(id), 1, "a request that may not run twice is not hedged")
+	}
+	assert.Zero(t, hedges.Value())
+	// The bookings may have had the slow target ejected for a while.
+	n := 0
+	require.Eventually(t, func() bool {
+		n++
+		id := fmt.Sprintf("quote-%d", n)
+		got := ask(hosts[0], http.MethodPut, "/v1/services/quote/", []byte(id), http.Header{
+			proxy.HeaderRequestID: {id}, proxy.HeaderTimeout: {"60000"},
+		})
+		assert.Equal(t, "done", got.outcome(), string(got.body))
+		assert.Equal(t, id, string(got.body))
+		assert.LessOrEqual(t, slow.Runs(id)+fast.Runs(id), 2)
+		return slow.Runs(id) == 1 && fast.Runs(id) == 1
+	}, 10*time.Second, time.Millisecond)
+	assert.NotZero(t, hedges.Value())
+}
--- a/proxy/service.go
+++ b/proxy/service.go
@@ -176,7 +176,7 @@
 // acquire gets a decision for a request and waits in the queue if it must. A
 // wait that ctx ends becomes a refusal.
 func (s *service) acquire(ctx context.Context, r route.Request) route.Decision {
-	s.proxy.checkHeldUp()
+	s.proxy.checkHeldUp(s.proxy.options.Now())
 	s.mu.Lock()
 	decision, evicted := s.pool.Offer(s.proxy.options.Now(), r)
 	s.deliver(evicted)
@@ -255,3 +255,24 @@
 	defer s.mu.Unlock()
 	return s.pool.ServiceTime()
 }
+
+// hedgeAfter returns the time after which a request is worth a second send.
+func (s *service) hedgeAfter() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pool.HedgeAfter()
+}
+
+// mayHedge reports whether this host has so many slots that some may be spent on
+// second sends.
+func (s *service) mayHedge() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pool.MayHedge()
+}
+
+func (s *service) endHedge() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pool.EndHedge()
+}
