--- a/internal/doccheck/commands_test.go
+++ b/internal/doccheck/commands_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"mangohill.example/mangohill/clusterconfig"
 	"mangohill.example/mangohill/command"
 )
 
@@ -19,20 +20,32 @@
 // programOptions are the options of mangohill with the number of their values.
 var programOptions = map[string]int{"--entry": 1, "--json": 0, "--timeout": 1, "--picture": 1}
 
+// indented finds the lines of code blocks without fences.
+var indented = regexp.MustCompile(`(?m)^    (\S.*)$`)
+
 // TestCommandsInThePagesParse reads every code block of the pages. Blocks of the
-// language "mangohill" are scripts; in blocks of "sh", lines that call mangohill
-// must carry a command.
+// language "mangohill" are scripts and those of "yaml" configurations; in blocks
+// of "sh" and in indented ones, lines that call mangohill must carry a command.
 func TestCommandsInThePagesParse(t *testing.T) {
 	read := 0
 	for _, page := range pages(t) {
-		for _, block := range fence.FindAllStringSubmatch(readDoc(t, page), -1) {
+		text := readDoc(t, page)
+		for _, line := range indented.FindAllStringSubmatch(fence.ReplaceAllString(text, ""), -1) {
+			read += checkShell(t, page, line[1])
+		}
+		for _, block := range fence.FindAllStringSubmatch(text, -1) {
 			switch block[1] {
 			case "mangohill":
 				commands, err := command.ParseScript(block[2])
 				assert.NoError(t, err, page)
 				read += len(commands)
+			case "yaml":
+				_, err := clusterconfig.Parse(block[2])
+				assert.NoError(t, err, page)
 			case "sh":
 				read += checkShell(t, page, block[2])
+			default:
+				assert.Failf(t, "unknown language of a code block", "%s: %q", page, block[1])
 			}
 		}
 	}
@@ -44,6 +57,7 @@
 	read := 0
 	for line := range strings.Lines(strings.ReplaceAll(text, "\\\n", " ")) {
 		line, _, _ = strings.Cut(strings.TrimSpace(line), " #")
+		line = strings.TrimSuffix(line, " &")
 		words := strings.Fields(line)
 		checkFolders(t, page, words)
 		if rest, ok := afterProgram(words); ok {
