--- a/controlapi/commands.go
+++ b/controlapi/commands.go
@@ -1,6 +1,10 @@
 package controlapi
 
-import "mangohill.example/mangohill/kind"
+import (
+	"encoding/json"
+
+	"mangohill.example/mangohill/kind"
+)
 
 // CommandArgs is an operator's command. ID identifies it: a resend with the
 // same ID and text gets the first outcome.
@@ -25,10 +29,20 @@
 type CommandReply struct {
 	ID      string       `json:"id"`
 	Outcome kind.Outcome `json:"outcome"`
-	Kind    kind.Kind    `json:"kind,omitempty"`
-	Version uint64       `json:"version,omitempty"`
-	Rows    []Row        `json:"rows,omitempty"`
-	Message string       `json:"message,omitempty"`
+	Kind    kind.Kind    `json:"kind"`
+	Version uint64       `json:"version"`
+	Rows    []Row        `json:"rows"`
+	Message string       `json:"message"`
+}
+
+// MarshalJSON gives every member, also the empty ones: a program that reads
+// answers finds a list of rows in each.
+func (r CommandReply) MarshalJSON() ([]byte, error) {
+	type plain CommandReply
+	if r.Rows == nil {
+		r.Rows = []Row{}
+	}
+	return json.Marshal(plain(r))
 }
 
 // StatusArgs asks a control process for its view of the group.
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -119,6 +119,15 @@
 	}
 }
 
+func TestAnAnswerHasEveryMember(t *testing.T) {
+	handler := Handler(executorFunc(func(controlapi.CommandArgs) (controlapi.CommandReply, error) {
+		return controlapi.CommandReply{Outcome: kind.OutcomeDone}, nil
+	}))
+	id := uuid.NewString()
+	response := post(handler, `{"id": "`+id+`", "text": "show tasks"}`)
+	assert.JSONEq(t, `{"id": "`+id+`", "outcome": "done", "kind": "", "version": 0, "rows": [], "message": ""}`, response.Body.String())
+}
+
 func TestMalformedBodiesGetAProblemDocument(t *testing.T) {
 	handler := Handler(executorFunc(func(controlapi.CommandArgs) (controlapi.CommandReply, error) {
 		t.Error("a malformed command was executed")
