--- a/route/pool_test.go
+++ b/route/pool_test.go
@@ -86,7 +86,7 @@
 	p := newTestPool(10, Target{Name: "a", Share: 4, Ready: true}, Target{Name: "b", Share: 4, Ready: true})
 	fail := func(name string) {
 		for range ejectAfter {
-			p.byName[name].health.fail(start)
+			p.learn(start, p.byName[name], 0, Failed)
 		}
 	}
 	fail("a")
@@ -107,9 +107,11 @@
 	p.byName["slow"].service = estimate{mean: 0.1, samples: 50}
 	p.byName["fast"].service = estimate{mean: 0.01, samples: 50}
 	p.byName["slow"].lastSend = start
+	p.recount()
 	for i := range 50 {
 		d, _ := p.Offer(start, request(i, "c"))
 		require.Equal(t, "fast", d.Name)
+		p.Done(start.Add(10*time.Millisecond), d.Name, d.At, Answered)
 	}
 	later := start.Add(probeInterval)
 	sent := make(map[string]int)
@@ -117,7 +119,25 @@
 		d, _ := p.Offer(later, Request{ID: RequestID(100 + i), Deadline: later.Add(time.Second)})
 		sent[d.Name]++
 	}
-	assert.Equal(t, 1, sent["slow"], "one request probes the slow target")
+	assert.Equal(t, map[string]int{"slow": 1, "fast": 19}, sent, "one request probes the slow target")
+}
+
+// TestLongRequestsEverywhereKeepNoSlotFree has every target hold one request for
+// long: all look slow, and there is none to wait for.
+func TestLongRequestsEverywhereKeepNoSlotFree(t *testing.T) {
+	p := newTestPool(100, Target{Name: "a", Share: 4, Ready: true}, Target{Name: "b", Share: 4, Ready: true})
+	for i := range 2 {
+		d, _ := p.Offer(start, Request{ID: RequestID(i), Deadline: start.Add(time.Hour)})
+		require.Equal(t, Send, d.Action)
+	}
+	for _, known := range p.targets {
+		known.lastSend = start.Add(time.Minute)
+	}
+	later := start.Add(time.Minute)
+	for i := range 6 {
+		d, _ := p.Offer(later, Request{ID: RequestID(10 + i), Deadline: later.Add(time.Second)})
+		assert.Equal(t, Send, d.Action)
+	}
 }
 
 func TestHopIsTakenOnlyWhereItIsSooner(t *testing.T) {
@@ -268,3 +288,33 @@
 	assert.Zero(t, a.Share(later, "target", 8))
 	assert.Equal(t, 4, a.Share(later.Add(time.Second), "target", 8))
 }
+
+func TestHedgesAreBoundedByTheSlots(t *testing.T) {
+	p := newTestPool(100, Target{Name: "a", Share: 20, Ready: true}, Target{Name: "b", Share: 20, Ready: true})
+	granted := 0
+	var last Decision
+	for i := range 10 {
+		if d, ok := p.Hedge(start, request(i, "c")); ok {
+			granted++
+			last = d
+		}
+	}
+	assert.Equal(t, 2, granted, "one for 16 slots")
+	p.Done(start, last.Name, last.At, Answered)
+	p.EndHedge()
+	_, ok := p.Hedge(start, request(20, "c"))
+	assert.True(t, ok)
+	small := newTestPool(100, Target{Name: "a", Share: 15, Ready: true})
+	_, ok = small.Hedge(start, request(0, "c"))
+	assert.False(t, ok)
+}
+
+func TestOneLongAnswerMakesNoTargetSlow(t *testing.T) {
+	e := estimate{mean: 0.01, samples: 100}
+	e.add(10 * time.Second)
+	assert.Less(t, e.mean, 0.01*slowFactor)
+	for range 60 {
+		e.add(40 * time.Millisecond)
+	}
+	assert.InDelta(t, 0.04, e.mean, 0.002, "a target that is slower is still found to be")
+}
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -44,6 +44,7 @@
 type snapshotBody struct {
 	_             struct{} `cbor:",toarray"`
 	NowMs         int64
+	AgeMs         int64
 	Index         uint64
 	NextTask      types.TaskID
 	NextWorker    types.WorkerID
@@ -81,6 +82,7 @@
 func (s *Store) body() *snapshotBody {
 	body := &snapshotBody{
 		NowMs:         s.nowMs,
+		AgeMs:         s.ageMs,
 		Index:         s.index,
 		NextTask:      s.nextTask,
 		NextWorker:    s.nextWorker,
@@ -164,15 +166,20 @@
 	if err := decMode.Unmarshal(rest, &body); err != nil {
 		return nil, kind.Errorf(kind.Corrupt, "snapshot: %w", err)
 	}
+	if slices.Contains(body.Outcomes, nil) {
+		return nil, kind.Errorf(kind.Corrupt, "snapshot: an outcome of a command is missing")
+	}
 	return &body, nil
 }
 
 func (s *Store) load(body *snapshotBody) error {
-	s.nowMs, s.index = body.NowMs, body.Index
+	s.nowMs, s.ageMs, s.index = body.NowMs, body.AgeMs, body.Index
 	s.nextTask, s.nextWorker, s.epochFloor = body.NextTask, body.NextWorker, body.EpochFloor
 	s.ended = body.Ended
 	s.configVersion, s.configText = body.ConfigVersion, body.ConfigText
-	s.leasesMs = body.LeasesMs
+	if len(body.LeasesMs) > 0 {
+		s.leasesMs = body.LeasesMs
+	}
 	s.events.list = body.Events
 	for _, w := range body.Workers {
 		s.workers[w.ID] = &worker{Worker: w}
@@ -185,6 +192,9 @@
 	}
 	s.loadClaims(body)
 	s.loadCommands(body)
+	if err := s.Check(); err != nil {
+		return kind.Errorf(kind.Corrupt, "snapshot: %w", err)
+	}
 	return nil
 }
 
@@ -204,8 +214,8 @@
 			continue
 		}
 		w, ok := s.workers[t.Worker]
-		if !ok {
-			return kind.Errorf(kind.Corrupt, "snapshot: task %q is on worker %d, which is missing", t.Name, t.Worker)
+		if !ok || !t.State.Placed() {
+			return kind.Errorf(kind.Corrupt, "snapshot: task %q is %s on worker %d, which cannot be", t.Name, t.State, t.Worker)
 		}
 		s.place(t, w)
 	}
@@ -244,7 +254,7 @@
 
 // adopt takes over the content of another store, which must not be used after.
 func (s *Store) adopt(other *Store) {
-	s.nowMs, s.index = other.nowMs, other.index
+	s.nowMs, s.ageMs, s.index = other.nowMs, other.ageMs, other.index
 	s.nextTask, s.nextWorker, s.epochFloor = other.nextTask, other.nextWorker, other.epochFloor
 	s.workers, s.workerNames = other.workers, other.workerNames
 	s.tasks, s.taskNames, s.jobs, s.ended = other.tasks, other.taskNames, other.jobs, other.ended
