--- a/schedule/scenario_test.go
+++ b/schedule/scenario_test.go
@@ -297,3 +297,12 @@
 	assert.Equal(t, 30*time.Minute, s.remaining(s.tasks[1]).Round(time.Minute))
 	assert.Len(t, starts(s.Plan(epoch0.Add(2*time.Hour))), 1)
 }
+
+func TestUnknownClassIsTriedOnASmallHost(t *testing.T) {
+	s := New(Options{Seed: 1})
+	s.UpsertWorker(testWorker(1))
+	tasks := submitAll(s, testTask(1, types.KindService, 1000))
+	settleStarts(s, tasks, epoch0)
+	s.UpsertTask(testTask(2, types.KindBatch, 4000)) // Half of the host.
+	assert.Len(t, starts(s.Plan(epoch0)), 1)
+}
