--- a/proofs/mutants_test.go
+++ b/proofs/mutants_test.go
@@ -3,10 +3,10 @@
 // Package proofs shows that the proofs fail without their safeguards. It holds
 // test files only.
 //
-// Each mutant of mutants.yaml removes one safeguard in a copy of the tree. The
-// named test must fail there. Run it with:
+// Each mutant of the YAML files removes one safeguard in a copy of the tree. The
+// named test must fail there. Run them with:
 //
-//	go test -tags mutants -timeout 60m -v ./proofs
+//	go test -tags mutants -timeout 90m -v ./proofs
 package proofs
 
 import (
@@ -37,7 +37,19 @@
 }
 
 func TestProofsFailWithoutTheirSafeguards(t *testing.T) {
-	data, err := os.ReadFile("mutants.yaml")
+	files, err := filepath.Glob("*.yaml")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(file, ".yaml"), func(t *testing.T) {
+			t.Parallel()
+			runFile(t, file)
+		})
+	}
+}
+
+func runFile(t *testing.T, file string) {
+	data, err := os.ReadFile(file)
 	require.NoError(t, err)
 	var mutants []mutant
 	require.NoError(t, yaml.UnmarshalWithOptions(data, &mutants, yaml.Strict()))
@@ -49,9 +61,28 @@
 	}
 }
 
+// copied lists the files that belong to the tree.
+func copied(t *testing.T) []string {
+	list := exec.Command("git", "ls-files", "--cached", "--others", "--exclude-standard")
+	list.Dir = ".."
+	output, err := list.Output()
+	require.NoError(t, err)
+	return strings.Fields(string(output))
+}
+
+func copyTree(t *testing.T, folder string) {
+	for _, name := range copied(t) {
+		data, err := os.ReadFile(filepath.Join("..", name))
+		require.NoError(t, err)
+		path := filepath.Join(folder, name)
+		require.NoError(t, os.MkdirAll(filepath.Dir(path), 0o755))
+		require.NoError(t, os.WriteFile(path, data, 0o755))
+	}
+}
+
 func (m mutant) run(t *testing.T) {
 	folder := t.TempDir()
-	require.NoError(t, os.CopyFS(folder, os.DirFS("..")))
+	copyTree(t, folder)
 	path := filepath.Join(folder, m.File)
 	source, err := os.ReadFile(path)
 	require.NoError(t, err)
