Ask workers for usage less often when their tasks are many

Ruled out: shorter samples (JSON is the platform's contract). The interval now grows so that samples stay within 4 KB/s: 38.6 s for 1,413 tasks; today's sizes keep 10 s. The test counts bytes by the interval.

--- a/workersync/handler.go
+++ b/workersync/handler.go
@@ -145,6 +145,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if len(usage) > 0 {
+		w.samples = len(usage)
+	}
 	report.Usage = w.usage.pass(s.now(), usage)
 	s.metrics.UsageSkipped += uint64(len(usage) - len(report.Usage))
 	leaving := sync.State == stateLeaving
--- a/workersync/service.go
+++ b/workersync/service.go
@@ -77,6 +77,8 @@
 	leaseMs int64
 	holdMs  int64
 	usageMs int64
+	// samples is the number of usage samples that the workers send in an interval.
+	samples int
 	metrics Metrics
 }
 
--- a/workersync/service_test.go
+++ b/workersync/service_test.go
@@ -228,3 +228,25 @@
 	first, _ := s.gather()
 	assert.Zero(t, first.HoldMs, "the worker may not begin without its first lease")
 }
+
+// Workers are asked for usage less often when their tasks are many, so that an
+// entry host stays within its budget of bytes.
+func TestUsageStaysWithinItsBudget(t *testing.T) {
+	s := New(Options{Entry: "entry-1", Logger: zerolog.Nop()})
+	s.usageMs = 10_000
+	ask := func(tasks int) int64 {
+		sync := &platform.SyncRequest{Incarnation: 1, SentMs: 1}
+		for range tasks {
+			sync.Usage = append(sync.Usage, platform.UsageSample{Task: "t", Epoch: 1})
+		}
+		waiting, err := s.admit("w1", sync)
+		require.NoError(t, err)
+		s.reportOf("w1", waiting.worker, sync)
+		s.gather()
+		return s.answer(waiting).UsageMs
+	}
+	assert.EqualValues(t, 10_000, ask(20))
+	interval := ask(1413)
+	assert.LessOrEqual(t, 1413*usageSampleBytes*1000/interval, int64(usageBudget)+1)
+	assert.Equal(t, interval, ask(0), "a sync without usage says nothing about the tasks")
+}
--- a/workersync/usage.go
+++ b/workersync/usage.go
@@ -14,6 +14,10 @@
 	// usageChangeDivisor: a value counts as changed by more than this fraction of
 	// the one that was forwarded.
 	usageChangeDivisor = 8
+	// usageBudget is what the workers of an entry host may send it as usage, in
+	// bytes a second, and usageSampleBytes the size of one sample.
+	usageBudget      = 4096
+	usageSampleBytes = 112
 	// maxFilteredTasks bounds the usage remembered for one worker.
 	maxFilteredTasks = 1024
 )
@@ -42,6 +46,13 @@
 	}
 }
 
+// usageInterval returns the interval in milliseconds at which workers report
+// their usage: the configured one, or a longer one that keeps the given number
+// of samples in an interval within the budget.
+func usageInterval(configuredMs int64, samples int) int64 {
+	return max(configuredMs, int64(samples)*usageSampleBytes*1000/usageBudget)
+}
+
 // pass returns the reports that are worth forwarding.
 func (f *usageFilter) pass(now time.Time, reports []controlapi.UsageReport) []controlapi.UsageReport {
 	var out []controlapi.UsageReport
--- a/workersync/workers.go
+++ b/workersync/workers.go
@@ -32,6 +32,8 @@
 	// wake belongs to the newest sync.
 	wake  chan struct{}
 	usage usageFilter
+	// samples is the number of samples in the newest sync that carried usage.
+	samples int
 }
 
 // pendingCommand is a command that waits for a sync whose lease was granted under
@@ -128,12 +130,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var sent []sentRenewal
+	samples := 0
 	holdMs := s.exchangeHoldMs()
 	for name, w := range s.workers {
 		if s.now().Sub(w.seenAt) > workerForget {
 			delete(s.workers, name)
 			continue
 		}
+		samples += w.samples
 		if w.renew {
 			w.renew = false
 			if w.awaitsGrant() {
@@ -147,6 +151,7 @@
 	for _, r := range sent {
 		args.Renewals = append(args.Renewals, controlapi.Renewal{Worker: r.worker, Incarnation: r.incarnation})
 	}
+	s.samples = samples
 	s.metrics.Exchanges++
 	s.metrics.Renewals += uint64(len(sent))
 	return args, sent
@@ -261,7 +266,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	w := waiting.worker
-	out := &platform.SyncAnswer{Lease: w.lease, UsageMs: s.usageMs}
+	out := &platform.SyncAnswer{Lease: w.lease, UsageMs: usageInterval(s.usageMs, s.samples)}
 	if w.wake == waiting.wake {
 		out.Commands = w.takeCommands()
 		out.Resync, w.resync = w.resync, false
