Keep why an attempt was placed beyond the end of its task

why on a finished task said only how often it ran: the planner forgets a task with its end. Seen first: empty reasons in the table of try.

--- a/control/leader.go
+++ b/control/leader.go
@@ -34,18 +34,21 @@
 	version uint64
 	text    string
 	outbox  *outbox
-	entries map[string]*entryState
+	// explained holds why the newest attempts were placed where they were.
+	explained explanations
+	entries   map[string]*entryState
 }
 
 func newLeader(s *Service, term uint64) *leader {
 	l := &leader{
-		service: s,
-		store:   s.store,
-		term:    term,
-		done:    make(chan struct{}),
-		planner: s.newPlanner(term),
-		outbox:  newOutbox(),
-		entries: make(map[string]*entryState),
+		service:   s,
+		store:     s.store,
+		term:      term,
+		done:      make(chan struct{}),
+		planner:   s.newPlanner(term),
+		explained: newExplanations(),
+		outbox:    newOutbox(),
+		entries:   make(map[string]*entryState),
 	}
 	l.leases = lease.New(s.leaseOpts, s.now(), s.store.LongestLease(), holdersOf(s.store.Workers()))
 	l.loadConfig()
@@ -174,6 +177,7 @@
 			failure = results[i].Failure()
 		}
 		if failure == nil {
+			l.keepExplanation(action)
 			continue
 		}
 		refused = true
@@ -183,6 +187,13 @@
 	return !refused
 }
 
+// keepExplanation records why an attempt was placed; l.mu is held.
+func (l *leader) keepExplanation(action schedule.Action) {
+	if start, ok := action.(schedule.Start); ok {
+		l.explained.keep(start.Task, l.planner.Why(start.Task))
+	}
+}
+
 func opOf(action schedule.Action) state.Op {
 	switch a := action.(type) {
 	case schedule.Start:
--- a/control/query.go
+++ b/control/query.go
@@ -221,7 +221,11 @@
 		rows = append(rows, line(t.Reason))
 	}
 	if t.State.Terminal() || t.State == types.TaskParked {
-		return append(rows, line(fmt.Sprintf("%s after %d attempts", t.State, t.Epoch)))
+		rows = append(rows, line(fmt.Sprintf("%s after %d attempts", t.State, t.Epoch)))
+		for _, text := range l.explained.lines(t.ID) {
+			rows = append(rows, line("last start: "+text))
+		}
+		return rows
 	}
 	explanation := l.planner.Why(t.ID)
 	if t.State.Placed() && explanation.At.IsZero() {
--- a/control/service_test.go
+++ b/control/service_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -134,6 +135,9 @@
 	assert.NotEmpty(t, b.command("why route-7", "").Rows)
 
 	b.sync("w1", platform.SyncRequest{Incarnation: 3, SentMs: 4000, Tasks: []platform.TaskStatus{{Task: "route-7", Epoch: 1, State: "finished"}}})
+	why := fmt.Sprint(b.command("why route-7", "").Rows)
+	assert.Contains(t, why, "finished after 1 attempts")
+	assert.Contains(t, why, "last start: host w1 scored", "the decision outlives the task")
 	assert.Equal(t, "finished", b.command("show tasks", "").Rows[0].Get("state"))
 	assert.Equal(t, float64(0), b.command("show workers", "").Rows[0].Get("processors_committed"))
 	assert.NotEmpty(t, b.command("show events since 10m", "").Rows)
--- a/trial/trial.go
+++ b/trial/trial.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -155,7 +156,9 @@
 	for _, row := range tasks.Rows {
 		report.Tasks[fmt.Sprint(row.Get("state"))]++
 	}
-	report.Placements = tasks.Rows
+	if err := c.explain(ctx, report, tasks.Rows); err != nil {
+		return err
+	}
 	burn, err := c.command(ctx, "report burn", "")
 	if err != nil {
 		return err
@@ -164,6 +167,35 @@
 	return nil
 }
 
+// explain adds a row for each task: where it was placed, and why there.
+func (c *cluster) explain(ctx context.Context, report *Report, tasks []controlapi.Row) error {
+	for _, row := range tasks {
+		name := fmt.Sprint(row.Get("task"))
+		reply, err := c.command(ctx, "why "+name, "")
+		if err != nil {
+			return err
+		}
+		report.Placements = append(report.Placements, controlapi.Row{
+			{Name: "task", Value: name},
+			{Name: "state", Value: row.Get("state")},
+			{Name: "epoch", Value: row.Get("epoch")},
+			{Name: "why", Value: bestScore(reply.Rows)},
+		})
+	}
+	return nil
+}
+
+// bestScore returns the line of an explanation that names the chosen host.
+func bestScore(rows []controlapi.Row) string {
+	for _, row := range rows {
+		text := strings.TrimPrefix(fmt.Sprint(row.Get("why")), "last start: ")
+		if strings.HasPrefix(text, "host ") {
+			return text
+		}
+	}
+	return ""
+}
+
 // check compares what callers were told with what the stand-ins ran.
 func (c *cluster) check(report *Report) {
 	for _, result := range report.Requests {
