--- a/e2e/capacity_test.go
+++ b/e2e/capacity_test.go
@@ -72,7 +72,8 @@
 // TestCapacity prints what control and entry processes spend as workers and
 // running tasks grow. It has no verdict: docs/CAPACITY.md is worked out from its
 // figures. Programs are built with the race detector unless CAPACITY_BINARIES
-// names a folder with others. CAPACITY_LARGEST measures only the largest size.
+// names a folder with others. CAPACITY_LARGEST measures only the largest size,
+// CAPACITY_WINDOW after and over such a time in place of 5 s and 20 s.
 func TestCapacity(t *testing.T) {
 	if folder := os.Getenv("CAPACITY_BINARIES"); folder != "" {
 		binaries = folder
@@ -81,7 +82,13 @@
 	if os.Getenv("CAPACITY_LARGEST") != "" {
 		sizes = sizes[len(sizes)-1:]
 	}
-	window := 20 * time.Second
+	settle, window := 5*time.Second, 20*time.Second
+	if text := os.Getenv("CAPACITY_WINDOW"); text != "" {
+		var err error
+		window, err = time.ParseDuration(text)
+		require.NoError(t, err)
+		settle = window
+	}
 	c := newCluster(t, 3, 8)
 	ctx, cancel := context.WithCancel(context.Background())
 	var wait sync.WaitGroup
@@ -104,7 +111,7 @@
 		begun := time.Now()
 		c.eventually(fmt.Sprintf("%d attempts", size.tasks), func() bool { return journal.Starts() >= size.tasks })
 		fmt.Printf("all attempts started %.1f s after the last declaration\n", time.Since(begun).Seconds())
-		time.Sleep(5 * time.Second)
+		time.Sleep(settle)
 		c.measure(fmt.Sprintf("%d workers %d tasks", size.workers, size.tasks), window)
 	}
 	c.measureUrgent(journal)
