Let hosts join while the group is under faults

Cause: growth under faults had no proof. Change: rapid also adds hosts, up to seven; the disks that may be lost at once follow from the committed voters.

--- a/consensus/faults_test.go
+++ b/consensus/faults_test.go
@@ -33,7 +33,7 @@
 var actions = rapid.Custom(func(t *rapid.T) action {
 	return action{
 		Kind: rapid.SampledFrom([]string{
-			"run", "run", "run", "crash", "crash at write", "start", "start", "start", "freeze", "cut", "cut link", "join", "lose disk", "rate", "hand over",
+			"run", "run", "run", "crash", "crash at write", "start", "start", "start", "freeze", "cut", "cut link", "join", "lose disk", "rate", "hand over", "grow",
 		}).Draw(t, "kind"),
 		Host:  rapid.IntRange(0, 4).Draw(t, "host"),
 		Count: rapid.IntRange(1, 4*simElectionTicks).Draw(t, "count"),
@@ -62,9 +62,13 @@
 		delete(s.cut, h)
 		clear(s.links)
 	case "lose disk":
-		if h.repair || s.repairs() < (len(s.hosts)-1)/2 {
+		if h.repair || s.repairs() < s.tolerated() {
 			h.loseDisk()
 		}
+	case "grow":
+		if len(s.hosts) < maxHosts {
+			s.add()
+		}
 	case "hand over":
 		if h.isRunning() {
 			h.core.TransferLeadership()
@@ -145,9 +149,10 @@
 	})
 }
 
-// TestGroupUnderFaults drives three or five replicas through message loss,
-// duplication and reordering, crashes at any write, lost unsynced writes, lost
-// disks with repair, freezes, cut-off hosts, and clocks that run apart.
+// TestGroupUnderFaults drives three or five replicas, and more that join, through
+// message loss, duplication and reordering, crashes at any write, lost unsynced
+// writes, lost disks with repair, freezes, cut-off hosts, leaders that hand over,
+// and clocks that run apart.
 func TestGroupUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		size := rapid.SampledFrom([]int{3, 5}).Draw(t, "size")
--- a/consensus/invariants_test.go
+++ b/consensus/invariants_test.go
@@ -135,6 +135,9 @@
 	return open
 }
 
+// tolerated returns the number of disks that may be lost at once.
+func (s *sim) tolerated() int { return (s.members.Voters() - 1) / 2 }
+
 // heal ends all faults and waits until every host has everything.
 func (s *sim) heal() {
 	s.faults.loss, s.faults.duplicate, s.faults.delay = 0, 0, 0
--- a/consensus/sim_test.go
+++ b/consensus/sim_test.go
@@ -16,7 +16,9 @@
 	// simSnapshotEntries is small, so that most runs transfer snapshots.
 	simSnapshotEntries = 12
 	simSegmentBytes    = 2 << 10
-	simFolder          = "data"
+	// maxHosts bounds the growth of a group.
+	maxHosts  = 7
+	simFolder = "data"
 	// warmUp is a time in ticks in which a group without faults elects a leader.
 	warmUp = 6 * simElectionTicks
 	// rateUnit is one tick of a clock that runs at its nominal rate.
@@ -119,6 +121,7 @@
 		h.create(consensus.HardState{Term: 1}, []consensus.Entry{first})
 		h.boot()
 	}
+	s.members = members
 	return s
 }
 
