Answer every proposal before a planned stop and then hand over

Cause: a leader that was stopped under load handed over only by luck, and left the callers of queued proposals with an unknown outcome. Change: a stopping leader takes no more proposals, answers those that it has, hands over once a voter holds everything, and gives up after half the election timeout; a proposal that the loop never took is reported as stopping, that is not run.

--- a/replica/loop.go
+++ b/replica/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"runtime"
+	"sync/atomic"
 	"time"
 
 	"mangohill.example/mangohill/consensus"
@@ -20,6 +21,8 @@
 type proposal struct {
 	data []byte
 	done chan outcome
+	// taken is set once the loop has it: it may run from then on.
+	taken *atomic.Bool
 }
 
 // request is one of: a read, an admission, a failure of the applier.
@@ -62,6 +65,7 @@
 	rounds       map[uint64]time.Time
 	leading      Leadership
 	snapshotting bool
+	drain        drain
 	ticks        uint64
 }
 
@@ -85,19 +89,19 @@
 	ticker := time.NewTicker(l.replica.options.Tick)
 	defer ticker.Stop()
 	for {
-		running, err := l.turn(ticker.C)
+		err := l.turn(ticker.C)
 		if err == nil {
 			err = l.settle()
 		}
-		if err != nil || !running {
+		if err != nil || l.mayEnd() {
 			l.replica.finish(err)
 			return
 		}
 	}
 }
 
-// turn waits for one event and takes it. It returns false on a planned stop.
-func (l *loop) turn(tick <-chan time.Time) (bool, error) {
+// turn waits for one event and takes it.
+func (l *loop) turn(tick <-chan time.Time) error {
 	proposals := l.replica.proposals
 	if len(l.backlog) > maxApplyBacklog {
 		proposals = nil
@@ -107,29 +111,35 @@
 	if len(l.backlog) > 0 {
 		applies, next = l.replica.applies, l.backlog[0]
 	}
+	stopping := l.replica.stopping.Done()
+	if l.drain.active {
+		stopping = nil
+	}
 	select {
 	case <-tick:
 		l.tick()
 	case p := <-proposals:
 		l.propose(p)
 	case in := <-l.replica.inbound:
-		return true, l.receive(in)
+		return l.receive(in)
 	case req := <-l.replica.requests:
-		return true, l.handle(req)
+		return l.handle(req)
 	case applies <- next:
 		l.backlog = l.backlog[1:]
 	case meta := <-l.replica.snapshots:
-		return true, l.compact(meta)
+		return l.compact(meta)
 	case <-l.replica.applyPoke:
-	case <-l.replica.stopping.Done():
-		l.handOver()
-		return false, nil
+	case <-stopping:
+		l.drain.active = true
 	}
-	return true, nil
+	return nil
 }
 
 func (l *loop) tick() {
 	l.ticks++
+	if l.drain.active {
+		l.drain.ticks++
+	}
 	l.core.Tick()
 	l.maintainMembership()
 }
@@ -147,9 +157,14 @@
 
 // propose appends p and all proposals that wait, in one batch.
 func (l *loop) propose(p proposal) {
+	if l.drain.active {
+		refuse(p)
+		return
+	}
 	batch := l.gather(p)
 	commands := make([][]byte, len(batch))
 	for i := range batch {
+		batch[i].taken.Store(true)
 		commands[i] = batch[i].data
 	}
 	first, term, err := l.core.Propose(commands...)
--- a/replica/members.go
+++ b/replica/members.go
@@ -86,17 +86,3 @@
 	}
 	return meta.Index - min(meta.Index, l.replica.options.SnapshotEntries/2)
 }
-
-// handOver asks another voter to lead before a planned stop.
-func (l *loop) handOver() {
-	if !l.core.TransferLeadership() {
-		return
-	}
-	l.publish()
-	ready := l.core.Ready()
-	for _, m := range ready.Messages {
-		if s := l.senders[m.To]; s != nil && m.Type == consensus.MessageTimeoutNow {
-			s.callOnce(m)
-		}
-	}
-}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -195,7 +195,7 @@
 	if err := r.checkProposal(data); err != nil {
 		return nil, err
 	}
-	p := proposal{data: data, done: make(chan outcome, 1)}
+	p := proposal{data: data, done: make(chan outcome, 1), taken: new(atomic.Bool)}
 	select {
 	case r.proposals <- p:
 	case <-ctx.Done():
@@ -203,7 +203,11 @@
 	case <-r.done:
 		return nil, r.stoppedError()
 	}
-	return r.await(ctx, p.done)
+	value, err := r.await(ctx, p.done)
+	if kind.Is(err, kind.UnknownOutcome) && r.isStopped() && !p.taken.Load() {
+		return nil, r.stoppedError()
+	}
+	return value, err
 }
 
 // maxProposalBytes bounds one command.
@@ -219,12 +223,19 @@
 	return nil
 }
 
-// checkRunning refuses what would certainly not be taken.
-func (r *Replica) checkRunning() error {
+func (r *Replica) isStopped() bool {
 	select {
 	case <-r.done:
-		return r.stoppedError()
+		return true
 	default:
+		return false
+	}
+}
+
+// checkRunning refuses what would certainly not be taken.
+func (r *Replica) checkRunning() error {
+	if r.isStopped() {
+		return r.stoppedError()
 	}
 	if r.identity.Load() == nil {
 		return kind.Errorf(kind.NotLeader, "")
@@ -322,8 +333,10 @@
 	return nil
 }
 
-// Stop hands the leadership over, where this replica has it, and stops. It
-// returns when all goroutines have ended and the folder is closed.
+// Stop takes no more proposals, answers those that it has, hands the leadership
+// over, where this replica has it, and stops. Without a quorum it gives up after
+// half the election timeout. It returns when all goroutines have ended and the
+// folder is closed.
 func (r *Replica) Stop() {
 	r.stop()
 	<-r.done
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 
@@ -166,6 +167,40 @@
 	propose(t, nodes, "second")
 }
 
+func TestPlannedStopUnderLoadLeavesNoProposalOpen(t *testing.T) {
+	nodes := newNodes(t, 3, patientTicks)
+	startGroup(t, nodes)
+	old := leaderOf(nodes)
+	term := old.replica.Status().Term
+	leader := old.replica
+	var acknowledged, unknown atomic.Int64
+	var group sync.WaitGroup
+	for range 50 {
+		group.Go(func() {
+			for {
+				_, err := leader.Propose(context.Background(), []byte("x"))
+				switch kind.Of(err) {
+				case "":
+					acknowledged.Add(1)
+				case kind.UnknownOutcome:
+					unknown.Add(1)
+					return
+				default:
+					return
+				}
+			}
+		})
+	}
+	eventually(t, "commands flow", func() bool { return acknowledged.Load() > 500 })
+	old.halt()
+	group.Wait()
+	assert.Zero(t, unknown.Load())
+	eventually(t, "another replica leads", func() bool { return leaderOf(nodes) != nil })
+	assert.Equal(t, term+1, leaderOf(nodes).replica.Status().Term)
+	propose(t, nodes, "y")
+	assert.EqualValues(t, acknowledged.Load()+1, len(leaderOf(nodes).journal.commands()))
+}
+
 func TestLeadershipIsAnnouncedOnceTheStateIsCurrent(t *testing.T) {
 	nodes := newNodes(t, 1, nil)
 	startGroup(t, nodes)
