--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -76,10 +79,19 @@
 }
 
 func TestAnUnreachableEntryHostMeansThatNothingRan(t *testing.T) {
-	client := &Client{Entries: []string{"127.0.0.1:1"}, Timeout: time.Millisecond}
-	reply := client.Execute(t.Context(), NewArgs("cancel x", ""))
-	assert.Equal(t, kind.OutcomeRefused, reply.Outcome)
-	assert.Equal(t, kind.ExitRefused, ExitCode(reply, true))
+	synctest.Test(t, func(t *testing.T) {
+		client := &Client{Entries: []string{"a:1"}, Timeout: time.Second, Transport: unreachable{}}
+		reply := client.Execute(t.Context(), NewArgs("cancel x", ""))
+		assert.Equal(t, kind.OutcomeRefused, reply.Outcome)
+		assert.Equal(t, kind.ExitRefused, ExitCode(reply, true))
+	})
+}
+
+// unreachable fails to connect to every host.
+type unreachable struct{}
+
+func (unreachable) RoundTrip(r *http.Request) (*http.Response, error) {
+	return nil, &net.OpError{Op: "dial", Net: "tcp", Err: fmt.Errorf("%s: %w", r.URL.Host, syscall.ECONNREFUSED)}
 }
 
 func TestARefusalIsNotResent(t *testing.T) {
@@ -107,6 +119,15 @@
 	}
 }
 
+func TestAnAnswerHasEveryMember(t *testing.T) {
+	handler := Handler(executorFunc(func(controlapi.CommandArgs) (controlapi.CommandReply, error) {
+		return controlapi.CommandReply{Outcome: kind.OutcomeDone}, nil
+	}))
+	id := uuid.NewString()
+	response := post(handler, `{"id": "`+id+`", "text": "show tasks"}`)
+	assert.JSONEq(t, `{"id": "`+id+`", "outcome": "done", "kind": "", "version": 0, "rows": [], "message": ""}`, response.Body.String())
+}
+
 func TestMalformedBodiesGetAProblemDocument(t *testing.T) {
 	handler := Handler(executorFunc(func(controlapi.CommandArgs) (controlapi.CommandReply, error) {
 		t.Error("a malformed command was executed")
--- a/proxy/fault_test.go
+++ b/proxy/fault_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"fmt"
 	"net/http"
 	"strings"
@@ -115,6 +116,26 @@
 	}
 }
 
+// The last word on an idempotent request may be that no other target is left;
+// its first send may have run all the same.
+func TestRequestThatMayHaveRunIsNeverNotRun(t *testing.T) {
+	hosts := startHosts(t, 1, proxy.Options{})
+	first := startTarget(t, hosts, fake.TargetOptions{Name: "t1"})
+	second := startTarget(t, hosts, fake.TargetOptions{Name: "t2"})
+	waitForTargets(t, hosts, 2)
+	first.Set(fake.CloseEarly, 0)
+	second.Set(fake.RefuseRun, 0)
+	for i := range 8 {
+		id := fmt.Sprintf("quote-%d", i)
+		got := ask(hosts[0], http.MethodPut, "/v1/services/quote/", []byte("x"), quick(id, "true"))
+		require.NoError(t, got.err)
+		if first.Runs(id) > 0 {
+			assert.Equal(t, "unknown", got.outcome(), string(got.body))
+		}
+	}
+	assert.NotZero(t, first.TotalRuns())
+}
+
 func TestUnreachableTargetIsNotRun(t *testing.T) {
 	hosts := startHosts(t, 1, proxy.Options{})
 	target := startTarget(t, hosts, fake.TargetOptions{Name: "t1", AnnounceAddress: "127.0.0.1:1"})
@@ -230,3 +251,32 @@
 	assert.Equal(t, "last", string(last.body))
 	assert.Equal(t, "done", last.outcome())
 }
+
+func TestSlowRequestIsHedged(t *testing.T) {
+	hedges := new(expvar.Int)
+	hosts := startHosts(t, 1, proxy.Options{Metrics: proxy.Metrics{Hedges: hedges}})
+	slow := startTarget(t, hosts, fake.TargetOptions{Name: "slow", Slots: 16})
+	fast := startTarget(t, hosts, fake.TargetOptions{Name: "fast", Slots: 16})
+	waitForTargets(t, hosts, 2)
+	slow.Set(fake.Hang, 0)
+	for n := range 6 {
+		id := fmt.Sprintf("booking-%d", n)
+		ask(hosts[0], http.MethodPost, "/v1/services/quote/", nil, quick(id, "false"))
+		assert.LessOrEqual(t, slow.Runs(id)+fast.Runs(id), 1, "a request that may not run twice is not hedged")
+	}
+	assert.Zero(t, hedges.Value())
+	// The bookings may have had the slow target ejected for a while.
+	n := 0
+	require.Eventually(t, func() bool {
+		n++
+		id := fmt.Sprintf("quote-%d", n)
+		got := ask(hosts[0], http.MethodPut, "/v1/services/quote/", []byte(id), http.Header{
+			proxy.HeaderRequestID: {id}, proxy.HeaderTimeout: {"60000"},
+		})
+		assert.Equal(t, "done", got.outcome(), string(got.body))
+		assert.Equal(t, id, string(got.body))
+		assert.LessOrEqual(t, slow.Runs(id)+fast.Runs(id), 2)
+		return slow.Runs(id) == 1 && fast.Runs(id) == 1
+	}, 10*time.Second, time.Millisecond)
+	assert.NotZero(t, hedges.Value())
+}
--- a/schedule/adopt.go
+++ b/schedule/adopt.go
@@ -40,10 +40,10 @@
 	if t.State.Placed() && t.startedAt.IsZero() {
 		t.startedAt = at
 	}
-	switch {
-	case t.State == types.TaskRunning && t.runningSince.IsZero():
-		s.beginRunning(t, at)
-	case t.State == types.TaskThrottled && before.ShareMilli != t.ShareMilli:
+	if t.State.Placed() && t.State != types.TaskStarting && t.runningSince.IsZero() {
+		s.beginRunning(t, at) // A new leader may first hear of a throttled attempt.
+	}
+	if t.State == types.TaskThrottled && before.ShareMilli != t.ShareMilli {
 		t.throttledAt = at
 	}
 }
@@ -69,12 +69,12 @@
 	t.usedAt = time.Time{}
 	t.throttledAt = time.Time{}
 	t.used, t.fullUse, t.load, t.loadPeak = 0, 0, 0, 0
-	t.suffers = sufferer{}
+	t.slowness = slowness{}
 	t.throttles = 0
 	t.reliefAt = time.Time{}
 	t.leaving = false
 	if !t.State.Placed() {
-		t.gentle = 0
+		t.startShareMilli = 0
 	}
 	t.irreplaceable = false
 }
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"mangohill.example/mangohill/interference"
+	"mangohill.example/mangohill/kind"
 	"mangohill.example/mangohill/types"
 )
 
@@ -16,30 +17,34 @@
 	random  *rand.Rand
 	now     time.Time
 
-	hosts    []*host // sorted by ID
-	hostByID map[types.WorkerID]*host
-	tasks    map[types.TaskID]*task
-	jobs     map[string]*job
-	teams    map[string]*team
-	total    types.Resources // capacity of the hosts that accept tasks
-	queue    *queue
-	sequence uint64      // counts the events that free hosts
-	freed    []freedHost // log of freed hosts, oldest first
-	orphans  int         // bound tasks whose worker is unknown
-	assumed  []*task     // tasks with an unconfirmed start, oldest first
+	hosts       []*host // sorted by ID
+	hostByID    map[types.WorkerID]*host
+	tasks       map[types.TaskID]*task
+	jobs        map[string]*job
+	teams       map[string]*team
+	total       types.Resources // capacity of the hosts that accept tasks
+	queue       *queue
+	sequence    uint64      // counts the events that free hosts
+	evaluations uint64      // hosts asked about a task, ever
+	freed       []freedHost // log of freed hosts, oldest first
+	orphans     int         // bound tasks whose worker is unknown
+	assumed     []*task     // tasks with an unconfirmed start, oldest first
 
 	learned      map[string]*learned
 	learnedRest  *learned // shared by the classes beyond the bound
 	observations []observation
-	relieving    []*host
-	suspects     []*host // hosts with failures since their last success
-	drains       []*host // draining hosts
-	replacements []*task
-	gentle       []*task // started, to be throttled when they run
-	claims       []*task // tasks with a claim, oldest first
-	budget       budget
-	trials       [interference.MaxClasses]int // running trials by class
-	gently       [interference.MaxClasses]int // attempts with a throttled start by class
+	// slowdownLimit bounds the predicted slowdowns of services, as a logarithm.
+	slowdownLimit       float64
+	relieving           []*host
+	suspects            []*host // hosts with failures since their last success
+	drains              []*host // draining hosts
+	replacements        []*task
+	throttledStarts     []*task // started, to be throttled when they run
+	claims              []*task // tasks with a claim, oldest first
+	holds               int     // claims that wait for room to come up
+	budget              budget
+	trials              [interference.MaxClasses]int // running trials by class
+	throttledStartCount [interference.MaxClasses]int // attempts with a throttled start by class
 
 	filters []filter
 	scorers []scorer
@@ -67,6 +72,7 @@
 	}
 	s.scorers = defaultScorers()
 	s.weigh()
+	s.limitSlowdown()
 	return s
 }
 
@@ -77,6 +83,7 @@
 		t.setQuota(config.Teams[t.name])
 	}
 	s.weigh()
+	s.limitSlowdown()
 	s.queue.unblock()
 	for _, f := range s.queue.fits {
 		f.failed = false
@@ -176,8 +183,8 @@
 		s.rejected(a.Task)
 	case Replace:
 		s.rejected(a.Task)
-		if t := s.tasks[a.Task]; t != nil {
-			t.irreplaceable = true
+		if t := s.tasks[a.Task]; t != nil && kind.Is(err, kind.BadRequest) {
+			t.irreplaceable = true // Other refusals may pass.
 		}
 	case Park:
 		s.rejectedPark(a.Task)
@@ -219,8 +226,8 @@
 	s.budget.resize(len(s.hosts), s.config.Weights)
 	s.learnLatencies()
 	s.relief()
-	s.keepGentle()
-	s.judge()
+	s.throttleStarted()
+	s.reviewHealth()
 	s.drain()
 	s.finishReplacements()
 	s.queue.release(now)
@@ -229,12 +236,10 @@
 	return append([]Action(nil), s.actions...)
 }
 
-func (s *Scheduler) emit(a Action) { s.actions = append(s.actions, a) }
-
 func (s *Scheduler) enqueue(t *task) {
 	t.order = queueOrder(t)
 	t.notBefore = time.Time{}
-	t.gentle = 0
+	t.startShareMilli = 0
 	if t.Failures > 0 {
 		t.notBefore = unixMs(t.ChangedMs).Add(backoff(t.Failures))
 	}
--- a/schedule/trial.go
+++ b/schedule/trial.go
@@ -30,10 +30,10 @@
 	for i := range h.exposures {
 		e := &h.exposures[i]
 		sum := s.added(h, e, t.job.index, share)
-		if sum.upper() <= logSlowdownLimit {
+		if sum.upper() <= s.slowdownLimit {
 			continue
 		}
-		if e.upper() > logSlowdownLimit || sum.upper() > logTrialLimit {
+		if e.upper() > s.slowdownLimit || sum.upper() > logTrialLimit {
 			return false
 		}
 		if sum.variance-e.variance < unknownDeviation*unknownDeviation {
@@ -47,7 +47,7 @@
 // beginTrial counts t as a trial if its start exceeds the limit.
 func (s *Scheduler) beginTrial(t *task, h *host) {
 	s.refresh(h)
-	if t.Job.Kind != types.KindBatch || s.spares(t, h) {
+	if t.Job.Kind != types.KindBatch || s.keepsLimit(t, h) {
 		return
 	}
 	t.trial = true
--- a/schedule/why.go
+++ b/schedule/why.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	maxExamples = 3
+	maxExamples = 2
 	maxKept     = 4
 )
 
@@ -20,7 +20,8 @@
 	placed
 	waitsForHost
 	waitsForQuota
-	waitsForRoom
+	waitsForPreemption
+	waitsForHold
 	waitsInVain
 	parked
 )
@@ -38,8 +39,8 @@
 
 type rating struct {
 	worker types.WorkerID
-	total  float64
-	parts  [maxScorers]float64
+	total  float32
+	parts  [maxScorers]float32
 }
 
 func (d *decision) reset(now time.Time) { *d = decision{at: now} }
@@ -53,7 +54,7 @@
 }
 
 // keep inserts a rating into the best ones.
-func (d *decision) keep(w types.WorkerID, total float64, parts [maxScorers]float64) {
+func (d *decision) keep(w types.WorkerID, total float32, parts [maxScorers]float32) {
 	d.kept++
 	r := rating{w, total, parts}
 	for i := range min(int(d.kept), maxKept) {
@@ -72,6 +73,7 @@
 	Outcome  string
 	RuledOut []RuledOut
 	Kept     []Kept
+	Events   []Event // throttles, evictions and the like, oldest first
 }
 
 // RuledOut counts the hosts that a filter ruled out, with a few examples.
@@ -111,6 +113,7 @@
 	for i := range min(int(d.kept), maxKept) {
 		e.Kept = append(e.Kept, s.kept(d.best[i]))
 	}
+	e.Events = append(e.Events, t.events...)
 	return e
 }
 
@@ -132,9 +135,9 @@
 }
 
 func (s *Scheduler) kept(r rating) Kept {
-	k := Kept{Worker: s.hostName(r.worker), Total: r.total}
+	k := Kept{Worker: s.hostName(r.worker), Total: float64(r.total)}
 	for i, sc := range s.scorers {
-		k.Scores = append(k.Scores, Score{sc.name(), r.parts[i]})
+		k.Scores = append(k.Scores, Score{sc.name(), float64(r.parts[i])})
 	}
 	return k
 }
@@ -156,11 +159,13 @@
 		return "placed on " + s.hostName(d.worker)
 	case waitsForHost:
 		return "waits for a host that passes every filter"
+	case waitsForHold:
+		return "waits for the rest of the room on a host that is held for it"
 	case waitsInVain:
 		return s.tooLateText(t)
 	case parked:
 		return "parked: its job failed on several healthy workers"
-	case waitsForRoom:
+	case waitsForPreemption:
 		return "waits for batch tasks to leave the host that is kept for it"
 	case waitsForQuota:
 		return fmt.Sprintf("waits for the quota of team %q", t.team.name)
@@ -180,6 +185,9 @@
 	for _, k := range e.Kept {
 		lines = append(lines, k.line())
 	}
+	for _, event := range e.Events {
+		lines = append(lines, event.At.UTC().Format(time.RFC3339)+" "+event.Text)
+	}
 	return lines
 }
 
--- a/workersync/workers.go
+++ b/workersync/workers.go
@@ -32,6 +32,8 @@
 	// wake belongs to the newest sync.
 	wake  chan struct{}
 	usage usageFilter
+	// samples is the number of samples in the newest sync that carried usage.
+	samples int
 }
 
 // pendingCommand is a command that waits for a sync whose lease was granted under
@@ -106,11 +108,15 @@
 	defer s.mu.Unlock()
 	w.sentMs = max(w.sentMs, sentMs)
 	w.renew = true
-	if w.lease == nil || len(w.commands) > 0 {
+	if w.awaitsGrant() {
 		s.kick()
 	}
 }
 
+// awaitsGrant reports whether the worker can do nothing before its next grant:
+// it holds no lease yet, or a command waits for one.
+func (w *workerState) awaitsGrant() bool { return w.lease == nil || len(w.commands) > 0 }
+
 // kick asks for an exchange beside the one that is held.
 func (s *Service) kick() {
 	select {
@@ -124,21 +130,28 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var sent []sentRenewal
+	samples := 0
+	holdMs := s.exchangeHoldMs()
 	for name, w := range s.workers {
 		if s.now().Sub(w.seenAt) > workerForget {
 			delete(s.workers, name)
 			continue
 		}
+		samples += w.samples
 		if w.renew {
 			w.renew = false
+			if w.awaitsGrant() {
+				holdMs = 0
+			}
 			sent = append(sent, sentRenewal{worker: name, incarnation: w.incarnation, sentMs: w.sentMs})
 		}
 	}
 	slices.SortFunc(sent, func(a, b sentRenewal) int { return cmp.Compare(a.worker, b.worker) })
-	args := &controlapi.ExchangeArgs{Entry: s.options.Entry, HoldMs: s.exchangeHoldMs(), ConfigVersion: s.configVersion()}
+	args := &controlapi.ExchangeArgs{Entry: s.options.Entry, HoldMs: holdMs, ConfigVersion: s.configVersion()}
 	for _, r := range sent {
 		args.Renewals = append(args.Renewals, controlapi.Renewal{Worker: r.worker, Incarnation: r.incarnation})
 	}
+	s.samples = samples
 	s.metrics.Exchanges++
 	s.metrics.Renewals += uint64(len(sent))
 	return args, sent
@@ -253,7 +266,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	w := waiting.worker
-	out := &platform.SyncAnswer{Lease: w.lease, UsageMs: s.usageMs}
+	out := &platform.SyncAnswer{Lease: w.lease, UsageMs: usageInterval(s.usageMs, s.samples)}
 	if w.wake == waiting.wake {
 		out.Commands = w.takeCommands()
 		out.Resync, w.resync = w.resync, false
