state: begin nothing late on a draining or leaving worker

A start that had not reached the worker when it was drained was still delivered, however late. Attempts that were not reported as running are now stopped with the drain, and do not count as evictions.

--- a/control/scenario_test.go
+++ b/control/scenario_test.go
@@ -225,3 +225,16 @@
 	assert.Equal(t, types.WorkerReady, w.State)
 	c.run(20*time.Second, func() bool { w, _ := c.store.WorkerNamed("w1"); return w.State == types.WorkerLost })
 }
+
+func TestStartThatWasNotDeliveredDoesNotBeginOnADrainingWorker(t *testing.T) {
+	c := newSimCluster(t, 1, 1)
+	c.pass(2 * time.Second)
+	c.workers["w1"].cut = true
+	c.done("declare batch route-7 { processors 2 memory 1GiB }")
+	c.pass(time.Second)
+	assert.Equal(t, types.TaskStarting, c.taskState("route-7"))
+	c.done("drain worker w1")
+	c.workers["w1"].cut = false
+	c.run(10*time.Second, func() bool { return c.taskState("route-7") == types.TaskEvicted })
+	assert.Empty(t, c.resumes["route-7"])
+}
--- a/state/attempts.go
+++ b/state/attempts.go
@@ -172,6 +172,7 @@
 	case types.TaskFinished:
 		event = "finish"
 	}
+	begun := t.State != types.TaskStarting
 	if err := s.setTask(t, event); err != nil {
 		return Result{Err: err}
 	}
@@ -180,7 +181,9 @@
 	}
 	s.release(t)
 	if t.State == types.TaskEvicted {
-		t.Evictions++
+		if begun {
+			t.Evictions++
+		}
 		s.record(EventTaskEvicted, t.Name, t.Reason)
 		return Result{}
 	}
--- a/state/workers.go
+++ b/state/workers.go
@@ -65,6 +65,7 @@
 	if err := s.setWorker(w, "leave"); err != nil {
 		return Result{Err: err}
 	}
+	s.stopStarting(w, "worker "+w.Name+" is leaving")
 	s.record(EventWorkerLeaving, w.Name, "")
 	return Result{Worker: w.ID, Version: w.Session}
 }
@@ -101,6 +102,21 @@
 	}
 }
 
+// stopStarting asks for the end of the attempts that the worker has not yet
+// reported as running, so that none begins late on a worker that is to get nothing
+// new.
+func (s *Store) stopStarting(w *worker, reason string) {
+	for _, id := range w.attempts {
+		t := s.tasks[id]
+		if t.State != types.TaskStarting || t.Stopping != "" {
+			continue
+		}
+		t.Stopping = types.TaskEvicted
+		t.Reason = reason
+		s.changes.task(id)
+	}
+}
+
 func (op LeaseOver) apply(s *Store) Result {
 	w, ok := s.workers[op.Worker]
 	if !ok {
@@ -130,6 +146,7 @@
 	s.changes.worker(w.ID)
 	switch {
 	case !op.Undo && (w.State == types.WorkerReady || w.State == types.WorkerQuarantined):
+		s.stopStarting(w, "worker "+w.Name+" is draining")
 		s.record(EventWorkerDraining, w.Name, "")
 		return Result{Err: s.setWorker(w, "drain")}
 	case op.Undo && w.State == types.WorkerDraining:
