--- a/state/workers.go
+++ b/state/workers.go
@@ -7,8 +7,12 @@
 	"mangohill.example/mangohill/types"
 )
 
-// maxWorkers bounds the workers that the state knows, lost ones included.
-const maxWorkers = 4096
+const (
+	// maxWorkers bounds the workers that the state knows, lost ones included.
+	maxWorkers = 4096
+	// lostRetentionMs is how long a lost worker is kept for show, at least.
+	lostRetentionMs = 24 * 60 * 60 * 1000
+)
 
 func (op Register) apply(s *Store) Result {
 	if op.Worker == "" || !plausible(op.Capacity) {
@@ -16,6 +20,7 @@
 	}
 	w, ok := s.workers[s.workerNames[op.Worker]]
 	if !ok {
+		s.forgetLongLost()
 		if len(s.workers) >= maxWorkers && !s.forgetLostWorker() {
 			return refuse(kind.Overloaded, "worker %q: the cluster holds %d workers", op.Worker, len(s.workers))
 		}
@@ -89,12 +94,27 @@
 	if oldest == nil {
 		return false
 	}
-	delete(s.workers, oldest.ID)
-	delete(s.workerNames, oldest.Name)
-	s.changes.worker(oldest.ID)
+	s.removeWorker(oldest)
 	return true
 }
 
+// forgetLongLost removes the workers that were lost long ago: hosts are replaced
+// under new names every day.
+func (s *Store) forgetLongLost() {
+	for _, id := range sortedKeys(s.workers) {
+		w := s.workers[id]
+		if w.State == types.WorkerLost && len(w.attempts) == 0 && s.ageMs-w.LostMs >= lostRetentionMs {
+			s.removeWorker(w)
+		}
+	}
+}
+
+func (s *Store) removeWorker(w *worker) {
+	delete(s.workers, w.ID)
+	delete(s.workerNames, w.Name)
+	s.changes.worker(w.ID)
+}
+
 // endAttempts ends every attempt on a worker that certainly runs none of them.
 func (s *Store) endAttempts(w *worker, reason string) {
 	for _, id := range slices.Clone(w.attempts) {
@@ -133,6 +153,7 @@
 	if err := s.setWorker(w, "lose"); err != nil {
 		return Result{Err: err}
 	}
+	w.LostMs = s.ageMs
 	s.record(EventWorkerLost, w.Name, "")
 	return Result{}
 }
--- a/types/worker.go
+++ b/types/worker.go
@@ -30,6 +30,8 @@
 	// Session counts the registrations of the worker. The end of a lease names the
 	// session that it ends.
 	Session uint64 `cbor:"10,keyasint,omitempty"`
+	// LostMs is the age of the replicated state at which the worker was lost.
+	LostMs int64 `cbor:"11,keyasint,omitempty"`
 }
 
 // Usage is one report of a task's measured consumption. TakenMs is on the
