--- a/workersync/service_test.go
+++ b/workersync/service_test.go
@@ -228,3 +228,9 @@
 	first, _ := s.gather()
 	assert.Zero(t, first.HoldMs, "the worker may not begin without its first lease")
 }
+
+func TestReportedUsageStaysWithinBounds(t *testing.T) {
+	sample := platform.UsageSample{Task: "t", TakenMs: -1 << 62, Processors: 1e300, MemoryBytes: -5, LatencyP99Ms: -1, Progress: 0.4}
+	usage := usageOf(&sample, 1<<62)
+	assert.Equal(t, controlapi.UsageReport{Task: "t", MilliProcessors: maxUsageValue, ProgressMilli: 400}, usage)
+}
--- a/workersync/usage.go
+++ b/workersync/usage.go
@@ -14,6 +14,8 @@
 	// usageChangeDivisor: a value counts as changed by more than this fraction of
 	// the one that was forwarded.
 	usageChangeDivisor = 8
+	// maxUsageValue bounds each reported value, in its own unit.
+	maxUsageValue = 1 << 50
 	// maxFilteredTasks bounds the usage remembered for one worker.
 	maxFilteredTasks = 1024
 )
@@ -34,14 +36,19 @@
 	return controlapi.UsageReport{
 		Task:            sample.Task,
 		Epoch:           sample.Epoch,
-		AgeMs:           max(0, sentMs-sample.TakenMs),
-		MilliProcessors: int64(sample.Processors * 1000),
-		MemoryBytes:     sample.MemoryBytes,
-		LatencyP99Us:    int64(sample.LatencyP99Ms * 1000),
-		ProgressMilli:   int64(sample.Progress * 1000),
+		AgeMs:           min(max(0, sentMs-sample.TakenMs), maxUsageValue),
+		MilliProcessors: thousandths(sample.Processors),
+		MemoryBytes:     min(max(0, sample.MemoryBytes), maxUsageValue),
+		LatencyP99Us:    thousandths(sample.LatencyP99Ms),
+		ProgressMilli:   thousandths(sample.Progress),
 	}
 }
 
+// thousandths converts a reported value, within bounds.
+func thousandths(value float64) int64 {
+	return int64(min(max(0, value*1000), maxUsageValue))
+}
+
 // pass returns the reports that are worth forwarding.
 func (f *usageFilter) pass(now time.Time, reports []controlapi.UsageReport) []controlapi.UsageReport {
 	var out []controlapi.UsageReport
