--- a/workersync/usage.go
+++ b/workersync/usage.go
@@ -16,6 +16,10 @@
 	usageChangeDivisor = 8
 	// maxUsageValue bounds each reported value, in its own unit.
 	maxUsageValue = 1 << 50
+	// usageBudget is what the workers of an entry host may send it as usage, in
+	// bytes a second, and usageSampleBytes the size of one sample.
+	usageBudget      = 4096
+	usageSampleBytes = 112
 	// maxFilteredTasks bounds the usage remembered for one worker.
 	maxFilteredTasks = 1024
 )
@@ -49,6 +53,13 @@
 	return int64(min(max(0, value*1000), maxUsageValue))
 }
 
+// usageInterval returns the interval in milliseconds at which workers report
+// their usage: the configured one, or a longer one that keeps the given number
+// of samples in an interval within the budget.
+func usageInterval(configuredMs int64, samples int) int64 {
+	return max(configuredMs, int64(samples)*usageSampleBytes*1000/usageBudget)
+}
+
 // pass returns the reports that are worth forwarding.
 func (f *usageFilter) pass(now time.Time, reports []controlapi.UsageReport) []controlapi.UsageReport {
 	var out []controlapi.UsageReport
