control, workersync: send commands where the worker's newest sync arrived

Cause: workers reach entry hosts in turn, through a balancer. The renewal of a sync that was answered at once could reach the leader after that of the next one, at another entry host; commands then went where the worker no longer waited, and came back 2 s later. Ruled out: ordering by the time of arrival at the entry host, which inverts syncs that are less than a delay apart. Change: renewals carry the order of the worker's syncs; one that waits comes after one that does not.

--- a/control/exchange.go
+++ b/control/exchange.go
@@ -123,7 +123,7 @@
 		}
 		session, granted := l.leases.Renew(now, contact, w.ID, renewal.Incarnation, l.config.Leases.Duration)
 		if granted {
-			l.outbox.setEntry(w.ID, args.Entry)
+			l.outbox.setEntry(w.ID, args.Entry, session, renewal.Order)
 		}
 		sessions = append(sessions, session)
 	}
--- a/control/outbox.go
+++ b/control/outbox.go
@@ -34,7 +34,10 @@
 // mailbox holds the commands for one worker.
 type mailbox struct {
 	worker types.Worker
-	entry  string // the entry host that renewed the worker's lease last
+	// entry is the entry host at which the worker's newest sync arrived.
+	entry   string
+	session uint64
+	order   int64 // of that sync
 	// commands are derived from the replicated state.
 	commands map[types.TaskID]*pending
 	// strays are attempts that the worker reported and the state does not know.
@@ -181,9 +184,14 @@
 	o.list(worker, b)
 }
 
-// setEntry notes through which entry host the worker is reached.
-func (o *outbox) setEntry(worker types.WorkerID, entry string) {
+// setEntry notes through which entry host the worker is reached, unless a newer
+// sync of the worker arrived elsewhere.
+func (o *outbox) setEntry(worker types.WorkerID, entry string, session uint64, order int64) {
 	b := o.box(worker)
+	if session < b.session || (session == b.session && order < b.order) {
+		return
+	}
+	b.session, b.order = session, order
 	if b.entry == entry {
 		return
 	}
--- a/control/scenario_test.go
+++ b/control/scenario_test.go
@@ -238,3 +238,12 @@
 	c.run(10*time.Second, func() bool { return c.taskState("route-7") == types.TaskEvicted })
 	assert.Empty(t, c.resumes["route-7"])
 }
+
+func TestCommandsGoWhereTheNewestSyncArrived(t *testing.T) {
+	o := newOutbox()
+	o.setEntry(1, "entry-2", 1, 2000)
+	o.setEntry(1, "entry-1", 1, 1999)
+	assert.Equal(t, "entry-2", o.boxes[1].entry, "the older sync was renewed later")
+	o.setEntry(1, "entry-1", 2, 5)
+	assert.Equal(t, "entry-1", o.boxes[1].entry, "a new incarnation has a clock of its own")
+}
--- a/controlapi/workers.go
+++ b/controlapi/workers.go
@@ -6,6 +6,10 @@
 type Renewal struct {
 	Worker      string
 	Incarnation uint64
+	// Order orders the syncs of a worker: twice its clock in milliseconds when it
+	// sent the sync, plus one where the sync waits for commands. The leader sends
+	// commands to the entry host at which the last one arrived.
+	Order int64
 }
 
 // Registration introduces a worker incarnation to the leader.
--- a/workersync/handler.go
+++ b/workersync/handler.go
@@ -62,7 +62,7 @@
 	if err := s.report(r.Context(), name, waiting.worker, request); err != nil {
 		return nil, err
 	}
-	s.requestRenewal(waiting.worker, request.SentMs)
+	s.requestRenewal(waiting.worker, request)
 	s.wait(r.Context(), waiting, request.HoldMs)
 	if err := r.Context().Err(); err != nil {
 		return nil, kind.Errorf(kind.Canceled, "sync of worker %q: %w", name, err)
--- a/workersync/workers.go
+++ b/workersync/workers.go
@@ -22,6 +22,7 @@
 	// was not yet part of an exchange.
 	sentMs int64
 	renew  bool
+	waits  bool // the newest sync waits for commands
 	// lease is the newest granted lease, nil for none, and session the worker's
 	// session under which it was granted.
 	lease    *platform.Lease
@@ -48,6 +49,7 @@
 	worker      string
 	incarnation uint64
 	sentMs      int64
+	order       int64
 }
 
 func (w *workerState) signal() {
@@ -102,17 +104,27 @@
 	}
 }
 
-// requestRenewal notes that the lease is to be renewed from sentMs on.
-func (s *Service) requestRenewal(w *workerState, sentMs int64) {
+// requestRenewal notes that the lease is to be renewed from the sync on.
+func (s *Service) requestRenewal(w *workerState, sync *platform.SyncRequest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	w.sentMs = max(w.sentMs, sentMs)
+	w.sentMs = max(w.sentMs, sync.SentMs)
+	w.waits = sync.HoldMs > 0
 	w.renew = true
 	if w.awaitsGrant() {
 		s.kick()
 	}
 }
 
+// order orders the worker's syncs, see controlapi.Renewal.
+func (w *workerState) order() int64 {
+	order := 2 * w.sentMs
+	if w.waits {
+		order++
+	}
+	return order
+}
+
 // awaitsGrant reports whether the worker can do nothing before its next grant:
 // it holds no lease yet, or a command waits for one.
 func (w *workerState) awaitsGrant() bool { return w.lease == nil || len(w.commands) > 0 }
@@ -143,13 +155,13 @@
 			if w.awaitsGrant() {
 				holdMs = 0
 			}
-			sent = append(sent, sentRenewal{worker: name, incarnation: w.incarnation, sentMs: w.sentMs})
+			sent = append(sent, sentRenewal{worker: name, incarnation: w.incarnation, sentMs: w.sentMs, order: w.order()})
 		}
 	}
 	slices.SortFunc(sent, func(a, b sentRenewal) int { return cmp.Compare(a.worker, b.worker) })
 	args := &controlapi.ExchangeArgs{Entry: s.options.Entry, HoldMs: holdMs, ConfigVersion: s.configVersion()}
 	for _, r := range sent {
-		args.Renewals = append(args.Renewals, controlapi.Renewal{Worker: r.worker, Incarnation: r.incarnation})
+		args.Renewals = append(args.Renewals, controlapi.Renewal{Worker: r.worker, Incarnation: r.incarnation, Order: r.order})
 	}
 	s.samples = samples
 	s.metrics.Exchanges++
