--- a/route/pick.go
+++ b/route/pick.go
@@ -25,6 +25,7 @@
 // nil if waiting for a faster one is expected to end sooner.
 func (p *Pool) pick(now time.Time, r Request, queued int) *target {
 	s := scan{pool: p, now: now, avoid: r.Avoid, limit: slowFactor * p.reference()}
+	s.stuck = now.Add(-time.Duration(ageDivisor * s.limit * float64(time.Second)))
 	if len(s.avoid) > 0 && !p.readyBeside(s.avoid) {
 		s.avoid = nil
 	}
@@ -47,7 +48,8 @@
 	pool           *Pool
 	now            time.Time
 	avoid          []string
-	limit          float64 // the expected time from which a target counts as slow
+	limit          float64   // the expected time from which a target counts as slow
+	stuck          time.Time // a target is slow that holds a request sent before
 	ignoreEjection bool
 	best, slow     *target
 	ties           int
@@ -65,7 +67,7 @@
 	if !t.Ready || t.Share == 0 || !s.ignoreEjection && s.now.Before(t.health.until) {
 		return
 	}
-	isSlow := t.expected(s.now) > s.limit
+	isSlow := t.service.mean > s.limit || len(t.oldest) > 0 && t.oldest[0].Before(s.stuck)
 	if !isSlow {
 		s.ordinary += t.Share
 	}
