Take the lock of a service before that of the proxy, never after it

Cause: a target that came back under another service had the old service's lock taken under the proxy's, while a change of the members takes them the other way round: the entry host stood still.

--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -91,7 +91,7 @@
 // Proxy is the http.Handler for callers. It is safe for concurrent use.
 type Proxy struct {
 	options  Options
-	mu       sync.Mutex
+	mu       sync.Mutex // taken after the lock of a service, never before it
 	services map[string]*service
 	peers    map[string]membership.Peer
 	allot    *route.Allotment
@@ -143,12 +143,13 @@
 		s = newService(p, t.Service)
 		p.services[t.Service] = s
 	}
-	for name, other := range p.services {
-		if name != t.Service {
+	services := p.allServices()
+	p.mu.Unlock()
+	for _, other := range services {
+		if other != s {
 			other.removeTarget(t.Name)
 		}
 	}
-	p.mu.Unlock()
 	s.setTarget(t)
 }
 
