--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -135,6 +135,25 @@
 	assert.Equal(t, types.TargetReady, g.state("b", "t"))
 }
 
+func TestTargetsThatNeverReturnAreForgotten(t *testing.T) {
+	g := newGroup("a")
+	a, ctx := g.members["a"], context.Background()
+	require.NoError(t, a.Announce(ctx, sample(1, types.TargetReady)))
+	leaving := sample(1, types.TargetLeaving)
+	leaving.Name = "u"
+	require.NoError(t, a.Announce(ctx, leaving))
+	g.now = g.now.Add(DefaultSilentAfter)
+	a.tick()
+	assert.Equal(t, types.TargetSilent, g.state("a", "t"))
+	g.now = g.now.Add(withdrawnKept)
+	a.tick()
+	assert.Equal(t, types.TargetWithdrawn, g.state("a", "t"), "its connections are dropped")
+	a.tick()
+	assert.Empty(t, a.Targets())
+	assert.Empty(t, a.confirmed)
+	assert.Empty(t, a.table.byID)
+}
+
 func TestRestartedHostLearnsTheTable(t *testing.T) {
 	g := newGroup("a", "b")
 	ctx := context.Background()
--- a/registry/run.go
+++ b/registry/run.go
@@ -37,6 +37,11 @@
 	for _, t := range r.table.Tick(r.options.Now()) {
 		r.publish(t.Name)
 	}
+	for name := range r.confirmed {
+		if _, ok := r.table.Get(name); !ok {
+			delete(r.confirmed, name)
+		}
+	}
 }
 
 func (r *Registry) refreshPeers(ctx context.Context) {
--- a/registry/table.go
+++ b/registry/table.go
@@ -128,8 +128,8 @@
 	delete(b.byID, refreshID(known.Target))
 }
 
-// Tick returns the targets that fell silent and forgets those that withdrew
-// long ago.
+// Tick returns the targets that fell silent, or were silent for so long that they
+// count as withdrawn, and forgets those that withdrew long ago.
 func (b *Table) Tick(now time.Time) []types.Target {
 	var changed []types.Target
 	for _, name := range b.names() {
@@ -139,21 +139,36 @@
 			b.remove(name)
 			continue
 		}
-		if quiet < b.silentAfter || r.State == types.TargetSilent || r.State == types.TargetWithdrawn {
+		event := b.overdue(r, quiet)
+		if event == "" {
 			continue
 		}
-		next, err := b.chart.Next(string(r.State), eventTimeout)
+		next, err := b.chart.Next(string(r.State), event)
 		if err != nil {
 			continue // The chart names no timeout for this state.
 		}
-		silent := record{Target: r.Target, heard: r.heard}
-		silent.State = types.TargetState(next)
-		b.put(&silent)
-		changed = append(changed, silent.Target)
+		ended := record{Target: r.Target, heard: r.heard}
+		ended.State = types.TargetState(next)
+		b.put(&ended)
+		changed = append(changed, ended.Target)
 	}
 	return changed
 }
 
+// overdue returns the event that follows from the silence of a target, empty for
+// none. One that was silent for long counts as withdrawn.
+func (b *Table) overdue(r *record, quiet time.Duration) string {
+	switch {
+	case r.State == types.TargetWithdrawn:
+		return ""
+	case r.State == types.TargetSilent && quiet >= b.forgetAfter:
+		return eventWithdraw
+	case r.State != types.TargetSilent && quiet >= b.silentAfter:
+		return eventTimeout
+	}
+	return ""
+}
+
 // Get returns the named target.
 func (b *Table) Get(name string) (types.Target, bool) {
 	r, ok := b.records[name]
