--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -59,8 +59,8 @@
 }
 
 // Serve runs a daemon until SIGTERM or SIGINT and returns the exit code. A
-// daemon that cannot start prints its error; one that cannot bind or read its
-// settings exits with the code of bad settings.
+// daemon that ends by an error prints it; one that cannot bind or read its
+// settings exits with the code of bad settings, any other with that of a failure.
 func Serve(run func(ctx context.Context) error) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
@@ -69,5 +69,8 @@
 		return kind.ExitDone
 	}
 	fmt.Fprintln(os.Stderr, err)
-	return kind.Of(err).Answer().Exit
+	if kind.Is(err, kind.BadSettings) {
+		return kind.ExitUsage
+	}
+	return kind.ExitRefused
 }
