--- a/internal/fake/target.go
+++ b/internal/fake/target.go
@@ -3,17 +3,14 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"mangohill.example/mangohill/platform"
 	"mangohill.example/mangohill/types"
 )
 
@@ -198,50 +195,6 @@
 	return t.inFlight
 }
 
-// countingListener counts the connections that are open at a time.
-type countingListener struct {
-	net.Listener
-	target *Target
-}
-
-// Accept waits for a connection and counts it.
-func (l countingListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	l.target.countConn(1)
-	return &countedConn{Conn: conn, target: l.target}, nil
-}
-
-type countedConn struct {
-	net.Conn
-	target *Target
-	once   sync.Once
-}
-
-// Close uncounts the connection before the peer can see that it is closed.
-func (c *countedConn) Close() error {
-	c.once.Do(func() { c.target.countConn(-1) })
-	return c.Conn.Close()
-}
-
-// CloseWrite is what net/http calls before Close.
-func (c *countedConn) CloseWrite() error {
-	c.once.Do(func() { c.target.countConn(-1) })
-	if half, ok := c.Conn.(*net.TCPConn); ok {
-		return half.CloseWrite()
-	}
-	return nil
-}
-
-func (t *Target) countConn(delta int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.conns += delta
-	t.connPeak = max(t.connPeak, t.conns)
-}
-
 // ServeHTTP runs one request. The answer names the target and carries the body
 // of the request.
 func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -342,89 +295,6 @@
 	_ = buffered.Flush() // The peer may be gone.
 }
 
-// Announce announces the state once, to the next of the platforms.
-func (t *Target) Announce(ctx context.Context) (time.Duration, error) {
-	record := t.Record()
-	body, err := json.Marshal(platform.Announcement{
-		Service: record.Service, Address: record.Address, FailureDomain: record.FailureDomain, Incarnation: record.Incarnation,
-		Slots: record.Slots, Connections: record.Connections, State: string(record.State), InFlight: record.InFlight,
-	})
-	if err != nil {
-		return 0, err
-	}
-	response, err := t.call(ctx, http.MethodPut, "", bytes.NewReader(body))
-	if err != nil {
-		return 0, err
-	}
-	defer func() { _ = response.Body.Close() }() // It was read or is not needed.
-	if response.StatusCode != http.StatusOK {
-		return 0, fmt.Errorf("announcement of %q: status %d", record.Name, response.StatusCode)
-	}
-	var answer platform.AnnouncementAnswer
-	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
-		return 0, err
-	}
-	return time.Duration(answer.AnnounceWithinMs) * time.Millisecond, nil
-}
-
-func (t *Target) call(ctx context.Context, method, query string, body io.Reader) (*http.Response, error) {
-	platforms := t.options.Platforms
-	address := platforms[t.next.Add(1)%uint64(len(platforms))]
-	url := "http://" + address + "/v1/targets/" + t.options.Name + query
-	request, err := http.NewRequestWithContext(ctx, method, url, body)
-	if err != nil {
-		return nil, err
-	}
-	return t.client.Do(request)
-}
-
-// announceLoop repeats the announcement at half the interval asked for.
-func (t *Target) announceLoop(ctx context.Context) {
-	defer t.wait.Done()
-	for {
-		within, err := t.Announce(ctx)
-		if err != nil {
-			within = 400 * time.Millisecond
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(within / 2):
-		}
-	}
-}
-
-// Leave announces the state leaving until an entry host has confirmed it.
-func (t *Target) Leave(ctx context.Context) error {
-	t.mu.Lock()
-	t.state = types.TargetLeaving
-	t.mu.Unlock()
-	for {
-		if _, err := t.Announce(ctx); err == nil {
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(100 * time.Millisecond):
-		}
-	}
-}
-
-// Withdraw withdraws the target.
-func (t *Target) Withdraw(ctx context.Context) error {
-	query := "?incarnation=" + strconv.FormatUint(t.options.Incarnation, 10)
-	response, err := t.call(ctx, http.MethodDelete, query, nil)
-	if err != nil {
-		return err
-	}
-	_ = response.Body.Close() // It has none.
-	if response.StatusCode >= http.StatusMultipleChoices {
-		return fmt.Errorf("withdrawal of %q: status %d", t.options.Name, response.StatusCode)
-	}
-	return nil
-}
-
 // Stop ends the announcements and the server with all its connections.
 func (t *Target) Stop() {
 	t.cancel()
