--- a/workersync/service_test.go
+++ b/workersync/service_test.go
@@ -156,7 +156,7 @@
 	s := New(Options{Entry: "entry-1"})
 	waiting, err := s.admit("w1", &platform.SyncRequest{Incarnation: 3, SentMs: 100})
 	require.NoError(t, err)
-	s.requestRenewal(waiting.worker, 100)
+	s.requestRenewal(waiting.worker, &platform.SyncRequest{SentMs: 100, HoldMs: 1000})
 	return s, waiting
 }
 
@@ -184,7 +184,7 @@
 	exchangeWith(s, 1, startCommand(1))
 	next, err := s.admit("w1", &platform.SyncRequest{Incarnation: 3, SentMs: 200})
 	require.NoError(t, err)
-	s.requestRenewal(next.worker, 200)
+	s.requestRenewal(next.worker, &platform.SyncRequest{SentMs: 200, HoldMs: 1000})
 	assert.Empty(t, s.answer(next).Commands, "the lease was granted for an earlier sync")
 }
 
@@ -228,3 +228,41 @@
 	first, _ := s.gather()
 	assert.Zero(t, first.HoldMs, "the worker may not begin without its first lease")
 }
+
+func TestReportedUsageStaysWithinBounds(t *testing.T) {
+	sample := platform.UsageSample{Task: "t", TakenMs: -1 << 62, Processors: 1e300, MemoryBytes: -5, LatencyP99Ms: -1, Progress: 0.4}
+	usage := usageOf(&sample, 1<<62)
+	assert.Equal(t, controlapi.UsageReport{Task: "t", MilliProcessors: maxUsageValue, ProgressMilli: 400}, usage)
+}
+
+// Workers are asked for usage less often when their tasks are many, so that an
+// entry host stays within its budget of bytes.
+func TestUsageStaysWithinItsBudget(t *testing.T) {
+	s := New(Options{Entry: "entry-1", Logger: zerolog.Nop()})
+	s.usageMs = 10_000
+	ask := func(tasks int) int64 {
+		sync := &platform.SyncRequest{Incarnation: 1, SentMs: 1}
+		for range tasks {
+			sync.Usage = append(sync.Usage, platform.UsageSample{Task: "t", Epoch: 1})
+		}
+		waiting, err := s.admit("w1", sync)
+		require.NoError(t, err)
+		s.reportOf("w1", waiting.worker, sync)
+		s.gather()
+		return s.answer(waiting).UsageMs
+	}
+	assert.EqualValues(t, 10_000, ask(20))
+	interval := ask(1413)
+	assert.LessOrEqual(t, 1413*usageSampleBytes*1000/interval, int64(usageBudget)+1)
+	assert.Equal(t, interval, ask(0), "a sync without usage says nothing about the tasks")
+}
+
+func TestSyncThatWaitsIsOrderedAfterOneThatDoesNot(t *testing.T) {
+	s, waiting := held(t)
+	passing := &platform.SyncRequest{SentMs: 200}
+	s.requestRenewal(waiting.worker, passing)
+	before := waiting.worker.order()
+	passing.HoldMs = 1000
+	s.requestRenewal(waiting.worker, passing)
+	assert.Greater(t, waiting.worker.order(), before)
+}
