Answer an oversized header by its kind

Cause: net/http refuses a header above its bound with a plain 431, without the outcome and the kind header_too_large, which nothing produced. The bound is now checked in front of every listener's handler; net/http's own is twice as large.

--- a/node/http.go
+++ b/node/http.go
@@ -9,10 +9,12 @@
 
 	"mangohill.example/mangohill/internal/tcpopt"
 	"mangohill.example/mangohill/kind"
+	"mangohill.example/mangohill/proxy"
 )
 
 const (
-	// maxHeaderBytes bounds the header of a request.
+	// maxHeaderBytes bounds the header of a request. net/http cuts off a client that
+	// sends more than twice as much, without a problem document.
 	maxHeaderBytes = 64 << 10
 	// readHeaderTimeout bounds the time in which a client sends a header.
 	readHeaderTimeout = 5 * time.Second
@@ -39,8 +41,8 @@
 		socket: socket,
 		done:   make(chan struct{}),
 		server: &http.Server{
-			Handler:           handler,
-			MaxHeaderBytes:    maxHeaderBytes,
+			Handler:           limitHeader(handler),
+			MaxHeaderBytes:    2 * maxHeaderBytes,
 			ReadHeaderTimeout: readHeaderTimeout,
 			IdleTimeout:       idleTimeout,
 		},
@@ -66,3 +68,28 @@
 	<-l.done
 	return err
 }
+
+// limitHeader refuses requests whose header exceeds the bound.
+func limitHeader(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		size := headerBytes(r)
+		if size <= maxHeaderBytes {
+			next.ServeHTTP(w, r)
+			return
+		}
+		w.Header().Set(proxy.HeaderOutcome, string(kind.OutcomeNotRun))
+		kind.WriteProblem(w, kind.Errorf(kind.HeaderTooLarge, "the header has %d bytes, the limit is %d", size, maxHeaderBytes))
+	})
+}
+
+// headerBytes returns the size of a request's header as HTTP/1.1 writes it,
+// without the method and the version.
+func headerBytes(r *http.Request) int {
+	size := len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + len(": \r\n")
+		}
+	}
+	return size
+}
