--- a/kind/kind.go
+++ b/kind/kind.go
@@ -33,7 +33,6 @@
 	AlreadyExists     Kind = "already_exists"
 	InvalidTransition Kind = "invalid_transition"
 	CapacityExceeded  Kind = "capacity_exceeded"
-	QuotaExceeded     Kind = "quota_exceeded"
 	Corrupt           Kind = "corrupt"
 	Storage           Kind = "storage"
 	Canceled          Kind = "canceled"
@@ -110,7 +109,6 @@
 	AlreadyExists:     {http.StatusConflict, OutcomeNotRun, RetryNever, ExitRefused, "The object already exists"},
 	InvalidTransition: {http.StatusConflict, OutcomeNotRun, RetryNever, ExitRefused, "The state does not accept the event"},
 	CapacityExceeded:  {http.StatusConflict, OutcomeNotRun, RetryLater, ExitRefused, "The host has too little free capacity"},
-	QuotaExceeded:     {http.StatusConflict, OutcomeNotRun, RetryLater, ExitRefused, "The team's quota is used up"},
 	Corrupt:           {http.StatusInternalServerError, OutcomeUnknown, RetryNever, ExitInternal, "Stored data is corrupt"},
 	Storage:           {http.StatusInternalServerError, OutcomeUnknown, RetrySameID, ExitUnknown, "Stored data cannot be read or written"},
 	Canceled:          {StatusClientClosedRequest, OutcomeUnknown, RetrySameID, ExitUnknown, "The caller canceled the request"},
