--- a/e2e/capacity_test.go
+++ b/e2e/capacity_test.go
@@ -75,9 +75,7 @@
 // names a folder with others. CAPACITY_LARGEST measures only the largest size,
 // CAPACITY_WINDOW after and over such a time in place of 5 s and 20 s.
 func TestCapacity(t *testing.T) {
-	if folder := os.Getenv("CAPACITY_BINARIES"); folder != "" {
-		binaries = folder
-	}
+	useBinaries()
 	sizes := []struct{ workers, tasks int }{{0, 0}, {70, 0}, {140, 0}, {280, 0}, {560, 0}, {560, 2800}, {560, 11300}}
 	if os.Getenv("CAPACITY_LARGEST") != "" {
 		sizes = sizes[len(sizes)-1:]
@@ -121,6 +119,13 @@
 	}
 }
 
+// useBinaries takes the programs that CAPACITY_BINARIES names.
+func useBinaries() {
+	if folder := os.Getenv("CAPACITY_BINARIES"); folder != "" {
+		binaries = folder
+	}
+}
+
 // declareMany declares batch jobs from 64 operators at a time.
 func (c *cluster) declareMany(from, to int) {
 	begun := time.Now()
