--- a/e2e/workers_test.go
+++ b/e2e/workers_test.go
@@ -26,10 +26,14 @@
 // worker starts one stand-in worker that the returned function cuts off: it ends
 // at once, without a word to the system.
 func (c *cluster) worker(journal *fake.Journal, name string, processors float64) (worker *fake.Worker, cut func()) {
+	return c.workerIncarnation(journal, name, processors, 1)
+}
+
+func (c *cluster) workerIncarnation(journal *fake.Journal, name string, processors float64, incarnation uint64) (worker *fake.Worker, cut func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	worker = fake.NewWorker(fake.WorkerOptions{
 		Name:        name,
-		Incarnation: 1,
+		Incarnation: incarnation,
 		Rack:        name,
 		Capacity:    platform.Capacity{Processors: processors, MemoryBytes: 64 << 30},
 		Entries:     c.platforms(),
