Use one bound for kept answers of claimed requests

The entry host offered answers up to 16 KiB, of which the state kept those up to 4,096 B and dropped the rest without a word.

--- a/state/claims.go
+++ b/state/claims.go
@@ -16,8 +16,6 @@
 	// claimRetentionMs is how long a key stays claimed after its last change, at
 	// least: a jump of the leader's clock does not shorten it.
 	claimRetentionMs = 30 * 60 * 1000
-	// MaxKeptAnswer bounds a kept answer's header and body, in bytes.
-	MaxKeptAnswer = 4096
 	// maxKeptBytes bounds all kept answers. The oldest are dropped first, and
 	// resends of their keys are told that the outcome is unknown.
 	maxKeptBytes = 4 << 20
@@ -129,7 +127,7 @@
 
 func (t *claimTable) keep(key ClaimKey, c *claim, result controlapi.ClaimResult) {
 	size := answerSize(&result)
-	if !result.Kept || size > MaxKeptAnswer {
+	if !result.Kept || size > controlapi.MaxKeptAnswer {
 		return
 	}
 	c.answer = &result
