Let a chart tell what is known of a request's execution

The request's course was a flag beside the code that set it; it is a chart now, whose states are the outcomes that the request would have if it ended at that point, and the code interprets it.

--- a/proxy/execute.go
+++ b/proxy/execute.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"mangohill.example/mangohill/chart"
 	"mangohill.example/mangohill/controlapi"
 	"mangohill.example/mangohill/kind"
 	"mangohill.example/mangohill/route"
@@ -35,14 +36,33 @@
 	request route.Request
 	sends   int
 	tries   int
-	ran     bool
 	hops    int
+	// known is what is known of the execution so far, a state of the chart
+	// "request".
+	known kind.Outcome
 }
 
+var requestChart = chart.MustLoad("request")
+
+// events are the events of the chart "request" by the end of a send.
+var events = [...]string{answered: "answered", notRun: "refused", mayHaveRun: "lost"}
+
+// advance takes note of the end of a send.
+func (e *execution) advance(f fate) {
+	next, err := requestChart.Next(string(e.known), events[f])
+	if err != nil {
+		next = string(kind.OutcomeUnknown) // The chart lacks the event: claim nothing.
+	}
+	e.known = kind.Outcome(next)
+}
+
+// mayHaveRun reports whether a send may have run that was not answered.
+func (e *execution) mayHaveRun() bool { return e.known == kind.OutcomeUnknown }
+
 // execute brings a call to its end: queue, sends and retries.
 func (s *service) execute(ctx context.Context, c *call) result {
 	s.earnRetry()
-	e := &execution{service: s, call: c, request: route.Request{
+	e := &execution{service: s, call: c, known: kind.Outcome(requestChart.Initial()), request: route.Request{
 		ID: route.RequestID(s.proxy.nextID.Add(1)), Caller: c.caller, Deadline: c.deadline, Hopped: c.hopped,
 	}}
 	for {
@@ -52,7 +72,7 @@
 		}
 		a := e.send(ctx, decision)
 		if a.fate == answered {
-			return result{attempt: a, outcome: kind.OutcomeDone, attempts: e.sends}
+			return result{attempt: a, outcome: e.known, attempts: e.sends}
 		}
 		if !e.mayRetry(ctx, a) {
 			return e.failure(ctx, a)
@@ -77,9 +97,7 @@
 		e.sends++
 		count(e.service.proxy.options.Metrics.Sends)
 	}
-	if a.fate == mayHaveRun {
-		e.ran = true
-	}
+	e.advance(a.fate)
 	if d.Action == route.Send && a.fate != answered {
 		e.request.Avoid = append(e.request.Avoid, d.Name)
 	}
@@ -98,10 +116,10 @@
 	if ctx.Err() != nil || a.rest != nil {
 		return false
 	}
-	if e.ran && !e.call.idempotent {
+	if e.mayHaveRun() && !e.call.idempotent {
 		return false
 	}
-	if e.sends >= maxAttempts && e.ran || e.tries >= maxRefusals {
+	if e.sends >= maxAttempts && e.mayHaveRun() || e.tries >= maxRefusals {
 		return false
 	}
 	return e.service.spendRetry()
@@ -141,7 +159,7 @@
 // end makes the answer of a failed call. If any send may have run, the outcome
 // is unknown, whatever the last one was.
 func (e *execution) end(a attempt, wait time.Duration) result {
-	if e.ran && kind.Of(a.err).Answer().Outcome == kind.OutcomeNotRun {
+	if e.mayHaveRun() && kind.Of(a.err).Answer().Outcome == kind.OutcomeNotRun {
 		a.err = kind.Errorf(kind.UnknownOutcome, "an earlier send may have run; the last one: %w", a.err)
 	}
 	return result{attempt: a, outcome: kind.Of(a.err).Answer().Outcome, attempts: e.sends, wait: wait}
