Let the stand-in worker hold its lease by package lease; drop what nothing calls

Found on a last reading: the stand-in worker kept its lease by code of its own, where a late answer could shorten it, beside lease.Held, which was for that and used by tests alone. No check or bound changed; -race tests of replica, state, control, e2e, node and internal pass.

--- a/controlapi/peers.go
+++ b/controlapi/peers.go
@@ -14,15 +14,14 @@
 // AnnounceReply answers an AnnounceArgs.
 type AnnounceReply struct{}
 
-// LocalQueryArgs asks an entry host for the rows that only it holds, such as its
-// targets, its state and its burn counters.
+// LocalQueryArgs asks an entry host for what only it holds, such as its burn
+// counters.
 type LocalQueryArgs struct {
 	Text string
 }
 
 // LocalQueryReply answers a LocalQueryArgs. Burn is the encoded histogram set
-// of the entry host, where the query was for it.
+// of the entry host.
 type LocalQueryReply struct {
-	Rows []Row
 	Burn []byte
 }
--- a/e2e/chaos_test.go
+++ b/e2e/chaos_test.go
@@ -128,20 +128,16 @@
 	entry := c.random.IntN(len(c.entries))
 	switch c.random.IntN(6) {
 	case 0:
-		c.control[control].kill()
-		time.Sleep(chaosPause)
-		c.control[control].start()
+		restart(c.control[control])
 		return fmt.Sprintf("control-%d killed and started", control+1)
 	case 1:
-		c.freeze(c.control[control], 4*chaosPause)
+		freeze(c.control[control], 4*chaosPause)
 		return fmt.Sprintf("control-%d frozen for a while", control+1)
 	case 2:
-		c.entries[entry].kill()
-		time.Sleep(chaosPause)
-		c.entries[entry].start()
+		restart(c.entries[entry])
 		return fmt.Sprintf("entry-%d killed and started", entry+1)
 	case 3:
-		c.freeze(c.entries[entry], 4*chaosPause)
+		freeze(c.entries[entry], 4*chaosPause)
 		return fmt.Sprintf("entry-%d frozen for a while", entry+1)
 	case 4:
 		worker := c.random.IntN(len(c.cuts))
@@ -154,7 +150,13 @@
 	}
 }
 
-func (c *chaos) freeze(p *process, d time.Duration) {
+func restart(p *process) {
+	p.kill()
+	time.Sleep(chaosPause)
+	p.start()
+}
+
+func freeze(p *process, d time.Duration) {
 	p.signal(syscall.SIGSTOP)
 	time.Sleep(d)
 	p.signal(syscall.SIGCONT)
--- a/internal/fake/journal.go
+++ b/internal/fake/journal.go
@@ -7,20 +7,19 @@
 )
 
 // Journal records executions on all stand-ins of a process and finds those that
-// break a promise: a task that is live in two places, or a non-idempotent
-// request that ran twice.
+// break a promise: a task that is live in two places, or runs again after its
+// end.
 type Journal struct {
 	mu         sync.Mutex
 	live       map[string]string
 	finished   map[string]int
-	requests   map[string]int
 	starts     int
 	violations []string
 }
 
 // NewJournal returns an empty journal.
 func NewJournal() *Journal {
-	return &Journal{live: make(map[string]string), finished: make(map[string]int), requests: make(map[string]int)}
+	return &Journal{live: make(map[string]string), finished: make(map[string]int)}
 }
 
 // TaskStarted records that worker started an attempt.
@@ -50,23 +49,6 @@
 	}
 }
 
-// RequestRan records one execution of a non-idempotent request.
-func (j *Journal) RequestRan(key string) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.requests[key]++
-	if j.requests[key] > 1 {
-		j.violations = append(j.violations, fmt.Sprintf("request %q ran %d times", key, j.requests[key]))
-	}
-}
-
-// RequestRuns returns how often the request with key ran.
-func (j *Journal) RequestRuns(key string) int {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	return j.requests[key]
-}
-
 // Finished returns how often the task finished.
 func (j *Journal) Finished(task string) int {
 	j.mu.Lock()
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"mangohill.example/mangohill/lease"
 	"mangohill.example/mangohill/platform"
 )
 
@@ -46,7 +47,8 @@
 	attempts map[string]*attempt
 	seen     map[string]uint64
 	changes  map[string]platform.TaskStatus
-	lease    *time.Timer
+	held     lease.Held
+	lease    *time.Timer // ends the attempts with the lease
 	state    string
 	full     bool
 	usageDue time.Time
@@ -79,13 +81,6 @@
 	w.signal()
 }
 
-// Running returns the number of attempts that are live on the worker.
-func (w *Worker) Running() int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return len(w.attempts)
-}
-
 // Run syncs until ctx ends, then ends all attempts.
 func (w *Worker) Run(ctx context.Context) {
 	for tries := 0; ctx.Err() == nil; {
@@ -230,20 +225,22 @@
 	}
 }
 
-// extendLease sets the end of the lease and reports whether it lies ahead.
-func (w *Worker) extendLease(lease *platform.Lease) bool {
-	if lease == nil {
+// extendLease takes in a grant and reports whether the lease runs.
+func (w *Worker) extendLease(grant *platform.Lease) bool {
+	if grant == nil {
 		return false
 	}
-	end := w.started.Add(time.Duration(lease.CountedFromSentMs+lease.DurationMs) * time.Millisecond)
-	left := time.Until(end)
-	if left <= 0 {
+	w.held.Extend(milliseconds(grant.CountedFromSentMs), milliseconds(grant.DurationMs))
+	now := time.Since(w.started)
+	if w.held.Over(now) {
 		return false
 	}
-	w.lease.Reset(left)
+	w.lease.Reset(w.held.Left(now))
 	return true
 }
 
+func milliseconds(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
+
 func (w *Worker) leaseOver() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -307,15 +307,6 @@
 	return time.Time{}
 }
 
-// ContactBound returns how long after QuorumContact no other replica can have
-// become leader, unless this one handed the leadership over and says so in
-// Status. Two ticks are taken off for the phases of the tickers and one
-// hundredth for the rates of the clocks.
-func (r *Replica) ContactBound() time.Duration {
-	bound := time.Duration(r.options.ElectionTicks-2) * r.options.Tick
-	return bound - bound/100
-}
-
 // Register registers the service "Replica", which peers call.
 func (r *Replica) Register(server *rpc.Server) error {
 	return server.RegisterName(serviceName, &service{replica: r})
--- a/state/read.go
+++ b/state/read.go
@@ -142,14 +142,6 @@
 	return out
 }
 
-// CommandOutcome returns the result of a command that was applied before. Its
-// absence from an up-to-date store means that the command has not run.
-func (s *Store) CommandOutcome(id string, digest uint64) (Result, bool) {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	return s.commands.lookup(id, digest)
-}
-
 // Check returns an error of kind internal if the state breaks an invariant: a
 // worker committed beyond its capacity or unlike the sum of its attempts, or a
 // task whose placement and worker disagree.
