--- a/cmd/mangohill-standin/workers.go
+++ b/cmd/mangohill-standin/workers.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"mangohill.example/mangohill/internal/fake"
-	"mangohill.example/mangohill/platform"
+	"mangohill.example/mangohill/workerapi"
 )
 
 type workersCommand struct {
@@ -56,7 +56,7 @@
 		Incarnation:   uint64(time.Now().UnixMilli()),
 		FailureDomain: c.Domains[i%len(c.Domains)],
 		Rack:          fmt.Sprintf("r%d", i/c.PerRack+1),
-		Capacity:      platform.Capacity{Processors: c.Processors, MemoryBytes: c.MemoryBytes, Accelerators: c.Accelerators},
+		Capacity:      workerapi.Capacity{Processors: c.Processors, MemoryBytes: c.MemoryBytes, Accelerators: c.Accelerators},
 		Entries:       baseURLs(c.Platform),
 		Journal:       journal,
 	}
--- a/control/service_test.go
+++ b/control/service_test.go
@@ -19,8 +19,8 @@
 
 	"mangohill.example/mangohill/controlapi"
 	"mangohill.example/mangohill/kind"
-	"mangohill.example/mangohill/platform"
 	"mangohill.example/mangohill/state"
+	"mangohill.example/mangohill/workerapi"
 	"mangohill.example/mangohill/workersync"
 )
 
@@ -83,7 +83,7 @@
 	return reply
 }
 
-func (b *bench) sync(worker string, request platform.SyncRequest) platform.SyncAnswer {
+func (b *bench) sync(worker string, request workerapi.SyncRequest) workerapi.SyncAnswer {
 	b.t.Helper()
 	body, err := json.Marshal(request)
 	require.NoError(b.t, err)
@@ -91,13 +91,13 @@
 	require.NoError(b.t, err)
 	defer func() { _ = response.Body.Close() }()
 	require.Equal(b.t, http.StatusOK, response.StatusCode)
-	var answer platform.SyncAnswer
+	var answer workerapi.SyncAnswer
 	require.NoError(b.t, json.NewDecoder(response.Body).Decode(&answer))
 	return answer
 }
 
 // syncUntil repeats a sync until it is answered with the wanted command.
-func (b *bench) syncUntil(worker string, request platform.SyncRequest, verb string) (platform.SyncAnswer, platform.Command) {
+func (b *bench) syncUntil(worker string, request workerapi.SyncRequest, verb string) (workerapi.SyncAnswer, workerapi.Command) {
 	b.t.Helper()
 	for range 100 {
 		answer := b.sync(worker, request)
@@ -110,31 +110,31 @@
 		request.SentMs++
 	}
 	require.Fail(b.t, "no command", "verb %s", verb)
-	return platform.SyncAnswer{}, platform.Command{}
+	return workerapi.SyncAnswer{}, workerapi.Command{}
 }
 
-func capacity(processors float64) *platform.Capacity {
-	return &platform.Capacity{Processors: processors, MemoryBytes: 64 << 30}
+func capacity(processors float64) *workerapi.Capacity {
+	return &workerapi.Capacity{Processors: processors, MemoryBytes: 64 << 30}
 }
 
 func TestBatchJobRunsFromDeclarationToItsEnd(t *testing.T) {
 	b := newBench(t)
 	require.Equal(t, kind.OutcomeDone, b.command("declare batch route-7 { processors 4 memory 8GiB }", "").Outcome)
-	hello := platform.SyncRequest{Incarnation: 3, SentMs: 1000, FailureDomain: "pt-norte", Full: true, Capacity: capacity(16), HoldMs: 1000}
+	hello := workerapi.SyncRequest{Incarnation: 3, SentMs: 1000, FailureDomain: "pt-norte", Full: true, Capacity: capacity(16), HoldMs: 1000}
 	answer, start := b.syncUntil("w1", hello, "start")
-	assert.Equal(t, platform.Command{Task: "route-7", Epoch: 1, Verb: "start", Processors: 4, MemoryBytes: 8 << 30}, start)
+	assert.Equal(t, workerapi.Command{Task: "route-7", Epoch: 1, Verb: "start", Processors: 4, MemoryBytes: 8 << 30}, start)
 	require.NotNil(t, answer.Lease)
 	assert.GreaterOrEqual(t, answer.Lease.CountedFromSentMs, hello.SentMs)
 	assert.Equal(t, int64(10_000), answer.Lease.DurationMs)
 
-	b.sync("w1", platform.SyncRequest{Incarnation: 3, SentMs: 3000, Tasks: []platform.TaskStatus{{Task: "route-7", Epoch: 1, State: "running"}}})
+	b.sync("w1", workerapi.SyncRequest{Incarnation: 3, SentMs: 3000, Tasks: []workerapi.TaskStatus{{Task: "route-7", Epoch: 1, State: "running"}}})
 	rows := b.command("show tasks where task = route-7", "").Rows
 	require.Len(t, rows, 1)
 	assert.Equal(t, "running", rows[0].Get("state"))
 	assert.Equal(t, "w1", rows[0].Get("worker"))
 	assert.NotEmpty(t, b.command("why route-7", "").Rows)
 
-	b.sync("w1", platform.SyncRequest{Incarnation: 3, SentMs: 4000, Tasks: []platform.TaskStatus{{Task: "route-7", Epoch: 1, State: "finished"}}})
+	b.sync("w1", workerapi.SyncRequest{Incarnation: 3, SentMs: 4000, Tasks: []workerapi.TaskStatus{{Task: "route-7", Epoch: 1, State: "finished"}}})
 	why := fmt.Sprint(b.command("why route-7", "").Rows)
 	assert.Contains(t, why, "finished after 1 attempts")
 	assert.Contains(t, why, "last start: host w1 scored", "the decision outlives the task")
--- /dev/null
+++ b/coordinator/loop.go
@@ -0,0 +1,223 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"mangohill.example/mangohill/dispatch"
+	"mangohill.example/mangohill/internal/boottime"
+	"mangohill.example/mangohill/kind"
+	"mangohill.example/mangohill/replica"
+	"mangohill.example/mangohill/workflow"
+)
+
+// loop owns the engine of the present term.
+type loop struct {
+	*Coordinator
+	engine *dispatch.Engine
+	term   uint64
+	// waiting are the calls that the engine has not answered.
+	waiting map[uint64]func(Result, error)
+	next    uint64
+}
+
+// maxTurn bounds the events that are taken before the engine decides on them.
+const maxTurn = 512
+
+func (c *Coordinator) run() {
+	defer c.group.Done()
+	l := &loop{Coordinator: c, waiting: make(map[uint64]func(Result, error))}
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-c.ctx.Done():
+			l.resign("stop")
+			return
+		case change := <-c.replica.Leadership():
+			l.changeLeadership(change)
+		case e := <-c.events:
+			l.advance()
+			l.take(e)
+		case a := <-c.answers:
+			l.advance()
+			l.answered(&a)
+		case done := <-c.commits:
+			l.advance()
+			l.committed(done)
+		case <-ticker.C:
+			if l.engine != nil {
+				l.engine.Tick(l.instant(), time.Now().UnixMilli())
+			}
+		}
+		l.takeWaiting()
+		l.act()
+	}
+}
+
+func (l *loop) instant() dispatch.Instant { return dispatch.Instant(boottime.Nanoseconds()) }
+
+func (l *loop) advance() {
+	if l.engine != nil {
+		l.engine.Advance(l.instant(), time.Now().UnixMilli())
+	}
+}
+
+// takeWaiting takes what else has arrived, so that one batch serves all.
+func (l *loop) takeWaiting() {
+	for range maxTurn {
+		select {
+		case e := <-l.events:
+			l.take(e)
+		case a := <-l.answers:
+			l.answered(&a)
+		default:
+			return
+		}
+	}
+}
+
+func (l *loop) changeLeadership(change replica.Leadership) {
+	if l.engine != nil && (!change.Leading || change.Term != l.term) {
+		l.resign("leadership_lost")
+	}
+	if !change.Leading || l.engine != nil {
+		return
+	}
+	l.lead(change.Term)
+}
+
+func (l *loop) lead(term uint64) {
+	state, err := l.store.Copy()
+	if err != nil {
+		l.options.Logger.Error().Err(err).Uint64("term", term).Msg("state_not_copied")
+		return
+	}
+	l.term = term
+	l.engine = dispatch.New(l.options.Dispatch, l.options.Logger, term, state, l.instant())
+	l.serving.Store(true)
+	l.options.Logger.Info().Uint64("term", term).Int("jobs", len(state.Jobs())).Int("workers", len(state.Workers())).Msg("leading")
+}
+
+// resign throws the engine away. Its calls may or may not have been carried out.
+func (l *loop) resign(reason string) {
+	if l.engine == nil {
+		return
+	}
+	l.serving.Store(false)
+	l.engine = nil
+	l.options.Logger.Info().Uint64("term", l.term).Int("unanswered", len(l.waiting)).Str("reason", reason).Msg("not_leading")
+	for _, done := range l.waiting {
+		done(Result{}, kind.Errorf(kind.UnknownOutcome, "the leadership ended"))
+	}
+	clear(l.waiting)
+}
+
+func (l *loop) answered(a *dispatch.Answer) {
+	if l.engine == nil || a.Order.Fence != l.term {
+		return
+	}
+	if !l.engine.Answered(a) {
+		l.resign("fenced")
+	}
+}
+
+func (l *loop) committed(done commit) {
+	if l.engine == nil || done.term != l.term {
+		return
+	}
+	if done.err != nil {
+		l.options.Logger.Warn().Err(done.err).Uint64("term", done.term).Msg("batch_not_committed")
+		l.resign("batch_not_committed")
+		return
+	}
+	for _, err := range done.result.([]error) {
+		if err != nil {
+			l.options.Logger.Error().Err(err).Uint64("term", done.term).Msg("state_diverged")
+			l.resign("state_diverged")
+			l.lead(done.term)
+			return
+		}
+	}
+	l.engine.Committed()
+}
+
+// act hands out what the engine decided.
+func (l *loop) act() {
+	if l.engine == nil {
+		return
+	}
+	if batch := l.engine.TakeBatch(); batch != nil {
+		l.propose(batch)
+	}
+	for _, order := range l.engine.TakeOrders() {
+		l.send(order)
+	}
+}
+
+func (l *loop) propose(batch *workflow.Batch) {
+	data, err := batch.Encode()
+	if err != nil {
+		l.options.Logger.Error().Err(err).Msg("batch_not_encoded")
+		l.resign("batch_not_encoded")
+		return
+	}
+	term := l.term
+	l.group.Add(1)
+	go func() {
+		defer l.group.Done()
+		result, err := l.replica.Propose(l.ctx, data)
+		select {
+		case l.commits <- commit{term: term, result: result, err: err}:
+		case <-l.ctx.Done():
+		}
+	}()
+}
+
+// send carries out an order. A leader that is not confirmed sends nothing.
+func (l *loop) send(order dispatch.Order) {
+	l.group.Add(1)
+	go func() {
+		defer l.group.Done()
+		answer := dispatch.Answer{Order: order, Outcome: dispatch.Unhealthy}
+		if l.confirmed() {
+			ctx, cancel := context.WithTimeout(l.ctx, order.Timeout())
+			answer = l.options.Workers.Do(ctx, &order)
+			cancel()
+		}
+		select {
+		case l.answers <- answer:
+		case <-l.ctx.Done():
+		}
+	}()
+}
+
+// take hands a call to the engine.
+func (l *loop) take(e event) {
+	if l.engine == nil || !l.confirmed() {
+		e.done(Result{}, l.notLeader())
+		return
+	}
+	id := l.next
+	l.next++
+	l.waiting[id] = e.done
+	done := func(r Result) {
+		delete(l.waiting, id)
+		r.Leader = l.options.Replica.Address
+		e.done(r, nil)
+	}
+	switch call := e.call; {
+	case call.Request != nil:
+		l.engine.Handle(call.Request, func(r dispatch.Reply) { done(Result{Reply: r, Err: r.Err}) })
+	case call.Announce != nil:
+		l.engine.Announce(call.Announce, func(err *kind.Error) { done(Result{Err: err}) })
+	case call.Withdraw != nil:
+		l.engine.Withdraw(call.Withdraw.Name, call.Withdraw.BornMs, func() { done(Result{}) })
+	case call.SetCatalog != nil:
+		l.engine.SetCatalog(call.SetCatalog, func(err *kind.Error) { done(Result{Err: err}) })
+	case call.ReadCatalog:
+		l.engine.ReadCatalog(func(c *workflow.Catalog) { done(Result{Catalog: c}) })
+	default:
+		done(Result{Err: kind.Errorf(kind.BadRequest, "an empty call")})
+	}
+}
--- /dev/null
+++ b/dispatch/plan.go
@@ -0,0 +1,228 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+
+	"mangohill.example/mangohill/workflow"
+)
+
+// readyStep is a step whose tasks may be started.
+type readyStep struct {
+	ref     workflow.StepRef
+	job     *workflow.Job
+	step    *workflow.Step
+	pending []uint32
+	// dueMs is when the step's job must be completed to meet its objective.
+	dueMs int64
+}
+
+// readySteps keeps the steps with pending tasks in the order of their turn.
+type readySteps struct {
+	touched map[workflow.JobID]bool
+	byJob   map[workflow.JobID][]*readyStep
+	order   []*readyStep
+	changed bool
+}
+
+func (r *readySteps) reset() {
+	r.touched = make(map[workflow.JobID]bool)
+	r.byJob = make(map[workflow.JobID][]*readyStep)
+}
+
+// touch marks a job whose ready steps may have changed.
+func (r *readySteps) touch(id workflow.JobID) { r.touched[id] = true }
+
+// refresh recomputes the steps of the touched jobs.
+func (r *readySteps) refresh(state *workflow.State) {
+	for id := range r.touched {
+		r.refreshJob(id, state.Job(id))
+	}
+	clear(r.touched)
+	if !r.changed {
+		return
+	}
+	r.changed = false
+	r.order = r.order[:0]
+	for _, steps := range r.byJob {
+		r.order = append(r.order, steps...)
+	}
+	slices.SortFunc(r.order, compareTurns)
+}
+
+func (r *readySteps) refreshJob(id workflow.JobID, job *workflow.Job) {
+	if _, had := r.byJob[id]; had {
+		delete(r.byJob, id)
+		r.changed = true
+	}
+	if job == nil || !job.Active() {
+		return
+	}
+	for o := range job.Occurrences {
+		for s := range job.Spec.Steps {
+			r.addStep(job, uint32(o), uint32(s))
+		}
+	}
+}
+
+func (r *readySteps) addStep(job *workflow.Job, occurrence, step uint32) {
+	o := &job.Occurrences[occurrence]
+	if o.Done[step] == job.Spec.Steps[step].Count || !job.StepReady(occurrence, step) {
+		return
+	}
+	var pending []uint32
+	for i := range o.Steps[step] {
+		if o.Steps[step][i].State == workflow.TaskPending {
+			pending = append(pending, uint32(i))
+		}
+	}
+	if len(pending) == 0 {
+		return
+	}
+	r.byJob[job.ID] = append(r.byJob[job.ID], &readyStep{
+		ref: workflow.StepRef{Job: job.ID, Occurrence: occurrence, Step: step}, job: job, step: &job.Spec.Steps[step],
+		pending: pending, dueMs: dueMs(job, occurrence),
+	})
+	r.changed = true
+}
+
+// dueMs returns when a job must be completed to meet its latency objective.
+func dueMs(job *workflow.Job, occurrence uint32) int64 {
+	begin := max(job.AcceptedMs, job.Spec.DueMs(occurrence))
+	return begin + job.LatencyObjectiveMs + longestChainMs(job)*job.StretchMilli/1000
+}
+
+// longestChainMs is the estimated time of the longest chain of steps.
+func longestChainMs(job *workflow.Job) int64 {
+	longest := int64(0)
+	ends := make([]int64, len(job.Spec.Steps))
+	for i := range job.Spec.Steps {
+		begin := int64(0)
+		for _, before := range job.Spec.Steps[i].After {
+			begin = max(begin, ends[before])
+		}
+		ends[i] = begin + job.Spec.Steps[i].EstimateMs
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// compareTurns orders steps by the priority of their queue, services before work
+// that ends, and then by the time at which the job must be completed.
+func compareTurns(a, b *readyStep) int {
+	return cmp.Or(
+		cmp.Compare(a.job.Priority, b.job.Priority),
+		compareBools(b.step.Lasting, a.step.Lasting),
+		cmp.Compare(a.dueMs, b.dueMs),
+		cmp.Compare(a.ref.Job, b.ref.Job), cmp.Compare(a.ref.Occurrence, b.ref.Occurrence), cmp.Compare(a.ref.Step, b.ref.Step),
+	)
+}
+
+func compareBools(a, b bool) int {
+	if a == b {
+		return 0
+	}
+	if a {
+		return 1
+	}
+	return -1
+}
+
+// plan places pending tasks on workers.
+func (e *Engine) plan() {
+	e.ready.refresh(e.state)
+	if len(e.ready.order) == 0 {
+		return
+	}
+	pool := e.newPool()
+	for _, s := range e.ready.order {
+		if s.job.Spec.DueMs(s.ref.Occurrence) > e.wallMs {
+			continue
+		}
+		if !s.job.Active() || pool.covered(s) {
+			continue
+		}
+		if s.step.Gang {
+			e.placeGang(pool, s)
+			continue
+		}
+		e.placeStep(pool, s)
+	}
+}
+
+// placeStep places as many of a step's tasks as there is room for.
+func (e *Engine) placeStep(p *pool, s *readyStep) {
+	for len(s.pending) > 0 {
+		c := e.choose(p, s)
+		if c == nil {
+			p.noteExhausted(s)
+			return
+		}
+		ref := workflow.TaskRef{Job: s.ref.Job, Occurrence: s.ref.Occurrence, Step: s.ref.Step, Index: s.pending[0]}
+		if !e.place(c, s, ref, s.job.Task(ref).Attempt+1) {
+			return
+		}
+		s.pending = s.pending[1:]
+		e.ready.touch(s.ref.Job)
+	}
+}
+
+// placeGang places all tasks of a gang or none.
+func (e *Engine) placeGang(p *pool, s *readyStep) {
+	if uint32(len(s.pending)) < s.step.Count {
+		return // Members of an earlier run are still to end.
+	}
+	chosen := make([]*candidate, 0, s.step.Count)
+	for range s.step.Count {
+		c := e.choose(p, s)
+		if c == nil {
+			break
+		}
+		c.take(s)
+		chosen = append(chosen, c)
+	}
+	for _, c := range chosen {
+		c.give(s)
+	}
+	if len(chosen) < int(s.step.Count) {
+		return
+	}
+	number := uint32(0)
+	for _, task := range s.job.Occurrences[s.ref.Occurrence].Steps[s.ref.Step] {
+		number = max(number, task.Attempt)
+	}
+	for i, c := range chosen {
+		ref := workflow.TaskRef{Job: s.ref.Job, Occurrence: s.ref.Occurrence, Step: s.ref.Step, Index: uint32(i)}
+		if !e.place(c, s, ref, number+1) {
+			e.log.Error().Stringer("task", ref).Msg("gang_not_placed")
+		}
+	}
+	s.pending = nil
+	e.ready.touch(s.ref.Job)
+}
+
+// place records an attempt and starts it once the record is committed.
+func (e *Engine) place(c *candidate, s *readyStep, ref workflow.TaskRef, number uint32) bool {
+	v := c.view
+	if err := e.decide(workflow.Op{Place: &workflow.Place{Task: ref, Worker: v.worker.ID, Attempt: number}}); err != nil {
+		e.log.Error().Err(err).Stringer("task", ref).Str("worker", v.worker.Life.Name).Msg("placement_not_recorded")
+		return false
+	}
+	c.take(s)
+	e.counters.Placed++
+	a := &attempt{number: number, placedAt: e.now, share: e.shareAtStart(v, s.step)}
+	v.attempts[ref] = a
+	free, heard := c.free, e.since(v.heard)
+	e.then(func() {
+		if e.views[v.worker.ID] != v || v.attempts[ref] != a {
+			return
+		}
+		a.committed = true
+		e.log.Info().Stringer("task", ref).Uint32("attempt", number).Str("worker", v.worker.Life.Name).Int64("free_mcpu", free.MilliProcessors).Dur("report_age", heard).Uint64("term", e.fence).Msg("task_placed")
+		e.tendAttempt(v, ref, a)
+	})
+	return true
+}
+
+// ticket returns the advice service's permission for the step on the worker.
+func (e *Engine) ticket(*workflow.Job, workflow.TaskRef, *view) string { return "" }
--- /dev/null
+++ b/dispatch/pool.go
@@ -0,0 +1,144 @@
+package dispatch
+
+import (
+	"slices"
+
+	"mangohill.example/mangohill/workflow"
+)
+
+// candidate is a worker as one plan sees it.
+type candidate struct {
+	view *view
+	// free is what is not reserved.
+	free workflow.Resources
+	// idle is the estimate of the processors that nothing uses, in thousandths.
+	idle int64
+	// perStep counts the tasks of a step on the worker.
+	perStep map[workflow.StepRef]uint32
+}
+
+// pool is the workers that may get work in one plan.
+type pool struct {
+	byService map[string][]*candidate
+	// failed lists requests for which no worker had room in this plan.
+	failed []shape
+}
+
+// shape is what decides whether a task fits a worker.
+type shape struct {
+	service   string
+	label     string
+	need      workflow.Resources
+	scavenger bool
+	lasting   bool
+}
+
+func shapeOf(job *workflow.Job, step *workflow.Step) shape {
+	return shape{service: job.Service, label: step.Label, need: step.Resources, scavenger: step.Scavenger, lasting: step.Lasting}
+}
+
+func (e *Engine) newPool() *pool {
+	p := &pool{byService: make(map[string][]*candidate)}
+	for _, v := range e.views {
+		if !e.usable(v) {
+			continue
+		}
+		p.byService[v.worker.Service] = append(p.byService[v.worker.Service], &candidate{
+			view: v, free: v.worker.Capacity.Sub(v.worker.Reserved), idle: e.idleProcessors(v),
+		})
+	}
+	for _, candidates := range p.byService {
+		slices.SortFunc(candidates, func(a, b *candidate) int { return int(a.view.worker.ID) - int(b.view.worker.ID) })
+	}
+	return p
+}
+
+// usable reports whether a worker may get new work.
+func (e *Engine) usable(v *view) bool {
+	return !v.worker.Draining && e.reachable(v) && v.clockMs > 0 && e.now >= v.suspectTo
+}
+
+// noteExhausted remembers that no worker has room for a task of the step. A step
+// with a bound for each worker may have failed by that alone.
+func (p *pool) noteExhausted(s *readyStep) {
+	if s.step.MaxPerWorker == 0 {
+		p.failed = append(p.failed, shapeOf(s.job, s.step))
+	}
+}
+
+// covered reports whether a request that is no larger has failed in this plan.
+func (p *pool) covered(s *readyStep) bool {
+	want := shapeOf(s.job, s.step)
+	return slices.ContainsFunc(p.failed, func(f shape) bool {
+		return f.service == want.service && f.scavenger == want.scavenger && f.lasting == want.lasting && (f.label == "" || f.label == want.label) && f.need.Fits(want.need)
+	})
+}
+
+func (c *candidate) take(s *readyStep) {
+	c.free = c.free.Sub(s.step.Reserved())
+	c.idle -= s.step.Resources.MilliProcessors
+	c.count(s)
+	c.perStep[s.ref]++
+}
+
+func (c *candidate) give(s *readyStep) {
+	c.free = c.free.Add(s.step.Reserved())
+	c.idle += s.step.Resources.MilliProcessors
+	c.perStep[s.ref]--
+}
+
+// count returns the number of the step's tasks on the worker.
+func (c *candidate) count(s *readyStep) uint32 {
+	if c.perStep == nil {
+		c.perStep = make(map[workflow.StepRef]uint32)
+		for ref := range c.view.attempts {
+			c.perStep[ref.StepRef()]++
+		}
+	}
+	return c.perStep[s.ref]
+}
+
+// choose filters and scores the workers for one task of a step.
+func (e *Engine) choose(p *pool, s *readyStep) *candidate {
+	var best *candidate
+	bestScore := int64(0)
+	for _, c := range p.byService[s.job.Service] {
+		if !e.admits(c, s) {
+			continue
+		}
+		if score := e.score(c, s); best == nil || score > bestScore {
+			best, bestScore = c, score
+		}
+	}
+	return best
+}
+
+// admits reports whether a worker may run a task of the step.
+func (e *Engine) admits(c *candidate, s *readyStep) bool {
+	step := s.step
+	switch {
+	case !step.Reserved().Fits(c.free):
+		return false
+	case step.Scavenger && c.idle < scavengerRoom(step):
+		return false
+	case step.Label != "" && !c.view.worker.HasLabel(step.Label):
+		return false
+	case step.MaxPerWorker > 0 && c.count(s) >= step.MaxPerWorker:
+		return false
+	}
+	return true
+}
+
+// score prefers, for a task that takes unused processors, the worker with most
+// of them, and for any other the one that has least left, so that room for wide
+// tasks remains. A task near its data comes first.
+func (e *Engine) score(c *candidate, s *readyStep) int64 {
+	score := int64(0)
+	if s.step.DataRack != "" && c.view.worker.HasLabel(s.step.DataRack) {
+		score = 1 << 40
+	}
+	if s.step.Scavenger {
+		return score + c.idle
+	}
+	return score - c.free.MilliProcessors
+}
--- /dev/null
+++ b/dispatch/workers.go
@@ -0,0 +1,305 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"mangohill.example/mangohill/kind"
+	"mangohill.example/mangohill/workflow"
+)
+
+// view is what the leader believes of one life of a worker.
+type view struct {
+	worker *workflow.Worker
+	// fenced is set once the worker has answered an order of this term.
+	fenced   bool
+	looking  bool
+	nextLook Instant
+	// heard is when its last answer came.
+	heard Instant
+	// clockMs is a reading of the worker's clock that came in at clockAt.
+	clockMs int64
+	clockAt Instant
+	// leaseUntil is when the worker has certainly given up what it runs, unless
+	// another order reaches it.
+	leaseUntil Instant
+	// seenEnd is the number of the last end that was decided on.
+	seenEnd uint64
+	// acked is the number of the last end whose record is committed.
+	acked     uint64
+	suspectTo Instant
+	attempts  map[workflow.TaskRef]*attempt
+	relief    relief
+}
+
+// attempt is what the leader believes of an attempt on a worker.
+type attempt struct {
+	number uint32
+	// committed is set once the placement is in the log.
+	committed bool
+	// calling is set while a start or stop is under way.
+	calling bool
+	retryAt Instant
+	// unanswered counts the starts that may still be carried out.
+	unanswered int
+	running    bool
+	runningAt  Instant
+	placedAt   Instant
+	absent     int
+	stopWanted bool
+	// settledAt is when the worker answered that it does not start the attempt
+	// any more: a look sent later shows whether it runs.
+	settledAt  Instant
+	settled    bool
+	percent    int
+	checkpoint string
+	gauge      int64
+	gaugeAt    Instant
+	// share is the share of its speed in percent that was ordered last.
+	share int
+	// over counts since when a serving task is over its latency target.
+	overSince Instant
+}
+
+const fullShare = 100
+
+func (e *Engine) addView(w *workflow.Worker) *view {
+	v := &view{
+		worker: w, heard: e.now, attempts: make(map[workflow.TaskRef]*attempt), seenEnd: w.Acked, acked: w.Acked,
+		// An earlier leader may have renewed until it lost its quorum.
+		leaseUntil: e.now.Add(stretched(e.settings.LongestLease)),
+	}
+	for ref, number := range w.Attempts {
+		v.attempts[ref] = &attempt{number: number, committed: true, placedAt: e.now, share: fullShare}
+		if job := e.state.Job(ref.Job); job == nil || !job.Active() {
+			v.attempts[ref].stopWanted = true
+		}
+	}
+	e.views[w.ID] = v
+	return v
+}
+
+// stretched is the real time after which a worker's clock has certainly counted d.
+func stretched(d time.Duration) time.Duration {
+	return time.Duration(float64(d) / (1 - clockSlack))
+}
+
+// Announcement is a worker's report about itself.
+type Announcement struct {
+	Life     workflow.Life
+	Address  string
+	Service  string
+	Zone     string
+	Labels   []string
+	Capacity workflow.Resources
+	Draining bool
+	// ClockMs is the worker's clock, zero if it gave none.
+	ClockMs int64
+}
+
+// Announce takes a worker's report and calls done once it is recorded.
+func (e *Engine) Announce(a *Announcement, done func(*kind.Error)) {
+	w := e.state.WorkerNamed(a.Life.Name)
+	if w == nil || w.Life.BornMs < a.Life.BornMs {
+		if err := e.join(a); err != nil {
+			done(asKind(err))
+			return
+		}
+		w = e.state.WorkerNamed(a.Life.Name)
+	}
+	if w.Life != a.Life {
+		done(kind.Errorf(kind.StaleIncarnation, "worker %q has begun a newer life", a.Life.Name))
+		return
+	}
+	if a.Draining && !w.Draining {
+		if err := e.decide(workflow.Op{Leave: &workflow.Leave{Worker: w.ID}}); err != nil {
+			done(asKind(err))
+			return
+		}
+		e.then(func() {
+			e.log.Info().Str("worker", w.Life.Name).Uint64("term", e.fence).Msg("worker_draining")
+			e.evacuate(w.ID)
+		})
+	}
+	e.then(func() { done(nil) })
+}
+
+func (e *Engine) join(a *Announcement) error {
+	for _, old := range []*workflow.Worker{e.state.WorkerNamed(a.Life.Name), e.state.WorkerAt(a.Address)} {
+		if old != nil && old.Life.BornMs <= a.Life.BornMs {
+			e.endLife(old, "replaced")
+		}
+	}
+	join := &workflow.Join{Life: a.Life, Address: a.Address, Service: a.Service, Zone: a.Zone, Labels: a.Labels, Capacity: a.Capacity}
+	if err := e.decide(workflow.Op{Join: join}); err != nil {
+		return err
+	}
+	w := e.state.WorkerNamed(a.Life.Name)
+	v := e.addView(w)
+	v.leaseUntil = e.now
+	v.clockMs, v.clockAt = a.ClockMs, e.now
+	v.looking = true // Until the life is recorded.
+	e.then(func() {
+		e.log.Info().Str("worker", w.Life.Name).Int64("born_ms", w.Life.BornMs).Str("address", w.Address).Str("service", w.Service).Uint64("term", e.fence).Msg("worker_joined")
+		v.looking = false
+		e.tend(v)
+	})
+	return nil
+}
+
+// Withdraw takes a worker's report that it ends. bornMs is zero if it named no
+// birth.
+func (e *Engine) Withdraw(name string, bornMs int64, done func()) {
+	w := e.state.WorkerNamed(name)
+	if w != nil && (w.Life.BornMs == bornMs || bornMs == 0 && w.Draining) {
+		e.endLife(w, "withdrew")
+	}
+	e.then(done)
+}
+
+// endLife records that a life of a worker is over.
+func (e *Engine) endLife(w *workflow.Worker, reason string) {
+	e.voidAll(w.ID, reason)
+	if err := e.decide(workflow.Op{Leave: &workflow.Leave{Worker: w.ID, Over: true}}); err != nil {
+		e.log.Error().Err(err).Str("worker", w.Life.Name).Msg("worker_end_not_recorded")
+		return
+	}
+	delete(e.views, w.ID)
+	e.log.Info().Str("worker", w.Life.Name).Int64("born_ms", w.Life.BornMs).Str("reason", reason).Uint64("term", e.fence).Msg("worker_over")
+}
+
+// voidAll records that nothing runs on a worker any more.
+func (e *Engine) voidAll(id workflow.WorkerID, reason string) {
+	v := e.views[id]
+	refs := make([]workflow.TaskRef, 0, len(v.attempts))
+	for ref := range v.attempts {
+		refs = append(refs, ref)
+	}
+	slices.SortFunc(refs, compareTasks)
+	for _, ref := range refs {
+		e.void(v, ref, reason)
+	}
+}
+
+func compareTasks(a, b workflow.TaskRef) int {
+	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
+}
+
+// void records that an attempt does not run and will not.
+func (e *Engine) void(v *view, ref workflow.TaskRef, reason string) {
+	a := v.attempts[ref]
+	delete(v.attempts, ref)
+	err := e.decide(workflow.Op{Void: &workflow.Void{Worker: v.worker.ID, Task: ref, Attempt: a.number, Checkpoint: a.checkpoint}})
+	if err != nil {
+		e.log.Error().Err(err).Stringer("task", ref).Msg("attempt_not_voided")
+		return
+	}
+	e.counters.Voided++
+	e.ready.touch(ref.Job)
+	e.log.Info().Stringer("task", ref).Uint32("attempt", a.number).Str("worker", v.worker.Life.Name).Str("reason", reason).
+		Dur("unheard", e.since(v.heard)).Uint64("term", e.fence).Msg("attempt_void")
+}
+
+// evacuate stops on a draining worker what loses little by it.
+func (e *Engine) evacuate(id workflow.WorkerID) {
+	v := e.views[id]
+	if v == nil {
+		return
+	}
+	for ref, a := range v.attempts {
+		job := e.state.Job(ref.Job)
+		if job == nil {
+			continue
+		}
+		if step := &job.Spec.Steps[ref.Step]; step.Lasting || step.SavesProgress {
+			a.stopWanted = true
+		}
+	}
+	e.tend(v)
+}
+
+// stopEnded stops the attempts of a job that has ended.
+func (e *Engine) stopEnded(job *workflow.Job) {
+	for o := range job.Occurrences {
+		for s, tasks := range job.Occurrences[o].Steps {
+			for i := range tasks {
+				ref := workflow.TaskRef{Job: job.ID, Occurrence: uint32(o), Step: uint32(s), Index: uint32(i)}
+				v := e.views[tasks[i].Worker]
+				if v == nil || v.attempts[ref] == nil {
+					continue
+				}
+				v.attempts[ref].stopWanted = true
+				e.tendAttempt(v, ref, v.attempts[ref])
+			}
+		}
+	}
+}
+
+// reachable reports whether the worker answered lately.
+func (e *Engine) reachable(v *view) bool { return v.fenced && e.since(v.heard) < staleAfter }
+
+// tend issues the orders that are due for a worker.
+func (e *Engine) tend(v *view) {
+	if len(v.attempts) > 0 && e.now > v.leaseUntil && !e.reachable(v) {
+		e.voidAll(v.worker.ID, "lease_over")
+	}
+	if !v.looking && e.now >= v.nextLook {
+		e.look(v)
+	}
+	for ref, a := range v.attempts {
+		e.tendAttempt(v, ref, a)
+	}
+}
+
+func (e *Engine) look(v *view) {
+	v.looking = true
+	order := Order{Verb: Look, AckedUpto: v.acked, Wait: lookWait}
+	if !v.fenced || !e.reachable(v) {
+		order.Wait = 0
+	}
+	e.issue(v, order)
+}
+
+// issue completes an order and sends it.
+func (e *Engine) issue(v *view, order Order) {
+	order.Worker, order.Life, order.Address = v.worker.ID, v.worker.Life, v.worker.Address
+	order.Fence, order.SentAt = e.fence, e.now
+	// A worker that does not answer gets no longer lease: what runs there is to
+	// become free some time.
+	if v.clockMs > 0 && e.since(v.heard) < staleAfter && (order.Verb == Look || order.Verb == Start) {
+		elapsed := time.Duration(float64(e.since(v.clockAt)) * (1 - clockSlack))
+		lease := e.settings.Lease
+		order.ExpiresMs = v.clockMs + (elapsed + lease).Milliseconds()
+		v.leaseUntil = max(v.leaseUntil, v.clockAt.Add(stretched(elapsed+lease)))
+	}
+	e.orders = append(e.orders, order)
+}
+
+// tendAttempt issues the order that is due for an attempt.
+func (e *Engine) tendAttempt(v *view, ref workflow.TaskRef, a *attempt) {
+	if !a.committed || a.calling || e.now < a.retryAt || !e.reachable(v) {
+		return
+	}
+	switch {
+	case a.stopWanted && !a.settled:
+		a.calling = true
+		e.issue(v, Order{Verb: Stop, Task: ref, Attempt: a.number})
+	case !a.stopWanted && !a.running && !a.settled:
+		e.start(v, ref, a)
+	}
+}
+
+func (e *Engine) start(v *view, ref workflow.TaskRef, a *attempt) {
+	job := e.state.Job(ref.Job)
+	if job == nil || !job.Active() {
+		a.stopWanted = true
+		return
+	}
+	if v.clockMs == 0 {
+		return // Without the worker's clock there is no lease to give.
+	}
+	a.calling = true
+	task := job.Task(ref)
+	e.issue(v, Order{Verb: Start, Task: ref, Attempt: a.number, Payload: job.Spec.Payload, Checkpoint: task.Checkpoint, Ticket: e.ticket(job, ref, v)})
+}
--- a/e2e/capacity_test.go
+++ b/e2e/capacity_test.go
@@ -16,7 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"mangohill.example/mangohill/internal/fake"
-	"mangohill.example/mangohill/platform"
+	"mangohill.example/mangohill/workerapi"
 )
 
 // clockTicks is the unit of the processor times in /proc (USER_HZ).
@@ -98,7 +98,7 @@
 			worker := fake.NewWorker(fake.WorkerOptions{
 				Name: fmt.Sprintf("w%d", workers+1), Incarnation: 1,
 				FailureDomain: fmt.Sprintf("d%d", workers%5), Rack: fmt.Sprintf("r%d", workers/8),
-				Capacity: platform.Capacity{Processors: 64, MemoryBytes: 250e9},
+				Capacity: workerapi.Capacity{Processors: 64, MemoryBytes: 250e9},
 				Entries:  append(c.platforms()[workers%8:], c.platforms()[:workers%8]...),
 				Journal:  journal,
 			})
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -22,7 +22,7 @@
 
 	"mangohill.example/mangohill/controlapi"
 	"mangohill.example/mangohill/internal/fake"
-	"mangohill.example/mangohill/platform"
+	"mangohill.example/mangohill/workerapi"
 )
 
 const (
@@ -327,7 +327,7 @@
 			Incarnation:   1,
 			FailureDomain: fmt.Sprintf("d%d", i%2),
 			Rack:          fmt.Sprintf("r%d", i),
-			Capacity:      platform.Capacity{Processors: processors, MemoryBytes: 64 << 30},
+			Capacity:      workerapi.Capacity{Processors: processors, MemoryBytes: 64 << 30},
 			Entries:       c.platforms(),
 			Journal:       journal,
 		})
--- a/e2e/workers_test.go
+++ b/e2e/workers_test.go
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"mangohill.example/mangohill/internal/fake"
-	"mangohill.example/mangohill/platform"
+	"mangohill.example/mangohill/workerapi"
 )
 
 // shortLeases is a configuration under which a lost worker is given up soon.
@@ -35,7 +35,7 @@
 		Name:        name,
 		Incarnation: incarnation,
 		Rack:        name,
-		Capacity:    platform.Capacity{Processors: processors, MemoryBytes: 64 << 30},
+		Capacity:    workerapi.Capacity{Processors: processors, MemoryBytes: 64 << 30},
 		Entries:     c.platforms(),
 		Journal:     journal,
 	})
--- a/internal/capacity/messages.go
+++ b/internal/capacity/messages.go
@@ -11,9 +11,9 @@
 	"mangohill.example/mangohill/controlapi"
 	"mangohill.example/mangohill/kind"
 	"mangohill.example/mangohill/membership"
-	"mangohill.example/mangohill/platform"
 	"mangohill.example/mangohill/state"
 	"mangohill.example/mangohill/types"
+	"mangohill.example/mangohill/workerapi"
 )
 
 const (
@@ -151,7 +151,7 @@
 }
 
 func usageSampleBytes() (float64, error) {
-	sample := platform.UsageSample{
+	sample := workerapi.UsageSample{
 		Task: "route-05000", Epoch: 2, TakenMs: 81_225_000, Processors: 11.5, MemoryBytes: 6 * gib, Progress: 0.4,
 	}
 	data, err := json.Marshal(sample)
@@ -160,7 +160,7 @@
 
 // syncRequestBytes includes the HTTP header.
 func syncRequestBytes() (float64, error) {
-	body, err := json.Marshal(platform.SyncRequest{Incarnation: 3, SentMs: 81_234_000, HoldMs: 3000})
+	body, err := json.Marshal(workerapi.SyncRequest{Incarnation: 3, SentMs: 81_234_000, HoldMs: 3000})
 	if err != nil {
 		return 0, err
 	}
@@ -176,8 +176,8 @@
 
 // syncAnswerBytes includes the HTTP header, with the fields that net/http adds.
 func syncAnswerBytes() (float64, error) {
-	body, err := json.Marshal(platform.SyncAnswer{
-		Lease: &platform.Lease{CountedFromSentMs: 81_234_000, DurationMs: 10_000}, UsageMs: 10_000,
+	body, err := json.Marshal(workerapi.SyncAnswer{
+		Lease: &workerapi.Lease{CountedFromSentMs: 81_234_000, DurationMs: 10_000}, UsageMs: 10_000,
 	})
 	if err != nil {
 		return 0, err
--- a/internal/fake/attempt.go
+++ b/internal/fake/attempt.go
@@ -5,7 +5,7 @@
 	"strconv"
 	"time"
 
-	"mangohill.example/mangohill/platform"
+	"mangohill.example/mangohill/workerapi"
 )
 
 // Work is the payload of a pretended task.
@@ -18,7 +18,7 @@
 
 // attempt is one pretended execution of a task.
 type attempt struct {
-	command   platform.Command
+	command   workerapi.Command
 	work      Work
 	began     time.Time
 	resumedMs int64
@@ -26,7 +26,7 @@
 	timer     *time.Timer
 }
 
-func newAttempt(command platform.Command) *attempt {
+func newAttempt(command workerapi.Command) *attempt {
 	a := &attempt{command: command, began: time.Now()}
 	_ = json.Unmarshal(command.Payload, &a.work) // A payload of another form runs until it is stopped.
 	a.resumedMs, _ = strconv.ParseInt(command.ResumeFrom, 10, 64)
@@ -43,19 +43,19 @@
 	return time.Duration(max(a.work.RunMs-a.resumedMs, 0)) * time.Millisecond, true
 }
 
-func (a *attempt) status() platform.TaskStatus {
-	state := platform.AttemptRunning
+func (a *attempt) status() workerapi.TaskStatus {
+	state := workerapi.AttemptRunning
 	if a.throttled {
-		state = platform.AttemptThrottled
+		state = workerapi.AttemptThrottled
 	}
-	return platform.TaskStatus{Task: a.command.Task, Epoch: a.command.Epoch, State: state}
+	return workerapi.TaskStatus{Task: a.command.Task, Epoch: a.command.Epoch, State: state}
 }
 
 // checkpoint returns the progress in milliseconds as an opaque string.
 func (a *attempt) checkpoint() string { return strconv.FormatInt(a.elapsedMs(), 10) }
 
-func (a *attempt) usage(takenMs int64) platform.UsageSample {
-	sample := platform.UsageSample{
+func (a *attempt) usage(takenMs int64) workerapi.UsageSample {
+	sample := workerapi.UsageSample{
 		Task:        a.command.Task,
 		Epoch:       a.command.Epoch,
 		TakenMs:     takenMs,
--- a/internal/fake/target_announce.go
+++ b/internal/fake/target_announce.go
@@ -10,14 +10,14 @@
 	"strconv"
 	"time"
 
-	"mangohill.example/mangohill/platform"
 	"mangohill.example/mangohill/types"
+	"mangohill.example/mangohill/workerapi"
 )
 
 // Announce announces the state once, to the next of the platforms.
 func (t *Target) Announce(ctx context.Context) (time.Duration, error) {
 	record := t.Record()
-	body, err := json.Marshal(platform.Announcement{
+	body, err := json.Marshal(workerapi.Announcement{
 		Service: record.Service, Address: record.Address, FailureDomain: record.FailureDomain, Incarnation: record.Incarnation,
 		Slots: record.Slots, Connections: record.Connections, State: string(record.State), InFlight: record.InFlight,
 	})
@@ -32,7 +32,7 @@
 	if response.StatusCode != http.StatusOK {
 		return 0, fmt.Errorf("announcement of %q: status %d", record.Name, response.StatusCode)
 	}
-	var answer platform.AnnouncementAnswer
+	var answer workerapi.AnnouncementAnswer
 	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
 		return 0, err
 	}
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"mangohill.example/mangohill/lease"
-	"mangohill.example/mangohill/platform"
+	"mangohill.example/mangohill/workerapi"
 )
 
 const (
@@ -28,7 +28,7 @@
 	Incarnation   uint64
 	FailureDomain string
 	Rack          string
-	Capacity      platform.Capacity
+	Capacity      workerapi.Capacity
 	// Entries are the base URLs of platform listeners, as a balancer would offer
 	// them; a failed sync moves on to the next one.
 	Entries []string
@@ -46,7 +46,7 @@
 	mu       sync.Mutex
 	attempts map[string]*attempt
 	seen     map[string]uint64
-	changes  map[string]platform.TaskStatus
+	changes  map[string]workerapi.TaskStatus
 	held     lease.Held
 	lease    *time.Timer // ends the attempts with the lease
 	state    string
@@ -64,7 +64,7 @@
 		wake:     make(chan struct{}, 1),
 		attempts: make(map[string]*attempt),
 		seen:     make(map[string]uint64),
-		changes:  make(map[string]platform.TaskStatus),
+		changes:  make(map[string]workerapi.TaskStatus),
 		state:    "ready",
 		full:     true,
 	}
@@ -139,10 +139,10 @@
 
 func (w *Worker) nowMs() int64 { return time.Since(w.started).Milliseconds() }
 
-func (w *Worker) compose() platform.SyncRequest {
+func (w *Worker) compose() workerapi.SyncRequest {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	request := platform.SyncRequest{
+	request := workerapi.SyncRequest{
 		Incarnation: w.options.Incarnation,
 		SentMs:      w.nowMs(),
 		State:       w.state,
@@ -170,20 +170,20 @@
 
 // sampleUsage returns usage samples if the interval has passed. The caller holds
 // the lock.
-func (w *Worker) sampleUsage() []platform.UsageSample {
+func (w *Worker) sampleUsage() []workerapi.UsageSample {
 	now := time.Now()
 	if w.usageMs == 0 || now.Before(w.usageDue) {
 		return nil
 	}
 	w.usageDue = now.Add(time.Duration(w.usageMs) * time.Millisecond)
-	var samples []platform.UsageSample
+	var samples []workerapi.UsageSample
 	for _, a := range w.attempts {
 		samples = append(samples, a.usage(w.nowMs()))
 	}
 	return samples
 }
 
-func (w *Worker) post(ctx context.Context, entry string, request platform.SyncRequest) (*platform.SyncAnswer, error) {
+func (w *Worker) post(ctx context.Context, entry string, request workerapi.SyncRequest) (*workerapi.SyncAnswer, error) {
 	body, err := json.Marshal(request)
 	if err != nil {
 		return nil, fmt.Errorf("worker %q: encode sync: %w", w.options.Name, err)
@@ -202,14 +202,14 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("worker %q: sync at %s: status %d", w.options.Name, entry, response.StatusCode)
 	}
-	var answer platform.SyncAnswer
+	var answer workerapi.SyncAnswer
 	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
 		return nil, fmt.Errorf("worker %q: decode sync answer: %w", w.options.Name, err)
 	}
 	return &answer, nil
 }
 
-func (w *Worker) follow(request platform.SyncRequest, answer *platform.SyncAnswer) {
+func (w *Worker) follow(request workerapi.SyncRequest, answer *workerapi.SyncAnswer) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.full = w.full || answer.Resync
@@ -226,7 +226,7 @@
 }
 
 // extendLease takes in a grant and reports whether the lease runs.
-func (w *Worker) extendLease(grant *platform.Lease) bool {
+func (w *Worker) extendLease(grant *workerapi.Lease) bool {
 	if grant == nil {
 		return false
 	}
@@ -245,11 +245,11 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, a := range w.attempts {
-		w.end(a, platform.AttemptStopped, "lease is over")
+		w.end(a, workerapi.AttemptStopped, "lease is over")
 	}
 }
 
-func (w *Worker) obey(command platform.Command, leased bool) {
+func (w *Worker) obey(command workerapi.Command, leased bool) {
 	current := w.attempts[command.Task]
 	if command.Epoch < w.seen[command.Task] {
 		return
@@ -261,7 +261,7 @@
 		return
 	}
 	if current == nil || current.command.Epoch != command.Epoch {
-		w.note(platform.TaskStatus{Task: command.Task, Epoch: command.Epoch, State: platform.AttemptStopped, Reason: "not running here"})
+		w.note(workerapi.TaskStatus{Task: command.Task, Epoch: command.Epoch, State: workerapi.AttemptStopped, Reason: "not running here"})
 		w.seen[command.Task] = command.Epoch
 		return
 	}
@@ -273,14 +273,14 @@
 		current.throttled = false
 		w.note(current.status())
 	case "checkpoint":
-		w.end(current, platform.AttemptCheckpointed, "")
+		w.end(current, workerapi.AttemptCheckpointed, "")
 	case "stop":
-		w.end(current, platform.AttemptStopped, "")
+		w.end(current, workerapi.AttemptStopped, "")
 	}
 }
 
 // note keeps a change until a sync that carried it was answered.
-func (w *Worker) note(status platform.TaskStatus) {
+func (w *Worker) note(status workerapi.TaskStatus) {
 	w.changes[status.Task] = status
 	w.signal()
 }
@@ -292,10 +292,10 @@
 	}
 }
 
-func (w *Worker) start(command platform.Command) {
+func (w *Worker) start(command workerapi.Command) {
 	w.seen[command.Task] = command.Epoch
 	if old := w.attempts[command.Task]; old != nil {
-		w.end(old, platform.AttemptStopped, "superseded")
+		w.end(old, workerapi.AttemptStopped, "superseded")
 	}
 	a := newAttempt(command)
 	w.attempts[command.Task] = a
@@ -313,10 +313,10 @@
 		return
 	}
 	if a.work.Fail {
-		w.end(a, platform.AttemptFailed, "exit status 1")
+		w.end(a, workerapi.AttemptFailed, "exit status 1")
 		return
 	}
-	w.end(a, platform.AttemptFinished, "")
+	w.end(a, workerapi.AttemptFinished, "")
 }
 
 func (w *Worker) end(a *attempt, state, reason string) {
@@ -324,9 +324,9 @@
 		a.timer.Stop()
 	}
 	delete(w.attempts, a.command.Task)
-	w.options.Journal.TaskEnded(a.command.Task, a.command.Epoch, w.options.Name, state == platform.AttemptFinished)
-	status := platform.TaskStatus{Task: a.command.Task, Epoch: a.command.Epoch, State: state, Reason: reason}
-	if state == platform.AttemptCheckpointed {
+	w.options.Journal.TaskEnded(a.command.Task, a.command.Epoch, w.options.Name, state == workerapi.AttemptFinished)
+	status := workerapi.TaskStatus{Task: a.command.Task, Epoch: a.command.Epoch, State: state, Reason: reason}
+	if state == workerapi.AttemptCheckpointed {
 		status.Checkpoint = a.checkpoint()
 	}
 	w.note(status)
--- a/node/network_test.go
+++ b/node/network_test.go
@@ -17,9 +17,9 @@
 	"mangohill.example/mangohill/controlapi"
 	"mangohill.example/mangohill/internal/fake"
 	"mangohill.example/mangohill/kind"
-	"mangohill.example/mangohill/platform"
 	"mangohill.example/mangohill/rpcclient"
 	"mangohill.example/mangohill/settings"
+	"mangohill.example/mangohill/workerapi"
 )
 
 const (
@@ -200,7 +200,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	worker := fake.NewWorker(fake.WorkerOptions{
 		Name: name, Incarnation: 1, Rack: name, Journal: journal,
-		Capacity: platform.Capacity{Processors: 8, MemoryBytes: 64 << 30},
+		Capacity: workerapi.Capacity{Processors: 8, MemoryBytes: 64 << 30},
 		Entries:  []string{"http://" + g.entryHost(entry) + ":8081"},
 	})
 	done := make(chan struct{})
--- a/registry/http.go
+++ b/registry/http.go
@@ -7,8 +7,8 @@
 	"strconv"
 
 	"mangohill.example/mangohill/kind"
-	"mangohill.example/mangohill/platform"
 	"mangohill.example/mangohill/types"
+	"mangohill.example/mangohill/workerapi"
 )
 
 const (
@@ -44,7 +44,7 @@
 		writeError(w, err)
 		return
 	}
-	body, err := json.Marshal(platform.AnnouncementAnswer{AnnounceWithinMs: r.options.AnnounceWithin.Milliseconds()})
+	body, err := json.Marshal(workerapi.AnnouncementAnswer{AnnounceWithinMs: r.options.AnnounceWithin.Milliseconds()})
 	if err != nil {
 		writeError(w, err)
 		return
@@ -68,7 +68,7 @@
 }
 
 func readAnnouncement(w http.ResponseWriter, req *http.Request) (types.Target, error) {
-	var a platform.Announcement
+	var a workerapi.Announcement
 	body := http.MaxBytesReader(w, req.Body, maxAnnouncement)
 	if err := json.NewDecoder(body).Decode(&a); err != nil {
 		return types.Target{}, kind.Errorf(kind.BadRequest, "announcement: %w", err)
--- a/trial/cluster.go
+++ b/trial/cluster.go
@@ -14,8 +14,8 @@
 
 	"mangohill.example/mangohill/internal/fake"
 	"mangohill.example/mangohill/node"
-	"mangohill.example/mangohill/platform"
 	"mangohill.example/mangohill/settings"
+	"mangohill.example/mangohill/workerapi"
 )
 
 const (
@@ -156,7 +156,7 @@
 			Incarnation:   1,
 			FailureDomain: "local",
 			Rack:          fmt.Sprintf("r%d", i/2+1),
-			Capacity:      platform.Capacity{Processors: workerProcessors, MemoryBytes: workerMemoryBytes},
+			Capacity:      workerapi.Capacity{Processors: workerProcessors, MemoryBytes: workerMemoryBytes},
 			Entries:       c.urls(8081),
 			Journal:       c.journal,
 		})
--- a/platform/messages.go
+++ b/workerapi/messages.go
@@ -1,4 +1,4 @@
-package platform
+package workerapi
 
 import (
 	"encoding/json"
--- a/workersync/bytes_test.go
+++ b/workersync/bytes_test.go
@@ -13,7 +13,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"mangohill.example/mangohill/platform"
+	"mangohill.example/mangohill/workerapi"
 )
 
 const (
@@ -65,7 +65,7 @@
 
 	const syncs = 10
 	for i := range int64(syncs) {
-		body, err := json.Marshal(platform.SyncRequest{Incarnation: 3, SentMs: 81_234_000 + i, State: "ready", HoldMs: 0})
+		body, err := json.Marshal(workerapi.SyncRequest{Incarnation: 3, SentMs: 81_234_000 + i, State: "ready", HoldMs: 0})
 		require.NoError(t, err)
 		response, err := http.Post(server.URL+"/v1/workers/w1/sync", "application/json", bytes.NewReader(body))
 		require.NoError(t, err)
--- a/workersync/handler.go
+++ b/workersync/handler.go
@@ -10,7 +10,7 @@
 
 	"mangohill.example/mangohill/controlapi"
 	"mangohill.example/mangohill/kind"
-	"mangohill.example/mangohill/platform"
+	"mangohill.example/mangohill/workerapi"
 )
 
 const (
@@ -49,7 +49,7 @@
 	_, _ = w.Write(body) // A worker that is gone syncs again.
 }
 
-func (s *Service) sync(r *http.Request) (*platform.SyncAnswer, error) {
+func (s *Service) sync(r *http.Request) (*workerapi.SyncAnswer, error) {
 	name := r.PathValue("worker")
 	request, err := s.readSync(name, r)
 	if err != nil {
@@ -70,7 +70,7 @@
 	return s.answer(waiting), nil
 }
 
-func (s *Service) readSync(name string, r *http.Request) (*platform.SyncRequest, error) {
+func (s *Service) readSync(name string, r *http.Request) (*workerapi.SyncRequest, error) {
 	if len(name) > maxNameBytes {
 		return nil, kind.Errorf(kind.BadRequest, "worker name of %d bytes exceeds %d", len(name), maxNameBytes)
 	}
@@ -83,7 +83,7 @@
 		return nil, kind.Errorf(kind.BadRequest, "sync of worker %q: %w", name, err)
 	}
 	s.count(func(m *Metrics) { m.SyncBytesIn += uint64(len(body)) })
-	var request platform.SyncRequest
+	var request workerapi.SyncRequest
 	if err := json.Unmarshal(body, &request); err != nil {
 		return nil, kind.Errorf(kind.BadRequest, "sync of worker %q: %w", name, err)
 	}
@@ -93,7 +93,7 @@
 	return &request, nil
 }
 
-func check(name string, request *platform.SyncRequest) error {
+func check(name string, request *workerapi.SyncRequest) error {
 	if request.State != "" && request.State != stateReady && request.State != stateLeaving {
 		return kind.Errorf(kind.BadRequest, "worker %q: state %q is neither ready nor leaving", name, request.State)
 	}
@@ -105,8 +105,8 @@
 	}
 	for _, task := range request.Tasks {
 		switch task.State {
-		case platform.AttemptRunning, platform.AttemptThrottled, platform.AttemptCheckpointed,
-			platform.AttemptFinished, platform.AttemptFailed, platform.AttemptStopped:
+		case workerapi.AttemptRunning, workerapi.AttemptThrottled, workerapi.AttemptCheckpointed,
+			workerapi.AttemptFinished, workerapi.AttemptFailed, workerapi.AttemptStopped:
 		default:
 			return kind.Errorf(kind.BadRequest, "worker %q: task %q has state %q", name, task.Task, task.State)
 		}
@@ -134,7 +134,7 @@
 
 // reportOf translates a sync; it returns nil if nothing in it concerns the
 // leader beside the renewal.
-func (s *Service) reportOf(name string, w *workerState, sync *platform.SyncRequest) *controlapi.WorkerReport {
+func (s *Service) reportOf(name string, w *workerState, sync *workerapi.SyncRequest) *controlapi.WorkerReport {
 	report := &controlapi.WorkerReport{Worker: name, Incarnation: sync.Incarnation, Full: sync.Full}
 	for _, task := range sync.Tasks {
 		report.Tasks = append(report.Tasks, controlapi.TaskReport(task))
@@ -164,7 +164,7 @@
 	return report
 }
 
-func registrationOf(name string, sync *platform.SyncRequest) *controlapi.Registration {
+func registrationOf(name string, sync *workerapi.SyncRequest) *controlapi.Registration {
 	return &controlapi.Registration{
 		Worker:        name,
 		Incarnation:   sync.Incarnation,
--- a/workersync/report.go
+++ b/workersync/report.go
@@ -6,7 +6,7 @@
 
 	"mangohill.example/mangohill/controlapi"
 	"mangohill.example/mangohill/kind"
-	"mangohill.example/mangohill/platform"
+	"mangohill.example/mangohill/workerapi"
 )
 
 // queuedReport is a report on its way to the leader.
@@ -23,7 +23,7 @@
 
 // report passes the changes of a sync to the leader and waits until they are
 // replicated. After an error the worker repeats the sync.
-func (s *Service) report(ctx context.Context, name string, w *workerState, sync *platform.SyncRequest) error {
+func (s *Service) report(ctx context.Context, name string, w *workerState, sync *workerapi.SyncRequest) error {
 	report := s.reportOf(name, w, sync)
 	if report == nil {
 		return nil
--- a/workersync/service_test.go
+++ b/workersync/service_test.go
@@ -17,7 +17,7 @@
 
 	"mangohill.example/mangohill/controlapi"
 	"mangohill.example/mangohill/kind"
-	"mangohill.example/mangohill/platform"
+	"mangohill.example/mangohill/workerapi"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -70,27 +70,27 @@
 	return s, server
 }
 
-func post(t *testing.T, server *httptest.Server, request platform.SyncRequest) (int, platform.SyncAnswer) {
+func post(t *testing.T, server *httptest.Server, request workerapi.SyncRequest) (int, workerapi.SyncAnswer) {
 	t.Helper()
 	body, err := json.Marshal(request)
 	require.NoError(t, err)
 	response, err := http.Post(server.URL+"/v1/workers/w1/sync", "application/json", bytes.NewReader(body))
 	require.NoError(t, err)
 	defer func() { _ = response.Body.Close() }()
-	var answer platform.SyncAnswer
+	var answer workerapi.SyncAnswer
 	require.NoError(t, json.NewDecoder(response.Body).Decode(&answer))
 	return response.StatusCode, answer
 }
 
-func fullSync(sentMs int64) platform.SyncRequest {
-	return platform.SyncRequest{Incarnation: 3, SentMs: sentMs, Full: true, HoldMs: 5000, Capacity: &platform.Capacity{Processors: 8}}
+func fullSync(sentMs int64) workerapi.SyncRequest {
+	return workerapi.SyncRequest{Incarnation: 3, SentMs: sentMs, Full: true, HoldMs: 5000, Capacity: &workerapi.Capacity{Processors: 8}}
 }
 
 func TestFirstSyncIsAnsweredWithItsLease(t *testing.T) {
 	_, server := startService(t, &stubLeader{session: 1})
 	status, answer := post(t, server, fullSync(100))
 	assert.Equal(t, http.StatusOK, status)
-	assert.Equal(t, &platform.Lease{CountedFromSentMs: 100, DurationMs: 8000}, answer.Lease)
+	assert.Equal(t, &workerapi.Lease{CountedFromSentMs: 100, DurationMs: 8000}, answer.Lease)
 	assert.Equal(t, int64(10_000), answer.UsageMs)
 }
 
@@ -106,9 +106,9 @@
 func TestStaleAndUnknownIncarnations(t *testing.T) {
 	leader := &stubLeader{}
 	_, server := startService(t, leader)
-	_, answer := post(t, server, platform.SyncRequest{Incarnation: 3, SentMs: 1, HoldMs: 5000})
+	_, answer := post(t, server, workerapi.SyncRequest{Incarnation: 3, SentMs: 1, HoldMs: 5000})
 	assert.True(t, answer.Resync, "the leader refuses the renewal of a worker that it does not know")
-	status, _ := post(t, server, platform.SyncRequest{Incarnation: 2, SentMs: 1})
+	status, _ := post(t, server, workerapi.SyncRequest{Incarnation: 2, SentMs: 1})
 	assert.Equal(t, http.StatusConflict, status)
 	leader.mu.Lock()
 	leader.report = func(args *controlapi.ReportArgs) (controlapi.ReportReply, error) {
@@ -121,11 +121,11 @@
 
 func TestMalformedSyncsAreRefused(t *testing.T) {
 	_, server := startService(t, &stubLeader{session: 1})
-	bad := []platform.SyncRequest{
+	bad := []workerapi.SyncRequest{
 		{Incarnation: 1, Full: true},
 		{Incarnation: 1, State: "asleep"},
-		{Incarnation: 1, Full: true, Capacity: &platform.Capacity{Processors: -1}},
-		{Incarnation: 1, Tasks: []platform.TaskStatus{{Task: "t", State: "dreaming"}}},
+		{Incarnation: 1, Full: true, Capacity: &workerapi.Capacity{Processors: -1}},
+		{Incarnation: 1, Tasks: []workerapi.TaskStatus{{Task: "t", State: "dreaming"}}},
 	}
 	for _, request := range bad {
 		status, _ := post(t, server, request)
@@ -141,7 +141,7 @@
 	leader := &stubLeader{session: 1}
 	_, server := startService(t, leader)
 	post(t, server, fullSync(1))
-	leaving := platform.SyncRequest{Incarnation: 3, SentMs: 2, State: "leaving", Capacity: &platform.Capacity{Processors: 8}}
+	leaving := workerapi.SyncRequest{Incarnation: 3, SentMs: 2, State: "leaving", Capacity: &workerapi.Capacity{Processors: 8}}
 	post(t, server, leaving)
 	require.Len(t, leader.reports, 2)
 	assert.True(t, leader.reports[1].Registration.Leaving)
@@ -154,9 +154,9 @@
 func held(t *testing.T) (*Service, *waiter) {
 	t.Helper()
 	s := New(Options{Entry: "entry-1"})
-	waiting, err := s.admit("w1", &platform.SyncRequest{Incarnation: 3, SentMs: 100})
+	waiting, err := s.admit("w1", &workerapi.SyncRequest{Incarnation: 3, SentMs: 100})
 	require.NoError(t, err)
-	s.requestRenewal(waiting.worker, &platform.SyncRequest{SentMs: 100, HoldMs: 1000})
+	s.requestRenewal(waiting.worker, &workerapi.SyncRequest{SentMs: 100, HoldMs: 1000})
 	return s, waiting
 }
 
@@ -182,9 +182,9 @@
 	assert.Len(t, s.answer(waiting).Commands, 1)
 
 	exchangeWith(s, 1, startCommand(1))
-	next, err := s.admit("w1", &platform.SyncRequest{Incarnation: 3, SentMs: 200})
+	next, err := s.admit("w1", &workerapi.SyncRequest{Incarnation: 3, SentMs: 200})
 	require.NoError(t, err)
-	s.requestRenewal(next.worker, &platform.SyncRequest{SentMs: 200, HoldMs: 1000})
+	s.requestRenewal(next.worker, &workerapi.SyncRequest{SentMs: 200, HoldMs: 1000})
 	assert.Empty(t, s.answer(next).Commands, "the lease was granted for an earlier sync")
 }
 
@@ -213,7 +213,7 @@
 // a waiting command needs, or a worker's first lease.
 func TestExchangeThatAWorkerWaitsForIsNotHeld(t *testing.T) {
 	s := New(Options{Entry: "entry-1", Logger: zerolog.Nop()})
-	lease := &platform.Lease{CountedFromSentMs: 1, DurationMs: 8000}
+	lease := &workerapi.Lease{CountedFromSentMs: 1, DurationMs: 8000}
 	w := &workerState{incarnation: 1, seenAt: s.now(), lease: lease, session: 1, sentMs: 2, renew: true, wake: make(chan struct{}, 1)}
 	s.workers["w1"] = w
 	idle, _ := s.gather()
@@ -230,7 +230,7 @@
 }
 
 func TestReportedUsageStaysWithinBounds(t *testing.T) {
-	sample := platform.UsageSample{Task: "t", TakenMs: -1 << 62, Processors: 1e300, MemoryBytes: -5, LatencyP99Ms: -1, Progress: 0.4}
+	sample := workerapi.UsageSample{Task: "t", TakenMs: -1 << 62, Processors: 1e300, MemoryBytes: -5, LatencyP99Ms: -1, Progress: 0.4}
 	usage := usageOf(&sample, 1<<62)
 	assert.Equal(t, controlapi.UsageReport{Task: "t", MilliProcessors: maxUsageValue, ProgressMilli: 400}, usage)
 }
@@ -241,9 +241,9 @@
 	s := New(Options{Entry: "entry-1", Logger: zerolog.Nop()})
 	s.usageMs = 10_000
 	ask := func(tasks int) int64 {
-		sync := &platform.SyncRequest{Incarnation: 1, SentMs: 1}
+		sync := &workerapi.SyncRequest{Incarnation: 1, SentMs: 1}
 		for range tasks {
-			sync.Usage = append(sync.Usage, platform.UsageSample{Task: "t", Epoch: 1})
+			sync.Usage = append(sync.Usage, workerapi.UsageSample{Task: "t", Epoch: 1})
 		}
 		waiting, err := s.admit("w1", sync)
 		require.NoError(t, err)
@@ -259,7 +259,7 @@
 
 func TestSyncThatWaitsIsOrderedAfterOneThatDoesNot(t *testing.T) {
 	s, waiting := held(t)
-	passing := &platform.SyncRequest{SentMs: 200}
+	passing := &workerapi.SyncRequest{SentMs: 200}
 	s.requestRenewal(waiting.worker, passing)
 	before := waiting.worker.order()
 	passing.HoldMs = 1000
--- a/workersync/usage.go
+++ b/workersync/usage.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"mangohill.example/mangohill/controlapi"
-	"mangohill.example/mangohill/platform"
+	"mangohill.example/mangohill/workerapi"
 )
 
 const (
@@ -36,7 +36,7 @@
 
 func newUsageFilter() usageFilter { return usageFilter{last: make(map[string]forwarded)} }
 
-func usageOf(sample *platform.UsageSample, sentMs int64) controlapi.UsageReport {
+func usageOf(sample *workerapi.UsageSample, sentMs int64) controlapi.UsageReport {
 	return controlapi.UsageReport{
 		Task:            sample.Task,
 		Epoch:           sample.Epoch,
--- a/workersync/workers.go
+++ b/workersync/workers.go
@@ -7,7 +7,7 @@
 
 	"mangohill.example/mangohill/controlapi"
 	"mangohill.example/mangohill/kind"
-	"mangohill.example/mangohill/platform"
+	"mangohill.example/mangohill/workerapi"
 )
 
 // maxPendingCommands bounds the commands kept for one worker. The leader sends
@@ -25,7 +25,7 @@
 	waits  bool // the newest sync waits for commands
 	// lease is the newest granted lease, nil for none, and session the worker's
 	// session under which it was granted.
-	lease    *platform.Lease
+	lease    *workerapi.Lease
 	session  uint64
 	resync   bool
 	leaving  bool
@@ -41,7 +41,7 @@
 // the same session.
 type pendingCommand struct {
 	session uint64
-	command platform.Command
+	command workerapi.Command
 }
 
 // sentRenewal is a renewal that an exchange carried.
@@ -68,7 +68,7 @@
 
 // admit notes a sync, which from now on is the worker's newest one. The error is
 // of kind stale_incarnation, stopping or overloaded.
-func (s *Service) admit(name string, sync *platform.SyncRequest) (*waiter, error) {
+func (s *Service) admit(name string, sync *workerapi.SyncRequest) (*waiter, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.stopping() {
@@ -105,7 +105,7 @@
 }
 
 // requestRenewal notes that the lease is to be renewed from the sync on.
-func (s *Service) requestRenewal(w *workerState, sync *platform.SyncRequest) {
+func (s *Service) requestRenewal(w *workerState, sync *workerapi.SyncRequest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	w.sentMs = max(w.sentMs, sync.SentMs)
@@ -217,7 +217,7 @@
 	if w.lease != nil && sentMs < w.lease.CountedFromSentMs {
 		return
 	}
-	w.lease = &platform.Lease{CountedFromSentMs: sentMs, DurationMs: durationMs}
+	w.lease = &workerapi.Lease{CountedFromSentMs: sentMs, DurationMs: durationMs}
 	w.session = session
 	w.signal()
 }
@@ -246,9 +246,9 @@
 	w.signal()
 }
 
-func commandOf(c *controlapi.WorkerCommand) platform.Command {
-	capacity := platform.CapacityOf(c.Request)
-	return platform.Command{
+func commandOf(c *controlapi.WorkerCommand) workerapi.Command {
+	capacity := workerapi.CapacityOf(c.Request)
+	return workerapi.Command{
 		Task:         c.Task,
 		Epoch:        c.Epoch,
 		Verb:         string(c.Verb),
@@ -274,11 +274,11 @@
 }
 
 // answer returns the answer to a sync. The newest one takes the pending commands.
-func (s *Service) answer(waiting *waiter) *platform.SyncAnswer {
+func (s *Service) answer(waiting *waiter) *workerapi.SyncAnswer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	w := waiting.worker
-	out := &platform.SyncAnswer{Lease: w.lease, UsageMs: usageInterval(s.usageMs, s.samples)}
+	out := &workerapi.SyncAnswer{Lease: w.lease, UsageMs: usageInterval(s.usageMs, s.samples)}
 	if w.wake == waiting.wake {
 		out.Commands = w.takeCommands()
 		out.Resync, w.resync = w.resync, false
@@ -286,8 +286,8 @@
 	return out
 }
 
-func (w *workerState) takeCommands() []platform.Command {
-	var out []platform.Command
+func (w *workerState) takeCommands() []workerapi.Command {
+	var out []workerapi.Command
 	kept := w.commands[:0]
 	for _, c := range w.commands {
 		if w.deliverable(c) {
--- /dev/null
+++ b/workflow/snapshot.go
@@ -0,0 +1,70 @@
+package workflow
+
+import (
+	"slices"
+
+	"mangohill.example/mangohill/kind"
+)
+
+// snapshotVersion is raised by a change that an older program would misread.
+const snapshotVersion = 1
+
+type snapshot struct {
+	Version    int       `cbor:"1,keyasint"`
+	Catalog    *Catalog  `cbor:"2,keyasint"`
+	Jobs       []*Job    `cbor:"3,keyasint"`
+	Workers    []*Worker `cbor:"4,keyasint"`
+	NextWorker WorkerID  `cbor:"5,keyasint"`
+	NowMs      int64     `cbor:"6,keyasint"`
+	Finished   []JobID   `cbor:"7,keyasint"`
+}
+
+// Snapshot encodes the state. Equal states have equal snapshots.
+func (s *State) Snapshot() ([]byte, error) {
+	out := snapshot{Version: snapshotVersion, Catalog: s.catalog, NextWorker: s.nextWorker, NowMs: s.nowMs, Finished: s.finished}
+	for _, job := range s.jobs {
+		out.Jobs = append(out.Jobs, job)
+	}
+	for _, w := range s.workers {
+		out.Workers = append(out.Workers, w)
+	}
+	slices.SortFunc(out.Jobs, func(a, b *Job) int { return compare(a.ID, b.ID) })
+	slices.SortFunc(out.Workers, func(a, b *Worker) int { return compare(a.ID, b.ID) })
+	return encMode.Marshal(out)
+}
+
+func compare[T JobID | WorkerID](a, b T) int {
+	if a < b {
+		return -1
+	}
+	if a > b {
+		return 1
+	}
+	return 0
+}
+
+// DecodeSnapshot returns the state that a snapshot holds. The error is of kind
+// corrupt.
+func DecodeSnapshot(data []byte) (*State, error) {
+	var in snapshot
+	if err := decMode.Unmarshal(data, &in); err != nil {
+		return nil, kind.Errorf(kind.Corrupt, "workflow snapshot: %w", err)
+	}
+	if in.Version != snapshotVersion {
+		return nil, kind.Errorf(kind.Corrupt, "workflow snapshot has version %d, this program reads %d", in.Version, snapshotVersion)
+	}
+	s := NewState()
+	s.catalog, s.nextWorker, s.nowMs, s.finished = in.Catalog, in.NextWorker, in.NowMs, in.Finished
+	for _, job := range in.Jobs {
+		s.jobs[job.ID] = job
+	}
+	for _, w := range in.Workers {
+		if w.Attempts == nil {
+			w.Attempts = make(map[TaskRef]uint32)
+		}
+		s.workers[w.ID] = w
+		s.byName[w.Life.Name] = w.ID
+		s.byAddress[w.Address] = w.ID
+	}
+	return s, nil
+}
--- /dev/null
+++ b/workflow/state.go
@@ -0,0 +1,484 @@
+package workflow
+
+import (
+	"bytes"
+	"slices"
+
+	"mangohill.example/mangohill/kind"
+)
+
+// TaskState is the state of a task.
+type TaskState uint8
+
+// States of tasks.
+const (
+	TaskPending TaskState = iota
+	TaskPlaced
+	TaskDone
+)
+
+// Task is one task of a job. Its place among the steps is its name.
+type Task struct {
+	_          struct{} `cbor:",toarray"`
+	State      TaskState
+	Attempt    uint32 // the latest attempt, zero before the first
+	Failures   uint32
+	Worker     WorkerID
+	Checkpoint string
+}
+
+// Occurrence is one run of a job's steps.
+type Occurrence struct {
+	_ struct{} `cbor:",toarray"`
+	// Steps holds the tasks of each step.
+	Steps [][]Task
+	// Done counts the tasks of each step that are done.
+	Done []uint32
+}
+
+// Job is an accepted job.
+type Job struct {
+	ID          JobID        `cbor:"1,keyasint"`
+	Queue       string       `cbor:"2,keyasint"`
+	Service     string       `cbor:"3,keyasint"`
+	Priority    int32        `cbor:"4,keyasint,omitempty"`
+	MaxAttempts uint32       `cbor:"5,keyasint,omitempty"`
+	Spec        JobSpec      `cbor:"6,keyasint"`
+	Occurrences []Occurrence `cbor:"7,keyasint"`
+	AcceptedMs  int64        `cbor:"8,keyasint"`
+	// FinishedMs is when the job ended, zero before.
+	FinishedMs int64 `cbor:"9,keyasint,omitempty"`
+	Started    bool  `cbor:"10,keyasint,omitempty"`
+	Cancelled  bool  `cbor:"11,keyasint,omitempty"`
+	Failed     bool  `cbor:"12,keyasint,omitempty"`
+	// Open counts the tasks that are not done.
+	Open uint32 `cbor:"13,keyasint"`
+	// The terms of the queue when the job was accepted.
+	StretchMilli       int64 `cbor:"14,keyasint,omitempty"`
+	LatencyObjectiveMs int64 `cbor:"15,keyasint,omitempty"`
+	Advised            bool  `cbor:"16,keyasint,omitempty"`
+	AdviceValidMs      int64 `cbor:"17,keyasint,omitempty"`
+}
+
+// Active reports whether tasks of the job may still be started.
+func (j *Job) Active() bool { return !j.Cancelled && !j.Failed && j.Open > 0 }
+
+// State names the job's state as callers see it.
+func (j *Job) State() JobState {
+	switch {
+	case j.Cancelled:
+		return JobCancelled
+	case j.Failed:
+		return JobFailed
+	case j.Open == 0:
+		return JobCompleted
+	case j.Started:
+		return JobRunning
+	}
+	return JobPending
+}
+
+// JobState is the state of a job as callers see it.
+type JobState string
+
+// States of jobs.
+const (
+	JobPending   JobState = "pending"
+	JobRunning   JobState = "running"
+	JobCompleted JobState = "completed"
+	JobFailed    JobState = "failed"
+	JobCancelled JobState = "cancelled"
+)
+
+// Worker is one life of a worker.
+type Worker struct {
+	ID       WorkerID  `cbor:"1,keyasint"`
+	Life     Life      `cbor:"2,keyasint"`
+	Address  string    `cbor:"3,keyasint"`
+	Service  string    `cbor:"4,keyasint"`
+	Zone     string    `cbor:"5,keyasint"`
+	Labels   []string  `cbor:"6,keyasint"`
+	Capacity Resources `cbor:"7,keyasint"`
+	Draining bool      `cbor:"8,keyasint,omitempty"`
+	// Acked is the number of the last end that is recorded.
+	Acked uint64 `cbor:"9,keyasint,omitempty"`
+	// Attempts are those that may run there.
+	Attempts map[TaskRef]uint32 `cbor:"10,keyasint,omitempty"`
+	// Reserved is the sum of what the attempts take.
+	Reserved Resources `cbor:"11,keyasint,omitempty"`
+}
+
+// HasLabel reports whether the worker carries the label.
+func (w *Worker) HasLabel(label string) bool { return slices.Contains(w.Labels, label) }
+
+// Task returns a task of a job.
+func (j *Job) Task(ref TaskRef) *Task {
+	if int(ref.Occurrence) >= len(j.Occurrences) {
+		return nil
+	}
+	steps := j.Occurrences[ref.Occurrence].Steps
+	if int(ref.Step) >= len(steps) || int(ref.Index) >= len(steps[ref.Step]) {
+		return nil
+	}
+	return &steps[ref.Step][ref.Index]
+}
+
+// StepReady reports whether all steps before a step are done.
+func (j *Job) StepReady(occurrence, step uint32) bool {
+	o := &j.Occurrences[occurrence]
+	for _, before := range j.Spec.Steps[step].After {
+		if o.Done[before] < j.Spec.Steps[before].Count {
+			return false
+		}
+	}
+	return true
+}
+
+// retentionMs is the time for which an ended job is kept, in milliseconds. The
+// platform asks for jobs up to two minutes after their end.
+const retentionMs = 150_000
+
+// State is the replicated state. It is not safe for concurrent use.
+type State struct {
+	catalog    *Catalog
+	jobs       map[JobID]*Job
+	workers    map[WorkerID]*Worker
+	byName     map[string]WorkerID
+	byAddress  map[string]WorkerID
+	nextWorker WorkerID
+	nowMs      int64
+	// finished lists ended jobs in the order of their end.
+	finished []JobID
+}
+
+// NewState returns the state of a new cluster.
+func NewState() *State {
+	return &State{
+		jobs:      make(map[JobID]*Job),
+		workers:   make(map[WorkerID]*Worker),
+		byName:    make(map[string]WorkerID),
+		byAddress: make(map[string]WorkerID),
+	}
+}
+
+// Catalog returns the catalog in force, nil before the first.
+func (s *State) Catalog() *Catalog { return s.catalog }
+
+// Job returns a job, nil if there is none.
+func (s *State) Job(id JobID) *Job { return s.jobs[id] }
+
+// Jobs returns all jobs. The map must not be changed.
+func (s *State) Jobs() map[JobID]*Job { return s.jobs }
+
+// Worker returns a life of a worker, nil if it is over.
+func (s *State) Worker(id WorkerID) *Worker { return s.workers[id] }
+
+// Workers returns all lives that are not over. The map must not be changed.
+func (s *State) Workers() map[WorkerID]*Worker { return s.workers }
+
+// WorkerNamed returns the newest life under a name.
+func (s *State) WorkerNamed(name string) *Worker {
+	id, ok := s.byName[name]
+	if !ok {
+		return nil
+	}
+	return s.workers[id]
+}
+
+// NowMs returns the time of the newest batch.
+func (s *State) NowMs() int64 { return s.nowMs }
+
+// ApplyBatch applies the operations of a batch in order. The errors say which
+// had no effect.
+func (s *State) ApplyBatch(b *Batch) []error {
+	s.SetNow(b.NowMs)
+	errs := make([]error, len(b.Ops))
+	for i := range b.Ops {
+		errs[i] = s.Apply(&b.Ops[i])
+	}
+	return errs
+}
+
+// SetNow begins a batch at the given time and forgets jobs that ended long ago.
+func (s *State) SetNow(nowMs int64) {
+	s.nowMs = max(s.nowMs, nowMs)
+	for len(s.finished) > 0 {
+		job := s.jobs[s.finished[0]]
+		if job != nil && s.nowMs-job.FinishedMs < retentionMs {
+			return
+		}
+		delete(s.jobs, s.finished[0])
+		s.finished = s.finished[1:]
+	}
+}
+
+// Apply applies one operation. The error says why it had no effect.
+func (s *State) Apply(op *Op) error {
+	switch {
+	case op.SetCatalog != nil:
+		return s.setCatalog(&op.SetCatalog.Catalog)
+	case op.Accept != nil:
+		return s.accept(op.Accept)
+	case op.Cancel != nil:
+		return s.cancel(op.Cancel.ID)
+	case op.Join != nil:
+		return s.join(op.Join)
+	case op.Leave != nil:
+		return s.leave(op.Leave)
+	case op.Place != nil:
+		return s.place(op.Place)
+	case op.End != nil:
+		return s.end(op.End)
+	case op.Void != nil:
+		return s.void(op.Void)
+	}
+	return kind.Errorf(kind.Corrupt, "an operation without content")
+}
+
+func (s *State) setCatalog(next *Catalog) error {
+	if s.catalog != nil && next.Version <= s.catalog.Version {
+		if next.Version == s.catalog.Version && !bytes.Equal(next.Source, s.catalog.Source) {
+			return kind.Errorf(kind.VersionConflict, "version %d is in force with other content", next.Version)
+		}
+		return nil
+	}
+	s.catalog = next
+	return nil
+}
+
+func (s *State) accept(a *Accept) error {
+	if s.jobs[a.ID] != nil {
+		return nil
+	}
+	queue := s.queue(a.Queue)
+	if queue == nil {
+		return kind.Errorf(kind.NotFound, "queue %q", a.Queue)
+	}
+	job := &Job{
+		ID: a.ID, Queue: a.Queue, Service: queue.Service, Priority: queue.Priority, MaxAttempts: max(queue.MaxAttempts, 1), Spec: a.Spec, AcceptedMs: s.nowMs,
+		StretchMilli: queue.StretchMilli, LatencyObjectiveMs: queue.LatencyObjectiveMs, Advised: queue.Advised, AdviceValidMs: queue.AdviceValidMs,
+	}
+	for range a.Spec.Occurrences() {
+		o := Occurrence{Done: make([]uint32, len(a.Spec.Steps))}
+		for i := range a.Spec.Steps {
+			o.Steps = append(o.Steps, make([]Task, a.Spec.Steps[i].Count))
+			job.Open += a.Spec.Steps[i].Count
+		}
+		job.Occurrences = append(job.Occurrences, o)
+	}
+	s.jobs[a.ID] = job
+	return nil
+}
+
+func (s *State) queue(name string) *Queue {
+	if s.catalog == nil {
+		return nil
+	}
+	for i := range s.catalog.Queues {
+		if s.catalog.Queues[i].Name == name {
+			return &s.catalog.Queues[i]
+		}
+	}
+	return nil
+}
+
+func (s *State) cancel(id JobID) error {
+	job := s.jobs[id]
+	if job == nil {
+		return kind.Errorf(kind.NotFound, "job %s", id)
+	}
+	if job.Active() {
+		job.Cancelled = true
+		s.finish(job)
+	}
+	return nil
+}
+
+func (s *State) finish(job *Job) {
+	job.FinishedMs = s.nowMs
+	s.finished = append(s.finished, job.ID)
+}
+
+func (s *State) join(j *Join) error {
+	if old := s.WorkerNamed(j.Life.Name); old != nil {
+		if old.Life.BornMs >= j.Life.BornMs {
+			return kind.Errorf(kind.StaleIncarnation, "worker %q was born at %d, the report is of %d", j.Life.Name, old.Life.BornMs, j.Life.BornMs)
+		}
+		s.endLife(old)
+	}
+	if id, taken := s.byAddress[j.Address]; taken {
+		old := s.workers[id]
+		if old.Life.BornMs > j.Life.BornMs {
+			return kind.Errorf(kind.StaleIncarnation, "address %s belongs to a younger life", j.Address)
+		}
+		s.endLife(old)
+	}
+	s.nextWorker++
+	w := &Worker{
+		ID: s.nextWorker, Life: j.Life, Address: j.Address, Service: j.Service, Zone: j.Zone,
+		Labels: j.Labels, Capacity: j.Capacity, Attempts: make(map[TaskRef]uint32),
+	}
+	s.workers[w.ID] = w
+	s.byName[w.Life.Name] = w.ID
+	s.byAddress[w.Address] = w.ID
+	return nil
+}
+
+func (s *State) leave(l *Leave) error {
+	w := s.workers[l.Worker]
+	if w == nil {
+		return kind.Errorf(kind.NotFound, "worker %d", l.Worker)
+	}
+	w.Draining = true
+	if l.Over {
+		s.endLife(w)
+	}
+	return nil
+}
+
+// endLife ends all attempts of a worker and forgets it.
+func (s *State) endLife(w *Worker) {
+	for ref, attempt := range w.Attempts {
+		s.release(w, ref, attempt)
+	}
+	delete(s.workers, w.ID)
+	delete(s.byName, w.Life.Name)
+	delete(s.byAddress, w.Address)
+}
+
+func (s *State) place(p *Place) error {
+	job, w := s.jobs[p.Task.Job], s.workers[p.Worker]
+	if job == nil || w == nil || !job.Active() {
+		return kind.Errorf(kind.InvalidTransition, "task %s or worker %d is not active", p.Task, p.Worker)
+	}
+	task := job.Task(p.Task)
+	if task == nil || task.State != TaskPending || p.Attempt <= task.Attempt || !job.StepReady(p.Task.Occurrence, p.Task.Step) {
+		return kind.Errorf(kind.StaleEpoch, "task %s cannot begin attempt %d", p.Task, p.Attempt)
+	}
+	if _, held := w.Attempts[p.Task]; held {
+		return kind.Errorf(kind.InvalidTransition, "an attempt of task %s may still run on worker %d", p.Task, p.Worker)
+	}
+	need := job.Spec.Steps[p.Task.Step].Reserved()
+	if !need.Fits(w.Capacity.Sub(w.Reserved)) {
+		return kind.Errorf(kind.CapacityExceeded, "worker %d has no room for task %s", p.Worker, p.Task)
+	}
+	w.Reserved = w.Reserved.Add(need)
+	w.Attempts[p.Task] = p.Attempt
+	task.State, task.Worker, task.Attempt = TaskPlaced, p.Worker, p.Attempt
+	job.Started = true
+	return nil
+}
+
+// release takes an attempt off a worker and makes its task pending again, where
+// the attempt is the task's latest.
+func (s *State) release(w *Worker, ref TaskRef, attempt uint32) *Task {
+	if held, ok := w.Attempts[ref]; !ok || held != attempt {
+		return nil
+	}
+	delete(w.Attempts, ref)
+	job := s.jobs[ref.Job]
+	if job == nil {
+		return nil
+	}
+	w.Reserved = w.Reserved.Sub(job.Spec.Steps[ref.Step].Reserved())
+	task := job.Task(ref)
+	if task == nil || task.State != TaskPlaced || task.Attempt != attempt || task.Worker != w.ID {
+		return nil
+	}
+	task.State = TaskPending
+	return task
+}
+
+func (s *State) void(v *Void) error {
+	w := s.workers[v.Worker]
+	if w == nil {
+		return kind.Errorf(kind.NotFound, "worker %d", v.Worker)
+	}
+	if s.release(w, v.Task, v.Attempt) != nil && v.Checkpoint != "" {
+		s.keepCheckpoint(s.jobs[v.Task.Job], v.Task, v.Checkpoint)
+	}
+	return nil
+}
+
+func (s *State) end(e *End) error {
+	w := s.workers[e.Worker]
+	if w == nil {
+		return kind.Errorf(kind.NotFound, "worker %d", e.Worker)
+	}
+	if e.Number <= w.Acked {
+		return nil
+	}
+	w.Acked = e.Number
+	task := s.release(w, e.Task, e.Attempt)
+	if task == nil {
+		return nil
+	}
+	job := s.jobs[e.Task.Job]
+	step := &job.Spec.Steps[e.Task.Step]
+	if e.Checkpoint != "" {
+		s.keepCheckpoint(job, e.Task, e.Checkpoint)
+	}
+	switch e.How {
+	case EndDone:
+		if !step.Lasting {
+			s.markDone(job, step, e.Task)
+		}
+	case EndFailed:
+		s.countFailure(job, step, e.Task, task)
+	}
+	return nil
+}
+
+func (s *State) keepCheckpoint(job *Job, ref TaskRef, checkpoint string) {
+	if !job.Spec.Steps[ref.Step].Gang {
+		job.Task(ref).Checkpoint = checkpoint
+		return
+	}
+	members := job.Occurrences[ref.Occurrence].Steps[ref.Step]
+	for i := range members {
+		members[i].Checkpoint = checkpoint
+	}
+}
+
+// markDone ends a task, or all tasks of its gang.
+func (s *State) markDone(job *Job, step *Step, ref TaskRef) {
+	o := &job.Occurrences[ref.Occurrence]
+	first, last := ref.Index, ref.Index
+	if step.Gang {
+		first, last = 0, step.Count-1
+	}
+	for i := first; i <= last; i++ {
+		if o.Steps[ref.Step][i].State != TaskDone {
+			o.Steps[ref.Step][i].State = TaskDone
+			o.Done[ref.Step]++
+			job.Open--
+		}
+	}
+	if job.Open == 0 && !job.Cancelled && !job.Failed {
+		s.finish(job)
+	}
+}
+
+func (s *State) countFailure(job *Job, step *Step, ref TaskRef, task *Task) {
+	task.Failures++
+	failures := task.Failures
+	if step.Gang {
+		failures = 0
+		for _, member := range job.Occurrences[ref.Occurrence].Steps[ref.Step] {
+			failures += member.Failures
+		}
+	}
+	if !step.Lasting && failures >= job.MaxAttempts && job.Active() {
+		job.Failed = true
+		s.finish(job)
+	}
+}
+
+// WorkerAt returns the life at an address.
+func (s *State) WorkerAt(address string) *Worker {
+	id, ok := s.byAddress[address]
+	if !ok {
+		return nil
+	}
+	return s.workers[id]
+}
