--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -25,6 +25,7 @@
 	orders     []Order
 	ready      readySteps
 	counters   Counters
+	slowdown   slowdown
 }
 
 // Counters count decisions since the engine began.
@@ -44,7 +45,7 @@
 func New(settings Settings, log zerolog.Logger, term uint64, state *workflow.State, now Instant) *Engine {
 	e := &Engine{
 		settings: settings, log: log, fence: term, state: state, now: now, wallMs: state.NowMs(),
-		views: make(map[workflow.WorkerID]*view),
+		views: make(map[workflow.WorkerID]*view), slowdown: newSlowdown(),
 	}
 	for _, w := range state.Workers() {
 		e.addView(w)
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -210,7 +210,7 @@
 	}
 	c.take(s)
 	e.counters.Placed++
-	a := &attempt{number: number, placedAt: e.now, share: e.shareAtStart(v, s.step)}
+	a := &attempt{number: number, placedAt: e.now, share: fullShare, wantShare: fullShare}
 	v.attempts[ref] = a
 	free, heard := c.free, e.since(v.heard)
 	e.then(func() {
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -13,6 +13,8 @@
 	free workflow.Resources
 	// idle is the estimate of the processors that nothing uses, in thousandths.
 	idle int64
+	// victims are the serving tasks on the worker, nil before they are needed.
+	victims []victim
 	// perStep counts the tasks of a step on the worker.
 	perStep map[workflow.StepRef]uint32
 }
@@ -79,6 +81,7 @@
 	c.idle -= s.step.Resources.MilliProcessors
 	c.count(s)
 	c.perStep[s.ref]++
+	c.victims = nil // They are read again, with the new neighbour.
 }
 
 func (c *candidate) give(s *readyStep) {
@@ -119,7 +122,7 @@
 	switch {
 	case !step.Reserved().Fits(c.free):
 		return false
-	case step.Scavenger && c.idle < scavengerRoom(step):
+	case step.Scavenger && (c.idle < scavengerRoom(step) || c.headroom(e, step) < 0):
 		return false
 	case step.Label != "" && !c.view.worker.HasLabel(step.Label):
 		return false
@@ -138,7 +141,7 @@
 		score = 1 << 40
 	}
 	if s.step.Scavenger {
-		return score + c.idle
+		return score + c.idle + int64(min(c.headroom(e, s.step), 1)*headroomWeight)
 	}
 	return score - c.free.MilliProcessors
 }
--- a/dispatch/relief.go
+++ b/dispatch/relief.go
@@ -1,12 +1,15 @@
 package dispatch
 
 import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"mangohill.example/mangohill/interference"
 	"mangohill.example/mangohill/workflow"
 )
 
-// relief is what is done on a worker for the serving tasks there.
-type relief struct{}
-
 const (
 	// servingLoad is the share of its request that a serving task is assumed to
 	// use, in percent.
@@ -14,23 +17,213 @@
 	// scavengerShare is the share of its request that must be unused before a
 	// scavenger is started, in percent.
 	scavengerShare = 70
+	// admitLimit and throttleLimit are the shares of its target that a serving
+	// task's predicted tail latency may reach before no scavenger is added beside
+	// it, and before those beside it are throttled.
+	admitLimit    = 0.7
+	throttleLimit = 0.85
+	// ownWeight is the weight of the newest reading in what a task's own tail
+	// latency is believed to be. Readings come each second, load swings within ten.
+	ownWeight = 0.5
+	// headroomWeight makes a factor e of headroom worth so many idle processors,
+	// in thousandths.
+	headroomWeight = 16000
+	// caution is the number of standard deviations added to what is believed of a
+	// pair of images.
+	caution = 1.0
 )
 
-// idleProcessors estimates the processors that nothing uses, in thousandths.
-func (e *Engine) idleProcessors(v *view) int64 {
-	idle := v.worker.Capacity.MilliProcessors
+// shareSteps are the shares in percent to which scavengers are throttled.
+var shareSteps = [...]int{100, 50, 25, 0}
+
+// readingParams describe the workers' gauges: rough, over half a second, of tasks
+// whose own load is not known, with effects that shift within seconds.
+func readingParams() interference.Params {
+	return interference.Params{NoiseVariance: 0.3, BaselineDrift: 0.01, ExcessDrift: 0.02}
+}
+
+// slowdown is what is known of the effect of scavengers on serving tasks, by the
+// images of both.
+type slowdown struct {
+	model   *interference.Model
+	victims map[string]interference.VictimID
+}
+
+func newSlowdown() slowdown {
+	return slowdown{model: interference.NewModelWith(readingParams()), victims: make(map[string]interference.VictimID)}
+}
+
+func (s *slowdown) victim(image string) interference.VictimID {
+	id, ok := s.victims[image]
+	if !ok {
+		id = s.model.Acquire(image)
+		s.victims[image] = id
+	}
+	return id
+}
+
+// excess is a careful estimate of the logarithm of the slowdown that a scavenger
+// of the class causes when it uses the share of the worker's processors.
+func (s *slowdown) excess(id interference.VictimID, c interference.Class, share float64) float64 {
+	mean, variance := s.model.Excess(id, c, 0, share)
+	return mean + caution*math.Sqrt(variance)
+}
+
+// victim is a serving task as one decision sees it.
+type victim struct {
+	id interference.VictimID
+	// predicted and target are logarithms of latencies in milliseconds.
+	predicted, target float64
+}
+
+// scavenger is a task that may be throttled for serving tasks.
+type scavenger struct {
+	attempt *attempt
+	class   interference.Class
+	// share is the part of the worker's processors that it asks for.
+	share float64
+}
+
+// neighbours returns the serving tasks of a worker with their own tail latencies,
+// and the scavengers, those with most progress first.
+func (e *Engine) neighbours(v *view) ([]victim, []scavenger) {
+	var victims []victim
+	var scavengers []scavenger
 	for ref, a := range v.attempts {
 		job := e.state.Job(ref.Job)
 		if job == nil {
 			continue
 		}
 		step := &job.Spec.Steps[ref.Step]
+		switch {
+		case step.Lasting && step.LatencyTargetMs > 0 && a.ownKnown:
+			victims = append(victims, victim{e.slowdown.victim(step.Image), a.own, math.Log(float64(step.LatencyTargetMs))})
+		case step.Scavenger:
+			scavengers = append(scavengers, scavenger{a, e.slowdown.model.Class(step.Image), shareOf(v, step)})
+		}
+	}
+	slices.SortFunc(scavengers, func(a, b scavenger) int {
+		return cmp.Or(cmp.Compare(b.attempt.percent, a.attempt.percent), cmp.Compare(a.attempt.placedAt, b.attempt.placedAt), cmp.Compare(a.share, b.share))
+	})
+	return victims, scavengers
+}
+
+func shareOf(v *view, step *workflow.Step) float64 {
+	return float64(step.Resources.MilliProcessors) / float64(max(v.worker.Capacity.MilliProcessors, 1))
+}
+
+// headroom returns the logarithm of the factor by which the tail latency of the
+// worst serving task may still grow once a task of the step runs beside it.
+func (c *candidate) headroom(e *Engine, step *workflow.Step) float64 {
+	if c.victims == nil {
+		victims, scavengers := e.neighbours(c.view)
+		for _, s := range scavengers {
+			for i := range victims {
+				victims[i].predicted += e.slowdown.excess(victims[i].id, s.class, s.share*float64(max(s.attempt.wantShare, 0))/fullShare)
+			}
+		}
+		c.victims = append([]victim{}, victims...)
+	}
+	class, share := e.slowdown.model.Class(step.Image), shareOf(c.view, step)
+	least := math.Inf(1)
+	for _, victim := range c.victims {
+		least = min(least, victim.target+math.Log(admitLimit)-victim.predicted-e.slowdown.excess(victim.id, class, share))
+	}
+	return least
+}
+
+// relieve learns from the readings of a worker and sets the shares of its
+// scavengers, so that no serving task is predicted beyond its limit.
+func (e *Engine) relieve(v *view) {
+	e.observe(v)
+	victims, scavengers := e.neighbours(v)
+	for _, s := range scavengers {
+		s.attempt.wantShare = e.grant(victims, s)
+	}
+}
+
+// grant returns the largest share at which a scavenger keeps all serving tasks
+// below their limits, and adds its effect to them.
+func (e *Engine) grant(victims []victim, s scavenger) int {
+	for _, percent := range shareSteps {
+		fits := true
+		for _, v := range victims {
+			excess := e.slowdown.excess(v.id, s.class, s.share*float64(percent)/fullShare)
+			if percent > 0 && v.predicted+excess > v.target+math.Log(throttleLimit) {
+				fits = false
+				break
+			}
+		}
+		if !fits {
+			continue
+		}
+		for i := range victims {
+			victims[i].predicted += e.slowdown.excess(victims[i].id, s.class, s.share*float64(percent)/fullShare)
+		}
+		return percent
+	}
+	return 0
+}
+
+// observe feeds the readings that came with the latest answer to the model.
+func (e *Engine) observe(v *view) {
+	var shares interference.Shares
+	capacity := float64(max(v.worker.Capacity.MilliProcessors, 1))
+	for ref, a := range v.attempts {
+		if step := e.step(ref); step != nil && step.Scavenger && a.gaugeAt == e.now {
+			shares[e.slowdown.model.Class(step.Image)] += float64(a.gauge) / capacity
+		}
+	}
+	taken := time.Unix(0, int64(e.now))
+	for ref, a := range v.attempts {
+		step := e.step(ref)
+		if step == nil || !step.Lasting || step.LatencyTargetMs <= 0 || a.gaugeAt != e.now || a.gauge <= 0 || a.percent < fullShare {
+			continue
+		}
+		id := e.slowdown.victim(step.Image)
+		reading := math.Log(float64(a.gauge))
+		e.slowdown.model.Observe(taken, id, 0, &shares, reading)
+		own := reading
+		for c, share := range shares {
+			if share > 0 {
+				mean, _ := e.slowdown.model.Excess(id, interference.Class(c), 0, share)
+				own -= mean
+			}
+		}
+		if a.ownKnown {
+			own = ownWeight*own + (1-ownWeight)*a.own
+		}
+		a.own, a.ownKnown = own, true
+	}
+}
+
+func (e *Engine) step(ref workflow.TaskRef) *workflow.Step {
+	job := e.state.Job(ref.Job)
+	if job == nil {
+		return nil
+	}
+	return &job.Spec.Steps[ref.Step]
+}
+
+func (e *Engine) isScavenger(ref workflow.TaskRef) bool {
+	step := e.step(ref)
+	return step != nil && step.Scavenger
+}
+
+// idleProcessors estimates the processors that nothing uses, in thousandths.
+func (e *Engine) idleProcessors(v *view) int64 {
+	idle := v.worker.Capacity.MilliProcessors
+	for ref, a := range v.attempts {
+		step := e.step(ref)
+		if step == nil {
+			continue
+		}
 		use := step.Resources.MilliProcessors
 		switch {
 		case step.Lasting:
 			use = use * servingLoad / 100
 		case step.Scavenger:
-			use = use * int64(a.share) / fullShare
+			use = use * int64(max(a.wantShare, 0)) / fullShare
 		}
 		idle -= use
 	}
@@ -43,13 +236,15 @@
 	return step.Resources.MilliProcessors * scavengerShare / 100
 }
 
-// shareAtStart is the share of its speed at which a task begins.
-func (e *Engine) shareAtStart(*view, *workflow.Step) int { return fullShare }
-
-// relieve reacts to the latency readings of a worker.
-func (e *Engine) relieve(*view) {}
-
-func (e *Engine) throttleAnswered(*view, *Answer) {}
-
-// learn takes in how an attempt ended.
-func (e *Engine) learn(*view, *EndedAttempt, *attempt) {}
+func (e *Engine) throttleAnswered(v *view, answer *Answer) {
+	a := v.attempts[answer.Order.Task]
+	if a == nil || a.number != answer.Order.Attempt {
+		return
+	}
+	a.calling = false
+	if answer.Outcome == Done {
+		a.share = answer.Order.SharePercent
+		return
+	}
+	a.retryAt = e.now.Add(orderRetry)
+}
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -30,7 +30,6 @@
 	acked     uint64
 	suspectTo Instant
 	attempts  map[workflow.TaskRef]*attempt
-	relief    relief
 }
 
 // attempt is what the leader believes of an attempt on a worker.
@@ -56,13 +55,20 @@
 	checkpoint string
 	gauge      int64
 	gaugeAt    Instant
-	// share is the share of its speed in percent that was ordered last.
-	share int
-	// over counts since when a serving task is over its latency target.
-	overSince Instant
+	// share is the share of its speed in percent that the worker took last,
+	// wantShare the one that is due.
+	share, wantShare int
+	// own is the logarithm of the tail latency that a serving task is believed to
+	// have without its neighbours; ownKnown is set once there is a reading.
+	own      float64
+	ownKnown bool
 }
 
-const fullShare = 100
+const (
+	fullShare = 100
+	// unknownShare stands for what an earlier leader ordered.
+	unknownShare = -1
+)
 
 func (e *Engine) addView(w *workflow.Worker) *view {
 	v := &view{
@@ -71,7 +77,7 @@
 		leaseUntil: e.now.Add(stretched(e.settings.LongestLease)),
 	}
 	for ref, number := range w.Attempts {
-		v.attempts[ref] = &attempt{number: number, committed: true, placedAt: e.now, share: fullShare}
+		v.attempts[ref] = &attempt{number: number, committed: true, placedAt: e.now, share: unknownShare, wantShare: fullShare}
 		if job := e.state.Job(ref.Job); job == nil || !job.Active() {
 			v.attempts[ref].stopWanted = true
 		}
@@ -287,6 +293,10 @@
 		e.issue(v, Order{Verb: Stop, Task: ref, Attempt: a.number})
 	case !a.stopWanted && !a.running && !a.settled:
 		e.start(v, ref, a)
+	case a.running && !a.stopWanted && a.share != a.wantShare && e.isScavenger(ref):
+		a.calling = true
+		e.counters.Throttled++
+		e.issue(v, Order{Verb: Throttle, Task: ref, Attempt: a.number, SharePercent: a.wantShare})
 	}
 }
 
--- a/interference/model.go
+++ b/interference/model.go
@@ -27,17 +27,22 @@
 // Model learns the interference between victims and classes of neighbours. It is
 // not safe for concurrent use.
 type Model struct {
+	params  Params
 	classes map[string]Class
 	victims map[string]VictimID
 	records []*victim
 }
 
-// NewModel returns a model without knowledge.
-func NewModel() *Model {
+// NewModel returns a model without knowledge, with the default parameters.
+func NewModel() *Model { return NewModelWith(DefaultParams()) }
+
+// NewModelWith returns a model without knowledge.
+func NewModelWith(params Params) *Model {
 	return &Model{
+		params:  params,
 		classes: map[string]Class{},
 		victims: map[string]VictimID{},
-		records: []*victim{newVictim("")},
+		records: []*victim{newVictim("", params)},
 	}
 }
 
@@ -83,7 +88,7 @@
 	if old := m.records[id]; old != nil {
 		delete(m.victims, old.name)
 	}
-	v := newVictim(name)
+	v := newVictim(name, m.params)
 	m.seed(v)
 	m.records[id] = v
 	m.victims[name] = id
--- a/interference/victim.go
+++ b/interference/victim.go
@@ -25,11 +25,6 @@
 	// UnknownVariance is the variance of a baseline without any report.
 	UnknownVariance = 4.0
 
-	// noiseVariance is the variance of a single measurement's logarithm.
-	noiseVariance = 0.01
-	// baselineDrift and excessDrift are the growth of the variances in a second.
-	baselineDrift = 2e-7
-	excessDrift   = 1e-5
 	// outlierLimit bounds the surprise of one report, in standard deviations.
 	outlierLimit = 3
 	// maxExcess bounds a coefficient.
@@ -38,19 +33,35 @@
 	maxFeatures = 2 * (1 + MaxClasses)
 )
 
+// Params describe the measurements that a model learns from.
+type Params struct {
+	// NoiseVariance is the variance of a single measurement's logarithm.
+	NoiseVariance float64
+	// BaselineDrift and ExcessDrift are the growth of the variances of the
+	// coefficients in a second.
+	BaselineDrift, ExcessDrift float64
+}
+
+// DefaultParams fit measurements over ten seconds with a known load, of effects
+// that last for hours.
+func DefaultParams() Params {
+	return Params{NoiseVariance: 0.01, BaselineDrift: 2e-7, ExcessDrift: 1e-5}
+}
+
 var knotLoads = [knots]float64{0, 0.5, 1}
 
 // victim is the regression of one victim.
 type victim struct {
 	name       string
+	params     Params
 	holders    int
 	observedAt time.Time
 	mean       [dimension]float64
 	covariance [dimension][dimension]float64
 }
 
-func newVictim(name string) *victim {
-	v := &victim{name: name}
+func newVictim(name string, params Params) *victim {
+	v := &victim{name: name, params: params}
 	for i := range dimension {
 		v.mean[i] = priorExcess
 	}
@@ -148,11 +159,11 @@
 	}
 	v.observedAt = taken
 	if v.covariance[0][0] < UnknownVariance {
-		v.widen(0, baselineDrift*seconds, baselineCommon)
+		v.widen(0, v.params.BaselineDrift*seconds, baselineCommon)
 	}
 	for base := knots; base < dimension; base += knots {
 		if v.covariance[base][base] < priorVariance {
-			v.widen(base, excessDrift*seconds, excessCommon)
+			v.widen(base, v.params.ExcessDrift*seconds, excessCommon)
 		}
 	}
 }
@@ -168,7 +179,7 @@
 			gain[i] += row[i] * f.weight[k]
 		}
 	}
-	spread := noiseVariance
+	spread := v.params.NoiseVariance
 	for k := range f.n {
 		spread += f.weight[k] * gain[f.index[k]]
 	}
