Group serving tasks by image and learn the latency of a job from all its tasks

Cause: the load of a serving task swings by half and was taken for noise of the pairs (deviation 0.7 of the logarithm), and mixtures of images on a worker are hurt by nearly every scavenger.

--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -143,5 +143,30 @@
 	if s.step.Scavenger {
 		return score + c.idle + int64(min(c.headroom(e, s.step), 1)*headroomWeight)
 	}
+	if s.step.Lasting {
+		score += int64(c.affinity(e, s.step)) * affinityWeight
+	}
 	return score - c.free.MilliProcessors
 }
+
+// affinityWeight makes one task of another image outweigh any difference in room,
+// in thousandths of a processor.
+const affinityWeight = 1 << 30
+
+// affinity prefers workers on which the serving tasks have the step's image: each
+// image is hurt by other scavengers, and a mixture by all of them.
+func (c *candidate) affinity(e *Engine, step *workflow.Step) int {
+	same, others := 0, 0
+	for ref := range c.view.attempts {
+		other := e.step(ref)
+		if other == nil || !other.Lasting {
+			continue
+		}
+		if other.Image == step.Image {
+			same = 1
+		} else {
+			others++
+		}
+	}
+	return same - others
+}
--- a/dispatch/relief.go
+++ b/dispatch/relief.go
@@ -20,11 +20,12 @@
 	// admitLimit and throttleLimit are the shares of its target that a serving
 	// task's predicted tail latency may reach before no scavenger is added beside
 	// it, and before those beside it are throttled.
-	admitLimit    = 0.7
-	throttleLimit = 0.85
-	// ownWeight is the weight of the newest reading in what a task's own tail
-	// latency is believed to be. Readings come each second, load swings within ten.
-	ownWeight = 0.5
+	admitLimit    = 0.85
+	throttleLimit = 0.95
+	// ownTime is the time over which readings are averaged for what the tail
+	// latency of a job's tasks is believed to be without neighbours: readings come
+	// each second, load swings within ten.
+	ownTime = time.Second
 	// headroomWeight makes a factor e of headroom worth so many idle processors,
 	// in thousandths.
 	headroomWeight = 16000
@@ -36,10 +37,10 @@
 // shareSteps are the shares in percent to which scavengers are throttled.
 var shareSteps = [...]int{100, 50, 25, 0}
 
-// readingParams describe the workers' gauges: rough, over half a second, of tasks
-// whose own load is not known, with effects that shift within seconds.
+// readingParams describe the workers' gauges: rough, over half a second, less what
+// is believed of the load of the job, with effects that shift within seconds.
 func readingParams() interference.Params {
-	return interference.Params{NoiseVariance: 0.3, BaselineDrift: 0.01, ExcessDrift: 0.02}
+	return interference.Params{NoiseVariance: 0.06, BaselineDrift: 0.01, ExcessDrift: 0.02}
 }
 
 // slowdown is what is known of the effect of scavengers on serving tasks, by the
@@ -47,10 +48,26 @@
 type slowdown struct {
 	model   *interference.Model
 	victims map[string]interference.VictimID
+	// own holds, for each job whose tasks serve, their logarithmic tail latency
+	// without neighbours: the tasks of a job share its load.
+	own map[workflow.JobID]*ownLatency
+}
+
+// ownLatency is a weighted mean that forgets with ownTime.
+type ownLatency struct {
+	sum, weight float64
+	at          Instant
+}
+
+func (o *ownLatency) value() float64 { return o.sum / o.weight }
+
+func (o *ownLatency) add(reading, weight float64, at Instant) {
+	decay := math.Exp(-float64(at.Sub(o.at)) / float64(ownTime))
+	o.sum, o.weight, o.at = o.sum*decay+reading*weight, o.weight*decay+weight, at
 }
 
 func newSlowdown() slowdown {
-	return slowdown{model: interference.NewModelWith(readingParams()), victims: make(map[string]interference.VictimID)}
+	return slowdown{model: interference.NewModelWith(readingParams()), victims: make(map[string]interference.VictimID), own: make(map[workflow.JobID]*ownLatency)}
 }
 
 func (s *slowdown) victim(image string) interference.VictimID {
@@ -96,8 +113,9 @@
 		}
 		step := &job.Spec.Steps[ref.Step]
 		switch {
-		case step.Lasting && step.LatencyTargetMs > 0 && a.ownKnown:
-			victims = append(victims, victim{e.slowdown.victim(step.Image), a.own, math.Log(float64(step.LatencyTargetMs))})
+		case step.Lasting && step.LatencyTargetMs > 0 && e.slowdown.own[ref.Job] != nil:
+			own := e.slowdown.own[ref.Job].value() + a.deviation
+			victims = append(victims, victim{e.slowdown.victim(step.Image), own, math.Log(float64(step.LatencyTargetMs))})
 		case step.Scavenger:
 			scavengers = append(scavengers, scavenger{a, e.slowdown.model.Class(step.Image), shareOf(v, step)})
 		}
@@ -180,21 +198,37 @@
 		if step == nil || !step.Lasting || step.LatencyTargetMs <= 0 || a.gaugeAt != e.now || a.gauge <= 0 || a.percent < fullShare {
 			continue
 		}
-		id := e.slowdown.victim(step.Image)
-		reading := math.Log(float64(a.gauge))
-		e.slowdown.model.Observe(taken, id, 0, &shares, reading)
-		own := reading
-		for c, share := range shares {
-			if share > 0 {
-				mean, _ := e.slowdown.model.Excess(id, interference.Class(c), 0, share)
-				own -= mean
-			}
-		}
-		if a.ownKnown {
-			own = ownWeight*own + (1-ownWeight)*a.own
+		e.slowdown.observe(taken, e.now, ref.Job, e.slowdown.victim(step.Image), &shares, math.Log(float64(a.gauge)), a)
+	}
+}
+
+const (
+	// deviationWeight is the weight of the newest reading in the deviation of a
+	// task from its job.
+	deviationWeight = 0.3
+	// cleanScale is the slowdown by neighbours at which a reading counts half for
+	// the job's own latency.
+	cleanScale = 0.1
+)
+
+// observe takes in one reading of a serving task.
+func (s *slowdown) observe(taken time.Time, now Instant, job workflow.JobID, id interference.VictimID, shares *interference.Shares, reading float64, a *attempt) {
+	excess := 0.0
+	for c, share := range shares {
+		if share > 0 {
+			mean, _ := s.model.Excess(id, interference.Class(c), 0, share)
+			excess += mean
 		}
-		a.own, a.ownKnown = own, true
 	}
+	own := s.own[job]
+	if own == nil {
+		own = &ownLatency{at: now}
+		s.own[job] = own
+	} else {
+		s.model.Observe(taken, id, 0, shares, reading-own.value())
+	}
+	own.add(reading-excess, 1/(1+excess/cleanScale), now)
+	a.deviation += deviationWeight * (reading - excess - own.value() - a.deviation)
 }
 
 func (e *Engine) step(ref workflow.TaskRef) *workflow.Step {
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -58,10 +58,9 @@
 	// share is the share of its speed in percent that the worker took last,
 	// wantShare the one that is due.
 	share, wantShare int
-	// own is the logarithm of the tail latency that a serving task is believed to
-	// have without its neighbours; ownKnown is set once there is a reading.
-	own      float64
-	ownKnown bool
+	// deviation is the logarithm by which a serving task's own tail latency is
+	// believed to differ from that of its job.
+	deviation float64
 }
 
 const (
