--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -154,6 +154,9 @@
 	event := e.log.Info().Stringer("task", end.Task).Uint32("attempt", end.Attempt).Str("worker", v.worker.Life.Name).Stringer("how", end.How).Uint64("number", end.Number).Uint64("term", e.fence)
 	if a != nil && a.number == end.Attempt {
 		event = event.Dur("since_placed", e.since(a.placedAt))
+		if step := e.step(end.Task); step != nil {
+			event = event.Int64("estimate_ms", step.EstimateMs).Bool("scavenger", step.Scavenger).Int("share", a.wantShare)
+		}
 		delete(v.attempts, end.Task)
 	}
 	event.Msg("attempt_ended")
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -31,7 +31,7 @@
 // Counters count decisions since the engine began.
 type Counters struct {
 	Accepted, Cancelled, Placed, Done, Failed, Stopped, Lapsed, Voided uint64
-	Unanswered, Throttled                                              uint64
+	Unanswered, Throttled, Relocated                                   uint64
 }
 
 // batch is a list of operations and what follows once they are committed.
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -13,8 +13,11 @@
 	job     *workflow.Job
 	step    *workflow.Step
 	pending []uint32
-	// dueMs is when the step's job must be completed to meet its objective.
-	dueMs int64
+	// dueMs is when the step's job must be completed to meet its objective, and
+	// leftMs the estimated time of the longest chain that is still to run.
+	dueMs, leftMs int64
+	// late is set in a turn in which the objective cannot be met any more.
+	late bool
 }
 
 // readySteps keeps the steps with pending tasks in the order of their turn.
@@ -34,22 +37,35 @@
 func (r *readySteps) touch(id workflow.JobID) { r.touched[id] = true }
 
 // refresh recomputes the steps of the touched jobs.
-func (r *readySteps) refresh(state *workflow.State) {
+func (r *readySteps) refresh(state *workflow.State, nowMs int64) {
 	for id := range r.touched {
 		r.refreshJob(id, state.Job(id))
 	}
 	clear(r.touched)
+	for _, s := range r.order {
+		if late := s.isLate(nowMs); late != s.late {
+			r.changed = true
+		}
+	}
 	if !r.changed {
 		return
 	}
 	r.changed = false
 	r.order = r.order[:0]
 	for _, steps := range r.byJob {
+		for _, s := range steps {
+			s.late = s.isLate(nowMs)
+		}
 		r.order = append(r.order, steps...)
 	}
 	slices.SortFunc(r.order, compareTurns)
 }
 
+// isLate reports whether the job cannot meet its objective any more.
+func (s *readyStep) isLate(nowMs int64) bool {
+	return !s.step.Lasting && nowMs+s.leftMs > s.dueMs
+}
+
 func (r *readySteps) refreshJob(id workflow.JobID, job *workflow.Job) {
 	if _, had := r.byJob[id]; had {
 		delete(r.byJob, id)
@@ -81,7 +97,7 @@
 	}
 	r.byJob[job.ID] = append(r.byJob[job.ID], &readyStep{
 		ref: workflow.StepRef{Job: job.ID, Occurrence: occurrence, Step: step}, job: job, step: &job.Spec.Steps[step],
-		pending: pending, dueMs: dueMs(job, occurrence),
+		pending: pending, dueMs: dueMs(job, occurrence), leftMs: chainLeftMs(job, step),
 	})
 	r.changed = true
 }
@@ -107,12 +123,26 @@
 	return longest
 }
 
+// chainLeftMs is the estimated time of the longest chain that begins with a step.
+func chainLeftMs(job *workflow.Job, step uint32) int64 {
+	left := make([]int64, len(job.Spec.Steps))
+	for i := len(job.Spec.Steps) - 1; i >= int(step); i-- {
+		left[i] += job.Spec.Steps[i].EstimateMs
+		for _, before := range job.Spec.Steps[i].After {
+			left[before] = max(left[before], left[i])
+		}
+	}
+	return left[step]
+}
+
 // compareTurns orders steps by the priority of their queue, services before work
-// that ends, and then by the time at which the job must be completed.
+// that ends, jobs that can still meet their objective before those that cannot,
+// and then by the time at which the job must be completed.
 func compareTurns(a, b *readyStep) int {
 	return cmp.Or(
 		cmp.Compare(a.job.Priority, b.job.Priority),
 		compareBools(b.step.Lasting, a.step.Lasting),
+		compareBools(a.late, b.late),
 		cmp.Compare(a.dueMs, b.dueMs),
 		cmp.Compare(a.ref.Job, b.ref.Job), cmp.Compare(a.ref.Occurrence, b.ref.Occurrence), cmp.Compare(a.ref.Step, b.ref.Step),
 	)
@@ -130,7 +160,7 @@
 
 // plan places pending tasks on workers.
 func (e *Engine) plan() {
-	e.ready.refresh(e.state)
+	e.ready.refresh(e.state, e.wallMs)
 	if len(e.ready.order) == 0 {
 		return
 	}
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -45,9 +45,7 @@
 		if !e.usable(v) {
 			continue
 		}
-		p.byService[v.worker.Service] = append(p.byService[v.worker.Service], &candidate{
-			view: v, free: v.worker.Capacity.Sub(v.worker.Reserved), idle: e.idleProcessors(v),
-		})
+		p.byService[v.worker.Service] = append(p.byService[v.worker.Service], e.candidateOf(v))
 	}
 	for _, candidates := range p.byService {
 		slices.SortFunc(candidates, func(a, b *candidate) int { return int(a.view.worker.ID) - int(b.view.worker.ID) })
@@ -55,6 +53,10 @@
 	return p
 }
 
+func (e *Engine) candidateOf(v *view) *candidate {
+	return &candidate{view: v, free: v.worker.Capacity.Sub(v.worker.Reserved), idle: e.idleProcessors(v)}
+}
+
 // usable reports whether a worker may get new work.
 func (e *Engine) usable(v *view) bool {
 	return !v.worker.Draining && e.reachable(v) && v.clockMs > 0 && e.now >= v.suspectTo
--- a/dispatch/relief.go
+++ b/dispatch/relief.go
@@ -29,6 +29,12 @@
 	// headroomWeight makes a factor e of headroom worth so many idle processors,
 	// in thousandths.
 	headroomWeight = 16000
+	// slowShare is the share in percent below which a scavenger is moved to another
+	// worker once it was there for relocateAfter, unless nearlyDone percent of it
+	// are done: a stop and a restore take about a second.
+	slowShare     = 50
+	relocateAfter = 500 * time.Millisecond
+	nearlyDone    = 85
 	// caution is the number of standard deviations added to what is believed of a
 	// pair of images.
 	caution = 1.0
@@ -95,6 +101,9 @@
 
 // scavenger is a task that may be throttled for serving tasks.
 type scavenger struct {
+	ref     workflow.TaskRef
+	job     *workflow.Job
+	step    *workflow.Step
 	attempt *attempt
 	class   interference.Class
 	// share is the part of the worker's processors that it asks for.
@@ -117,7 +126,7 @@
 			own := e.slowdown.own[ref.Job].value() + a.deviation
 			victims = append(victims, victim{e.slowdown.victim(step.Image), own, math.Log(float64(step.LatencyTargetMs))})
 		case step.Scavenger:
-			scavengers = append(scavengers, scavenger{a, e.slowdown.model.Class(step.Image), shareOf(v, step)})
+			scavengers = append(scavengers, scavenger{ref, job, step, a, e.slowdown.model.Class(step.Image), shareOf(v, step)})
 		}
 	}
 	slices.SortFunc(scavengers, func(a, b scavenger) int {
@@ -157,9 +166,43 @@
 	victims, scavengers := e.neighbours(v)
 	for _, s := range scavengers {
 		s.attempt.wantShare = e.grant(victims, s)
+		e.relocate(v, s)
 	}
 }
 
+// relocate stops a scavenger that has been throttled for some time and saves its
+// progress, where another worker would take it: its whole job waits for it.
+func (e *Engine) relocate(v *view, s scavenger) {
+	a := s.attempt
+	if a.wantShare >= slowShare {
+		a.slowSince = 0
+		return
+	}
+	if a.slowSince == 0 {
+		a.slowSince = e.now
+	}
+	if e.since(a.slowSince) < relocateAfter || a.percent >= nearlyDone || !a.running || a.stopWanted || !s.step.SavesProgress || !e.elsewhere(v, s.job, s.step) {
+		return
+	}
+	a.stopWanted = true
+	e.counters.Relocated++
+	e.log.Info().Stringer("task", s.ref).Uint32("attempt", a.number).Str("worker", v.worker.Life.Name).Int("share", a.wantShare).Int("percent", a.percent).Dur("slow", e.since(a.slowSince)).Uint64("term", e.fence).Msg("task_relocated")
+}
+
+// elsewhere reports whether another worker would take a task of the step now.
+func (e *Engine) elsewhere(v *view, job *workflow.Job, step *workflow.Step) bool {
+	for _, other := range e.views {
+		if other == v || other.worker.Service != job.Service || !e.usable(other) {
+			continue
+		}
+		c := e.candidateOf(other)
+		if step.Reserved().Fits(c.free) && (step.Label == "" || other.worker.HasLabel(step.Label)) && c.idle >= scavengerRoom(step) && c.headroom(e, step) >= 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // grant returns the largest share at which a scavenger keeps all serving tasks
 // below their limits, and adds its effect to them.
 func (e *Engine) grant(victims []victim, s scavenger) int {
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -58,6 +58,8 @@
 	// share is the share of its speed in percent that the worker took last,
 	// wantShare the one that is due.
 	share, wantShare int
+	// slowSince is when the task was throttled, zero if it is not.
+	slowSince Instant
 	// deviation is the logarithm by which a serving task's own tail latency is
 	// believed to differ from that of its job.
 	deviation float64
