Assume serving tasks at their mean load when scavengers are packed

Cause: with 60 % of the request assumed in use and 70 % of a scavenger's request to be idle, workers with headroom were passed over for want of processors.

--- a/dispatch/relief.go
+++ b/dispatch/relief.go
@@ -13,10 +13,10 @@
 const (
 	// servingLoad is the share of its request that a serving task is assumed to
 	// use, in percent.
-	servingLoad = 60
+	servingLoad = 45
 	// scavengerShare is the share of its request that must be unused before a
 	// scavenger is started, in percent.
-	scavengerShare = 70
+	scavengerShare = 50
 	// admitLimit and throttleLimit are the shares of its target that a serving
 	// task's predicted tail latency may reach before no scavenger is added beside
 	// it, and before those beside it are throttled.
