Play leader, log and workers in virtual time; carry starts over a rebirth

The simulation drives the engine with orders that are lost, unanswered or carried out late, crashes, cuts and changes of leader, and checks the promises at the workers. Engine and state no longer iterate over maps where the order decides, so that a seed plays alike each time.

--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -67,23 +67,23 @@
 	case Outdated:
 		a.settled, a.settledAt = true, e.now
 	default:
-		e.startRefused(v, ref, a, answer.Outcome)
+		e.startRefused(v, a, answer.Outcome)
 	}
-	e.tendAttempt(v, ref, a)
+	e.tendAttempt(v, a)
 }
 
 // startRefused handles an answer that says that the order had no effect.
-func (e *Engine) startRefused(v *view, ref workflow.TaskRef, a *attempt, outcome Outcome) {
+func (e *Engine) startRefused(v *view, a *attempt, outcome Outcome) {
 	if outcome == Unhealthy || outcome == NoRoom {
 		v.suspectTo = e.now.Add(suspicion)
 	}
-	e.log.Info().Stringer("task", ref).Uint32("attempt", a.number).Str("worker", v.worker.Life.Name).Stringer("outcome", outcome).Int("unanswered", a.unanswered).Uint64("term", e.fence).Msg("start_refused")
+	e.log.Info().Stringer("task", a.ref).Uint32("attempt", a.number).Str("worker", v.worker.Life.Name).Stringer("outcome", outcome).Int("unanswered", a.unanswered).Uint64("term", e.fence).Msg("start_refused")
 	if a.unanswered > 0 && outcome != Expired {
 		// An earlier call may still be carried out; a stop rules that out.
 		a.stopWanted = true
 		return
 	}
-	e.void(v, ref, "start_"+outcome.String())
+	e.void(v, a, "start_"+outcome.String())
 }
 
 func (e *Engine) stopAnswered(v *view, answer *Answer) {
@@ -157,7 +157,7 @@
 		if step := e.step(end.Task); step != nil {
 			event = event.Int64("estimate_ms", step.EstimateMs).Bool("scavenger", step.Scavenger).Int("share", a.wantShare)
 		}
-		delete(v.attempts, end.Task)
+		v.remove(a)
 	}
 	event.Msg("attempt_ended")
 	job := e.state.Job(end.Task.Job)
@@ -197,24 +197,24 @@
 			e.stopUnknown(v, r)
 			continue
 		}
-		present[r.Task] = true
+		present[r.Task], a.seen = true, true
 		if !a.running {
 			a.running, a.runningAt, a.unanswered = true, e.now, 0
 		}
 		a.absent, a.percent, a.checkpoint, a.gauge, a.gaugeAt = 0, r.Percent, r.Checkpoint, r.Gauge, e.now
 	}
-	for ref, a := range v.attempts {
-		if !present[ref] {
-			e.missed(v, ref, a, answer.Order.SentAt)
+	for _, a := range v.list {
+		if !present[a.ref] {
+			e.missed(v, a, answer.Order.SentAt)
 		}
 	}
 }
 
 // missed handles an attempt that a look did not show.
-func (e *Engine) missed(v *view, ref workflow.TaskRef, a *attempt, lookSent Instant) {
+func (e *Engine) missed(v *view, a *attempt, lookSent Instant) {
 	switch {
 	case a.settled && lookSent > a.settledAt:
-		e.void(v, ref, "not_running")
+		e.void(v, a, "not_running")
 	case a.running && lookSent > a.runningAt:
 		a.absent++
 		if a.absent >= absentLooks {
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -16,7 +18,9 @@
 	fence uint64
 	state *workflow.State
 	views map[workflow.WorkerID]*view
-	now   Instant
+	// list holds the views in the order of their IDs. It is replaced, not changed.
+	list []*view
+	now  Instant
 	// wallMs is the wall clock in milliseconds since the Unix epoch.
 	wallMs int64
 
@@ -47,8 +51,8 @@
 		settings: settings, log: log, fence: term, state: state, now: now, wallMs: state.NowMs(),
 		views: make(map[workflow.WorkerID]*view), slowdown: newSlowdown(),
 	}
-	for _, w := range state.Workers() {
-		e.addView(w)
+	for _, id := range slices.Sorted(maps.Keys(state.Workers())) {
+		e.addView(state.Worker(id))
 	}
 	e.ready.reset()
 	for id := range state.Jobs() {
@@ -60,7 +64,7 @@
 // Tick passes the time: now counts suspensions, wallMs is the wall clock.
 func (e *Engine) Tick(now Instant, wallMs int64) {
 	e.now, e.wallMs = now, wallMs
-	for _, v := range e.views {
+	for _, v := range e.list {
 		e.tend(v)
 	}
 }
--- /dev/null
+++ b/dispatch/engine_test.go
@@ -0,0 +1,158 @@
+package dispatch
+
+import (
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"mangohill.example/mangohill/workflow"
+)
+
+func TestAJobOfTwoStepsCompletes(t *testing.T) {
+	s := newSim(t, 1)
+	s.setCatalog()
+	s.addWorker("w1", 8)
+	s.addWorker("w2", 8)
+	s.run(time.Second)
+	s.submit(1, step(6), step(4, 0))
+	require.True(t, s.runUntil(5*time.Second, func() bool { return s.state(1) == workflow.JobCompleted }))
+	require.Empty(t, s.violations)
+	require.Equal(t, 10, s.starts)
+}
+
+func TestALookWaitsForTheRecordOfTheEnds(t *testing.T) {
+	s := newSim(t, 2)
+	s.setCatalog()
+	w := s.addWorker("w1", 8)
+	s.run(time.Second)
+	s.submit(1, step(8))
+	looks := uint64(0)
+	s.every(time.Millisecond, func() { looks = max(looks, uint64(len(w.holds))) })
+	require.True(t, s.runUntil(5*time.Second, func() bool { return s.state(1) == workflow.JobCompleted }))
+	s.run(3 * time.Second)
+	require.LessOrEqual(t, looks, uint64(1))
+	require.Empty(t, w.ended, "all ends are acknowledged")
+}
+
+func TestACancelledJobStops(t *testing.T) {
+	s := newSim(t, 3)
+	s.setCatalog()
+	s.addWorker("w1", 8)
+	s.run(time.Second)
+	lasting := step(4)
+	lasting.Lasting = true
+	s.submit(1, lasting)
+	s.run(time.Second)
+	require.Len(t, s.runs, 4)
+	s.engine.Handle(&Request{Verb: CancelJob, Host: "h", Path: "/q/" + workflow.JobID(1).String()}, func(r Reply) { s.cancelled[1] = s.now })
+	s.run(2 * time.Second)
+	require.Equal(t, workflow.JobCancelled, s.state(1))
+	for ref, runs := range s.runs {
+		require.Empty(t, runs, "task %s", ref)
+	}
+	require.Empty(t, s.violations)
+}
+
+func TestANewLifeEndsTheOldOne(t *testing.T) {
+	s := newSim(t, 4)
+	s.setCatalog()
+	w := s.addWorker("w1", 8)
+	s.run(time.Second)
+	long := step(3)
+	long.EstimateMs = 3000
+	s.submit(1, long)
+	s.run(time.Second)
+	w.crash()
+	s.run(500 * time.Millisecond)
+	s.addWorker("w1", 8)
+	require.True(t, s.runUntil(7*time.Second, func() bool { return s.state(1) == workflow.JobCompleted }))
+	require.Empty(t, s.violations)
+}
+
+func TestTheTasksOfALostWorkerWaitForItsLease(t *testing.T) {
+	s := newSim(t, 5)
+	s.setCatalog()
+	w1 := s.addWorker("w1", 4)
+	s.run(time.Second)
+	long := step(4)
+	long.EstimateMs = 60_000
+	s.submit(1, long)
+	s.run(time.Second)
+	require.Len(t, w1.running, 4)
+	s.addWorker("w2", 4)
+	w1.cut = true
+	s.run(7 * time.Second)
+	require.Equal(t, 4, s.starts, "nothing starts while the lease may run")
+	s.run(10 * time.Second)
+	require.Equal(t, 8, s.starts, "the tasks run on the other worker")
+	require.Empty(t, s.violations)
+}
+
+// TestNothingRunsTwice plays orders that are lost, unanswered or carried out
+// late, crashes and cuts of workers, and changes of the leader.
+func TestNothingRunsTwice(t *testing.T) {
+	first, last := seeds()
+	for seed := first; seed <= last; seed++ {
+		s := newSim(t, seed)
+		s.setCatalog()
+		for _, name := range []string{"w1", "w2", "w3", "w4"} {
+			s.addWorker(name, 6)
+		}
+		s.run(time.Second)
+		s.faults = faults{lostOrder: 0.05, lostAnswer: 0.05, late: 0.05, failing: 0.02}
+		for id := workflow.JobID(1); id <= 20; id++ {
+			bounded := step(5)
+			bounded.MaxPerWorker = 2
+			s.submit(id, bounded, step(4, 0), step(3, 0))
+			s.disturb(int(id))
+			s.run(time.Duration(200+s.rng.IntN(800)) * time.Millisecond)
+		}
+		s.faults = faults{}
+		for _, w := range s.workers {
+			w.cut = false
+		}
+		assert.True(t, s.runUntil(60*time.Second, func() bool { return s.allEnded(20) }), "seed %d", seed)
+		assert.Empty(t, s.violations, "seed %d", seed)
+	}
+}
+
+func (s *sim) allEnded(jobs workflow.JobID) bool {
+	for id := workflow.JobID(1); id <= jobs; id++ {
+		if state := s.state(id); state != workflow.JobCompleted && state != workflow.JobFailed {
+			return false
+		}
+	}
+	return true
+}
+
+// disturb injects one fault.
+func (s *sim) disturb(turn int) {
+	names := []string{"w1:1", "w2:1", "w3:1", "w4:1"}
+	w := s.workers[names[s.rng.IntN(len(names))]]
+	switch turn % 4 {
+	case 0:
+		s.takeOver()
+	case 1:
+		w.crash()
+		s.after(time.Second, func() { s.addWorker(w.life.Name, 6) })
+	case 2:
+		w.cut = true
+		s.after(time.Duration(1+s.rng.IntN(14))*time.Second, func() { w.cut = false })
+	}
+}
+
+// seeds are those to play: 1 to 20, or as many as MANGOHILL_SEEDS says, or the one
+// that MANGOHILL_SEED names.
+func seeds() (first, last uint64) {
+	if n, err := strconv.ParseUint(os.Getenv("MANGOHILL_SEED"), 10, 64); err == nil {
+		return n, n
+	}
+	if n, err := strconv.ParseUint(os.Getenv("MANGOHILL_SEEDS"), 10, 64); err == nil {
+		return 1, n
+	}
+	return 1, 20
+}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -240,8 +240,8 @@
 	}
 	c.take(s)
 	e.counters.Placed++
-	a := &attempt{number: number, placedAt: e.now, share: fullShare, wantShare: fullShare}
-	v.attempts[ref] = a
+	a := &attempt{ref: ref, number: number, placedAt: e.now, share: fullShare, wantShare: fullShare}
+	v.add(a)
 	free, heard := c.free, e.since(v.heard)
 	e.then(func() {
 		if e.views[v.worker.ID] != v || v.attempts[ref] != a {
@@ -249,7 +249,7 @@
 		}
 		a.committed = true
 		e.log.Info().Stringer("task", ref).Uint32("attempt", number).Str("worker", v.worker.Life.Name).Int64("free_mcpu", free.MilliProcessors).Dur("report_age", heard).Uint64("term", e.fence).Msg("task_placed")
-		e.tendAttempt(v, ref, a)
+		e.tendAttempt(v, a)
 	})
 	return true
 }
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -41,15 +41,12 @@
 
 func (e *Engine) newPool() *pool {
 	p := &pool{byService: make(map[string][]*candidate)}
-	for _, v := range e.views {
+	for _, v := range e.list {
 		if !e.usable(v) {
 			continue
 		}
 		p.byService[v.worker.Service] = append(p.byService[v.worker.Service], e.candidateOf(v))
 	}
-	for _, candidates := range p.byService {
-		slices.SortFunc(candidates, func(a, b *candidate) int { return int(a.view.worker.ID) - int(b.view.worker.ID) })
-	}
 	return p
 }
 
@@ -96,8 +93,8 @@
 func (c *candidate) count(s *readyStep) uint32 {
 	if c.perStep == nil {
 		c.perStep = make(map[workflow.StepRef]uint32)
-		for ref := range c.view.attempts {
-			c.perStep[ref.StepRef()]++
+		for _, a := range c.view.list {
+			c.perStep[a.ref.StepRef()]++
 		}
 	}
 	return c.perStep[s.ref]
@@ -159,8 +156,8 @@
 // image is hurt by other scavengers, and a mixture by all of them.
 func (c *candidate) affinity(e *Engine, step *workflow.Step) int {
 	same, others := 0, 0
-	for ref := range c.view.attempts {
-		other := e.step(ref)
+	for _, a := range c.view.list {
+		other := e.step(a.ref)
 		if other == nil || !other.Lasting {
 			continue
 		}
--- a/dispatch/relief.go
+++ b/dispatch/relief.go
@@ -115,7 +115,8 @@
 func (e *Engine) neighbours(v *view) ([]victim, []scavenger) {
 	var victims []victim
 	var scavengers []scavenger
-	for ref, a := range v.attempts {
+	for _, a := range v.list {
+		ref := a.ref
 		job := e.state.Job(ref.Job)
 		if job == nil {
 			continue
@@ -191,7 +192,7 @@
 
 // elsewhere reports whether another worker would take a task of the step now.
 func (e *Engine) elsewhere(v *view, job *workflow.Job, step *workflow.Step) bool {
-	for _, other := range e.views {
+	for _, other := range e.list {
 		if other == v || other.worker.Service != job.Service || !e.usable(other) {
 			continue
 		}
@@ -230,13 +231,15 @@
 func (e *Engine) observe(v *view) {
 	var shares interference.Shares
 	capacity := float64(max(v.worker.Capacity.MilliProcessors, 1))
-	for ref, a := range v.attempts {
+	for _, a := range v.list {
+		ref := a.ref
 		if step := e.step(ref); step != nil && step.Scavenger && a.gaugeAt == e.now {
 			shares[e.slowdown.model.Class(step.Image)] += float64(a.gauge) / capacity
 		}
 	}
 	taken := time.Unix(0, int64(e.now))
-	for ref, a := range v.attempts {
+	for _, a := range v.list {
+		ref := a.ref
 		step := e.step(ref)
 		if step == nil || !step.Lasting || step.LatencyTargetMs <= 0 || a.gaugeAt != e.now || a.gauge <= 0 || a.percent < fullShare {
 			continue
@@ -290,7 +293,8 @@
 // idleProcessors estimates the processors that nothing uses, in thousandths.
 func (e *Engine) idleProcessors(v *view) int64 {
 	idle := v.worker.Capacity.MilliProcessors
-	for ref, a := range v.attempts {
+	for _, a := range v.list {
+		ref := a.ref
 		step := e.step(ref)
 		if step == nil {
 			continue
--- /dev/null
+++ b/dispatch/sim_test.go
@@ -0,0 +1,525 @@
+package dispatch
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"mangohill.example/mangohill/kind"
+	"mangohill.example/mangohill/workflow"
+)
+
+// sim plays a leader, its log and its workers in virtual time.
+type sim struct {
+	t      *testing.T
+	rng    *rand.Rand
+	now    Instant
+	queue  timers
+	seq    int
+	engine *Engine
+	term   uint64
+	// committed is the replicated state, pending the batch on its way to it.
+	committed *workflow.State
+	pending   *workflow.Batch
+	workers   map[string]*simWorker // by address
+	faults    faults
+	// runs are the live runs of each task, done what has ended so, and noted what
+	// was acknowledged to have; started is when a task was last started.
+	runs       map[workflow.TaskRef][]*simRun
+	done       map[workflow.TaskRef]bool
+	noted      map[workflow.TaskRef]bool
+	started    map[workflow.TaskRef]Instant
+	cancelled  map[workflow.JobID]Instant
+	violations []string
+	wallBase   int64
+	settings   Settings
+	starts     int
+}
+
+// faults are probabilities of an order.
+type faults struct {
+	lostOrder, lostAnswer, late float64
+	failing                     float64
+}
+
+type timer struct {
+	at  Instant
+	seq int
+	run func()
+}
+
+type timers []timer
+
+func (q timers) Len() int { return len(q) }
+func (q timers) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q timers) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *timers) Push(x any)   { *q = append(*q, x.(timer)) }
+func (q *timers) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+// simWorker is one life of a worker, after the platform's pages.
+type simWorker struct {
+	sim      *sim
+	life     workflow.Life
+	address  string
+	capacity workflow.Resources
+	labels   []string
+	bornAt   Instant
+	dead     bool
+	cut      bool
+	draining bool
+	fence    uint64
+	lease    Instant
+	running  map[workflow.TaskRef]*simRun
+	highest  map[workflow.TaskRef]uint32
+	ended    []EndedAttempt
+	number   uint64
+	holds    []*simHold
+	// endedAt is when each listed end came, lapsedAt when the lease last ran out.
+	endedAt  map[uint64]Instant
+	lapsedAt Instant
+}
+
+type simRun struct {
+	worker  *simWorker
+	ref     workflow.TaskRef
+	attempt uint32
+	step    *workflow.Step
+	stops   bool
+}
+
+type simHold struct {
+	order  Order
+	answer func(Answer)
+	open   bool
+}
+
+const simDelay = time.Millisecond
+
+// trace receives the decisions and what workers do, where MANGOHILL_TRACE is set.
+var trace = newTrace()
+
+func newTrace() zerolog.Logger {
+	if os.Getenv("MANGOHILL_TRACE") == "" {
+		return zerolog.Nop()
+	}
+	return zerolog.New(os.Stdout)
+}
+
+func newSim(t *testing.T, seed uint64) *sim {
+	s := &sim{
+		t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: 1_000_000_000, committed: workflow.NewState(),
+		workers: make(map[string]*simWorker), runs: make(map[workflow.TaskRef][]*simRun), done: make(map[workflow.TaskRef]bool),
+		noted: make(map[workflow.TaskRef]bool), started: make(map[workflow.TaskRef]Instant),
+		cancelled: make(map[workflow.JobID]Instant), wallBase: 1_700_000_000_000,
+		settings: Settings{Lease: 8 * time.Second, LongestLease: 10 * time.Second, StopTime: 900 * time.Millisecond, Harm: 4 * time.Second, FarFactor: 2},
+	}
+	s.takeOver()
+	s.every(tickEvery, func() { s.engine.Tick(s.now, s.wall()) })
+	return s
+}
+
+const tickEvery = 50 * time.Millisecond
+
+func (s *sim) wall() int64 { return s.wallBase + int64(s.now)/1_000_000 }
+
+func (s *sim) after(d time.Duration, run func()) {
+	s.seq++
+	heap.Push(&s.queue, timer{s.now.Add(d), s.seq, run})
+}
+
+func (s *sim) every(d time.Duration, run func()) {
+	s.after(d, func() {
+		run()
+		s.every(d, run)
+	})
+}
+
+// run plays until the given time has passed.
+func (s *sim) run(d time.Duration) {
+	end := s.now.Add(d)
+	for len(s.queue) > 0 && s.queue[0].at <= end {
+		next := heap.Pop(&s.queue).(timer)
+		s.now = next.at
+		s.engine.Advance(s.now, s.wall())
+		next.run()
+		s.act()
+	}
+	s.now = end
+}
+
+// runUntil plays until the condition holds and reports whether it did in time.
+func (s *sim) runUntil(d time.Duration, condition func() bool) bool {
+	for end := s.now.Add(d); s.now < end; {
+		if condition() {
+			return true
+		}
+		s.run(tickEvery)
+	}
+	return condition()
+}
+
+const commitTime = 20 * time.Millisecond
+
+func (s *sim) act() {
+	engine := s.engine
+	if batch := engine.TakeBatch(); batch != nil {
+		data, err := batch.Encode()
+		require.NoError(s.t, err)
+		decoded, err := workflow.DecodeBatch(data)
+		require.NoError(s.t, err)
+		s.pending = decoded
+		s.after(commitTime, func() {
+			if s.engine != engine {
+				return
+			}
+			s.commit()
+			engine.Committed()
+		})
+	}
+	for _, order := range engine.TakeOrders() {
+		s.deliver(engine, order)
+	}
+}
+
+func (s *sim) commit() {
+	for i, err := range s.committed.ApplyBatch(s.pending) {
+		if err != nil {
+			s.violate("operation %d of a batch had no effect: %v", i, err)
+		}
+	}
+	s.pending = nil
+}
+
+// takeOver replaces the leader. What was proposed may have been committed.
+func (s *sim) takeOver() {
+	if s.pending != nil && s.rng.IntN(2) == 0 {
+		s.commit()
+	}
+	s.pending = nil
+	data, err := s.committed.Snapshot()
+	require.NoError(s.t, err)
+	state, err := workflow.DecodeSnapshot(data)
+	require.NoError(s.t, err)
+	s.term++
+	s.engine = New(s.settings, trace, s.term, state, s.now)
+}
+
+func (s *sim) violate(format string, args ...any) {
+	s.violations = append(s.violations, fmt.Sprintf("%v: ", time.Duration(s.now))+fmt.Sprintf(format, args...))
+}
+
+// deliver carries an order to its worker and the answer back.
+func (s *sim) deliver(engine *Engine, order Order) {
+	answered := false
+	reply := func(a Answer) {
+		if !answered && s.engine == engine {
+			answered = true
+			engine.Answered(&a)
+		}
+	}
+	s.after(order.Timeout(), func() { reply(Answer{Order: order}) })
+	delay := simDelay
+	lostAnswer := s.rng.Float64() < s.faults.lostAnswer
+	switch {
+	case s.rng.Float64() < s.faults.lostOrder:
+		return
+	case s.rng.Float64() < s.faults.late:
+		delay, lostAnswer = time.Duration(2+s.rng.IntN(10))*time.Second, true
+	}
+	receiver := s.workers[order.Address]
+	s.after(delay, func() {
+		w := s.workers[order.Address]
+		if w == nil || w.dead || w.cut || delay > simDelay && w != receiver {
+			return // What a worker carries out late ends with its life.
+		}
+		w.take(order, func(a Answer) {
+			if !lostAnswer && !w.cut {
+				s.after(simDelay, func() { reply(a) })
+			}
+		})
+	})
+}
+
+// addWorker starts a worker that announces itself each second.
+func (s *sim) addWorker(name string, processors int64) *simWorker {
+	w := &simWorker{
+		sim: s, life: workflow.Life{Name: name, BornMs: s.wall()}, address: name + ":1", bornAt: s.now,
+		capacity: workflow.Resources{MilliProcessors: processors * 1000, MemoryMB: 100_000}, labels: []string{"a", "r1"},
+		running: make(map[workflow.TaskRef]*simRun), highest: make(map[workflow.TaskRef]uint32),
+		endedAt: make(map[uint64]Instant),
+	}
+	s.workers[w.address] = w
+	w.report()
+	return w
+}
+
+func (w *simWorker) report() {
+	if w.dead {
+		return
+	}
+	if !w.cut {
+		w.sim.engine.Announce(&Announcement{
+			Life: w.life, Address: w.address, Service: "pool", Zone: "z", Labels: w.labels, Capacity: w.capacity, Draining: w.draining, ClockMs: w.clock(),
+		}, func(*kind.Error) {})
+	}
+	w.sim.after(time.Second, w.report)
+}
+
+// clock is 2% slow and begins with the life.
+func (w *simWorker) clock() int64 { return int64(w.sim.now-w.bornAt)*98/100/1_000_000 + 1 }
+
+func (w *simWorker) crash() {
+	w.dead = true
+	for ref, run := range w.running {
+		w.drop(ref, run)
+	}
+}
+
+func (w *simWorker) drop(ref workflow.TaskRef, run *simRun) {
+	delete(w.running, ref)
+	w.sim.runs[ref] = slices.DeleteFunc(w.sim.runs[ref], func(r *simRun) bool { return r == run })
+}
+
+func (w *simWorker) take(order Order, answer func(Answer)) {
+	reply := func(o Outcome) { answer(Answer{Order: order, Outcome: o, ClockMs: w.clock()}) }
+	switch {
+	case order.Life.Name != w.life.Name:
+		reply(OtherLife)
+		return
+	case order.Fence < w.fence:
+		reply(Fenced)
+		return
+	}
+	w.fence = order.Fence
+	switch order.Verb {
+	case Look:
+		w.extend(order.ExpiresMs)
+		w.hold(order, answer)
+	case Start:
+		reply(w.start(&order))
+	case Stop:
+		w.stop(&order)
+		reply(Done)
+	case Throttle:
+		reply(Done)
+	}
+}
+
+// extend renews the lease, which never becomes shorter.
+func (w *simWorker) extend(expiresMs int64) {
+	until := w.bornAt.Add(time.Duration((expiresMs-1)*1_000_000*100/98) + time.Millisecond)
+	if expiresMs == 0 || until <= w.lease {
+		return
+	}
+	w.lease = until
+	w.sim.after(until.Sub(w.sim.now), w.lapse)
+}
+
+func (w *simWorker) lapse() {
+	if w.dead || w.sim.now < w.lease {
+		return
+	}
+	w.lapsedAt = w.sim.now
+	for ref, run := range w.running {
+		w.end(ref, run, workflow.EndLapsed)
+	}
+}
+
+func (w *simWorker) start(order *Order) Outcome {
+	ref := order.Task
+	if run := w.running[ref]; run != nil && run.attempt == order.Attempt {
+		w.extend(order.ExpiresMs)
+		return Done
+	}
+	switch {
+	case order.Attempt <= w.highest[ref]:
+		w.extend(order.ExpiresMs)
+		return Outdated
+	case order.ExpiresMs <= w.clock():
+		return Expired
+	}
+	w.extend(order.ExpiresMs)
+	w.begin(ref, order.Attempt)
+	return Done
+}
+
+// begin checks the promises at each start.
+func (w *simWorker) begin(ref workflow.TaskRef, attempt uint32) {
+	s := w.sim
+	job := s.committed.Job(ref.Job)
+	if job == nil {
+		s.violate("task %s of an unknown job starts", ref)
+		return
+	}
+	step := &job.Spec.Steps[ref.Step]
+	if len(s.runs[ref]) > 0 {
+		s.violate("task %s runs twice", ref)
+	}
+	if s.noted[ref] {
+		s.violate("task %s starts after its end was acknowledged", ref)
+	}
+	s.started[ref] = s.now
+	for _, before := range step.After {
+		for i := range job.Spec.Steps[before].Count {
+			if !s.done[workflow.TaskRef{Job: ref.Job, Step: before, Index: i}] {
+				s.violate("task %s starts before step %d is done", ref, before)
+			}
+		}
+	}
+	if at, ok := s.cancelled[ref.Job]; ok && s.now.Sub(at) > 3*time.Second && s.faults.late == 0 {
+		s.violate("task %s starts %v after its cancelling", ref, s.now.Sub(at))
+	}
+	run := &simRun{worker: w, ref: ref, attempt: attempt, step: step}
+	w.running[ref] = run
+	trace.Info().Stringer("task", ref).Uint32("attempt", attempt).Str("worker", w.life.Name).Dur("now", time.Duration(s.now)).Msg("worker_starts")
+	s.runs[ref] = append(s.runs[ref], run)
+	s.starts++
+	used := workflow.Resources{}
+	sameStep := uint32(0)
+	for other, r := range w.running {
+		used = used.Add(r.step.Reserved())
+		if other.StepRef() == ref.StepRef() {
+			sameStep++
+		}
+	}
+	if !used.Fits(w.capacity) {
+		s.violate("worker %s runs over its capacity", w.life.Name)
+	}
+	if step.MaxPerWorker > 0 && sameStep > step.MaxPerWorker {
+		s.violate("%d tasks of a step on %s", sameStep, w.life.Name)
+	}
+	if step.Lasting {
+		return
+	}
+	took := time.Duration(float64(step.EstimateMs)*(0.6+s.rng.Float64())) * time.Millisecond
+	s.after(took, func() {
+		if w.running[ref] != run || run.stops {
+			return
+		}
+		how := workflow.EndDone
+		if s.rng.Float64() < s.faults.failing {
+			how = workflow.EndFailed
+		}
+		w.end(ref, run, how)
+	})
+}
+
+func (w *simWorker) stop(order *Order) {
+	w.highest[order.Task] = max(w.highest[order.Task], order.Attempt)
+	run := w.running[order.Task]
+	if run == nil || run.attempt > order.Attempt || run.stops {
+		return
+	}
+	run.stops = true
+	w.sim.after(200*time.Millisecond, func() {
+		if w.running[order.Task] == run {
+			w.end(order.Task, run, workflow.EndStopped)
+		}
+	})
+}
+
+func (w *simWorker) end(ref workflow.TaskRef, run *simRun, how workflow.Ending) {
+	if w.dead {
+		return
+	}
+	w.drop(ref, run)
+	w.highest[ref] = max(w.highest[ref], run.attempt)
+	w.number++
+	trace.Info().Stringer("task", ref).Uint32("attempt", run.attempt).Str("worker", w.life.Name).Stringer("how", how).Dur("now", time.Duration(w.sim.now)).Msg("worker_ends")
+	w.endedAt[w.number] = w.sim.now
+	w.ended = append(w.ended, EndedAttempt{Number: w.number, Task: ref, Attempt: run.attempt, How: how})
+	if how == workflow.EndDone && !run.step.Lasting {
+		w.sim.done[ref] = true
+	}
+	w.flush()
+}
+
+func (w *simWorker) hold(order Order, answer func(Answer)) {
+	w.acknowledge(order.AckedUpto)
+	h := &simHold{order, answer, true}
+	w.holds = append(w.holds, h)
+	if order.Wait == 0 || len(w.ended) > 0 {
+		w.flush()
+		return
+	}
+	w.sim.after(order.Wait, func() { w.flush() })
+}
+
+// acknowledge forgets ends. Between an end and its acknowledgement the task must
+// not have been started, unless the lease ran out meanwhile.
+func (w *simWorker) acknowledge(upto uint64) {
+	for _, e := range w.ended {
+		if e.Number > upto || e.How != workflow.EndDone {
+			continue
+		}
+		at := w.endedAt[e.Number]
+		if w.lapsedAt < at && w.sim.started[e.Task] > at {
+			w.sim.violate("task %s started between its end and the acknowledgement", e.Task)
+		}
+		w.sim.noted[e.Task] = true
+	}
+	w.ended = slices.DeleteFunc(w.ended, func(e EndedAttempt) bool { return e.Number <= upto })
+}
+
+// flush answers the looks that wait.
+func (w *simWorker) flush() {
+	for _, h := range w.holds {
+		if !h.open {
+			continue
+		}
+		h.open = false
+		a := Answer{Order: h.order, Outcome: Done, ClockMs: w.clock(), Ended: slices.Clone(w.ended)}
+		for ref, run := range w.running {
+			a.Running = append(a.Running, RunningAttempt{Task: ref, Attempt: run.attempt, Percent: 100})
+		}
+		slices.SortFunc(a.Running, func(x, y RunningAttempt) int { return compareTasks(x.Task, y.Task) })
+		h.answer(a)
+	}
+	w.holds = nil
+}
+
+func (s *sim) setCatalog() {
+	s.engine.SetCatalog(&workflow.Catalog{
+		Version:  1,
+		Queues:   []workflow.Queue{{Name: "q", Host: "h", PathPrefix: "/q/", Service: "pool", TimeoutMs: 3000, MaxAttempts: 3, StretchMilli: 2000, LatencyObjectiveMs: 1000}},
+		Services: []workflow.Service{{Name: "pool"}},
+	}, func(err *kind.Error) { require.Nil(s.t, err) })
+	s.run(100 * time.Millisecond)
+}
+
+func (s *sim) submit(id workflow.JobID, steps ...workflow.Step) {
+	accepted := false
+	s.engine.Handle(&Request{Verb: Submit, Host: "h", Path: "/q/" + id.String(), Job: &workflow.JobSpec{Payload: "p", Steps: steps}}, func(r Reply) {
+		require.Nil(s.t, r.Err)
+		accepted = true
+	})
+	s.run(100 * time.Millisecond)
+	require.True(s.t, accepted)
+}
+
+func (s *sim) state(id workflow.JobID) workflow.JobState {
+	job := s.committed.Job(id)
+	if job == nil {
+		return ""
+	}
+	return job.State()
+}
+
+// step is a step of count tasks of one processor that take some 500 ms.
+func step(count uint32, after ...uint32) workflow.Step {
+	return workflow.Step{Count: count, Resources: workflow.Resources{MilliProcessors: 1000, MemoryMB: 100}, EstimateMs: 500, After: after}
+}
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -29,11 +30,16 @@
 	// acked is the number of the last end whose record is committed.
 	acked     uint64
 	suspectTo Instant
-	attempts  map[workflow.TaskRef]*attempt
+	// attempts are those that may run there, list the same in the order in which
+	// they came. A list is replaced and never changed, so that it may be read
+	// while attempts end.
+	attempts map[workflow.TaskRef]*attempt
+	list     []*attempt
 }
 
 // attempt is what the leader believes of an attempt on a worker.
 type attempt struct {
+	ref    workflow.TaskRef
 	number uint32
 	// committed is set once the placement is in the log.
 	committed bool
@@ -44,6 +50,8 @@
 	unanswered int
 	running    bool
 	runningAt  Instant
+	// seen is set once a look showed the attempt on this life of the worker.
+	seen       bool
 	placedAt   Instant
 	absent     int
 	stopWanted bool
@@ -77,16 +85,32 @@
 		// An earlier leader may have renewed until it lost its quorum.
 		leaseUntil: e.now.Add(stretched(e.settings.LongestLease)),
 	}
-	for ref, number := range w.Attempts {
-		v.attempts[ref] = &attempt{number: number, committed: true, placedAt: e.now, share: unknownShare, wantShare: fullShare}
+	for _, ref := range sortedTasks(w.Attempts) {
+		a := &attempt{ref: ref, number: w.Attempts[ref], committed: true, placedAt: e.now, share: unknownShare, wantShare: fullShare}
 		if job := e.state.Job(ref.Job); job == nil || !job.Active() {
-			v.attempts[ref].stopWanted = true
+			a.stopWanted = true
 		}
+		v.add(a)
 	}
 	e.views[w.ID] = v
+	e.list = append(slices.Clone(e.list), v)
 	return v
 }
 
+func sortedTasks(attempts map[workflow.TaskRef]uint32) []workflow.TaskRef {
+	return slices.SortedFunc(maps.Keys(attempts), compareTasks)
+}
+
+func (v *view) add(a *attempt) {
+	v.attempts[a.ref] = a
+	v.list = append(slices.Clone(v.list), a)
+}
+
+func (v *view) remove(a *attempt) {
+	delete(v.attempts, a.ref)
+	v.list = slices.DeleteFunc(slices.Clone(v.list), func(other *attempt) bool { return other == a })
+}
+
 // stretched is the real time after which a worker's clock has certainly counted d.
 func stretched(d time.Duration) time.Duration {
 	return time.Duration(float64(d) / (1 - clockSlack))
@@ -133,18 +157,21 @@
 }
 
 func (e *Engine) join(a *Announcement) error {
-	for _, old := range []*workflow.Worker{e.state.WorkerNamed(a.Life.Name), e.state.WorkerAt(a.Address)} {
-		if old != nil && old.Life.BornMs <= a.Life.BornMs {
-			e.endLife(old, "replaced")
-		}
-	}
 	join := &workflow.Join{Life: a.Life, Address: a.Address, Service: a.Service, Zone: a.Zone, Labels: a.Labels, Capacity: a.Capacity}
+	if old := e.state.WorkerNamed(a.Life.Name); old != nil && old.Life.BornMs < a.Life.BornMs {
+		join.Carry = e.reborn(old, a)
+	}
+	if old := e.state.WorkerAt(a.Address); old != nil && old.Life.Name != a.Life.Name && old.Life.BornMs <= a.Life.BornMs {
+		e.endLife(old, "replaced_at_its_address")
+	}
 	if err := e.decide(workflow.Op{Join: join}); err != nil {
 		return err
 	}
 	w := e.state.WorkerNamed(a.Life.Name)
 	v := e.addView(w)
-	v.leaseUntil = e.now
+	for _, a := range v.list {
+		a.stopWanted = a.stopWanted || !e.suits(w, a)
+	}
 	v.clockMs, v.clockAt = a.ClockMs, e.now
 	v.looking = true // Until the life is recorded.
 	e.then(func() {
@@ -155,6 +182,31 @@
 	return nil
 }
 
+// reborn ends a life whose worker reports a newer one. It returns the attempts
+// whose start may still reach the new life, which answers to the same name: they
+// stay recorded, and are started or stopped there.
+func (e *Engine) reborn(old *workflow.Worker, next *Announcement) []workflow.TaskRef {
+	v := e.views[old.ID]
+	var carried []workflow.TaskRef
+	for _, a := range v.list {
+		if a.committed && !a.seen && old.Address == next.Address {
+			carried = append(carried, a.ref)
+			continue
+		}
+		e.void(v, a, "new_life")
+	}
+	e.dropView(v)
+	e.log.Info().Str("worker", old.Life.Name).Int64("born_ms", old.Life.BornMs).Int64("next_born_ms", next.Life.BornMs).Int("carried", len(carried)).Uint64("term", e.fence).Msg("worker_reborn")
+	return carried
+}
+
+// suits reports whether a worker may run an attempt that came with its birth.
+func (e *Engine) suits(w *workflow.Worker, a *attempt) bool {
+	job := e.state.Job(a.ref.Job)
+	step := e.step(a.ref)
+	return step != nil && job.Service == w.Service && !w.Draining && w.Reserved.Fits(w.Capacity) && (step.Label == "" || w.HasLabel(step.Label))
+}
+
 // Withdraw takes a worker's report that it ends. bornMs is zero if it named no
 // birth.
 func (e *Engine) Withdraw(name string, bornMs int64, done func()) {
@@ -172,20 +224,20 @@
 		e.log.Error().Err(err).Str("worker", w.Life.Name).Msg("worker_end_not_recorded")
 		return
 	}
-	delete(e.views, w.ID)
+	e.dropView(e.views[w.ID])
 	e.log.Info().Str("worker", w.Life.Name).Int64("born_ms", w.Life.BornMs).Str("reason", reason).Uint64("term", e.fence).Msg("worker_over")
 }
 
+func (e *Engine) dropView(v *view) {
+	delete(e.views, v.worker.ID)
+	e.list = slices.DeleteFunc(slices.Clone(e.list), func(other *view) bool { return other == v })
+}
+
 // voidAll records that nothing runs on a worker any more.
 func (e *Engine) voidAll(id workflow.WorkerID, reason string) {
 	v := e.views[id]
-	refs := make([]workflow.TaskRef, 0, len(v.attempts))
-	for ref := range v.attempts {
-		refs = append(refs, ref)
-	}
-	slices.SortFunc(refs, compareTasks)
-	for _, ref := range refs {
-		e.void(v, ref, reason)
+	for _, a := range v.list {
+		e.void(v, a, reason)
 	}
 }
 
@@ -194,9 +246,9 @@
 }
 
 // void records that an attempt does not run and will not.
-func (e *Engine) void(v *view, ref workflow.TaskRef, reason string) {
-	a := v.attempts[ref]
-	delete(v.attempts, ref)
+func (e *Engine) void(v *view, a *attempt, reason string) {
+	ref := a.ref
+	v.remove(a)
 	err := e.decide(workflow.Op{Void: &workflow.Void{Worker: v.worker.ID, Task: ref, Attempt: a.number, Checkpoint: a.checkpoint}})
 	if err != nil {
 		e.log.Error().Err(err).Stringer("task", ref).Msg("attempt_not_voided")
@@ -214,12 +266,8 @@
 	if v == nil {
 		return
 	}
-	for ref, a := range v.attempts {
-		job := e.state.Job(ref.Job)
-		if job == nil {
-			continue
-		}
-		if step := &job.Spec.Steps[ref.Step]; step.Lasting || step.SavesProgress {
+	for _, a := range v.list {
+		if step := e.step(a.ref); step != nil && (step.Lasting || step.SavesProgress) {
 			a.stopWanted = true
 		}
 	}
@@ -237,7 +285,7 @@
 					continue
 				}
 				v.attempts[ref].stopWanted = true
-				e.tendAttempt(v, ref, v.attempts[ref])
+				e.tendAttempt(v, v.attempts[ref])
 			}
 		}
 	}
@@ -254,8 +302,8 @@
 	if !v.looking && e.now >= v.nextLook {
 		e.look(v)
 	}
-	for ref, a := range v.attempts {
-		e.tendAttempt(v, ref, a)
+	for _, a := range v.list {
+		e.tendAttempt(v, a)
 	}
 }
 
@@ -284,7 +332,8 @@
 }
 
 // tendAttempt issues the order that is due for an attempt.
-func (e *Engine) tendAttempt(v *view, ref workflow.TaskRef, a *attempt) {
+func (e *Engine) tendAttempt(v *view, a *attempt) {
+	ref := a.ref
 	if !a.committed || a.calling || e.now < a.retryAt || !e.reachable(v) {
 		return
 	}
@@ -293,7 +342,7 @@
 		a.calling = true
 		e.issue(v, Order{Verb: Stop, Task: ref, Attempt: a.number})
 	case !a.stopWanted && !a.running && !a.settled:
-		e.start(v, ref, a)
+		e.start(v, a)
 	case a.running && !a.stopWanted && a.share != a.wantShare && e.isScavenger(ref):
 		a.calling = true
 		e.counters.Throttled++
@@ -301,7 +350,8 @@
 	}
 }
 
-func (e *Engine) start(v *view, ref workflow.TaskRef, a *attempt) {
+func (e *Engine) start(v *view, a *attempt) {
+	ref := a.ref
 	job := e.state.Job(ref.Job)
 	if job == nil || !job.Active() {
 		a.stopWanted = true
--- a/workflow/ops.go
+++ b/workflow/ops.go
@@ -70,6 +70,8 @@
 	Zone     string
 	Labels   []string
 	Capacity Resources
+	// Carry names attempts of the life before it whose start may reach this one.
+	Carry []TaskRef
 }
 
 // Leave records that a worker drains; Over that its life has ended.
--- a/workflow/state.go
+++ b/workflow/state.go
@@ -300,10 +300,17 @@
 }
 
 func (s *State) join(j *Join) error {
+	carried := make(map[TaskRef]uint32)
 	if old := s.WorkerNamed(j.Life.Name); old != nil {
 		if old.Life.BornMs >= j.Life.BornMs {
 			return kind.Errorf(kind.StaleIncarnation, "worker %q was born at %d, the report is of %d", j.Life.Name, old.Life.BornMs, j.Life.BornMs)
 		}
+		for _, ref := range j.Carry {
+			if attempt, ok := old.Attempts[ref]; ok {
+				carried[ref] = attempt
+				delete(old.Attempts, ref)
+			}
+		}
 		s.endLife(old)
 	}
 	if id, taken := s.byAddress[j.Address]; taken {
@@ -321,9 +328,25 @@
 	s.workers[w.ID] = w
 	s.byName[w.Life.Name] = w.ID
 	s.byAddress[w.Address] = w.ID
+	for ref, attempt := range carried {
+		s.carry(w, ref, attempt)
+	}
 	return nil
 }
 
+// carry moves an attempt to the next life of its worker.
+func (s *State) carry(w *Worker, ref TaskRef, attempt uint32) {
+	job := s.jobs[ref.Job]
+	if job == nil {
+		return
+	}
+	w.Attempts[ref] = attempt
+	w.Reserved = w.Reserved.Add(job.Spec.Steps[ref.Step].Reserved())
+	if task := job.Task(ref); task.State == TaskPlaced && task.Attempt == attempt {
+		task.Worker = w.ID
+	}
+}
+
 func (s *State) leave(l *Leave) error {
 	w := s.workers[l.Worker]
 	if w == nil {
