--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -107,7 +107,7 @@
 		c.confirmedAt = asked
 	}
 	if reply.Leader != c.leader {
-		c.options.Logger.Info().Str("leader", reply.Leader).Str("before", c.leader).Str("told_by", address).Msg("leader_changed")
+		c.options.Logger.Info().Str("leader", reply.Leader).Str("before", c.leader).Str("told_by", address).Msg("leader changed")
 		c.leader = reply.Leader
 	}
 }
@@ -136,7 +136,7 @@
 	defer c.mu.Unlock()
 	if c.leader == address {
 		c.leader = ""
-		c.options.Logger.Info().Str("leader", address).Msg("leader_lost")
+		c.options.Logger.Info().Str("leader", address).Msg("leader lost")
 	}
 }
 
--- a/coordinator/loop.go
+++ b/coordinator/loop.go
@@ -90,7 +90,7 @@
 func (l *loop) lead(term uint64) {
 	state, err := l.store.Copy()
 	if err != nil {
-		l.options.Logger.Error().Err(err).Uint64("term", term).Msg("state_not_copied")
+		l.options.Logger.Error().Err(err).Uint64("term", term).Msg("state not copied")
 		return
 	}
 	l.term = term
@@ -106,7 +106,7 @@
 	}
 	l.serving.Store(false)
 	l.engine = nil
-	l.options.Logger.Info().Uint64("term", l.term).Int("unanswered", len(l.waiting)).Str("reason", reason).Msg("not_leading")
+	l.options.Logger.Info().Uint64("term", l.term).Int("unanswered", len(l.waiting)).Str("reason", reason).Msg("not leading")
 	for _, done := range l.waiting {
 		done(Result{}, kind.Errorf(kind.UnknownOutcome, "the leadership ended"))
 	}
@@ -127,13 +127,13 @@
 		return
 	}
 	if done.err != nil {
-		l.options.Logger.Warn().Err(done.err).Uint64("term", done.term).Msg("batch_not_committed")
+		l.options.Logger.Warn().Err(done.err).Uint64("term", done.term).Msg("batch not committed")
 		l.resign("batch_not_committed")
 		return
 	}
 	for _, err := range done.result.([]error) {
 		if err != nil {
-			l.options.Logger.Error().Err(err).Uint64("term", done.term).Msg("state_diverged")
+			l.options.Logger.Error().Err(err).Uint64("term", done.term).Msg("state diverged")
 			l.resign("state_diverged")
 			l.lead(done.term)
 			return
@@ -158,7 +158,7 @@
 func (l *loop) propose(batch *workflow.Batch) {
 	data, err := batch.Encode()
 	if err != nil {
-		l.options.Logger.Error().Err(err).Msg("batch_not_encoded")
+		l.options.Logger.Error().Err(err).Msg("batch not encoded")
 		l.resign("batch_not_encoded")
 		return
 	}
--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -12,7 +12,7 @@
 // higher fence: another leader acts.
 func (e *Engine) Answered(a *Answer) bool {
 	if a.Outcome == Fenced {
-		e.log.Warn().Str("worker", a.Order.Life.Name).Uint64("term", e.fence).Msg("fenced_by_worker")
+		e.log.Warn().Str("worker", a.Order.Life.Name).Uint64("term", e.fence).Msg("fenced by worker")
 		return false
 	}
 	v := e.views[a.Order.Worker]
@@ -77,7 +77,7 @@
 	if outcome == Unhealthy || outcome == NoRoom {
 		v.suspectTo = e.now.Add(suspicion)
 	}
-	e.log.Info().Stringer("task", a.ref).Uint32("attempt", a.number).Str("worker", v.worker.Life.Name).Stringer("outcome", outcome).Int("unanswered", a.unanswered).Uint64("term", e.fence).Msg("start_refused")
+	e.log.Info().Stringer("task", a.ref).Uint32("attempt", a.number).Str("worker", v.worker.Life.Name).Stringer("outcome", outcome).Int("unanswered", a.unanswered).Uint64("term", e.fence).Msg("start refused")
 	if a.unanswered > 0 && outcome != Expired {
 		// An earlier call may still be carried out; a stop rules that out.
 		a.stopWanted = true
@@ -109,7 +109,7 @@
 	first := !v.fenced
 	v.fenced = true
 	if first {
-		e.log.Info().Str("worker", v.worker.Life.Name).Int("running", len(answer.Running)).Int("recorded", len(v.attempts)).Uint64("term", e.fence).Msg("worker_reached")
+		e.log.Info().Str("worker", v.worker.Life.Name).Int("running", len(answer.Running)).Int("recorded", len(v.attempts)).Uint64("term", e.fence).Msg("worker reached")
 	}
 	e.takeEnds(v, answer.Ended)
 	e.takeRunning(v, answer)
@@ -145,7 +145,7 @@
 		Worker: v.worker.ID, Number: end.Number, Task: end.Task, Attempt: end.Attempt, How: end.How, Checkpoint: end.Checkpoint,
 	}})
 	if err != nil {
-		e.log.Error().Err(err).Stringer("task", end.Task).Msg("end_not_recorded")
+		e.log.Error().Err(err).Stringer("task", end.Task).Msg("end not recorded")
 		return
 	}
 	e.countEnd(end.How)
@@ -159,7 +159,7 @@
 		}
 		v.remove(a)
 	}
-	event.Msg("attempt_ended")
+	event.Msg("attempt ended")
 	job := e.state.Job(end.Task.Job)
 	if job != nil && !job.Active() {
 		e.jobEnded(job)
@@ -169,7 +169,7 @@
 // jobEnded stops what still runs of a job, once its end is recorded.
 func (e *Engine) jobEnded(job *workflow.Job) {
 	e.then(func() {
-		e.log.Info().Stringer("job", job.ID).Str("state", string(job.State())).Int64("accepted_ms", job.AcceptedMs).Int64("finished_ms", job.FinishedMs).Uint64("term", e.fence).Msg("job_ended")
+		e.log.Info().Stringer("job", job.ID).Str("state", string(job.State())).Int64("accepted_ms", job.AcceptedMs).Int64("finished_ms", job.FinishedMs).Uint64("term", e.fence).Msg("job ended")
 		e.stopEnded(job)
 	})
 }
@@ -226,6 +226,6 @@
 // stopUnknown stops an attempt that is not recorded: its start was carried out
 // after it was given up.
 func (e *Engine) stopUnknown(v *view, r *RunningAttempt) {
-	e.log.Warn().Stringer("task", r.Task).Uint32("attempt", r.Attempt).Str("worker", v.worker.Life.Name).Uint64("term", e.fence).Msg("unknown_attempt")
+	e.log.Warn().Stringer("task", r.Task).Uint32("attempt", r.Attempt).Str("worker", v.worker.Life.Name).Uint64("term", e.fence).Msg("unknown attempt")
 	e.issue(v, Order{Verb: Stop, Task: r.Task, Attempt: r.Attempt})
 }
--- a/dispatch/callers.go
+++ b/dispatch/callers.go
@@ -85,7 +85,7 @@
 	e.counters.Accepted++
 	e.ready.touch(id)
 	e.then(func() {
-		e.log.Info().Stringer("job", id).Str("queue", queue.Name).Uint64("catalog", e.state.Catalog().Version).Uint64("term", e.fence).Msg("job_accepted")
+		e.log.Info().Stringer("job", id).Str("queue", queue.Name).Uint64("catalog", e.state.Catalog().Version).Uint64("term", e.fence).Msg("job accepted")
 		reply(Reply{State: workflow.JobPending})
 	})
 }
@@ -113,7 +113,7 @@
 		}
 		e.counters.Cancelled++
 		e.then(func() {
-			e.log.Info().Stringer("job", id).Uint64("term", e.fence).Msg("job_cancelled")
+			e.log.Info().Stringer("job", id).Uint64("term", e.fence).Msg("job cancelled")
 			e.stopEnded(job)
 		})
 	}
@@ -150,7 +150,7 @@
 		return
 	}
 	e.then(func() {
-		e.log.Info().Uint64("before", before).Uint64("version", c.Version).Int("queues", len(c.Queues)).Uint64("term", e.fence).Msg("catalog_set")
+		e.log.Info().Uint64("before", before).Uint64("version", c.Version).Int("queues", len(c.Queues)).Uint64("term", e.fence).Msg("catalog set")
 		done(nil)
 	})
 }
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -224,7 +224,7 @@
 	for i, c := range chosen {
 		ref := workflow.TaskRef{Job: s.ref.Job, Occurrence: s.ref.Occurrence, Step: s.ref.Step, Index: uint32(i)}
 		if !e.place(c, s, ref, number+1) {
-			e.log.Error().Stringer("task", ref).Msg("gang_not_placed")
+			e.log.Error().Stringer("task", ref).Msg("gang not placed")
 		}
 	}
 	s.pending = nil
@@ -235,7 +235,7 @@
 func (e *Engine) place(c *candidate, s *readyStep, ref workflow.TaskRef, number uint32) bool {
 	v := c.view
 	if err := e.decide(workflow.Op{Place: &workflow.Place{Task: ref, Worker: v.worker.ID, Attempt: number}}); err != nil {
-		e.log.Error().Err(err).Stringer("task", ref).Str("worker", v.worker.Life.Name).Msg("placement_not_recorded")
+		e.log.Error().Err(err).Stringer("task", ref).Str("worker", v.worker.Life.Name).Msg("placement not recorded")
 		return false
 	}
 	c.take(s)
@@ -248,7 +248,7 @@
 			return
 		}
 		a.committed = true
-		e.log.Info().Stringer("task", ref).Uint32("attempt", number).Str("worker", v.worker.Life.Name).Int64("free_mcpu", free.MilliProcessors).Dur("report_age", heard).Uint64("term", e.fence).Msg("task_placed")
+		e.log.Info().Stringer("task", ref).Uint32("attempt", number).Str("worker", v.worker.Life.Name).Int64("free_mcpu", free.MilliProcessors).Dur("report_age", heard).Uint64("term", e.fence).Msg("task placed")
 		e.tendAttempt(v, a)
 	})
 	return true
--- a/dispatch/relief.go
+++ b/dispatch/relief.go
@@ -187,7 +187,7 @@
 	}
 	a.stopWanted = true
 	e.counters.Relocated++
-	e.log.Info().Stringer("task", s.ref).Uint32("attempt", a.number).Str("worker", v.worker.Life.Name).Int("share", a.wantShare).Int("percent", a.percent).Dur("slow", e.since(a.slowSince)).Uint64("term", e.fence).Msg("task_relocated")
+	e.log.Info().Stringer("task", s.ref).Uint32("attempt", a.number).Str("worker", v.worker.Life.Name).Int("share", a.wantShare).Int("percent", a.percent).Dur("slow", e.since(a.slowSince)).Uint64("term", e.fence).Msg("task relocated")
 }
 
 // elsewhere reports whether another worker would take a task of the step now.
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -385,7 +385,7 @@
 	}
 	run := &simRun{worker: w, ref: ref, attempt: attempt, step: step}
 	w.running[ref] = run
-	trace.Info().Stringer("task", ref).Uint32("attempt", attempt).Str("worker", w.life.Name).Dur("now", time.Duration(s.now)).Msg("worker_starts")
+	trace.Info().Stringer("task", ref).Uint32("attempt", attempt).Str("worker", w.life.Name).Dur("now", time.Duration(s.now)).Msg("worker starts")
 	s.runs[ref] = append(s.runs[ref], run)
 	s.starts++
 	used := workflow.Resources{}
@@ -439,7 +439,7 @@
 	w.drop(ref, run)
 	w.highest[ref] = max(w.highest[ref], run.attempt)
 	w.number++
-	trace.Info().Stringer("task", ref).Uint32("attempt", run.attempt).Str("worker", w.life.Name).Stringer("how", how).Dur("now", time.Duration(w.sim.now)).Msg("worker_ends")
+	trace.Info().Stringer("task", ref).Uint32("attempt", run.attempt).Str("worker", w.life.Name).Stringer("how", how).Dur("now", time.Duration(w.sim.now)).Msg("worker ends")
 	w.endedAt[w.number] = w.sim.now
 	w.ended = append(w.ended, EndedAttempt{Number: w.number, Task: ref, Attempt: run.attempt, How: how})
 	if how == workflow.EndDone && !run.step.Lasting {
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -149,7 +149,7 @@
 			return
 		}
 		e.then(func() {
-			e.log.Info().Str("worker", w.Life.Name).Uint64("term", e.fence).Msg("worker_draining")
+			e.log.Info().Str("worker", w.Life.Name).Uint64("term", e.fence).Msg("worker draining")
 			e.evacuate(w.ID)
 		})
 	}
@@ -175,7 +175,7 @@
 	v.clockMs, v.clockAt = a.ClockMs, e.now
 	v.looking = true // Until the life is recorded.
 	e.then(func() {
-		e.log.Info().Str("worker", w.Life.Name).Int64("born_ms", w.Life.BornMs).Str("address", w.Address).Str("service", w.Service).Uint64("term", e.fence).Msg("worker_joined")
+		e.log.Info().Str("worker", w.Life.Name).Int64("born_ms", w.Life.BornMs).Str("address", w.Address).Str("service", w.Service).Uint64("term", e.fence).Msg("worker joined")
 		v.looking = false
 		e.tend(v)
 	})
@@ -196,7 +196,7 @@
 		e.void(v, a, "new_life")
 	}
 	e.dropView(v)
-	e.log.Info().Str("worker", old.Life.Name).Int64("born_ms", old.Life.BornMs).Int64("next_born_ms", next.Life.BornMs).Int("carried", len(carried)).Uint64("term", e.fence).Msg("worker_reborn")
+	e.log.Info().Str("worker", old.Life.Name).Int64("born_ms", old.Life.BornMs).Int64("next_born_ms", next.Life.BornMs).Int("carried", len(carried)).Uint64("term", e.fence).Msg("worker reborn")
 	return carried
 }
 
@@ -221,11 +221,11 @@
 func (e *Engine) endLife(w *workflow.Worker, reason string) {
 	e.voidAll(w.ID, reason)
 	if err := e.decide(workflow.Op{Leave: &workflow.Leave{Worker: w.ID, Over: true}}); err != nil {
-		e.log.Error().Err(err).Str("worker", w.Life.Name).Msg("worker_end_not_recorded")
+		e.log.Error().Err(err).Str("worker", w.Life.Name).Msg("worker end not recorded")
 		return
 	}
 	e.dropView(e.views[w.ID])
-	e.log.Info().Str("worker", w.Life.Name).Int64("born_ms", w.Life.BornMs).Str("reason", reason).Uint64("term", e.fence).Msg("worker_over")
+	e.log.Info().Str("worker", w.Life.Name).Int64("born_ms", w.Life.BornMs).Str("reason", reason).Uint64("term", e.fence).Msg("worker over")
 }
 
 func (e *Engine) dropView(v *view) {
@@ -251,13 +251,13 @@
 	v.remove(a)
 	err := e.decide(workflow.Op{Void: &workflow.Void{Worker: v.worker.ID, Task: ref, Attempt: a.number, Checkpoint: a.checkpoint}})
 	if err != nil {
-		e.log.Error().Err(err).Stringer("task", ref).Msg("attempt_not_voided")
+		e.log.Error().Err(err).Stringer("task", ref).Msg("attempt not voided")
 		return
 	}
 	e.counters.Voided++
 	e.ready.touch(ref.Job)
 	e.log.Info().Stringer("task", ref).Uint32("attempt", a.number).Str("worker", v.worker.Life.Name).Str("reason", reason).
-		Dur("unheard", e.since(v.heard)).Uint64("term", e.fence).Msg("attempt_void")
+		Dur("unheard", e.since(v.heard)).Uint64("term", e.fence).Msg("attempt void")
 }
 
 // evacuate stops on a draining worker what loses little by it.
