--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -38,12 +38,19 @@
 	Do(ctx context.Context, order *dispatch.Order) dispatch.Answer
 }
 
+// Advisor asks the service that knows which workers may run a step.
+type Advisor interface {
+	Advise(ctx context.Context, question *dispatch.Question) dispatch.Advice
+}
+
 // Options configures a Coordinator.
 type Options struct {
 	Replica  replica.Options
 	Dispatch dispatch.Settings
 	Workers  WorkerCaller
-	Logger   zerolog.Logger
+	// Advisor may be nil where no queue needs advice.
+	Advisor Advisor
+	Logger  zerolog.Logger
 }
 
 // Coordinator is one member of the control group.
@@ -53,6 +60,7 @@
 	replica *replica.Replica
 	events  chan event
 	answers chan dispatch.Answer
+	advice  chan dispatch.Advice
 	commits chan commit
 	serving atomic.Bool
 
@@ -88,7 +96,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Coordinator{
 		options: options, store: store, replica: started, ctx: ctx, cancel: cancel,
-		events: make(chan event, eventCapacity), answers: make(chan dispatch.Answer, eventCapacity), commits: make(chan commit, 1),
+		events: make(chan event, eventCapacity), answers: make(chan dispatch.Answer, eventCapacity), commits: make(chan commit, 1), advice: make(chan dispatch.Advice, 1),
 	}
 	c.group.Add(1)
 	go c.run()
--- a/coordinator/loop.go
+++ b/coordinator/loop.go
@@ -42,6 +42,11 @@
 		case a := <-c.answers:
 			l.advance()
 			l.answered(&a)
+		case a := <-c.advice:
+			l.advance()
+			if l.engine != nil && a.Question.Fence == l.term {
+				l.engine.Advised(&a)
+			}
 		case done := <-c.commits:
 			l.advance()
 			l.committed(done)
@@ -153,6 +158,27 @@
 	for _, order := range l.engine.TakeOrders() {
 		l.send(order)
 	}
+	if question := l.engine.TakeQuestion(); question != nil {
+		l.consult(question)
+	}
+}
+
+// consult asks the advice service.
+func (l *loop) consult(question *dispatch.Question) {
+	l.group.Add(1)
+	go func() {
+		defer l.group.Done()
+		advice := dispatch.Advice{Question: *question}
+		if l.options.Advisor != nil {
+			ctx, cancel := context.WithTimeout(l.ctx, question.Timeout)
+			advice = l.options.Advisor.Advise(ctx, question)
+			cancel()
+		}
+		select {
+		case l.advice <- advice:
+		case <-l.ctx.Done():
+		}
+	}()
 }
 
 func (l *loop) propose(batch *workflow.Batch) {
--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -74,6 +74,9 @@
 
 // startRefused handles an answer that says that the order had no effect.
 func (e *Engine) startRefused(v *view, a *attempt, outcome Outcome) {
+	if outcome == NoTicket {
+		e.forgetTicket(v, a.ref)
+	}
 	if outcome == Unhealthy || outcome == NoRoom {
 		v.suspectTo = e.now.Add(suspicion)
 	}
@@ -172,6 +175,7 @@
 		e.log.Info().Stringer("job", job.ID).Str("state", string(job.State())).Int64("accepted_ms", job.AcceptedMs).Int64("finished_ms", job.FinishedMs).Uint64("term", e.fence).Msg("job ended")
 		e.stopEnded(job)
 	})
+	e.forgetAdvice(job)
 }
 
 func (e *Engine) countEnd(how workflow.Ending) {
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -30,6 +30,7 @@
 	ready      readySteps
 	counters   Counters
 	slowdown   slowdown
+	advisor    advisor
 }
 
 // Counters count decisions since the engine began.
@@ -49,7 +50,7 @@
 func New(settings Settings, log zerolog.Logger, term uint64, state *workflow.State, now Instant) *Engine {
 	e := &Engine{
 		settings: settings, log: log, fence: term, state: state, now: now, wallMs: state.NowMs(),
-		views: make(map[workflow.WorkerID]*view), slowdown: newSlowdown(),
+		views: make(map[workflow.WorkerID]*view), slowdown: newSlowdown(), advisor: newAdvisor(),
 	}
 	for _, id := range slices.Sorted(maps.Keys(state.Workers())) {
 		e.addView(state.Worker(id))
--- a/dispatch/engine_test.go
+++ b/dispatch/engine_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"mangohill.example/mangohill/kind"
 	"mangohill.example/mangohill/workflow"
 )
 
@@ -156,3 +157,32 @@
 	}
 	return 1, 20
 }
+
+func TestAnAdvisedStepStartsOnlyWithATicket(t *testing.T) {
+	s := newSim(t, 6)
+	s.engine.SetCatalog(&workflow.Catalog{
+		Version:  1,
+		Queues:   []workflow.Queue{{Name: "q", Host: "h", PathPrefix: "/q/", Service: "pool", TimeoutMs: 3000, Advised: true, AdviceBaseMs: 50, AdviceEachMs: 1, AdviceValidMs: 3000}},
+		Services: []workflow.Service{{Name: "pool"}},
+	}, func(err *kind.Error) { require.Nil(t, err) })
+	s.addWorker("w1", 8)
+	w2 := s.addWorker("w2", 8)
+	s.run(time.Second)
+	s.submit(1, step(4), step(4, 0))
+	asked := 0
+	s.every(tickEvery, func() {
+		q := s.engine.TakeQuestion()
+		if q == nil {
+			return
+		}
+		asked++
+		require.ElementsMatch(t, []string{"w1", "w2"}, q.Workers)
+		s.after(80*time.Millisecond, func() {
+			s.engine.Advised(&Advice{Question: *q, Answered: asked > 1, Tickets: map[string]string{"w2": "t"}})
+		})
+	})
+	require.True(t, s.runUntil(5*time.Second, func() bool { return s.state(1) == workflow.JobCompleted }))
+	require.Equal(t, 3, asked, "one question is repeated, and each step asks its own")
+	require.Len(t, w2.endedAt, 8, "all tasks ran where they may")
+	require.Empty(t, s.violations)
+}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -186,6 +186,7 @@
 		c := e.choose(p, s)
 		if c == nil {
 			p.noteExhausted(s)
+			e.ask(p, s)
 			return
 		}
 		ref := workflow.TaskRef{Job: s.ref.Job, Occurrence: s.ref.Occurrence, Step: s.ref.Step, Index: s.pending[0]}
@@ -215,6 +216,7 @@
 		c.give(s)
 	}
 	if len(chosen) < int(s.step.Count) {
+		e.ask(p, s)
 		return
 	}
 	number := uint32(0)
@@ -253,6 +255,3 @@
 	})
 	return true
 }
-
-// ticket returns the advice service's permission for the step on the worker.
-func (e *Engine) ticket(*workflow.Job, workflow.TaskRef, *view) string { return "" }
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -62,7 +62,7 @@
 // noteExhausted remembers that no worker has room for a task of the step. A step
 // with a bound for each worker may have failed by that alone.
 func (p *pool) noteExhausted(s *readyStep) {
-	if s.step.MaxPerWorker == 0 {
+	if s.step.MaxPerWorker == 0 && !s.job.Advised {
 		p.failed = append(p.failed, shapeOf(s.job, s.step))
 	}
 }
@@ -117,6 +117,11 @@
 
 // admits reports whether a worker may run a task of the step.
 func (e *Engine) admits(c *candidate, s *readyStep) bool {
+	return e.hasRoom(c, s) && e.permitted(c, s)
+}
+
+// hasRoom reports whether a worker suits the step and can take one more task.
+func (e *Engine) hasRoom(c *candidate, s *readyStep) bool {
 	step := s.step
 	switch {
 	case !step.Reserved().Fits(c.free):
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -362,5 +362,5 @@
 	}
 	a.calling = true
 	task := job.Task(ref)
-	e.issue(v, Order{Verb: Start, Task: ref, Attempt: a.number, Payload: job.Spec.Payload, Checkpoint: task.Checkpoint, Ticket: e.ticket(job, ref, v)})
+	e.issue(v, Order{Verb: Start, Task: ref, Attempt: a.number, Payload: job.Spec.Payload, Checkpoint: task.Checkpoint, Ticket: e.ticketFor(job, ref, v)})
 }
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -6,6 +6,8 @@
 	return []string{
 		"action refused",
 		"admission not granted",
+		"advice not given",
+		"advice taken",
 		"answer unreadable",
 		"answered by next life",
 		"attempt ended",
--- a/workflow/state.go
+++ b/workflow/state.go
@@ -58,6 +58,8 @@
 	LatencyObjectiveMs int64 `cbor:"15,keyasint,omitempty"`
 	Advised            bool  `cbor:"16,keyasint,omitempty"`
 	AdviceValidMs      int64 `cbor:"17,keyasint,omitempty"`
+	AdviceBaseMs       int64 `cbor:"18,keyasint,omitempty"`
+	AdviceEachMs       int64 `cbor:"19,keyasint,omitempty"`
 }
 
 // Active reports whether tasks of the job may still be started.
@@ -257,6 +259,7 @@
 	job := &Job{
 		ID: a.ID, Queue: a.Queue, Service: queue.Service, Priority: queue.Priority, MaxAttempts: max(queue.MaxAttempts, 1), Spec: a.Spec, AcceptedMs: s.nowMs,
 		StretchMilli: queue.StretchMilli, LatencyObjectiveMs: queue.LatencyObjectiveMs, Advised: queue.Advised, AdviceValidMs: queue.AdviceValidMs,
+		AdviceBaseMs: queue.AdviceBaseMs, AdviceEachMs: queue.AdviceEachMs,
 	}
 	for range a.Spec.Occurrences() {
 		o := Occurrence{Done: make([]uint32, len(a.Spec.Steps))}
