Keep a reserve from tasks that last; remove a surplus voter that is lost

A control member that is replaced at another address left four voters of which one is dead; the leader now removes a voter beyond the needed number after 3 s of silence, and a member that hears from no leader for as long asks to be taken in.

--- a/consensus/admission.go
+++ b/consensus/admission.go
@@ -3,9 +3,15 @@
 import "mangohill.example/mangohill/kind"
 
 // NeedsAdmission reports whether this member must ask to be taken in (again): it
-// is no voter and hears from no leader. Its own log does not decide, since it may
-// hold an admission that was never committed.
-func (c *Core) NeedsAdmission() bool { return !c.isVoter() && c.leader == 0 }
+// hears from no leader and is no voter, or has heard from none for long and may
+// have been removed meanwhile. Its own log does not decide, since it may hold an
+// admission that was never committed, or lack its removal.
+func (c *Core) NeedsAdmission() bool {
+	if c.leader != 0 || c.role == Leader {
+		return false
+	}
+	return !c.isVoter() || c.neededVoters > 0 && c.leaderless >= c.removalTicks
+}
 
 // Admit proposes to take a member in as a learner, in place of learners at its
 // address, and returns the index of the change. The index is zero if the member
@@ -39,13 +45,28 @@
 	}
 	learner, ok := c.caughtUpLearner()
 	if !ok {
-		return 0, false
+		return c.removeSurplus()
 	}
 	id, next := c.nextMembership(learner)
 	_, err := c.ProposeMembership(next)
 	return id, err == nil
 }
 
+// removeSurplus proposes to remove a voter that is not needed and has been silent
+// for long: it was lost for good and another one has come.
+func (c *Core) removeSurplus() (MemberID, bool) {
+	if c.neededVoters == 0 || c.membership().Voters() <= c.neededVoters {
+		return 0, false
+	}
+	for _, m := range c.membership().Members {
+		if p := c.progress[m.ID]; m.Voter && p != nil && p.silence >= c.removalTicks {
+			_, err := c.ProposeMembership(c.membership().Remove(m.ID))
+			return m.ID, err == nil
+		}
+	}
+	return 0, false
+}
+
 func (c *Core) nextMembership(learner Member) (MemberID, Membership) {
 	for _, old := range c.membership().Members {
 		if old.Voter && old.Address == learner.Address {
--- a/consensus/core.go
+++ b/consensus/core.go
@@ -25,7 +25,11 @@
 	// of entries sent to a member ahead of its acknowledgement.
 	MaxMessageBytes int
 	MaxInflight     uint64
-	Seed            uint64
+	// Voters is the number of voters that the group needs. The leader removes a
+	// voter beyond it that has been silent for RemovalTicks. Zero keeps all.
+	Voters       int
+	RemovalTicks int
+	Seed         uint64
 }
 
 // Restored is the durable state that a member starts from. Entries may begin
@@ -52,8 +56,12 @@
 	heartbeatTicks  int
 	maxMessageBytes int
 	maxInflight     uint64
-	random          *rand.Rand
-	safeguards      safeguards
+	neededVoters    int
+	removalTicks    int
+	// leaderless is the number of ticks without a leader.
+	leaderless int
+	random     *rand.Rand
+	safeguards safeguards
 
 	role        Role
 	term        uint64
@@ -90,6 +98,8 @@
 		heartbeatTicks:  orDefault(config.HeartbeatTicks, DefaultHeartbeatTicks),
 		maxMessageBytes: orDefault(config.MaxMessageBytes, DefaultMaxMessageBytes),
 		maxInflight:     orDefault(config.MaxInflight, DefaultMaxInflight),
+		neededVoters:    config.Voters,
+		removalTicks:    config.RemovalTicks,
 		random:          rand.New(rand.NewPCG(config.Seed, uint64(config.ID))),
 		term:            restored.HardState.Term,
 		vote:            restored.HardState.Vote,
@@ -133,9 +143,14 @@
 // Tick advances the member's clock by one tick.
 func (c *Core) Tick() {
 	if c.role != Leader {
+		c.leaderless++
+		if c.leader != 0 {
+			c.leaderless = 0
+		}
 		c.tickElection()
 		return
 	}
+	c.leaderless = 0
 	c.heartbeatElapsed++
 	for _, p := range c.progress {
 		p.silence++
--- a/consensus/repair_test.go
+++ b/consensus/repair_test.go
@@ -72,3 +72,41 @@
 	assert.True(t, core.NeedsAdmission())
 	assert.Equal(t, consensus.Follower, core.Status().Role, "a learner starts no election")
 }
+
+// TestASurplusVoterThatIsSilentIsRemoved: three voters are needed, four are there,
+// and one has been lost for good.
+func TestASurplusVoterThatIsSilentIsRemoved(t *testing.T) {
+	voters := []consensus.Member{{ID: 1, Voter: true}, {ID: 2, Voter: true}, {ID: 3, Voter: true}, {ID: 4, Voter: true}}
+	for needed, removed := range map[int]bool{0: false, 3: true, 4: false} {
+		core, err := consensus.New(consensus.Config{ID: 1, Voters: needed, RemovalTicks: 60}, consensus.Restored{
+			HardState: consensus.HardState{Term: 3},
+			Snapshot:  consensus.SnapshotMeta{Index: 10, Term: 3, Membership: consensus.Membership{Members: voters}},
+		})
+		require.NoError(t, err)
+		core.Campaign()
+		for _, answer := range []consensus.MessageType{consensus.MessagePreVoteResponse, consensus.MessageVoteResponse} {
+			core.Advance(core.Ready())
+			for _, id := range []consensus.MemberID{2, 3} {
+				require.NoError(t, core.Step(consensus.Message{From: id, To: 1, Type: answer, Term: 4}))
+			}
+		}
+		drain(core)
+		proposed := consensus.MemberID(0)
+		for range 100 {
+			for _, id := range []consensus.MemberID{2, 3} {
+				require.NoError(t, core.Step(consensus.Message{From: id, To: 1, Type: consensus.MessageAppendResponse, Term: 4, Index: 11}))
+			}
+			core.Tick()
+			drain(core)
+			if id, ok := core.MaintainMembership(); ok {
+				proposed = id
+				break
+			}
+		}
+		if removed {
+			assert.Equal(t, consensus.MemberID(4), proposed, "needed %d", needed)
+		} else {
+			assert.Zero(t, proposed, "needed %d", needed)
+		}
+	}
+}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -30,6 +30,9 @@
 	// a slow round trip take together.
 	electionTicks  = 12
 	heartbeatTicks = 3
+	// removalTicks is the silence after which a voter beyond the needed number is
+	// removed: 3 s, longer than a restart takes.
+	removalTicks = 60
 )
 
 // WorkerCaller carries out orders.
@@ -88,6 +91,7 @@
 	options.Replica.StateMachine = store
 	options.Replica.Now = boottime.Now
 	options.Replica.ElectionTicks, options.Replica.HeartbeatTicks = electionTicks, heartbeatTicks
+	options.Replica.RemovalTicks = removalTicks
 	options.Replica.Logger = options.Logger
 	started, err := replica.Start(options.Replica)
 	if err != nil {
--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -175,7 +175,6 @@
 		e.log.Info().Stringer("job", job.ID).Str("state", string(job.State())).Int64("accepted_ms", job.AcceptedMs).Int64("finished_ms", job.FinishedMs).Uint64("term", e.fence).Msg("job ended")
 		e.stopEnded(job)
 	})
-	e.forgetAdvice(job)
 }
 
 func (e *Engine) countEnd(how workflow.Ending) {
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -31,6 +31,7 @@
 	counters   Counters
 	slowdown   slowdown
 	advisor    advisor
+	stays      map[workflow.StepRef]Instant
 }
 
 // Counters count decisions since the engine began.
@@ -50,7 +51,7 @@
 func New(settings Settings, log zerolog.Logger, term uint64, state *workflow.State, now Instant) *Engine {
 	e := &Engine{
 		settings: settings, log: log, fence: term, state: state, now: now, wallMs: state.NowMs(),
-		views: make(map[workflow.WorkerID]*view), slowdown: newSlowdown(), advisor: newAdvisor(),
+		views: make(map[workflow.WorkerID]*view), slowdown: newSlowdown(), advisor: newAdvisor(), stays: make(map[workflow.StepRef]Instant),
 	}
 	for _, id := range slices.Sorted(maps.Keys(state.Workers())) {
 		e.addView(state.Worker(id))
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -135,13 +135,13 @@
 	return left[step]
 }
 
-// compareTurns orders steps by the priority of their queue, services before work
-// that ends, jobs that can still meet their objective before those that cannot,
+// compareTurns orders steps by the priority of their queue, work that ends before
+// services, which keep for good what they get, jobs that can still meet their objective before those that cannot,
 // and then by the time at which the job must be completed.
 func compareTurns(a, b *readyStep) int {
 	return cmp.Or(
 		cmp.Compare(a.job.Priority, b.job.Priority),
-		compareBools(b.step.Lasting, a.step.Lasting),
+		compareBools(a.step.Lasting, b.step.Lasting),
 		compareBools(a.late, b.late),
 		cmp.Compare(a.dueMs, b.dueMs),
 		cmp.Compare(a.ref.Job, b.ref.Job), cmp.Compare(a.ref.Occurrence, b.ref.Occurrence), cmp.Compare(a.ref.Step, b.ref.Step),
@@ -172,6 +172,9 @@
 		if !s.job.Active() || pool.covered(s) {
 			continue
 		}
+		if s.step.Lasting && !e.mayStay(pool, s) {
+			continue
+		}
 		if s.step.Gang {
 			e.placeGang(pool, s)
 			continue
--- /dev/null
+++ b/dispatch/stay.go
@@ -0,0 +1,53 @@
+package dispatch
+
+import (
+	"maps"
+	"time"
+
+	"mangohill.example/mangohill/workflow"
+)
+
+const (
+	// reservePercent is the part of a service's processors that is kept from tasks
+	// that last, for work that comes and goes.
+	reservePercent = 8
+	// stayAfter is the time for which the reserve must have been free for a task
+	// that lasts to get it all the same: the platform wants such a task to run
+	// within three seconds where there is room for two.
+	stayAfter = 1800 * time.Millisecond
+	// roomFor is the number of tasks for which there must be room meanwhile.
+	roomFor = 2
+)
+
+// mayStay reports whether a task that lasts may take room now. What it gets is
+// gone for good, so that work that comes and goes keeps a reserve, unless that
+// has not needed it for some time.
+func (e *Engine) mayStay(p *pool, s *readyStep) bool {
+	free, capacity, room := int64(0), int64(0), int64(0)
+	need := max(s.step.Resources.MilliProcessors, 1)
+	for _, c := range p.byService[s.job.Service] {
+		free += c.free.MilliProcessors
+		capacity += c.view.worker.Capacity.MilliProcessors
+		if e.hasRoom(c, s) {
+			room += c.free.MilliProcessors / need
+		}
+	}
+	if (free-need*int64(len(s.pending)))*100 >= capacity*reservePercent {
+		return true
+	}
+	if room < roomFor {
+		delete(e.stays, s.ref)
+		return false
+	}
+	since, known := e.stays[s.ref]
+	if !known {
+		e.stays[s.ref] = e.now
+		return false
+	}
+	return e.since(since) >= stayAfter
+}
+
+// forgetStays drops what is known of the steps of a job that has ended.
+func (e *Engine) forgetStays(job *workflow.Job) {
+	maps.DeleteFunc(e.stays, func(ref workflow.StepRef, _ Instant) bool { return ref.Job == job.ID })
+}
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -276,6 +276,9 @@
 
 // stopEnded stops the attempts of a job that has ended.
 func (e *Engine) stopEnded(job *workflow.Job) {
+	e.forgetAdvice(job)
+	e.forgetStays(job)
+	delete(e.slowdown.own, job.ID)
 	for o := range job.Occurrences {
 		for s, tasks := range job.Occurrences[o].Steps {
 			for i := range tasks {
--- a/replica/options.go
+++ b/replica/options.go
@@ -56,8 +56,12 @@
 	// memory exceeds SnapshotBytes. Half of SnapshotEntries is kept behind it.
 	SnapshotEntries uint64
 	SnapshotBytes   int
-	Caller          controlapi.Caller
-	FileSystem      storage.FileSystem
+	// Voters is the number of voters that the group needs: one beyond it that has
+	// been silent for RemovalTicks is removed. Zero keeps all.
+	Voters       int
+	RemovalTicks int
+	Caller       controlapi.Caller
+	FileSystem   storage.FileSystem
 	// Now and Seed stand in for the clock and for randomness in tests.
 	Now  func() time.Time
 	Seed uint64
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -165,6 +165,8 @@
 		ID:             loaded.Identity.Member,
 		ElectionTicks:  r.options.ElectionTicks,
 		HeartbeatTicks: r.options.HeartbeatTicks,
+		Voters:         r.options.Voters,
+		RemovalTicks:   r.options.RemovalTicks,
 		Seed:           r.options.Seed,
 	}, loaded.Restored)
 	if err != nil {
