--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -13,11 +13,12 @@
 	job     *workflow.Job
 	step    *workflow.Step
 	pending []uint32
-	// dueMs is when the step's job must be completed to meet its objective, and
-	// leftMs the estimated time of the longest chain that is still to run.
-	dueMs, leftMs int64
-	// late is set in a turn in which the objective cannot be met any more.
-	late bool
+	// leftMs is the estimated time of the longest chain that is still to run, and
+	// dueMs the deadline that orders the steps, for the stage of the job's delay.
+	leftMs, dueMs int64
+	// chainMs is the estimated time of the longest chain of the whole job.
+	chainMs int64
+	stage   stage
 }
 
 // readySteps keeps the steps with pending tasks in the order of their turn.
@@ -43,7 +44,7 @@
 	}
 	clear(r.touched)
 	for _, s := range r.order {
-		if late := s.isLate(nowMs); late != s.late {
+		if s.stageAt(nowMs) != s.stage {
 			r.changed = true
 		}
 	}
@@ -54,16 +55,48 @@
 	r.order = r.order[:0]
 	for _, steps := range r.byJob {
 		for _, s := range steps {
-			s.late = s.isLate(nowMs)
+			s.stage = s.stageAt(nowMs)
+			s.dueMs = s.deadline(s.stage)
 		}
 		r.order = append(r.order, steps...)
 	}
 	slices.SortFunc(r.order, compareTurns)
 }
 
-// isLate reports whether the job cannot meet its objective any more.
-func (s *readyStep) isLate(nowMs int64) bool {
-	return !s.step.Lasting && nowMs+s.leftMs > s.dueMs
+// stage is how far behind a job is.
+type stage uint8
+
+const (
+	// inTime jobs can meet their latency objective.
+	inTime stage = iota
+	// late jobs can be completed within lateFactor times their objective.
+	late
+	// tooLate jobs are worth nothing to their callers any more.
+	tooLate
+)
+
+// lateFactor times its objective is the time until which a late job is worth
+// something; the platform's page on rules states it.
+const lateFactor = 3
+
+// deadline returns when the job must be completed at a stage.
+func (s *readyStep) deadline(at stage) int64 {
+	begin := max(s.job.AcceptedMs, s.job.Spec.DueMs(s.ref.Occurrence))
+	objective := s.job.LatencyObjectiveMs + s.chainMs*s.job.StretchMilli/1000
+	if at == inTime {
+		return begin + objective
+	}
+	return begin + lateFactor*objective
+}
+
+func (s *readyStep) stageAt(nowMs int64) stage {
+	switch end := nowMs + s.leftMs; {
+	case s.step.Lasting || end <= s.deadline(inTime):
+		return inTime
+	case end <= s.deadline(late):
+		return late
+	}
+	return tooLate
 }
 
 func (r *readySteps) refreshJob(id workflow.JobID, job *workflow.Job) {
@@ -97,17 +130,11 @@
 	}
 	r.byJob[job.ID] = append(r.byJob[job.ID], &readyStep{
 		ref: workflow.StepRef{Job: job.ID, Occurrence: occurrence, Step: step}, job: job, step: &job.Spec.Steps[step],
-		pending: pending, dueMs: dueMs(job, occurrence), leftMs: chainLeftMs(job, step),
+		pending: pending, chainMs: longestChainMs(job), leftMs: chainLeftMs(job, step),
 	})
 	r.changed = true
 }
 
-// dueMs returns when a job must be completed to meet its latency objective.
-func dueMs(job *workflow.Job, occurrence uint32) int64 {
-	begin := max(job.AcceptedMs, job.Spec.DueMs(occurrence))
-	return begin + job.LatencyObjectiveMs + longestChainMs(job)*job.StretchMilli/1000
-}
-
 // longestChainMs is the estimated time of the longest chain of steps.
 func longestChainMs(job *workflow.Job) int64 {
 	longest := int64(0)
@@ -136,13 +163,13 @@
 }
 
 // compareTurns orders steps by the priority of their queue, work that ends before
-// services, which keep for good what they get, jobs that can still meet their objective before those that cannot,
-// and then by the time at which the job must be completed.
+// services, which keep for good what they get, jobs that are worth something before those that
+// are not, and then by the deadline of their stage.
 func compareTurns(a, b *readyStep) int {
 	return cmp.Or(
 		cmp.Compare(a.job.Priority, b.job.Priority),
 		compareBools(a.step.Lasting, b.step.Lasting),
-		compareBools(a.late, b.late),
+		compareBools(a.stage == tooLate, b.stage == tooLate),
 		cmp.Compare(a.dueMs, b.dueMs),
 		cmp.Compare(a.ref.Job, b.ref.Job), cmp.Compare(a.ref.Occurrence, b.ref.Occurrence), cmp.Compare(a.ref.Step, b.ref.Step),
 	)
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -33,10 +33,16 @@
 	need      workflow.Resources
 	scavenger bool
 	lasting   bool
+	// image decides for scavengers, which disturb by it.
+	image string
 }
 
 func shapeOf(job *workflow.Job, step *workflow.Step) shape {
-	return shape{service: job.Service, label: step.Label, need: step.Resources, scavenger: step.Scavenger, lasting: step.Lasting}
+	s := shape{service: job.Service, label: step.Label, need: step.Resources, scavenger: step.Scavenger, lasting: step.Lasting}
+	if step.Scavenger {
+		s.image = step.Image
+	}
+	return s
 }
 
 func (e *Engine) newPool() *pool {
@@ -71,7 +77,7 @@
 func (p *pool) covered(s *readyStep) bool {
 	want := shapeOf(s.job, s.step)
 	return slices.ContainsFunc(p.failed, func(f shape) bool {
-		return f.service == want.service && f.scavenger == want.scavenger && f.lasting == want.lasting && (f.label == "" || f.label == want.label) && f.need.Fits(want.need)
+		return f.service == want.service && f.scavenger == want.scavenger && f.lasting == want.lasting && f.image == want.image && (f.label == "" || f.label == want.label) && f.need.Fits(want.need)
 	})
 }
 
