Judge workers by failures and progress

Two failures of different jobs in a row quarantine a worker for 2.5 s, as do attempts below 0.4 of their estimated pace; at most a quarter of the workers at a time, since more means that the work is at fault. The two tests failed with the judgement switched off.

--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -117,6 +117,7 @@
 	e.takeEnds(v, answer.Ended)
 	e.takeRunning(v, answer)
 	e.relieve(v)
+	e.judge(v)
 	// A worker answers a look at once while it lists ends that are not
 	// acknowledged, so the next one waits for their record.
 	e.then(func() {
@@ -152,6 +153,7 @@
 		return
 	}
 	e.countEnd(end.How)
+	e.noteEnd(v, end)
 	e.ready.touch(end.Task.Job)
 	a := v.attempts[end.Task]
 	event := e.log.Info().Stringer("task", end.Task).Uint32("attempt", end.Attempt).Str("worker", v.worker.Life.Name).Stringer("how", end.How).Uint64("number", end.Number).Uint64("term", e.fence)
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -32,6 +32,8 @@
 	slowdown   slowdown
 	advisor    advisor
 	stays      map[workflow.StepRef]Instant
+	// avoid names the worker on which a task failed last.
+	avoid map[workflow.TaskRef]avoided
 }
 
 // Counters count decisions since the engine began.
@@ -52,6 +54,7 @@
 	e := &Engine{
 		settings: settings, log: log, fence: term, state: state, now: now, wallMs: state.NowMs(),
 		views: make(map[workflow.WorkerID]*view), slowdown: newSlowdown(), advisor: newAdvisor(), stays: make(map[workflow.StepRef]Instant),
+		avoid: make(map[workflow.TaskRef]avoided),
 	}
 	for _, id := range slices.Sorted(maps.Keys(state.Workers())) {
 		e.addView(state.Worker(id))
--- /dev/null
+++ b/dispatch/health_test.go
@@ -0,0 +1,48 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"mangohill.example/mangohill/workflow"
+)
+
+// TestAWorkerThatFailsEverythingGetsLittle: one of four workers fails all that it
+// starts; jobs whose tasks may fail twice complete all the same.
+func TestAWorkerThatFailsEverythingGetsLittle(t *testing.T) {
+	s := newSim(t, 7)
+	s.setCatalog()
+	grey := s.addWorker("w1", 8)
+	grey.fails = true
+	for _, name := range []string{"w2", "w3", "w4"} {
+		s.addWorker(name, 8)
+	}
+	s.run(time.Second)
+	for id := workflow.JobID(1); id <= 30; id++ {
+		s.submit(id, step(4))
+		s.run(200 * time.Millisecond)
+	}
+	require.True(t, s.runUntil(10*time.Second, func() bool { return s.allEnded(30) }))
+	for id := workflow.JobID(1); id <= 30; id++ {
+		assert.Equal(t, workflow.JobCompleted, s.state(id))
+	}
+	assert.Less(t, len(grey.endedAt), 20, "a worker that fails everything gets a fraction of 120 tasks")
+	assert.Empty(t, s.violations)
+}
+
+// TestATaskThatStandsStillMoves: a worker on which nothing makes progress loses
+// its tasks to another.
+func TestATaskThatStandsStillMoves(t *testing.T) {
+	s := newSim(t, 8)
+	s.setCatalog()
+	hung := s.addWorker("w1", 8)
+	hung.hangs = true
+	s.run(time.Second)
+	s.submit(1, step(4))
+	s.addWorker("w2", 8)
+	require.True(t, s.runUntil(10*time.Second, func() bool { return s.state(1) == workflow.JobCompleted }))
+	assert.Empty(t, s.violations)
+}
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -111,7 +111,7 @@
 	var best *candidate
 	bestScore := int64(0)
 	for _, c := range p.byService[s.job.Service] {
-		if !e.admits(c, s) {
+		if !e.admits(c, s) || e.failedOn(s, c.view) {
 			continue
 		}
 		if score := e.score(c, s); best == nil || score > bestScore {
@@ -121,6 +121,16 @@
 	return best
 }
 
+// failedOn reports whether the next task of the step failed on the worker last.
+func (e *Engine) failedOn(s *readyStep, v *view) bool {
+	if len(e.avoid) == 0 {
+		return false
+	}
+	next := workflow.TaskRef{Job: s.ref.Job, Occurrence: s.ref.Occurrence, Step: s.ref.Step, Index: s.pending[0]}
+	a, failed := e.avoid[next]
+	return failed && a.worker == v.worker.ID && e.now < a.until
+}
+
 // admits reports whether a worker may run a task of the step.
 func (e *Engine) admits(c *candidate, s *readyStep) bool {
 	return e.hasRoom(c, s) && e.permitted(c, s)
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -81,13 +81,15 @@
 	dead     bool
 	cut      bool
 	draining bool
-	fence    uint64
-	lease    Instant
-	running  map[workflow.TaskRef]*simRun
-	highest  map[workflow.TaskRef]uint32
-	ended    []EndedAttempt
-	number   uint64
-	holds    []*simHold
+	// fails and hangs make a worker fail what it starts, or make no progress.
+	fails, hangs bool
+	fence        uint64
+	lease        Instant
+	running      map[workflow.TaskRef]*simRun
+	highest      map[workflow.TaskRef]uint32
+	ended        []EndedAttempt
+	number       uint64
+	holds        []*simHold
 	// endedAt is when each listed end came, lapsedAt when the lease last ran out.
 	endedAt  map[uint64]Instant
 	lapsedAt Instant
@@ -98,9 +100,21 @@
 	ref     workflow.TaskRef
 	attempt uint32
 	step    *workflow.Step
+	at      Instant
 	stops   bool
 }
 
+// percent is the reported progress.
+func (r *simRun) percent() int {
+	if r.step.Lasting {
+		return fullShare
+	}
+	if r.worker.hangs {
+		return 0
+	}
+	return min(int(r.worker.sim.now.Sub(r.at).Milliseconds()*fullShare/r.step.EstimateMs), fullShare-1)
+}
+
 type simHold struct {
 	order  Order
 	answer func(Answer)
@@ -383,7 +397,7 @@
 	if at, ok := s.cancelled[ref.Job]; ok && s.now.Sub(at) > 3*time.Second && s.faults.late == 0 {
 		s.violate("task %s starts %v after its cancelling", ref, s.now.Sub(at))
 	}
-	run := &simRun{worker: w, ref: ref, attempt: attempt, step: step}
+	run := &simRun{worker: w, ref: ref, attempt: attempt, step: step, at: s.now}
 	w.running[ref] = run
 	trace.Info().Stringer("task", ref).Uint32("attempt", attempt).Str("worker", w.life.Name).Dur("now", time.Duration(s.now)).Msg("worker starts")
 	s.runs[ref] = append(s.runs[ref], run)
@@ -402,7 +416,7 @@
 	if step.MaxPerWorker > 0 && sameStep > step.MaxPerWorker {
 		s.violate("%d tasks of a step on %s", sameStep, w.life.Name)
 	}
-	if step.Lasting {
+	if step.Lasting || w.hangs {
 		return
 	}
 	took := time.Duration(float64(step.EstimateMs)*(0.6+s.rng.Float64())) * time.Millisecond
@@ -411,7 +425,7 @@
 			return
 		}
 		how := workflow.EndDone
-		if s.rng.Float64() < s.faults.failing {
+		if w.fails || s.rng.Float64() < s.faults.failing {
 			how = workflow.EndFailed
 		}
 		w.end(ref, run, how)
@@ -484,7 +498,7 @@
 		h.open = false
 		a := Answer{Order: h.order, Outcome: Done, ClockMs: w.clock(), Ended: slices.Clone(w.ended)}
 		for ref, run := range w.running {
-			a.Running = append(a.Running, RunningAttempt{Task: ref, Attempt: run.attempt, Percent: 100})
+			a.Running = append(a.Running, RunningAttempt{Task: ref, Attempt: run.attempt, Percent: run.percent()})
 		}
 		slices.SortFunc(a.Running, func(x, y RunningAttempt) int { return compareTasks(x.Task, y.Task) })
 		h.answer(a)
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -30,6 +30,7 @@
 	// acked is the number of the last end whose record is committed.
 	acked     uint64
 	suspectTo Instant
+	health    health
 	// attempts are those that may run there, list the same in the order in which
 	// they came. A list is replaced and never changed, so that it may be read
 	// while attempts end.
@@ -63,6 +64,7 @@
 	checkpoint string
 	gauge      int64
 	gaugeAt    Instant
+	pace       pace
 	// share is the share of its speed in percent that the worker took last,
 	// wantShare the one that is due.
 	share, wantShare int
@@ -279,6 +281,7 @@
 	e.forgetAdvice(job)
 	e.forgetStays(job)
 	delete(e.slowdown.own, job.ID)
+	maps.DeleteFunc(e.avoid, func(ref workflow.TaskRef, _ avoided) bool { return ref.Job == job.ID })
 	for o := range job.Occurrences {
 		for s, tasks := range job.Occurrences[o].Steps {
 			for i := range tasks {
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -76,6 +76,7 @@
 		"worker end not recorded",
 		"worker joined",
 		"worker over",
+		"worker quarantined",
 		"worker reached",
 		"worker reborn",
 	}
