--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -22,6 +22,10 @@
 	// paceSample is the shortest time over which progress is measured: several
 	// times the grain of the workers' percents on tasks of a second.
 	paceSample = 400 * time.Millisecond
+	// hungPace is the pace below which a scavenger hangs, measured over hungSample:
+	// one that only gets few processors is faster.
+	hungPace   = 0.1
+	hungSample = 1500 * time.Millisecond
 	// slowPace is the part of the estimated pace below which an attempt is slow.
 	// Estimates are a fifth off, and scavengers get less than they ask for.
 	slowPace = 0.4
@@ -101,8 +105,11 @@
 		a.pace = pace{percent: a.percent, at: e.now}
 		return
 	}
-	elapsed := e.since(a.pace.at)
-	if elapsed < paceSample {
+	elapsed, sample := e.since(a.pace.at), paceSample
+	if step.Scavenger {
+		sample = hungSample
+	}
+	if elapsed < sample {
 		return
 	}
 	done := float64(a.percent-a.pace.percent) / fullShare * float64(step.EstimateMs)
@@ -136,10 +143,18 @@
 	}
 }
 
+// slowestPace is the pace below which an attempt may be moved.
+func slowestPace(step *workflow.Step) float64 {
+	if step.Scavenger {
+		return hungPace
+	}
+	return slowPace
+}
+
 // restartSlow stops an attempt that would be done sooner on another worker.
 func (e *Engine) restartSlow(v *view, a *attempt) {
 	step, job := e.step(a.ref), e.state.Job(a.ref.Job)
-	if step == nil || step.Gang || !a.pace.known || a.pace.rate >= slowPace || a.stopWanted || !a.running || a.number > maxRestarts {
+	if step == nil || step.Gang || !a.pace.known || a.pace.rate >= slowestPace(step) || a.stopWanted || !a.running || a.number > maxRestarts {
 		return
 	}
 	estimate := time.Duration(step.EstimateMs) * time.Millisecond
