--- a/dispatch/relief.go
+++ b/dispatch/relief.go
@@ -11,9 +11,14 @@
 )
 
 const (
-	// servingLoad is the share of its request that a serving task is assumed to
-	// use, in percent.
-	servingLoad = 45
+	// servingLoad is the part of its request that a serving task is assumed to use
+	// before there are readings.
+	servingLoad = 0.45
+	// idleLatency is the part of the least tail latency seen of an image that it
+	// has without load; the least was at some load, too.
+	idleLatency = 0.8
+	// leastLoad and mostLoad bound the estimate.
+	leastLoad, mostLoad = 0.15, 0.9
 	// scavengerShare is the share of its request that must be unused before a
 	// scavenger is started, in percent.
 	scavengerShare = 50
@@ -57,6 +62,18 @@
 	// own holds, for each job whose tasks serve, their logarithmic tail latency
 	// without neighbours: the tasks of a job share its load.
 	own map[workflow.JobID]*ownLatency
+	// least is the least own latency of each image, as a logarithm.
+	least map[string]float64
+}
+
+// load estimates the part of its request that a serving task uses: the tail
+// latency of a queue grows with 1/(1-load).
+func (s *slowdown) load(job workflow.JobID, image string) float64 {
+	own, least := s.own[job], s.least[image]
+	if own == nil || least == 0 {
+		return servingLoad
+	}
+	return min(max(1-idleLatency*math.Exp(least-own.value()), leastLoad), mostLoad)
 }
 
 // ownLatency is a weighted mean that forgets with ownTime.
@@ -73,7 +90,7 @@
 }
 
 func newSlowdown() slowdown {
-	return slowdown{model: interference.NewModelWith(readingParams()), victims: make(map[string]interference.VictimID), own: make(map[workflow.JobID]*ownLatency)}
+	return slowdown{model: interference.NewModelWith(readingParams()), victims: make(map[string]interference.VictimID), own: make(map[workflow.JobID]*ownLatency), least: make(map[string]float64)}
 }
 
 func (s *slowdown) victim(image string) interference.VictimID {
@@ -244,7 +261,7 @@
 		if step == nil || !step.Lasting || step.LatencyTargetMs <= 0 || a.gaugeAt != e.now || a.gauge <= 0 || a.percent < fullShare {
 			continue
 		}
-		e.slowdown.observe(taken, e.now, ref.Job, e.slowdown.victim(step.Image), &shares, math.Log(float64(a.gauge)), a)
+		e.slowdown.observe(taken, e.now, ref.Job, step.Image, e.slowdown.victim(step.Image), &shares, math.Log(float64(a.gauge)), a)
 	}
 }
 
@@ -258,7 +275,7 @@
 )
 
 // observe takes in one reading of a serving task.
-func (s *slowdown) observe(taken time.Time, now Instant, job workflow.JobID, id interference.VictimID, shares *interference.Shares, reading float64, a *attempt) {
+func (s *slowdown) observe(taken time.Time, now Instant, job workflow.JobID, image string, id interference.VictimID, shares *interference.Shares, reading float64, a *attempt) {
 	excess := 0.0
 	for c, share := range shares {
 		if share > 0 {
@@ -274,6 +291,9 @@
 		s.model.Observe(taken, id, 0, shares, reading-own.value())
 	}
 	own.add(reading-excess, 1/(1+excess/cleanScale), now)
+	if least, known := s.least[image]; own.weight > 1 && (!known || own.value() < least) {
+		s.least[image] = own.value()
+	}
 	a.deviation += deviationWeight * (reading - excess - own.value() - a.deviation)
 }
 
@@ -302,7 +322,7 @@
 		use := step.Resources.MilliProcessors
 		switch {
 		case step.Lasting:
-			use = use * servingLoad / 100
+			use = int64(float64(use) * e.slowdown.load(ref.Job, step.Image))
 		case step.Scavenger:
 			use = use * int64(max(a.wantShare, 0)) / fullShare
 		}
