--- a/dispatch/relief.go
+++ b/dispatch/relief.go
@@ -21,7 +21,7 @@
 	leastLoad, mostLoad = 0.15, 0.9
 	// scavengerShare is the share of its request that must be unused before a
 	// scavenger is started, in percent.
-	scavengerShare = 50
+	scavengerShare = 25
 	// admitLimit and throttleLimit are the shares of its target that a serving
 	// task's predicted tail latency may reach before no scavenger is added beside
 	// it, and before those beside it are throttled.
