--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -66,6 +66,7 @@
 	advice  chan dispatch.Advice
 	commits chan commit
 	serving atomic.Bool
+	metrics *metrics
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -100,7 +101,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Coordinator{
 		options: options, store: store, replica: started, ctx: ctx, cancel: cancel,
-		events: make(chan event, eventCapacity), answers: make(chan dispatch.Answer, eventCapacity), commits: make(chan commit, 1), advice: make(chan dispatch.Advice, 1),
+		events: make(chan event, eventCapacity), answers: make(chan dispatch.Answer, eventCapacity), commits: make(chan commit, 1), advice: make(chan dispatch.Advice, 1), metrics: newMetrics(),
 	}
 	c.group.Add(1)
 	go c.run()
@@ -147,8 +148,10 @@
 	default:
 		return Result{}, kind.Errorf(kind.Overloaded, "%d calls wait for the leader's loop", eventCapacity)
 	}
+	begun := time.Now()
 	select {
 	case o := <-done:
+		c.metrics.calls.Record(time.Since(begun))
 		return o.result, o.err
 	case <-ctx.Done():
 		return Result{}, kind.Errorf(kind.UnknownOutcome, "the leader has not committed the call: %w", ctx.Err())
--- a/coordinator/loop.go
+++ b/coordinator/loop.go
@@ -53,6 +53,7 @@
 		case <-ticker.C:
 			if l.engine != nil {
 				l.engine.Tick(l.instant(), time.Now().UnixMilli())
+				l.publish()
 			}
 		}
 		l.takeWaiting()
@@ -60,6 +61,11 @@
 	}
 }
 
+func (l *loop) publish() {
+	state := l.engine.State()
+	l.metrics.decided.Store(&decided{Counters: l.engine.Counters(), Term: l.term, Jobs: len(state.Jobs()), Workers: len(state.Workers())})
+}
+
 func (l *loop) instant() dispatch.Instant { return dispatch.Instant(boottime.Nanoseconds()) }
 
 func (l *loop) advance() {
@@ -119,6 +125,7 @@
 }
 
 func (l *loop) answered(a *dispatch.Answer) {
+	l.metrics.orderDone(a)
 	if l.engine == nil || a.Order.Fence != l.term {
 		return
 	}
@@ -192,7 +199,9 @@
 	l.group.Add(1)
 	go func() {
 		defer l.group.Done()
+		begun := time.Now()
 		result, err := l.replica.Propose(l.ctx, data)
+		l.metrics.commit.Record(time.Since(begun))
 		select {
 		case l.commits <- commit{term: term, result: result, err: err}:
 		case <-l.ctx.Done():
@@ -208,8 +217,10 @@
 		answer := dispatch.Answer{Order: order, Outcome: dispatch.Unhealthy}
 		if l.confirmed() {
 			ctx, cancel := context.WithTimeout(l.ctx, order.Timeout())
+			begun := time.Now()
 			answer = l.options.Workers.Do(ctx, &order)
 			cancel()
+			l.metrics.orders[order.Verb].Record(time.Since(begun))
 		}
 		select {
 		case l.answers <- answer:
