Send nothing more for an attempt that a worker refused

After the answer that a start was refused the attempt was voided, and the order that was due for it next was a second start of the same attempt, which a worker that sheds some orders took. Ruled out by the log: a refusal of a start that ran, since the worker's answer and the placement were 1.5 ms apart and the run ended under that attempt.

--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -46,7 +46,8 @@
 // faults are probabilities of an order.
 type faults struct {
 	lostOrder, lostAnswer, late float64
-	failing                     float64
+	// failing is that of a task, shedding that a worker refuses a start.
+	failing, shedding float64
 }
 
 type timer struct {
@@ -324,6 +325,10 @@
 		w.extend(order.ExpiresMs)
 		w.hold(order, answer)
 	case Start:
+		if w.sim.rng.Float64() < w.sim.faults.shedding {
+			reply(Unhealthy)
+			return
+		}
 		reply(w.start(&order))
 	case Stop:
 		w.stop(&order)
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -340,7 +340,7 @@
 // tendAttempt issues the order that is due for an attempt.
 func (e *Engine) tendAttempt(v *view, a *attempt) {
 	ref := a.ref
-	if !a.committed || a.calling || e.now < a.retryAt || !e.reachable(v) {
+	if v.attempts[ref] != a || !a.committed || a.calling || e.now < a.retryAt || !e.reachable(v) {
 		return
 	}
 	switch {
