Let tasks that last take suspected workers, and give up the reserve sooner

A trace of the room (scratch trial) showed none on the workers that get work, but three to six were suspected of slow work, and the platform counts their room.

--- a/dispatch/health_test.go
+++ b/dispatch/health_test.go
@@ -46,3 +46,20 @@
 	require.True(t, s.runUntil(10*time.Second, func() bool { return s.state(1) == workflow.JobCompleted }))
 	assert.Empty(t, s.violations)
 }
+
+// TestATaskThatLastsTakesASuspectedWorker: a task that lasts runs wherever there is
+// room, also on a worker that gets no other work for now.
+func TestATaskThatLastsTakesASuspectedWorker(t *testing.T) {
+	s := newSim(t, 9)
+	s.setCatalog()
+	s.addWorker("w1", 8)
+	s.run(time.Second)
+	s.engine.list[0].suspectTo = s.now.Add(time.Minute)
+	lasting := step(1)
+	lasting.Lasting = true
+	s.submit(1, lasting)
+	s.submit(2, step(1))
+	s.run(time.Second)
+	assert.Equal(t, workflow.JobRunning, s.state(1))
+	assert.Equal(t, workflow.JobPending, s.state(2))
+}
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -9,6 +9,9 @@
 // candidate is a worker as one plan sees it.
 type candidate struct {
 	view *view
+	// suspect workers get only tasks that last, which the platform wants to run
+	// wherever there is room.
+	suspect bool
 	// free is what is not reserved.
 	free workflow.Resources
 	// idle is the estimate of the processors that nothing uses, in thousandths.
@@ -48,7 +51,7 @@
 func (e *Engine) newPool() *pool {
 	p := &pool{byService: make(map[string][]*candidate)}
 	for _, v := range e.list {
-		if !e.usable(v) {
+		if !e.answers(v) {
 			continue
 		}
 		p.byService[v.worker.Service] = append(p.byService[v.worker.Service], e.candidateOf(v))
@@ -57,12 +60,12 @@
 }
 
 func (e *Engine) candidateOf(v *view) *candidate {
-	return &candidate{view: v, free: v.worker.Capacity.Sub(v.worker.Reserved), idle: e.idleProcessors(v)}
+	return &candidate{view: v, suspect: e.now < v.suspectTo, free: v.worker.Capacity.Sub(v.worker.Reserved), idle: e.idleProcessors(v)}
 }
 
-// usable reports whether a worker may get new work.
-func (e *Engine) usable(v *view) bool {
-	return !v.worker.Draining && e.reachable(v) && v.clockMs > 0 && e.now >= v.suspectTo
+// answers reports whether a worker can take orders and stays.
+func (e *Engine) answers(v *view) bool {
+	return !v.worker.Draining && e.reachable(v) && v.clockMs > 0
 }
 
 // noteExhausted remembers that no worker has room for a task of the step. A step
@@ -140,6 +143,8 @@
 func (e *Engine) hasRoom(c *candidate, s *readyStep) bool {
 	step := s.step
 	switch {
+	case c.suspect && !step.Lasting:
+		return false
 	case !step.Reserved().Fits(c.free):
 		return false
 	case step.Scavenger && (c.idle < scavengerRoom(step) || c.headroom(e, step) < 0):
@@ -163,12 +168,18 @@
 	if s.step.Scavenger {
 		return score + c.idle + int64(min(c.headroom(e, s.step), 1)*headroomWeight)
 	}
+	if c.suspect {
+		score -= suspectWeight
+	}
 	if s.step.Lasting {
 		score += int64(c.affinity(e, s.step)) * affinityWeight
 	}
 	return score - c.free.MilliProcessors
 }
 
+// suspectWeight puts a suspected worker behind all others.
+const suspectWeight = 1 << 50
+
 // affinityWeight makes one task of another image outweigh any difference in room,
 // in thousandths of a processor.
 const affinityWeight = 1 << 30
--- a/dispatch/stay.go
+++ b/dispatch/stay.go
@@ -13,8 +13,8 @@
 	reservePercent = 8
 	// stayAfter is the time for which the reserve must have been free for a task
 	// that lasts to get it all the same: the platform wants such a task to run
-	// within three seconds where there is room for two.
-	stayAfter = 1800 * time.Millisecond
+	// within three seconds where there is room for two, and ends are known a second late.
+	stayAfter = time.Second
 	// roomFor is the number of tasks for which there must be room meanwhile.
 	roomFor = 2
 )
