--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -145,6 +145,8 @@
 }
 
 func (e *Engine) takeEnd(v *view, end *EndedAttempt) {
+	before := e.state.Job(end.Task.Job)
+	active := before != nil && before.Active()
 	err := e.decide(workflow.Op{End: &workflow.End{
 		Worker: v.worker.ID, Number: end.Number, Task: end.Task, Attempt: end.Attempt, How: end.How, Checkpoint: end.Checkpoint,
 	}})
@@ -166,7 +168,7 @@
 	}
 	event.Msg("attempt ended")
 	job := e.state.Job(end.Task.Job)
-	if job != nil && !job.Active() {
+	if active && !job.Active() {
 		e.jobEnded(job)
 	}
 }
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -21,6 +21,8 @@
 	// list holds the views in the order of their IDs. It is replaced, not changed.
 	list []*view
 	now  Instant
+	// began is when the engine took over.
+	began Instant
 	// wallMs is the wall clock in milliseconds since the Unix epoch.
 	wallMs int64
 
@@ -52,7 +54,7 @@
 // state, of which it becomes the owner.
 func New(settings Settings, log zerolog.Logger, term uint64, state *workflow.State, now Instant) *Engine {
 	e := &Engine{
-		settings: settings, log: log, fence: term, state: state, now: now, wallMs: state.NowMs(),
+		settings: settings, log: log, fence: term, state: state, now: now, began: now, wallMs: state.NowMs(),
 		views: make(map[workflow.WorkerID]*view), slowdown: newSlowdown(), advisor: newAdvisor(), stays: make(map[workflow.StepRef]Instant),
 		avoid: make(map[workflow.TaskRef]avoided),
 	}
--- a/dispatch/relief.go
+++ b/dispatch/relief.go
@@ -31,6 +31,9 @@
 	// latency of a job's tasks is believed to be without neighbours: readings come
 	// each second, load swings within ten.
 	ownTime = time.Second
+	// learningTime is how long a new leader moves nothing for the sake of serving
+	// tasks: it has yet to learn what disturbs them.
+	learningTime = 4 * time.Second
 	// headroomWeight makes a factor e of headroom worth so many idle processors,
 	// in thousandths.
 	headroomWeight = 16000
@@ -199,7 +202,7 @@
 	if a.slowSince == 0 {
 		a.slowSince = e.now
 	}
-	if e.since(a.slowSince) < relocateAfter || a.percent >= nearlyDone || !a.running || a.stopWanted || !s.step.SavesProgress || !e.elsewhere(v, s.job, s.step) {
+	if e.since(e.began) < learningTime || e.since(a.slowSince) < relocateAfter || a.percent >= nearlyDone || !a.running || a.stopWanted || !s.step.SavesProgress || !e.elsewhere(v, s.job, s.step) {
 		return
 	}
 	a.stopWanted = true
