--- a/internal/fake/relay.go
+++ b/internal/fake/relay.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // Relay is a TCP relay that can fall silent: on command it drops what passes on
@@ -18,6 +19,9 @@
 	wait     sync.WaitGroup
 	accepted atomic.Int64
 	cut      atomic.Bool
+	// deaf drops what the target answers, delay holds up each piece of it.
+	deaf  atomic.Bool
+	delay atomic.Int64
 }
 
 type link struct {
@@ -69,6 +73,27 @@
 	}
 }
 
+// Deafen drops what the target sends until it is called with false: a cut in one
+// direction. Connections on which something was dropped stay broken.
+func (r *Relay) Deafen(on bool) { r.deaf.Store(on) }
+
+// Delay holds up what the target sends.
+func (r *Relay) Delay(d time.Duration) { r.delay.Store(int64(d)) }
+
+// Reset resets the open connections.
+func (r *Relay) Reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for l := range r.links {
+		for _, end := range []net.Conn{l.near, l.far} {
+			if tcp, ok := end.(*net.TCPConn); ok {
+				_ = tcp.SetLinger(0) // Close sends a reset.
+			}
+			_ = end.Close() // Ends the pumps.
+		}
+	}
+}
+
 func (r *Relay) accept() {
 	defer r.wait.Done()
 	for {
@@ -96,20 +121,31 @@
 	r.mu.Unlock()
 	var both sync.WaitGroup
 	both.Add(2)
-	go func() { defer both.Done(); l.pump(near, far) }()
-	go func() { defer both.Done(); l.pump(far, near) }()
+	go func() { defer both.Done(); l.pump(near, far, nil) }()
+	go func() { defer both.Done(); l.pump(far, near, r.hinder) }()
 	both.Wait()
 	r.mu.Lock()
 	delete(r.links, l)
 	r.mu.Unlock()
 }
 
+// hinder delays an answer, or silences its connection.
+func (r *Relay) hinder(l *link) {
+	time.Sleep(time.Duration(r.delay.Load()))
+	if r.deaf.Load() {
+		l.silent.Store(true)
+	}
+}
+
 // pump passes bytes on until an end closes. On a silent link it drops them, and
 // the close as well.
-func (l *link) pump(from, to net.Conn) {
+func (l *link) pump(from, to net.Conn, hinder func(*link)) {
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
+		if hinder != nil {
+			hinder(l)
+		}
 		if n > 0 && !l.silent.Load() {
 			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
 				err = writeErr
