--- a/dispatch/engine_test.go
+++ b/dispatch/engine_test.go
@@ -186,3 +186,26 @@
 	require.Len(t, w2.endedAt, 8, "all tasks ran where they may")
 	require.Empty(t, s.violations)
 }
+
+// TestAWideGangGetsItsTurn: a gang as wide as the room waits for single tasks that
+// keep coming, and starts all the same.
+func TestAWideGangGetsItsTurn(t *testing.T) {
+	s := newSim(t, 10)
+	s.setCatalog()
+	s.addWorker("w1", 8)
+	s.addWorker("w2", 8)
+	s.run(time.Second)
+	next := workflow.JobID(100)
+	single := step(9)
+	single.Scavenger = true
+	s.every(300*time.Millisecond, func() {
+		next++
+		s.engine.Handle(&Request{Verb: Submit, Host: "h", Path: "/q/" + next.String(), Job: &workflow.JobSpec{Steps: []workflow.Step{single}}}, func(Reply) {})
+	})
+	s.run(2 * time.Second)
+	gang := step(14)
+	gang.Gang, gang.Scavenger, gang.EstimateMs = true, true, 1000
+	s.submit(1, gang)
+	require.True(t, s.runUntil(12*time.Second, func() bool { return s.state(1) == workflow.JobCompleted }), "the gang starts")
+	require.Empty(t, s.violations)
+}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -171,7 +171,7 @@
 		compareBools(a.step.Lasting, b.step.Lasting),
 		compareBools(a.stage == tooLate, b.stage == tooLate),
 		cmp.Compare(a.dueMs, b.dueMs),
-		cmp.Compare(a.ref.Job, b.ref.Job), cmp.Compare(a.ref.Occurrence, b.ref.Occurrence), cmp.Compare(a.ref.Step, b.ref.Step),
+		compareSteps(a.ref, b.ref),
 	)
 }
 
@@ -196,7 +196,7 @@
 		if s.job.Spec.DueMs(s.ref.Occurrence) > e.wallMs {
 			continue
 		}
-		if !s.job.Active() || pool.covered(s) {
+		if !s.job.Active() || pool.covered(s) || pool.heldBack(s) {
 			continue
 		}
 		if s.step.Lasting && !e.mayStay(pool, s) {
@@ -228,41 +228,6 @@
 	}
 }
 
-// placeGang places all tasks of a gang or none.
-func (e *Engine) placeGang(p *pool, s *readyStep) {
-	if uint32(len(s.pending)) < s.step.Count {
-		return // Members of an earlier run are still to end.
-	}
-	chosen := make([]*candidate, 0, s.step.Count)
-	for range s.step.Count {
-		c := e.choose(p, s)
-		if c == nil {
-			break
-		}
-		c.take(s)
-		chosen = append(chosen, c)
-	}
-	for _, c := range chosen {
-		c.give(s)
-	}
-	if len(chosen) < int(s.step.Count) {
-		e.ask(p, s)
-		return
-	}
-	number := uint32(0)
-	for _, task := range s.job.Occurrences[s.ref.Occurrence].Steps[s.ref.Step] {
-		number = max(number, task.Attempt)
-	}
-	for i, c := range chosen {
-		ref := workflow.TaskRef{Job: s.ref.Job, Occurrence: s.ref.Occurrence, Step: s.ref.Step, Index: uint32(i)}
-		if !e.place(c, s, ref, number+1) {
-			e.log.Error().Stringer("task", ref).Msg("gang not placed")
-		}
-	}
-	s.pending = nil
-	e.ready.touch(s.ref.Job)
-}
-
 // place records an attempt and starts it once the record is committed.
 func (e *Engine) place(c *candidate, s *readyStep, ref workflow.TaskRef, number uint32) bool {
 	v := c.view
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -27,6 +27,8 @@
 	byService map[string][]*candidate
 	// failed lists requests for which no worker had room in this plan.
 	failed []shape
+	// holders are the gangs for which other scavengers are held back.
+	holders map[string]workflow.StepRef
 }
 
 // shape is what decides whether a task fits a worker.
@@ -49,7 +51,7 @@
 }
 
 func (e *Engine) newPool() *pool {
-	p := &pool{byService: make(map[string][]*candidate)}
+	p := &pool{byService: make(map[string][]*candidate), holders: e.holds()}
 	for _, v := range e.list {
 		if !e.answers(v) {
 			continue
--- a/dispatch/relief.go
+++ b/dispatch/relief.go
@@ -202,7 +202,7 @@
 	if a.slowSince == 0 {
 		a.slowSince = e.now
 	}
-	if e.since(e.began) < learningTime || e.since(a.slowSince) < relocateAfter || a.percent >= nearlyDone || !a.running || a.stopWanted || !s.step.SavesProgress || !e.elsewhere(v, s.job, s.step) {
+	if e.since(e.began) < learningTime || e.since(a.slowSince) < relocateAfter || a.percent >= nearlyDone || !a.running || a.stopWanted || s.step.Gang || !s.step.SavesProgress || !e.elsewhere(v, s.job, s.step) {
 		return
 	}
 	a.stopWanted = true
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -280,6 +280,7 @@
 func (e *Engine) stopEnded(job *workflow.Job) {
 	e.forgetAdvice(job)
 	e.forgetStays(job)
+	e.forgetGangs(job)
 	delete(e.slowdown.own, job.ID)
 	maps.DeleteFunc(e.avoid, func(ref workflow.TaskRef, _ avoided) bool { return ref.Job == job.ID })
 	for o := range job.Occurrences {
