Place tasks that last despite dips of the room and avoided workers

Read from the code: a dip of the room began the wait for the reserve anew, and a task that avoided the worker of its failure for 2 s counted as proof that nobody has room, also for other tasks that last.

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -21,6 +21,11 @@
 	stage   stage
 }
 
+// next names the first pending task.
+func (s *readyStep) next() workflow.TaskRef {
+	return workflow.TaskRef{Job: s.ref.Job, Occurrence: s.ref.Occurrence, Step: s.ref.Step, Index: s.pending[0]}
+}
+
 // readySteps keeps the steps with pending tasks in the order of their turn.
 type readySteps struct {
 	touched map[workflow.JobID]bool
@@ -215,11 +220,11 @@
 	for len(s.pending) > 0 {
 		c := e.choose(p, s)
 		if c == nil {
-			p.noteExhausted(s)
+			p.noteExhausted(s, e.avoids(s))
 			e.ask(p, s)
 			return
 		}
-		ref := workflow.TaskRef{Job: s.ref.Job, Occurrence: s.ref.Occurrence, Step: s.ref.Step, Index: s.pending[0]}
+		ref := s.next()
 		if !e.place(c, s, ref, s.job.Task(ref).Attempt+1) {
 			return
 		}
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -71,9 +71,10 @@
 }
 
 // noteExhausted remembers that no worker has room for a task of the step. A step
-// with a bound for each worker may have failed by that alone.
-func (p *pool) noteExhausted(s *readyStep) {
-	if s.step.MaxPerWorker == 0 && !s.job.Advised {
+// with a bound for each worker, with advice or with a task that avoids a worker
+// may have failed by that alone.
+func (p *pool) noteExhausted(s *readyStep, avoids bool) {
+	if s.step.MaxPerWorker == 0 && !s.job.Advised && !avoids {
 		p.failed = append(p.failed, shapeOf(s.job, s.step))
 	}
 }
@@ -126,14 +127,16 @@
 	return best
 }
 
-// failedOn reports whether the next task of the step failed on the worker last.
+// failedOn reports whether the next task of the step failed on the worker lately.
 func (e *Engine) failedOn(s *readyStep, v *view) bool {
-	if len(e.avoid) == 0 {
-		return false
-	}
-	next := workflow.TaskRef{Job: s.ref.Job, Occurrence: s.ref.Occurrence, Step: s.ref.Step, Index: s.pending[0]}
-	a, failed := e.avoid[next]
-	return failed && a.worker == v.worker.ID && e.now < a.until
+	a, failed := e.avoid[s.next()]
+	return failed && !s.step.Lasting && a.worker == v.worker.ID && e.now < a.until
+}
+
+// avoids reports whether the next task of the step keeps away from a worker.
+func (e *Engine) avoids(s *readyStep) bool {
+	a, failed := e.avoid[s.next()]
+	return failed && !s.step.Lasting && e.now < a.until
 }
 
 // admits reports whether a worker may run a task of the step.
--- a/dispatch/pool_test.go
+++ b/dispatch/pool_test.go
@@ -17,11 +17,13 @@
 		}}
 	}
 	p := &pool{}
-	p.noteExhausted(ready("harmful", 1000, true))
+	p.noteExhausted(ready("harmful", 1000, true), false)
 	assert.True(t, p.covered(ready("harmful", 2000, true)))
 	assert.False(t, p.covered(ready("harmful", 500, true)), "a smaller one may fit")
 	assert.False(t, p.covered(ready("harmless", 2000, true)))
 	assert.False(t, p.covered(ready("", 2000, false)))
-	p.noteExhausted(ready("", 1000, false))
+	p.noteExhausted(ready("", 1000, false), true)
+	assert.False(t, p.covered(ready("any", 2000, false)), "the task only avoids a worker")
+	p.noteExhausted(ready("", 1000, false), false)
 	assert.True(t, p.covered(ready("any", 2000, false)))
 }
--- a/dispatch/stay.go
+++ b/dispatch/stay.go
@@ -15,6 +15,8 @@
 	// that lasts to get it all the same: the platform wants such a task to run
 	// within three seconds where there is room for two, and ends are known a second late.
 	stayAfter = time.Second
+	// stayDip is a lack of room that does not end that time.
+	stayDip = 300 * time.Millisecond
 	// roomFor is the number of tasks for which there must be room meanwhile.
 	roomFor = 2
 )
@@ -36,18 +38,21 @@
 		return true
 	}
 	if room < roomFor {
-		delete(e.stays, s.ref)
 		return false
 	}
-	since, known := e.stays[s.ref]
-	if !known {
-		e.stays[s.ref] = e.now
-		return false
+	w, known := e.stays[s.ref]
+	if !known || e.since(w.seen) > stayDip {
+		w.since = e.now
 	}
-	return e.since(since) >= stayAfter
+	w.seen = e.now
+	e.stays[s.ref] = w
+	return e.since(w.since) >= stayAfter
 }
 
+// spell is a time in which there was room, but for dips.
+type spell struct{ since, seen Instant }
+
 // forgetStays drops what is known of the steps of a job that has ended.
 func (e *Engine) forgetStays(job *workflow.Job) {
-	maps.DeleteFunc(e.stays, func(ref workflow.StepRef, _ Instant) bool { return ref.Job == job.ID })
+	maps.DeleteFunc(e.stays, func(ref workflow.StepRef, _ spell) bool { return ref.Job == job.ID })
 }
