--- /dev/null
+++ b/dispatch/lives.go
@@ -0,0 +1,125 @@
+package dispatch
+
+import (
+	"slices"
+
+	"mangohill.example/mangohill/kind"
+	"mangohill.example/mangohill/workflow"
+)
+
+// Announcement is a worker's report about itself.
+type Announcement struct {
+	Life     workflow.Life
+	Address  string
+	Service  string
+	Zone     string
+	Labels   []string
+	Capacity workflow.Resources
+	Draining bool
+	// ClockMs is the worker's clock, zero if it gave none.
+	ClockMs int64
+}
+
+// Announce takes a worker's report and calls done once it is recorded.
+func (e *Engine) Announce(a *Announcement, done func(*kind.Error)) {
+	w := e.state.WorkerNamed(a.Life.Name)
+	if w == nil || w.Life.BornMs < a.Life.BornMs {
+		if err := e.join(a); err != nil {
+			done(asKind(err))
+			return
+		}
+		w = e.state.WorkerNamed(a.Life.Name)
+	}
+	if w.Life != a.Life {
+		done(kind.Errorf(kind.StaleIncarnation, "worker %q has begun a newer life", a.Life.Name))
+		return
+	}
+	if a.Draining && !w.Draining {
+		if err := e.decide(workflow.Op{Leave: &workflow.Leave{Worker: w.ID}}); err != nil {
+			done(asKind(err))
+			return
+		}
+		e.then(func() {
+			e.log.Info().Str("worker", w.Life.Name).Uint64("term", e.fence).Msg("worker draining")
+			e.evacuate(w.ID)
+		})
+	}
+	e.then(func() { done(nil) })
+}
+
+func (e *Engine) join(a *Announcement) error {
+	join := &workflow.Join{Life: a.Life, Address: a.Address, Service: a.Service, Zone: a.Zone, Labels: a.Labels, Capacity: a.Capacity}
+	if old := e.state.WorkerNamed(a.Life.Name); old != nil && old.Life.BornMs < a.Life.BornMs {
+		join.Carry = e.reborn(old, a)
+	}
+	if old := e.state.WorkerAt(a.Address); old != nil && old.Life.Name != a.Life.Name && old.Life.BornMs <= a.Life.BornMs {
+		e.endLife(old, "replaced_at_its_address")
+	}
+	if err := e.decide(workflow.Op{Join: join}); err != nil {
+		return err
+	}
+	w := e.state.WorkerNamed(a.Life.Name)
+	v := e.addView(w)
+	for _, a := range v.list {
+		a.stopWanted = a.stopWanted || !e.suits(w, a)
+	}
+	v.clockMs, v.clockAt = a.ClockMs, e.now
+	v.looking = true // Until the life is recorded.
+	e.then(func() {
+		e.log.Info().Str("worker", w.Life.Name).Int64("born_ms", w.Life.BornMs).Str("address", w.Address).Str("service", w.Service).Uint64("term", e.fence).Msg("worker joined")
+		v.looking = false
+		e.tend(v)
+	})
+	return nil
+}
+
+// reborn ends a life whose worker reports a newer one. It returns the attempts
+// whose start may still reach the new life, which answers to the same name: they
+// stay recorded, and are started or stopped there.
+func (e *Engine) reborn(old *workflow.Worker, next *Announcement) []workflow.TaskRef {
+	v := e.views[old.ID]
+	var carried []workflow.TaskRef
+	for _, a := range v.list {
+		if a.committed && !a.seen && old.Address == next.Address {
+			carried = append(carried, a.ref)
+			continue
+		}
+		e.void(v, a, "new_life")
+	}
+	e.dropView(v)
+	e.log.Info().Str("worker", old.Life.Name).Int64("born_ms", old.Life.BornMs).Int64("next_born_ms", next.Life.BornMs).Int("carried", len(carried)).Uint64("term", e.fence).Msg("worker reborn")
+	return carried
+}
+
+// suits reports whether a worker may run an attempt that came with its birth.
+func (e *Engine) suits(w *workflow.Worker, a *attempt) bool {
+	job := e.state.Job(a.ref.Job)
+	step := e.step(a.ref)
+	return step != nil && job.Service == w.Service && !w.Draining && w.Reserved.Fits(w.Capacity) && (step.Label == "" || w.HasLabel(step.Label))
+}
+
+// Withdraw takes a worker's report that it ends. bornMs is zero if it named no
+// birth.
+func (e *Engine) Withdraw(name string, bornMs int64, done func()) {
+	w := e.state.WorkerNamed(name)
+	if w != nil && (w.Life.BornMs == bornMs || bornMs == 0 && w.Draining) {
+		e.endLife(w, "withdrew")
+	}
+	e.then(done)
+}
+
+// endLife records that a life of a worker is over.
+func (e *Engine) endLife(w *workflow.Worker, reason string) {
+	e.voidAll(w.ID, reason)
+	if err := e.decide(workflow.Op{Leave: &workflow.Leave{Worker: w.ID, Over: true}}); err != nil {
+		e.log.Error().Err(err).Str("worker", w.Life.Name).Msg("worker end not recorded")
+		return
+	}
+	e.dropView(e.views[w.ID])
+	e.log.Info().Str("worker", w.Life.Name).Int64("born_ms", w.Life.BornMs).Str("reason", reason).Uint64("term", e.fence).Msg("worker over")
+}
+
+func (e *Engine) dropView(v *view) {
+	delete(e.views, v.worker.ID)
+	e.list = slices.DeleteFunc(slices.Clone(e.list), func(other *view) bool { return other == v })
+}
--- a/dispatch/settings.go
+++ b/dispatch/settings.go
@@ -9,13 +9,6 @@
 	Lease time.Duration
 	// LongestLease bounds the lease that any leader may have granted.
 	LongestLease time.Duration
-	// StopTime is the time that a worker takes at most to stop a task.
-	StopTime time.Duration
-	// Harm is the time for which a serving task may be over its latency target
-	// because of what runs beside it.
-	Harm time.Duration
-	// FarFactor is how many times slower a task is away from its data's rack.
-	FarFactor float64
 }
 
 const (
@@ -29,7 +22,7 @@
 	orderAnswerTime = 700 * time.Millisecond
 	// lookRetry is the pause after a look that failed.
 	lookRetry = 250 * time.Millisecond
-	// startRetry is the pause before an order without an answer is repeated.
+	// orderRetry is the pause before an order without an answer is repeated.
 	orderRetry = 100 * time.Millisecond
 	// staleAfter is the age of the last answer from which on a worker gets no new
 	// work: a look's wait, its answer time and one retry.
