--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -221,7 +221,7 @@
 	if err == nil {
 		return result, nil
 	}
-	if hint := leaderHint(err); hint != "" {
+	if hint := kind.LeaderHint(err); hint != "" {
 		c.follow(hint)
 	} else if !kind.Is(err, kind.Overloaded) {
 		c.forget(address)
@@ -229,17 +229,6 @@
 	return nil, err
 }
 
-// leaderHint returns the leader's address that a not_leader error names.
-func leaderHint(err error) string {
-	if !kind.Is(err, kind.NotLeader) {
-		return ""
-	}
-	if parsed := kind.Parse(err.Error()); parsed != nil {
-		return parsed.Detail
-	}
-	return ""
-}
-
 // SetSeeds replaces the seeds and reports whether they changed.
 func (c *Client) SetSeeds(seeds []string) bool {
 	c.mu.Lock()
--- a/kind/error.go
+++ b/kind/error.go
@@ -101,3 +101,14 @@
 	w.WriteHeader(problem.Status)
 	_, _ = w.Write(body) // The peer may be gone; nothing is left to tell it.
 }
+
+// LeaderHint returns the leader's address that a not_leader error names.
+func LeaderHint(err error) string {
+	if !Is(err, NotLeader) {
+		return ""
+	}
+	if parsed := Parse(err.Error()); parsed != nil {
+		return parsed.Detail
+	}
+	return ""
+}
--- a/replica/join.go
+++ b/replica/join.go
@@ -45,7 +45,7 @@
 			if err == nil {
 				return cluster, true
 			}
-			hint = leaderHint(err)
+			hint = kind.LeaderHint(err)
 			r.options.Logger.Debug().Err(err).Str("peer", address).Msg("admission not granted")
 		}
 		if hint == "" && !r.pause() {
@@ -65,17 +65,6 @@
 	return reply.Cluster, nil
 }
 
-// leaderHint returns the leader's address that a not_leader error names.
-func leaderHint(err error) string {
-	if !kind.Is(err, kind.NotLeader) {
-		return ""
-	}
-	if parsed := kind.Parse(err.Error()); parsed != nil {
-		return parsed.Detail
-	}
-	return ""
-}
-
 // pause waits between attempts, and returns false when the replica is stopped.
 func (r *Replica) pause() bool {
 	timer := time.NewTimer(time.Duration(r.options.HeartbeatTicks) * r.options.Tick)
--- a/replica/members.go
+++ b/replica/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"mangohill.example/mangohill/consensus"
+	"mangohill.example/mangohill/kind"
 )
 
 // admit takes a member in as a learner, and answers once that is committed.
@@ -40,7 +41,7 @@
 			continue
 		}
 		_, err := r.askToJoin(address, id)
-		if hint := leaderHint(err); hint != "" {
+		if hint := kind.LeaderHint(err); hint != "" {
 			_, err = r.askToJoin(hint, id)
 		}
 		if err == nil {
--- a/state/codec.go
+++ b/state/codec.go
@@ -3,33 +3,13 @@
 import (
 	"github.com/fxamacker/cbor/v2"
 
+	"mangohill.example/mangohill/internal/cborcodec"
 	"mangohill.example/mangohill/kind"
 )
 
 // maxEntryOps bounds the operations of one entry.
 const maxEntryOps = 4096
 
-var (
-	encMode = mustEncMode()
-	decMode = mustDecMode()
-)
-
-func mustEncMode() cbor.EncMode {
-	mode, err := cbor.CoreDetEncOptions().EncMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
-func mustDecMode() cbor.DecMode {
-	mode, err := cbor.DecOptions{MaxArrayElements: 4 << 20, MaxMapPairs: 4 << 20}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
 // Encode returns an entry with the given operations. nowMs is the leader's wall
 // clock in milliseconds since the Unix epoch.
 func Encode(nowMs int64, ops ...Op) ([]byte, error) {
@@ -44,7 +24,7 @@
 		}
 		e.Ops = append(e.Ops, raw)
 	}
-	return encMode.Marshal(e)
+	return cborcodec.Encode.Marshal(e)
 }
 
 func encodeOp(op Op) (rawOp, error) {
@@ -56,7 +36,7 @@
 		}
 		value = rawCommand{ID: command.ID, Digest: command.Digest, Text: command.Text, Op: inner}
 	}
-	body, err := encMode.Marshal(value)
+	body, err := cborcodec.Encode.Marshal(value)
 	if err != nil {
 		return rawOp{}, kind.Errorf(kind.Internal, "encode operation %d: %w", op.code(), err)
 	}
@@ -67,7 +47,7 @@
 // corrupt.
 func Decode(data []byte) (nowMs int64, ops []Op, err error) {
 	var e entry
-	if err := decMode.Unmarshal(data, &e); err != nil {
+	if err := cborcodec.Decode.Unmarshal(data, &e); err != nil {
 		return 0, nil, kind.Errorf(kind.Corrupt, "entry: %w", err)
 	}
 	if len(e.Ops) > maxEntryOps {
@@ -106,7 +86,7 @@
 
 func decodeAs[T Op](body cbor.RawMessage) (Op, error) {
 	var op T
-	if err := decMode.Unmarshal(body, &op); err != nil {
+	if err := cborcodec.Decode.Unmarshal(body, &op); err != nil {
 		return nil, kind.Errorf(kind.Corrupt, "operation %d: %w", op.code(), err)
 	}
 	return op, nil
@@ -125,7 +105,7 @@
 
 func decodeCommand(body cbor.RawMessage) (Op, error) {
 	var raw rawCommand
-	if err := decMode.Unmarshal(body, &raw); err != nil {
+	if err := cborcodec.Decode.Unmarshal(body, &raw); err != nil {
 		return nil, kind.Errorf(kind.Corrupt, "command: %w", err)
 	}
 	if raw.Op.Code == codeCommand {
--- a/state/codec_test.go
+++ b/state/codec_test.go
@@ -8,6 +8,7 @@
 
 	"mangohill.example/mangohill/clusterconfig"
 	"mangohill.example/mangohill/controlapi"
+	"mangohill.example/mangohill/internal/cborcodec"
 	"mangohill.example/mangohill/kind"
 	"mangohill.example/mangohill/types"
 )
@@ -60,7 +61,7 @@
 	s := New()
 	before, err := s.Snapshot()
 	require.NoError(t, err)
-	data, err := encMode.Marshal(entry{NowMs: 5, Ops: []rawOp{{Code: 99, Body: []byte{0x80}}}})
+	data, err := cborcodec.Encode.Marshal(entry{NowMs: 5, Ops: []rawOp{{Code: 99, Body: []byte{0x80}}}})
 	require.NoError(t, err)
 	results := s.Apply(0, data).([]Result)
 	assert.True(t, kind.Is(results[0].Err, kind.Corrupt))
@@ -70,7 +71,7 @@
 }
 
 func TestSnapshotOfAnotherVersionIsRefused(t *testing.T) {
-	header, err := encMode.Marshal(snapshotHeader{Format: snapshotFormat, Version: SnapshotVersion + 1})
+	header, err := cborcodec.Encode.Marshal(snapshotHeader{Format: snapshotFormat, Version: SnapshotVersion + 1})
 	require.NoError(t, err)
 	s := New()
 	err = s.Restore(header)
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"mangohill.example/mangohill/controlapi"
+	"mangohill.example/mangohill/internal/cborcodec"
 	"mangohill.example/mangohill/kind"
 	"mangohill.example/mangohill/types"
 )
@@ -69,7 +70,7 @@
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	var out bytes.Buffer
-	encoder := encMode.NewEncoder(&out)
+	encoder := cborcodec.Encode.NewEncoder(&out)
 	if err := encoder.Encode(snapshotHeader{Format: snapshotFormat, Version: SnapshotVersion}); err != nil {
 		return nil, kind.Errorf(kind.Internal, "snapshot header: %w", err)
 	}
@@ -155,7 +156,7 @@
 
 func decodeSnapshot(data []byte) (*snapshotBody, error) {
 	var header snapshotHeader
-	rest, err := decMode.UnmarshalFirst(data, &header)
+	rest, err := cborcodec.Decode.UnmarshalFirst(data, &header)
 	if err != nil || header.Format != snapshotFormat {
 		return nil, kind.Errorf(kind.Corrupt, "the snapshot does not begin with the format %q", snapshotFormat)
 	}
@@ -163,7 +164,7 @@
 		return nil, kind.Errorf(kind.Corrupt, "the snapshot has version %d; this program reads version %d", header.Version, SnapshotVersion)
 	}
 	var body snapshotBody
-	if err := decMode.Unmarshal(rest, &body); err != nil {
+	if err := cborcodec.Decode.Unmarshal(rest, &body); err != nil {
 		return nil, kind.Errorf(kind.Corrupt, "snapshot: %w", err)
 	}
 	if slices.Contains(body.Outcomes, nil) {
--- a/workflow/ops.go
+++ b/workflow/ops.go
@@ -1,8 +1,7 @@
 package workflow
 
 import (
-	"github.com/fxamacker/cbor/v2"
-
+	"mangohill.example/mangohill/internal/cborcodec"
 	"mangohill.example/mangohill/kind"
 )
 
@@ -131,34 +130,13 @@
 	Ops   []Op
 }
 
-var (
-	encMode = mustEncMode()
-	decMode = mustDecMode()
-)
-
-func mustEncMode() cbor.EncMode {
-	mode, err := cbor.CoreDetEncOptions().EncMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
-func mustDecMode() cbor.DecMode {
-	mode, err := cbor.DecOptions{MaxArrayElements: 4 << 20, MaxMapPairs: 4 << 20}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
 // Encode returns the batch as the data of a log entry.
-func (b *Batch) Encode() ([]byte, error) { return encMode.Marshal(b) }
+func (b *Batch) Encode() ([]byte, error) { return cborcodec.Encode.Marshal(b) }
 
 // DecodeBatch reads the data of a log entry. The error is of kind corrupt.
 func DecodeBatch(data []byte) (*Batch, error) {
 	b := new(Batch)
-	if err := decMode.Unmarshal(data, b); err != nil {
+	if err := cborcodec.Decode.Unmarshal(data, b); err != nil {
 		return nil, kind.Errorf(kind.Corrupt, "workflow entry: %w", err)
 	}
 	return b, nil
--- a/workflow/snapshot.go
+++ b/workflow/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"mangohill.example/mangohill/internal/cborcodec"
 	"mangohill.example/mangohill/kind"
 )
 
@@ -30,7 +31,7 @@
 	}
 	slices.SortFunc(out.Jobs, func(a, b *Job) int { return compare(a.ID, b.ID) })
 	slices.SortFunc(out.Workers, func(a, b *Worker) int { return compare(a.ID, b.ID) })
-	return encMode.Marshal(out)
+	return cborcodec.Encode.Marshal(out)
 }
 
 func compare[T JobID | WorkerID](a, b T) int {
@@ -47,7 +48,7 @@
 // corrupt.
 func DecodeSnapshot(data []byte) (*State, error) {
 	var in snapshot
-	if err := decMode.Unmarshal(data, &in); err != nil {
+	if err := cborcodec.Decode.Unmarshal(data, &in); err != nil {
 		return nil, kind.Errorf(kind.Corrupt, "workflow snapshot: %w", err)
 	}
 	if in.Version != snapshotVersion {
