--- a/dispatch/engine_test.go
+++ b/dispatch/engine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -93,6 +94,50 @@
 	require.Empty(t, s.violations)
 }
 
+// TestAStartOnItsWayToANewLife: a worker is born again under its name while a start
+// is under way, which the new life carries out.
+func TestAStartOnItsWayToANewLife(t *testing.T) {
+	s := newSim(t, 11)
+	s.setCatalog()
+	w := s.addWorker("w1", 4)
+	s.run(time.Second)
+	s.engine.Handle(&Request{Verb: Submit, Host: "h", Path: "/q/" + workflow.JobID(1).String(), Job: &workflow.JobSpec{Steps: []workflow.Step{step(4)}}}, func(Reply) {})
+	underWay := func() bool {
+		return slices.ContainsFunc(s.engine.list[0].list, func(a *attempt) bool { return a.calling })
+	}
+	for range 1000 {
+		if underWay() {
+			break
+		}
+		s.run(100 * time.Microsecond)
+	}
+	require.True(t, underWay())
+	require.Zero(t, s.starts)
+	w.crash()
+	s.addWorker("w2", 4)
+	s.addWorker("w1", 4)
+	require.True(t, s.runUntil(5*time.Second, func() bool { return s.state(1) == workflow.JobCompleted }))
+	require.Empty(t, s.violations)
+}
+
+// TestALateStartAfterARefusal: the first start of a task is carried out late, and
+// its repeat is refused. The task must not go elsewhere before that is settled.
+func TestALateStartAfterARefusal(t *testing.T) {
+	s := newSim(t, 12)
+	s.setCatalog()
+	s.addWorker("w1", 4)
+	s.run(time.Second)
+	s.faults.late = 1
+	s.submit(1, step(4))
+	s.run(500 * time.Millisecond)
+	s.addWorker("w2", 4)
+	s.faults = faults{shedding: 1}
+	s.run(time.Second)
+	s.faults = faults{}
+	require.True(t, s.runUntil(20*time.Second, func() bool { return s.state(1) == workflow.JobCompleted }))
+	require.Empty(t, s.violations)
+}
+
 // TestNothingRunsTwice plays orders that are lost, unanswered or carried out
 // late, crashes and cuts of workers, and changes of the leader.
 func TestNothingRunsTwice(t *testing.T) {
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -319,6 +319,9 @@
 		reply(Fenced)
 		return
 	}
+	if order.Fence > w.fence && w.fence > 0 && order.Verb == Start {
+		w.sim.violate("%s is asked to start %s before it was shown fence %d", w.life.Name, order.Task, order.Fence)
+	}
 	w.fence = order.Fence
 	switch order.Verb {
 	case Look:
