Keep no reserve from tasks that last

The reserve of 8 % was given up only after a second in which the leader saw room for two, and the platform counts room that the leader does not see yet.

--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -33,7 +33,6 @@
 	counters   Counters
 	slowdown   slowdown
 	advisor    advisor
-	stays      map[workflow.StepRef]spell
 	// gangs holds since when a gang waits for room.
 	gangs map[workflow.StepRef]Instant
 	// avoid names the worker on which a task failed last.
@@ -57,7 +56,7 @@
 func New(settings Settings, log zerolog.Logger, term uint64, state *workflow.State, now Instant) *Engine {
 	e := &Engine{
 		settings: settings, log: log, fence: term, state: state, now: now, began: now, wallMs: state.NowMs(),
-		views: make(map[workflow.WorkerID]*view), slowdown: newSlowdown(), advisor: newAdvisor(), stays: make(map[workflow.StepRef]spell), gangs: make(map[workflow.StepRef]Instant),
+		views: make(map[workflow.WorkerID]*view), slowdown: newSlowdown(), advisor: newAdvisor(), gangs: make(map[workflow.StepRef]Instant),
 		avoid: make(map[workflow.TaskRef]avoided),
 	}
 	for _, id := range slices.Sorted(maps.Keys(state.Workers())) {
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -204,9 +204,6 @@
 		if !s.job.Active() || pool.covered(s) || pool.heldBack(s) {
 			continue
 		}
-		if s.step.Lasting && !e.mayStay(pool, s) {
-			continue
-		}
 		if s.step.Gang {
 			e.placeGang(pool, s)
 			continue
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -161,7 +161,6 @@
 // stopEnded stops the attempts of a job that has ended.
 func (e *Engine) stopEnded(job *workflow.Job) {
 	e.forgetAdvice(job)
-	e.forgetStays(job)
 	e.forgetGangs(job)
 	delete(e.slowdown.own, job.ID)
 	maps.DeleteFunc(e.avoid, func(ref workflow.TaskRef, _ avoided) bool { return ref.Job == job.ID })
