--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -168,8 +168,8 @@
 }
 
 // compareTurns orders steps by the priority of their queue, work that ends before
-// services, which keep for good what they get, jobs that are worth something before those that
-// are not, and then by the deadline of their stage.
+// tasks that last, which keep for good what they get, jobs that are worth
+// something before those that are not, and then by the deadline of their stage.
 func compareTurns(a, b *readyStep) int {
 	return cmp.Or(
 		cmp.Compare(a.job.Priority, b.job.Priority),
