Say once what the leader's decisions said twice

Cause: a second reading of the change. The attempt that an answer belongs to was looked up in three places; the chains of a job were computed by two functions, and anew for each of its steps whenever one of its tasks ended, now once a job; what is known of an ended job's advice was dropped by a hand-made iterator; a condition was part of another. Three fields of the product had the platform's names and have their own (EstimatedMs, Resumable, AckedThrough). Ruled out as changes: the checks of elsewhere and hasRoom look alike and differ for tasks that are no scavengers, so they stay apart.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -1,7 +1,7 @@
 package dispatch
 
 import (
-	"slices"
+	"maps"
 	"time"
 
 	"mangohill.example/mangohill/workflow"
@@ -163,14 +163,5 @@
 	if !job.Advised {
 		return
 	}
-	steps := slices.Collect(func(yield func(workflow.StepRef) bool) {
-		for ref := range e.advisor.steps {
-			if ref.Job == job.ID && !yield(ref) {
-				return
-			}
-		}
-	})
-	for _, ref := range steps {
-		delete(e.advisor.steps, ref)
-	}
+	maps.DeleteFunc(e.advisor.steps, func(ref workflow.StepRef, _ *permission) bool { return ref.Job == job.ID })
 }
--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -48,13 +48,22 @@
 	}
 }
 
-func (e *Engine) startAnswered(v *view, answer *Answer) {
-	ref := answer.Order.Task
-	a := v.attempts[ref]
+// ordered returns the attempt to which an answer belongs, which may be called
+// again, or nil if it is over.
+func (v *view) ordered(answer *Answer) *attempt {
+	a := v.attempts[answer.Order.Task]
 	if a == nil || a.number != answer.Order.Attempt {
-		return
+		return nil
 	}
 	a.calling = false
+	return a
+}
+
+func (e *Engine) startAnswered(v *view, answer *Answer) {
+	a := v.ordered(answer)
+	if a == nil {
+		return
+	}
 	switch answer.Outcome {
 	case Done:
 		a.unanswered = 0
@@ -90,12 +99,10 @@
 }
 
 func (e *Engine) stopAnswered(v *view, answer *Answer) {
-	ref := answer.Order.Task
-	a := v.attempts[ref]
-	if a == nil || a.number != answer.Order.Attempt {
+	a := v.ordered(answer)
+	if a == nil {
 		return
 	}
-	a.calling = false
 	if answer.Outcome == Done || answer.Outcome == Outdated {
 		a.settled, a.settledAt = true, e.now
 		return
@@ -162,7 +169,7 @@
 	if a != nil && a.number == end.Attempt {
 		event = event.Dur("since_placed", e.since(a.placedAt))
 		if step := e.step(end.Task); step != nil {
-			event = event.Int64("estimate_ms", step.EstimateMs).Bool("scavenger", step.Scavenger).Int("share", a.wantShare)
+			event = event.Int64("estimate_ms", step.EstimatedMs).Bool("scavenger", step.Scavenger).Int("share", a.wantShare)
 		}
 		v.remove(a)
 	}
--- a/dispatch/engine_test.go
+++ b/dispatch/engine_test.go
@@ -65,7 +65,7 @@
 	w := s.addWorker("w1", 8)
 	s.run(time.Second)
 	long := step(3)
-	long.EstimateMs = 3000
+	long.EstimatedMs = 3000
 	s.submit(1, long)
 	s.run(time.Second)
 	w.crash()
@@ -81,7 +81,7 @@
 	w1 := s.addWorker("w1", 4)
 	s.run(time.Second)
 	long := step(4)
-	long.EstimateMs = 60_000
+	long.EstimatedMs = 60_000
 	s.submit(1, long)
 	s.run(time.Second)
 	require.Len(t, w1.running, 4)
@@ -249,7 +249,7 @@
 	})
 	s.run(2 * time.Second)
 	gang := step(14)
-	gang.Gang, gang.Scavenger, gang.EstimateMs = true, true, 1000
+	gang.Gang, gang.Scavenger, gang.EstimatedMs = true, true, 1000
 	s.submit(1, gang)
 	require.True(t, s.runUntil(12*time.Second, func() bool { return s.state(1) == workflow.JobCompleted }), "the gang starts")
 	require.Empty(t, s.violations)
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -97,7 +97,7 @@
 // measure updates the pace of an attempt from its reported percent.
 func (e *Engine) measure(v *view, a *attempt) {
 	step := e.step(a.ref)
-	if step == nil || step.Lasting || step.EstimateMs <= 0 || a.share != fullShare || a.wantShare != fullShare {
+	if step == nil || step.Lasting || step.EstimatedMs <= 0 || a.share != fullShare || a.wantShare != fullShare {
 		a.pace = pace{percent: a.percent, at: e.now}
 		return
 	}
@@ -112,7 +112,7 @@
 	if elapsed < sample {
 		return
 	}
-	done := float64(a.percent-a.pace.percent) / fullShare * float64(step.EstimateMs)
+	done := float64(a.percent-a.pace.percent) / fullShare * float64(step.EstimatedMs)
 	a.pace = pace{percent: a.percent, at: e.now, rate: done / float64(elapsed.Milliseconds()), known: true}
 	if step.Scavenger {
 		return // It may be short of processors, which says nothing of the worker.
@@ -157,11 +157,11 @@
 	if step == nil || step.Gang || !a.pace.known || a.pace.rate >= slowestPace(step) || a.stopWanted || !a.running || a.number > maxRestarts {
 		return
 	}
-	estimate := time.Duration(step.EstimateMs) * time.Millisecond
+	estimate := time.Duration(step.EstimatedMs) * time.Millisecond
 	left := time.Duration(float64(estimate) * float64(fullShare-a.percent) / fullShare)
 	here := time.Duration(float64(left) / max(a.pace.rate, 0.05))
 	there := estimate + restartCost
-	if step.SavesProgress {
+	if step.Resumable {
 		there = left + restartCost
 	}
 	if here < there+there/2 || !e.elsewhere(v, job, step) {
@@ -169,5 +169,5 @@
 	}
 	a.stopWanted = true
 	e.counters.Relocated++
-	e.log.Info().Stringer("task", a.ref).Uint32("attempt", a.number).Str("worker", v.worker.Life.Name).Float64("pace", a.pace.rate).Int("percent", a.percent).Int64("estimate_ms", step.EstimateMs).Uint64("term", e.fence).Msg("task relocated")
+	e.log.Info().Stringer("task", a.ref).Uint32("attempt", a.number).Str("worker", v.worker.Life.Name).Float64("pace", a.pace.rate).Int("percent", a.percent).Int64("estimate_ms", step.EstimatedMs).Uint64("term", e.fence).Msg("task relocated")
 }
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -42,8 +42,8 @@
 	// SharePercent is the share of its speed, 0 to 100.
 	SharePercent int
 
-	// AckedUpto is the number of the last end that is recorded.
-	AckedUpto uint64
+	// AckedThrough is the number of the last end that is recorded.
+	AckedThrough uint64
 	// Wait is the time for which a look may wait for an end.
 	Wait time.Duration
 
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -112,14 +112,15 @@
 	if job == nil || !job.Active() {
 		return
 	}
+	chains := chainsLeftMs(job)
 	for o := range job.Occurrences {
 		for s := range job.Spec.Steps {
-			r.addStep(job, uint32(o), uint32(s))
+			r.addStep(job, uint32(o), uint32(s), chains)
 		}
 	}
 }
 
-func (r *readySteps) addStep(job *workflow.Job, occurrence, step uint32) {
+func (r *readySteps) addStep(job *workflow.Job, occurrence, step uint32, chains []int64) {
 	o := &job.Occurrences[occurrence]
 	if o.Done[step] == job.Spec.Steps[step].Count || !job.StepReady(occurrence, step) {
 		return
@@ -135,36 +136,22 @@
 	}
 	r.byJob[job.ID] = append(r.byJob[job.ID], &readyStep{
 		ref: workflow.StepRef{Job: job.ID, Occurrence: occurrence, Step: step}, job: job, step: &job.Spec.Steps[step],
-		pending: pending, chainMs: longestChainMs(job), leftMs: chainLeftMs(job, step),
+		pending: pending, chainMs: slices.Max(chains), leftMs: chains[step],
 	})
 	r.changed = true
 }
 
-// longestChainMs is the estimated time of the longest chain of steps.
-func longestChainMs(job *workflow.Job) int64 {
-	longest := int64(0)
-	ends := make([]int64, len(job.Spec.Steps))
-	for i := range job.Spec.Steps {
-		begin := int64(0)
-		for _, before := range job.Spec.Steps[i].After {
-			begin = max(begin, ends[before])
-		}
-		ends[i] = begin + job.Spec.Steps[i].EstimateMs
-		longest = max(longest, ends[i])
-	}
-	return longest
-}
-
-// chainLeftMs is the estimated time of the longest chain that begins with a step.
-func chainLeftMs(job *workflow.Job, step uint32) int64 {
+// chainsLeftMs returns, for each step, the estimated time of the longest chain
+// that begins with it.
+func chainsLeftMs(job *workflow.Job) []int64 {
 	left := make([]int64, len(job.Spec.Steps))
-	for i := len(job.Spec.Steps) - 1; i >= int(step); i-- {
-		left[i] += job.Spec.Steps[i].EstimateMs
+	for i := len(job.Spec.Steps) - 1; i >= 0; i-- {
+		left[i] += job.Spec.Steps[i].EstimatedMs
 		for _, before := range job.Spec.Steps[i].After {
 			left[before] = max(left[before], left[i])
 		}
 	}
-	return left[step]
+	return left
 }
 
 // compareTurns orders steps by the priority of their queue, work that ends before
--- a/dispatch/relief.go
+++ b/dispatch/relief.go
@@ -126,7 +126,7 @@
 	if a.slowSince == 0 {
 		a.slowSince = e.now
 	}
-	if e.since(e.began) < learningTime || e.since(a.slowSince) < relocateAfter || a.percent >= nearlyDone || !a.running || a.stopWanted || s.step.Gang || !s.step.SavesProgress || !e.elsewhere(v, s.job, s.step) {
+	if e.since(e.began) < learningTime || e.since(a.slowSince) < relocateAfter || a.percent >= nearlyDone || !a.running || a.stopWanted || s.step.Gang || !s.step.Resumable || !e.elsewhere(v, s.job, s.step) {
 		return
 	}
 	a.stopWanted = true
@@ -188,15 +188,14 @@
 func (e *Engine) idleProcessors(v *view) int64 {
 	idle := v.worker.Capacity.MilliProcessors
 	for _, a := range v.list {
-		ref := a.ref
-		step := e.step(ref)
+		step := e.step(a.ref)
 		if step == nil {
 			continue
 		}
 		use := step.Resources.MilliProcessors
 		switch {
 		case step.Lasting:
-			use = int64(float64(use) * e.slowdown.load(ref.Job, step.Image))
+			use = int64(float64(use) * e.slowdown.load(a.ref.Job, step.Image))
 		case step.Scavenger:
 			use = use * int64(max(a.wantShare, 0)) / fullShare
 		}
@@ -212,11 +211,10 @@
 }
 
 func (e *Engine) throttleAnswered(v *view, answer *Answer) {
-	a := v.attempts[answer.Order.Task]
-	if a == nil || a.number != answer.Order.Attempt {
+	a := v.ordered(answer)
+	if a == nil {
 		return
 	}
-	a.calling = false
 	if answer.Outcome == Done {
 		a.share = answer.Order.SharePercent
 		return
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -113,7 +113,7 @@
 	if r.worker.hangs {
 		return 0
 	}
-	return min(int(r.worker.sim.now.Sub(r.at).Milliseconds()*fullShare/r.step.EstimateMs), fullShare-1)
+	return min(int(r.worker.sim.now.Sub(r.at).Milliseconds()*fullShare/r.step.EstimatedMs), fullShare-1)
 }
 
 type simHold struct {
@@ -427,7 +427,7 @@
 	if step.Lasting || w.hangs {
 		return
 	}
-	took := time.Duration(float64(step.EstimateMs)*(0.6+s.rng.Float64())) * time.Millisecond
+	took := time.Duration(float64(step.EstimatedMs)*(0.6+s.rng.Float64())) * time.Millisecond
 	s.after(took, func() {
 		if w.running[ref] != run || run.stops {
 			return
@@ -471,7 +471,7 @@
 }
 
 func (w *simWorker) hold(order Order, answer func(Answer)) {
-	w.acknowledge(order.AckedUpto)
+	w.acknowledge(order.AckedThrough)
 	h := &simHold{order, answer, true}
 	w.holds = append(w.holds, h)
 	if order.Wait == 0 || len(w.ended) > 0 {
@@ -543,5 +543,5 @@
 
 // step is a step of count tasks of one processor that take some 500 ms.
 func step(count uint32, after ...uint32) workflow.Step {
-	return workflow.Step{Count: count, Resources: workflow.Resources{MilliProcessors: 1000, MemoryMB: 100}, EstimateMs: 500, After: after}
+	return workflow.Step{Count: count, Resources: workflow.Resources{MilliProcessors: 1000, MemoryMB: 100}, EstimatedMs: 500, After: after}
 }
--- a/dispatch/slowdown.go
+++ b/dispatch/slowdown.go
@@ -92,19 +92,17 @@
 	var shares interference.Shares
 	capacity := float64(max(v.worker.Capacity.MilliProcessors, 1))
 	for _, a := range v.list {
-		ref := a.ref
-		if step := e.step(ref); step != nil && step.Scavenger && a.gaugeAt == e.now {
+		if step := e.step(a.ref); step != nil && step.Scavenger && a.gaugeAt == e.now {
 			shares[e.slowdown.model.Class(step.Image)] += float64(a.gauge) / capacity
 		}
 	}
 	taken := time.Unix(0, int64(e.now))
 	for _, a := range v.list {
-		ref := a.ref
-		step := e.step(ref)
+		step := e.step(a.ref)
 		if step == nil || !step.Lasting || step.LatencyTargetMs <= 0 || a.gaugeAt != e.now || a.gauge <= 0 || a.percent < fullShare {
 			continue
 		}
-		e.slowdown.observe(taken, e.now, ref.Job, step.Image, e.slowdown.victim(step.Image), &shares, math.Log(float64(a.gauge)), a)
+		e.slowdown.observe(taken, e.now, a.ref.Job, step.Image, e.slowdown.victim(step.Image), &shares, math.Log(float64(a.gauge)), a)
 	}
 }
 
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -151,7 +151,7 @@
 		return
 	}
 	for _, a := range v.list {
-		if step := e.step(a.ref); step != nil && (step.Lasting || step.SavesProgress) {
+		if step := e.step(a.ref); step != nil && (step.Lasting || step.Resumable) {
 			a.stopWanted = true
 		}
 	}
@@ -197,8 +197,8 @@
 
 func (e *Engine) look(v *view) {
 	v.looking = true
-	order := Order{Verb: Look, AckedUpto: v.acked, Wait: lookWait}
-	if !v.fenced || !e.reachable(v) {
+	order := Order{Verb: Look, AckedThrough: v.acked, Wait: lookWait}
+	if !e.reachable(v) {
 		order.Wait = 0
 	}
 	e.issue(v, order)
--- a/workflow/model.go
+++ b/workflow/model.go
@@ -113,12 +113,12 @@
 type Step struct {
 	Count     uint32    `cbor:"1,keyasint"`
 	Resources Resources `cbor:"2,keyasint"`
-	// EstimateMs is a rough estimate of one task's duration.
-	EstimateMs int64 `cbor:"3,keyasint,omitempty"`
+	// EstimatedMs is a rough estimate of one task's duration.
+	EstimatedMs int64 `cbor:"3,keyasint,omitempty"`
 	// After lists the steps whose tasks must all be done before.
 	After []uint32 `cbor:"4,keyasint,omitempty"`
-	// SavesProgress tells that the tasks produce checkpoints.
-	SavesProgress bool `cbor:"5,keyasint,omitempty"`
+	// Resumable tells that the tasks produce checkpoints.
+	Resumable bool `cbor:"5,keyasint,omitempty"`
 	// Gang tells that the tasks work only while all of them run.
 	Gang bool `cbor:"6,keyasint,omitempty"`
 	// OneRack tells that the tasks are slower on more than one rack.
