Model neighbours by the slack that they take of a serving task

A dump of all readings (trial) showed why the regression of log latencies was of little use: - the reciprocal of the tail latency falls linearly with the load of the job and with the share of processors that neighbours use. Pairs of images are either heavy (7 to 10 targets at a whole host) or light (0.2 to 1.5); - the tail of a job swings by a factor of 2.5 within 7 s, and its tasks agree within 5 %; - a look is answered when a task ends: the gauges of its neighbours still cover the time in which it ran, and the others were blamed; - scavengers' own processors were not short (use 0.87 of the request, also where 80 % of a host were asked for).

Change: package interference gains Pairs, a scalar filter for each pair in units of slack, and Trend, a weighted line through the readings of a job. dispatch foresees a job's slack 0.3 s ahead, counts scavengers that ended within the gauges' window, doubts readings beside unknown neighbours, and prefers for each scavenger the host that it suits better than others do.

--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -171,6 +171,7 @@
 		if step := e.step(end.Task); step != nil {
 			event = event.Int64("estimate_ms", step.EstimatedMs).Bool("scavenger", step.Scavenger).Int("share", a.wantShare)
 		}
+		e.noteDeparted(v, a)
 		v.remove(a)
 	}
 	event.Msg("attempt ended")
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -171,7 +171,7 @@
 		score = 1 << 40
 	}
 	if s.step.Scavenger {
-		return score + c.idle + int64(min(c.headroom(e, s.step), 1)*headroomWeight)
+		return score + c.idle + int64(min(c.headroom(e, s.step), maxHeadroom)*headroomWeight+c.advantage(e, s.step)*advantageWeight)
 	}
 	if c.suspect {
 		score -= suspectWeight
--- a/dispatch/relief.go
+++ b/dispatch/relief.go
@@ -18,13 +18,16 @@
 	// task's predicted tail latency may reach before no scavenger is added beside
 	// it, and before those beside it are throttled.
 	admitLimit    = 0.85
-	throttleLimit = 0.95
+	throttleLimit = 0.9
 	// learningTime is how long a new leader moves nothing for the sake of serving
 	// tasks: it has yet to learn what disturbs them.
 	learningTime = 4 * time.Second
-	// headroomWeight makes a factor e of headroom worth so many idle processors,
-	// in thousandths.
-	headroomWeight = 16000
+	// headroomWeight makes headroom of the size of a latency target worth so many
+	// idle processors, in thousandths, up to maxHeadroom.
+	headroomWeight = 8000
+	maxHeadroom    = 2.0
+	// advantageWeight does so for an advantage of that size.
+	advantageWeight = 6000
 	// slowShare is the share in percent below which a scavenger is moved to another
 	// worker once it was there for relocateAfter, unless nearlyDone percent of it
 	// are done: a stop and a restore take about a second.
@@ -38,9 +41,9 @@
 
 // victim is a serving task as one decision sees it.
 type victim struct {
-	id interference.VictimID
-	// predicted and target are logarithms of latencies in milliseconds.
-	predicted, target float64
+	image interference.Image
+	// slack is the predicted quotient of its target and its tail latency.
+	slack float64
 }
 
 // scavenger is a task that may be throttled for serving tasks.
@@ -49,14 +52,14 @@
 	job     *workflow.Job
 	step    *workflow.Step
 	attempt *attempt
-	class   interference.Class
+	image   interference.Image
 	// share is the part of the worker's processors that it asks for.
 	share float64
 }
 
-// neighbours returns the serving tasks of a worker with their own tail latencies,
-// and the scavengers, those with most progress first.
-func (e *Engine) neighbours(v *view) ([]victim, []scavenger) {
+// neighbours returns the serving tasks of a worker with the slack that they have
+// without scavengers, and the scavengers, those with most progress first.
+func (e *Engine) neighbours(v *view, ahead time.Duration) ([]victim, []scavenger) {
 	var victims []victim
 	var scavengers []scavenger
 	for _, a := range v.list {
@@ -67,11 +70,12 @@
 		}
 		step := &job.Spec.Steps[ref.Step]
 		switch {
-		case step.Lasting && step.LatencyTargetMs > 0 && e.slowdown.own[ref.Job] != nil:
-			own := e.slowdown.own[ref.Job].value() + a.deviation
-			victims = append(victims, victim{e.slowdown.victim(step.Image), own, math.Log(float64(step.LatencyTargetMs))})
+		case step.Lasting && step.LatencyTargetMs > 0:
+			image := e.slowdown.pairs.Image(step.Image)
+			slack, _ := e.slowdown.ownSlack(ref.Job, image, e.now, ahead)
+			victims = append(victims, victim{image, slack + a.deviation})
 		case step.Scavenger:
-			scavengers = append(scavengers, scavenger{ref, job, step, a, e.slowdown.model.Class(step.Image), shareOf(v, step)})
+			scavengers = append(scavengers, scavenger{ref, job, step, a, e.slowdown.pairs.Image(step.Image), shareOf(v, step)})
 		}
 	}
 	slices.SortFunc(scavengers, func(a, b scavenger) int {
@@ -84,31 +88,51 @@
 	return float64(step.Resources.MilliProcessors) / float64(max(v.worker.Capacity.MilliProcessors, 1))
 }
 
-// headroom returns the logarithm of the factor by which the tail latency of the
-// worst serving task may still grow once a task of the step runs beside it.
+// headroom returns how much slack beyond its limit the serving task with the
+// least of it keeps once a task of the step runs beside it.
 func (c *candidate) headroom(e *Engine, step *workflow.Step) float64 {
 	if c.victims == nil {
-		victims, scavengers := e.neighbours(c.view)
+		victims, scavengers := e.neighbours(c.view, placeHorizon)
 		for _, s := range scavengers {
-			for i := range victims {
-				victims[i].predicted += e.slowdown.excess(victims[i].id, s.class, s.share*float64(max(s.attempt.wantShare, 0))/fullShare)
-			}
+			e.disturb(victims, s, max(s.attempt.wantShare, 0))
 		}
 		c.victims = append([]victim{}, victims...)
 	}
-	class, share := e.slowdown.model.Class(step.Image), shareOf(c.view, step)
-	least := math.Inf(1)
+	image, share, least := e.slowdown.pairs.Image(step.Image), shareOf(c.view, step), math.Inf(1)
 	for _, victim := range c.victims {
-		least = min(least, victim.target+math.Log(admitLimit)-victim.predicted-e.slowdown.excess(victim.id, class, share))
+		least = min(least, victim.slack-e.slowdown.taken(victim.image, image, share)-1/admitLimit)
 	}
 	return least
 }
 
+// advantage is by how much better the worker suits the step than scavengers in
+// general, in slack of the serving task that it suits least. It keeps workers on
+// which many scavengers do little harm for those that harm elsewhere.
+func (c *candidate) advantage(e *Engine, step *workflow.Step) float64 {
+	image, least := e.slowdown.pairs.Image(step.Image), math.Inf(1)
+	for _, victim := range c.victims {
+		mean, _ := e.slowdown.pairs.Loss(victim.image, image)
+		least = min(least, e.slowdown.pairs.MeanLoss(victim.image)-mean)
+	}
+	if math.IsInf(least, 1) {
+		return 0
+	}
+	return least
+}
+
+// disturb takes off the serving tasks what a scavenger costs them at a share of
+// its speed in percent.
+func (e *Engine) disturb(victims []victim, s scavenger, percent int) {
+	for i := range victims {
+		victims[i].slack -= e.slowdown.taken(victims[i].image, s.image, s.share*float64(percent)/fullShare)
+	}
+}
+
 // relieve learns from the readings of a worker and sets the shares of its
 // scavengers, so that no serving task is predicted beyond its limit.
 func (e *Engine) relieve(v *view) {
 	e.observe(v)
-	victims, scavengers := e.neighbours(v)
+	victims, scavengers := e.neighbours(v, throttleHorizon)
 	for _, s := range scavengers {
 		s.attempt.wantShare = e.grant(victims, s)
 		e.relocate(v, s)
@@ -148,29 +172,28 @@
 	return false
 }
 
-// grant returns the largest share at which a scavenger keeps all serving tasks
-// below their limits, and adds its effect to them.
+// grant returns the largest share at which a scavenger leaves all serving tasks
+// within their limits, and takes what it costs off them.
 func (e *Engine) grant(victims []victim, s scavenger) int {
 	for _, percent := range shareSteps {
-		fits := true
-		for _, v := range victims {
-			excess := e.slowdown.excess(v.id, s.class, s.share*float64(percent)/fullShare)
-			if percent > 0 && v.predicted+excess > v.target+math.Log(throttleLimit) {
-				fits = false
-				break
-			}
-		}
-		if !fits {
+		if percent > 0 && !e.tolerated(victims, s, percent) {
 			continue
 		}
-		for i := range victims {
-			victims[i].predicted += e.slowdown.excess(victims[i].id, s.class, s.share*float64(percent)/fullShare)
-		}
+		e.disturb(victims, s, percent)
 		return percent
 	}
 	return 0
 }
 
+func (e *Engine) tolerated(victims []victim, s scavenger, percent int) bool {
+	for _, v := range victims {
+		if v.slack-e.slowdown.taken(v.image, s.image, s.share*float64(percent)/fullShare) < 1/throttleLimit {
+			return false
+		}
+	}
+	return true
+}
+
 func (e *Engine) step(ref workflow.TaskRef) *workflow.Step {
 	job := e.state.Job(ref.Job)
 	if job == nil {
@@ -195,7 +218,7 @@
 		use := step.Resources.MilliProcessors
 		switch {
 		case step.Lasting:
-			use = int64(float64(use) * e.slowdown.load(a.ref.Job, step.Image))
+			use = int64(float64(use) * e.slowdown.load(a.ref.Job, e.slowdown.pairs.Image(step.Image), e.now))
 		case step.Scavenger:
 			use = use * int64(max(a.wantShare, 0)) / fullShare
 		}
--- a/dispatch/slowdown.go
+++ b/dispatch/slowdown.go
@@ -1,7 +1,7 @@
 package dispatch
 
 import (
-	"math"
+	"slices"
 	"time"
 
 	"mangohill.example/mangohill/interference"
@@ -12,128 +12,161 @@
 	// servingLoad is the part of its request that a serving task is assumed to use
 	// before there are readings.
 	servingLoad = 0.45
-	// idleLatency is the part of the least tail latency seen of an image that it
-	// has without load; the least was at some load, too.
-	idleLatency = 0.8
+	// idleSlack is how much larger than the most slack seen of an image the slack
+	// without load is; the most was at some load, too.
+	idleSlack = 1.25
 	// leastLoad and mostLoad bound the estimate.
 	leastLoad, mostLoad = 0.15, 0.9
-	// ownTime is the time over which readings are averaged for what the tail
-	// latency of a job's tasks is believed to be without neighbours: readings come
-	// each second, load swings within ten.
-	ownTime = time.Second
+	// readingAge is the mean age of what a gauge measures when its answer leaves
+	// the worker: gauges cover half a second.
+	readingAge = 250 * time.Millisecond
+	// throttleHorizon is how far ahead a throttle looks: the time that it takes to
+	// act. placeHorizon is how far ahead a placement looks: the time that a
+	// scavenger runs, as far as the load can be foreseen.
+	throttleHorizon = 300 * time.Millisecond
+	placeHorizon    = 300 * time.Millisecond
+	// gaugeWindow is the time that a gauge covers.
+	gaugeWindow = 500 * time.Millisecond
+	// warmUp is the time after its start in which a task's gauge tells little.
+	warmUp = time.Second
+	// minTrendWeight is the weight of the readings of a job from which on they tell
+	// the range of its image, and cleanLoss the loss up to which one does.
+	minTrendWeight = 1.5
+	cleanLoss      = 0.3
+	// unknownSlack is assumed of a serving task of which there is no reading.
+	unknownSlack = 1.8
 	// caution is the number of standard deviations added to what is believed of a
 	// pair of images.
-	caution = 1.0
+	caution = 0.3
+	// deviationWeight is the weight of the newest reading in the deviation of a
+	// task from its job.
+	deviationWeight = 0.5
+	// slackReach is the part of the least and the most slack seen of an image by
+	// which a prediction may leave their range.
+	slackReach = 0.05
 )
 
-// readingParams describe the workers' gauges: rough, over half a second, less what
-// is believed of the load of the job, with effects that shift within seconds.
-func readingParams() interference.Params {
-	return interference.Params{NoiseVariance: 0.06, BaselineDrift: 0.01, ExcessDrift: 0.02}
+// slowdown is what is known of the effect of scavengers on serving tasks. The
+// slack of a serving task is its target divided by its tail latency.
+type slowdown struct {
+	pairs *interference.Pairs
+	// own holds, for each job whose tasks serve, their slack without neighbours:
+	// the tasks of a job share its load.
+	own map[workflow.JobID]*interference.Trend
+	// ranges holds the range of the own slack of each image.
+	ranges map[interference.Image]*slackRange
 }
 
-// slowdown is what is known of the effect of scavengers on serving tasks, by the
-// images of both.
-type slowdown struct {
-	model   *interference.Model
-	victims map[string]interference.VictimID
-	// own holds, for each job whose tasks serve, their logarithmic tail latency
-	// without neighbours: the tasks of a job share its load.
-	own map[workflow.JobID]*ownLatency
-	// least is the least own latency of each image, as a logarithm.
-	least map[string]float64
+type slackRange struct{ least, most float64 }
+
+func newSlowdown() slowdown {
+	return slowdown{pairs: interference.NewPairs(), own: make(map[workflow.JobID]*interference.Trend), ranges: make(map[interference.Image]*slackRange)}
 }
 
-// load estimates the part of its request that a serving task uses: the tail
-// latency of a queue grows with 1/(1-load).
-func (s *slowdown) load(job workflow.JobID, image string) float64 {
-	own, least := s.own[job], s.least[image]
-	if own == nil || least == 0 {
-		return servingLoad
+func instantTime(at Instant) time.Time { return time.Unix(0, int64(at)) }
+
+// ownSlack returns the least slack that the tasks of a job are expected to have
+// without neighbours from now to a time ahead. It is false before the first
+// reading.
+func (s *slowdown) ownSlack(job workflow.JobID, image interference.Image, now Instant, ahead time.Duration) (float64, bool) {
+	own, seen := s.own[job], s.ranges[image]
+	if own == nil || seen == nil {
+		return unknownSlack, false
 	}
-	return min(max(1-idleLatency*math.Exp(least-own.value()), leastLoad), mostLoad)
+	slack := min(own.At(instantTime(now)), own.At(instantTime(now.Add(ahead))))
+	return min(max(slack, seen.least*(1-slackReach)), seen.most*(1+slackReach)), true
 }
 
-// ownLatency is a weighted mean that forgets with ownTime.
-type ownLatency struct {
-	sum, weight float64
-	at          Instant
+// load estimates the part of its request that a serving task uses: the slack of a
+// queue falls linearly with its load.
+func (s *slowdown) load(job workflow.JobID, image interference.Image, now Instant) float64 {
+	slack, known := s.ownSlack(job, image, now, 0)
+	if !known {
+		return servingLoad
+	}
+	return min(max(1-slack/(s.ranges[image].most*idleSlack), leastLoad), mostLoad)
 }
 
-func (o *ownLatency) value() float64 { return o.sum / o.weight }
-
-func (o *ownLatency) add(reading, weight float64, at Instant) {
-	decay := math.Exp(-float64(at.Sub(o.at)) / float64(ownTime))
-	o.sum, o.weight, o.at = o.sum*decay+reading*weight, o.weight*decay+weight, at
+// taken is a careful estimate of the slack that a scavenger takes of a serving
+// task when it uses the share of the worker's processors.
+func (s *slowdown) taken(victim, neighbour interference.Image, share float64) float64 {
+	mean, deviation := s.pairs.Loss(victim, neighbour)
+	return (mean + caution*deviation) * share
 }
 
-func newSlowdown() slowdown {
-	return slowdown{model: interference.NewModelWith(readingParams()), victims: make(map[string]interference.VictimID), own: make(map[workflow.JobID]*ownLatency), least: make(map[string]float64)}
+// departed is a scavenger that ended lately: the gauges of its neighbours still
+// cover a time in which it ran.
+type departed struct {
+	image interference.Image
+	share float64
+	at    Instant
 }
 
-func (s *slowdown) victim(image string) interference.VictimID {
-	id, ok := s.victims[image]
-	if !ok {
-		id = s.model.Acquire(image)
-		s.victims[image] = id
+// noteDeparted remembers a scavenger that ends.
+func (e *Engine) noteDeparted(v *view, a *attempt) {
+	step := e.step(a.ref)
+	if step == nil || !step.Scavenger || a.gauge <= 0 {
+		return
 	}
-	return id
-}
-
-// excess is a careful estimate of the logarithm of the slowdown that a scavenger
-// of the class causes when it uses the share of the worker's processors.
-func (s *slowdown) excess(id interference.VictimID, c interference.Class, share float64) float64 {
-	mean, variance := s.model.Excess(id, c, 0, share)
-	return mean + caution*math.Sqrt(variance)
+	capacity := float64(max(v.worker.Capacity.MilliProcessors, 1))
+	v.departed = append(v.departed, departed{e.slowdown.pairs.Image(step.Image), float64(a.gauge) / capacity, e.now})
 }
 
-// observe feeds the readings that came with the latest answer to the model.
-func (e *Engine) observe(v *view) {
-	var shares interference.Shares
+// present returns the shares of the processors that scavengers used while the
+// latest gauges were measured.
+func (e *Engine) present(v *view) []interference.Share {
+	var shares []interference.Share
 	capacity := float64(max(v.worker.Capacity.MilliProcessors, 1))
 	for _, a := range v.list {
-		if step := e.step(a.ref); step != nil && step.Scavenger && a.gaugeAt == e.now {
-			shares[e.slowdown.model.Class(step.Image)] += float64(a.gauge) / capacity
+		if step := e.step(a.ref); step != nil && step.Scavenger && a.gaugeAt == e.now && a.gauge > 0 {
+			shares = append(shares, interference.Share{Neighbour: e.slowdown.pairs.Image(step.Image), Share: float64(a.gauge) / capacity})
 		}
 	}
-	taken := time.Unix(0, int64(e.now))
+	v.departed = slices.DeleteFunc(v.departed, func(d departed) bool { return e.since(d.at) >= gaugeWindow })
+	for _, d := range v.departed {
+		part := 1 - float64(e.since(d.at))/float64(gaugeWindow)
+		shares = append(shares, interference.Share{Neighbour: d.image, Share: d.share * part})
+	}
+	return shares
+}
+
+// observe feeds the readings that came with the latest answer to the model.
+func (e *Engine) observe(v *view) {
+	shares := e.present(v)
 	for _, a := range v.list {
 		step := e.step(a.ref)
-		if step == nil || !step.Lasting || step.LatencyTargetMs <= 0 || a.gaugeAt != e.now || a.gauge <= 0 || a.percent < fullShare {
+		if step == nil || !step.Lasting || step.LatencyTargetMs <= 0 || a.gaugeAt != e.now || a.gauge <= 0 {
 			continue
 		}
-		e.slowdown.observe(taken, e.now, a.ref.Job, step.Image, e.slowdown.victim(step.Image), &shares, math.Log(float64(a.gauge)), a)
+		if a.percent < fullShare {
+			a.warmAt = e.now.Add(warmUp)
+		}
+		if e.now >= a.warmAt {
+			e.slowdown.observe(e.now, a, e.slowdown.pairs.Image(step.Image), shares, float64(step.LatencyTargetMs)/float64(a.gauge))
+		}
 	}
 }
 
-const (
-	// deviationWeight is the weight of the newest reading in the deviation of a
-	// task from its job.
-	deviationWeight = 0.3
-	// cleanScale is the slowdown by neighbours at which a reading counts half for
-	// the job's own latency.
-	cleanScale = 0.1
-)
-
 // observe takes in one reading of a serving task.
-func (s *slowdown) observe(taken time.Time, now Instant, job workflow.JobID, image string, id interference.VictimID, shares *interference.Shares, reading float64, a *attempt) {
-	excess := 0.0
-	for c, share := range shares {
-		if share > 0 {
-			mean, _ := s.model.Excess(id, interference.Class(c), 0, share)
-			excess += mean
-		}
-	}
-	own := s.own[job]
+func (s *slowdown) observe(now Instant, a *attempt, image interference.Image, shares []interference.Share, slack float64) {
+	taken := instantTime(now).Add(-readingAge)
+	own := s.own[a.ref.Job]
 	if own == nil {
-		own = &ownLatency{at: now}
-		s.own[job] = own
-	} else {
-		s.model.Observe(taken, id, 0, shares, reading-own.value())
+		own = new(interference.Trend)
+		s.own[a.ref.Job] = own
+	} else if len(shares) > 0 {
+		s.pairs.Observe(taken, image, shares, own.At(taken)+a.deviation, own.Weight(), slack)
+	}
+	lost, trust := s.pairs.Taken(image, shares)
+	own.Add(taken, slack+lost, trust)
+	expected := own.At(taken)
+	a.deviation += deviationWeight * (slack + lost - expected - a.deviation)
+	seen := s.ranges[image]
+	if seen == nil {
+		seen = &slackRange{least: expected, most: expected}
+		s.ranges[image] = seen
 	}
-	own.add(reading-excess, 1/(1+excess/cleanScale), now)
-	if least, known := s.least[image]; own.weight > 1 && (!known || own.value() < least) {
-		s.least[image] = own.value()
+	if lost < cleanLoss && own.Weight() >= minTrendWeight {
+		seen.least, seen.most = min(seen.least, expected), max(seen.most, expected)
 	}
-	a.deviation += deviationWeight * (reading - excess - own.value() - a.deviation)
 }
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -35,6 +35,8 @@
 	// while attempts end.
 	attempts map[workflow.TaskRef]*attempt
 	list     []*attempt
+	// departed are the scavengers that ended lately.
+	departed []departed
 }
 
 // attempt is what the leader believes of an attempt on a worker.
@@ -69,9 +71,11 @@
 	share, wantShare int
 	// slowSince is when the task was throttled, zero if it is not.
 	slowSince Instant
-	// deviation is the logarithm by which a serving task's own tail latency is
-	// believed to differ from that of its job.
+	// deviation is by how much the slack of a serving task is believed to differ
+	// from that of its job.
 	deviation float64
+	// warmAt is the time from which on the gauge of a lasting task tells its state.
+	warmAt Instant
 }
 
 const (
