Measure a serving task's deviation from what is predicted, not from the trend

A prediction is kept within the range of slack seen of the image, the deviation of a task was taken from the unbounded trend: a job below the range was predicted inside it for good, and the gauge had no say.

Change: one bounded prediction serves both.

--- a/dispatch/relief.go
+++ b/dispatch/relief.go
@@ -72,8 +72,7 @@
 		switch {
 		case step.Lasting && step.LatencyTargetMs > 0:
 			image := e.slowdown.pairs.Image(step.Image)
-			slack, _ := e.slowdown.ownSlack(ref.Job, image, e.now, ahead)
-			victims = append(victims, victim{image, slack + a.deviation})
+			victims = append(victims, victim{image, e.slowdown.ownSlack(ref.Job, image, e.now, ahead) + a.deviation})
 		case step.Scavenger:
 			scavengers = append(scavengers, scavenger{ref, job, step, a, e.slowdown.pairs.Image(step.Image), shareOf(v, step)})
 		}
--- a/dispatch/relief_test.go
+++ b/dispatch/relief_test.go
@@ -133,8 +133,7 @@
 		h.read(map[*attempt]int64{web: latencyAt(slack)})
 	}
 	image := h.slowdown.pairs.Image("web")
-	foreseen, known := h.slowdown.ownSlack(web.ref.Job, image, h.now, 500*time.Millisecond)
-	require.True(t, known)
+	foreseen := h.slowdown.ownSlack(web.ref.Job, image, h.now, 500*time.Millisecond)
 	assert.InDelta(t, slack-0.45, foreseen, 0.25)
 }
 
@@ -153,3 +152,17 @@
 	}
 	assert.Positive(t, share, "some of the unknown neighbours are throttled")
 }
+
+// TestATaskBelowTheRangeOfItsImageIsProtected: the range tells how far a
+// prediction may be trusted, and must not hide what the gauge shows.
+func TestATaskBelowTheRangeOfItsImageIsProtected(t *testing.T) {
+	h := newHost(t)
+	usual, ill, heavy := h.add(t, serving("web")), h.add(t, serving("web")), h.add(t, scavenging("heavy"))
+	for range 10 {
+		h.read(map[*attempt]int64{usual: latencyAt(2.5)})
+	}
+	for range 8 {
+		h.read(map[*attempt]int64{usual: latencyAt(1.6), ill: latencyAt(0.95), heavy: 6400})
+	}
+	assert.Less(t, heavy.wantShare, fullShare)
+}
--- a/dispatch/slowdown.go
+++ b/dispatch/slowdown.go
@@ -65,26 +65,34 @@
 
 func instantTime(at Instant) time.Time { return time.Unix(0, int64(at)) }
 
+// slackAt returns the slack that the tasks of a job are expected to have without
+// neighbours at a time, within the range of their image.
+func (s *slowdown) slackAt(own *interference.Trend, image interference.Image, when time.Time) float64 {
+	slack, seen := own.At(when), s.ranges[image]
+	if seen == nil {
+		return slack
+	}
+	return min(max(slack, seen.least*(1-slackReach)), seen.most*(1+slackReach))
+}
+
 // ownSlack returns the least slack that the tasks of a job are expected to have
-// without neighbours from now to a time ahead. It is false before the first
-// reading.
-func (s *slowdown) ownSlack(job workflow.JobID, image interference.Image, now Instant, ahead time.Duration) (float64, bool) {
-	own, seen := s.own[job], s.ranges[image]
-	if own == nil || seen == nil {
-		return unknownSlack, false
+// without neighbours from now to a time ahead.
+func (s *slowdown) ownSlack(job workflow.JobID, image interference.Image, now Instant, ahead time.Duration) float64 {
+	own := s.own[job]
+	if own == nil {
+		return unknownSlack
 	}
-	slack := min(own.At(instantTime(now)), own.At(instantTime(now.Add(ahead))))
-	return min(max(slack, seen.least*(1-slackReach)), seen.most*(1+slackReach)), true
+	return min(s.slackAt(own, image, instantTime(now)), s.slackAt(own, image, instantTime(now.Add(ahead))))
 }
 
 // load estimates the part of its request that a serving task uses: the slack of a
 // queue falls linearly with its load.
 func (s *slowdown) load(job workflow.JobID, image interference.Image, now Instant) float64 {
-	slack, known := s.ownSlack(job, image, now, 0)
-	if !known {
+	own, seen := s.own[job], s.ranges[image]
+	if own == nil || seen == nil {
 		return servingLoad
 	}
-	return min(max(1-slack/(s.ranges[image].most*idleSlack), leastLoad), mostLoad)
+	return min(max(1-s.slackAt(own, image, instantTime(now))/(seen.most*idleSlack), leastLoad), mostLoad)
 }
 
 // taken is a careful estimate of the slack that a scavenger takes of a serving
@@ -159,7 +167,7 @@
 	}
 	lost, trust := s.pairs.Taken(image, shares)
 	own.Add(taken, slack+lost, trust)
-	expected := own.At(taken)
+	expected := s.slackAt(own, image, taken)
 	a.deviation += deviationWeight * (slack + lost - expected - a.deviation)
 	seen := s.ranges[image]
 	if seen == nil {
