Count the bytes of a write before it is carried out

Cause: over a pipe the answer can arrive before the write of the request returns, so that its 116 or so bytes counted for the next call.

--- a/replica/measure_test.go
+++ b/replica/measure_test.go
@@ -28,10 +28,11 @@
 	return n, err
 }
 
+// Write counts first: over a pipe the answer can arrive before the write returns,
+// and its bytes would count for the next call.
 func (c countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.bytes.Add(int64(n))
-	return n, err
+	c.bytes.Add(int64(len(p)))
+	return c.Conn.Write(p)
 }
 
 // acknowledger answers every step as a follower that accepts would.
