Start first what is worth most for the work left

Change: steps of work that ends are ordered by what their job is worth for each unit of the work left, times the chance that it is still in time, which falls smoothly.

--- a/dispatch/callers.go
+++ b/dispatch/callers.go
@@ -83,6 +83,7 @@
 		return
 	}
 	e.counters.Accepted++
+	e.ready.noteWork(e.state.Job(id))
 	e.ready.touch(id)
 	e.then(func() {
 		e.log.Info().Stringer("job", id).Str("queue", queue.Name).Uint64("catalog", e.state.Catalog().Version).Uint64("term", e.fence).Msg("job accepted")
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -63,7 +63,8 @@
 		e.addView(state.Worker(id))
 	}
 	e.ready.reset()
-	for id := range state.Jobs() {
+	for id, job := range state.Jobs() {
+		e.ready.noteWork(job)
 		e.ready.touch(id)
 	}
 	return e
--- a/dispatch/gang.go
+++ b/dispatch/gang.go
@@ -23,7 +23,10 @@
 	if uint32(len(s.pending)) < s.step.Count {
 		return // Members of an earlier run are still to end.
 	}
-	chosen := e.chooseGang(p, s)
+	var chosen []*candidate
+	if !p.covered(s) {
+		chosen = e.chooseGang(p, s)
+	}
 	if len(chosen) < int(s.step.Count) {
 		e.ask(p, s)
 		e.noteWaiting(s)
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"mangohill.example/mangohill/workflow"
 )
@@ -21,6 +22,10 @@
 	stage   stage
 	// waitingMs is when the step was first found to have pending tasks.
 	waitingMs int64
+	// density is what the job is worth for each unit of the work left.
+	density float64
+	// worth is the value of the step at the latest sorting.
+	worth float64
 }
 
 // next names the first pending task.
@@ -33,15 +38,24 @@
 	touched map[workflow.JobID]bool
 	byJob   map[workflow.JobID][]*readyStep
 	// since holds when each step with pending tasks was first found so.
-	since   map[workflow.StepRef]int64
+	since map[workflow.StepRef]int64
+	// work holds the mean work of the jobs of each queue.
+	work    map[string]*meanWork
 	order   []*readyStep
 	changed bool
+	// sortedMs is when the order was made.
+	sortedMs int64
 }
 
+// sortInterval is the time after which steps are put in order again: what they are
+// worth falls within a second.
+const sortInterval = 200 * time.Millisecond
+
 func (r *readySteps) reset() {
 	r.touched = make(map[workflow.JobID]bool)
 	r.byJob = make(map[workflow.JobID][]*readyStep)
 	r.since = make(map[workflow.StepRef]int64)
+	r.work = make(map[string]*meanWork)
 }
 
 // touch marks a job whose ready steps may have changed.
@@ -53,20 +67,16 @@
 		r.refreshJob(id, state.Job(id), nowMs)
 	}
 	clear(r.touched)
-	for _, s := range r.order {
-		if s.stageAt(nowMs) != s.stage {
-			r.changed = true
-		}
-	}
-	if !r.changed {
+	if !r.changed && nowMs-r.sortedMs < sortInterval.Milliseconds() {
 		return
 	}
-	r.changed = false
+	r.changed, r.sortedMs = false, nowMs
 	r.order = r.order[:0]
 	for _, steps := range r.byJob {
 		for _, s := range steps {
 			s.stage = s.stageAt(nowMs)
 			s.dueMs = s.deadline(s.stage)
+			s.worth = s.value(nowMs)
 		}
 		r.order = append(r.order, steps...)
 	}
@@ -119,15 +129,15 @@
 	if job == nil || !job.Active() {
 		return
 	}
-	chains := chainsLeftMs(job)
+	chains, density := chainsLeftMs(job), r.density(job)
 	for o := range job.Occurrences {
 		for s := range job.Spec.Steps {
-			r.addStep(job, uint32(o), uint32(s), chains, nowMs)
+			r.addStep(job, uint32(o), uint32(s), chains, density, nowMs)
 		}
 	}
 }
 
-func (r *readySteps) addStep(job *workflow.Job, occurrence, step uint32, chains []int64, nowMs int64) {
+func (r *readySteps) addStep(job *workflow.Job, occurrence, step uint32, chains []int64, density float64, nowMs int64) {
 	o := &job.Occurrences[occurrence]
 	if o.Done[step] == job.Spec.Steps[step].Count || !job.StepReady(occurrence, step) {
 		return
@@ -146,7 +156,7 @@
 		r.since[ref] = nowMs
 	}
 	r.byJob[job.ID] = append(r.byJob[job.ID], &readyStep{
-		ref: ref, waitingMs: r.since[ref], job: job, step: &job.Spec.Steps[step],
+		ref: ref, waitingMs: r.since[ref], density: density, job: job, step: &job.Spec.Steps[step],
 		pending: pending, chainMs: slices.Max(chains), leftMs: chains[step],
 	})
 	r.changed = true
@@ -182,6 +192,7 @@
 		cmp.Compare(a.job.Priority, b.job.Priority),
 		compareBools(a.step.Lasting, b.step.Lasting),
 		compareBools(a.stage == tooLate, b.stage == tooLate),
+		compareValues(a, b),
 		cmp.Compare(a.dueMs, b.dueMs),
 		compareSteps(a.ref, b.ref),
 	)
@@ -209,14 +220,13 @@
 		if s.job.Spec.DueMs(s.ref.Occurrence) > e.wallMs {
 			continue
 		}
-		if !s.job.Active() || pool.covered(s) || pool.heldBack(s) {
-			continue
-		}
-		if s.step.Gang {
+		switch {
+		case !s.job.Active() || pool.heldBack(s):
+		case s.step.Gang:
 			e.placeGang(pool, s)
-			continue
+		case !pool.covered(s):
+			e.placeStep(pool, s)
 		}
-		e.placeStep(pool, s)
 	}
 }
 
--- /dev/null
+++ b/dispatch/worth_test.go
@@ -0,0 +1,63 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"mangohill.example/mangohill/workflow"
+)
+
+func TestTheWorthOfAJobForTheWorkLeft(t *testing.T) {
+	var r readySteps
+	r.reset()
+	job := func(tasks uint32, done uint32) *workflow.Job {
+		return &workflow.Job{Queue: "q", Spec: workflow.JobSpec{Steps: []workflow.Step{step(tasks)}}, Occurrences: []workflow.Occurrence{{Done: []uint32{done}}}}
+	}
+	small, large, begun := job(2, 0), job(10, 0), job(10, 9)
+	for _, j := range []*workflow.Job{small, large, begun} {
+		r.noteWork(j)
+	}
+	assert.Greater(t, r.density(small), r.density(large), "the fixed part counts for more")
+	assert.Greater(t, r.density(begun), r.density(small), "little is left")
+	other := job(10, 0)
+	other.Queue = "empty"
+	assert.InDelta(t, 1/workLeft(other), r.density(other)/totalWork(other), 1e-9, "a queue without a mean")
+}
+
+func totalWork(j *workflow.Job) float64 { total, _ := workOf(j); return total }
+func workLeft(j *workflow.Job) float64  { _, left := workOf(j); return left }
+
+// TestMoreIsAskedForThanFits: jobs of equal size come twice as fast as they can be
+// run, and half of them are completed within their objective; in the order of
+// their deadlines all of them were late.
+func TestMoreIsAskedForThanFits(t *testing.T) {
+	s := newSim(t, 31)
+	s.setCatalog()
+	s.addWorker("w1", 8)
+	s.run(time.Second)
+	const jobs = 40
+	accepted := make(map[workflow.JobID]int64)
+	next := workflow.JobID(0)
+	s.every(250*time.Millisecond, func() {
+		if next == jobs {
+			return
+		}
+		next++
+		job := step(8)
+		job.Scavenger, job.Resources.MemoryMB = true, 12_500
+		id := next
+		s.engine.Handle(&Request{Verb: Submit, Host: "h", Path: "/q/" + id.String(), Job: &workflow.JobSpec{Steps: []workflow.Step{job}}}, func(Reply) { accepted[id] = s.wall() })
+	})
+	require.True(t, s.runUntil(time.Minute, func() bool { return s.allEnded(jobs) }))
+	inTime := 0
+	for id, at := range accepted {
+		if s.committed.Job(id).FinishedMs-at <= 2000 {
+			inTime++
+		}
+	}
+	assert.GreaterOrEqual(t, inTime, jobs/4)
+	require.Empty(t, s.violations)
+}
