Set shares each 250 ms, not only when a worker answers

Cause: shares followed a worker's own readings, which come each second, while the load of its serving jobs is known from their tasks elsewhere within that time.

--- a/dispatch/relief.go
+++ b/dispatch/relief.go
@@ -34,6 +34,9 @@
 	slowShare     = 50
 	relocateAfter = 500 * time.Millisecond
 	nearlyDone    = 85
+	// sharesInterval is how often shares follow what the readings on other workers
+	// tell of a job's load; a worker's own readings come each second.
+	sharesInterval = 250 * time.Millisecond
 )
 
 // shareSteps are the shares in percent to which scavengers are throttled.
@@ -131,6 +134,12 @@
 // scavengers, so that no serving task is predicted beyond its limit.
 func (e *Engine) relieve(v *view) {
 	e.observe(v)
+	e.setShares(v)
+}
+
+// setShares sets the shares of a worker's scavengers by what is foreseen now.
+func (e *Engine) setShares(v *view) {
+	v.sharesAt = e.now
 	victims, scavengers := e.neighbours(v, throttleHorizon)
 	for _, s := range scavengers {
 		s.attempt.wantShare = e.grant(victims, s)
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -29,7 +29,9 @@
 	// acked is the number of the last end whose record is committed.
 	acked     uint64
 	suspectTo Instant
-	health    health
+	// sharesAt is when the shares of the scavengers were set last.
+	sharesAt Instant
+	health   health
 	// attempts are those that may run there, list the same in the order in which
 	// they came. A list is replaced and never changed, so that it may be read
 	// while attempts end.
@@ -194,6 +196,9 @@
 	if !v.looking && e.now >= v.nextLook {
 		e.look(v)
 	}
+	if e.since(v.sharesAt) >= sharesInterval && e.reachable(v) {
+		e.setShares(v)
+	}
 	for _, a := range v.list {
 		e.tendAttempt(v, a)
 	}
