Carry out waves of maintenance

Cause: /-/wave-start answered 404.

Change: workflow records waves and, before each order, the stage of a host, and refuses more hosts down than the wave allows, whoever planned it. dispatch prepares hosts (no new work, short tasks end), takes their tasks that last away together only as far as each step's bound on missing tasks goes, and lists the pool until the host is back.

Missing: moves between pools.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -19,6 +19,8 @@
 const (
 	// eventCapacity bounds the calls that wait for the loop.
 	eventCapacity = 4096
+	// hostCapacity bounds the answers of the pool of hosts that wait for the loop.
+	hostCapacity = 64
 	// tickInterval is how often the engine looks at its timers; it is well below
 	// the shortest of them.
 	tickInterval = 50 * time.Millisecond
@@ -46,6 +48,12 @@
 	Advise(ctx context.Context, question *dispatch.Question) dispatch.Advice
 }
 
+// HostPool is the pool of the hosts of workers.
+type HostPool interface {
+	// Do calls the pool once.
+	Do(ctx context.Context, order *dispatch.HostOrder) dispatch.HostAnswer
+}
+
 // Options configures a Coordinator.
 type Options struct {
 	Replica  replica.Options
@@ -53,7 +61,9 @@
 	Workers  WorkerCaller
 	// Advisor may be nil where no queue needs advice.
 	Advisor Advisor
-	Logger  zerolog.Logger
+	// Hosts may be nil where hosts are not maintained.
+	Hosts  HostPool
+	Logger zerolog.Logger
 }
 
 // Coordinator is one member of the control group.
@@ -64,6 +74,7 @@
 	events  chan event
 	answers chan dispatch.Answer
 	advice  chan dispatch.Advice
+	hosts   chan dispatch.HostAnswer
 	commits chan commit
 	serving atomic.Bool
 	metrics *metrics
@@ -101,7 +112,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Coordinator{
 		options: options, store: store, replica: started, ctx: ctx, cancel: cancel,
-		events: make(chan event, eventCapacity), answers: make(chan dispatch.Answer, eventCapacity), commits: make(chan commit, 1), advice: make(chan dispatch.Advice, 1), metrics: newMetrics(),
+		events: make(chan event, eventCapacity), answers: make(chan dispatch.Answer, eventCapacity), hosts: make(chan dispatch.HostAnswer, hostCapacity), commits: make(chan commit, 1), advice: make(chan dispatch.Advice, 1), metrics: newMetrics(),
 	}
 	c.group.Add(1)
 	go c.run()
--- a/coordinator/doc.go
+++ b/coordinator/doc.go
@@ -7,4 +7,5 @@
 //
 //	events   full: the caller is refused with kind overloaded
 //	answers  full: the goroutine of the order waits
+//	hosts    full: the goroutine of the order waits
 package coordinator
--- a/coordinator/loop.go
+++ b/coordinator/loop.go
@@ -47,6 +47,11 @@
 			if l.engine != nil && a.Question.Fence == l.term {
 				l.engine.Advised(&a)
 			}
+		case a := <-c.hosts:
+			l.advance()
+			if l.engine != nil && a.Order.Fence == l.term {
+				l.engine.HostAnswered(&a)
+			}
 		case done := <-c.commits:
 			l.advance()
 			l.committed(done)
@@ -168,6 +173,28 @@
 	if question := l.engine.TakeQuestion(); question != nil {
 		l.consult(question)
 	}
+	for _, order := range l.engine.TakeHostOrders() {
+		l.sendHost(order)
+	}
+}
+
+// sendHost carries out an order to the pool of hosts. A leader that is not
+// confirmed sends nothing.
+func (l *loop) sendHost(order dispatch.HostOrder) {
+	l.group.Add(1)
+	go func() {
+		defer l.group.Done()
+		answer := dispatch.HostAnswer{Order: order, Outcome: dispatch.HostRefused}
+		if l.options.Hosts != nil && l.confirmed() {
+			ctx, cancel := context.WithTimeout(l.ctx, order.Timeout())
+			answer = l.options.Hosts.Do(ctx, &order)
+			cancel()
+		}
+		select {
+		case l.hosts <- answer:
+		case <-l.ctx.Done():
+		}
+	}()
 }
 
 // consult asks the advice service.
@@ -254,6 +281,10 @@
 		l.engine.SetCatalog(call.SetCatalog, func(err *kind.Error) { done(Result{Err: err}) })
 	case call.ReadCatalog:
 		l.engine.ReadCatalog(func(c *workflow.Catalog) { done(Result{Catalog: c}) })
+	case call.StartWave != nil:
+		l.engine.StartWave(call.StartWave, func(err *kind.Error) { done(Result{Err: err}) })
+	case call.WaveState != nil:
+		l.engine.WaveCompleted(*call.WaveState, func(completed bool, err *kind.Error) { done(Result{WaveCompleted: completed, Err: err}) })
 	default:
 		done(Result{Err: kind.Errorf(kind.BadRequest, "an empty call")})
 	}
--- a/coordinator/messages.go
+++ b/coordinator/messages.go
@@ -22,6 +22,10 @@
 	SetCatalog *workflow.Catalog
 	// ReadCatalog asks for the newest catalog.
 	ReadCatalog bool
+	// StartWave starts a wave of maintenance.
+	StartWave *workflow.StartWave
+	// WaveState asks whether a wave is completed.
+	WaveState *uint64
 }
 
 // Withdrawal is a worker's report that it ends.
@@ -37,6 +41,8 @@
 	Err     *kind.Error
 	Reply   dispatch.Reply
 	Catalog *workflow.Catalog
+	// WaveCompleted answers WaveState.
+	WaveCompleted bool
 	// Leader is the leader's address.
 	Leader string
 }
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -33,6 +33,8 @@
 	counters   Counters
 	slowdown   slowdown
 	advisor    advisor
+	// maintenance is the part in the waves of maintenance.
+	maintenance maintainer
 	// gangs holds since when a gang waits for room.
 	gangs map[workflow.StepRef]Instant
 	// avoid names the worker on which a task failed last.
@@ -56,7 +58,7 @@
 func New(settings Settings, log zerolog.Logger, term uint64, state *workflow.State, now Instant) *Engine {
 	e := &Engine{
 		settings: settings, log: log, fence: term, state: state, now: now, began: now, wallMs: state.NowMs(),
-		views: make(map[workflow.WorkerID]*view), slowdown: newSlowdown(), advisor: newAdvisor(), gangs: make(map[workflow.StepRef]Instant),
+		views: make(map[workflow.WorkerID]*view), slowdown: newSlowdown(), advisor: newAdvisor(), maintenance: newMaintainer(), gangs: make(map[workflow.StepRef]Instant),
 		avoid: make(map[workflow.TaskRef]avoided),
 	}
 	for _, id := range slices.Sorted(maps.Keys(state.Workers())) {
@@ -76,6 +78,7 @@
 	for _, v := range e.list {
 		e.tend(v)
 	}
+	e.tendWaves()
 }
 
 // Advance passes the time without the work of Tick.
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -58,7 +58,7 @@
 func (e *Engine) newPool() *pool {
 	p := &pool{byService: make(map[string][]*candidate), holders: e.holds()}
 	for _, v := range e.list {
-		if !e.answers(v) {
+		if !e.answers(v) || e.preparingWorker(v) {
 			continue
 		}
 		p.byService[v.worker.Service] = append(p.byService[v.worker.Service], e.candidateOf(v))
--- a/dispatch/relief.go
+++ b/dispatch/relief.go
@@ -169,7 +169,7 @@
 // elsewhere reports whether another worker would take a task of the step now.
 func (e *Engine) elsewhere(v *view, job *workflow.Job, step *workflow.Step) bool {
 	for _, other := range e.list {
-		if other == v || other.worker.Service != job.Service || !e.answers(other) || e.now < other.suspectTo {
+		if other == v || other.worker.Service != job.Service || !e.answers(other) || e.preparingWorker(other) || e.now < other.suspectTo {
 			continue
 		}
 		c := e.candidateOf(other)
--- a/workflow/ops.go
+++ b/workflow/ops.go
@@ -120,6 +120,8 @@
 	Place      *Place      `cbor:"6,keyasint,omitempty"`
 	End        *End        `cbor:"7,keyasint,omitempty"`
 	Void       *Void       `cbor:"8,keyasint,omitempty"`
+	StartWave  *StartWave  `cbor:"9,keyasint,omitempty"`
+	Maintain   *Maintain   `cbor:"10,keyasint,omitempty"`
 }
 
 // Batch is one entry of the log. NowMs is the leader's wall clock in
--- a/workflow/snapshot.go
+++ b/workflow/snapshot.go
@@ -18,6 +18,7 @@
 	NextWorker WorkerID  `cbor:"5,keyasint"`
 	NowMs      int64     `cbor:"6,keyasint"`
 	Finished   []JobID   `cbor:"7,keyasint"`
+	Waves      []*Wave   `cbor:"8,keyasint,omitempty"`
 }
 
 // Snapshot encodes the state. Equal states have equal snapshots.
@@ -29,12 +30,16 @@
 	for _, w := range s.workers {
 		out.Workers = append(out.Workers, w)
 	}
+	for _, wave := range s.waves {
+		out.Waves = append(out.Waves, wave)
+	}
+	slices.SortFunc(out.Waves, func(a, b *Wave) int { return compare(a.ID, b.ID) })
 	slices.SortFunc(out.Jobs, func(a, b *Job) int { return compare(a.ID, b.ID) })
 	slices.SortFunc(out.Workers, func(a, b *Worker) int { return compare(a.ID, b.ID) })
 	return cborcodec.Encode.Marshal(out)
 }
 
-func compare[T JobID | WorkerID](a, b T) int {
+func compare[T JobID | WorkerID | uint64](a, b T) int {
 	if a < b {
 		return -1
 	}
@@ -59,6 +64,12 @@
 	for _, job := range in.Jobs {
 		s.jobs[job.ID] = job
 	}
+	for _, wave := range in.Waves {
+		if wave.Progress == nil {
+			wave.Progress = make(map[string]Maintenance)
+		}
+		s.waves[wave.ID] = wave
+	}
 	for _, w := range in.Workers {
 		if w.Attempts == nil {
 			w.Attempts = make(map[TaskRef]uint32)
--- a/workflow/state.go
+++ b/workflow/state.go
@@ -147,6 +147,7 @@
 	workers    map[WorkerID]*Worker
 	byName     map[string]WorkerID
 	byAddress  map[string]WorkerID
+	waves      map[uint64]*Wave
 	nextWorker WorkerID
 	nowMs      int64
 	// finished lists ended jobs in the order of their end.
@@ -160,6 +161,7 @@
 		workers:   make(map[WorkerID]*Worker),
 		byName:    make(map[string]WorkerID),
 		byAddress: make(map[string]WorkerID),
+		waves:     make(map[uint64]*Wave),
 	}
 }
 
@@ -233,6 +235,10 @@
 		return s.end(op.End)
 	case op.Void != nil:
 		return s.void(op.Void)
+	case op.StartWave != nil:
+		return s.startWave(op.StartWave)
+	case op.Maintain != nil:
+		return s.maintain(op.Maintain)
 	}
 	return kind.Errorf(kind.Corrupt, "an operation without content")
 }
