--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -25,6 +25,9 @@
 	tryTimeout = 800 * time.Millisecond
 	// retryPause is the wait before a call is tried again.
 	retryPause = 40 * time.Millisecond
+	// electionTime is how long a change of leader usually takes. Once no leader has
+	// been found for longer, a quorum is lost, and calls are refused at once.
+	electionTime = 1500 * time.Millisecond
 )
 
 // Client calls the leader of the control group from any process.
@@ -32,6 +35,8 @@
 	options ClientOptions
 	mu      sync.Mutex
 	leader  string
+	// lostAt is since when no leader is known.
+	lostAt  time.Time
 	term    uint64
 	members []string
 	// confirmedAt is when a leader last said that it answers callers.
@@ -54,7 +59,7 @@
 
 // NewClient returns a client. Run keeps its view of the group current.
 func NewClient(options ClientOptions) *Client {
-	c := &Client{options: options}
+	c := &Client{options: options, lostAt: boottime.Now()}
 	c.calls, c.endCalls = context.WithCancel(context.Background())
 	return c
 }
@@ -150,6 +155,9 @@
 
 // setLeader ends the calls to the leader before. The caller holds the lock.
 func (c *Client) setLeader(leader string) {
+	if leader == "" && c.leader != "" {
+		c.lostAt = boottime.Now()
+	}
 	c.leader = leader
 	c.endCalls()
 	c.calls, c.endCalls = context.WithCancel(context.Background())
@@ -176,7 +184,15 @@
 	}
 }
 
-// Do calls the leader until it answers or ctx ends. All calls may be repeated:
+// leaderless reports whether no leader has been found for longer than a change of
+// leader takes.
+func (c *Client) leaderless() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leader == "" && boottime.Now().Sub(c.lostAt) > electionTime
+}
+
+// Do calls the leader until it answers, ctx ends, or a leader is out of sight. All calls may be repeated:
 // the leader recognizes them. The error is of kind unknown_outcome if the call
 // may have been carried out, and no_quorum if it certainly was not.
 func (c *Client) Do(ctx context.Context, call *Call) (*Result, error) {
@@ -187,6 +203,9 @@
 			return result, nil
 		}
 		unknown = unknown || kind.Is(err, kind.UnknownOutcome)
+		if c.leaderless() {
+			return nil, givenUp(unknown, err)
+		}
 		timer := time.NewTimer(retryPause)
 		select {
 		case <-timer.C:
@@ -194,11 +213,16 @@
 		case <-ctx.Done():
 			timer.Stop()
 		}
-		if unknown {
-			return nil, kind.Errorf(kind.UnknownOutcome, "no answer of a leader in time: %w", err)
-		}
-		return nil, kind.Errorf(kind.NoQuorum, "no leader in time: %w", err)
+		return nil, givenUp(unknown, err)
+	}
+}
+
+// givenUp is the error of a call that no leader answered.
+func givenUp(unknown bool, cause error) error {
+	if unknown {
+		return kind.Errorf(kind.UnknownOutcome, "no answer of a leader in time: %w", cause)
 	}
+	return kind.Errorf(kind.NoQuorum, "no leader in time: %w", cause)
 }
 
 func (c *Client) try(ctx context.Context, call *Call) (*Result, error) {
