Spend less of the leader's processor on each decision

Change: what placements see of a worker is kept until its attempts change, 200 ms at most; deviations and images are looked up once; a share is lowered beyond 0.95 of a target and raised below 0.9; shares are set each 400 ms.

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"mangohill.example/mangohill/interference"
 	"mangohill.example/mangohill/workflow"
 )
 
@@ -26,6 +27,9 @@
 	density float64
 	// worth is the value of the step at the latest sorting.
 	worth float64
+	// image is the index of the step's image, once imageKnown is set.
+	image      interference.Image
+	imageKnown bool
 }
 
 // next names the first pending task.
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"mangohill.example/mangohill/interference"
 	"mangohill.example/mangohill/workflow"
 )
 
@@ -67,7 +68,7 @@
 }
 
 func (e *Engine) candidateOf(v *view) *candidate {
-	return &candidate{view: v, suspect: e.now < v.suspectTo, free: v.worker.Capacity.Sub(v.worker.Reserved), idle: e.idleProcessors(v)}
+	return &candidate{view: v, suspect: e.now < v.suspectTo, free: v.worker.Capacity.Sub(v.worker.Reserved), idle: e.standingOf(v).idle}
 }
 
 // answers reports whether a worker can take orders and stays.
@@ -159,7 +160,7 @@
 		return false
 	case !step.Reserved().Fits(c.free):
 		return false
-	case step.Scavenger && (c.idle < scavengerRoom(step) || c.headroom(e, step) < 0):
+	case step.Scavenger && (c.idle < scavengerRoom(step) || c.headroom(e, step, e.imageOf(s)) < 0):
 		return false
 	case step.Label != "" && !c.view.worker.HasLabel(step.Label):
 		return false
@@ -169,6 +170,14 @@
 	return true
 }
 
+// imageOf returns the index of the step's image.
+func (e *Engine) imageOf(s *readyStep) interference.Image {
+	if !s.imageKnown {
+		s.image, s.imageKnown = e.slowdown.pairs.Image(s.step.Image), true
+	}
+	return s.image
+}
+
 // score prefers, for a task that takes unused processors, the worker with most
 // of them, and for any other the one that has least left, so that room for wide
 // tasks remains. A task near its data comes first.
@@ -178,7 +187,8 @@
 		score = 1 << 40
 	}
 	if s.step.Scavenger {
-		return score + c.idle + int64(min(c.headroom(e, s.step), maxHeadroom)*headroomWeight+c.advantage(e, s.step)*advantageWeight)
+		image := e.imageOf(s)
+		return score + c.idle + int64(min(c.headroom(e, s.step, image), maxHeadroom)*headroomWeight+c.advantage(e, image)*advantageWeight)
 	}
 	if c.suspect {
 		score -= suspectWeight
--- a/dispatch/relief.go
+++ b/dispatch/relief.go
@@ -18,7 +18,9 @@
 	// task's predicted tail latency may reach before no scavenger is added beside
 	// it, and before those beside it are throttled.
 	admitLimit    = 0.85
-	throttleLimit = 0.9
+	throttleLimit = 0.95
+	// raiseLimit is lower, so that a share does not change with each reading.
+	raiseLimit = 0.9
 	// learningTime is how long a new leader moves nothing for the sake of serving
 	// tasks: it has yet to learn what disturbs them.
 	learningTime = 4 * time.Second
@@ -36,7 +38,10 @@
 	nearlyDone    = 85
 	// sharesInterval is how often shares follow what the readings on other workers
 	// tell of a job's load; a worker's own readings come each second.
-	sharesInterval = 250 * time.Millisecond
+	sharesInterval = 400 * time.Millisecond
+	// standingAge is how long what placements see of a worker holds: the load of its
+	// jobs changes by a few percent in that time.
+	standingAge = 200 * time.Millisecond
 )
 
 // shareSteps are the shares in percent to which scavengers are throttled.
@@ -92,15 +97,11 @@
 
 // headroom returns how much slack beyond its limit the serving task with the
 // least of it keeps once a task of the step runs beside it.
-func (c *candidate) headroom(e *Engine, step *workflow.Step) float64 {
+func (c *candidate) headroom(e *Engine, step *workflow.Step, image interference.Image) float64 {
 	if c.victims == nil {
-		victims, scavengers := e.neighbours(c.view, placeHorizon)
-		for _, s := range scavengers {
-			e.disturb(victims, s, max(s.attempt.wantShare, 0))
-		}
-		c.victims = append([]victim{}, victims...)
+		c.victims = append([]victim{}, e.standingOf(c.view).victims...)
 	}
-	image, share, least := e.slowdown.pairs.Image(step.Image), shareOf(c.view, step), math.Inf(1)
+	share, least := shareOf(c.view, step), math.Inf(1)
 	for _, victim := range c.victims {
 		least = min(least, victim.slack-e.slowdown.taken(victim.image, image, share)-1/admitLimit)
 	}
@@ -110,8 +111,8 @@
 // advantage is by how much better the worker suits the step than scavengers in
 // general, in slack of the serving task that it suits least. It keeps workers on
 // which many scavengers do little harm for those that harm elsewhere.
-func (c *candidate) advantage(e *Engine, step *workflow.Step) float64 {
-	image, least := e.slowdown.pairs.Image(step.Image), math.Inf(1)
+func (c *candidate) advantage(e *Engine, image interference.Image) float64 {
+	least := math.Inf(1)
 	for _, victim := range c.victims {
 		mean, _ := e.slowdown.pairs.Loss(victim.image, image)
 		least = min(least, e.slowdown.pairs.MeanLoss(victim.image)-mean)
@@ -142,11 +143,38 @@
 	v.sharesAt = e.now
 	victims, scavengers := e.neighbours(v, throttleHorizon)
 	for _, s := range scavengers {
-		s.attempt.wantShare = e.grant(victims, s)
+		e.setShare(v, s.attempt, e.grant(victims, s))
 		e.relocate(v, s)
 	}
 }
 
+func (e *Engine) setShare(v *view, a *attempt, share int) {
+	if share != a.wantShare {
+		a.wantShare, v.standing = share, nil
+	}
+}
+
+// standing is what placements see of a worker.
+type standing struct {
+	at      Instant
+	idle    int64
+	victims []victim
+}
+
+// standingOf returns what placements see of a worker now. It is computed again
+// when the worker's attempts have changed or their load may have.
+func (e *Engine) standingOf(v *view) *standing {
+	if v.standing != nil && e.since(v.standing.at) < standingAge {
+		return v.standing
+	}
+	victims, scavengers := e.neighbours(v, placeHorizon)
+	for _, s := range scavengers {
+		e.disturb(victims, s, max(s.attempt.wantShare, 0))
+	}
+	v.standing = &standing{at: e.now, idle: e.idleProcessors(v), victims: victims}
+	return v.standing
+}
+
 // relocate stops a scavenger that has been throttled for some time and saves its
 // progress, where another worker would take it: its whole job waits for it.
 func (e *Engine) relocate(v *view, s scavenger) {
@@ -173,7 +201,7 @@
 			continue
 		}
 		c := e.candidateOf(other)
-		if step.Reserved().Fits(c.free) && (step.Label == "" || other.worker.HasLabel(step.Label)) && c.idle >= scavengerRoom(step) && c.headroom(e, step) >= 0 {
+		if step.Reserved().Fits(c.free) && (step.Label == "" || other.worker.HasLabel(step.Label)) && c.idle >= scavengerRoom(step) && c.headroom(e, step, e.slowdown.pairs.Image(step.Image)) >= 0 {
 			return true
 		}
 	}
@@ -184,7 +212,11 @@
 // within their limits, and takes what it costs off them.
 func (e *Engine) grant(victims []victim, s scavenger) int {
 	for _, percent := range shareSteps {
-		if percent > 0 && !e.tolerated(victims, s, percent) {
+		limit := throttleLimit
+		if percent > s.attempt.wantShare {
+			limit = raiseLimit
+		}
+		if percent > 0 && !e.tolerated(victims, s, percent, limit) {
 			continue
 		}
 		e.disturb(victims, s, percent)
@@ -193,9 +225,9 @@
 	return 0
 }
 
-func (e *Engine) tolerated(victims []victim, s scavenger, percent int) bool {
+func (e *Engine) tolerated(victims []victim, s scavenger, percent int, limit float64) bool {
 	for _, v := range victims {
-		if v.slack-e.slowdown.taken(v.image, s.image, s.share*float64(percent)/fullShare) < 1/throttleLimit {
+		if v.slack-e.slowdown.taken(v.image, s.image, s.share*float64(percent)/fullShare) < 1/limit {
 			return false
 		}
 	}
--- a/dispatch/relief_test.go
+++ b/dispatch/relief_test.go
@@ -88,7 +88,7 @@
 }
 
 func (h *host) headroomOf(step workflow.Step) float64 {
-	return h.candidateOf(h.view).headroom(h.Engine, &step)
+	return h.candidateOf(h.view).headroom(h.Engine, &step, h.slowdown.pairs.Image(step.Image))
 }
 
 // TestAScavengerThatEndedIsNotBlamedOnOthers: a look is answered when a task ends,
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -29,6 +29,8 @@
 	// acked is the number of the last end whose record is committed.
 	acked     uint64
 	suspectTo Instant
+	// standing is what placements see of the worker, nil when it has changed.
+	standing *standing
 	// sharesAt is when the shares of the scavengers were set last.
 	sharesAt Instant
 	health   health
@@ -109,12 +111,13 @@
 }
 
 func (v *view) add(a *attempt) {
-	v.attempts[a.ref] = a
+	v.attempts[a.ref], v.standing = a, nil
 	v.list = append(slices.Clone(v.list), a)
 }
 
 func (v *view) remove(a *attempt) {
 	delete(v.attempts, a.ref)
+	v.standing = nil
 	v.list = slices.DeleteFunc(slices.Clone(v.list), func(other *attempt) bool { return other == a })
 }
 
--- a/interference/pairs.go
+++ b/interference/pairs.go
@@ -60,7 +60,9 @@
 // loss is the estimate of one pair.
 type loss struct {
 	mean, variance float64
-	at             time.Time
+	// deviation is the square root of the variance when it was set last.
+	deviation float64
+	at        time.Time
 }
 
 // NewPairs returns a model without knowledge.
@@ -88,13 +90,15 @@
 	return i
 }
 
-func unknownLoss() loss { return loss{mean: priorLoss, variance: priorLossVariance} }
+func unknownLoss() loss {
+	return loss{mean: priorLoss, variance: priorLossVariance, deviation: math.Sqrt(priorLossVariance)}
+}
 
 // Loss returns the mean and the standard deviation of the slack that a neighbour
 // takes of a victim when it uses the whole host.
 func (p *Pairs) Loss(victim, neighbour Image) (mean, deviation float64) {
 	l := &p.losses[victim][neighbour]
-	return l.mean, math.Sqrt(l.variance)
+	return l.mean, l.deviation
 }
 
 // MeanLoss returns the loss of a victim beside the neighbours that are met, as
@@ -144,6 +148,7 @@
 		gain := l.variance * n.Share / spread
 		l.mean = min(max(l.mean+gain*surprise, 0), maxLoss)
 		l.variance = max(l.variance*(1-gain*n.Share), minLossVariance)
+		l.deviation = math.Sqrt(l.variance)
 	}
 }
 
