--- a/dispatch/hosts.go
+++ b/dispatch/hosts.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"mangohill.example/mangohill/workflow"
+)
 
 // Host is a host of workers as the pool of hosts lists it.
 type Host struct {
@@ -87,3 +91,44 @@
 	// Hosts is a whole listing.
 	Hosts []Host
 }
+
+// HostAnswered takes the answer of the pool of hosts.
+func (e *Engine) HostAnswered(a *HostAnswer) {
+	m := &e.maintenance
+	if a.Order.Verb == ListHosts {
+		m.listing, m.nextList = false, e.now.Add(listInterval)
+		if a.Outcome == HostDone {
+			m.hosts = make(map[string]Host, len(a.Hosts))
+			for _, host := range a.Hosts {
+				m.hosts[host.Name] = host
+			}
+			m.listedAt = a.Order.SentAt
+		}
+		return
+	}
+	name, wave := a.Order.Host, e.state.Wave(a.Order.Wave)
+	e.log.Info().Uint64("wave", a.Order.Wave).Str("host", name).Stringer("outcome", a.Outcome).Dur("took", e.since(a.Order.SentAt)).Uint64("term", e.fence).Msg("maintenance answered")
+	call := m.calls[name]
+	if call == nil || wave == nil || wave.Progress[name] != workflow.MaintenanceOrdered {
+		return
+	}
+	call.underWay, call.retryAt = false, e.now.Add(hostRetry)
+	switch a.Outcome {
+	case HostDone:
+		m.begunAt[name] = e.now
+		e.endMaintained(call)
+		e.setMaintenance(wave, name, workflow.MaintenanceBegun, "confirmed")
+	case HostNotOfWave:
+		e.setMaintenance(wave, name, workflow.MaintenanceOver, "not of the wave")
+	case HostFenced:
+		m.fenced = true
+	}
+}
+
+// endMaintained ends the life of the worker that an order has terminated. After a
+// repeated call its next life may be there already: its own report tells.
+func (e *Engine) endMaintained(call *hostCall) {
+	if w := e.state.Worker(call.worker); w != nil && call.sent == 1 {
+		e.endLife(w, "maintenance")
+	}
+}
--- a/dispatch/maintenance.go
+++ b/dispatch/maintenance.go
@@ -16,16 +16,6 @@
 	listInterval = 600 * time.Millisecond
 	// hostRetry is the pause before an order to the pool is repeated.
 	hostRetry = 400 * time.Millisecond
-	// returnTime is what the maintenance of a host takes besides its preparation: two
-	// seconds, the return of its worker, and the listing that shows it.
-	returnTime = 3 * time.Second
-	// leastPreparation and mostPreparation bound how long short tasks on a host may
-	// go on before they are stopped.
-	leastPreparation = 300 * time.Millisecond
-	mostPreparation  = 2500 * time.Millisecond
-	// preparationLimit is when a host that could not be prepared goes back to work:
-	// others of its tasks that last may be away for long.
-	preparationLimit = 8 * time.Second
 )
 
 // maintainer is the leader's part in the waves of maintenance.
@@ -205,95 +195,6 @@
 	return false
 }
 
-// prepare lets the short tasks on a host end, and orders its maintenance once the
-// tasks that last may be taken away together: until then they stay at work.
-func (e *Engine) prepare(wave *workflow.Wave, name string) {
-	m := &e.maintenance
-	v, since := e.hostView(name), m.preparing[name]
-	if v == nil || e.since(since) > preparationLimit {
-		delete(m.preparing, name)
-		return
-	}
-	patience, short := e.preparationTime(wave), 0
-	for _, a := range v.list {
-		step := e.step(a.ref)
-		if step != nil && step.Lasting && !a.stopWanted {
-			continue
-		}
-		short++
-		a.stopWanted = a.stopWanted || step != nil && e.since(since) > patience
-	}
-	if short > 0 || wave.Down() >= wave.Parallel || !e.mayTakeAll(v) {
-		return
-	}
-	delete(m.preparing, name)
-	m.ending[v.worker.Life.Name] = true
-	e.setMaintenance(wave, name, workflow.MaintenanceOrdered, "prepared")
-}
-
-// mayTakeAll reports whether an order may take all tasks that last of a worker away
-// together. Where there are too many of one step, one of them moves first.
-func (e *Engine) mayTakeAll(v *view) bool {
-	here := make(map[workflow.StepRef]int32)
-	for _, a := range v.list {
-		here[a.ref.StepRef()]++
-	}
-	all := true
-	for _, a := range v.list {
-		step := e.step(a.ref)
-		if step == nil || step.MayMiss <= 0 {
-			continue
-		}
-		away := e.away(v, a.ref)
-		if away+here[a.ref.StepRef()] <= step.MayMiss {
-			continue
-		}
-		all = false
-		if here[a.ref.StepRef()] > step.MayMiss && away < step.MayMiss {
-			a.stopWanted = true
-			here[a.ref.StepRef()]--
-			return false
-		}
-	}
-	return all
-}
-
-// away counts the tasks of a step that are not at work, those on the worker left out.
-func (e *Engine) away(v *view, ref workflow.TaskRef) int32 {
-	away := int32(0)
-	for i, task := range e.state.Job(ref.Job).Occurrences[ref.Occurrence].Steps[ref.Step] {
-		other := workflow.TaskRef{Job: ref.Job, Occurrence: ref.Occurrence, Step: ref.Step, Index: uint32(i)}
-		if v.attempts[other] == nil && !e.atWork(other, &task) {
-			away++
-		}
-	}
-	return away
-}
-
-// preparationTime is how long a host may take to be emptied, so that the wave
-// meets its deadline.
-func (e *Engine) preparationTime(wave *workflow.Wave) time.Duration {
-	left := 0
-	for _, name := range wave.Hosts {
-		if wave.Progress[name] == 0 {
-			left++
-		}
-	}
-	rounds := max((left+int(wave.Parallel)-1)/int(wave.Parallel), 1)
-	each := time.Duration(wave.DueMs-e.wallMs) * time.Millisecond / time.Duration(rounds)
-	return min(max(each-returnTime, leastPreparation), mostPreparation)
-}
-
-// atWork reports whether a task that lasts is at work and stays so.
-func (e *Engine) atWork(ref workflow.TaskRef, task *workflow.Task) bool {
-	v := e.views[task.Worker]
-	if task.State != workflow.TaskPlaced || v == nil || !e.reachable(v) || e.maintenance.ending[v.worker.Life.Name] {
-		return false
-	}
-	a := v.attempts[ref]
-	return a != nil && a.running && !a.stopWanted && a.percent >= fullShare
-}
-
 func (e *Engine) setMaintenance(wave *workflow.Wave, name string, stage workflow.Maintenance, reason string) {
 	if err := e.decide(workflow.Op{Maintain: &workflow.Maintain{Wave: wave.ID, Host: name, Stage: stage}}); err != nil {
 		e.log.Error().Err(err).Uint64("wave", wave.ID).Str("host", name).Msg("maintenance not recorded")
@@ -342,44 +243,3 @@
 		delete(m.begunAt, name)
 	}
 }
-
-// HostAnswered takes the answer of the pool of hosts.
-func (e *Engine) HostAnswered(a *HostAnswer) {
-	m := &e.maintenance
-	if a.Order.Verb == ListHosts {
-		m.listing, m.nextList = false, e.now.Add(listInterval)
-		if a.Outcome == HostDone {
-			m.hosts = make(map[string]Host, len(a.Hosts))
-			for _, host := range a.Hosts {
-				m.hosts[host.Name] = host
-			}
-			m.listedAt = a.Order.SentAt
-		}
-		return
-	}
-	name, wave := a.Order.Host, e.state.Wave(a.Order.Wave)
-	e.log.Info().Uint64("wave", a.Order.Wave).Str("host", name).Stringer("outcome", a.Outcome).Dur("took", e.since(a.Order.SentAt)).Uint64("term", e.fence).Msg("maintenance answered")
-	call := m.calls[name]
-	if call == nil || wave == nil || wave.Progress[name] != workflow.MaintenanceOrdered {
-		return
-	}
-	call.underWay, call.retryAt = false, e.now.Add(hostRetry)
-	switch a.Outcome {
-	case HostDone:
-		m.begunAt[name] = e.now
-		e.endMaintained(call)
-		e.setMaintenance(wave, name, workflow.MaintenanceBegun, "confirmed")
-	case HostNotOfWave:
-		e.setMaintenance(wave, name, workflow.MaintenanceOver, "not of the wave")
-	case HostFenced:
-		m.fenced = true
-	}
-}
-
-// endMaintained ends the life of the worker that an order has terminated. After a
-// repeated call its next life may be there already: its own report tells.
-func (e *Engine) endMaintained(call *hostCall) {
-	if w := e.state.Worker(call.worker); w != nil && call.sent == 1 {
-		e.endLife(w, "maintenance")
-	}
-}
--- a/dispatch/relief.go
+++ b/dispatch/relief.go
@@ -14,13 +14,9 @@
 	// scavengerShare is the share of its request that must be unused before a
 	// scavenger is started, in percent.
 	scavengerShare = 25
-	// admitLimit and throttleLimit are the shares of its target that a serving
-	// task's predicted tail latency may reach before no scavenger is added beside
-	// it, and before those beside it are throttled.
-	admitLimit    = 0.85
-	throttleLimit = 0.95
-	// raiseLimit is lower, so that a share does not change with each reading.
-	raiseLimit = 0.9
+	// admitLimit is the share of its target that a serving task's predicted tail
+	// latency may reach before no scavenger is added beside it.
+	admitLimit = 0.85
 	// learningTime is how long a new leader moves nothing for the sake of serving
 	// tasks: it has yet to learn what disturbs them.
 	learningTime = 4 * time.Second
@@ -36,17 +32,8 @@
 	slowShare     = 50
 	relocateAfter = 500 * time.Millisecond
 	nearlyDone    = 85
-	// sharesInterval is how often shares follow what the readings on other workers
-	// tell of a job's load; a worker's own readings come each second.
-	sharesInterval = 400 * time.Millisecond
-	// standingAge is how long what placements see of a worker holds: the load of its
-	// jobs changes by a few percent in that time.
-	standingAge = 200 * time.Millisecond
 )
 
-// shareSteps are the shares in percent to which scavengers are throttled.
-var shareSteps = [...]int{100, 50, 25, 0}
-
 // victim is a serving task as one decision sees it.
 type victim struct {
 	image interference.Image
@@ -67,7 +54,7 @@
 
 // neighbours returns the serving tasks of a worker with the slack that they have
 // without scavengers, and the scavengers, those with most progress first.
-func (e *Engine) neighbours(v *view, ahead time.Duration) ([]victim, []scavenger) {
+func (e *Engine) neighbours(v *view) ([]victim, []scavenger) {
 	var victims []victim
 	var scavengers []scavenger
 	for _, a := range v.list {
@@ -80,7 +67,7 @@
 		switch {
 		case step.Lasting && step.LatencyTargetMs > 0:
 			image := e.slowdown.pairs.Image(step.Image)
-			victims = append(victims, victim{image, e.slowdown.ownSlack(ref.Job, image, e.now, ahead) + a.deviation})
+			victims = append(victims, victim{image, e.slowdown.ownSlack(ref.Job, image, e.now) + a.deviation})
 		case step.Scavenger:
 			scavengers = append(scavengers, scavenger{ref, job, step, a, e.slowdown.pairs.Image(step.Image), shareOf(v, step)})
 		}
@@ -131,50 +118,6 @@
 	}
 }
 
-// relieve learns from the readings of a worker and sets the shares of its
-// scavengers, so that no serving task is predicted beyond its limit.
-func (e *Engine) relieve(v *view) {
-	e.observe(v)
-	e.setShares(v)
-}
-
-// setShares sets the shares of a worker's scavengers by what is foreseen now.
-func (e *Engine) setShares(v *view) {
-	v.sharesAt = e.now
-	victims, scavengers := e.neighbours(v, throttleHorizon)
-	for _, s := range scavengers {
-		e.setShare(v, s.attempt, e.grant(victims, s))
-		e.relocate(v, s)
-	}
-}
-
-func (e *Engine) setShare(v *view, a *attempt, share int) {
-	if share != a.wantShare {
-		a.wantShare, v.standing = share, nil
-	}
-}
-
-// standing is what placements see of a worker.
-type standing struct {
-	at      Instant
-	idle    int64
-	victims []victim
-}
-
-// standingOf returns what placements see of a worker now. It is computed again
-// when the worker's attempts have changed or their load may have.
-func (e *Engine) standingOf(v *view) *standing {
-	if v.standing != nil && e.since(v.standing.at) < standingAge {
-		return v.standing
-	}
-	victims, scavengers := e.neighbours(v, placeHorizon)
-	for _, s := range scavengers {
-		e.disturb(victims, s, max(s.attempt.wantShare, 0))
-	}
-	v.standing = &standing{at: e.now, idle: e.idleProcessors(v), victims: victims}
-	return v.standing
-}
-
 // relocate stops a scavenger that has been throttled for some time and saves its
 // progress, where another worker would take it: its whole job waits for it.
 func (e *Engine) relocate(v *view, s scavenger) {
@@ -208,32 +151,6 @@
 	return false
 }
 
-// grant returns the largest share at which a scavenger leaves all serving tasks
-// within their limits, and takes what it costs off them.
-func (e *Engine) grant(victims []victim, s scavenger) int {
-	for _, percent := range shareSteps {
-		limit := throttleLimit
-		if percent > s.attempt.wantShare {
-			limit = raiseLimit
-		}
-		if percent > 0 && !e.tolerated(victims, s, percent, limit) {
-			continue
-		}
-		e.disturb(victims, s, percent)
-		return percent
-	}
-	return 0
-}
-
-func (e *Engine) tolerated(victims []victim, s scavenger, percent int, limit float64) bool {
-	for _, v := range victims {
-		if v.slack-e.slowdown.taken(v.image, s.image, s.share*float64(percent)/fullShare) < 1/limit {
-			return false
-		}
-	}
-	return true
-}
-
 func (e *Engine) step(ref workflow.TaskRef) *workflow.Step {
 	job := e.state.Job(ref.Job)
 	if job == nil {
@@ -272,15 +189,3 @@
 func scavengerRoom(step *workflow.Step) int64 {
 	return step.Resources.MilliProcessors * scavengerShare / 100
 }
-
-func (e *Engine) throttleAnswered(v *view, answer *Answer) {
-	a := v.ordered(answer)
-	if a == nil {
-		return
-	}
-	if answer.Outcome == Done {
-		a.share = answer.Order.SharePercent
-		return
-	}
-	a.retryAt = e.now.Add(orderRetry)
-}
--- a/dispatch/slowdown.go
+++ b/dispatch/slowdown.go
@@ -20,11 +20,9 @@
 	// readingAge is the mean age of what a gauge measures when its answer leaves
 	// the worker: gauges cover half a second.
 	readingAge = 250 * time.Millisecond
-	// throttleHorizon is how far ahead a throttle looks: the time that it takes to
-	// act. placeHorizon is how far ahead a placement looks: the time that a
-	// scavenger runs, as far as the load can be foreseen.
-	throttleHorizon = 300 * time.Millisecond
-	placeHorizon    = 300 * time.Millisecond
+	// horizon is how far ahead a decision looks: the time that a throttle takes to
+	// act. Longer ones kept more scavengers away than they protected.
+	horizon = 300 * time.Millisecond
 	// gaugeWindow is the time that a gauge covers.
 	gaugeWindow = 500 * time.Millisecond
 	// warmUp is the time after its start in which a task's gauge tells little.
@@ -36,7 +34,8 @@
 	// minRangeReadings is the number of readings from which on a range bounds a
 	// prediction: some seconds of several jobs in different parts of their swings.
 	minRangeReadings = 100
-	// unknownSlack is assumed of a serving task of which there is no reading.
+	// unknownSlack is assumed of a serving task of which there is no reading: little, so that new
+	// neighbours are few until there is one.
 	unknownSlack = 1.8
 	// caution is the number of standard deviations added to what is believed of a
 	// pair of images.
@@ -85,13 +84,13 @@
 }
 
 // ownSlack returns the least slack that the tasks of a job are expected to have
-// without neighbours from now to a time ahead.
-func (s *slowdown) ownSlack(job workflow.JobID, image interference.Image, now Instant, ahead time.Duration) float64 {
+// without neighbours from now to the horizon.
+func (s *slowdown) ownSlack(job workflow.JobID, image interference.Image, now Instant) float64 {
 	own := s.own[job]
 	if own == nil {
 		return unknownSlack
 	}
-	return min(s.slackAt(own, image, instantTime(now)), s.slackAt(own, image, instantTime(now.Add(ahead))))
+	return min(s.slackAt(own, image, instantTime(now)), s.slackAt(own, image, instantTime(now.Add(horizon))))
 }
 
 // load estimates the part of its request that a serving task uses: the slack of a
--- a/interference/trend.go
+++ b/interference/trend.go
@@ -58,13 +58,10 @@
 	t.product *= decay
 }
 
-// Known reports whether there was a reading.
-func (t *Trend) Known() bool { return t.weight > 0 }
-
 // Weight returns the weight of the readings at the time of the latest one.
 func (t *Trend) Weight() float64 { return t.weight }
 
-// At returns the value of the line at a time.
+// At returns the value of the line at a time. There must have been a reading.
 func (t *Trend) At(when time.Time) float64 {
 	age, value := t.age/t.weight, t.value/t.weight
 	slope := (t.product/t.weight - age*value) / (t.age2/t.weight - age*age + slopeRidge)
