Put the tasks of a step on one rack where they are slower on more

Change: a worker's rack is part of its record; a step of that kind goes to the rack of its placed tasks, or to the one with room for most of them. Test that failed first: TestTheTasksOfAStepShareARack.

--- a/dispatch/lives.go
+++ b/dispatch/lives.go
@@ -14,6 +14,7 @@
 	Service  string
 	Zone     string
 	Labels   []string
+	Rack     string
 	Capacity workflow.Resources
 	Draining bool
 	// ClockMs is the worker's clock, zero if it gave none.
@@ -48,7 +49,7 @@
 }
 
 func (e *Engine) join(a *Announcement) error {
-	join := &workflow.Join{Life: a.Life, Address: a.Address, Service: a.Service, Zone: a.Zone, Labels: a.Labels, Capacity: a.Capacity}
+	join := &workflow.Join{Life: a.Life, Address: a.Address, Service: a.Service, Zone: a.Zone, Labels: a.Labels, Rack: a.Rack, Capacity: a.Capacity}
 	if old := e.state.WorkerNamed(a.Life.Name); old != nil && old.Life.BornMs < a.Life.BornMs {
 		join.Carry = e.reborn(old, a)
 	}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -27,6 +27,8 @@
 	density float64
 	// worth is the value of the step at the latest sorting.
 	worth float64
+	// rack is the rack on which the tasks of the step are to run.
+	rack string
 	// image is the index of the step's image, once imageKnown is set.
 	image      interference.Image
 	imageKnown bool
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -122,6 +122,9 @@
 func (e *Engine) choose(p *pool, s *readyStep) *candidate {
 	var best *candidate
 	bestScore := int64(0)
+	if s.step.OneRack {
+		s.rack = e.rackFor(p, s)
+	}
 	for _, c := range p.byService[s.job.Service] {
 		if !e.admits(c, s) || e.failedOn(s, c.view) {
 			continue
@@ -133,6 +136,36 @@
 	return best
 }
 
+// rackFor returns the rack on which a step's tasks run already, or else the one on
+// which most of them find room now.
+func (e *Engine) rackFor(p *pool, s *readyStep) string {
+	for _, task := range s.job.Occurrences[s.ref.Occurrence].Steps[s.ref.Step] {
+		if v := e.views[task.Worker]; task.State == workflow.TaskPlaced && v != nil {
+			return v.worker.Rack
+		}
+	}
+	if s.rack != "" {
+		return s.rack
+	}
+	room, best := make(map[string]int64), ""
+	need := max(s.step.Resources.MilliProcessors, 1)
+	for _, c := range p.byService[s.job.Service] {
+		if !e.admits(c, s) {
+			continue
+		}
+		left := c.free.MilliProcessors
+		if s.step.Scavenger {
+			left = c.idle
+		}
+		rack := c.view.worker.Rack
+		room[rack] += max(left/need, 1)
+		if best == "" || room[rack] > room[best] {
+			best = rack
+		}
+	}
+	return best
+}
+
 // failedOn reports whether the next task of the step failed on the worker lately.
 func (e *Engine) failedOn(s *readyStep, v *view) bool {
 	a, failed := e.avoid[s.next()]
@@ -183,8 +216,8 @@
 // tasks remains. A task near its data comes first.
 func (e *Engine) score(c *candidate, s *readyStep) int64 {
 	score := int64(0)
-	if s.step.DataRack != "" && c.view.worker.HasLabel(s.step.DataRack) {
-		score = 1 << 40
+	if s.step.DataRack != "" && c.view.worker.HasLabel(s.step.DataRack) || s.step.OneRack && c.view.worker.Rack == s.rack {
+		score = rackWeight
 	}
 	if s.step.Scavenger {
 		image := e.imageOf(s)
@@ -199,6 +232,10 @@
 	return score - c.free.MilliProcessors
 }
 
+// rackWeight puts a worker on the rack of a task's data, or of the other tasks of
+// its step, before all others.
+const rackWeight = 1 << 40
+
 // suspectWeight puts a suspected worker behind all others.
 const suspectWeight = 1 << 50
 
--- a/dispatch/pool_test.go
+++ b/dispatch/pool_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -52,3 +53,24 @@
 	require.True(t, s.runUntil(3*time.Second, func() bool { return s.state(1) == workflow.JobRunning }))
 	assert.Empty(t, s.violations)
 }
+
+// TestTheTasksOfAStepShareARack: they are slower on more than one.
+func TestTheTasksOfAStepShareARack(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		s := newSim(t, 22)
+		s.setCatalog()
+		for i, rack := range []string{"r1", "r2", "r1", "r2", "r2", "r3"} {
+			s.addWorkerOn(fmt.Sprint("w", i), 4, rack)
+		}
+		s.run(time.Second)
+		near := step(10)
+		near.OneRack, near.Gang, near.EstimatedMs = true, gang, 5000
+		s.submit(1, near)
+		s.run(time.Second)
+		require.Len(t, s.runs, 10)
+		for ref, runs := range s.runs {
+			require.NotEmpty(t, runs, "%s", ref)
+			assert.Equal(t, "r2", runs[0].worker.rack, "gang %v, task %s", gang, ref)
+		}
+	}
+}
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -78,6 +78,7 @@
 	address  string
 	capacity workflow.Resources
 	labels   []string
+	rack     string
 	bornAt   Instant
 	dead     bool
 	cut      bool
@@ -271,9 +272,13 @@
 
 // addWorker starts a worker that announces itself each second.
 func (s *sim) addWorker(name string, processors int64) *simWorker {
+	return s.addWorkerOn(name, processors, "r1")
+}
+
+func (s *sim) addWorkerOn(name string, processors int64, rack string) *simWorker {
 	w := &simWorker{
-		sim: s, life: workflow.Life{Name: name, BornMs: s.wall()}, address: name + ":1", bornAt: s.now,
-		capacity: workflow.Resources{MilliProcessors: processors * 1000, MemoryMB: 100_000}, labels: []string{"a", "r1"},
+		sim: s, rack: rack, life: workflow.Life{Name: name, BornMs: s.wall()}, address: name + ":1", bornAt: s.now,
+		capacity: workflow.Resources{MilliProcessors: processors * 1000, MemoryMB: 100_000}, labels: []string{"a", rack},
 		running: make(map[workflow.TaskRef]*simRun), highest: make(map[workflow.TaskRef]uint32),
 		endedAt: make(map[uint64]Instant),
 	}
@@ -288,7 +293,7 @@
 	}
 	if !w.cut {
 		w.sim.engine.Announce(&Announcement{
-			Life: w.life, Address: w.address, Service: "pool", Zone: "z", Labels: w.labels, Capacity: w.capacity, Draining: w.draining, ClockMs: w.clock(),
+			Life: w.life, Address: w.address, Service: "pool", Zone: "z", Labels: w.labels, Rack: w.rack, Capacity: w.capacity, Draining: w.draining, ClockMs: w.clock(),
 		}, func(*kind.Error) {})
 	}
 	w.sim.after(time.Second, w.report)
--- a/workflow/ops.go
+++ b/workflow/ops.go
@@ -71,6 +71,8 @@
 	Capacity Resources
 	// Carry names attempts of the life before it whose start may reach this one.
 	Carry []TaskRef
+	// Rack is where the worker is, empty if it did not say.
+	Rack string
 }
 
 // Leave records that a worker drains; Over that its life has ended.
--- a/workflow/state.go
+++ b/workflow/state.go
@@ -101,6 +101,7 @@
 	Zone     string    `cbor:"5,keyasint"`
 	Labels   []string  `cbor:"6,keyasint"`
 	Capacity Resources `cbor:"7,keyasint"`
+	Rack     string    `cbor:"12,keyasint,omitempty"`
 	Draining bool      `cbor:"8,keyasint,omitempty"`
 	// Acked is the number of the last end that is recorded.
 	Acked uint64 `cbor:"9,keyasint,omitempty"`
@@ -332,7 +333,7 @@
 	s.nextWorker++
 	w := &Worker{
 		ID: s.nextWorker, Life: j.Life, Address: j.Address, Service: j.Service, Zone: j.Zone,
-		Labels: j.Labels, Capacity: j.Capacity, Attempts: make(map[TaskRef]uint32),
+		Labels: j.Labels, Rack: j.Rack, Capacity: j.Capacity, Attempts: make(map[TaskRef]uint32),
 	}
 	s.workers[w.ID] = w
 	s.byName[w.Life.Name] = w.ID
