--- a/dispatch/relief_test.go
+++ b/dispatch/relief_test.go
@@ -158,7 +158,7 @@
 func TestATaskBelowTheRangeOfItsImageIsProtected(t *testing.T) {
 	h := newHost(t)
 	usual, ill, heavy := h.add(t, serving("web")), h.add(t, serving("web")), h.add(t, scavenging("heavy"))
-	for range 10 {
+	for range minRangeReadings + 10 {
 		h.read(map[*attempt]int64{usual: latencyAt(2.5)})
 	}
 	for range 8 {
