Take nothing from an order that was not sent

At 13.26 s, 0.9 s after an election, 169 starts came back "unhealthy" at one moment: the leader's quorum was not confirmed, so that it had sent nothing, and the loop answered for the workers. They were suspected for a second, their starts given up, and they counted as heard, which is what leases and reachability hang on.

Change: an outcome of its own, which repeats the order after a pause.

--- a/coordinator/loop.go
+++ b/coordinator/loop.go
@@ -241,7 +241,7 @@
 	l.group.Add(1)
 	go func() {
 		defer l.group.Done()
-		answer := dispatch.Answer{Order: order, Outcome: dispatch.Unhealthy}
+		answer := dispatch.Answer{Order: order, Outcome: dispatch.NotSent}
 		if l.confirmed() {
 			ctx, cancel := context.WithTimeout(l.ctx, order.Timeout())
 			begun := time.Now()
--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -23,10 +23,12 @@
 		e.endLife(v.worker, "other_life_answers")
 		return true
 	}
-	if a.Outcome != Unanswered {
-		e.noteClock(v, a)
-	} else {
+	switch a.Outcome {
+	case Unanswered:
 		e.counters.Unanswered++
+	case NotSent: // It says nothing of the worker.
+	default:
+		e.noteClock(v, a)
 	}
 	switch a.Order.Verb {
 	case Look:
@@ -73,6 +75,8 @@
 	case Unanswered:
 		a.unanswered++
 		a.retryAt = e.now.Add(orderRetry)
+	case NotSent:
+		a.retryAt = e.now.Add(orderRetry)
 	case Outdated:
 		a.settled, a.settledAt = true, e.now
 	default:
--- a/dispatch/health_test.go
+++ b/dispatch/health_test.go
@@ -63,3 +63,24 @@
 	assert.Equal(t, workflow.JobRunning, s.state(1))
 	assert.Equal(t, workflow.JobPending, s.state(2))
 }
+
+// TestAnOrderThatWasNotSentSaysNothingOfTheWorker: a leader that lacks the
+// confirmation of its quorum sends nothing for a moment.
+func TestAnOrderThatWasNotSentSaysNothingOfTheWorker(t *testing.T) {
+	s := newSim(t, 51)
+	s.setCatalog()
+	s.addWorker("w1", 8)
+	s.run(time.Second)
+	s.notSent = true
+	s.submit(1, step(4))
+	heard := s.engine.list[0].heard
+	s.run(time.Second)
+	v := s.engine.list[0]
+	assert.LessOrEqual(t, v.heard, heard.Add(time.Second/2), "nothing was heard of it")
+	assert.Len(t, v.list, 4, "the placements stand")
+	assert.LessOrEqual(t, v.suspectTo, s.now, "it is not suspected")
+	s.notSent = false
+	require.True(t, s.runUntil(5*time.Second, func() bool { return s.state(1) == workflow.JobCompleted }))
+	assert.Equal(t, 4, s.starts)
+	assert.Empty(t, s.violations)
+}
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -73,11 +73,13 @@
 	Unhealthy
 	// OtherLife: another life answers at the address.
 	OtherLife
+	// NotSent orders never left this process.
+	NotSent
 )
 
 var outcomeNames = [...]string{
 	Unanswered: "unanswered", Done: "done", Fenced: "fenced", Outdated: "outdated", Expired: "expired",
-	NoRoom: "no_room", NoTicket: "no_ticket", Invalid: "invalid", Unhealthy: "unhealthy", OtherLife: "other_life",
+	NoRoom: "no_room", NoTicket: "no_ticket", Invalid: "invalid", Unhealthy: "unhealthy", OtherLife: "other_life", NotSent: "not_sent",
 }
 
 // String returns the name of the outcome.
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -41,6 +41,8 @@
 	wallBase   int64
 	settings   Settings
 	starts     int
+	// notSent makes the leader send nothing.
+	notSent bool
 }
 
 // faults are probabilities of an order.
@@ -248,6 +250,10 @@
 		}
 	}
 	s.after(order.Timeout(), func() { reply(Answer{Order: order}) })
+	if s.notSent {
+		s.after(0, func() { reply(Answer{Order: order, Outcome: NotSent}) })
+		return
+	}
 	delay := simDelay
 	lostAnswer := s.rng.Float64() < s.faults.lostAnswer
 	switch {
