Say once what the change said twice; behaviour as before

Cause: a second reading of the change. - coordinator: four goroutines that make a call and hand its result to the loop were written out alike; carryOut serves all. - dispatch: the label and the bound for each worker were checked in hasRoom and in keepOne (candidate.suits now), the label alone in two more places (workflow.Worker.MayRun); a part of a worker's processors was worked out in three (view.part). - dispatch: since when a step waits was kept in a map beside the steps; it is taken over from the step before. A candidate's copy of the serving tasks is gone, since the worker's standing holds them. A decrement before a return. - workflow: a bound on missing tasks carried the platform's name for it; it is MaxUnavailable, and its comment says that zero is no bound, as the code does. - comments that were too long or wrong (interference, client).

Checked: the traces of all tests of dispatch, 25,974 lines, are those of one of two runs of the commit before (they differ in the order of maps). 22 of 22 removals make their test fail.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -192,8 +192,8 @@
 	return c.leader == "" && boottime.Now().Sub(c.lostAt) > electionTime
 }
 
-// Do calls the leader until it answers, ctx ends, or a leader is out of sight. All calls may be repeated:
-// the leader recognizes them. The error is of kind unknown_outcome if the call
+// Do calls the leader until it answers, ctx ends or no leader can be had. All calls
+// may be repeated: the leader recognizes them. The error is of kind unknown_outcome if the call
 // may have been carried out, and no_quorum if it certainly was not.
 func (c *Client) Do(ctx context.Context, call *Call) (*Result, error) {
 	unknown := false
--- a/coordinator/loop.go
+++ b/coordinator/loop.go
@@ -181,38 +181,38 @@
 // sendHost carries out an order to the pool of hosts. A leader that is not
 // confirmed sends nothing.
 func (l *loop) sendHost(order dispatch.HostOrder) {
-	l.group.Add(1)
-	go func() {
-		defer l.group.Done()
-		answer := dispatch.HostAnswer{Order: order, Outcome: dispatch.HostRefused}
-		if l.options.Hosts != nil && l.confirmed() {
-			ctx, cancel := context.WithTimeout(l.ctx, order.Timeout())
-			answer = l.options.Hosts.Do(ctx, &order)
-			cancel()
+	carryOut(l, l.hosts, func() dispatch.HostAnswer {
+		if l.options.Hosts == nil || !l.confirmed() {
+			return dispatch.HostAnswer{Order: order, Outcome: dispatch.HostRefused}
 		}
+		ctx, cancel := context.WithTimeout(l.ctx, order.Timeout())
+		defer cancel()
+		return l.options.Hosts.Do(ctx, &order)
+	})
+}
+
+// carryOut makes a call in a goroutine of its own and hands what came of it to the
+// loop.
+func carryOut[T any](l *loop, to chan<- T, call func() T) {
+	l.group.Go(func() {
+		result := call()
 		select {
-		case l.hosts <- answer:
+		case to <- result:
 		case <-l.ctx.Done():
 		}
-	}()
+	})
 }
 
 // consult asks the advice service.
 func (l *loop) consult(question *dispatch.Question) {
-	l.group.Add(1)
-	go func() {
-		defer l.group.Done()
-		advice := dispatch.Advice{Question: *question}
-		if l.options.Advisor != nil {
-			ctx, cancel := context.WithTimeout(l.ctx, question.Timeout)
-			advice = l.options.Advisor.Advise(ctx, question)
-			cancel()
-		}
-		select {
-		case l.advice <- advice:
-		case <-l.ctx.Done():
+	carryOut(l, l.advice, func() dispatch.Advice {
+		if l.options.Advisor == nil {
+			return dispatch.Advice{Question: *question}
 		}
-	}()
+		ctx, cancel := context.WithTimeout(l.ctx, question.Timeout)
+		defer cancel()
+		return l.options.Advisor.Advise(ctx, question)
+	})
 }
 
 func (l *loop) propose(batch *workflow.Batch) {
@@ -223,37 +223,27 @@
 		return
 	}
 	term := l.term
-	l.group.Add(1)
-	go func() {
-		defer l.group.Done()
+	carryOut(l, l.commits, func() commit {
 		begun := time.Now()
 		result, err := l.replica.Propose(l.ctx, data)
 		l.metrics.commit.Record(time.Since(begun))
-		select {
-		case l.commits <- commit{term: term, result: result, err: err}:
-		case <-l.ctx.Done():
-		}
-	}()
+		return commit{term: term, result: result, err: err}
+	})
 }
 
 // send carries out an order. A leader that is not confirmed sends nothing.
 func (l *loop) send(order dispatch.Order) {
-	l.group.Add(1)
-	go func() {
-		defer l.group.Done()
-		answer := dispatch.Answer{Order: order, Outcome: dispatch.NotSent}
-		if l.confirmed() {
-			ctx, cancel := context.WithTimeout(l.ctx, order.Timeout())
-			begun := time.Now()
-			answer = l.options.Workers.Do(ctx, &order)
-			cancel()
-			l.metrics.orders[order.Verb].Record(time.Since(begun))
-		}
-		select {
-		case l.answers <- answer:
-		case <-l.ctx.Done():
+	carryOut(l, l.answers, func() dispatch.Answer {
+		if !l.confirmed() {
+			return dispatch.Answer{Order: order, Outcome: dispatch.NotSent}
 		}
-	}()
+		ctx, cancel := context.WithTimeout(l.ctx, order.Timeout())
+		defer cancel()
+		begun := time.Now()
+		answer := l.options.Workers.Do(ctx, &order)
+		l.metrics.orders[order.Verb].Record(time.Since(begun))
+		return answer
+	})
 }
 
 // take hands a call to the engine.
--- a/dispatch/maintenance_test.go
+++ b/dispatch/maintenance_test.go
@@ -100,9 +100,9 @@
 }
 
 // serve submits a job whose tasks last, of which some may be missed.
-func (s *sim) serve(id workflow.JobID, count uint32, mayMiss int32) {
+func (s *sim) serve(id workflow.JobID, count uint32, maxUnavailable int32) {
 	lasting := step(count)
-	lasting.Lasting, lasting.MayMiss = true, mayMiss
+	lasting.Lasting, lasting.MaxUnavailable = true, maxUnavailable
 	s.submit(id, lasting)
 	s.run(500 * time.Millisecond)
 }
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -43,8 +43,6 @@
 type readySteps struct {
 	touched map[workflow.JobID]bool
 	byJob   map[workflow.JobID][]*readyStep
-	// since holds when each step with pending tasks was first found so.
-	since map[workflow.StepRef]int64
 	// work holds the mean work of the jobs of each queue.
 	work    map[string]*meanWork
 	order   []*readyStep
@@ -60,7 +58,6 @@
 func (r *readySteps) reset() {
 	r.touched = make(map[workflow.JobID]bool)
 	r.byJob = make(map[workflow.JobID][]*readyStep)
-	r.since = make(map[workflow.StepRef]int64)
 	r.work = make(map[string]*meanWork)
 }
 
@@ -131,19 +128,18 @@
 		delete(r.byJob, id)
 		r.changed = true
 	}
-	defer r.forgetSince(id, before)
 	if job == nil || !job.Active() {
 		return
 	}
 	chains, density := chainsLeftMs(job), r.density(job)
 	for o := range job.Occurrences {
 		for s := range job.Spec.Steps {
-			r.addStep(job, uint32(o), uint32(s), chains, density, nowMs)
+			r.addStep(job, uint32(o), uint32(s), chains, density, before, nowMs)
 		}
 	}
 }
 
-func (r *readySteps) addStep(job *workflow.Job, occurrence, step uint32, chains []int64, density float64, nowMs int64) {
+func (r *readySteps) addStep(job *workflow.Job, occurrence, step uint32, chains []int64, density float64, before []*readyStep, nowMs int64) {
 	o := &job.Occurrences[occurrence]
 	if o.Done[step] == job.Spec.Steps[step].Count || !job.StepReady(occurrence, step) {
 		return
@@ -158,23 +154,22 @@
 		return
 	}
 	ref := workflow.StepRef{Job: job.ID, Occurrence: occurrence, Step: step}
-	if _, known := r.since[ref]; !known {
-		r.since[ref] = nowMs
-	}
 	r.byJob[job.ID] = append(r.byJob[job.ID], &readyStep{
-		ref: ref, waitingMs: r.since[ref], density: density, job: job, step: &job.Spec.Steps[step],
+		ref: ref, waitingMs: waitingSince(before, ref, nowMs), density: density, job: job, step: &job.Spec.Steps[step],
 		pending: pending, chainMs: slices.Max(chains), leftMs: chains[step],
 	})
 	r.changed = true
 }
 
-// forgetSince drops the times of steps that have no pending tasks any more.
-func (r *readySteps) forgetSince(id workflow.JobID, before []*readyStep) {
+// waitingSince returns when a step was first found to have pending tasks, of which
+// before tells: now if it had none.
+func waitingSince(before []*readyStep, ref workflow.StepRef, nowMs int64) int64 {
 	for _, old := range before {
-		if !slices.ContainsFunc(r.byJob[id], func(s *readyStep) bool { return s.ref == old.ref }) {
-			delete(r.since, old.ref)
+		if old.ref == ref {
+			return old.waitingMs
 		}
 	}
+	return nowMs
 }
 
 // chainsLeftMs returns, for each step, the estimated time of the longest chain
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -17,8 +17,6 @@
 	free workflow.Resources
 	// idle is the estimate of the processors that nothing uses, in thousandths.
 	idle int64
-	// victims are the serving tasks on the worker, nil before they are needed.
-	victims []victim
 	// perStep counts the tasks of a step on the worker.
 	perStep map[workflow.StepRef]uint32
 	// keptFor is the job for whose task that lasts the worker is kept.
@@ -98,7 +96,6 @@
 	c.idle -= s.step.Resources.MilliProcessors
 	c.count(s)
 	c.perStep[s.ref]++
-	c.victims = nil // They are read again, with the new neighbour.
 }
 
 func (c *candidate) give(s *readyStep) {
@@ -195,12 +192,14 @@
 		return false
 	case step.Scavenger && (c.idle < scavengerRoom(step) || c.headroom(e, step, e.imageOf(s)) < 0):
 		return false
-	case step.Label != "" && !c.view.worker.HasLabel(step.Label):
-		return false
-	case step.MaxPerWorker > 0 && c.count(s) >= step.MaxPerWorker:
-		return false
 	}
-	return true
+	return c.suits(s)
+}
+
+// suits reports whether the step's label and its bound for each worker allow one
+// more task there.
+func (c *candidate) suits(s *readyStep) bool {
+	return c.view.worker.MayRun(s.step) && (s.step.MaxPerWorker == 0 || c.count(s) < s.step.MaxPerWorker)
 }
 
 // imageOf returns the index of the step's image.
--- a/dispatch/preparation.go
+++ b/dispatch/preparation.go
@@ -55,17 +55,16 @@
 	all := true
 	for _, a := range v.list {
 		step := e.step(a.ref)
-		if step == nil || step.MayMiss <= 0 {
+		if step == nil || step.MaxUnavailable <= 0 {
 			continue
 		}
 		away := e.away(v, a.ref)
-		if away+here[a.ref.StepRef()] <= step.MayMiss {
+		if away+here[a.ref.StepRef()] <= step.MaxUnavailable {
 			continue
 		}
 		all = false
-		if here[a.ref.StepRef()] > step.MayMiss && away < step.MayMiss {
+		if here[a.ref.StepRef()] > step.MaxUnavailable && away < step.MaxUnavailable {
 			a.stopWanted = true
-			here[a.ref.StepRef()]--
 			return false
 		}
 	}
--- a/dispatch/relief.go
+++ b/dispatch/relief.go
@@ -78,18 +78,19 @@
 	return victims, scavengers
 }
 
-func shareOf(v *view, step *workflow.Step) float64 {
-	return float64(step.Resources.MilliProcessors) / float64(max(v.worker.Capacity.MilliProcessors, 1))
+// shareOf returns the part of the worker's processors that a task of the step asks for.
+func shareOf(v *view, step *workflow.Step) float64 { return v.part(step.Resources.MilliProcessors) }
+
+// part returns what an amount, in thousandths, is of the worker's processors.
+func (v *view) part(milliProcessors int64) float64 {
+	return float64(milliProcessors) / float64(max(v.worker.Capacity.MilliProcessors, 1))
 }
 
 // headroom returns how much slack beyond its limit the serving task with the
 // least of it keeps once a task of the step runs beside it.
 func (c *candidate) headroom(e *Engine, step *workflow.Step, image interference.Image) float64 {
-	if c.victims == nil {
-		c.victims = append([]victim{}, e.standingOf(c.view).victims...)
-	}
 	share, least := shareOf(c.view, step), math.Inf(1)
-	for _, victim := range c.victims {
+	for _, victim := range e.standingOf(c.view).victims {
 		least = min(least, victim.slack-e.slowdown.taken(victim.image, image, share)-1/admitLimit)
 	}
 	return least
@@ -100,7 +101,7 @@
 // which many scavengers do little harm for those that harm elsewhere.
 func (c *candidate) advantage(e *Engine, image interference.Image) float64 {
 	least := math.Inf(1)
-	for _, victim := range c.victims {
+	for _, victim := range e.standingOf(c.view).victims {
 		mean, _ := e.slowdown.pairs.Loss(victim.image, image)
 		least = min(least, e.slowdown.pairs.MeanLoss(victim.image)-mean)
 	}
@@ -144,7 +145,7 @@
 			continue
 		}
 		c := e.candidateOf(other)
-		if step.Reserved().Fits(c.free) && (step.Label == "" || other.worker.HasLabel(step.Label)) && c.idle >= scavengerRoom(step) && c.headroom(e, step, e.slowdown.pairs.Image(step.Image)) >= 0 {
+		if step.Reserved().Fits(c.free) && other.worker.MayRun(step) && c.idle >= scavengerRoom(step) && c.headroom(e, step, e.slowdown.pairs.Image(step.Image)) >= 0 {
 			return true
 		}
 	}
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -52,7 +52,7 @@
 	wide := workflow.Resources{MilliProcessors: need.MilliProcessors * keepFactor, MemoryMB: need.MemoryMB * keepFactor, Accelerators: need.Accelerators * keepFactor}
 	var best *candidate
 	for _, c := range p.byService[s.job.Service] {
-		if c.keptFor != nil || s.step.Label != "" && !c.view.worker.HasLabel(s.step.Label) || s.step.MaxPerWorker > 0 && c.count(s) >= s.step.MaxPerWorker {
+		if c.keptFor != nil || !c.suits(s) {
 			continue
 		}
 		if !c.lastingKnown {
--- a/dispatch/slowdown.go
+++ b/dispatch/slowdown.go
@@ -124,18 +124,16 @@
 	if step == nil || !step.Scavenger || a.gauge <= 0 {
 		return
 	}
-	capacity := float64(max(v.worker.Capacity.MilliProcessors, 1))
-	v.departed = append(v.departed, departed{e.slowdown.pairs.Image(step.Image), float64(a.gauge) / capacity, e.now})
+	v.departed = append(v.departed, departed{e.slowdown.pairs.Image(step.Image), v.part(a.gauge), e.now})
 }
 
 // present returns the shares of the processors that scavengers used while the
 // latest gauges were measured.
 func (e *Engine) present(v *view) []interference.Share {
 	var shares []interference.Share
-	capacity := float64(max(v.worker.Capacity.MilliProcessors, 1))
 	for _, a := range v.list {
 		if step := e.step(a.ref); step != nil && step.Scavenger && a.gaugeAt == e.now && a.gauge > 0 {
-			shares = append(shares, interference.Share{Neighbour: e.slowdown.pairs.Image(step.Image), Share: float64(a.gauge) / capacity})
+			shares = append(shares, interference.Share{Neighbour: e.slowdown.pairs.Image(step.Image), Share: v.part(a.gauge)})
 		}
 	}
 	v.departed = slices.DeleteFunc(v.departed, func(d departed) bool { return e.since(d.at) >= gaugeWindow })
--- a/interference/pairs.go
+++ b/interference/pairs.go
@@ -53,7 +53,7 @@
 	images map[string]Image
 	// losses are by victim and neighbour.
 	losses [][]loss
-	// seen counts the readings beside each neighbour.
+	// seen sums the shares of each neighbour in the readings.
 	seen []float64
 }
 
--- a/workflow/model.go
+++ b/workflow/model.go
@@ -141,9 +141,9 @@
 	// Scavenger tasks take the processors that others leave unused: theirs are
 	// not counted against the worker's capacity.
 	Scavenger bool `cbor:"15,keyasint,omitempty"`
-	// MayMiss is the number of tasks that orders of the system may take away at a
-	// time, negative for no bound.
-	MayMiss int32 `cbor:"16,keyasint,omitempty"`
+	// MaxUnavailable is the number of tasks that orders of the system may take away
+	// at a time, zero or negative for no bound.
+	MaxUnavailable int32 `cbor:"16,keyasint,omitempty"`
 }
 
 // Reserved returns what a task of the step takes from a worker's capacity.
