--- a/coordinator/client_test.go
+++ b/coordinator/client_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
@@ -37,3 +39,137 @@
 	c.forgetLeader("a:1")
 	assert.True(t, waitsForLeader(), "the call waits because the leader was lost only now")
 }
+
+// stubGroup is a controlapi.Caller for a group whose members answer polls from views
+// and pass the calls to the leader on to the test.
+type stubGroup struct {
+	mu sync.Mutex
+	// views holds the answers to polls by address. A member without one does not answer.
+	views map[string]MembersReply
+	calls chan stubCall
+}
+
+// stubCall is a call to the leader that waits for its answer.
+type stubCall struct {
+	ctx    context.Context
+	call   *Call
+	answer chan error
+}
+
+func newStubGroup(views map[string]MembersReply) *stubGroup {
+	return &stubGroup{views: views, calls: make(chan stubCall, 16)}
+}
+
+func (g *stubGroup) setView(address string, view MembersReply) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.views[address] = view
+}
+
+func (g *stubGroup) remove(address string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.views, address)
+}
+
+func (g *stubGroup) Call(ctx context.Context, address, method string, args, reply any) error {
+	if method == membersMethod {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		view, answers := g.views[address]
+		if !answers {
+			return kind.Errorf(kind.Unreachable, "dial %s", address)
+		}
+		*reply.(*MembersReply) = view
+		return nil
+	}
+	sent := stubCall{ctx: ctx, call: args.(*Call), answer: make(chan error, 1)}
+	g.calls <- sent
+	select {
+	case err := <-sent.answer:
+		return err
+	case <-ctx.Done():
+		return kind.Errorf(kind.UnknownOutcome, "%w", ctx.Err())
+	}
+}
+
+func startStubClient(t *testing.T, g *stubGroup) *Client {
+	c := NewClient(ClientOptions{Seeds: []string{"a:1", "b:1", "c:1"}, Caller: g, Logger: zerolog.Nop()})
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		c.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-stopped
+	})
+	require.Eventually(t, func() bool { return c.Leader() == "a:1" }, 10*time.Second, time.Millisecond)
+	return c
+}
+
+func leaderView(leader string, term uint64, serving bool) MembersReply {
+	return MembersReply{Leader: leader, Term: term, Addresses: []string{"a:1", "b:1", "c:1"}, HasCatalog: serving}
+}
+
+func stableViews() map[string]MembersReply {
+	return map[string]MembersReply{"a:1": leaderView("a:1", 2, true), "b:1": leaderView("a:1", 2, false), "c:1": leaderView("a:1", 2, false)}
+}
+
+// Guards against calls that all fail because one of them did: a caller that leaves, or
+// a call that reaches its deadline, says nothing about the leader, which must not be
+// given up nor sent the other calls again.
+func TestACallThatEndsDoesNotEndTheOthers(t *testing.T) {
+	g := newStubGroup(stableViews())
+	c := startStubClient(t, g)
+	result := make(chan error, 1)
+	go func() {
+		_, err := c.Do(context.Background(), &Call{ReadCatalog: true})
+		result <- err
+	}()
+	other := <-g.calls
+	leavingCtx, leave := context.WithCancel(context.Background())
+	left := make(chan struct{})
+	go func() {
+		defer close(left)
+		_, err := c.Do(leavingCtx, &Call{ReadCatalog: true})
+		assert.True(t, kind.Is(err, kind.UnknownOutcome), "%v", err)
+	}()
+	<-g.calls
+	leave()
+	<-left
+	assert.Equal(t, "a:1", c.Leader(), "the leader must be kept")
+	require.NoError(t, other.ctx.Err(), "the other call must stay in flight")
+	other.answer <- nil
+	require.NoError(t, <-result)
+	assert.Empty(t, g.calls, "the other call must be sent once")
+}
+
+// Guards against a busy leader that is given up, with all calls in flight, since it
+// missed one poll: the other members know whether it still leads.
+func TestALeaderThatOthersNameIsKept(t *testing.T) {
+	g := newStubGroup(stableViews())
+	c := startStubClient(t, g)
+	result := make(chan error, 1)
+	go func() {
+		_, err := c.Do(context.Background(), &Call{ReadCatalog: true})
+		result <- err
+	}()
+	inFlight := <-g.calls
+	g.remove("a:1")
+	time.Sleep(2 * pollInterval)
+	assert.Equal(t, "a:1", c.Leader())
+	require.NoError(t, inFlight.ctx.Err())
+
+	g.setView("b:1", leaderView("b:1", 3, true))
+	require.Eventually(t, func() bool { return c.Leader() == "b:1" }, 10*time.Second, time.Millisecond, "the leader of the highest term must be followed")
+	<-inFlight.ctx.Done()
+	again := <-g.calls
+	again.answer <- nil
+	require.NoError(t, <-result, "the call must be sent to the new leader")
+
+	g.setView("b:1", leaderView("", 3, false))
+	g.setView("c:1", leaderView("", 3, false))
+	require.Eventually(t, func() bool { return c.Leader() == "" }, 10*time.Second, time.Millisecond, "a leader that nobody names is lost")
+}
--- a/rpcclient/client_test.go
+++ b/rpcclient/client_test.go
@@ -91,3 +91,37 @@
 	err := client.Call(expiredCtx, "a", "Echo.Say", &args, new(string))
 	assert.Equal(t, kind.UnknownOutcome, kind.Of(err))
 }
+
+// slowService answers Wait once the test lets it.
+type slowService struct{ arrived, answer chan struct{} }
+
+func (s *slowService) Wait(args *string, reply *string) error {
+	s.arrived <- struct{}{}
+	<-s.answer
+	*reply = *args
+	return nil
+}
+
+// Guards against calls that all fail because one of them did: they share a connection,
+// which must not be closed under the others when one call reaches its deadline.
+func TestADeadlineDoesNotEndTheOtherCalls(t *testing.T) {
+	service := &slowService{arrived: make(chan struct{}, 2), answer: make(chan struct{})}
+	server := rpc.NewServer()
+	require.NoError(t, server.RegisterName("Slow", service))
+	client := New(Options{Dial: func(context.Context, string) (net.Conn, error) {
+		clientEnd, serverEnd := net.Pipe()
+		go server.ServeConn(serverEnd)
+		return clientEnd, nil
+	}})
+	defer client.Close()
+	args, reply := "hello", ""
+	result := make(chan error, 1)
+	go func() { result <- client.Call(context.Background(), "a", "Slow.Wait", &args, &reply) }()
+	<-service.arrived
+	expiredCtx, cancel := context.WithDeadline(context.Background(), time.Now().Add(-time.Second))
+	defer cancel()
+	require.Error(t, client.Call(expiredCtx, "a", "Slow.Wait", &args, new(string)))
+	close(service.answer)
+	require.NoError(t, <-result)
+	assert.Equal(t, args, reply)
+}
