Client: only polls decide that a leader is lost; a deadline ends one call

What callers saw: after a change of the leader, seconds of 504 after 900 ms, among them for cancels and configurations, while the new leader served others. Cause: a call that failed for a reason of its own (its deadline, a caller that left, one missed poll of 300 ms) made the client forget the leader and cancel every other call of the entry host; at its deadline it besides closed the connection that they share. All were sent again, over new connections: the slower the leader, the more it had to do. Change: a failed call causes a poll, and a missed poll a search; a leader is lost if no member names it, and replaced by that of the highest term. A connection gets no new calls if nothing came on it since the call was sent, and is closed under the others only once the peer answers on its successor. A call that got no answer is not sent again for the last 140 ms.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -15,8 +15,8 @@
 
 const (
 	// pollInterval is the interval at which a client asks the known leader whether it
-	// still leads. While no leader is known, the client asks all members at
-	// searchInterval.
+	// still leads. While the leader does not confirm that, or none is known, the client
+	// asks all members at searchInterval.
 	pollInterval   = 250 * time.Millisecond
 	searchInterval = 150 * time.Millisecond
 	// pollTimeout bounds one poll of a member; it is many times a round trip.
@@ -24,8 +24,12 @@
 	// tryTimeout bounds one try of a call. A commit takes two disk syncs and a round
 	// trip, about 30 ms in normal operation.
 	tryTimeout = 800 * time.Millisecond
-	// retryDelay is the wait before a failed call is tried again.
+	// retryDelay is the wait before a failed call is tried again, and before such a call
+	// causes a poll.
 	retryDelay = 40 * time.Millisecond
+	// minTryTime is the least time left to a caller for which a call is tried again. A
+	// shorter try would rarely be answered, but still be executed.
+	minTryTime = 100 * time.Millisecond
 	// electionGracePeriod is the usual duration of a leader change. If no leader has
 	// been known for longer, the quorum is presumed lost and a call fails after its
 	// first try.
@@ -48,6 +52,8 @@
 	// cancels it.
 	callsCtx    context.Context
 	cancelCalls context.CancelFunc
+	// suspected asks Run for a poll of the leader, since a call to it has failed.
+	suspected chan struct{}
 }
 
 // ClientOptions configures a Client.
@@ -66,27 +72,51 @@
 // NewClient returns a client that knows no leader yet. Run must be started to find
 // one and to follow its changes.
 func NewClient(options ClientOptions) *Client {
-	c := &Client{options: options, leaderlessSince: boottime.Now()}
+	c := &Client{options: options, leaderlessSince: boottime.Now(), suspected: make(chan struct{}, 1)}
 	c.callsCtx, c.cancelCalls = context.WithCancel(context.Background())
 	return c
 }
 
-// Run polls the group until ctx ends.
+// Run polls the group until ctx ends. Only polls decide that a leader is lost: a call
+// may also fail for a reason of its own.
 func (c *Client) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		interval := pollInterval
-		if leader := c.Leader(); leader != "" {
-			c.poll(ctx, leader)
-		} else {
-			c.search(ctx)
-			interval = searchInterval
-		}
-		timer := time.NewTimer(interval)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
+		leader := c.Leader()
+		if leader != "" && c.pollLeader(ctx, leader) {
+			c.wait(ctx, pollInterval)
+			continue
 		}
+		c.search(ctx)
+		c.sleep(ctx, searchInterval)
+	}
+}
+
+// wait waits until d has passed, ctx ends, or shortly after a call to the leader failed.
+func (c *Client) wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-c.suspected:
+		c.sleep(ctx, retryDelay)
+	case <-ctx.Done():
+	}
+}
+
+func (c *Client) sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// suspect causes a poll of the leader.
+func (c *Client) suspect() {
+	select {
+	case c.suspected <- struct{}{}:
+	default: // A poll is due already.
 	}
 }
 
@@ -105,7 +135,26 @@
 	return c.leader
 }
 
-// search polls all known members concurrently.
+// view is the answer of one member to a poll.
+type view struct {
+	address string
+	sentAt  time.Time
+	reply   MembersReply
+}
+
+// pollLeader polls the leader and reports whether it confirmed that it leads. If it
+// names another leader, that one is followed.
+func (c *Client) pollLeader(ctx context.Context, leader string) bool {
+	answer, err := c.poll(ctx, leader)
+	if err != nil || answer.reply.Leader == "" {
+		return false
+	}
+	c.applyView(answer)
+	return answer.reply.Leader == leader
+}
+
+// search polls all known members concurrently. It follows the leader of the highest
+// term that a member names. A leader that no member names is lost.
 func (c *Client) search(ctx context.Context) {
 	c.mu.Lock()
 	addresses := slices.Concat(c.members, c.options.Seeds)
@@ -114,41 +163,62 @@
 		addresses = append(addresses, c.options.Address)
 	}
 	slices.Sort(addresses)
+	addresses = slices.Compact(addresses)
+	answers := make([]*view, len(addresses))
 	var polls sync.WaitGroup
-	for _, address := range slices.Compact(addresses) {
-		polls.Go(func() { c.poll(ctx, address) })
+	for i, address := range addresses {
+		polls.Go(func() {
+			if answer, err := c.poll(ctx, address); err == nil {
+				answers[i] = answer
+			}
+		})
 	}
 	polls.Wait()
+	var newest *view
+	answered := 0
+	for _, answer := range answers {
+		if answer == nil {
+			continue
+		}
+		answered++
+		if answer.reply.Leader != "" && (newest == nil || answer.reply.Term > newest.reply.Term || answer.reply.Term == newest.reply.Term && answer.reply.HasCatalog) {
+			newest = answer
+		}
+	}
+	if newest == nil {
+		c.loseLeader(answered)
+		return
+	}
+	c.applyView(newest)
 }
 
-// poll asks one member for its view of the group and applies the reply.
-func (c *Client) poll(ctx context.Context, address string) {
-	sentAt := boottime.Now()
+// poll asks one member for its view of the group.
+func (c *Client) poll(ctx context.Context, address string) (*view, error) {
+	answer := &view{address: address, sentAt: boottime.Now()}
+	if c.isLocal(address) {
+		answer.reply = c.options.Local.Members()
+		return answer, nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	reply := new(MembersReply)
-	var err error
-	if c.isLocal(address) {
-		*reply = c.options.Local.Members()
-	} else {
-		err = c.options.Caller.Call(ctx, address, membersMethod, &MembersArgs{}, reply)
+	if err := c.options.Caller.Call(ctx, address, membersMethod, &MembersArgs{}, reply); err != nil {
+		return nil, err
 	}
-	if err != nil {
-		c.forgetLeader(address)
-		return
-	}
-	c.applyView(address, sentAt, reply)
+	answer.reply = *reply
+	return answer, nil
 }
 
-// applyView updates the known leader and members from the reply of one member. While
-// a leader is known, a reply of an older term changes neither unless the leader sent it.
-func (c *Client) applyView(address string, sentAt time.Time, reply *MembersReply) {
+// applyView updates the known leader and members from the view of one member. While a
+// leader is known, a view of an older term changes neither unless the leader sent it.
+func (c *Client) applyView(answer *view) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if reply.HasCatalog {
-		c.confirmedAt = sentAt
+	reply := &answer.reply
+	if reply.HasCatalog && answer.sentAt.After(c.confirmedAt) {
+		c.confirmedAt = answer.sentAt
 	}
-	if reply.Term < c.term && c.leader != "" && address != c.leader {
+	if reply.Term < c.term && c.leader != "" && answer.address != c.leader {
 		return
 	}
 	if len(reply.Addresses) > 0 {
@@ -156,7 +226,7 @@
 	}
 	c.term = max(c.term, reply.Term)
 	if reply.Leader != c.leader {
-		c.options.Logger.Info().Str("leader", reply.Leader).Str("before", c.leader).Str("told_by", address).Uint64("term", reply.Term).Msg("leader changed")
+		c.options.Logger.Info().Str("leader", reply.Leader).Str("before", c.leader).Str("told_by", answer.address).Uint64("term", reply.Term).Msg("leader changed")
 		c.setLeader(reply.Leader)
 	}
 }
@@ -176,11 +246,12 @@
 	return c.options.Local != nil && address == c.options.Address
 }
 
-func (c *Client) forgetLeader(address string) {
+// loseLeader records that no member names a leader; answered of them answered.
+func (c *Client) loseLeader(answered int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.leader == address {
-		c.options.Logger.Info().Str("leader", address).Msg("leader lost")
+	if c.leader != "" {
+		c.options.Logger.Info().Str("leader", c.leader).Int("answered", answered).Dur("unconfirmed", boottime.Now().Sub(c.confirmedAt)).Msg("leader lost")
 		c.setLeader("")
 	}
 }
@@ -213,7 +284,7 @@
 			return result, nil
 		}
 		outcomeUnknown = outcomeUnknown || kind.Is(err, kind.UnknownOutcome)
-		if c.leaderless() {
+		if c.leaderless() || kind.Is(err, kind.UnknownOutcome) && expiresWithin(ctx, retryDelay+minTryTime) {
 			return nil, unansweredError(outcomeUnknown, err)
 		}
 		timer := time.NewTimer(retryDelay)
@@ -227,6 +298,12 @@
 	}
 }
 
+// expiresWithin reports whether the deadline of ctx is reached within d.
+func expiresWithin(ctx context.Context, d time.Duration) bool {
+	deadline, ok := ctx.Deadline()
+	return ok && time.Until(deadline) < d
+}
+
 // unansweredError returns the error of a call that no leader answered in time.
 func unansweredError(outcomeUnknown bool, cause error) error {
 	if outcomeUnknown {
@@ -236,9 +313,10 @@
 }
 
 // callLeader makes one call to the known leader. After a not_leader error it switches
-// to the leader named there, and after any other error except overloaded it forgets
-// the leader.
+// to the leader named there. Any other error causes a poll, unless the leader is only
+// overloaded or ctx has ended.
 func (c *Client) callLeader(ctx context.Context, call *Call) (*Result, error) {
+	callerCtx := ctx
 	c.mu.Lock()
 	address, calls := c.leader, c.callsCtx
 	c.mu.Unlock()
@@ -260,8 +338,8 @@
 	}
 	if hint := kind.LeaderHint(err); hint != "" {
 		c.followLeader(hint)
-	} else if !kind.Is(err, kind.Overloaded) {
-		c.forgetLeader(address)
+	} else if !kind.Is(err, kind.Overloaded) && callerCtx.Err() == nil {
+		c.suspect()
 	}
 	return nil, err
 }
--- a/coordinator/client_test.go
+++ b/coordinator/client_test.go
@@ -36,7 +36,7 @@
 	c.leaderlessSince = boottime.Now().Add(-2 * electionGracePeriod)
 	assert.False(t, waitsForLeader())
 	c.followLeader("a:1")
-	c.forgetLeader("a:1")
+	c.loseLeader(0)
 	assert.True(t, waitsForLeader(), "the call waits because the leader was lost only now")
 }
 
--- a/rpcclient/client.go
+++ b/rpcclient/client.go
@@ -1,8 +1,9 @@
 // Package rpcclient calls net/rpc services with a deadline on every call.
 //
 // net/rpc itself waits for a reply as long as the connection is open. A Client returns
-// at the deadline of the context, closes the connection that got no reply, and dials a
-// new one for the next call.
+// at the deadline of the context. If nothing at all has come on the connection since the
+// call was sent, the next call dials a new one. The other calls stay on the old one until
+// they end, unless a reply on the new one shows that only the old connection is silent.
 package rpcclient
 
 import (
@@ -11,6 +12,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"mangohill.example/mangohill/internal/tcpopt"
@@ -28,10 +30,47 @@
 
 // Client keeps one connection per address. It is safe for concurrent use.
 type Client struct {
-	dial   func(ctx context.Context, address string) (net.Conn, error)
-	mu     sync.Mutex
-	conns  map[string]*rpc.Client
-	closed bool
+	dial  func(ctx context.Context, address string) (net.Conn, error)
+	mu    sync.Mutex
+	conns map[string]*connection
+	// retired holds, by address, the connection that the next one will replace.
+	retired map[string]*connection
+	closed  bool
+}
+
+// connection is a connection that several calls share. Its fields are guarded by the
+// mutex of its Client.
+type connection struct {
+	*rpc.Client
+	heard    *heardConn
+	inFlight int
+	// retiredAt is when the connection was retired, zero before. A retired connection
+	// gets no new calls.
+	retiredAt time.Time
+	// replaced is the retired connection to the same address that this one replaced, nil
+	// once this one has got a reply.
+	replaced *connection
+}
+
+// heardConn records when data was last read from a connection.
+type heardConn struct {
+	net.Conn
+	at atomic.Pointer[time.Time]
+}
+
+func (h *heardConn) Read(p []byte) (int, error) {
+	n, err := h.Conn.Read(p)
+	if n > 0 {
+		now := time.Now()
+		h.at.Store(&now)
+	}
+	return n, err
+}
+
+// heardSince reports whether data was read after a time.
+func (h *heardConn) heardSince(t time.Time) bool {
+	at := h.at.Load()
+	return at != nil && at.After(t)
 }
 
 // New returns a Client without connections.
@@ -40,7 +79,7 @@
 	if dial == nil {
 		dial = dialTCP
 	}
-	return &Client{dial: dial, conns: make(map[string]*rpc.Client)}
+	return &Client{dial: dial, conns: make(map[string]*connection), retired: make(map[string]*connection)}
 }
 
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
@@ -56,10 +95,12 @@
 func (c *Client) Call(ctx context.Context, address, method string, args, reply any) error {
 	ctx, cancel := withDefaultTimeout(ctx)
 	defer cancel()
-	conn, err := c.connection(ctx, address)
+	conn, err := c.acquire(ctx, address)
 	if err != nil {
 		return kind.Errorf(kind.Unreachable, "dial %s for %s: %w", address, method, err)
 	}
+	defer c.release(conn)
+	sentAt := time.Now()
 	done := make(chan *rpc.Call, 1)
 	go conn.Go(method, args, reply, done) // Go blocks while the send buffer is full.
 	select {
@@ -67,7 +108,7 @@
 		return c.callError(address, method, conn, call.Error)
 	case <-ctx.Done():
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			c.discard(address, conn)
+			c.retireIfSilent(address, conn, sentAt)
 		}
 		return kind.Errorf(kind.UnknownOutcome, "%s at %s: %w", method, address, ctx.Err())
 	}
@@ -80,61 +121,118 @@
 	return context.WithTimeout(ctx, DefaultTimeout)
 }
 
-func (c *Client) callError(address, method string, conn *rpc.Client, err error) error {
-	if err == nil {
-		return nil
-	}
+func (c *Client) callError(address, method string, conn *connection, err error) error {
 	var remote rpc.ServerError
-	if !errors.As(err, &remote) {
+	if err != nil && !errors.As(err, &remote) {
 		c.discard(address, conn)
 		return kind.Errorf(kind.UnknownOutcome, "%s at %s: %w", method, address, err)
 	}
+	c.recordReply(conn)
+	if err == nil {
+		return nil
+	}
 	if remoteErr := kind.Parse(err.Error()); remoteErr != nil {
 		return remoteErr
 	}
 	return kind.Errorf(kind.Internal, "%s at %s: %w", method, address, err)
 }
 
-func (c *Client) connection(ctx context.Context, address string) (*rpc.Client, error) {
-	c.mu.Lock()
-	conn, ok := c.conns[address]
-	closed := c.closed
-	c.mu.Unlock()
-	if closed {
-		return nil, net.ErrClosed
-	}
-	if ok {
-		return conn, nil
+// acquire returns the connection to address for one call, which ends with release. It
+// dials if there is none.
+func (c *Client) acquire(ctx context.Context, address string) (*connection, error) {
+	conn, err := c.existing(address)
+	if conn != nil || err != nil {
+		return conn, err
 	}
 	netConn, err := c.dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
-	return c.addConnection(address, rpc.NewClient(netConn))
+	heard := &heardConn{Conn: netConn}
+	return c.addConnection(address, &connection{Client: rpc.NewClient(heard), heard: heard})
 }
 
-// addConnection stores a new connection. If another call has stored one in the
-// meantime, it closes conn and returns the other.
-func (c *Client) addConnection(address string, conn *rpc.Client) (*rpc.Client, error) {
+// existing returns the connection to address for one call, nil if there is none.
+func (c *Client) existing(address string) (*connection, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return nil, net.ErrClosed
+	}
+	conn := c.conns[address]
+	if conn != nil {
+		conn.inFlight++
+	}
+	return conn, nil
+}
+
+// addConnection stores a new connection and returns it for one call. If another call has
+// stored one in the meantime, it closes conn and returns the other.
+func (c *Client) addConnection(address string, conn *connection) (*connection, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
 		_ = conn.Close() // Nothing was sent on it.
 		return nil, net.ErrClosed
 	}
-	if other, ok := c.conns[address]; ok {
+	if other := c.conns[address]; other != nil {
 		_ = conn.Close() // Nothing was sent on it.
-		return other, nil
+		conn = other
+	} else {
+		conn.replaced = c.retired[address]
+		delete(c.retired, address)
+		c.conns[address] = conn
 	}
-	c.conns[address] = conn
+	conn.inFlight++
 	return conn, nil
 }
 
-func (c *Client) discard(address string, conn *rpc.Client) {
+// release ends the use of a connection by one call.
+func (c *Client) release(conn *connection) {
+	c.mu.Lock()
+	conn.inFlight--
+	unused := !conn.retiredAt.IsZero() && conn.inFlight == 0
+	c.mu.Unlock()
+	if unused {
+		_ = conn.Close() // An error does not matter for a retired connection.
+	}
+}
+
+// recordReply closes the connections that conn replaced and on which nothing has come
+// since: the peer answers, but not there.
+func (c *Client) recordReply(conn *connection) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for old := conn.replaced; old != nil; old = old.replaced {
+		if !old.heard.heardSince(old.retiredAt) {
+			_ = old.Close() // An error does not matter for a silent connection.
+		}
+	}
+	conn.replaced = nil
+}
+
+// retireIfSilent retires a connection on which nothing has come since sentAt.
+func (c *Client) retireIfSilent(address string, conn *connection, sentAt time.Time) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conns[address] == conn && !conn.heard.heardSince(sentAt) {
+		c.retire(address, conn)
+		c.retired[address] = conn
+	}
+}
+
+// retire keeps new calls off a connection. The caller holds c.mu.
+func (c *Client) retire(address string, conn *connection) {
+	conn.retiredAt = time.Now()
 	if c.conns[address] == conn {
 		delete(c.conns, address)
 	}
+}
+
+// discard closes a broken connection.
+func (c *Client) discard(address string, conn *connection) {
+	c.mu.Lock()
+	c.retire(address, conn)
 	c.mu.Unlock()
 	_ = conn.Close() // An error does not matter for a discarded connection.
 }
@@ -143,11 +241,14 @@
 // unknown_outcome.
 func (c *Client) Close() {
 	c.mu.Lock()
-	conns := c.conns
-	c.conns = make(map[string]*rpc.Client)
+	defer c.mu.Unlock()
 	c.closed = true
-	c.mu.Unlock()
-	for _, conn := range conns {
-		_ = conn.Close() // The process is stopping.
+	for _, conns := range []map[string]*connection{c.conns, c.retired} {
+		for address, conn := range conns {
+			for ; conn != nil; conn = conn.replaced {
+				_ = conn.Close() // The process is stopping.
+			}
+			delete(conns, address)
+		}
 	}
 }
--- a/rpcclient/client_test.go
+++ b/rpcclient/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/rpc"
 	"sync/atomic"
@@ -125,3 +126,38 @@
 	require.NoError(t, <-result)
 	assert.Equal(t, args, reply)
 }
+
+// Guards against calls that wait on a silent connection although the peer answers on a
+// new one: they must fail, so that they can be sent again.
+func TestCallsOnASilentConnectionEndOnceThePeerAnswers(t *testing.T) {
+	service := &slowService{arrived: make(chan struct{}, 4), answer: make(chan struct{})}
+	close(service.answer)
+	server := rpc.NewServer()
+	require.NoError(t, server.RegisterName("Slow", service))
+	dials := 0
+	client := New(Options{Dial: func(context.Context, string) (net.Conn, error) {
+		clientEnd, serverEnd := net.Pipe()
+		dials++
+		if dials == 1 {
+			go func() { _, _ = io.Copy(io.Discard, serverEnd) }() // Ends with the connection.
+		} else {
+			go server.ServeConn(serverEnd)
+		}
+		return clientEnd, nil
+	}})
+	defer client.Close()
+	args := "hello"
+	result := make(chan error, 1)
+	go func() { result <- client.Call(context.Background(), "a", "Slow.Wait", &args, new(string)) }()
+	require.Eventually(t, func() bool {
+		client.mu.Lock()
+		defer client.mu.Unlock()
+		return client.conns["a"] != nil && client.conns["a"].inFlight == 1
+	}, 10*time.Second, time.Millisecond)
+	expiredCtx, cancel := context.WithDeadline(context.Background(), time.Now().Add(-time.Second))
+	defer cancel()
+	require.Error(t, client.Call(expiredCtx, "a", "Slow.Wait", &args, new(string)))
+	require.NoError(t, client.Call(context.Background(), "a", "Slow.Wait", &args, new(string)))
+	assert.Equal(t, kind.UnknownOutcome, kind.Of(<-result))
+	assert.Equal(t, 2, dials)
+}
