--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -88,8 +88,9 @@
 
 // pendingCall is a call that waits for the loop to pass it to the engine.
 type pendingCall struct {
-	call *Call
-	done func(Result, error)
+	call     *Call
+	queuedAt time.Time
+	done     func(Result, error)
 }
 
 // commitResult is the result of proposing a batch in a term.
@@ -97,6 +98,7 @@
 	term   uint64
 	result any
 	err    error
+	took   time.Duration
 }
 
 // Start starts the member's replica and its loop. Stop ends both.
@@ -151,7 +153,8 @@
 		err    error
 	}
 	done := make(chan outcome, 1)
-	e := pendingCall{call: call, done: func(r Result, err error) {
+	startedAt := time.Now()
+	e := pendingCall{call: call, queuedAt: startedAt, done: func(r Result, err error) {
 		select {
 		case done <- outcome{r, err}:
 		default: // The call was answered already.
@@ -162,7 +165,6 @@
 	default:
 		return Result{}, kind.Errorf(kind.Overloaded, "the queue of the leader's loop is full with %d calls", queueCapacity)
 	}
-	startedAt := time.Now()
 	select {
 	case o := <-done:
 		c.metrics.calls.Record(time.Since(startedAt))
--- a/coordinator/loop.go
+++ b/coordinator/loop.go
@@ -21,6 +21,7 @@
 	// answered yet, by call ID.
 	unanswered map[uint64]func(Result, error)
 	nextCallID uint64
+	lag        lag
 }
 
 // maxEventsPerRound bounds the calls and answers that are passed to the engine before
@@ -58,15 +59,28 @@
 		case result := <-c.commits:
 			l.advanceClock()
 			l.handleCommit(result)
-		case <-ticker.C:
-			if l.engine != nil {
-				l.engine.Tick(l.now(), time.Now().UnixMilli())
-				l.publishStats()
-			}
+		case dueAt := <-ticker.C:
+			l.tick(dueAt)
 		}
+		startedAt := time.Now()
 		l.drainQueues()
 		l.executeDecisions()
+		l.lag.round = max(l.lag.round, time.Since(startedAt))
+	}
+}
+
+// tick runs what is due at a tick, which was due at dueAt.
+func (l *loop) tick(dueAt time.Time) {
+	if l.engine == nil {
+		return
 	}
+	now := time.Now()
+	l.metrics.tickLag.Record(now.Sub(dueAt))
+	l.lag.tick = max(l.lag.tick, now.Sub(dueAt))
+	l.lag.recordQueues(len(l.calls), len(l.orderAnswers))
+	l.lag.report(now, l.term, l.options.Logger)
+	l.engine.Tick(l.now(), now.UnixMilli())
+	l.publishStats()
 }
 
 func (l *loop) publishStats() {
@@ -161,6 +175,7 @@
 			return
 		}
 	}
+	l.lag.commit = max(l.lag.commit, committed.took)
 	l.engine.Committed()
 }
 
@@ -230,8 +245,9 @@
 	runAsync(l, l.commits, func() commitResult {
 		startedAt := time.Now()
 		result, err := l.replica.Propose(l.ctx, data)
-		l.metrics.commit.Record(time.Since(startedAt))
-		return commitResult{term: term, result: result, err: err}
+		took := time.Since(startedAt)
+		l.metrics.commit.Record(took)
+		return commitResult{term: term, result: result, err: err, took: took}
 	})
 }
 
@@ -257,6 +273,9 @@
 		e.done(Result{}, l.notLeader())
 		return
 	}
+	wait := time.Since(e.queuedAt)
+	l.metrics.callWait.Record(wait)
+	l.lag.callWait = max(l.lag.callWait, wait)
 	id := l.nextCallID
 	l.nextCallID++
 	l.unanswered[id] = e.done
--- a/coordinator/metrics.go
+++ b/coordinator/metrics.go
@@ -13,6 +13,8 @@
 type metrics struct {
 	commit   *latency.Histogram
 	calls    *latency.Histogram
+	callWait *latency.Histogram
+	tickLag  *latency.Histogram
 	orders   map[dispatch.Verb]*latency.Histogram
 	outcomes *expvar.Map
 	// engine holds the newest published statistics of the engine.
@@ -27,7 +29,7 @@
 }
 
 func newMetrics() *metrics {
-	m := &metrics{commit: latency.New(), calls: latency.New(), orders: make(map[dispatch.Verb]*latency.Histogram), outcomes: new(expvar.Map)}
+	m := &metrics{commit: latency.New(), calls: latency.New(), callWait: latency.New(), tickLag: latency.New(), orders: make(map[dispatch.Verb]*latency.Histogram), outcomes: new(expvar.Map)}
 	for _, verb := range []dispatch.Verb{dispatch.Poll, dispatch.Start, dispatch.Stop, dispatch.Throttle} {
 		m.orders[verb] = latency.New()
 	}
@@ -39,6 +41,8 @@
 	m := c.metrics
 	vars.Set("commit_latency", m.commit)
 	vars.Set("call_latency", m.calls)
+	vars.Set("call_wait", m.callWait)
+	vars.Set("tick_lag", m.tickLag)
 	for verb, histogram := range m.orders {
 		vars.Set("order_latency_"+verb.String(), histogram)
 	}
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -36,6 +36,7 @@
 		"job accepted",
 		"job cancelled",
 		"job ended",
+		"leader behind",
 		"leader changed",
 		"leader lost",
 		"leadership changed",
