Dispatch: score each worker once a step, not once a task

Cause: the leader's processor is full (docs/CAPACITY.md: 0.36 to 0.375 of 0.512 cores); a profile of one with 350 stand-in workers on loopback (700 starts a second) gave 18% to the choice of workers, which scored all of them again for each task of a step. Change: a ranking holds the scores for a step; a placement changes that of one worker. The mean loss of a victim is computed once in a plan. Evidence: TestARankingIsKeptUpToDate compares each choice with a new scoring.

--- a/dispatch/candidates.go
+++ b/dispatch/candidates.go
@@ -38,6 +38,18 @@
 	// gangHolds holds, by service, the gang for which other scavengers are held
 	// back.
 	gangHolds map[string]workflow.StepRef
+	// meanLosses caches PairModel.MeanLoss by victim.
+	meanLosses map[interference.Image]float64
+}
+
+// meanLoss returns the slack that a victim loses to scavengers on average.
+func (p *candidateSet) meanLoss(e *Engine, victim interference.Image) float64 {
+	mean, known := p.meanLosses[victim]
+	if !known {
+		mean = e.slowdown.pairs.MeanLoss(victim)
+		p.meanLosses[victim] = mean
+	}
+	return mean
 }
 
 // requestShape holds what decides whether a task fits a worker.
@@ -61,7 +73,7 @@
 }
 
 func (e *Engine) newCandidateSet() *candidateSet {
-	p := &candidateSet{byService: make(map[string][]*candidate), gangHolds: e.activeGangHolds()}
+	p := &candidateSet{byService: make(map[string][]*candidate), gangHolds: e.activeGangHolds(), meanLosses: make(map[interference.Image]float64)}
 	for _, v := range e.sortedViews {
 		if !e.schedulable(v) || e.closedForMaintenance(v) {
 			continue
@@ -125,23 +137,74 @@
 	return c.tasksPerStep[s.ref]
 }
 
-// selectWorker filters and scores the workers for one task of a step and returns
-// the best one, nil if none qualifies.
-func (e *Engine) selectWorker(p *candidateSet, s *readyStep) *candidate {
-	var best *candidate
-	bestScore := int64(0)
+// ranking holds the scores of the workers for the tasks of one step. A placement on a
+// worker changes the score of that worker only.
+type ranking struct {
+	set     *candidateSet
+	step    *readyStep
+	entries []rankedCandidate
+}
+
+type rankedCandidate struct {
+	candidate *candidate
+	score     int64
+	admitted  bool
+}
+
+// rank filters and scores the workers for the tasks of a step.
+func (e *Engine) rank(p *candidateSet, s *readyStep) *ranking {
+	r := &ranking{set: p, step: s}
 	if s.step.OneRack {
 		s.rack = e.selectRack(p, s)
 	}
-	for _, c := range p.byService[s.job.Service] {
-		if !e.admits(c, s) || e.failedRecentlyOn(s, c.view) {
-			continue
+	r.scoreAll(e)
+	return r
+}
+
+func (r *ranking) scoreAll(e *Engine) {
+	candidates := r.set.byService[r.step.job.Service]
+	r.entries = make([]rankedCandidate, len(candidates))
+	for i, c := range candidates {
+		r.entries[i] = r.rankCandidate(e, c)
+	}
+}
+
+func (r *ranking) rankCandidate(e *Engine, c *candidate) rankedCandidate {
+	if !e.admits(c, r.step) {
+		return rankedCandidate{candidate: c}
+	}
+	return rankedCandidate{c, e.score(r.set, c, r.step), true}
+}
+
+// best returns the best worker for the next pending task of the step, nil if none
+// qualifies.
+func (r *ranking) best(e *Engine) *candidate {
+	if r.step.step.OneRack {
+		if rack := e.selectRack(r.set, r.step); rack != r.step.rack {
+			r.step.rack = rack
+			r.scoreAll(e)
+		}
+	}
+	var best *rankedCandidate
+	for i := range r.entries {
+		entry := &r.entries[i]
+		if entry.admitted && (best == nil || entry.score > best.score) && !e.failedRecentlyOn(r.step, entry.candidate.view) {
+			best = entry
 		}
-		if score := e.score(c, s); best == nil || score > bestScore {
-			best, bestScore = c, score
+	}
+	if best == nil {
+		return nil
+	}
+	return best.candidate
+}
+
+// update scores a worker again, on which a task of the step was placed.
+func (r *ranking) update(e *Engine, c *candidate) {
+	for i := range r.entries {
+		if r.entries[i].candidate == c {
+			r.entries[i] = r.rankCandidate(e, c)
 		}
 	}
-	return best
 }
 
 // selectRack returns the rack on which tasks of the step run already, or else the
@@ -230,14 +293,14 @@
 // go to the worker with the least free processors (best fit), so that room for
 // wide tasks remains. Workers on the rack of the step's data, or of its other
 // tasks, come first.
-func (e *Engine) score(c *candidate, s *readyStep) int64 {
+func (e *Engine) score(p *candidateSet, c *candidate, s *readyStep) int64 {
 	score := int64(0)
 	if s.step.DataRack != "" && c.view.worker.HasLabel(s.step.DataRack) || s.step.OneRack && c.view.worker.Rack == s.rack {
 		score = rackWeight
 	}
 	if s.step.Scavenger {
 		image := e.imageOf(s)
-		return score + c.idleMilliProcessors + int64(min(c.headroom(e, s.step, image), maxHeadroom)*headroomWeight+c.advantage(e, image)*advantageWeight)
+		return score + c.idleMilliProcessors + int64(min(c.headroom(e, s.step, image), maxHeadroom)*headroomWeight+c.advantage(e, p, image)*advantageWeight)
 	}
 	if c.quarantined {
 		score -= quarantineWeight
--- a/dispatch/candidates_test.go
+++ b/dispatch/candidates_test.go
@@ -75,3 +75,46 @@
 		}
 	}
 }
+
+// A ranking is kept while the tasks of a step are placed. It must choose the workers
+// that scoring all of them anew for each task would choose.
+func TestARankingIsKeptUpToDate(t *testing.T) {
+	for _, shape := range []workflow.Step{
+		{Count: 30, Resources: workflow.Resources{MilliProcessors: 1500, MemoryMB: 100}, EstimatedMs: 500},
+		{Count: 30, Resources: workflow.Resources{MilliProcessors: 1500, MemoryMB: 100}, EstimatedMs: 500, MaxPerWorker: 2},
+		{Count: 30, Resources: workflow.Resources{MilliProcessors: 1500, MemoryMB: 100}, EstimatedMs: 500, Scavenger: true, Image: "batch"},
+		{Count: 30, Resources: workflow.Resources{MilliProcessors: 1500, MemoryMB: 100}, EstimatedMs: 500, OneRack: true},
+	} {
+		s := newSim(t, 5)
+		s.setCatalog()
+		for i := range 8 {
+			s.addWorkerOn(fmt.Sprint("w", i), int64(4+i), fmt.Sprint("r", i/3))
+		}
+		s.run(time.Second)
+		serving := step(6)
+		serving.Lasting, serving.LatencyTargetMs, serving.Image = true, 100, "web"
+		s.submit(1, serving)
+		s.run(time.Second)
+		s.notSent = true
+		e, set := s.engine, s.engine.newCandidateSet()
+		job := &workflow.Job{ID: 2, Service: "pool", Spec: workflow.JobSpec{Steps: []workflow.Step{shape}}, Occurrences: []workflow.Occurrence{{Steps: [][]workflow.Task{make([]workflow.Task, shape.Count)}}}}
+		ready := &readyStep{ref: workflow.StepRef{Job: 2}, job: job, step: &job.Spec.Steps[0]}
+		for i := range shape.Count {
+			ready.pending = append(ready.pending, i)
+		}
+		kept := e.rank(set, ready)
+		placed := 0
+		for len(ready.pending) > 0 {
+			got, want := kept.best(e), e.rank(set, ready).best(e)
+			require.Same(t, want, got, "task %d of %+v", placed, shape)
+			if got == nil {
+				break
+			}
+			got.reserve(ready)
+			kept.update(e, got)
+			ready.pending = ready.pending[1:]
+			placed++
+		}
+		assert.Greater(t, placed, 5, "%+v", shape)
+	}
+}
--- a/dispatch/gang.go
+++ b/dispatch/gang.go
@@ -53,12 +53,14 @@
 // not enough room.
 func (e *Engine) selectGangWorkers(p *candidateSet, s *readyStep) []*candidate {
 	chosen := make([]*candidate, 0, s.step.Count)
+	workers := e.rank(p, s)
 	for range s.step.Count {
-		c := e.selectWorker(p, s)
+		c := workers.best(e)
 		if c == nil {
 			break
 		}
 		c.reserve(s)
+		workers.update(e, c)
 		chosen = append(chosen, c)
 	}
 	for _, c := range chosen {
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -241,8 +241,9 @@
 
 // placeStep places as many of a step's tasks as find a worker.
 func (e *Engine) placeStep(p *candidateSet, s *readyStep) {
+	workers := e.rank(p, s)
 	for len(s.pending) > 0 {
-		c := e.selectWorker(p, s)
+		c := workers.best(e)
 		if c == nil {
 			p.recordUnplaceable(s, e.failedRecently(s))
 			e.prepareQuestion(p, s)
@@ -252,6 +253,7 @@
 		if !e.place(c, s, ref, s.job.Task(ref).Attempt+1) {
 			return
 		}
+		workers.update(e, c)
 		s.pending = s.pending[1:]
 		e.ready.markDirty(s.ref.Job)
 	}
--- a/dispatch/scavengers.go
+++ b/dispatch/scavengers.go
@@ -105,11 +105,11 @@
 // scavengers on average, for the serving task for which the difference is
 // smallest. It keeps workers on which many scavengers do little harm for those
 // that do harm elsewhere.
-func (c *candidate) advantage(e *Engine, image interference.Image) float64 {
+func (c *candidate) advantage(e *Engine, p *candidateSet, image interference.Image) float64 {
 	least := math.Inf(1)
 	for _, victim := range e.placementStateOf(c.view).victims {
 		mean, _ := e.slowdown.pairs.Loss(victim.image, image)
-		least = min(least, e.slowdown.pairs.MeanLoss(victim.image)-mean)
+		least = min(least, p.meanLoss(e, victim.image)-mean)
 	}
 	if math.IsInf(least, 1) {
 		return 0
