--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -45,6 +45,8 @@
 	starts       int
 	// notSent makes the leader send no orders.
 	notSent bool
+	// delay is the time that an order or an answer takes, commitDelay that of a batch.
+	delay, commitDelay time.Duration
 }
 
 // faults are probabilities, each from 0 to 1, per order unless noted.
@@ -112,6 +114,41 @@
 	step      *workflow.Step
 	startedAt Instant
 	stopping  bool
+	// share is the speed of the run in percent. remaining is the time that it takes at
+	// full speed, as it was at sharedAt.
+	share     int
+	remaining time.Duration
+	sharedAt  Instant
+	// gauge is what polls report of a serving run.
+	gauge int64
+}
+
+// setShare changes the speed of the run.
+func (r *simRun) setShare(percent int) {
+	s := r.worker.sim
+	r.remaining -= s.now.Sub(r.sharedAt) * time.Duration(r.share) / fullShare
+	r.share, r.sharedAt = percent, s.now
+	if percent == 0 || r.worker.hangs {
+		return
+	}
+	s.after(max(r.remaining*fullShare/time.Duration(percent), 0), func() {
+		if r.worker.running[r.ref] == r && r.sharedAt+Instant(r.remaining*fullShare/time.Duration(percent)) == s.now && r.share == percent && !r.stopping {
+			r.worker.finish(r)
+		}
+	})
+}
+
+// use returns the processors that the run uses, in thousandths.
+func (r *simRun) use() int64 {
+	return r.step.Resources.MilliProcessors * int64(r.share) / fullShare
+}
+
+// reportedGauge returns what polls report of the run.
+func (r *simRun) reportedGauge() int64 {
+	if r.step.Lasting {
+		return r.gauge
+	}
+	return r.use()
 }
 
 // percent returns the reported progress.
@@ -149,7 +186,7 @@
 		workers: make(map[string]*simWorker), runs: make(map[workflow.TaskRef][]*simRun), done: make(map[workflow.TaskRef]bool),
 		acknowledged: make(map[workflow.TaskRef]bool), lastStartAt: make(map[workflow.TaskRef]Instant),
 		cancelled: make(map[workflow.JobID]Instant), wallBase: 1_700_000_000_000,
-		settings: Settings{Lease: 8 * time.Second, MaxLease: 10 * time.Second},
+		settings: Settings{Lease: 8 * time.Second, MaxLease: 10 * time.Second}, delay: networkDelay, commitDelay: commitDelay,
 	}
 	s.takeOver()
 	s.every(tickInterval, func() { s.engine.Tick(s.now, s.wall()) })
@@ -207,7 +244,7 @@
 		decoded, err := workflow.DecodeBatch(data)
 		require.NoError(s.t, err)
 		s.pending = decoded
-		s.after(commitDelay, func() {
+		s.after(s.commitDelay, func() {
 			if s.engine != engine {
 				return
 			}
@@ -263,7 +300,7 @@
 		s.after(0, func() { reply(Answer{Order: order, Outcome: NotSent}) })
 		return
 	}
-	delay := networkDelay
+	delay := s.delay
 	lostAnswer := s.rng.Float64() < s.faults.lostAnswer
 	switch {
 	case s.rng.Float64() < s.faults.lostOrder:
@@ -274,12 +311,12 @@
 	receiver := s.workers[order.Address]
 	s.after(delay, func() {
 		w := s.workers[order.Address]
-		if w == nil || w.dead || w.partitioned || delay > networkDelay && w != receiver {
+		if w == nil || w.dead || w.partitioned || delay > s.delay && w != receiver {
 			return // A delayed order is lost with the incarnation that it was sent to.
 		}
 		w.handleOrder(order, func(a Answer) {
 			if !lostAnswer && !w.partitioned {
-				s.after(networkDelay, func() { reply(a) })
+				s.after(s.delay, func() { reply(a) })
 			}
 		})
 	})
@@ -358,6 +395,9 @@
 		w.stop(&order)
 		reply(Done)
 	case Throttle:
+		if run := w.running[order.Task]; run != nil && run.attempt == order.Attempt {
+			run.setShare(order.SharePercent)
+		}
 		reply(Done)
 	}
 }
@@ -427,7 +467,7 @@
 	if at, ok := s.cancelled[ref.Job]; ok && s.now.Sub(at) > 3*time.Second && s.faults.late == 0 {
 		s.violate("task %s starts %v after it was cancelled", ref, s.now.Sub(at))
 	}
-	run := &simRun{worker: w, ref: ref, attempt: attempt, step: step, startedAt: s.now}
+	run := &simRun{worker: w, ref: ref, attempt: attempt, step: step, startedAt: s.now, share: fullShare, sharedAt: s.now}
 	w.running[ref] = run
 	trace.Info().Stringer("task", ref).Uint32("attempt", attempt).Str("worker", w.life.Name).Dur("now", time.Duration(s.now)).Msg("worker starts")
 	s.runs[ref] = append(s.runs[ref], run)
@@ -449,17 +489,17 @@
 	if step.Lasting || w.hangs {
 		return
 	}
-	runTime := time.Duration(float64(step.EstimatedMs)*(0.6+s.rng.Float64())) * time.Millisecond
-	s.after(runTime, func() {
-		if w.running[ref] != run || run.stopping {
-			return
-		}
-		how := workflow.EndDone
-		if w.fails || s.rng.Float64() < s.faults.failing {
-			how = workflow.EndFailed
-		}
-		w.end(ref, run, how)
-	})
+	run.remaining = time.Duration(float64(step.EstimatedMs)*(0.6+s.rng.Float64())) * time.Millisecond
+	run.setShare(fullShare)
+}
+
+// finish ends a run that has done its work.
+func (w *simWorker) finish(run *simRun) {
+	how := workflow.EndDone
+	if w.fails || w.sim.rng.Float64() < w.sim.faults.failing {
+		how = workflow.EndFailed
+	}
+	w.end(run.ref, run, how)
 }
 
 func (w *simWorker) stop(order *Order) {
@@ -529,7 +569,7 @@
 		h.open = false
 		a := Answer{Order: h.order, Outcome: Done, ClockMs: w.clock(), Ended: slices.Clone(w.ended)}
 		for ref, run := range w.running {
-			a.Running = append(a.Running, RunningAttempt{Task: ref, Attempt: run.attempt, Percent: run.percent()})
+			a.Running = append(a.Running, RunningAttempt{Task: ref, Attempt: run.attempt, Percent: run.percent(), Gauge: run.reportedGauge()})
 		}
 		slices.SortFunc(a.Running, func(x, y RunningAttempt) int { return compareTaskRefs(x.Task, y.Task) })
 		h.answer(a)
