Pause scavengers beside a serving task that is measured over its target

Cause: shares followed the prediction alone. Where it errs (an effect that changes, a new leader) each reading lowers the share a little, and a full leader gets each reading late; nothing ended a spell. A new leader besides raised all that the old one had throttled, and a share that a late order had undone was believed to be in force. Change: by the readings alone, two of them over the target and 0.6 s apart pause all scavengers on the worker until one is within it; a worker with a task over its target gets no scavenger, raises none, and is polled each 0.3 s. A new leader takes the share from what an attempt uses, and raises none for 2 s; a share that the use exceeds is ordered again. 'scavengers paused' and 'target met again' say what was measured, predicted, wanted and confirmed; Overruns counts the spells by their length. Why it works: a spell ends by a measurement, whatever the model says, within two readings and one order.

--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -223,6 +223,9 @@
 			a.running, a.runningSince, a.unansweredStarts = true, e.now, 0
 		}
 		a.missedPolls, a.percent, a.checkpoint, a.gauge, a.gaugeReadAt = 0, r.Percent, r.Checkpoint, r.Gauge, e.now
+		if step := e.step(a.ref); step != nil && step.Scavenger {
+			e.checkShare(a, step)
+		}
 	}
 	for _, a := range v.attemptList {
 		if !present[a.ref] {
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -45,9 +45,13 @@
 // Counters count decisions since the engine was created. Lapsed counts attempts
 // that ended with their lease, Voided those declared not to run, Unanswered
 // orders without an answer, Relocated attempts stopped in order to run elsewhere.
+// Overruns counts the times for which readings of a serving task exceeded its target, by
+// whole seconds, the last for all longer ones; Paused those for which scavengers were
+// paused.
 type Counters struct {
 	Accepted, Cancelled, Placed, Done, Failed, Stopped, Lapsed, Voided uint64
-	Unanswered, Throttled, Relocated                                   uint64
+	Unanswered, Throttled, Relocated, Paused                           uint64
+	Overruns                                                           [overrunBuckets]uint64
 }
 
 // batch is a list of operations and the effects to release once they are
--- /dev/null
+++ b/dispatch/overrun.go
@@ -0,0 +1,124 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"mangohill.example/mangohill/workflow"
+)
+
+const (
+	// overrunLimit is how long a serving task may be measured over its target before
+	// all scavengers beside it are paused, whatever the model predicts. It takes at
+	// least two readings, and a gauge that covers none of the time before.
+	overrunLimit = 600 * time.Millisecond
+	// overrunPollWait is how long a poll waits on a worker with such a task, so that
+	// the next reading comes soon.
+	overrunPollWait = 300 * time.Millisecond
+	// overrunTimeout is how long an overrun lasts without a further reading.
+	overrunTimeout = 2 * time.Second
+	// shareTolerance is by how much the use of a scavenger, as a part of what it
+	// requests, may exceed its share before the share counts as not in force.
+	shareTolerance = 0.15
+)
+
+// overrun is a spell of readings of a serving task over its target.
+type overrun struct {
+	// since is when the first of them came, zero if the latest was within the target.
+	since Instant
+	// worstMs is the highest of them in milliseconds.
+	worstMs int64
+	// paused is set once scavengers were paused for it.
+	paused bool
+}
+
+// overrunBuckets is the number of Counters.Overruns.
+const overrunBuckets = 5
+
+// recordOverrun updates the overrun of a serving task by its latest reading.
+func (e *Engine) recordOverrun(v *workerView, a *attempt, targetMs int64) {
+	if a.gauge <= targetMs || a.percent < fullShare {
+		e.endOverrun(v, a, targetMs)
+		return
+	}
+	o := &a.overrun
+	if o.since == 0 {
+		o.since, v.placementState = e.now, nil
+	}
+	o.worstMs = max(o.worstMs, a.gauge)
+	if !o.paused && e.since(o.since) >= overrunLimit {
+		o.paused = true
+		e.counters.Paused++
+		e.overrunEvent(v, a, targetMs).Msg("scavengers paused")
+	}
+}
+
+// endOverrun ends the overrun of a task, if there is one.
+func (e *Engine) endOverrun(v *workerView, a *attempt, targetMs int64) {
+	if a.overrun.since == 0 {
+		return
+	}
+	e.counters.Overruns[min(int(e.since(a.overrun.since)/time.Second), overrunBuckets-1)]++
+	if a.overrun.paused {
+		e.overrunEvent(v, a, targetMs).Msg("target met again")
+	}
+	a.overrun, v.placementState = overrun{}, nil
+}
+
+// overrunEvent returns a log line with what was measured and predicted for a serving
+// task, and the wanted and the confirmed share of each scavenger beside it.
+func (e *Engine) overrunEvent(v *workerView, a *attempt, targetMs int64) *zerolog.Event {
+	image := e.slowdown.pairs.Image(e.step(a.ref).Image)
+	own := e.slowdown.ownSlack(a.ref.Job, image, e.now) + a.slackDeviation
+	predicted := own
+	var tasks []string
+	var wanted, applied []int
+	_, scavengers := e.servingAndScavengers(v)
+	for _, s := range scavengers {
+		predicted -= e.slowdown.slackLoss(image, s.image, s.share*float64(max(s.attempt.wantedShare, 0))/fullShare)
+		tasks = append(tasks, s.ref.String())
+		wanted, applied = append(wanted, s.attempt.wantedShare), append(applied, s.attempt.appliedShare)
+	}
+	return e.log.Info().Stringer("task", a.ref).Str("worker", v.worker.Life.Name).Int64("target_ms", targetMs).Int64("measured_ms", a.gauge).Int64("worst_ms", a.overrun.worstMs).
+		Dur("since", e.since(a.overrun.since)).Float64("own_slack", own).Float64("slack", predicted).Float64("deviation", a.slackDeviation).
+		Strs("scavengers", tasks).Ints("wanted", wanted).Ints("applied", applied).Uint64("term", e.fence)
+}
+
+// overTarget reports whether a serving task of a worker is over its target by its latest
+// reading, and whether the scavengers are paused for that. While a task is over its
+// target, no scavenger is added on the worker, and none is raised.
+func (e *Engine) overTarget(v *workerView) (over, paused bool) {
+	for _, a := range v.attemptList {
+		if a.overrun.since != 0 && e.since(a.gaugeReadAt) < overrunTimeout {
+			over, paused = true, paused || a.overrun.paused
+		}
+	}
+	return over, paused
+}
+
+// checkShare compares what a scavenger uses with its share. A share that was set by an
+// earlier leader is taken from the use. A share that the use exceeds is not in force: an
+// older order was carried out after the one that set it.
+func (e *Engine) checkShare(a *attempt, step *workflow.Step) {
+	use := float64(a.gauge) / float64(max(step.Resources.MilliProcessors, 1))
+	switch {
+	case a.callInFlight:
+	case a.appliedShare == unknownShare && a.shareAppliedAt == 0:
+		a.appliedShare = shareOfUse(use)
+		a.wantedShare, a.shareAppliedAt = a.appliedShare, e.now
+	case a.appliedShare >= 0 && use > float64(a.appliedShare)/fullShare+shareTolerance && e.since(a.shareAppliedAt) > gaugeWindow+pollWait:
+		a.appliedShare = unknownShare
+	}
+}
+
+// shareOfUse returns the lowest share that explains the use of a scavenger.
+func shareOfUse(use float64) int {
+	for _, percent := range slices.Backward(shareSteps[:]) {
+		if use <= float64(percent)/fullShare+shareTolerance {
+			return percent
+		}
+	}
+	return fullShare
+}
--- a/dispatch/overrun_test.go
+++ b/dispatch/overrun_test.go
@@ -196,3 +196,60 @@
 		assert.Empty(t, i.violations, "seed %d", seed)
 	}
 }
+
+// Guards against a share that the leader believes to be in force although an older
+// order, carried out late, has replaced it.
+func TestAnOvertakenShareIsOrderedAgain(t *testing.T) {
+	h := newSingleWorker(t)
+	h.view.answeredAt = h.now
+	web, batch := h.addRunning(t, servingStep("web")), h.addRunning(t, scavengerStep("batch"))
+	batch.wantedShare, batch.appliedShare, batch.shareAppliedAt = 25, 25, h.now
+	poll := func(use int64) {
+		h.now = h.now.Add(pollWait)
+		answer := Answer{Order: Order{Verb: Poll, SentAt: h.now}, Outcome: Done, ClockMs: 1, Running: []RunningAttempt{
+			{Task: web.ref, Attempt: 1, Percent: fullShare, Gauge: latencyAt(1.1)}, {Task: batch.ref, Attempt: 1, Percent: 10, Gauge: use},
+		}}
+		answer.Order.Worker = h.view.worker.ID
+		h.HandleAnswer(&answer)
+	}
+	poll(1600)
+	poll(1600)
+	assert.Equal(t, 25, batch.appliedShare, "the use agrees with the share")
+	poll(6400)
+	assert.Equal(t, unknownShare, batch.appliedShare, "the use exceeds the share")
+}
+
+// Guards against a new leader that raises at once what the one before it had throttled.
+func TestANewLeaderTakesOverTheShares(t *testing.T) {
+	i := newInterferenceSim(t, 3)
+	i.addWorker("w", 32)
+	i.run(time.Second)
+	serving := step(1)
+	serving.Resources.MilliProcessors, serving.Lasting, serving.LatencyTargetMs, serving.Image = 6000, true, 125, "web"
+	i.submit(1, serving)
+	i.run(2 * time.Second)
+	batch := step(4)
+	batch.Resources.MilliProcessors, batch.EstimatedMs, batch.Scavenger, batch.Image = 800, 60_000, true, "light"
+	i.submit(2, batch)
+	i.run(time.Second)
+	order := func(ref workflow.TaskRef, share int) {
+		for _, w := range i.workers {
+			if run := w.running[ref]; run != nil {
+				run.setShare(share)
+			}
+		}
+	}
+	shares := []int{0, 25, 50, 100}
+	for index, share := range shares {
+		order(workflow.TaskRef{Job: 2, Index: uint32(index)}, share)
+	}
+	i.notSent = true
+	i.run(gaugeWindow)
+	i.notSent = false
+	i.takeOver()
+	v := i.engine.sortedViews[0]
+	require.True(t, i.runUntil(5*time.Second, func() bool { return v.fenced }))
+	for index, share := range shares {
+		assert.Equal(t, share, v.attempts[workflow.TaskRef{Job: 2, Index: uint32(index)}].appliedShare, "task %d", index)
+	}
+}
--- a/dispatch/placement_state.go
+++ b/dispatch/placement_state.go
@@ -11,6 +11,8 @@
 	at                  Instant
 	idleMilliProcessors int64
 	victims             []victim
+	// overTarget tells that a serving task is over its target.
+	overTarget bool
 }
 
 // placementStateOf returns the cached placement state of a worker. It computes it
@@ -23,6 +25,7 @@
 	for _, s := range scavengers {
 		e.subtractLoss(victims, s, max(s.attempt.wantedShare, 0))
 	}
-	v.placementState = &placementState{at: e.now, idleMilliProcessors: e.idleProcessors(v), victims: victims}
+	over, _ := e.overTarget(v)
+	v.placementState = &placementState{at: e.now, idleMilliProcessors: e.idleProcessors(v), victims: victims, overTarget: over}
 	return v.placementState
 }
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -9,6 +9,9 @@
 	// not change with each reading (hysteresis).
 	throttleLimit = 0.95
 	raiseLimit    = 0.9
+	// raiseWarmUp is how long a new leader raises no shares: it takes some readings to
+	// learn what an earlier leader throttled for.
+	raiseWarmUp = 2 * time.Second
 	// shareUpdateInterval is how often shares are recomputed, because readings on
 	// other workers change the estimated load of a job; a worker's own readings
 	// come each second.
@@ -30,7 +33,7 @@
 	v.sharesSetAt = e.now
 	victims, scavengers := e.servingAndScavengers(v)
 	for _, s := range scavengers {
-		e.setShare(v, s.attempt, e.grantShare(victims, s))
+		e.setShare(v, s.attempt, e.grantShare(v, victims, s))
 		e.relocate(v, s)
 	}
 }
@@ -42,9 +45,18 @@
 }
 
 // grantShare returns the largest share at which a scavenger leaves all serving
-// tasks within their limits, and subtracts the slack that it costs them.
-func (e *Engine) grantShare(victims []victim, s scavenger) int {
+// tasks within their limits, and subtracts the slack that it costs them. Measured
+// overruns go before the prediction.
+func (e *Engine) grantShare(v *workerView, victims []victim, s scavenger) int {
+	over, paused := e.overTarget(v)
+	if paused {
+		return 0
+	}
+	mayRaise := !over && e.since(e.tookOverAt) >= raiseWarmUp
 	for _, percent := range shareSteps {
+		if percent > s.attempt.wantedShare && !mayRaise {
+			continue
+		}
 		limit := throttleLimit
 		if percent > s.attempt.wantedShare {
 			limit = raiseLimit
@@ -73,7 +85,7 @@
 		return
 	}
 	if answer.Outcome == Done {
-		a.appliedShare = answer.Order.SharePercent
+		a.appliedShare, a.shareAppliedAt = answer.Order.SharePercent, e.now
 		return
 	}
 	a.retryAt = e.now.Add(orderRetryDelay)
--- a/dispatch/slowdown.go
+++ b/dispatch/slowdown.go
@@ -157,6 +157,7 @@
 		if step == nil || !step.Lasting || step.LatencyTargetMs <= 0 || a.gaugeReadAt != e.now || a.gauge <= 0 {
 			continue
 		}
+		e.recordOverrun(v, a, step.LatencyTargetMs)
 		if a.percent < fullShare {
 			a.warmedUpAt = e.now.Add(gaugeWarmUp)
 		}
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -81,12 +81,16 @@
 	// appliedShare is the share of its full speed, in percent, that the worker
 	// last confirmed, wantedShare the one that it should have.
 	appliedShare, wantedShare int
+	// shareAppliedAt is when the applied share became known.
+	shareAppliedAt Instant
 	// throttledSince is when the wanted share fell below relocateBelowPercent,
 	// zero if it has not.
 	throttledSince Instant
 	// slackDeviation is by how much the slack of a serving task is estimated to
 	// differ from that of its job.
 	slackDeviation float64
+	// overrun is the current overrun of a serving task.
+	overrun overrun
 	// warmedUpAt is when the gauge of a lasting task becomes representative.
 	warmedUpAt Instant
 }
@@ -95,7 +99,8 @@
 	// fullShare is full speed, and also complete progress, in percent.
 	fullShare = 100
 	// unknownShare is the applied share of attempts that an earlier leader
-	// placed. It differs from every wanted share, so that the share is set again.
+	// placed, or that was overtaken. It differs from every wanted share, so that the
+	// share is set again.
 	unknownShare = -1
 )
 
@@ -226,6 +231,9 @@
 func (e *Engine) poll(v *workerView) {
 	v.pollInFlight = true
 	order := Order{Verb: Poll, AckedThrough: v.lastEndAcked, Wait: pollWait}
+	if over, _ := e.overTarget(v); over {
+		order.Wait = overrunPollWait
+	}
 	if !e.reachable(v) {
 		order.Wait = 0
 	}
