Pause: proofs, and no work for what is throttled to nothing already

Change: a pause and short polls only where a scavenger works; overruns are looked up once for a worker, not once for a scavenger. TestScavengersArePausedAgainstThePrediction: a task whose job has slack elsewhere; the model alone leaves the share at 100 for three readings. Result: go test ./dispatch ./rpcclient pass; without the pause the new test fails (share 100).

--- a/dispatch/overrun.go
+++ b/dispatch/overrun.go
@@ -48,7 +48,7 @@
 		o.since, v.placementState = e.now, nil
 	}
 	o.worstMs = max(o.worstMs, a.gauge)
-	if !o.paused && e.since(o.since) >= overrunLimit {
+	if !o.paused && e.since(o.since) >= overrunLimit && e.scavengersWork(v) {
 		o.paused = true
 		e.counters.Paused++
 		e.overrunEvent(v, a, targetMs).Msg("scavengers paused")
@@ -98,6 +98,14 @@
 	return over, paused
 }
 
+// scavengersWork reports whether a scavenger runs on a worker and is not throttled to
+// nothing.
+func (e *Engine) scavengersWork(v *workerView) bool {
+	return slices.ContainsFunc(v.attemptList, func(a *attempt) bool {
+		return a.running && (a.wantedShare > 0 || a.appliedShare != 0) && e.isScavenger(a.ref)
+	})
+}
+
 // checkShare compares what a scavenger uses with its share. A share that was set by an
 // earlier leader is taken from the use. A share that the use exceeds is not in force: an
 // older order was carried out after the one that set it.
--- a/dispatch/overrun_test.go
+++ b/dispatch/overrun_test.go
@@ -197,6 +197,34 @@
 	}
 }
 
+// Guards against a spell over the target that lasts until the model has learned its
+// cause: by the other tasks of its job, the task has all the slack that it needs.
+func TestScavengersArePausedAgainstThePrediction(t *testing.T) {
+	h := newSingleWorker(t)
+	web, batch := h.addRunningTasks(t, servingStep("web"), 5), h.addRunning(t, scavengerStep("batch"))
+	feed := func(slack float64, share int64) {
+		gauges := map[*attempt]int64{batch: 64 * share}
+		for _, a := range web {
+			gauges[a] = latencyAt(3)
+		}
+		gauges[web[0]] = latencyAt(slack)
+		h.feedReadings(gauges)
+	}
+	for range 100 {
+		feed(3, fullShare)
+	}
+	feed(0.9, fullShare)
+	assert.Equal(t, fullShare, batch.wantedShare, "one reading may be noise")
+	feed(0.9, fullShare)
+	feed(0.9, fullShare)
+	assert.Zero(t, batch.wantedShare, "the task was over its target for a second")
+	over, paused := h.overTarget(h.view)
+	assert.True(t, over && paused)
+	feed(1.3, 0)
+	over, paused = h.overTarget(h.view)
+	assert.False(t, over || paused, "the pause must end with the spell")
+}
+
 // Guards against a share that the leader believes to be in force although an older
 // order, carried out late, has replaced it.
 func TestAnOvertakenShareIsOrderedAgain(t *testing.T) {
--- a/dispatch/scavengers_test.go
+++ b/dispatch/scavengers_test.go
@@ -37,14 +37,23 @@
 
 // addRunning adds a running attempt of a new job with this step to the worker.
 func (h *singleWorker) addRunning(t *testing.T, step workflow.Step) *attempt {
+	return h.addRunningTasks(t, step, 1)[0]
+}
+
+// addRunningTasks adds running attempts of a new job with count tasks to the worker.
+func (h *singleWorker) addRunningTasks(t *testing.T, step workflow.Step, count uint32) []*attempt {
 	h.jobs++
-	step.Count = 1
+	step.Count = count
 	require.NoError(t, h.state.Apply(&workflow.Op{Accept: &workflow.Accept{ID: h.jobs, Queue: "q", Spec: workflow.JobSpec{Steps: []workflow.Step{step}}}}))
-	ref := workflow.TaskRef{Job: h.jobs}
-	require.NoError(t, h.state.Apply(&workflow.Op{Place: &workflow.Place{Task: ref, Worker: h.view.worker.ID, Attempt: 1}}))
-	a := &attempt{ref: ref, number: 1, committed: true, running: true, percent: fullShare, appliedShare: fullShare, wantedShare: fullShare, placedAt: h.now}
-	h.view.add(a)
-	return a
+	var attempts []*attempt
+	for index := range count {
+		ref := workflow.TaskRef{Job: h.jobs, Index: index}
+		require.NoError(t, h.state.Apply(&workflow.Op{Place: &workflow.Place{Task: ref, Worker: h.view.worker.ID, Attempt: 1}}))
+		a := &attempt{ref: ref, number: 1, committed: true, running: true, percent: fullShare, appliedShare: fullShare, wantedShare: fullShare, placedAt: h.now}
+		h.view.add(a)
+		attempts = append(attempts, a)
+	}
+	return attempts
 }
 
 func servingStep(image string) workflow.Step {
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -28,12 +28,19 @@
 	e.setShares(v)
 }
 
-// setShares sets the shares of a worker's scavengers by the current prediction.
+// setShares sets the shares of a worker's scavengers by the current prediction, unless
+// they are paused since a serving task was measured over its target.
 func (e *Engine) setShares(v *workerView) {
 	v.sharesSetAt = e.now
 	victims, scavengers := e.servingAndScavengers(v)
+	over, paused := e.overTarget(v)
+	mayRaise := !over && e.since(e.tookOverAt) >= raiseWarmUp
 	for _, s := range scavengers {
-		e.setShare(v, s.attempt, e.grantShare(v, victims, s))
+		share := 0
+		if !paused {
+			share = e.grantShare(victims, s, mayRaise)
+		}
+		e.setShare(v, s.attempt, share)
 		e.relocate(v, s)
 	}
 }
@@ -45,14 +52,8 @@
 }
 
 // grantShare returns the largest share at which a scavenger leaves all serving
-// tasks within their limits, and subtracts the slack that it costs them. Measured
-// overruns go before the prediction.
-func (e *Engine) grantShare(v *workerView, victims []victim, s scavenger) int {
-	over, paused := e.overTarget(v)
-	if paused {
-		return 0
-	}
-	mayRaise := !over && e.since(e.tookOverAt) >= raiseWarmUp
+// tasks within their limits, and subtracts the slack that it costs them.
+func (e *Engine) grantShare(victims []victim, s scavenger, mayRaise bool) int {
 	for _, percent := range shareSteps {
 		if percent > s.attempt.wantedShare && !mayRaise {
 			continue
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -231,7 +231,7 @@
 func (e *Engine) poll(v *workerView) {
 	v.pollInFlight = true
 	order := Order{Verb: Poll, AckedThrough: v.lastEndAcked, Wait: pollWait}
-	if over, _ := e.overTarget(v); over {
+	if over, _ := e.overTarget(v); over && e.scavengersWork(v) {
 		order.Wait = overrunPollWait
 	}
 	if !e.reachable(v) {
--- a/rpcclient/client_test.go
+++ b/rpcclient/client_test.go
@@ -147,8 +147,10 @@
 	}})
 	defer client.Close()
 	args := "hello"
+	longCtx, cancelLong := context.WithTimeout(context.Background(), time.Hour)
+	defer cancelLong()
 	result := make(chan error, 1)
-	go func() { result <- client.Call(context.Background(), "a", "Slow.Wait", &args, new(string)) }()
+	go func() { result <- client.Call(longCtx, "a", "Slow.Wait", &args, new(string)) }()
 	require.Eventually(t, func() bool {
 		client.mu.Lock()
 		defer client.mu.Unlock()
@@ -158,6 +160,11 @@
 	defer cancel()
 	require.Error(t, client.Call(expiredCtx, "a", "Slow.Wait", &args, new(string)))
 	require.NoError(t, client.Call(context.Background(), "a", "Slow.Wait", &args, new(string)))
-	assert.Equal(t, kind.UnknownOutcome, kind.Of(<-result))
+	select {
+	case err := <-result:
+		assert.Equal(t, kind.UnknownOutcome, kind.Of(err))
+	case <-time.After(10 * time.Second):
+		assert.Fail(t, "the call on the silent connection has not ended")
+	}
 	assert.Equal(t, 2, dials)
 }
