Model: additional polls during an overrun are not learned from more often

Change: a reading of an additional poll teaches the model only if a second has passed since the last one that did.

--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -127,7 +127,7 @@
 	}
 	e.recordEnds(v, answer.Ended)
 	e.reconcileRunning(v, answer)
-	e.applyReadings(v)
+	e.applyReadings(v, answer.Order.Wait == overrunPollWait)
 	e.assessHealth(v)
 	// A worker answers a poll at once while it lists unacknowledged ends, so the
 	// next poll waits until these are committed.
--- a/dispatch/candidates.go
+++ b/dispatch/candidates.go
@@ -268,7 +268,7 @@
 		return false
 	case !step.Reserved().Fits(c.free):
 		return false
-	case step.Scavenger && e.placementStateOf(c.view).overTarget:
+	case step.Scavenger && e.placementStateOf(c.view).paused:
 		return false
 	case step.Scavenger && (c.idleMilliProcessors < minIdleFor(step) || c.headroom(e, step, e.imageOf(s)) < 0):
 		return false
--- a/dispatch/overrun.go
+++ b/dispatch/overrun.go
@@ -87,8 +87,8 @@
 }
 
 // overTarget reports whether a serving task of a worker is over its target by its latest
-// reading, and whether the scavengers are paused for that. While a task is over its
-// target, no scavenger is added on the worker, and none is raised.
+// reading, and whether the scavengers are paused for that. Meanwhile no scavenger is added
+// on the worker.
 func (e *Engine) overTarget(v *workerView) (over, paused bool) {
 	for _, a := range v.attemptList {
 		if a.overrun.since != 0 && e.since(a.gaugeReadAt) < overrunTimeout {
--- a/dispatch/placement_state.go
+++ b/dispatch/placement_state.go
@@ -11,8 +11,8 @@
 	at                  Instant
 	idleMilliProcessors int64
 	victims             []victim
-	// overTarget tells that a serving task is over its target.
-	overTarget bool
+	// paused tells that the scavengers are paused.
+	paused bool
 }
 
 // placementStateOf returns the cached placement state of a worker. It computes it
@@ -25,7 +25,7 @@
 	for _, s := range scavengers {
 		e.subtractLoss(victims, s, max(s.attempt.wantedShare, 0))
 	}
-	over, _ := e.overTarget(v)
-	v.placementState = &placementState{at: e.now, idleMilliProcessors: e.idleProcessors(v), victims: victims, overTarget: over}
+	_, paused := e.overTarget(v)
+	v.placementState = &placementState{at: e.now, idleMilliProcessors: e.idleProcessors(v), victims: victims, paused: paused}
 	return v.placementState
 }
--- a/dispatch/scavengers.go
+++ b/dispatch/scavengers.go
@@ -147,7 +147,7 @@
 // fitsElsewhere reports whether another worker would take a task of the step now.
 func (e *Engine) fitsElsewhere(v *workerView, job *workflow.Job, step *workflow.Step) bool {
 	for _, other := range e.sortedViews {
-		if other == v || other.worker.Service != job.Service || !e.schedulable(other) || e.closedForMaintenance(other) || e.now < other.quarantinedUntil || e.placementStateOf(other).overTarget {
+		if other == v || other.worker.Service != job.Service || !e.schedulable(other) || e.closedForMaintenance(other) || e.now < other.quarantinedUntil || e.placementStateOf(other).paused {
 			continue
 		}
 		c := e.candidateOf(other)
--- a/dispatch/scavengers_test.go
+++ b/dispatch/scavengers_test.go
@@ -71,7 +71,7 @@
 	for a, gauge := range gauges {
 		a.gauge, a.gaugeReadAt = gauge, h.now
 	}
-	h.applyReadings(h.view)
+	h.applyReadings(h.view, false)
 }
 
 // latencyAt returns the tail latency in milliseconds at a slack.
@@ -120,7 +120,7 @@
 		h.recordEndedScavenger(h.view, heavy)
 		h.view.remove(heavy)
 		web.gauge, web.gaugeReadAt, light.gaugeReadAt = latencyAt(1.5), h.now, h.now
-		h.applyReadings(h.view)
+		h.applyReadings(h.view, false)
 		for range 6 {
 			h.feedReadings(map[*attempt]int64{web: latencyAt(2.5), light: 6400})
 		}
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -23,8 +23,9 @@
 
 // applyReadings learns from a worker's readings and sets the shares of its
 // scavengers so that no serving task is predicted beyond its limit.
-func (e *Engine) applyReadings(v *workerView) {
-	e.observeReadings(v)
+// additional tells that the poll was sent for an overrun.
+func (e *Engine) applyReadings(v *workerView, additional bool) {
+	e.observeReadings(v, additional)
 	e.setShares(v)
 }
 
@@ -33,8 +34,8 @@
 func (e *Engine) setShares(v *workerView) {
 	v.sharesSetAt = e.now
 	victims, scavengers := e.servingAndScavengers(v)
-	over, paused := e.overTarget(v)
-	mayRaise := !over && e.since(e.tookOverAt) >= raiseWarmUp
+	_, paused := e.overTarget(v)
+	mayRaise := e.since(e.tookOverAt) >= raiseWarmUp
 	for _, s := range scavengers {
 		share := 0
 		if !paused {
--- a/dispatch/slowdown.go
+++ b/dispatch/slowdown.go
@@ -149,8 +149,14 @@
 	return shares
 }
 
-// observeReadings feeds the readings of the latest answer to the slowdown model.
-func (e *Engine) observeReadings(v *workerView) {
+// observeReadings records overruns and feeds the readings of the latest answer to the
+// slowdown model. The model gets those of the additional polls during an overrun no more
+// often than others, as it would give too much weight to overruns.
+func (e *Engine) observeReadings(v *workerView, additional bool) {
+	learn := !additional || e.since(v.learnedAt) >= pollWait
+	if learn {
+		v.learnedAt = e.now
+	}
 	shares := e.scavengerShares(v)
 	for _, a := range v.attemptList {
 		step := e.step(a.ref)
@@ -161,7 +167,7 @@
 		if a.percent < fullShare {
 			a.warmedUpAt = e.now.Add(gaugeWarmUp)
 		}
-		if e.now >= a.warmedUpAt {
+		if learn && e.now >= a.warmedUpAt {
 			e.slowdown.observe(e.now, a, e.slowdown.pairs.Image(step.Image), shares, float64(step.LatencyTargetMs)/float64(a.gauge))
 		}
 	}
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -40,7 +40,9 @@
 	placementState *placementState
 	// sharesSetAt is when the shares of the scavengers were last set.
 	sharesSetAt Instant
-	health      health
+	// learnedAt is when readings were last fed to the slowdown model.
+	learnedAt Instant
+	health    health
 	// attempts are the recorded attempts on the worker, attemptList the same in
 	// the order in which they were added. The list is replaced, never modified in
 	// place, so that it can be iterated while attempts end.
