Leader: drop calls whose senders have left; say why a request got no answer

Cause: the leader decided on each call that it had received, also when its sender had reached its deadline and sent it again; and the log of a 504 told neither the tries nor what was waited for. Change: a call carries the time that its sender still waits; the loop drops it after that and counts it (expired_calls).

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -277,15 +277,16 @@
 // is of kind unknown_outcome if the call may have been executed, and no_quorum if it
 // certainly was not.
 func (c *Client) Do(ctx context.Context, call *Call) (*Result, error) {
-	outcomeUnknown := false
+	startedAt, tries, outcomeUnknown := time.Now(), 0, false
 	for {
+		tries++
 		result, err := c.callLeader(ctx, call)
 		if err == nil {
 			return result, nil
 		}
 		outcomeUnknown = outcomeUnknown || kind.Is(err, kind.UnknownOutcome)
 		if c.leaderless() || kind.Is(err, kind.UnknownOutcome) && expiresWithin(ctx, retryDelay+minTryTime) {
-			return nil, unansweredError(outcomeUnknown, err)
+			return nil, unansweredError(outcomeUnknown, tries, time.Since(startedAt), err)
 		}
 		timer := time.NewTimer(retryDelay)
 		select {
@@ -294,7 +295,7 @@
 		case <-ctx.Done():
 			timer.Stop()
 		}
-		return nil, unansweredError(outcomeUnknown, err)
+		return nil, unansweredError(outcomeUnknown, tries, time.Since(startedAt), err)
 	}
 }
 
@@ -304,12 +305,13 @@
 	return ok && time.Until(deadline) < d
 }
 
-// unansweredError returns the error of a call that no leader answered in time.
-func unansweredError(outcomeUnknown bool, cause error) error {
+// unansweredError returns the error of a call that no leader answered in time. cause is
+// the error of the last of its tries, which took this long together.
+func unansweredError(outcomeUnknown bool, tries int, took time.Duration, cause error) error {
 	if outcomeUnknown {
-		return kind.Errorf(kind.UnknownOutcome, "the leader did not answer in time: %w", cause)
+		return kind.Errorf(kind.UnknownOutcome, "the leader did not answer in %v and %d tries: %w", took.Round(time.Millisecond), tries, cause)
 	}
-	return kind.Errorf(kind.NoQuorum, "no leader found in time: %w", cause)
+	return kind.Errorf(kind.NoQuorum, "no leader found in %v and %d tries: %w", took.Round(time.Millisecond), tries, cause)
 }
 
 // callLeader makes one call to the known leader. After a not_leader error it switches
@@ -326,12 +328,16 @@
 	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
 	defer cancel()
 	defer context.AfterFunc(calls, cancel)()
+	try := *call
+	if deadline, ok := ctx.Deadline(); ok {
+		try.Budget = time.Until(deadline)
+	}
 	result := new(Result)
 	var err error
 	if c.isLocal(address) {
-		*result, err = c.options.Local.Do(ctx, call)
+		*result, err = c.options.Local.Do(ctx, &try)
 	} else {
-		err = c.options.Caller.Call(ctx, address, callMethod, call, result)
+		err = c.options.Caller.Call(ctx, address, callMethod, &try, result)
 	}
 	if err == nil {
 		return result, nil
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -88,6 +88,8 @@
 
 // pendingCall is a call that waits for the loop to pass it to the engine.
 type pendingCall struct {
+	// ctx ends when nobody waits for the result any more.
+	ctx      context.Context
 	call     *Call
 	queuedAt time.Time
 	done     func(Result, error)
@@ -154,7 +156,7 @@
 	}
 	done := make(chan outcome, 1)
 	startedAt := time.Now()
-	e := pendingCall{call: call, queuedAt: startedAt, done: func(r Result, err error) {
+	e := pendingCall{ctx: ctx, call: call, queuedAt: startedAt, done: func(r Result, err error) {
 		select {
 		case done <- outcome{r, err}:
 		default: // The call was answered already.
@@ -206,12 +208,16 @@
 // service is the net/rpc receiver of a member.
 type service struct{ c *Coordinator }
 
-// callTimeout bounds a call from another process. Clients time out earlier.
+// callTimeout bounds a call from another process that states no budget.
 const callTimeout = 5 * time.Second
 
 // Call implements callMethod.
 func (s *service) Call(call *Call, result *Result) error {
-	ctx, cancel := context.WithTimeout(s.c.ctx, callTimeout)
+	timeout := callTimeout
+	if call.Budget > 0 {
+		timeout = min(timeout, call.Budget)
+	}
+	ctx, cancel := context.WithTimeout(s.c.ctx, timeout)
 	defer cancel()
 	r, err := s.c.Do(ctx, call)
 	if err != nil {
--- a/coordinator/loop.go
+++ b/coordinator/loop.go
@@ -267,8 +267,13 @@
 	})
 }
 
-// handleCall passes a call to the engine.
+// handleCall passes a call to the engine, unless nobody waits for its result any more.
 func (l *loop) handleCall(e pendingCall) {
+	if err := e.ctx.Err(); err != nil {
+		l.metrics.expiredCalls.Add(1)
+		e.done(Result{}, kind.Errorf(kind.UnknownOutcome, "the call waited %v for the leader's loop: %w", time.Since(e.queuedAt), err))
+		return
+	}
 	if l.engine == nil || !l.quorumConfirmed() {
 		e.done(Result{}, l.notLeader())
 		return
--- a/coordinator/messages.go
+++ b/coordinator/messages.go
@@ -1,6 +1,8 @@
 package coordinator
 
 import (
+	"time"
+
 	"mangohill.example/mangohill/dispatch"
 	"mangohill.example/mangohill/kind"
 	"mangohill.example/mangohill/workflow"
@@ -13,7 +15,7 @@
 	membersMethod = serviceName + ".Members"
 )
 
-// Call is one request to the leader. Exactly one field is set.
+// Call is one request to the leader. Exactly one field is set besides Budget.
 type Call struct {
 	Request  *dispatch.Request
 	Announce *dispatch.Announcement
@@ -26,6 +28,10 @@
 	StartWave *workflow.StartWave
 	// WaveState asks whether the wave of this ID is completed.
 	WaveState *uint64
+
+	// Budget is how long the sender still waits for the result, zero for callTimeout. The
+	// leader drops the call if it has not decided on it by then.
+	Budget time.Duration
 }
 
 // Withdrawal is a worker's report that it shuts down.
--- a/coordinator/metrics.go
+++ b/coordinator/metrics.go
@@ -17,6 +17,8 @@
 	tickLag  *latency.Histogram
 	orders   map[dispatch.Verb]*latency.Histogram
 	outcomes *expvar.Map
+	// expiredCalls counts the calls that were dropped since nobody waited for them.
+	expiredCalls *expvar.Int
 	// engine holds the newest published statistics of the engine.
 	engine atomic.Pointer[engineStats]
 }
@@ -29,7 +31,7 @@
 }
 
 func newMetrics() *metrics {
-	m := &metrics{commit: latency.New(), calls: latency.New(), callWait: latency.New(), tickLag: latency.New(), orders: make(map[dispatch.Verb]*latency.Histogram), outcomes: new(expvar.Map)}
+	m := &metrics{commit: latency.New(), calls: latency.New(), callWait: latency.New(), tickLag: latency.New(), orders: make(map[dispatch.Verb]*latency.Histogram), outcomes: new(expvar.Map), expiredCalls: new(expvar.Int)}
 	for _, verb := range []dispatch.Verb{dispatch.Poll, dispatch.Start, dispatch.Stop, dispatch.Throttle} {
 		m.orders[verb] = latency.New()
 	}
@@ -43,6 +45,7 @@
 	vars.Set("call_latency", m.calls)
 	vars.Set("call_wait", m.callWait)
 	vars.Set("tick_lag", m.tickLag)
+	vars.Set("expired_calls", m.expiredCalls)
 	for verb, histogram := range m.orders {
 		vars.Set("order_latency_"+verb.String(), histogram)
 	}
--- a/dispatch/callers.go
+++ b/dispatch/callers.go
@@ -116,8 +116,9 @@
 			return
 		}
 		e.counters.Cancelled++
+		receivedAt := e.now
 		e.afterCommit(func() {
-			e.log.Info().Stringer("job", id).Uint64("term", e.fence).Msg("job cancelled")
+			e.log.Info().Stringer("job", id).Dur("took", e.since(receivedAt)).Uint64("term", e.fence).Msg("job cancelled")
 			e.stopJobAttempts(job)
 		})
 	}
