Client: a new leader is followed as soon as a member names it

Cause: a search waited for all members, 300 ms for each that does not answer, and slept 150 ms before the next one; only then it followed a leader that others had named meanwhile. Change: a leader of a new term is followed at once; a search takes 150 ms in all. Result: TestANewLeaderIsFollowedBesideASilentMember hangs without the change.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -86,8 +86,9 @@
 			c.wait(ctx, pollInterval)
 			continue
 		}
+		startedAt := time.Now()
 		c.search(ctx)
-		c.sleep(ctx, searchInterval)
+		c.sleep(ctx, searchInterval-time.Since(startedAt))
 	}
 }
 
@@ -153,8 +154,9 @@
 	return answer.reply.Leader == leader
 }
 
-// search polls all known members concurrently. It follows the leader of the highest
-// term that a member names. A leader that no member names is lost.
+// search polls all known members concurrently, for searchInterval. It follows the leader
+// of the highest term that a member names, and one of a new term as soon as it is named,
+// since other members may be slow to answer. A leader that no member names is lost.
 func (c *Client) search(ctx context.Context) {
 	c.mu.Lock()
 	addresses := slices.Concat(c.members, c.options.Seeds)
@@ -164,26 +166,28 @@
 	}
 	slices.Sort(addresses)
 	addresses = slices.Compact(addresses)
-	answers := make([]*view, len(addresses))
-	var polls sync.WaitGroup
-	for i, address := range addresses {
-		polls.Go(func() {
-			if answer, err := c.poll(ctx, address); err == nil {
-				answers[i] = answer
-			}
-		})
+	answers := make(chan *view, len(addresses))
+	for _, address := range addresses {
+		go func() { answers <- c.pollMember(ctx, address) }()
 	}
-	polls.Wait()
+	timer := time.NewTimer(searchInterval)
+	defer timer.Stop()
 	var newest *view
 	answered := 0
-	for _, answer := range answers {
-		if answer == nil {
+	for range addresses {
+		select {
+		case answer := <-answers:
+			if answer == nil {
+				continue
+			}
+			answered++
+			if answer.reply.Leader != "" && (newest == nil || newest.before(answer)) {
+				newest = answer
+			}
 			continue
+		case <-timer.C:
 		}
-		answered++
-		if answer.reply.Leader != "" && (newest == nil || answer.reply.Term > newest.reply.Term || answer.reply.Term == newest.reply.Term && answer.reply.HasCatalog) {
-			newest = answer
-		}
+		break
 	}
 	if newest == nil {
 		c.loseLeader(answered)
@@ -192,6 +196,27 @@
 	c.applyView(newest)
 }
 
+// before reports whether the view is superseded by another one that names a leader.
+func (v *view) before(other *view) bool {
+	return other.reply.Term > v.reply.Term || other.reply.Term == v.reply.Term && other.reply.HasCatalog
+}
+
+// pollMember polls one member for search, and follows a leader of a new term that it
+// names. It returns nil if the member does not answer.
+func (c *Client) pollMember(ctx context.Context, address string) *view {
+	answer, err := c.poll(ctx, address)
+	if err != nil {
+		return nil
+	}
+	c.mu.Lock()
+	isNew := answer.reply.Leader != "" && (c.leader == "" || answer.reply.Term > c.term)
+	c.mu.Unlock()
+	if isNew {
+		c.applyView(answer)
+	}
+	return answer
+}
+
 // poll asks one member for its view of the group.
 func (c *Client) poll(ctx context.Context, address string) (*view, error) {
 	answer := &view{address: address, sentAt: boottime.Now()}
--- a/coordinator/client_test.go
+++ b/coordinator/client_test.go
@@ -46,7 +46,10 @@
 	mu sync.Mutex
 	// views holds the answers to polls by address. A member without one does not answer.
 	views map[string]MembersReply
-	calls chan stubCall
+	// silent members answer polls neither in time nor later, until stopped is closed.
+	silent  map[string]bool
+	stopped chan struct{}
+	calls   chan stubCall
 }
 
 // stubCall is a call to the leader that waits for its answer.
@@ -57,7 +60,7 @@
 }
 
 func newStubGroup(views map[string]MembersReply) *stubGroup {
-	return &stubGroup{views: views, calls: make(chan stubCall, 16)}
+	return &stubGroup{views: views, silent: make(map[string]bool), stopped: make(chan struct{}), calls: make(chan stubCall, 16)}
 }
 
 func (g *stubGroup) setView(address string, view MembersReply) {
@@ -75,8 +78,12 @@
 func (g *stubGroup) Call(ctx context.Context, address, method string, args, reply any) error {
 	if method == membersMethod {
 		g.mu.Lock()
-		defer g.mu.Unlock()
 		view, answers := g.views[address]
+		silent := g.silent[address]
+		g.mu.Unlock()
+		if silent {
+			<-g.stopped
+		}
 		if !answers {
 			return kind.Errorf(kind.Unreachable, "dial %s", address)
 		}
@@ -103,6 +110,7 @@
 	}()
 	t.Cleanup(func() {
 		cancel()
+		close(g.stopped)
 		<-stopped
 	})
 	require.Eventually(t, func() bool { return c.Leader() == "a:1" }, 10*time.Second, time.Millisecond)
@@ -173,3 +181,17 @@
 	g.setView("c:1", leaderView("", 3, false))
 	require.Eventually(t, func() bool { return c.Leader() == "" }, 10*time.Second, time.Millisecond, "a leader that nobody names is lost")
 }
+
+// Guards against a new leader that is found late because the client waits for a member
+// that does not answer.
+func TestANewLeaderIsFollowedBesideASilentMember(t *testing.T) {
+	g := newStubGroup(map[string]MembersReply{"a:1": leaderView("a:1", 2, true), "b:1": leaderView("a:1", 2, false)})
+	c := startStubClient(t, g)
+	g.mu.Lock()
+	g.silent["c:1"] = true
+	delete(g.views, "a:1")
+	g.mu.Unlock()
+	time.Sleep(2 * pollInterval)
+	g.setView("b:1", leaderView("b:1", 3, true))
+	require.Eventually(t, func() bool { return c.Leader() == "b:1" }, 10*time.Second, time.Millisecond)
+}
