controlapi: a caller that leaves does not lose the leader

The product's own client forgot the leader as well when the caller of one call left or its deadline passed; the calls after it went to other control processes first. It cancelled no other calls. Change: an attempt that its caller ended changes nothing.

--- a/controlapi/leader.go
+++ b/controlapi/leader.go
@@ -63,11 +63,14 @@
 			c.setLeader(address)
 			return reply, nil
 		}
+		sent = sent || kind.Is(err, kind.UnknownOutcome)
+		lastErr = err
+		if ctx.Err() != nil && (kind.Is(err, kind.UnknownOutcome) || kind.Is(err, kind.Unreachable)) {
+			break // The caller ended the attempt, which says nothing about the leader.
+		}
 		if isFinal := c.handleFailure(address, err); isFinal {
 			return nil, err
 		}
-		sent = sent || kind.Is(err, kind.UnknownOutcome)
-		lastErr = err
 	}
 	return nil, noReplyError(ctx, method, sent, lastErr)
 }
