Client: a leader without a quorum is left

Change: a poll confirms a leader only if it serves; else all members are asked. Result: TestALeaderWithoutAQuorumIsLeft fails without it.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -143,15 +143,15 @@
 	reply   MembersReply
 }
 
-// pollLeader polls the leader and reports whether it confirmed that it leads. If it
-// names another leader, that one is followed.
+// pollLeader polls the leader and reports whether it confirmed that it leads and has a
+// quorum. If it names another leader, that one is followed.
 func (c *Client) pollLeader(ctx context.Context, leader string) bool {
 	answer, err := c.poll(ctx, leader)
 	if err != nil || answer.reply.Leader == "" {
 		return false
 	}
 	c.applyView(answer)
-	return answer.reply.Leader == leader
+	return answer.reply.Leader == leader && answer.reply.HasCatalog
 }
 
 // search polls all known members concurrently, for searchInterval. It follows the leader
--- a/coordinator/client_test.go
+++ b/coordinator/client_test.go
@@ -195,3 +195,14 @@
 	g.setView("b:1", leaderView("b:1", 3, true))
 	require.Eventually(t, func() bool { return c.Leader() == "b:1" }, 10*time.Second, time.Millisecond)
 }
+
+// Guards against a client that stays with a leader which is cut off from its quorum and
+// does not know yet that there is a new one.
+func TestALeaderWithoutAQuorumIsLeft(t *testing.T) {
+	g := newStubGroup(stableViews())
+	c := startStubClient(t, g)
+	g.setView("a:1", leaderView("a:1", 2, false))
+	g.setView("b:1", leaderView("b:1", 3, true))
+	g.setView("c:1", leaderView("b:1", 3, false))
+	require.Eventually(t, func() bool { return c.Leader() == "b:1" }, 10*time.Second, time.Millisecond)
+}
