An overrun ends at 0.95 of the target

Cause: readings are rough; with one just within the target between two over it, 0.6 s on end were never measured although the task may be over it all the while. Change: an overrun ends with a reading within 0.95 of the target; only one over it begins an overrun or pauses scavengers.

--- a/dispatch/overrun.go
+++ b/dispatch/overrun.go
@@ -14,6 +14,10 @@
 	// all scavengers beside it are paused, whatever the model predicts. It takes at
 	// least two readings, and a gauge that covers none of the time before.
 	overrunLimit = 600 * time.Millisecond
+	// overrunEndLimit is the measured tail latency, as a fraction of the target, at
+	// which an overrun ends. It is below the target because readings are rough: one
+	// that is just within the target does not show that the task is.
+	overrunEndLimit = 0.95
 	// overrunPollWait is how long a poll waits on a worker with such a task, so that
 	// the next reading comes soon.
 	overrunPollWait = 300 * time.Millisecond
@@ -24,7 +28,8 @@
 	shareTolerance = 0.15
 )
 
-// overrun is a spell of readings of a serving task over its target.
+// overrun is a spell of readings of a serving task over its target, from the first one
+// to one within overrunEndLimit of it.
 type overrun struct {
 	// since is when the first of them came, zero if the latest was within the target.
 	since Instant
@@ -39,11 +44,14 @@
 
 // recordOverrun updates the overrun of a serving task by its latest reading.
 func (e *Engine) recordOverrun(v *workerView, a *attempt, targetMs int64) {
-	if a.gauge <= targetMs || a.percent < fullShare {
+	o := &a.overrun
+	if a.percent < fullShare || float64(a.gauge) <= float64(targetMs)*overrunEndLimit {
 		e.endOverrun(v, a, targetMs)
 		return
 	}
-	o := &a.overrun
+	if a.gauge <= targetMs {
+		return
+	}
 	if o.since == 0 {
 		o.since, v.placementState = e.now, nil
 	}
@@ -87,7 +95,7 @@
 }
 
 // overTarget reports whether a serving task of a worker is over its target by its latest
-// reading, and whether the scavengers are paused for that. Meanwhile no scavenger is added
+// readings, and whether the scavengers are paused for that. Meanwhile no scavenger is added
 // on the worker.
 func (e *Engine) overTarget(v *workerView) (over, paused bool) {
 	for _, a := range v.attemptList {
--- a/dispatch/overrun_test.go
+++ b/dispatch/overrun_test.go
@@ -225,6 +225,23 @@
 	assert.False(t, over || paused, "the pause must end with the spell")
 }
 
+// Guards against an overrun that is not seen as one spell since readings are rough.
+func TestAReadingJustWithinTheTargetEndsNoOverrun(t *testing.T) {
+	h := newSingleWorker(t)
+	web := h.addRunning(t, servingStep("web"))
+	h.addRunning(t, scavengerStep("batch"))
+	h.feedReadings(map[*attempt]int64{web: targetMs + 1})
+	h.feedReadings(map[*attempt]int64{web: targetMs - 1})
+	_, paused := h.overTarget(h.view)
+	assert.False(t, paused, "the latest reading is within the target")
+	h.feedReadings(map[*attempt]int64{web: targetMs + 1})
+	_, paused = h.overTarget(h.view)
+	assert.True(t, paused)
+	h.feedReadings(map[*attempt]int64{web: targetMs - 5})
+	over, _ := h.overTarget(h.view)
+	assert.False(t, over)
+}
+
 // Guards against a share that the leader believes to be in force although an older
 // order, carried out late, has replaced it.
 func TestAnOvertakenShareIsOrderedAgain(t *testing.T) {
