--- a/dispatch/overrun.go
+++ b/dispatch/overrun.go
@@ -94,16 +94,20 @@
 		Strs("scavengers", tasks).Ints("wanted", wanted).Ints("applied", applied).Uint64("term", e.fence)
 }
 
-// overTarget reports whether a serving task of a worker is over its target by its latest
-// readings, and whether the scavengers are paused for that. Meanwhile no scavenger is added
-// on the worker.
-func (e *Engine) overTarget(v *workerView) (over, paused bool) {
-	for _, a := range v.attemptList {
-		if a.overrun.since != 0 && e.since(a.gaugeReadAt) < overrunTimeout {
-			over, paused = true, paused || a.overrun.paused
-		}
-	}
-	return over, paused
+// inOverrun reports whether a serving task is in an overrun by its recent readings.
+func (e *Engine) inOverrun(a *attempt) bool {
+	return a.overrun.since != 0 && e.since(a.gaugeReadAt) < overrunTimeout
+}
+
+// overTarget reports whether a serving task of a worker is in an overrun.
+func (e *Engine) overTarget(v *workerView) bool {
+	return slices.ContainsFunc(v.attemptList, e.inOverrun)
+}
+
+// scavengersPaused reports whether the scavengers of a worker are paused for an overrun.
+// Meanwhile none is added there.
+func (e *Engine) scavengersPaused(v *workerView) bool {
+	return slices.ContainsFunc(v.attemptList, func(a *attempt) bool { return a.overrun.paused && e.inOverrun(a) })
 }
 
 // scavengersWork reports whether a scavenger runs on a worker and is not throttled to
--- a/dispatch/overrun_test.go
+++ b/dispatch/overrun_test.go
@@ -29,7 +29,7 @@
 	// losses holds the slack that a pair of images costs if the scavenger uses the
 	// whole worker. It changes while the tasks run.
 	losses map[[2]string]float64
-	// loads holds the phase of the load of each serving job.
+	// phases holds the phase of the load of each serving job.
 	phases map[workflow.JobID]float64
 	// recent holds the latencies of the last gaugeWindow of each serving run, in
 	// milliseconds, and overSince when it went over its target.
@@ -197,7 +197,7 @@
 	}
 }
 
-// Guards against a spell over the target that lasts until the model has learned its
+// Guards against an overrun that lasts until the model has learned its
 // cause: by the other tasks of its job, the task has all the slack that it needs.
 func TestScavengersArePausedAgainstThePrediction(t *testing.T) {
 	h := newSingleWorker(t)
@@ -218,11 +218,9 @@
 	feed(0.9, fullShare)
 	feed(0.9, fullShare)
 	assert.Zero(t, batch.wantedShare, "the task was over its target for a second")
-	over, paused := h.overTarget(h.view)
-	assert.True(t, over && paused)
+	assert.True(t, h.overTarget(h.view) && h.scavengersPaused(h.view))
 	feed(1.3, 0)
-	over, paused = h.overTarget(h.view)
-	assert.False(t, over || paused, "the pause must end with the spell")
+	assert.False(t, h.overTarget(h.view) || h.scavengersPaused(h.view), "the pause must end with the overrun")
 }
 
 // Guards against an overrun that is not seen as one spell since readings are rough.
@@ -232,14 +230,11 @@
 	h.addRunning(t, scavengerStep("batch"))
 	h.feedReadings(map[*attempt]int64{web: targetMs + 1})
 	h.feedReadings(map[*attempt]int64{web: targetMs - 1})
-	_, paused := h.overTarget(h.view)
-	assert.False(t, paused, "the latest reading is within the target")
+	assert.False(t, h.scavengersPaused(h.view), "the latest reading is within the target")
 	h.feedReadings(map[*attempt]int64{web: targetMs + 1})
-	_, paused = h.overTarget(h.view)
-	assert.True(t, paused)
+	assert.True(t, h.scavengersPaused(h.view))
 	h.feedReadings(map[*attempt]int64{web: targetMs - 5})
-	over, _ := h.overTarget(h.view)
-	assert.False(t, over)
+	assert.False(t, h.overTarget(h.view))
 }
 
 // Guards against a share that the leader believes to be in force although an older
--- a/dispatch/placement_state.go
+++ b/dispatch/placement_state.go
@@ -11,7 +11,7 @@
 	at                  Instant
 	idleMilliProcessors int64
 	victims             []victim
-	// paused tells that the scavengers are paused.
+	// paused is set while the scavengers are paused.
 	paused bool
 }
 
@@ -25,7 +25,6 @@
 	for _, s := range scavengers {
 		e.subtractLoss(victims, s, max(s.attempt.wantedShare, 0))
 	}
-	_, paused := e.overTarget(v)
-	v.placementState = &placementState{at: e.now, idleMilliProcessors: e.idleProcessors(v), victims: victims, paused: paused}
+	v.placementState = &placementState{at: e.now, idleMilliProcessors: e.idleProcessors(v), victims: victims, paused: e.scavengersPaused(v)}
 	return v.placementState
 }
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -34,7 +34,7 @@
 func (e *Engine) setShares(v *workerView) {
 	v.sharesSetAt = e.now
 	victims, scavengers := e.servingAndScavengers(v)
-	_, paused := e.overTarget(v)
+	paused := e.scavengersPaused(v)
 	mayRaise := e.since(e.tookOverAt) >= raiseWarmUp
 	for _, s := range scavengers {
 		share := 0
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -233,7 +233,7 @@
 func (e *Engine) poll(v *workerView) {
 	v.pollInFlight = true
 	order := Order{Verb: Poll, AckedThrough: v.lastEndAcked, Wait: pollWait}
-	if over, _ := e.overTarget(v); over && e.scavengersWork(v) {
+	if e.overTarget(v) && e.scavengersWork(v) {
 		order.Wait = overrunPollWait
 	}
 	if !e.reachable(v) {
