Shares: full speed is never ordered again; say when a share is not in force

Cause: in reading the change again: a scavenger at full share that uses over 115% of what it requests (its gauge is rough) got a throttle order to 100% each 1.5 s; 'target met again' was also logged when a task had stopped serving; nothing said when a share was confirmed, or that one was undone. Change: only a share below 100 can be exceeded; 'share not in force', applied_for in 'scavengers paused'; an overrun that ends since its task does not serve is counted, not logged as met. A pause takes effect on placements at once, not up to 0.2 s later. Result: the last assertion of TestAnOvertakenShareIsOrderedAgain failed before (-1 for 100).

--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -127,7 +127,8 @@
 	}
 	e.recordEnds(v, answer.Ended)
 	e.reconcileRunning(v, answer)
-	e.applyReadings(v, answer.Order.Wait == overrunPollWait)
+	forOverrun := answer.Order.Wait == overrunPollWait
+	e.applyReadings(v, forOverrun)
 	e.assessHealth(v)
 	// A worker answers a poll at once while it lists unacknowledged ends, so the
 	// next poll waits until these are committed.
@@ -224,7 +225,7 @@
 		}
 		a.missedPolls, a.percent, a.checkpoint, a.gauge, a.gaugeReadAt = 0, r.Percent, r.Checkpoint, r.Gauge, e.now
 		if step := e.step(a.ref); step != nil && step.Scavenger {
-			e.checkShare(a, step)
+			e.checkShare(v, a, step)
 		}
 	}
 	for _, a := range v.attemptList {
--- a/dispatch/overrun.go
+++ b/dispatch/overrun.go
@@ -31,7 +31,7 @@
 // overrun is a spell of readings of a serving task over its target, from the first one
 // to one within overrunEndLimit of it.
 type overrun struct {
-	// since is when the first of them came, zero if the latest was within the target.
+	// since is when the first of them came, zero outside an overrun.
 	since Instant
 	// worstMs is the highest of them in milliseconds.
 	worstMs int64
@@ -45,53 +45,63 @@
 // recordOverrun updates the overrun of a serving task by its latest reading.
 func (e *Engine) recordOverrun(v *workerView, a *attempt, targetMs int64) {
 	o := &a.overrun
-	if a.percent < fullShare || float64(a.gauge) <= float64(targetMs)*overrunEndLimit {
-		e.endOverrun(v, a, targetMs)
-		return
-	}
-	if a.gauge <= targetMs {
-		return
+	switch {
+	case a.percent < fullShare: // It does not serve.
+		e.endOverrun(v, a)
+	case float64(a.gauge) <= float64(targetMs)*overrunEndLimit:
+		if o.paused {
+			e.overrunEvent(v, a, targetMs).Msg("target met again")
+		}
+		e.endOverrun(v, a)
+	case a.gauge > targetMs:
+		e.extendOverrun(v, a, targetMs)
 	}
+}
+
+// extendOverrun records a reading over the target. It pauses the scavengers if the
+// overrun has lasted for overrunLimit.
+func (e *Engine) extendOverrun(v *workerView, a *attempt, targetMs int64) {
+	o := &a.overrun
 	if o.since == 0 {
 		o.since, v.placementState = e.now, nil
 	}
 	o.worstMs = max(o.worstMs, a.gauge)
 	if !o.paused && e.since(o.since) >= overrunLimit && e.scavengersWork(v) {
-		o.paused = true
+		o.paused, v.placementState = true, nil
 		e.counters.Paused++
 		e.overrunEvent(v, a, targetMs).Msg("scavengers paused")
 	}
 }
 
-// endOverrun ends the overrun of a task, if there is one.
-func (e *Engine) endOverrun(v *workerView, a *attempt, targetMs int64) {
+// endOverrun counts the overrun of a task, if there is one, and ends it.
+func (e *Engine) endOverrun(v *workerView, a *attempt) {
 	if a.overrun.since == 0 {
 		return
 	}
 	e.counters.Overruns[min(int(e.since(a.overrun.since)/time.Second), overrunBuckets-1)]++
-	if a.overrun.paused {
-		e.overrunEvent(v, a, targetMs).Msg("target met again")
-	}
 	a.overrun, v.placementState = overrun{}, nil
 }
 
 // overrunEvent returns a log line with what was measured and predicted for a serving
-// task, and the wanted and the confirmed share of each scavenger beside it.
+// task, and for each scavenger beside it the wanted and the confirmed share, and for how
+// many milliseconds that has been confirmed.
 func (e *Engine) overrunEvent(v *workerView, a *attempt, targetMs int64) *zerolog.Event {
 	image := e.slowdown.pairs.Image(e.step(a.ref).Image)
 	own := e.slowdown.ownSlack(a.ref.Job, image, e.now) + a.slackDeviation
 	predicted := own
 	var tasks []string
 	var wanted, applied []int
+	var appliedFor []time.Duration
 	_, scavengers := e.servingAndScavengers(v)
 	for _, s := range scavengers {
 		predicted -= e.slowdown.slackLoss(image, s.image, s.share*float64(max(s.attempt.wantedShare, 0))/fullShare)
 		tasks = append(tasks, s.ref.String())
 		wanted, applied = append(wanted, s.attempt.wantedShare), append(applied, s.attempt.appliedShare)
+		appliedFor = append(appliedFor, e.since(max(s.attempt.shareAppliedAt, s.attempt.placedAt)))
 	}
 	return e.log.Info().Stringer("task", a.ref).Str("worker", v.worker.Life.Name).Int64("target_ms", targetMs).Int64("measured_ms", a.gauge).Int64("worst_ms", a.overrun.worstMs).
 		Dur("since", e.since(a.overrun.since)).Float64("own_slack", own).Float64("slack", predicted).Float64("deviation", a.slackDeviation).
-		Strs("scavengers", tasks).Ints("wanted", wanted).Ints("applied", applied).Uint64("term", e.fence)
+		Strs("scavengers", tasks).Ints("wanted", wanted).Ints("applied", applied).Durs("applied_for", appliedFor).Uint64("term", e.fence)
 }
 
 // inOverrun reports whether a serving task is in an overrun by its recent readings.
@@ -121,14 +131,15 @@
 // checkShare compares what a scavenger uses with its share. A share that was set by an
 // earlier leader is taken from the use. A share that the use exceeds is not in force: an
 // older order was carried out after the one that set it.
-func (e *Engine) checkShare(a *attempt, step *workflow.Step) {
+func (e *Engine) checkShare(v *workerView, a *attempt, step *workflow.Step) {
 	use := float64(a.gauge) / float64(max(step.Resources.MilliProcessors, 1))
 	switch {
 	case a.callInFlight:
 	case a.appliedShare == unknownShare && a.shareAppliedAt == 0:
 		a.appliedShare = shareOfUse(use)
 		a.wantedShare, a.shareAppliedAt = a.appliedShare, e.now
-	case a.appliedShare >= 0 && use > float64(a.appliedShare)/fullShare+shareTolerance && e.since(a.shareAppliedAt) > gaugeWindow+pollWait:
+	case a.appliedShare >= 0 && a.appliedShare < fullShare && use > float64(a.appliedShare)/fullShare+shareTolerance && e.since(a.shareAppliedAt) > gaugeWindow+pollWait:
+		e.log.Info().Stringer("task", a.ref).Str("worker", v.worker.Life.Name).Int("share", a.appliedShare).Float64("use", use).Uint64("term", e.fence).Msg("share not in force")
 		a.appliedShare = unknownShare
 	}
 }
--- a/dispatch/overrun_test.go
+++ b/dispatch/overrun_test.go
@@ -185,8 +185,7 @@
 	}
 }
 
-// Guards against a new leader that knows no pair of images yet and undoes what the one
-// before it had ordered.
+// Guards against overruns that last because each new leader knows no pair of images yet.
 func TestOverrunsEndAcrossLeaders(t *testing.T) {
 	for seed := uint64(1); seed <= overrunSeeds(t, 8); seed++ {
 		i := newInterferenceSim(t, seed)
@@ -197,8 +196,8 @@
 	}
 }
 
-// Guards against an overrun that lasts until the model has learned its
-// cause: by the other tasks of its job, the task has all the slack that it needs.
+// Guards against an overrun that lasts until the model has learned its cause: by the
+// other tasks of its job, the task has all the slack that it needs.
 func TestScavengersArePausedAgainstThePrediction(t *testing.T) {
 	h := newSingleWorker(t)
 	web, batch := h.addRunningTasks(t, servingStep("web"), 5), h.addRunning(t, scavengerStep("batch"))
@@ -257,6 +256,10 @@
 	assert.Equal(t, 25, batch.appliedShare, "the use agrees with the share")
 	poll(6400)
 	assert.Equal(t, unknownShare, batch.appliedShare, "the use exceeds the share")
+	batch.appliedShare, batch.wantedShare, batch.shareAppliedAt = fullShare, fullShare, h.now
+	poll(8000)
+	poll(8000)
+	assert.Equal(t, fullShare, batch.appliedShare, "full speed cannot be exceeded")
 }
 
 // Guards against a new leader that raises at once what the one before it had throttled.
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -22,10 +22,10 @@
 var shareSteps = [...]int{100, 50, 25, 0}
 
 // applyReadings learns from a worker's readings and sets the shares of its
-// scavengers so that no serving task is predicted beyond its limit.
-// additional tells that the poll was sent for an overrun.
-func (e *Engine) applyReadings(v *workerView, additional bool) {
-	e.observeReadings(v, additional)
+// scavengers so that no serving task is predicted beyond its limit. forOverrun tells that
+// the readings are of an additional poll during an overrun.
+func (e *Engine) applyReadings(v *workerView, forOverrun bool) {
+	e.observeReadings(v, forOverrun)
 	e.setShares(v)
 }
 
--- a/dispatch/slowdown.go
+++ b/dispatch/slowdown.go
@@ -152,8 +152,8 @@
 // observeReadings records overruns and feeds the readings of the latest answer to the
 // slowdown model. The model gets those of the additional polls during an overrun no more
 // often than others, as it would give too much weight to overruns.
-func (e *Engine) observeReadings(v *workerView, additional bool) {
-	learn := !additional || e.since(v.learnedAt) >= pollWait
+func (e *Engine) observeReadings(v *workerView, forOverrun bool) {
+	learn := !forOverrun || e.since(v.learnedAt) >= pollWait
 	if learn {
 		v.learnedAt = e.now
 	}
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -63,6 +63,7 @@
 		"server ended",
 		"settings not reloaded",
 		"settings reloaded",
+		"share not in force",
 		"slots given up after a pause",
 		"snapshot not transferred",
 		"start refused",
