Leader behind: a new leader starts with an empty window

Cause: rounds of the loop were recorded while this member did not lead, so the first report of a new leader could tell of a time before it led; the report had no test. Change: the window begins with the term.

--- a/coordinator/lag.go
+++ b/coordinator/lag.go
@@ -9,8 +9,7 @@
 const (
 	// lagWindow is the time that one report on the loop covers.
 	lagWindow = time.Second
-	// behindAfter is the lag from which on a report is logged: several times that of
-	// normal operation, well below what callers wait.
+	// behindAfter is the lag from which on a window is logged.
 	behindAfter = 200 * time.Millisecond
 )
 
@@ -19,10 +18,11 @@
 type lag struct {
 	startedAt time.Time
 	// tick is by how much the loop's ticker was late, callWait how long a call waited
-	// for the loop, round how long one round of the loop took, and commit how long a
-	// batch took.
+	// for the loop, round how long the loop took to pass what waited to the engine and to
+	// execute its decisions, and commit how long a batch took.
 	tick, callWait, round, commit time.Duration
-	calls, answers                int
+	// calls and answers are the numbers that waited for the loop.
+	calls, answers int
 }
 
 // worst returns the largest of the measured durations.
--- a/coordinator/loop.go
+++ b/coordinator/loop.go
@@ -127,7 +127,7 @@
 		l.options.Logger.Error().Err(err).Uint64("term", term).Msg("state not copied")
 		return
 	}
-	l.term = term
+	l.term, l.lag = term, lag{startedAt: time.Now()}
 	l.engine = dispatch.New(l.options.Dispatch, l.options.Logger, term, state, l.now())
 	l.serving.Store(true)
 	l.options.Logger.Info().Uint64("term", term).Int("jobs", len(state.Jobs())).Int("workers", len(state.Workers())).Msg("leading")
