--- a/coordinator/client_test.go
+++ b/coordinator/client_test.go
@@ -117,6 +117,16 @@
 	return c
 }
 
+// startCall makes a call in the background and returns the channel of its error.
+func startCall(c *Client) <-chan error {
+	result := make(chan error, 1)
+	go func() {
+		_, err := c.Do(context.Background(), &Call{ReadCatalog: true})
+		result <- err
+	}()
+	return result
+}
+
 func leaderView(leader string, term uint64, serving bool) MembersReply {
 	return MembersReply{Leader: leader, Term: term, Addresses: []string{"a:1", "b:1", "c:1"}, HasCatalog: serving}
 }
@@ -131,11 +141,7 @@
 func TestACallThatEndsDoesNotEndTheOthers(t *testing.T) {
 	g := newStubGroup(stableViews())
 	c := startStubClient(t, g)
-	result := make(chan error, 1)
-	go func() {
-		_, err := c.Do(context.Background(), &Call{ReadCatalog: true})
-		result <- err
-	}()
+	result := startCall(c)
 	other := <-g.calls
 	leavingCtx, leave := context.WithCancel(context.Background())
 	left := make(chan struct{})
@@ -159,11 +165,7 @@
 func TestALeaderThatOthersNameIsKept(t *testing.T) {
 	g := newStubGroup(stableViews())
 	c := startStubClient(t, g)
-	result := make(chan error, 1)
-	go func() {
-		_, err := c.Do(context.Background(), &Call{ReadCatalog: true})
-		result <- err
-	}()
+	result := startCall(c)
 	inFlight := <-g.calls
 	g.remove("a:1")
 	time.Sleep(2 * pollInterval)
--- /dev/null
+++ b/dispatch/sim_worker_test.go
@@ -0,0 +1,354 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"mangohill.example/mangohill/kind"
+	"mangohill.example/mangohill/workflow"
+)
+
+// simWorker is one incarnation of a worker, which behaves as the platform's
+// documentation states.
+type simWorker struct {
+	sim         *sim
+	life        workflow.Incarnation
+	address     string
+	capacity    workflow.Resources
+	labels      []string
+	rack        string
+	startedAt   Instant
+	dead        bool
+	partitioned bool
+	draining    bool
+	// fails makes the worker fail all tasks that it starts; with hangs they make
+	// no progress.
+	fails, hangs   bool
+	fence          uint64
+	leaseExpiresAt Instant
+	running        map[workflow.TaskRef]*simRun
+	highestAttempt map[workflow.TaskRef]uint32
+	ended          []EndedAttempt
+	lastEndNumber  uint64
+	openPolls      []*simPoll
+	// endedAt is when each listed end occurred, leaseExpiredAt when the lease
+	// last expired.
+	endedAt        map[uint64]Instant
+	leaseExpiredAt Instant
+}
+
+type simRun struct {
+	worker    *simWorker
+	ref       workflow.TaskRef
+	attempt   uint32
+	step      *workflow.Step
+	startedAt Instant
+	stopping  bool
+	// share is the speed of the run in percent. remaining is the time that it takes at
+	// full speed, as it was at sharedAt.
+	share     int
+	remaining time.Duration
+	sharedAt  Instant
+	// gauge is what polls report of a serving run.
+	gauge int64
+}
+
+// setShare changes the speed of the run.
+func (r *simRun) setShare(percent int) {
+	s := r.worker.sim
+	r.remaining -= s.now.Sub(r.sharedAt) * time.Duration(r.share) / fullShare
+	r.share, r.sharedAt = percent, s.now
+	if percent == 0 || r.worker.hangs {
+		return
+	}
+	s.after(max(r.remaining*fullShare/time.Duration(percent), 0), func() {
+		if r.worker.running[r.ref] == r && r.sharedAt+Instant(r.remaining*fullShare/time.Duration(percent)) == s.now && r.share == percent && !r.stopping {
+			r.worker.finish(r)
+		}
+	})
+}
+
+// use returns the processors that the run uses, in thousandths.
+func (r *simRun) use() int64 {
+	return r.step.Resources.MilliProcessors * int64(r.share) / fullShare
+}
+
+// reportedGauge returns what polls report of the run.
+func (r *simRun) reportedGauge() int64 {
+	if r.step.Lasting {
+		return r.gauge
+	}
+	return r.use()
+}
+
+// percent returns the reported progress.
+func (r *simRun) percent() int {
+	if r.step.Lasting {
+		return fullShare
+	}
+	if r.worker.hangs {
+		return 0
+	}
+	return min(int(r.worker.sim.now.Sub(r.startedAt).Milliseconds()*fullShare/r.step.EstimatedMs), fullShare-1)
+}
+
+type simPoll struct {
+	order  Order
+	answer func(Answer)
+	open   bool
+}
+
+// addWorker starts a worker that announces itself each second.
+func (s *sim) addWorker(name string, processors int64) *simWorker {
+	return s.addWorkerOn(name, processors, "r1")
+}
+
+func (s *sim) addWorkerOn(name string, processors int64, rack string) *simWorker {
+	w := &simWorker{
+		sim: s, rack: rack, life: workflow.Incarnation{Name: name, BornMs: s.wall()}, address: name + ":1", startedAt: s.now,
+		capacity: workflow.Resources{MilliProcessors: processors * 1000, MemoryMB: 100_000}, labels: []string{"a", rack},
+		running: make(map[workflow.TaskRef]*simRun), highestAttempt: make(map[workflow.TaskRef]uint32),
+		endedAt: make(map[uint64]Instant),
+	}
+	s.workers[w.address] = w
+	w.report()
+	return w
+}
+
+func (w *simWorker) report() {
+	if w.dead {
+		return
+	}
+	if !w.partitioned {
+		w.sim.engine.Announce(&Announcement{
+			Life: w.life, Address: w.address, Service: "pool", Zone: "z", Labels: w.labels, Rack: w.rack, Capacity: w.capacity, Draining: w.draining, ClockMs: w.clock(),
+		}, func(*kind.Error) {})
+	}
+	w.sim.after(time.Second, w.report)
+}
+
+// clock returns the worker's clock in milliseconds. It starts with the
+// incarnation and runs 2% slow.
+func (w *simWorker) clock() int64 { return int64(w.sim.now-w.startedAt)*98/100/1_000_000 + 1 }
+
+func (w *simWorker) crash() {
+	w.dead = true
+	for ref, run := range w.running {
+		w.drop(ref, run)
+	}
+}
+
+func (w *simWorker) drop(ref workflow.TaskRef, run *simRun) {
+	delete(w.running, ref)
+	w.sim.runs[ref] = slices.DeleteFunc(w.sim.runs[ref], func(r *simRun) bool { return r == run })
+}
+
+func (w *simWorker) handleOrder(order Order, answer func(Answer)) {
+	reply := func(o Outcome) { answer(Answer{Order: order, Outcome: o, ClockMs: w.clock()}) }
+	switch {
+	case order.Life.Name != w.life.Name:
+		reply(OtherIncarnation)
+		return
+	case order.Fence < w.fence:
+		reply(Fenced)
+		return
+	}
+	if order.Fence > w.fence && w.fence > 0 && order.Verb == Start {
+		w.sim.violate("%s is asked to start %s before any other order showed it fence %d", w.life.Name, order.Task, order.Fence)
+	}
+	w.fence = order.Fence
+	switch order.Verb {
+	case Poll:
+		w.renewLease(order.ExpiresMs)
+		w.openPoll(order, answer)
+	case Start:
+		if w.sim.rng.Float64() < w.sim.faults.shedding {
+			reply(Unhealthy)
+			return
+		}
+		reply(w.start(&order))
+	case Stop:
+		w.stop(&order)
+		reply(Done)
+	case Throttle:
+		if run := w.running[order.Task]; run != nil && run.attempt == order.Attempt {
+			run.setShare(order.SharePercent)
+		}
+		reply(Done)
+	}
+}
+
+// renewLease extends the lease, which never becomes shorter.
+func (w *simWorker) renewLease(expiresMs int64) {
+	until := w.startedAt.Add(time.Duration((expiresMs-1)*1_000_000*100/98) + time.Millisecond)
+	if expiresMs == 0 || until <= w.leaseExpiresAt {
+		return
+	}
+	w.leaseExpiresAt = until
+	w.sim.after(until.Sub(w.sim.now), w.expireLease)
+}
+
+func (w *simWorker) expireLease() {
+	if w.dead || w.sim.now < w.leaseExpiresAt {
+		return
+	}
+	w.leaseExpiredAt = w.sim.now
+	for ref, run := range w.running {
+		w.end(ref, run, workflow.EndLeaseExpired)
+	}
+}
+
+func (w *simWorker) start(order *Order) Outcome {
+	ref := order.Task
+	if run := w.running[ref]; run != nil && run.attempt == order.Attempt {
+		w.renewLease(order.ExpiresMs)
+		return Done
+	}
+	switch {
+	case order.Attempt <= w.highestAttempt[ref]:
+		w.renewLease(order.ExpiresMs)
+		return Outdated
+	case order.ExpiresMs <= w.clock():
+		return Expired
+	}
+	w.renewLease(order.ExpiresMs)
+	w.beginRun(ref, order.Attempt)
+	return Done
+}
+
+// beginRun starts an attempt and checks the invariants that must hold at each
+// start.
+func (w *simWorker) beginRun(ref workflow.TaskRef, attempt uint32) {
+	s := w.sim
+	job := s.committed.Job(ref.Job)
+	if job == nil {
+		s.violate("task %s of an unknown job starts", ref)
+		return
+	}
+	step := &job.Spec.Steps[ref.Step]
+	if len(s.runs[ref]) > 0 {
+		s.violate("task %s runs twice", ref)
+	}
+	if s.acknowledged[ref] {
+		s.violate("task %s starts after its end was acknowledged", ref)
+	}
+	s.lastStartAt[ref] = s.now
+	for _, before := range step.After {
+		for i := range job.Spec.Steps[before].Count {
+			if !s.done[workflow.TaskRef{Job: ref.Job, Step: before, Index: i}] {
+				s.violate("task %s starts before step %d is done", ref, before)
+			}
+		}
+	}
+	if at, ok := s.cancelled[ref.Job]; ok && s.now.Sub(at) > 3*time.Second && s.faults.late == 0 {
+		s.violate("task %s starts %v after it was cancelled", ref, s.now.Sub(at))
+	}
+	run := &simRun{worker: w, ref: ref, attempt: attempt, step: step, startedAt: s.now, share: fullShare, sharedAt: s.now}
+	w.running[ref] = run
+	trace.Info().Stringer("task", ref).Uint32("attempt", attempt).Str("worker", w.life.Name).Dur("now", time.Duration(s.now)).Msg("worker starts")
+	s.runs[ref] = append(s.runs[ref], run)
+	s.starts++
+	used := workflow.Resources{}
+	sameStep := uint32(0)
+	for other, r := range w.running {
+		used = used.Add(r.step.Reserved())
+		if other.StepRef() == ref.StepRef() {
+			sameStep++
+		}
+	}
+	if !used.Fits(w.capacity) {
+		s.violate("worker %s exceeds its capacity", w.life.Name)
+	}
+	if step.MaxPerWorker > 0 && sameStep > step.MaxPerWorker {
+		s.violate("%d tasks of a step with a bound per worker run on %s", sameStep, w.life.Name)
+	}
+	if step.Lasting || w.hangs {
+		return
+	}
+	run.remaining = time.Duration(float64(step.EstimatedMs)*(0.6+s.rng.Float64())) * time.Millisecond
+	run.setShare(fullShare)
+}
+
+// finish ends a run that has done its work.
+func (w *simWorker) finish(run *simRun) {
+	how := workflow.EndDone
+	if w.fails || w.sim.rng.Float64() < w.sim.faults.failing {
+		how = workflow.EndFailed
+	}
+	w.end(run.ref, run, how)
+}
+
+func (w *simWorker) stop(order *Order) {
+	w.highestAttempt[order.Task] = max(w.highestAttempt[order.Task], order.Attempt)
+	run := w.running[order.Task]
+	if run == nil || run.attempt > order.Attempt || run.stopping {
+		return
+	}
+	run.stopping = true
+	w.sim.after(200*time.Millisecond, func() {
+		if w.running[order.Task] == run {
+			w.end(order.Task, run, workflow.EndStopped)
+		}
+	})
+}
+
+func (w *simWorker) end(ref workflow.TaskRef, run *simRun, how workflow.Ending) {
+	if w.dead {
+		return
+	}
+	w.drop(ref, run)
+	w.highestAttempt[ref] = max(w.highestAttempt[ref], run.attempt)
+	w.lastEndNumber++
+	trace.Info().Stringer("task", ref).Uint32("attempt", run.attempt).Str("worker", w.life.Name).Stringer("how", how).Dur("now", time.Duration(w.sim.now)).Msg("worker ends")
+	w.endedAt[w.lastEndNumber] = w.sim.now
+	w.ended = append(w.ended, EndedAttempt{Number: w.lastEndNumber, Task: ref, Attempt: run.attempt, How: how})
+	if how == workflow.EndDone && !run.step.Lasting {
+		w.sim.done[ref] = true
+	}
+	w.answerPolls()
+}
+
+func (w *simWorker) openPoll(order Order, answer func(Answer)) {
+	w.acknowledge(order.AckedThrough)
+	h := &simPoll{order, answer, true}
+	w.openPolls = append(w.openPolls, h)
+	if order.Wait == 0 || len(w.ended) > 0 {
+		w.answerPolls()
+		return
+	}
+	w.sim.after(order.Wait, func() { w.answerPolls() })
+}
+
+// acknowledge drops the ended attempts up to a number. Between the end of a task
+// and its acknowledgement the task must not have been started, unless the lease
+// expired in between.
+func (w *simWorker) acknowledge(upto uint64) {
+	for _, e := range w.ended {
+		if e.Number > upto || e.How != workflow.EndDone {
+			continue
+		}
+		at := w.endedAt[e.Number]
+		if w.leaseExpiredAt < at && w.sim.lastStartAt[e.Task] > at {
+			w.sim.violate("task %s started between its end and the acknowledgement", e.Task)
+		}
+		w.sim.acknowledged[e.Task] = true
+	}
+	w.ended = slices.DeleteFunc(w.ended, func(e EndedAttempt) bool { return e.Number <= upto })
+}
+
+// answerPolls answers the open polls.
+func (w *simWorker) answerPolls() {
+	for _, h := range w.openPolls {
+		if !h.open {
+			continue
+		}
+		h.open = false
+		a := Answer{Order: h.order, Outcome: Done, ClockMs: w.clock(), Ended: slices.Clone(w.ended)}
+		for ref, run := range w.running {
+			a.Running = append(a.Running, RunningAttempt{Task: ref, Attempt: run.attempt, Percent: run.percent(), Gauge: run.reportedGauge()})
+		}
+		slices.SortFunc(a.Running, func(x, y RunningAttempt) int { return compareTaskRefs(x.Task, y.Task) })
+		h.answer(a)
+	}
+	w.openPolls = nil
+}
