Logs: which start made a run, sent to which incarnation, answered how

The log named neither the incarnation of the worker for a start, a refusal, an end or a void, nor how many starts an attempt had and how many of them got no answer, nor what was left of the lease when an attempt was voided. born_ms now stands in each of these events; attempt void tells starts, unanswered and lease_left; start repeated is new; attempts that are over with unanswered starts are kept for 30 s, so that unknown attempt can say why the attempt was over, since when, and to which incarnation its starts went. No decision changes. go test ./dispatch ./platform ./internal/... passes.

--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -93,7 +93,7 @@
 	if outcome == Unhealthy || outcome == NoRoom {
 		v.quarantinedUntil = e.now.Add(unhealthyQuarantine)
 	}
-	e.log.Info().Stringer("task", a.ref).Uint32("attempt", a.number).Str("worker", v.worker.Life.Name).Stringer("outcome", outcome).Int("unanswered", a.unansweredStarts).Uint64("term", e.fence).Msg("start refused")
+	e.log.Info().Stringer("task", a.ref).Uint32("attempt", a.number).Str("worker", v.worker.Life.Name).Int64("born_ms", v.worker.Life.BornMs).Stringer("outcome", outcome).Int("unanswered", a.unansweredStarts).Uint64("term", e.fence).Msg("start refused")
 	if a.unansweredStarts > 0 && outcome != Expired {
 		// An earlier start may still be carried out; a stop rules that out.
 		a.stopWanted = true
@@ -171,7 +171,7 @@
 	e.recordOutcome(v, end)
 	e.ready.markDirty(end.Task.Job)
 	a := v.attempts[end.Task]
-	event := e.log.Info().Stringer("task", end.Task).Uint32("attempt", end.Attempt).Str("worker", v.worker.Life.Name).Stringer("how", end.How).Uint64("number", end.Number).Uint64("term", e.fence)
+	event := e.log.Info().Stringer("task", end.Task).Uint32("attempt", end.Attempt).Str("worker", v.worker.Life.Name).Int64("born_ms", v.worker.Life.BornMs).Stringer("how", end.How).Uint64("number", end.Number).Uint64("term", e.fence)
 	if a != nil && a.number == end.Attempt {
 		event = event.Dur("since_placed", e.since(a.placedAt))
 		if step := e.step(end.Task); step != nil {
@@ -179,6 +179,7 @@
 		}
 		e.recordEndedScavenger(v, a)
 		v.remove(a)
+		e.recordFormerAttempt(v, a, "ended_"+end.How.String())
 	}
 	event.Msg("attempt ended")
 	job := e.state.Job(end.Task.Job)
@@ -253,6 +254,6 @@
 // stopUnknownAttempt stops a running attempt that is not recorded: its start was
 // carried out after it was voided.
 func (e *Engine) stopUnknownAttempt(v *workerView, r *RunningAttempt) {
-	e.log.Warn().Stringer("task", r.Task).Uint32("attempt", r.Attempt).Str("worker", v.worker.Life.Name).Uint64("term", e.fence).Msg("unknown attempt")
+	e.logUnknownAttempt(v, r)
 	e.issueOrder(v, Order{Verb: Stop, Task: r.Task, Attempt: r.Attempt})
 }
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -40,6 +40,9 @@
 	gangWaitingSince map[workflow.StepRef]Instant
 	// lastFailures holds, per task, the worker on which an attempt failed last.
 	lastFailures map[workflow.TaskRef]taskFailure
+	// formerAttempts are attempts that are over although starts of them may still be
+	// carried out, oldest first.
+	formerAttempts []formerAttempt
 }
 
 // Counters count decisions since the engine was created. Lapsed counts attempts
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -63,8 +63,10 @@
 	retryAt      Instant
 	// unansweredStarts counts the starts that may still be carried out.
 	unansweredStarts int
-	running          bool
-	runningSince     Instant
+	// startsSent counts all starts of the attempt that this leader sent.
+	startsSent   int
+	running      bool
+	runningSince Instant
 	// seenInPoll is set once a poll of this incarnation showed the attempt.
 	seenInPoll bool
 	placedAt   Instant
@@ -168,8 +170,9 @@
 	}
 	e.counters.Voided++
 	e.ready.markDirty(ref.Job)
-	e.log.Info().Stringer("task", ref).Uint32("attempt", a.number).Str("worker", v.worker.Life.Name).Str("reason", reason).
-		Dur("unheard", e.since(v.answeredAt)).Uint64("term", e.fence).Msg("attempt void")
+	e.log.Info().Stringer("task", ref).Uint32("attempt", a.number).Str("worker", v.worker.Life.Name).Int64("born_ms", v.worker.Life.BornMs).Str("reason", reason).
+		Int("starts", a.startsSent).Int("unanswered", a.unansweredStarts).Dur("lease_left", v.leaseExpiresAt.Sub(e.now)).Dur("unheard", e.since(v.answeredAt)).Uint64("term", e.fence).Msg("attempt void")
+	e.recordFormerAttempt(v, a, reason)
 }
 
 // evacuate stops the lasting and resumable attempts on a draining worker. The
@@ -288,6 +291,10 @@
 		return // A lease can't be granted without a reading of the worker's clock.
 	}
 	a.callInFlight = true
+	a.startsSent++
+	if a.startsSent > 1 {
+		e.log.Info().Stringer("task", ref).Uint32("attempt", a.number).Str("worker", v.worker.Life.Name).Int64("born_ms", v.worker.Life.BornMs).Int("starts", a.startsSent).Int("unanswered", a.unansweredStarts).Uint64("term", e.fence).Msg("start repeated")
+	}
 	task := job.Task(ref)
 	e.issueOrder(v, Order{Verb: Start, Task: ref, Attempt: a.number, Payload: job.Spec.Payload, Checkpoint: task.Checkpoint, Ticket: e.ticketFor(job, ref, v)})
 }
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -67,6 +67,7 @@
 		"slots given up after a pause",
 		"snapshot not transferred",
 		"start refused",
+		"start repeated",
 		"started",
 		"state diverged",
 		"state not copied",
