Fencing tokens rise with each incarnation of a worker

The token was the leader's term, the same for each incarnation, so a start that was sent to the previous one ran in the next, beside the attempt that had replaced it or after the task's end.

The token is now the term, then the worker's ID, which rises with each recorded incarnation, under all leaders. From its first answer to an order an incarnation rejects all that was sent to its predecessors. An answer 'fence' to an order for an incarnation that is over says nothing about other leaders and is passed over.

TestAStartToThePreviousIncarnationIsRejected failed before (the start was carried out).

--- a/coordinator/loop.go
+++ b/coordinator/loop.go
@@ -150,7 +150,7 @@
 
 func (l *loop) handleAnswer(a *dispatch.Answer) {
 	l.metrics.countOutcome(a)
-	if l.engine == nil || a.Order.Fence != l.term {
+	if l.engine == nil || a.Order.Term != l.term {
 		return
 	}
 	if !l.engine.HandleAnswer(a) {
--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -117,13 +117,13 @@
 	}
 	e.advisor.inFlight = true
 	answerTime := time.Duration(s.job.AdviceBaseMs+s.job.AdviceEachMs*int64(len(names))) * time.Millisecond
-	e.advisor.question = &Question{Step: s.ref, Workers: names, Timeout: answerTime + adviceQueueTime, Fence: e.fence}
+	e.advisor.question = &Question{Step: s.ref, Workers: names, Timeout: answerTime + adviceQueueTime, Fence: e.term}
 }
 
 // HandleAdvice processes the answer to a question.
 func (e *Engine) HandleAdvice(a *Advice) {
 	e.advisor.inFlight = false
-	e.log.Info().Stringer("step", a.Question.Step).Bool("answered", a.Answered).Int("asked", len(a.Question.Workers)).Int("permitted", len(a.Tickets)).Uint64("term", e.fence).Msg("advice taken")
+	e.log.Info().Stringer("step", a.Question.Step).Bool("answered", a.Answered).Int("asked", len(a.Question.Workers)).Int("permitted", len(a.Tickets)).Uint64("term", e.term).Msg("advice taken")
 	if !a.Answered {
 		e.advisor.nextQuestionAt = e.now.Add(adviceRetryDelay)
 		return
--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -8,16 +8,17 @@
 // before it is stopped.
 const maxMissedPolls = 2
 
-// HandleAnswer processes the answer to an order. It returns false if the worker
-// has seen a higher fencing token: another leader is active.
+// HandleAnswer processes the answer to an order. It returns false if the
+// incarnation to which the order was sent has seen a higher fencing token: another
+// leader is active.
 func (e *Engine) HandleAnswer(a *Answer) bool {
-	if a.Outcome == Fenced {
-		e.log.Warn().Str("worker", a.Order.Life.Name).Uint64("term", e.fence).Msg("fenced by worker")
-		return false
-	}
 	v := e.views[a.Order.Worker]
 	if v == nil {
-		return true
+		return true // The next incarnation of the worker rejects the order as well.
+	}
+	if a.Outcome == Fenced {
+		e.log.Warn().Str("worker", a.Order.Life.Name).Int64("born_ms", a.Order.Life.BornMs).Uint64("fence", a.Order.Fence).Uint64("term", e.term).Msg("fenced by worker")
+		return false
 	}
 	if a.Outcome == OtherIncarnation {
 		e.endIncarnation(v.worker, "other_life_answers")
@@ -93,7 +94,7 @@
 	if outcome == Unhealthy || outcome == NoRoom {
 		v.quarantinedUntil = e.now.Add(unhealthyQuarantine)
 	}
-	e.log.Info().Stringer("task", a.ref).Uint32("attempt", a.number).Str("worker", v.worker.Life.Name).Int64("born_ms", v.worker.Life.BornMs).Stringer("outcome", outcome).Int("unanswered", a.unansweredStarts).Uint64("term", e.fence).Msg("start refused")
+	e.log.Info().Stringer("task", a.ref).Uint32("attempt", a.number).Str("worker", v.worker.Life.Name).Int64("born_ms", v.worker.Life.BornMs).Stringer("outcome", outcome).Int("unanswered", a.unansweredStarts).Uint64("term", e.term).Msg("start refused")
 	if a.unansweredStarts > 0 && outcome != Expired {
 		// An earlier start may still be carried out; a stop rules that out.
 		a.stopWanted = true
@@ -123,7 +124,7 @@
 	first := !v.fenced
 	v.fenced = true
 	if first {
-		e.log.Info().Str("worker", v.worker.Life.Name).Int("running", len(answer.Running)).Int("recorded", len(v.attempts)).Uint64("term", e.fence).Msg("worker reached")
+		e.log.Info().Str("worker", v.worker.Life.Name).Int("running", len(answer.Running)).Int("recorded", len(v.attempts)).Uint64("term", e.term).Msg("worker reached")
 	}
 	e.recordEnds(v, answer.Ended)
 	e.reconcileRunning(v, answer)
@@ -171,7 +172,7 @@
 	e.recordOutcome(v, end)
 	e.ready.markDirty(end.Task.Job)
 	a := v.attempts[end.Task]
-	event := e.log.Info().Stringer("task", end.Task).Uint32("attempt", end.Attempt).Str("worker", v.worker.Life.Name).Int64("born_ms", v.worker.Life.BornMs).Stringer("how", end.How).Uint64("number", end.Number).Uint64("term", e.fence)
+	event := e.log.Info().Stringer("task", end.Task).Uint32("attempt", end.Attempt).Str("worker", v.worker.Life.Name).Int64("born_ms", v.worker.Life.BornMs).Stringer("how", end.How).Uint64("number", end.Number).Uint64("term", e.term)
 	if a != nil && a.number == end.Attempt {
 		event = event.Dur("since_placed", e.since(a.placedAt))
 		if step := e.step(end.Task); step != nil {
@@ -191,7 +192,7 @@
 // handleJobEnd stops what still runs of a job, once its end is committed.
 func (e *Engine) handleJobEnd(job *workflow.Job) {
 	e.afterCommit(func() {
-		e.log.Info().Stringer("job", job.ID).Str("state", string(job.State())).Int64("accepted_ms", job.AcceptedMs).Int64("finished_ms", job.FinishedMs).Uint64("term", e.fence).Msg("job ended")
+		e.log.Info().Stringer("job", job.ID).Str("state", string(job.State())).Int64("accepted_ms", job.AcceptedMs).Int64("finished_ms", job.FinishedMs).Uint64("term", e.term).Msg("job ended")
 		e.stopJobAttempts(job)
 	})
 }
--- a/dispatch/callers.go
+++ b/dispatch/callers.go
@@ -89,7 +89,7 @@
 	e.ready.recordWork(e.state.Job(id))
 	e.ready.markDirty(id)
 	e.afterCommit(func() {
-		e.log.Info().Stringer("job", id).Str("queue", queue.Name).Uint64("catalog", e.state.Catalog().Version).Uint64("term", e.fence).Msg("job accepted")
+		e.log.Info().Stringer("job", id).Str("queue", queue.Name).Uint64("catalog", e.state.Catalog().Version).Uint64("term", e.term).Msg("job accepted")
 		reply(Reply{State: workflow.JobPending})
 	})
 }
@@ -118,7 +118,7 @@
 		e.counters.Cancelled++
 		receivedAt := e.now
 		e.afterCommit(func() {
-			e.log.Info().Stringer("job", id).Dur("took", e.since(receivedAt)).Uint64("term", e.fence).Msg("job cancelled")
+			e.log.Info().Stringer("job", id).Dur("took", e.since(receivedAt)).Uint64("term", e.term).Msg("job cancelled")
 			e.stopJobAttempts(job)
 		})
 	}
@@ -158,7 +158,7 @@
 		return
 	}
 	e.afterCommit(func() {
-		e.log.Info().Uint64("before", previousVersion).Uint64("version", c.Version).Int("queues", len(c.Queues)).Uint64("term", e.fence).Msg("catalog set")
+		e.log.Info().Uint64("before", previousVersion).Uint64("version", c.Version).Int("queues", len(c.Queues)).Uint64("term", e.term).Msg("catalog set")
 		done(nil)
 	})
 }
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -14,10 +14,9 @@
 type Engine struct {
 	settings Settings
 	log      zerolog.Logger
-	// fence is the fencing token in every order: the leader's term.
-	fence uint64
-	state *workflow.State
-	views map[workflow.WorkerID]*workerView
+	term     uint64
+	state    *workflow.State
+	views    map[workflow.WorkerID]*workerView
 	// sortedViews holds the same views in the order of their worker IDs. It is
 	// replaced, never modified in place.
 	sortedViews []*workerView
@@ -68,7 +67,7 @@
 // committed state, which it owns from then on.
 func New(settings Settings, log zerolog.Logger, term uint64, state *workflow.State, now Instant) *Engine {
 	e := &Engine{
-		settings: settings, log: log, fence: term, state: state, now: now, tookOverAt: now, wallMs: state.NowMs(),
+		settings: settings, log: log, term: term, state: state, now: now, tookOverAt: now, wallMs: state.NowMs(),
 		views: make(map[workflow.WorkerID]*workerView), slowdown: newSlowdownModel(), advisor: newAdvisor(), maintenance: newMaintenanceState(), gangWaitingSince: make(map[workflow.StepRef]Instant),
 		lastFailures: make(map[workflow.TaskRef]taskFailure),
 	}
--- a/dispatch/former.go
+++ b/dispatch/former.go
@@ -39,7 +39,7 @@
 // logUnknownAttempt logs a running attempt that is not recorded, with what is known
 // of the order that started it.
 func (e *Engine) logUnknownAttempt(v *workerView, r *RunningAttempt) {
-	event := e.log.Warn().Stringer("task", r.Task).Uint32("attempt", r.Attempt).Str("worker", v.worker.Life.Name).Int64("born_ms", v.worker.Life.BornMs).Uint64("term", e.fence)
+	event := e.log.Warn().Stringer("task", r.Task).Uint32("attempt", r.Attempt).Str("worker", v.worker.Life.Name).Int64("born_ms", v.worker.Life.BornMs).Uint64("term", e.term)
 	if job := e.state.Job(r.Task.Job); job == nil {
 		event = event.Str("recorded", "no job")
 	} else if task := job.Task(r.Task); task != nil {
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -87,7 +87,7 @@
 	if until := e.now.Add(quarantineDuration); until > v.quarantinedUntil {
 		v.quarantinedUntil = until
 	}
-	e.log.Info().Str("worker", v.worker.Life.Name).Str("reason", reason).Int("failed_jobs", len(v.health.failedJobs)).Int("slow", v.health.slowCount).Int("sound", v.health.normalCount).Uint64("term", e.fence).Msg("worker quarantined")
+	e.log.Info().Str("worker", v.worker.Life.Name).Str("reason", reason).Int("failed_jobs", len(v.health.failedJobs)).Int("slow", v.health.slowCount).Int("sound", v.health.normalCount).Uint64("term", e.term).Msg("worker quarantined")
 }
 
 // pace is the progress of an attempt relative to its estimate.
@@ -175,5 +175,5 @@
 	}
 	a.stopWanted = true
 	e.counters.Relocated++
-	e.log.Info().Stringer("task", a.ref).Uint32("attempt", a.number).Str("worker", v.worker.Life.Name).Float64("pace", a.pace.rate).Int("percent", a.percent).Int64("estimate_ms", step.EstimatedMs).Uint64("term", e.fence).Msg("task relocated")
+	e.log.Info().Stringer("task", a.ref).Uint32("attempt", a.number).Str("worker", v.worker.Life.Name).Float64("pace", a.pace.rate).Int("percent", a.percent).Int64("estimate_ms", step.EstimatedMs).Uint64("term", e.term).Msg("task relocated")
 }
--- a/dispatch/hosts.go
+++ b/dispatch/hosts.go
@@ -109,7 +109,7 @@
 		return
 	}
 	name, wave := a.Order.Host, e.state.Wave(a.Order.Wave)
-	e.log.Info().Uint64("wave", a.Order.Wave).Str("host", name).Stringer("outcome", a.Outcome).Dur("took", e.since(a.Order.SentAt)).Uint64("term", e.fence).Msg("maintenance answered")
+	e.log.Info().Uint64("wave", a.Order.Wave).Str("host", name).Stringer("outcome", a.Outcome).Dur("took", e.since(a.Order.SentAt)).Uint64("term", e.term).Msg("maintenance answered")
 	call := m.calls[name]
 	if call == nil || wave == nil || wave.Progress[name] != workflow.MaintenanceOrdered {
 		return
--- a/dispatch/incarnations.go
+++ b/dispatch/incarnations.go
@@ -43,7 +43,7 @@
 			return
 		}
 		e.afterCommit(func() {
-			e.log.Info().Str("worker", w.Life.Name).Uint64("term", e.fence).Msg("worker draining")
+			e.log.Info().Str("worker", w.Life.Name).Uint64("term", e.term).Msg("worker draining")
 			e.evacuate(w.ID)
 		})
 	}
@@ -69,7 +69,7 @@
 	v.clockMs, v.clockReadAt = a.ClockMs, e.now
 	v.pollInFlight = true // Until the incarnation is committed.
 	e.afterCommit(func() {
-		e.log.Info().Str("worker", w.Life.Name).Int64("born_ms", w.Life.BornMs).Str("address", w.Address).Str("service", w.Service).Uint64("term", e.fence).Msg("worker joined")
+		e.log.Info().Str("worker", w.Life.Name).Int64("born_ms", w.Life.BornMs).Str("address", w.Address).Str("service", w.Service).Uint64("term", e.term).Msg("worker joined")
 		v.pollInFlight = false
 		e.issueDueOrders(v)
 	})
@@ -90,7 +90,7 @@
 		e.void(v, a, "new_life")
 	}
 	e.dropView(v)
-	e.log.Info().Str("worker", old.Life.Name).Int64("born_ms", old.Life.BornMs).Int64("next_born_ms", next.Life.BornMs).Int("carried", len(carried)).Uint64("term", e.fence).Msg("worker reborn")
+	e.log.Info().Str("worker", old.Life.Name).Int64("born_ms", old.Life.BornMs).Int64("next_born_ms", next.Life.BornMs).Int("carried", len(carried)).Uint64("term", e.term).Msg("worker reborn")
 	return carried
 }
 
@@ -121,7 +121,7 @@
 		return
 	}
 	e.dropView(e.views[w.ID])
-	e.log.Info().Str("worker", w.Life.Name).Int64("born_ms", w.Life.BornMs).Str("reason", reason).Uint64("term", e.fence).Msg("worker over")
+	e.log.Info().Str("worker", w.Life.Name).Int64("born_ms", w.Life.BornMs).Str("reason", reason).Uint64("term", e.term).Msg("worker over")
 }
 
 func (e *Engine) dropView(v *workerView) {
--- /dev/null
+++ b/dispatch/incarnations_test.go
@@ -0,0 +1,40 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mangohill.example/mangohill/workflow"
+)
+
+// startOrder returns a start that the leader may have sent to this incarnation and
+// that is still under way.
+func (w *simWorker) startOrder(ref workflow.TaskRef, attempt uint32) Order {
+	return Order{Verb: Start, Life: w.life, Address: w.address, Fence: w.fence, Task: ref, Attempt: attempt, ExpiresMs: w.clock() + w.sim.settings.Lease.Milliseconds()}
+}
+
+// A start that was sent to the previous incarnation of a worker arrives after the next
+// one, which knows nothing of its predecessor, has answered a poll. The task has ended
+// since; it must not run again.
+func TestAStartToThePreviousIncarnationIsRejected(t *testing.T) {
+	s := newSim(t, 21)
+	s.setCatalog()
+	w := s.addWorker("w1", 4)
+	s.run(time.Second)
+	s.submit(1, step(1))
+	require.True(t, s.runUntil(5*time.Second, func() bool { return s.state(1) == workflow.JobCompleted }))
+	late := w.startOrder(workflow.TaskRef{Job: 1}, 1)
+	w.crash()
+	s.run(time.Second)
+	next := s.addWorker("w1", 4)
+	s.run(time.Second)
+	require.NotZero(t, next.fence, "the leader must have polled the new incarnation")
+	var answer Answer
+	next.handleOrder(late, func(a Answer) { answer = a })
+	require.Equal(t, Fenced, answer.Outcome)
+	require.Empty(t, s.violations)
+	s.submit(2, step(1))
+	require.True(t, s.runUntil(5*time.Second, func() bool { return s.state(2) == workflow.JobCompleted }), "the leader must go on")
+}
--- a/dispatch/maintenance.go
+++ b/dispatch/maintenance.go
@@ -63,7 +63,7 @@
 			return
 		}
 		e.afterCommit(func() {
-			e.log.Info().Uint64("wave", op.ID).Int("hosts", len(op.Hosts)).Uint32("parallel", op.Parallel).Int64("within_ms", op.WithinMs).Uint64("term", e.fence).Msg("wave started")
+			e.log.Info().Uint64("wave", op.ID).Int("hosts", len(op.Hosts)).Uint32("parallel", op.Parallel).Int64("within_ms", op.WithinMs).Uint64("term", e.term).Msg("wave started")
 		})
 	}
 	e.afterCommit(func() { done(nil) })
@@ -89,7 +89,7 @@
 }
 
 func (e *Engine) issueHostOrder(order HostOrder) {
-	order.Fence, order.SentAt = e.fence, e.now
+	order.Fence, order.SentAt = e.term, e.now
 	e.maintenance.orders = append(e.maintenance.orders, order)
 }
 
@@ -164,7 +164,7 @@
 		case free > 0 && host.State == HostUp && e.hostView(name) != nil:
 			free--
 			m.preparingSince[name] = e.now
-			e.log.Info().Uint64("wave", wave.ID).Str("host", name).Str("worker", host.Worker).Int("attempts", e.attemptsOn(name)).Uint32("down", wave.InMaintenance()).Dur("listing_age", e.since(m.listedAt)).Uint64("term", e.fence).Msg("host prepared")
+			e.log.Info().Uint64("wave", wave.ID).Str("host", name).Str("worker", host.Worker).Int("attempts", e.attemptsOn(name)).Uint32("down", wave.InMaintenance()).Dur("listing_age", e.since(m.listedAt)).Uint64("term", e.term).Msg("host prepared")
 		}
 	}
 }
@@ -213,7 +213,7 @@
 	}
 	e.maintenance.calls[name] = call
 	e.afterCommit(func() {
-		e.log.Info().Uint64("wave", wave.ID).Str("host", name).Uint8("stage", uint8(stage)).Str("reason", reason).Uint32("down", down).Uint32("parallel", wave.Parallel).Uint64("term", e.fence).Msg("maintenance changed")
+		e.log.Info().Uint64("wave", wave.ID).Str("host", name).Uint8("stage", uint8(stage)).Str("reason", reason).Uint32("down", down).Uint32("parallel", wave.Parallel).Uint64("term", e.term).Msg("maintenance changed")
 		call.inFlight = false
 	})
 }
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -25,13 +25,14 @@
 // String returns the name of the verb.
 func (v Verb) String() string { return verbNames[v] }
 
-// Order is one call to a worker. Fence is the leader's term as a fencing token.
+// Order is one call to a worker.
 type Order struct {
 	Verb    Verb
 	Worker  workflow.WorkerID
 	Life    workflow.Incarnation
 	Address string
-	Fence   uint64
+	// Term is the leader's term, Fence the fencing token that the worker checks.
+	Term, Fence uint64
 	// ExpiresMs is the end of the lease in milliseconds on the worker's clock,
 	// zero if the order grants none.
 	ExpiresMs int64
--- a/dispatch/overrun.go
+++ b/dispatch/overrun.go
@@ -101,7 +101,7 @@
 	}
 	return e.log.Info().Stringer("task", a.ref).Str("worker", v.worker.Life.Name).Int64("target_ms", targetMs).Int64("measured_ms", a.gauge).Int64("worst_ms", a.overrun.worstMs).
 		Dur("since", e.since(a.overrun.since)).Float64("own_slack", own).Float64("slack", predicted).Float64("deviation", a.slackDeviation).
-		Strs("scavengers", tasks).Ints("wanted", wanted).Ints("applied", applied).Durs("applied_for", appliedFor).Uint64("term", e.fence)
+		Strs("scavengers", tasks).Ints("wanted", wanted).Ints("applied", applied).Durs("applied_for", appliedFor).Uint64("term", e.term)
 }
 
 // inOverrun reports whether a serving task is in an overrun by its recent readings.
@@ -139,7 +139,7 @@
 		a.appliedShare = shareOfUse(use)
 		a.wantedShare, a.shareAppliedAt = a.appliedShare, e.now
 	case a.appliedShare >= 0 && a.appliedShare < fullShare && use > float64(a.appliedShare)/fullShare+shareTolerance && e.since(a.shareAppliedAt) > gaugeWindow+pollWait:
-		e.log.Info().Stringer("task", a.ref).Str("worker", v.worker.Life.Name).Int("share", a.appliedShare).Float64("use", use).Uint64("term", e.fence).Msg("share not in force")
+		e.log.Info().Stringer("task", a.ref).Str("worker", v.worker.Life.Name).Int("share", a.appliedShare).Float64("use", use).Uint64("term", e.term).Msg("share not in force")
 		a.appliedShare = unknownShare
 	}
 }
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -277,7 +277,7 @@
 			return
 		}
 		a.committed = true
-		e.log.Info().Stringer("task", ref).Uint32("attempt", number).Str("worker", v.worker.Life.Name).Int64("born_ms", v.worker.Life.BornMs).Int64("free_mcpu", free.MilliProcessors).Dur("report_age", heard).Uint64("term", e.fence).Msg("task placed")
+		e.log.Info().Stringer("task", ref).Uint32("attempt", number).Str("worker", v.worker.Life.Name).Int64("born_ms", v.worker.Life.BornMs).Int64("free_mcpu", free.MilliProcessors).Dur("report_age", heard).Uint64("term", e.term).Msg("task placed")
 		e.issueAttemptOrder(v, a)
 	})
 	return true
--- a/dispatch/scavengers.go
+++ b/dispatch/scavengers.go
@@ -141,7 +141,7 @@
 	}
 	a.stopWanted = true
 	e.counters.Relocated++
-	e.log.Info().Stringer("task", s.ref).Uint32("attempt", a.number).Str("worker", v.worker.Life.Name).Int("share", a.wantedShare).Int("percent", a.percent).Dur("slow", e.since(a.throttledSince)).Uint64("term", e.fence).Msg("task relocated")
+	e.log.Info().Stringer("task", s.ref).Uint32("attempt", a.number).Str("worker", v.worker.Life.Name).Int("share", a.wantedShare).Int("percent", a.percent).Dur("slow", e.since(a.throttledSince)).Uint64("term", e.term).Msg("task relocated")
 }
 
 // fitsElsewhere reports whether another worker would take a task of the step now.
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -171,7 +171,7 @@
 	e.counters.Voided++
 	e.ready.markDirty(ref.Job)
 	e.log.Info().Stringer("task", ref).Uint32("attempt", a.number).Str("worker", v.worker.Life.Name).Int64("born_ms", v.worker.Life.BornMs).Str("reason", reason).
-		Int("starts", a.startsSent).Int("unanswered", a.unansweredStarts).Dur("lease_left", v.leaseExpiresAt.Sub(e.now)).Dur("unheard", e.since(v.answeredAt)).Uint64("term", e.fence).Msg("attempt void")
+		Int("starts", a.startsSent).Int("unanswered", a.unansweredStarts).Dur("lease_left", v.leaseExpiresAt.Sub(e.now)).Dur("unheard", e.since(v.answeredAt)).Uint64("term", e.term).Msg("attempt void")
 	e.recordFormerAttempt(v, a, reason)
 }
 
@@ -245,10 +245,16 @@
 	e.issueOrder(v, order)
 }
 
+// fencingToken returns the token of a leader's orders to one incarnation of a worker.
+// It rises with the term, and with each incarnation under the same name: once an
+// incarnation has answered an order, it rejects those that were sent to its
+// predecessors, of which it knows nothing.
+func fencingToken(term uint64, worker workflow.WorkerID) uint64 { return term<<32 | uint64(worker) }
+
 // issueOrder completes an order and queues it for sending.
 func (e *Engine) issueOrder(v *workerView, order Order) {
 	order.Worker, order.Life, order.Address = v.worker.ID, v.worker.Life, v.worker.Address
-	order.Fence, order.SentAt = e.fence, e.now
+	order.Term, order.Fence, order.SentAt = e.term, fencingToken(e.term, v.worker.ID), e.now
 	// The lease of a worker that does not answer is not renewed, so that its
 	// tasks can run elsewhere in the end.
 	if v.clockMs > 0 && e.since(v.answeredAt) < staleAfter && (order.Verb == Poll || order.Verb == Start) {
@@ -293,7 +299,7 @@
 	a.callInFlight = true
 	a.startsSent++
 	if a.startsSent > 1 {
-		e.log.Info().Stringer("task", ref).Uint32("attempt", a.number).Str("worker", v.worker.Life.Name).Int64("born_ms", v.worker.Life.BornMs).Int("starts", a.startsSent).Int("unanswered", a.unansweredStarts).Uint64("term", e.fence).Msg("start repeated")
+		e.log.Info().Stringer("task", ref).Uint32("attempt", a.number).Str("worker", v.worker.Life.Name).Int64("born_ms", v.worker.Life.BornMs).Int("starts", a.startsSent).Int("unanswered", a.unansweredStarts).Uint64("term", e.term).Msg("start repeated")
 	}
 	task := job.Task(ref)
 	e.issueOrder(v, Order{Verb: Start, Task: ref, Attempt: a.number, Payload: job.Spec.Payload, Checkpoint: task.Checkpoint, Ticket: e.ticketFor(job, ref, v)})
