Attempts whose starts may be in flight wait for the next incarnation's first poll

The worker restarts under its name, and the next incarnation carries out the first start. The leader had voided the attempt when the incarnation reported, because a poll had shown it, and had started the task elsewhere.

Cause: the starts that may still be carried out were forgotten when the task ran (unansweredStarts = 0), and 'seen in a poll' stood for 'no start is in flight'. They are counted exactly now: sent, answered, in flight. One that began the run is not in flight any more; an attempt of an earlier leader may have any number. What is in flight at a restart is carried to the next incarnation and decided by its first poll: it runs there and is kept, or it is voided, since that answer shuts out the starts of before. The poll does not wait for the commit of the incarnation.

--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -58,7 +58,7 @@
 	if a == nil || a.number != answer.Order.Attempt {
 		return nil
 	}
-	a.callInFlight = false
+	a.callInFlight, a.startCallInFlight = false, false
 	return a
 }
 
@@ -69,7 +69,7 @@
 	}
 	switch answer.Outcome {
 	case Done:
-		a.unansweredStarts = 0
+		a.startAnswered = true
 		if !a.running {
 			a.running, a.runningSince, a.missedPolls = true, e.now, 0
 		}
@@ -94,8 +94,8 @@
 	if outcome == Unhealthy || outcome == NoRoom {
 		v.quarantinedUntil = e.now.Add(unhealthyQuarantine)
 	}
-	e.log.Info().Stringer("task", a.ref).Uint32("attempt", a.number).Str("worker", v.worker.Life.Name).Int64("born_ms", v.worker.Life.BornMs).Stringer("outcome", outcome).Int("unanswered", a.unansweredStarts).Uint64("term", e.term).Msg("start refused")
-	if a.unansweredStarts > 0 && outcome != Expired {
+	e.log.Info().Stringer("task", a.ref).Uint32("attempt", a.number).Str("worker", v.worker.Life.Name).Int64("born_ms", v.worker.Life.BornMs).Stringer("outcome", outcome).Int("in_flight", a.startsInFlight()).Uint64("term", e.term).Msg("start refused")
+	if a.startsInFlight() > 0 && outcome != Expired {
 		// An earlier start may still be carried out; a stop rules that out.
 		a.stopWanted = true
 		return
@@ -221,9 +221,9 @@
 			e.stopUnknownAttempt(v, r)
 			continue
 		}
-		present[r.Task], a.seenInPoll = true, true
+		present[r.Task], a.carried = true, false
 		if !a.running {
-			a.running, a.runningSince, a.unansweredStarts = true, e.now, 0
+			a.running, a.runningSince = true, e.now
 		}
 		a.missedPolls, a.percent, a.checkpoint, a.gauge, a.gaugeReadAt = 0, r.Percent, r.Checkpoint, r.Gauge, e.now
 		if step := e.step(a.ref); step != nil && step.Scavenger {
@@ -242,6 +242,10 @@
 // it stops an attempt that was running.
 func (e *Engine) handleMissingAttempt(v *workerView, a *attempt, pollSentAt Instant) {
 	switch {
+	case a.carried:
+		// From its answer to this poll on, this incarnation rejects the starts that
+		// were sent to the previous one.
+		e.void(v, a, "new_life")
 	case a.startRuledOut && pollSentAt > a.startRuledOutAt:
 		e.void(v, a, "not_running")
 	case a.running && pollSentAt > a.runningSince:
--- a/dispatch/former.go
+++ b/dispatch/former.go
@@ -6,16 +6,16 @@
 	"mangohill.example/mangohill/workflow"
 )
 
-// formerAttempt is an attempt that ended or was voided while starts of it were
-// unanswered. It explains a run that begins afterwards.
+// formerAttempt is an attempt that ended or was voided while starts of it might still
+// be carried out. It explains a run that begins afterwards.
 type formerAttempt struct {
 	ref    workflow.TaskRef
 	number uint32
 	life   workflow.Incarnation
 	reason string
-	// starts were sent, unanswered of them got no answer.
-	starts, unanswered int
-	overAt             Instant
+	// starts were sent; inFlight of them may still be carried out.
+	starts, inFlight int
+	overAt           Instant
 }
 
 const (
@@ -31,8 +31,8 @@
 	for len(e.formerAttempts) > 0 && (len(e.formerAttempts) >= maxFormerAttempts || e.since(e.formerAttempts[0].overAt) > formerAttemptRetention) {
 		e.formerAttempts = e.formerAttempts[1:]
 	}
-	if a.unansweredStarts > 0 {
-		e.formerAttempts = append(e.formerAttempts, formerAttempt{a.ref, a.number, v.worker.Life, reason, a.startsSent, a.unansweredStarts, e.now})
+	if n := a.startsInFlight(); n > 0 {
+		e.formerAttempts = append(e.formerAttempts, formerAttempt{a.ref, a.number, v.worker.Life, reason, a.startsSent, n, e.now})
 	}
 }
 
@@ -47,7 +47,7 @@
 	}
 	for _, f := range e.formerAttempts {
 		if f.ref == r.Task && f.number == r.Attempt && f.life.Name == v.worker.Life.Name {
-			event = event.Str("over", f.reason).Dur("over_for", e.since(f.overAt)).Int64("sent_to_born_ms", f.life.BornMs).Int("starts", f.starts).Int("unanswered", f.unanswered)
+			event = event.Str("over", f.reason).Dur("over_for", e.since(f.overAt)).Int64("sent_to_born_ms", f.life.BornMs).Int("starts", f.starts).Int("in_flight", f.inFlight)
 		}
 	}
 	event.Msg("unknown attempt")
--- a/dispatch/incarnations.go
+++ b/dispatch/incarnations.go
@@ -64,26 +64,26 @@
 	w := e.state.WorkerNamed(a.Life.Name)
 	v := e.addView(w)
 	for _, a := range v.attemptList {
-		a.stopWanted = a.stopWanted || !e.canRun(w, a)
+		a.carried, a.stopWanted = true, a.stopWanted || !e.canRun(w, a)
 	}
 	v.clockMs, v.clockReadAt = a.ClockMs, e.now
-	v.pollInFlight = true // Until the incarnation is committed.
+	// The poll does not wait for the commit: the incarnation rejects orders to its
+	// predecessors only once it has answered one of its own.
+	e.poll(v)
 	e.afterCommit(func() {
 		e.log.Info().Str("worker", w.Life.Name).Int64("born_ms", w.Life.BornMs).Str("address", w.Address).Str("service", w.Service).Uint64("term", e.term).Msg("worker joined")
-		v.pollInFlight = false
-		e.issueDueOrders(v)
 	})
 	return nil
 }
 
 // replaceIncarnation ends an incarnation whose worker announces a newer one. It
-// returns the attempts whose start may still reach the new incarnation at the
-// same address: they stay recorded, and are started or stopped there.
+// returns the attempts whose starts may still reach the new incarnation at the
+// same address: they stay recorded until its first poll shows whether they run there.
 func (e *Engine) replaceIncarnation(old *workflow.Worker, next *Announcement) []workflow.TaskRef {
 	v := e.views[old.ID]
 	var carried []workflow.TaskRef
 	for _, a := range v.attemptList {
-		if a.committed && !a.seenInPoll && old.Address == next.Address {
+		if a.startsInFlight() > 0 && old.Address == next.Address {
 			carried = append(carried, a.ref)
 			continue
 		}
--- a/dispatch/incarnations_test.go
+++ b/dispatch/incarnations_test.go
@@ -38,3 +38,32 @@
 	s.submit(2, step(1))
 	require.True(t, s.runUntil(5*time.Second, func() bool { return s.state(2) == workflow.JobCompleted }), "the leader must go on")
 }
+
+// The first start of a task gets no answer, the second one is answered, and the task
+// runs. The worker restarts, and the next incarnation carries out the first start. The
+// leader must not start the task elsewhere before it has seen what runs there.
+func TestATaskIsNotMovedWhileAStartMayReachTheNextIncarnation(t *testing.T) {
+	s := newSim(t, 22)
+	s.setCatalog()
+	w := s.addWorker("w1", 4)
+	s.run(time.Second)
+	long := step(1)
+	long.EstimatedMs = 20_000
+	s.faults.lostOrder = 1
+	s.submit(1, long)
+	s.run(700 * time.Millisecond)
+	s.faults.lostOrder = 0
+	ref := workflow.TaskRef{Job: 1}
+	require.True(t, s.runUntil(3*time.Second, func() bool { return w.running[ref] != nil }))
+	s.run(3 * time.Second)
+	s.addWorker("w2", 4)
+	s.run(time.Second)
+	unanswered := w.startOrder(ref, 1)
+	w.crash()
+	s.run(500 * time.Millisecond)
+	next := s.addWorker("w1", 4)
+	next.handleOrder(unanswered, func(Answer) {})
+	require.True(t, s.runUntil(60*time.Second, func() bool { return s.state(1) == workflow.JobCompleted }))
+	require.Empty(t, s.violations)
+	require.Equal(t, 2, s.starts, "the run in the next incarnation must be adopted")
+}
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -61,15 +61,21 @@
 	// callInFlight is set while a start, stop or throttle order is in flight.
 	callInFlight bool
 	retryAt      Instant
-	// unansweredStarts counts the starts that may still be carried out.
-	unansweredStarts int
-	// startsSent counts all starts of the attempt that this leader sent.
-	startsSent   int
+	// startCallInFlight is set while the order in flight is a start.
+	startCallInFlight bool
+	// startsSent counts the starts that this leader sent, unansweredStarts those that
+	// got no answer. startAnswered is set once a start was answered as carried out.
+	startsSent, unansweredStarts int
+	startAnswered                bool
+	// adopted is set on an attempt of an earlier leader or incarnation, any number of
+	// whose starts may be unanswered.
+	adopted bool
+	// carried is set on an attempt of the worker's previous incarnation until a poll
+	// of this one has shown whether a start of it was carried out here.
+	carried      bool
 	running      bool
 	runningSince Instant
-	// seenInPoll is set once a poll of this incarnation showed the attempt.
-	seenInPoll bool
-	placedAt   Instant
+	placedAt     Instant
 	// missedPolls counts the polls in a row that did not show a running attempt.
 	missedPolls int
 	stopWanted  bool
@@ -115,7 +121,7 @@
 		leaseExpiresAt: e.now.Add(maxRealTime(e.settings.MaxLease)),
 	}
 	for _, ref := range sortedTasks(w.Attempts) {
-		a := &attempt{ref: ref, number: w.Attempts[ref], committed: true, placedAt: e.now, appliedShare: unknownShare, wantedShare: fullShare}
+		a := &attempt{ref: ref, number: w.Attempts[ref], committed: true, adopted: true, placedAt: e.now, appliedShare: unknownShare, wantedShare: fullShare}
 		if job := e.state.Job(ref.Job); job == nil || !job.Active() {
 			a.stopWanted = true
 		}
@@ -155,6 +161,23 @@
 	}
 }
 
+// startsInFlight returns how many starts of the attempt may still be carried out; at
+// least one if it is adopted. If the attempt runs and no start was answered, one of
+// them has been carried out already.
+func (a *attempt) startsInFlight() int {
+	n := a.unansweredStarts
+	if a.startCallInFlight {
+		n++
+	}
+	if a.running && !a.startAnswered && n > 0 {
+		n--
+	}
+	if a.adopted {
+		return max(n, 1)
+	}
+	return n
+}
+
 func compareTaskRefs(a, b workflow.TaskRef) int {
 	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
 }
@@ -171,7 +194,7 @@
 	e.counters.Voided++
 	e.ready.markDirty(ref.Job)
 	e.log.Info().Stringer("task", ref).Uint32("attempt", a.number).Str("worker", v.worker.Life.Name).Int64("born_ms", v.worker.Life.BornMs).Str("reason", reason).
-		Int("starts", a.startsSent).Int("unanswered", a.unansweredStarts).Dur("lease_left", v.leaseExpiresAt.Sub(e.now)).Dur("unheard", e.since(v.answeredAt)).Uint64("term", e.term).Msg("attempt void")
+		Int("starts", a.startsSent).Int("in_flight", a.startsInFlight()).Dur("lease_left", v.leaseExpiresAt.Sub(e.now)).Dur("unheard", e.since(v.answeredAt)).Uint64("term", e.term).Msg("attempt void")
 	e.recordFormerAttempt(v, a, reason)
 }
 
@@ -270,7 +293,7 @@
 // throttle.
 func (e *Engine) issueAttemptOrder(v *workerView, a *attempt) {
 	ref := a.ref
-	if v.attempts[ref] != a || !a.committed || a.callInFlight || e.now < a.retryAt || !e.reachable(v) {
+	if v.attempts[ref] != a || !a.committed || a.carried || a.callInFlight || e.now < a.retryAt || !e.reachable(v) {
 		return
 	}
 	switch {
@@ -296,7 +319,7 @@
 	if v.clockMs == 0 {
 		return // A lease can't be granted without a reading of the worker's clock.
 	}
-	a.callInFlight = true
+	a.callInFlight, a.startCallInFlight = true, true
 	a.startsSent++
 	if a.startsSent > 1 {
 		e.log.Info().Stringer("task", ref).Uint32("attempt", a.number).Str("worker", v.worker.Life.Name).Int64("born_ms", v.worker.Life.BornMs).Int("starts", a.startsSent).Int("unanswered", a.unansweredStarts).Uint64("term", e.term).Msg("start repeated")
