Refused report ends no incarnation

Callers could see tasks run twice after a report that was refused. A report of a new incarnation of w1 that names the address of a newer w2 was answered with stale_incarnation, but State.join had ended the previous incarnation of w1 before it checked the address, and Engine.join had proposed the voids of its attempts. The voids were logged and the tasks started elsewhere while they ran on w1. The end of w1 was in the leader's state only, since a refused operation isn't logged: later operations failed in the replicated state (state_diverged).

State.CheckJoin holds both conditions. State.join and Engine.join ask it before they change anything.

Tests: TestARefusedReportEndsNoAttempt (before: 4 tasks "runs twice", then operations without effect), TestARefusedJoinEndsNoIncarnation and TestARefusedOperationHasNoEffect (random operations; before: both failed).

--- a/dispatch/incarnations.go
+++ b/dispatch/incarnations.go
@@ -52,10 +52,13 @@
 
 func (e *Engine) join(a *Announcement) error {
 	join := &workflow.Join{Life: a.Life, Address: a.Address, Service: a.Service, Zone: a.Zone, Labels: a.Labels, Rack: a.Rack, Capacity: a.Capacity}
-	if old := e.state.WorkerNamed(a.Life.Name); old != nil && old.Life.BornMs < a.Life.BornMs {
+	if err := e.state.CheckJoin(join); err != nil {
+		return err
+	}
+	if old := e.state.WorkerNamed(a.Life.Name); old != nil {
 		join.Carry = e.replaceIncarnation(old, a)
 	}
-	if old := e.state.WorkerAt(a.Address); old != nil && old.Life.Name != a.Life.Name && old.Life.BornMs <= a.Life.BornMs {
+	if old := e.state.WorkerAt(a.Address); old != nil && old.Life.Name != a.Life.Name {
 		e.endIncarnation(old, "replaced_at_its_address")
 	}
 	if err := e.propose(workflow.Op{Join: join}); err != nil {
--- a/workflow/state.go
+++ b/workflow/state.go
@@ -318,12 +318,24 @@
 	s.finished = append(s.finished, job.ID)
 }
 
+// CheckJoin returns the error with which a Join would be refused, nil for none. It is
+// of kind stale_incarnation: a newer incarnation has the name or the address.
+func (s *State) CheckJoin(j *Join) error {
+	if old := s.WorkerNamed(j.Life.Name); old != nil && old.Life.BornMs >= j.Life.BornMs {
+		return kind.Errorf(kind.StaleIncarnation, "worker %q: the current incarnation started at %d, the reported one at %d", j.Life.Name, old.Life.BornMs, j.Life.BornMs)
+	}
+	if old := s.WorkerAt(j.Address); old != nil && old.Life.BornMs > j.Life.BornMs {
+		return kind.Errorf(kind.StaleIncarnation, "address %s belongs to a newer incarnation of a worker", j.Address)
+	}
+	return nil
+}
+
 func (s *State) join(j *Join) error {
+	if err := s.CheckJoin(j); err != nil {
+		return err
+	}
 	carried := make(map[TaskRef]uint32)
 	if old := s.WorkerNamed(j.Life.Name); old != nil {
-		if old.Life.BornMs >= j.Life.BornMs {
-			return kind.Errorf(kind.StaleIncarnation, "worker %q: the current incarnation started at %d, the reported one at %d", j.Life.Name, old.Life.BornMs, j.Life.BornMs)
-		}
 		for _, ref := range j.Carry {
 			if attempt, ok := old.Attempts[ref]; ok {
 				carried[ref] = attempt
@@ -332,11 +344,7 @@
 		}
 		s.endIncarnation(old)
 	}
-	if id, taken := s.byAddress[j.Address]; taken {
-		old := s.workers[id]
-		if old.Life.BornMs > j.Life.BornMs {
-			return kind.Errorf(kind.StaleIncarnation, "address %s belongs to a newer incarnation of a worker", j.Address)
-		}
+	if old := s.WorkerAt(j.Address); old != nil {
 		s.endIncarnation(old)
 	}
 	s.nextWorker++
