Withdrawal stops what runs before the worker counts as over

Tasks could run twice after a worker withdrew: the leader voided all attempts on it and started them elsewhere as soon as the DELETE was committed. If the answer is lost, or before it has arrived, the tasks run on.

Withdraw now marks the worker as draining, orders stops for all attempts and records the end, and confirms, once none is left: they ended there, or the worker's lease is over. An empty worker is confirmed as before. A new leader forgets the withdrawal; the worker sends it again or ends, and its lease runs out.

TestAWithdrawalEndsNoTaskThatRuns fails before (4 tasks "runs twice"). TestAWithdrawnWorkerThatIsGone and TestAnEmptyWorkerLeavesAtOnce pass before and after.

--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -40,6 +40,9 @@
 	gangWaitingSince map[workflow.StepRef]Instant
 	// lastFailures holds, per task, the worker on which an attempt failed last.
 	lastFailures map[workflow.TaskRef]taskFailure
+	// withdrawals holds what confirms the withdrawals of workers on which attempts
+	// may still run.
+	withdrawals map[workflow.WorkerID][]func()
 }
 
 // Counters count decisions since the engine was created. Lapsed counts attempts
@@ -67,7 +70,7 @@
 	e := &Engine{
 		settings: settings, log: log, fence: term, state: state, now: now, tookOverAt: now, wallMs: state.NowMs(),
 		views: make(map[workflow.WorkerID]*workerView), slowdown: newSlowdownModel(), advisor: newAdvisor(), maintenance: newMaintenanceState(), gangWaitingSince: make(map[workflow.StepRef]Instant),
-		lastFailures: make(map[workflow.TaskRef]taskFailure),
+		lastFailures: make(map[workflow.TaskRef]taskFailure), withdrawals: make(map[workflow.WorkerID][]func()),
 	}
 	for _, id := range slices.Sorted(maps.Keys(state.Workers())) {
 		e.addView(state.Worker(id))
@@ -88,6 +91,9 @@
 	for _, v := range e.sortedViews {
 		e.issueDueOrders(v)
 	}
+	for _, id := range slices.Sorted(maps.Keys(e.withdrawals)) {
+		e.endWithdrawn(id)
+	}
 	e.advanceWaves()
 }
 
--- a/dispatch/incarnations.go
+++ b/dispatch/incarnations.go
@@ -105,14 +105,48 @@
 	return step != nil && job.Service == w.Service && !w.Draining && w.Reserved.Fits(w.Capacity) && w.HasRequiredLabel(step)
 }
 
-// Withdraw processes a worker's report that it shuts down. bornMs is the start of
-// its incarnation, zero if the report names none.
+// Withdraw processes a worker's report that it shuts down and calls done once its end
+// is recorded. bornMs is the start of its incarnation, zero if the report names none.
+// The worker may run on for seconds if the answer is lost, so what runs there is
+// stopped first.
 func (e *Engine) Withdraw(name string, bornMs int64, done func()) {
 	w := e.state.WorkerNamed(name)
-	if w != nil && (w.Life.BornMs == bornMs || bornMs == 0 && w.Draining) {
-		e.endIncarnation(w, "withdrew")
+	if w == nil || w.Life.BornMs != bornMs && (bornMs != 0 || !w.Draining) {
+		e.afterCommit(done)
+		return
+	}
+	if !w.Draining {
+		if err := e.propose(workflow.Op{Leave: &workflow.Leave{Worker: w.ID}}); err != nil {
+			e.log.Error().Err(err).Str("worker", name).Msg("worker end not recorded")
+			return
+		}
+	}
+	v := e.views[w.ID]
+	if _, repeated := e.withdrawals[w.ID]; !repeated {
+		e.log.Info().Str("worker", name).Int64("born_ms", w.Life.BornMs).Int("attempts", len(v.attempts)).Uint64("term", e.fence).Msg("worker withdraws")
+	}
+	e.withdrawals[w.ID] = append(e.withdrawals[w.ID], done)
+	for _, a := range v.attemptList {
+		a.stopWanted = true
+	}
+	e.issueDueOrders(v)
+	e.endWithdrawn(w.ID)
+}
+
+// endWithdrawn records the end of a withdrawn worker once no attempt is left on it, and
+// confirms its withdrawal.
+func (e *Engine) endWithdrawn(id workflow.WorkerID) {
+	v := e.views[id]
+	if v != nil && len(v.attempts) > 0 {
+		return
+	}
+	if v != nil {
+		e.endIncarnation(v.worker, "withdrew")
+	}
+	for _, done := range e.withdrawals[id] {
+		e.afterCommit(done)
 	}
-	e.afterCommit(done)
+	delete(e.withdrawals, id)
 }
 
 // endIncarnation voids the attempts of an incarnation of a worker and records its
--- a/dispatch/reports_test.go
+++ b/dispatch/reports_test.go
@@ -56,3 +56,71 @@
 	assert.Equal(t, 4, s.starts, "nothing may start elsewhere")
 	assert.Empty(t, s.violations)
 }
+
+// withdraw passes a worker's withdrawal to the leader and returns whether it has been
+// answered yet.
+func (s *sim) withdraw(w *simWorker) *bool {
+	answered := new(bool)
+	s.engine.Withdraw(w.life.Name, w.life.BornMs, func() { *answered = true })
+	return answered
+}
+
+// drain makes the worker report that it drains.
+func (w *simWorker) drain() {
+	w.draining = true
+	require.Nil(w.sim.t, w.sim.announce(w.announcement()))
+}
+
+// A worker withdraws while tasks run on it, and the answer gets lost: it runs them on
+// until it ends by itself. They must not start elsewhere while they run.
+func TestAWithdrawalEndsNoTaskThatRuns(t *testing.T) {
+	s := newSim(t, 22)
+	s.setCatalog()
+	w1 := s.addWorker("w1", 4)
+	s.run(time.Second)
+	s.startLongTasks(4)
+	s.addWorker("w2", 4)
+	w1.drain()
+	answered := s.withdraw(w1)
+	require.True(t, s.runUntil(3*time.Second, func() bool { return *answered }), "the withdrawal must be confirmed once nothing runs")
+	assert.Empty(t, w1.running)
+	require.True(t, s.runUntil(3*time.Second, func() bool { return s.starts == 8 }), "the tasks must run on the other worker")
+	assert.Empty(t, s.violations)
+	assert.Nil(t, s.committed.WorkerNamed("w1"))
+}
+
+// A worker withdraws and ends before it has stopped its tasks. They run elsewhere after
+// its lease, and the worker's end is recorded.
+func TestAWithdrawnWorkerThatIsGone(t *testing.T) {
+	s := newSim(t, 23)
+	s.setCatalog()
+	w1 := s.addWorker("w1", 4)
+	s.run(time.Second)
+	s.startLongTasks(4)
+	s.addWorker("w2", 4)
+	w1.drain()
+	answered := s.withdraw(w1)
+	again := s.withdraw(w1)
+	w1.crash()
+	require.True(t, s.runUntil(15*time.Second, func() bool { return s.starts == 8 }))
+	s.run(time.Second)
+	assert.True(t, *answered && *again)
+	assert.Nil(t, s.committed.WorkerNamed("w1"))
+	assert.Empty(t, s.violations)
+}
+
+// A worker without tasks withdraws. The withdrawal must be confirmed once it is
+// committed, as must those of workers that are not recorded.
+func TestAnEmptyWorkerLeavesAtOnce(t *testing.T) {
+	s := newSim(t, 24)
+	s.setCatalog()
+	w1 := s.addWorker("w1", 4)
+	s.run(time.Second)
+	answered := s.withdraw(w1)
+	s.run(tickInterval + 2*commitDelay)
+	assert.True(t, *answered)
+	assert.Nil(t, s.committed.WorkerNamed("w1"))
+	answered = s.withdraw(w1)
+	s.run(tickInterval + 2*commitDelay)
+	assert.True(t, *answered)
+}
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -90,5 +90,6 @@
 		"worker quarantined",
 		"worker reached",
 		"worker reborn",
+		"worker withdraws",
 	}
 }
