Delayed report of a worker that has withdrawn starts nothing

A report ready that arrived after the DELETE of its sender joined the worker again as one that doesn't drain. While the process hadn't ended (the answer to the DELETE lost: some seconds), it answered polls and got new tasks, long after its draining was acknowledged.

Announce refuses their reports as stale, which the platform answers with 200. The log's operations are applied as before. Seq isn't decoded still: within one incarnation draining is final, and across incarnations Seq starts anew, so it decides nothing that the departure and the start time don't.

TestALateReportOfAWithdrawnWorker fails before: 4 tasks start on the worker. TestDeparturesAreKeptForATime, TestAnEndWithoutDrainingIsNoDeparture are new.

--- a/dispatch/incarnations.go
+++ b/dispatch/incarnations.go
@@ -23,8 +23,13 @@
 
 // Announce processes a worker's announcement and calls done once it is recorded
 // or refused. The error is of kind stale_incarnation if a newer incarnation of the
-// worker, or of another worker at its address, is recorded.
+// worker, or of another worker at its address, is recorded, or if the incarnation has
+// withdrawn: the report was delayed.
 func (e *Engine) Announce(a *Announcement, done func(*kind.Error)) {
+	if e.state.Departed(a.Life) {
+		e.afterCommit(func() { done(kind.Errorf(kind.StaleIncarnation, "worker %q has withdrawn", a.Life.Name)) })
+		return
+	}
 	w := e.state.WorkerNamed(a.Life.Name)
 	if w == nil || w.Life.BornMs < a.Life.BornMs {
 		if err := e.join(a); err != nil {
--- a/dispatch/reports_test.go
+++ b/dispatch/reports_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"mangohill.example/mangohill/kind"
+	"mangohill.example/mangohill/workflow"
 )
 
 // announce passes a report to the leader and returns the error of its answer.
@@ -124,3 +125,29 @@
 	s.run(tickInterval + 2*commitDelay)
 	assert.True(t, *answered)
 }
+
+// A report that was delayed arrives after its sender has withdrawn, and the sender has
+// not ended yet. It must get no new task, also from the next leader.
+func TestALateReportOfAWithdrawnWorker(t *testing.T) {
+	s := newSim(t, 25)
+	s.setCatalog()
+	w1 := s.addWorker("w1", 4)
+	s.run(time.Second)
+	late := w1.announcement()
+	w1.drain()
+	answered := s.withdraw(w1)
+	require.True(t, s.runUntil(time.Second, func() bool { return *answered }))
+	w1.silent = true
+	assert.NotNil(t, s.announce(late))
+	s.submit(1, step(4))
+	s.run(2 * time.Second)
+	assert.Zero(t, s.starts)
+	s.takeOver()
+	assert.NotNil(t, s.announce(late))
+	s.run(2 * time.Second)
+	assert.Zero(t, s.starts)
+	next := s.addWorker("w1", 4)
+	require.True(t, s.runUntil(5*time.Second, func() bool { return s.state(1) == workflow.JobCompleted }), "the next incarnation must get tasks")
+	assert.Len(t, next.endedAt, 4)
+	assert.Empty(t, s.violations)
+}
--- a/dispatch/sim_worker_test.go
+++ b/dispatch/sim_worker_test.go
@@ -21,6 +21,8 @@
 	dead        bool
 	partitioned bool
 	draining    bool
+	// silent makes the worker send no reports.
+	silent bool
 	// fails makes the worker fail all tasks that it starts; with hangs they make
 	// no progress.
 	fails, hangs   bool
@@ -119,7 +121,7 @@
 	if w.dead {
 		return
 	}
-	if !w.partitioned {
+	if !w.partitioned && !w.silent {
 		w.sim.engine.Announce(&Announcement{
 			Life: w.life, Address: w.address, Service: "pool", Zone: "z", Labels: w.labels, Rack: w.rack, Capacity: w.capacity, Draining: w.draining, ClockMs: w.clock(),
 		}, func(*kind.Error) {})
--- a/workflow/join_test.go
+++ b/workflow/join_test.go
@@ -53,3 +53,31 @@
 	require.Error(t, s.Apply(&Op{Join: former}))
 	assert.Equal(t, "b:1", s.WorkerNamed("w").Address)
 }
+
+// Guards against a leader that takes a delayed report of a worker that has withdrawn for
+// that of a worker that runs, and against departures that are kept for ever.
+func TestDeparturesAreKeptForATime(t *testing.T) {
+	s := newStateWithOneWorker(t)
+	life := s.Worker(1).Life
+	require.NoError(t, s.Apply(&Op{Leave: &Leave{Worker: 1}}))
+	assert.False(t, s.Departed(life))
+	require.NoError(t, s.Apply(&Op{Leave: &Leave{Worker: 1, Over: true}}))
+	assert.True(t, s.Departed(life))
+	assert.False(t, s.Departed(Incarnation{Name: life.Name, BornMs: life.BornMs + 1}))
+	data, err := s.Snapshot()
+	require.NoError(t, err)
+	restored, err := DecodeSnapshot(data)
+	require.NoError(t, err)
+	restored.AdvanceTime(departureRetentionMs - 1)
+	assert.True(t, restored.Departed(life))
+	restored.AdvanceTime(departureRetentionMs)
+	assert.False(t, restored.Departed(life))
+}
+
+// A worker whose end was only inferred may still run and reports again.
+func TestAnEndWithoutDrainingIsNoDeparture(t *testing.T) {
+	s := newStateWithOneWorker(t)
+	life := s.Worker(1).Life
+	require.NoError(t, s.Apply(&Op{Leave: &Leave{Worker: 1, Over: true}}))
+	assert.False(t, s.Departed(life))
+}
--- a/workflow/snapshot.go
+++ b/workflow/snapshot.go
@@ -12,19 +12,20 @@
 const snapshotVersion = 1
 
 type snapshot struct {
-	Version    int       `cbor:"1,keyasint"`
-	Catalog    *Catalog  `cbor:"2,keyasint"`
-	Jobs       []*Job    `cbor:"3,keyasint"`
-	Workers    []*Worker `cbor:"4,keyasint"`
-	NextWorker WorkerID  `cbor:"5,keyasint"`
-	NowMs      int64     `cbor:"6,keyasint"`
-	Finished   []JobID   `cbor:"7,keyasint"`
-	Waves      []*Wave   `cbor:"8,keyasint,omitempty"`
+	Version    int         `cbor:"1,keyasint"`
+	Catalog    *Catalog    `cbor:"2,keyasint"`
+	Jobs       []*Job      `cbor:"3,keyasint"`
+	Workers    []*Worker   `cbor:"4,keyasint"`
+	NextWorker WorkerID    `cbor:"5,keyasint"`
+	NowMs      int64       `cbor:"6,keyasint"`
+	Finished   []JobID     `cbor:"7,keyasint"`
+	Waves      []*Wave     `cbor:"8,keyasint,omitempty"`
+	Departed   []departure `cbor:"9,keyasint,omitempty"`
 }
 
 // Snapshot encodes the state. Equal states have identical snapshots.
 func (s *State) Snapshot() ([]byte, error) {
-	out := snapshot{Version: snapshotVersion, Catalog: s.catalog, NextWorker: s.nextWorker, NowMs: s.nowMs, Finished: s.finished}
+	out := snapshot{Version: snapshotVersion, Catalog: s.catalog, NextWorker: s.nextWorker, NowMs: s.nowMs, Finished: s.finished, Departed: s.departed}
 	for _, job := range s.jobs {
 		out.Jobs = append(out.Jobs, job)
 	}
@@ -60,7 +61,7 @@
 		return nil, kind.Errorf(kind.Corrupt, "workflow snapshot has version %d, this program reads %d", in.Version, snapshotVersion)
 	}
 	s := NewState()
-	s.catalog, s.nextWorker, s.nowMs, s.finished = in.Catalog, in.NextWorker, in.NowMs, in.Finished
+	s.catalog, s.nextWorker, s.nowMs, s.finished, s.departed = in.Catalog, in.NextWorker, in.NowMs, in.Finished, in.Departed
 	for _, job := range in.Jobs {
 		s.jobs[job.ID] = job
 	}
--- a/workflow/state.go
+++ b/workflow/state.go
@@ -158,8 +158,22 @@
 	nowMs      int64
 	// finished lists the ended jobs that are still kept, in the order of their end.
 	finished []JobID
+	// departed lists the incarnations that ended after they drained, in the order of
+	// their end.
+	departed []departure
 }
 
+// departure is the planned end of an incarnation of a worker.
+type departure struct {
+	_    struct{} `cbor:",toarray"`
+	Life Incarnation
+	AtMs int64
+}
+
+// departureRetentionMs is how long a departure is kept, in milliseconds. It exceeds the
+// time by which a report may be delayed.
+const departureRetentionMs = 300_000
+
 // NewState returns the state of a new cluster.
 func NewState() *State {
 	return &State{
@@ -213,9 +227,12 @@
 }
 
 // AdvanceTime sets the state's time, which never goes backwards, and drops the jobs
-// whose retention has ended.
+// and departures whose retention has ended.
 func (s *State) AdvanceTime(nowMs int64) {
 	s.nowMs = max(s.nowMs, nowMs)
+	for len(s.departed) > 0 && s.nowMs-s.departed[0].AtMs >= departureRetentionMs {
+		s.departed = s.departed[1:]
+	}
 	for len(s.finished) > 0 {
 		job := s.jobs[s.finished[0]]
 		if job != nil && s.nowMs-job.FinishedMs < endedJobRetentionMs {
@@ -379,6 +396,9 @@
 	if w == nil {
 		return kind.Errorf(kind.NotFound, "worker %d does not exist", l.Worker)
 	}
+	if l.Over && w.Draining {
+		s.departed = append(s.departed, departure{Life: w.Life, AtMs: s.nowMs})
+	}
 	w.Draining = true
 	if l.Over {
 		s.endIncarnation(w)
@@ -386,6 +406,12 @@
 	return nil
 }
 
+// Departed reports whether the incarnation has ended after it drained. It is known for
+// departureRetentionMs.
+func (s *State) Departed(life Incarnation) bool {
+	return slices.ContainsFunc(s.departed, func(d departure) bool { return d.Life == life })
+}
+
 // endIncarnation releases all attempts of a worker and removes it.
 func (s *State) endIncarnation(w *Worker) {
 	for ref, attempt := range w.Attempts {
