--- a/dispatch/incarnations.go
+++ b/dispatch/incarnations.go
@@ -23,8 +23,13 @@
 
 // Announce processes a worker's announcement and calls done once it is recorded
 // or refused. The error is of kind stale_incarnation if a newer incarnation of the
-// worker, or of another worker at its address, is recorded.
+// worker, or of another worker at its address, is recorded, or if the incarnation has
+// withdrawn: the report was delayed.
 func (e *Engine) Announce(a *Announcement, done func(*kind.Error)) {
+	if e.state.Departed(a.Life) {
+		e.afterCommit(func() { done(kind.Errorf(kind.StaleIncarnation, "worker %q has withdrawn", a.Life.Name)) })
+		return
+	}
 	w := e.state.WorkerNamed(a.Life.Name)
 	if w == nil || w.Life.BornMs < a.Life.BornMs {
 		if err := e.join(a); err != nil {
@@ -52,10 +57,13 @@
 
 func (e *Engine) join(a *Announcement) error {
 	join := &workflow.Join{Life: a.Life, Address: a.Address, Service: a.Service, Zone: a.Zone, Labels: a.Labels, Rack: a.Rack, Capacity: a.Capacity}
-	if old := e.state.WorkerNamed(a.Life.Name); old != nil && old.Life.BornMs < a.Life.BornMs {
+	if err := e.state.CheckJoin(join); err != nil {
+		return err
+	}
+	if old := e.state.WorkerNamed(a.Life.Name); old != nil {
 		join.Carry = e.replaceIncarnation(old, a)
 	}
-	if old := e.state.WorkerAt(a.Address); old != nil && old.Life.Name != a.Life.Name && old.Life.BornMs <= a.Life.BornMs {
+	if old := e.state.WorkerAt(a.Address); old != nil && old.Life.Name != a.Life.Name {
 		e.endIncarnation(old, "replaced_at_its_address")
 	}
 	if err := e.propose(workflow.Op{Join: join}); err != nil {
@@ -102,14 +110,48 @@
 	return step != nil && job.Service == w.Service && !w.Draining && w.Reserved.Fits(w.Capacity) && w.HasRequiredLabel(step)
 }
 
-// Withdraw processes a worker's report that it shuts down. bornMs is the start of
-// its incarnation, zero if the report names none.
+// Withdraw processes a worker's report that it shuts down and calls done once its end
+// is recorded. bornMs is the start of its incarnation, zero if the report names none.
+// The worker may run on for seconds if the answer is lost, so what runs there is
+// stopped first.
 func (e *Engine) Withdraw(name string, bornMs int64, done func()) {
 	w := e.state.WorkerNamed(name)
-	if w != nil && (w.Life.BornMs == bornMs || bornMs == 0 && w.Draining) {
-		e.endIncarnation(w, "withdrew")
+	if w == nil || w.Life.BornMs != bornMs && (bornMs != 0 || !w.Draining) {
+		e.afterCommit(done)
+		return
+	}
+	if !w.Draining {
+		if err := e.propose(workflow.Op{Leave: &workflow.Leave{Worker: w.ID}}); err != nil {
+			e.log.Error().Err(err).Str("worker", name).Msg("worker end not recorded")
+			return
+		}
+	}
+	v := e.views[w.ID]
+	if _, repeated := e.withdrawals[w.ID]; !repeated {
+		e.log.Info().Str("worker", name).Int64("born_ms", w.Life.BornMs).Int("attempts", len(v.attempts)).Uint64("term", e.term).Msg("worker withdraws")
+	}
+	e.withdrawals[w.ID] = append(e.withdrawals[w.ID], done)
+	for _, a := range v.attemptList {
+		a.stopWanted = true
+	}
+	e.issueDueOrders(v)
+	e.endWithdrawn(w.ID)
+}
+
+// endWithdrawn records the end of a withdrawn worker once no attempt is left on it, and
+// confirms its withdrawal.
+func (e *Engine) endWithdrawn(id workflow.WorkerID) {
+	v := e.views[id]
+	if v != nil && len(v.attempts) > 0 {
+		return
+	}
+	if v != nil {
+		e.endIncarnation(v.worker, "withdrew")
+	}
+	for _, done := range e.withdrawals[id] {
+		e.afterCommit(done)
 	}
-	e.afterCommit(done)
+	delete(e.withdrawals, id)
 }
 
 // endIncarnation voids the attempts of an incarnation of a worker and records its
