dispatch: the simulation says where a wrong start came from

TestNothingRunsTwice runs on for 12 s after the last job, since orders are still under way then, and names the order behind each wrong start. A late order takes any time from 1 s to 12 s.

A late start on an incarnation that no leader has reached yet.

--- a/dispatch/engine_test.go
+++ b/dispatch/engine_test.go
@@ -168,6 +168,7 @@
 			w.partitioned = false
 		}
 		assert.True(t, s.runUntil(60*time.Second, func() bool { return s.allEnded(20) }), "seed %d", seed)
+		s.run(latestArrival) // Orders that are still under way.
 		assert.Empty(t, s.violations, "seed %d", seed)
 	}
 }
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -79,6 +79,12 @@
 
 const networkDelay = time.Millisecond
 
+// A late order is carried out this long after it was sent.
+const (
+	earliestArrival = time.Second
+	latestArrival   = 12 * time.Second
+)
+
 // trace logs the decisions and what the workers do if MANGOHILL_TRACE is set.
 var trace = newTrace()
 
@@ -216,7 +222,7 @@
 	case s.rng.Float64() < s.faults.lostOrder:
 		return
 	case s.rng.Float64() < s.faults.late:
-		late, delay, lostAnswer = true, time.Duration(2+s.rng.IntN(10))*time.Second, true
+		late, delay, lostAnswer = true, earliestArrival+time.Duration(s.rng.Int64N(int64(latestArrival-earliestArrival))), true
 	}
 	// A late order may have reached the machine before it was partitioned.
 	arrived := late && s.rng.IntN(2) == 0
--- a/dispatch/sim_worker_test.go
+++ b/dispatch/sim_worker_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -23,7 +24,10 @@
 	draining    bool
 	// fails makes the worker fail all tasks that it starts; with hangs they make
 	// no progress.
-	fails, hangs   bool
+	fails, hangs bool
+	// reached is set once the worker has carried out an order that was sent to this
+	// incarnation.
+	reached        bool
 	fence          uint64
 	leaseExpiresAt Instant
 	running        map[workflow.TaskRef]*simRun
@@ -157,8 +161,12 @@
 		w.sim.violate("%s is asked to start %s before any other order showed it fence %d", w.life.Name, order.Task, order.Fence)
 	}
 	w.fence = order.Fence
+	w.reached = w.reached || order.Life == w.life
 	switch order.Verb {
 	case Poll:
+		if order.Life != w.life && len(w.ended) > 0 && w.ended[0].Number <= order.AckedThrough {
+			trace.Info().Str("worker", w.life.Name).Uint64("acked", order.AckedThrough).Uint64("fence", order.Fence).Dur("sent_ago", w.sim.now.Sub(order.SentAt)).Dur("now", time.Duration(w.sim.now)).Msg("poll of the previous incarnation acknowledges ends of this one")
+		}
 		w.renewLease(order.ExpiresMs)
 		w.openPoll(order, answer)
 	case Start:
@@ -216,10 +224,20 @@
 		return Expired
 	}
 	w.renewLease(order.ExpiresMs)
+	before := len(w.sim.violations)
 	w.beginRun(ref, order.Attempt)
+	for i := before; i < len(w.sim.violations); i++ {
+		w.sim.violations[i] += w.describe(order)
+	}
 	return Done
 }
 
+// describe tells where an order that a worker carried out came from.
+func (w *simWorker) describe(order *Order) string {
+	return fmt.Sprintf(" (attempt %d on %s, reached by a leader: %v; sent %v before, fence %d, same incarnation: %v)",
+		order.Attempt, w.life.Name, w.reached, w.sim.now.Sub(order.SentAt), order.Fence, order.Life == w.life)
+}
+
 // beginRun starts an attempt and checks the invariants that must hold at each
 // start.
 func (w *simWorker) beginRun(ref workflow.TaskRef, attempt uint32) {
