dispatch: reports that are lost or late, answers that don't say whose they are

Cause: every report of the simulated workers arrived at once, so the leader knew of each incarnation from its first millisecond. The platform: a report may be lost, may be delayed until after its incarnation has ended, and may arrive twice. Only what a worker says of itself and of its lists of runs names the incarnation (born): the simulation passed every answer of the next incarnation as one of the previous.

A poll answered by the next incarnation counts as unanswered, as in platform/workers.go; other answers of it do so with equal chance, and otherwise pass as answers of the previous one.

The start of an attempt is repeated and reaches the new incarnation, runs and ends as number N. The leader's polls still carry AckedThrough of the previous incarnation (8, N below it): the new one forgets the end. Each answer shows another born and is dropped as unanswered, so the polls go on. After the report the attempt is carried, its start answered 'outdated', the poll shows it neither running nor ended: void 'not_running', and the task starts again. Wrong in dispatch: poll (workers.go) acknowledges ends after a poll that was not answered by this incarnation, and nothing stops starts to an incarnation of which an answer says that it is over.

--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -54,6 +54,14 @@
 	// failing is the probability that a task fails, shedding that a worker
 	// refuses a start.
 	failing, shedding float64
+	// lostReport and lateReport are the probabilities that a worker's report is lost, and
+	// that it arrives late: once more, or only then.
+	lostReport, lateReport float64
+}
+
+// happens reports whether a fault of the given probability occurs.
+func (s *sim) happens(probability float64) bool {
+	return probability > 0 && s.rng.Float64() < probability
 }
 
 type timer struct {
@@ -227,7 +235,10 @@
 	// A late order may have reached the machine before it was partitioned.
 	arrived := late && s.rng.IntN(2) == 0
 	s.after(delay, func() {
-		s.arrive(order, late, arrived, func(a Answer) {
+		s.arrive(order, late, arrived, func(a Answer, w *simWorker) {
+			if w.life != order.Life && w.showsLife(&a) {
+				a = Answer{Order: order} // As the platform's client takes it.
+			}
 			if !lostAnswer {
 				s.after(s.delay, func() { reply(a) })
 			}
@@ -239,7 +250,7 @@
 // need not be the one that it was sent to. An order that is not late is lost if the worker
 // is partitioned; a late one is then carried out if it had arrived before, or once the
 // worker is reachable.
-func (s *sim) arrive(order Order, late, arrived bool, answer func(Answer)) {
+func (s *sim) arrive(order Order, late, arrived bool, answer func(Answer, *simWorker)) {
 	w := s.workers[order.Address]
 	switch {
 	case w == nil || w.dead:
@@ -249,7 +260,7 @@
 	default:
 		w.handleOrder(order, func(a Answer) {
 			if !w.partitioned {
-				answer(a)
+				answer(a, w)
 			}
 		})
 	}
--- a/dispatch/sim_worker_test.go
+++ b/dispatch/sim_worker_test.go
@@ -119,22 +119,36 @@
 	return w
 }
 
+// report announces the worker to the leader every second. A report may be lost, arrive
+// late, also after its incarnation has ended, or arrive twice.
 func (w *simWorker) report() {
 	if w.dead {
 		return
 	}
-	if !w.partitioned {
-		w.sim.engine.Announce(&Announcement{
-			Life: w.life, Address: w.address, Service: "pool", Zone: "z", Labels: w.labels, Rack: w.rack, Capacity: w.capacity, Draining: w.draining, ClockMs: w.clock(),
-		}, func(*kind.Error) {})
+	s := w.sim
+	announcement := Announcement{
+		Life: w.life, Address: w.address, Service: "pool", Zone: "z", Labels: w.labels, Rack: w.rack, Capacity: w.capacity, Draining: w.draining, ClockMs: w.clock(),
+	}
+	deliver := func() { s.engine.Announce(&announcement, func(*kind.Error) {}) }
+	if s.happens(s.faults.lateReport) {
+		s.after(time.Duration(s.rng.Int64N(int64(latestArrival))), deliver)
+	}
+	if !w.partitioned && !s.happens(s.faults.lostReport) {
+		deliver()
 	}
-	w.sim.after(time.Second, w.report)
+	s.after(time.Second, w.report)
 }
 
 // clock returns the worker's clock in milliseconds. It starts with the
 // incarnation and runs 2% slow.
 func (w *simWorker) clock() int64 { return int64(w.sim.now-w.startedAt)*98/100/1_000_000 + 1 }
 
+// showsLife reports whether an answer says which incarnation gave it. Those with the lists
+// of runs do, others need not.
+func (w *simWorker) showsLife(a *Answer) bool {
+	return a.Order.Verb == Poll && a.Outcome == Done || w.sim.rng.IntN(2) == 0
+}
+
 func (w *simWorker) crash() {
 	w.dead = true
 	for ref, run := range w.running {
