Polls acknowledge ends only to an incarnation that answered the poll before

The ends there are numbered from 1 again, and the polls to its address still acknowledged those of the previous incarnation: the end was forgotten unread, the answer dropped because it shows another start time. After the report the attempt was voided as not running, and the task started again.

A poll now acknowledges ends only if the incarnation answered the poll before; after a poll without an answer it acknowledges none until there is one.

--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -116,7 +116,8 @@
 }
 
 func (e *Engine) handlePollAnswer(v *workerView, answer *Answer) {
-	if answer.Outcome != Done {
+	v.pollAnswered = answer.Outcome == Done
+	if !v.pollAnswered {
 		v.pollInFlight = false
 		v.nextPollAt = e.now.Add(pollRetryDelay)
 		return
--- a/dispatch/incarnations_test.go
+++ b/dispatch/incarnations_test.go
@@ -67,3 +67,28 @@
 	require.Empty(t, s.violations)
 	require.Equal(t, 2, s.starts, "the run in the next incarnation must be adopted")
 }
+
+// A worker restarts, and its report is delayed. The next incarnation, whose ends are
+// numbered from 1 again, carries out a start and ends it. A poll that still acknowledges
+// the ends of the previous incarnation would make it forget that end, and the task would
+// run again.
+func TestAPollAcknowledgesNoEndOfTheNextIncarnation(t *testing.T) {
+	s := newSim(t, 23)
+	s.setCatalog()
+	w := s.addWorker("w1", 4)
+	s.run(time.Second)
+	s.submit(1, step(4))
+	require.True(t, s.runUntil(5*time.Second, func() bool { return s.state(1) == workflow.JobCompleted }))
+	s.run(time.Second)
+	require.Empty(t, w.ended, "the ends must be acknowledged")
+	w.crash()
+	s.faults.lostReport = 1
+	next := s.addWorker("w1", 4)
+	s.submit(2, step(1))
+	require.True(t, s.runUntil(5*time.Second, func() bool { return len(next.ended) == 1 }))
+	s.run(3 * time.Second)
+	s.faults.lostReport = 0
+	require.True(t, s.runUntil(5*time.Second, func() bool { return s.state(2) == workflow.JobCompleted }))
+	require.Empty(t, s.violations)
+	require.Equal(t, 5, s.starts)
+}
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -18,6 +18,9 @@
 	// pollInFlight is set while no further poll may be sent: from a poll until
 	// the ends in its answer are committed.
 	pollInFlight bool
+	// pollAnswered is set if the incarnation answered the latest poll. If not, its
+	// successor may answer the next one, whose ends have the same numbers.
+	pollAnswered bool
 	nextPollAt   Instant
 	// answeredAt is when the worker last answered an order.
 	answeredAt Instant
@@ -258,7 +261,10 @@
 
 func (e *Engine) poll(v *workerView) {
 	v.pollInFlight = true
-	order := Order{Verb: Poll, AckedThrough: v.lastEndAcked, Wait: pollWait}
+	order := Order{Verb: Poll, Wait: pollWait}
+	if v.pollAnswered {
+		order.AckedThrough = v.lastEndAcked
+	}
 	if e.overTarget(v) && e.scavengersWork(v) {
 		order.Wait = overrunPollWait
 	}
