All attempts of a worker that restarted wait for its first poll

Callers could see a task run twice: a start that was meant for the previous incarnation and reached the next one, before its report, may be answered without a start time. It then counted as answered by the previous one, and at the report the attempt was voided as one without a start in flight, while it ran. Only a poll says of whom it tells.

All committed attempts at the same address are now carried to the next incarnation and decided by its first poll, which costs a round trip; they keep the checkpoint that the last poll showed.

TestARunThatTheNextIncarnationBeganIsKept failed with the rule of before: 'runs twice'. TestACheckpointSurvivesTheRestartOfAWorker guards the new path.

--- a/dispatch/incarnations.go
+++ b/dispatch/incarnations.go
@@ -60,7 +60,9 @@
 	if err := e.state.CheckJoin(join); err != nil {
 		return err
 	}
+	var previous *workerView
 	if old := e.state.WorkerNamed(a.Life.Name); old != nil {
+		previous = e.views[old.ID]
 		join.Carry = e.replaceIncarnation(old, a)
 	}
 	if old := e.state.WorkerAt(a.Address); old != nil && old.Life.Name != a.Life.Name {
@@ -72,7 +74,8 @@
 	w := e.state.WorkerNamed(a.Life.Name)
 	v := e.addView(w)
 	for _, a := range v.attemptList {
-		a.carried, a.stopWanted = true, a.stopWanted || !e.canRun(w, a)
+		a.carried, a.checkpoint = true, previous.attempts[a.ref].checkpoint
+		a.stopWanted = a.stopWanted || !e.canRun(w, a)
 	}
 	v.clockMs, v.clockReadAt = a.ClockMs, e.now
 	// The poll does not wait for the commit: the incarnation rejects orders to its
@@ -85,13 +88,14 @@
 }
 
 // replaceIncarnation ends an incarnation whose worker announces a newer one. It
-// returns the attempts whose starts may still reach the new incarnation at the
-// same address: they stay recorded until its first poll shows whether they run there.
+// returns the attempts that stay recorded until the first poll of the new incarnation
+// shows whether they run there: all those of which a start may reach the same address,
+// or did before the announcement.
 func (e *Engine) replaceIncarnation(old *workflow.Worker, next *Announcement) []workflow.TaskRef {
 	v := e.views[old.ID]
 	var carried []workflow.TaskRef
 	for _, a := range v.attemptList {
-		if a.startsInFlight() > 0 && old.Address == next.Address {
+		if a.committed && old.Address == next.Address {
 			carried = append(carried, a.ref)
 			continue
 		}
--- a/dispatch/incarnations_test.go
+++ b/dispatch/incarnations_test.go
@@ -92,3 +92,45 @@
 	require.Empty(t, s.violations)
 	require.Equal(t, 5, s.starts)
 }
+
+// A worker restarts, its report is delayed, and the next incarnation answers a start
+// that was meant for the previous one. The leader must not start the task elsewhere once
+// the report arrives.
+func TestARunThatTheNextIncarnationBeganIsKept(t *testing.T) {
+	for seed := uint64(1); seed <= 8; seed++ { // With half of them, the answer does not show the incarnation.
+		s := newSim(t, seed)
+		s.setCatalog()
+		w := s.addWorker("w1", 4)
+		s.run(time.Second)
+		w.crash()
+		s.faults.lostReport = 1
+		next := s.addWorker("w1", 4)
+		long := step(1)
+		long.EstimatedMs = 20_000
+		s.submit(1, long)
+		require.True(t, s.runUntil(time.Second, func() bool { return len(next.running) == 1 }))
+		s.run(time.Second)
+		s.faults.lostReport = 0
+		s.addWorker("w2", 4)
+		require.True(t, s.runUntil(60*time.Second, func() bool { return s.state(1) == workflow.JobCompleted }))
+		require.Empty(t, s.violations)
+		require.Equal(t, 1, s.starts)
+	}
+}
+
+// A task that saves its progress runs on a worker that restarts. The next attempt must
+// begin with the checkpoint that the last poll showed.
+func TestACheckpointSurvivesTheRestartOfAWorker(t *testing.T) {
+	s := newSim(t, 25)
+	s.setCatalog()
+	w := s.addWorker("w1", 4)
+	s.run(time.Second)
+	s.startLongTasks(1)
+	ref := workflow.TaskRef{Job: 1}
+	s.engine.sortedViews[0].attempts[ref].checkpoint = "c1"
+	w.crash()
+	s.addWorker("w1", 4)
+	require.True(t, s.runUntil(5*time.Second, func() bool { return s.starts == 2 }))
+	require.Equal(t, "c1", s.committed.Job(1).Task(ref).Checkpoint)
+	require.Empty(t, s.violations)
+}
