Leader that drops its engine gives up its term

After state_diverged the loop built a new engine in the same term. Its orders carried the fencing token of the former engine, whose starts may still be under way and are unknown to it: no poll of the new engine rules them out. After batch_not_committed (a batch above 1 MiB, say), batch_not_encoded and fenced the member kept the leadership of the log without an engine: nobody served calls until an election that nothing caused.

The loop now gives the term up in these cases. Replica.StepDown hands the leadership to a voter that holds the whole log (as a planned stop does), or else steps down as without a quorum; it does nothing in a later term. All members then lead with a higher fencing token only.

TestALeaderThatStepsDownIsFollowed is new, with 1 and 3 members.

--- a/consensus/election.go
+++ b/consensus/election.go
@@ -173,6 +173,14 @@
 	return true
 }
 
+// StepDown gives up the leadership, to another voter if one can take it at once. The
+// next leader, which may be this member, leads a later term.
+func (c *Core) StepDown() {
+	if c.role == Leader && !c.TransferLeadership() {
+		c.becomeFollower(c.term, 0)
+	}
+}
+
 func (c *Core) handleTimeoutNow() {
 	if c.isVoter() && c.role != Leader {
 		c.campaign(true)
--- a/coordinator/loop.go
+++ b/coordinator/loop.go
@@ -148,13 +148,26 @@
 	clear(l.unanswered)
 }
 
+// giveUp drops the engine and gives up the leadership. An engine that took over in the
+// same term would not know which orders of this one may still be carried out, and its
+// fencing token would not rule them out.
+func (l *loop) giveUp(reason string) {
+	l.resign(reason)
+	term := l.term
+	l.goroutines.Go(func() {
+		if err := l.replica.StepDown(l.ctx, term); err != nil {
+			l.options.Logger.Warn().Err(err).Uint64("term", term).Msg("leadership not given up")
+		}
+	})
+}
+
 func (l *loop) handleAnswer(a *dispatch.Answer) {
 	l.metrics.countOutcome(a)
 	if l.engine == nil || a.Order.Fence != l.term {
 		return
 	}
 	if !l.engine.HandleAnswer(a) {
-		l.resign("fenced")
+		l.giveUp("fenced")
 	}
 }
 
@@ -164,14 +177,13 @@
 	}
 	if committed.err != nil {
 		l.options.Logger.Warn().Err(committed.err).Uint64("term", committed.term).Msg("batch not committed")
-		l.resign("batch_not_committed")
+		l.giveUp("batch_not_committed")
 		return
 	}
 	for _, err := range committed.result.([]error) {
 		if err != nil {
 			l.options.Logger.Error().Err(err).Uint64("term", committed.term).Msg("state diverged")
-			l.resign("state_diverged")
-			l.lead(committed.term)
+			l.giveUp("state_diverged")
 			return
 		}
 	}
@@ -238,7 +250,7 @@
 	data, err := batch.Encode()
 	if err != nil {
 		l.options.Logger.Error().Err(err).Msg("batch not encoded")
-		l.resign("batch_not_encoded")
+		l.giveUp("batch_not_encoded")
 		return
 	}
 	term := l.term
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -40,6 +40,7 @@
 		"leader changed",
 		"leader lost",
 		"leadership changed",
+		"leadership not given up",
 		"leading",
 		"maintenance answered",
 		"maintenance changed",
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -32,7 +32,9 @@
 	read    bool
 	join    *consensus.Member
 	failure error
-	done    chan outcome
+	// stepDown gives up the leadership of this term, zero for no such request.
+	stepDown uint64
+	done     chan outcome
 }
 
 // peerEvent is an event from a peer: messages, possibly with the snapshot that
@@ -239,6 +241,11 @@
 		l.requestRead(req)
 	case req.join != nil:
 		l.admit(req)
+	case req.stepDown != 0:
+		if l.core.Status().Term == req.stepDown {
+			l.core.StepDown()
+		}
+		req.done <- outcome{}
 	}
 	return nil
 }
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -278,6 +278,15 @@
 	return err
 }
 
+// StepDown gives up the leadership of a term, if this replica still has it: to another
+// voter if one can take it at once, otherwise to whoever wins the next election. Errors
+// are of kind not_leader (this replica has not joined a cluster yet), deadline_exceeded,
+// stopping or unknown_outcome.
+func (r *Replica) StepDown(ctx context.Context, term uint64) error {
+	_, err := r.submit(ctx, request{stepDown: term, done: make(chan outcome, 1)})
+	return err
+}
+
 func (r *Replica) submit(ctx context.Context, req request) (any, error) {
 	if err := r.checkRunning(); err != nil {
 		return nil, err
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -167,6 +167,31 @@
 	propose(t, nodes, "second")
 }
 
+// A leader that gives up its term must be followed by one of a later term, also as the
+// only voter. A request that arrives in a later term must not end that one.
+func TestALeaderThatStepsDownIsFollowed(t *testing.T) {
+	for _, size := range []int{1, 3} {
+		nodes := newNodes(t, size, slowTicks)
+		startGroup(t, nodes)
+		propose(t, nodes, "first")
+		old := leaderOf(nodes)
+		term := old.replica.Status().Term
+		require.NoError(t, old.replica.StepDown(t.Context(), term))
+		eventually(t, "a replica leads in a later term", func() bool {
+			leader := leaderOf(nodes)
+			return leader != nil && leader.replica.Status().Term > term
+		})
+		propose(t, nodes, "second")
+		next := leaderOf(nodes)
+		require.NoError(t, next.replica.StepDown(t.Context(), term))
+		propose(t, nodes, "third")
+		assert.Equal(t, next, leaderOf(nodes))
+		for _, n := range nodes {
+			n.stop()
+		}
+	}
+}
+
 func TestPlannedStopUnderLoadLeavesNoProposalOpen(t *testing.T) {
 	nodes := newNodes(t, 3, slowTicks)
 	startGroup(t, nodes)
