--- a/dispatch/incarnations.go
+++ b/dispatch/incarnations.go
@@ -48,7 +48,7 @@
 			return
 		}
 		e.afterCommit(func() {
-			e.log.Info().Str("worker", w.Life.Name).Uint64("term", e.fence).Msg("worker draining")
+			e.log.Info().Str("worker", w.Life.Name).Uint64("term", e.term).Msg("worker draining")
 			e.evacuate(w.ID)
 		})
 	}
@@ -72,33 +72,33 @@
 	w := e.state.WorkerNamed(a.Life.Name)
 	v := e.addView(w)
 	for _, a := range v.attemptList {
-		a.stopWanted = a.stopWanted || !e.canRun(w, a)
+		a.carried, a.stopWanted = true, a.stopWanted || !e.canRun(w, a)
 	}
 	v.clockMs, v.clockReadAt = a.ClockMs, e.now
-	v.pollInFlight = true // Until the incarnation is committed.
+	// The poll does not wait for the commit: the incarnation rejects orders to its
+	// predecessors only once it has answered one of its own.
+	e.poll(v)
 	e.afterCommit(func() {
-		e.log.Info().Str("worker", w.Life.Name).Int64("born_ms", w.Life.BornMs).Str("address", w.Address).Str("service", w.Service).Uint64("term", e.fence).Msg("worker joined")
-		v.pollInFlight = false
-		e.issueDueOrders(v)
+		e.log.Info().Str("worker", w.Life.Name).Int64("born_ms", w.Life.BornMs).Str("address", w.Address).Str("service", w.Service).Uint64("term", e.term).Msg("worker joined")
 	})
 	return nil
 }
 
 // replaceIncarnation ends an incarnation whose worker announces a newer one. It
-// returns the attempts whose start may still reach the new incarnation at the
-// same address: they stay recorded, and are started or stopped there.
+// returns the attempts whose starts may still reach the new incarnation at the
+// same address: they stay recorded until its first poll shows whether they run there.
 func (e *Engine) replaceIncarnation(old *workflow.Worker, next *Announcement) []workflow.TaskRef {
 	v := e.views[old.ID]
 	var carried []workflow.TaskRef
 	for _, a := range v.attemptList {
-		if a.committed && !a.seenInPoll && old.Address == next.Address {
+		if a.startsInFlight() > 0 && old.Address == next.Address {
 			carried = append(carried, a.ref)
 			continue
 		}
 		e.void(v, a, "new_life")
 	}
 	e.dropView(v)
-	e.log.Info().Str("worker", old.Life.Name).Int64("born_ms", old.Life.BornMs).Int64("next_born_ms", next.Life.BornMs).Int("carried", len(carried)).Uint64("term", e.fence).Msg("worker reborn")
+	e.log.Info().Str("worker", old.Life.Name).Int64("born_ms", old.Life.BornMs).Int64("next_born_ms", next.Life.BornMs).Int("carried", len(carried)).Uint64("term", e.term).Msg("worker reborn")
 	return carried
 }
 
@@ -128,7 +128,7 @@
 	}
 	v := e.views[w.ID]
 	if _, repeated := e.withdrawals[w.ID]; !repeated {
-		e.log.Info().Str("worker", name).Int64("born_ms", w.Life.BornMs).Int("attempts", len(v.attempts)).Uint64("term", e.fence).Msg("worker withdraws")
+		e.log.Info().Str("worker", name).Int64("born_ms", w.Life.BornMs).Int("attempts", len(v.attempts)).Uint64("term", e.term).Msg("worker withdraws")
 	}
 	e.withdrawals[w.ID] = append(e.withdrawals[w.ID], done)
 	for _, a := range v.attemptList {
@@ -163,7 +163,7 @@
 		return
 	}
 	e.dropView(e.views[w.ID])
-	e.log.Info().Str("worker", w.Life.Name).Int64("born_ms", w.Life.BornMs).Str("reason", reason).Uint64("term", e.fence).Msg("worker over")
+	e.log.Info().Str("worker", w.Life.Name).Int64("born_ms", w.Life.BornMs).Str("reason", reason).Uint64("term", e.term).Msg("worker over")
 }
 
 func (e *Engine) dropView(v *workerView) {
--- /dev/null
+++ b/dispatch/incarnations_test.go
@@ -0,0 +1,69 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mangohill.example/mangohill/workflow"
+)
+
+// startOrder returns a start that the leader may have sent to this incarnation and
+// that is still under way.
+func (w *simWorker) startOrder(ref workflow.TaskRef, attempt uint32) Order {
+	return Order{Verb: Start, Life: w.life, Address: w.address, Fence: w.fence, Task: ref, Attempt: attempt, ExpiresMs: w.clock() + w.sim.settings.Lease.Milliseconds()}
+}
+
+// A start that was sent to the previous incarnation of a worker arrives after the next
+// one, which knows nothing of its predecessor, has answered a poll. The task has ended
+// since; it must not run again.
+func TestAStartToThePreviousIncarnationIsRejected(t *testing.T) {
+	s := newSim(t, 21)
+	s.setCatalog()
+	w := s.addWorker("w1", 4)
+	s.run(time.Second)
+	s.submit(1, step(1))
+	require.True(t, s.runUntil(5*time.Second, func() bool { return s.state(1) == workflow.JobCompleted }))
+	late := w.startOrder(workflow.TaskRef{Job: 1}, 1)
+	w.crash()
+	s.run(time.Second)
+	next := s.addWorker("w1", 4)
+	s.run(time.Second)
+	require.NotZero(t, next.fence, "the leader must have polled the new incarnation")
+	var answer Answer
+	next.handleOrder(late, func(a Answer) { answer = a })
+	require.Equal(t, Fenced, answer.Outcome)
+	require.Empty(t, s.violations)
+	s.submit(2, step(1))
+	require.True(t, s.runUntil(5*time.Second, func() bool { return s.state(2) == workflow.JobCompleted }), "the leader must go on")
+}
+
+// The first start of a task gets no answer, the second one is answered, and the task
+// runs. The worker restarts, and the next incarnation carries out the first start. The
+// leader must not start the task elsewhere before it has seen what runs there.
+func TestATaskIsNotMovedWhileAStartMayReachTheNextIncarnation(t *testing.T) {
+	s := newSim(t, 22)
+	s.setCatalog()
+	w := s.addWorker("w1", 4)
+	s.run(time.Second)
+	long := step(1)
+	long.EstimatedMs = 20_000
+	s.faults.lostOrder = 1
+	s.submit(1, long)
+	s.run(700 * time.Millisecond)
+	s.faults.lostOrder = 0
+	ref := workflow.TaskRef{Job: 1}
+	require.True(t, s.runUntil(3*time.Second, func() bool { return w.running[ref] != nil }))
+	s.run(3 * time.Second)
+	s.addWorker("w2", 4)
+	s.run(time.Second)
+	unanswered := w.startOrder(ref, 1)
+	w.crash()
+	s.run(500 * time.Millisecond)
+	next := s.addWorker("w1", 4)
+	next.handleOrder(unanswered, func(Answer) {})
+	require.True(t, s.runUntil(60*time.Second, func() bool { return s.state(1) == workflow.JobCompleted }))
+	require.Empty(t, s.violations)
+	require.Equal(t, 2, s.starts, "the run in the next incarnation must be adopted")
+}
