--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -42,6 +42,8 @@
 	wallBase     int64
 	settings     Settings
 	starts       int
+	// send replaces deliver if it is set.
+	send func(engine *Engine, order Order)
 	// notSent makes the leader send no orders.
 	notSent bool
 	// delay is the time that an order or an answer takes, commitDelay that of a batch.
@@ -162,6 +164,10 @@
 		})
 	}
 	for _, order := range engine.TakeOrders() {
+		if s.send != nil {
+			s.send(engine, order)
+			continue
+		}
 		s.deliver(engine, order)
 	}
 }
