--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -14,10 +14,9 @@
 type Engine struct {
 	settings Settings
 	log      zerolog.Logger
-	// fence is the fencing token in every order: the leader's term.
-	fence uint64
-	state *workflow.State
-	views map[workflow.WorkerID]*workerView
+	term     uint64
+	state    *workflow.State
+	views    map[workflow.WorkerID]*workerView
 	// sortedViews holds the same views in the order of their worker IDs. It is
 	// replaced, never modified in place.
 	sortedViews []*workerView
@@ -40,6 +39,12 @@
 	gangWaitingSince map[workflow.StepRef]Instant
 	// lastFailures holds, per task, the worker on which an attempt failed last.
 	lastFailures map[workflow.TaskRef]taskFailure
+	// formerAttempts are attempts that are over although starts of them may still be
+	// carried out, oldest first.
+	formerAttempts []formerAttempt
+	// withdrawals holds what confirms the withdrawals of workers on which attempts
+	// may still run.
+	withdrawals map[workflow.WorkerID][]func()
 }
 
 // Counters count decisions since the engine was created. Lapsed counts attempts
@@ -65,9 +70,9 @@
 // committed state, which it owns from then on.
 func New(settings Settings, log zerolog.Logger, term uint64, state *workflow.State, now Instant) *Engine {
 	e := &Engine{
-		settings: settings, log: log, fence: term, state: state, now: now, tookOverAt: now, wallMs: state.NowMs(),
+		settings: settings, log: log, term: term, state: state, now: now, tookOverAt: now, wallMs: state.NowMs(),
 		views: make(map[workflow.WorkerID]*workerView), slowdown: newSlowdownModel(), advisor: newAdvisor(), maintenance: newMaintenanceState(), gangWaitingSince: make(map[workflow.StepRef]Instant),
-		lastFailures: make(map[workflow.TaskRef]taskFailure),
+		lastFailures: make(map[workflow.TaskRef]taskFailure), withdrawals: make(map[workflow.WorkerID][]func()),
 	}
 	for _, id := range slices.Sorted(maps.Keys(state.Workers())) {
 		e.addView(state.Worker(id))
@@ -88,6 +93,9 @@
 	for _, v := range e.sortedViews {
 		e.issueDueOrders(v)
 	}
+	for _, id := range slices.Sorted(maps.Keys(e.withdrawals)) {
+		e.endWithdrawn(id)
+	}
 	e.advanceWaves()
 }
 
