--- a/dispatch/sim_worker_test.go
+++ b/dispatch/sim_worker_test.go
@@ -356,15 +356,18 @@
 }
 
 // acknowledge drops the ended attempts up to a number. Between the end of a task
-// and its acknowledgement the task must not have been started, unless the lease
-// expired in between.
+// and its acknowledgement the task must not have been started, and after it it must not
+// be. An end does not count if the lease expired in between.
 func (w *simWorker) acknowledge(upto uint64) {
 	for _, e := range w.ended {
 		if e.Number > upto || e.How != workflow.EndDone {
 			continue
 		}
 		at := w.endedAt[e.Number]
-		if w.leaseExpiredAt < at && w.sim.lastStartAt[e.Task] > at {
+		if w.leaseExpiredAt >= at {
+			continue
+		}
+		if w.sim.lastStartAt[e.Task] > at {
 			w.sim.violate("task %s started between its end and the acknowledgement", e.Task)
 		}
 		w.sim.acknowledged[e.Task] = true
