dispatch: workers start again behind a partition, under other names and twice

The simulated worker came back after exactly one second, reachable, under its name, and only once. The platform says none of this. Now it starts again within two seconds at its address, behind the partition if there is one, one time in four under another name, and one time in four once more within seconds.

--- a/dispatch/engine_test.go
+++ b/dispatch/engine_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"os"
 	"slices"
 	"strconv"
@@ -185,20 +186,48 @@
 // injectFault injects one fault: a change of leader, a crash or a partition of a
 // worker.
 func (s *sim) injectFault(turn int) {
-	names := []string{"w1:1", "w2:1", "w3:1", "w4:1"}
-	w := s.workers[names[s.rng.IntN(len(names))]]
+	addresses := []string{"w1:1", "w2:1", "w3:1", "w4:1"}
+	w := s.workers[addresses[s.rng.IntN(len(addresses))]]
 	switch turn % 4 {
 	case 0:
 		s.takeOver()
 	case 1:
-		w.crash()
-		s.after(time.Second, func() { s.addWorker(w.life.Name, 6) })
+		s.rebirth(w)
 	case 2:
 		w.partitioned = true
-		s.after(time.Duration(1+s.rng.IntN(14))*time.Second, func() { w.partitioned = false })
+		s.after(time.Duration(1+s.rng.IntN(14))*time.Second, func() { s.workers[w.address].partitioned = false })
+	case 3:
+		if s.rng.IntN(2) == 0 { // Nothing happens otherwise.
+			w.partitioned = true
+			s.after(time.Duration(s.rng.IntN(3000))*time.Millisecond, func() { s.rebirth(s.workers[w.address]) })
+			s.after(time.Duration(1+s.rng.IntN(14))*time.Second, func() { s.workers[w.address].partitioned = false })
+		}
 	}
 }
 
+// rebirth crashes a worker, which starts again at its address within two seconds, behind
+// the partition if there is one: mostly under its name, and at times once more soon after.
+func (s *sim) rebirth(w *simWorker) {
+	w.crash()
+	s.after(time.Duration(s.rng.IntN(2000))*time.Millisecond, func() {
+		if s.workers[w.address] != w {
+			return // Another crash was injected meanwhile.
+		}
+		name := w.life.Name
+		if s.rng.IntN(4) == 0 {
+			name = fmt.Sprintf("%s-%d", w.address, s.wall())
+		}
+		next := s.startWorker(name, w.address, 6, w.partitioned)
+		if s.rng.IntN(4) == 0 {
+			s.after(time.Duration(s.rng.IntN(2000))*time.Millisecond, func() {
+				if s.workers[w.address] == next {
+					s.rebirth(next)
+				}
+			})
+		}
+	})
+}
+
 // seeds returns the range of seeds to simulate: 1 to 20, 1 to MANGOHILL_SEEDS if
 // that is set, or only MANGOHILL_SEED.
 func seeds() (first, last uint64) {
--- a/dispatch/sim_worker_test.go
+++ b/dispatch/sim_worker_test.go
@@ -108,14 +108,27 @@
 }
 
 func (s *sim) addWorkerOn(name string, processors int64, rack string) *simWorker {
+	w := s.newWorker(name, name+":1", processors, rack)
+	w.report()
+	return w
+}
+
+// startWorker starts a worker at an address, which may be partitioned.
+func (s *sim) startWorker(name, address string, processors int64, partitioned bool) *simWorker {
+	w := s.newWorker(name, address, processors, "r1")
+	w.partitioned = partitioned
+	w.report()
+	return w
+}
+
+func (s *sim) newWorker(name, address string, processors int64, rack string) *simWorker {
 	w := &simWorker{
-		sim: s, rack: rack, life: workflow.Incarnation{Name: name, BornMs: s.wall()}, address: name + ":1", startedAt: s.now,
+		sim: s, rack: rack, life: workflow.Incarnation{Name: name, BornMs: s.wall()}, address: address, startedAt: s.now,
 		capacity: workflow.Resources{MilliProcessors: processors * 1000, MemoryMB: 100_000}, labels: []string{"a", rack},
 		running: make(map[workflow.TaskRef]*simRun), highestAttempt: make(map[workflow.TaskRef]uint32),
 		endedAt: make(map[uint64]Instant),
 	}
 	s.workers[w.address] = w
-	w.report()
 	return w
 }
 
