--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -42,6 +42,9 @@
 	// formerAttempts are attempts that are over although starts of them may still be
 	// carried out, oldest first.
 	formerAttempts []formerAttempt
+	// withdrawals holds what confirms the withdrawals of workers on which attempts
+	// may still run.
+	withdrawals map[workflow.WorkerID][]func()
 }
 
 // Counters count decisions since the engine was created. Lapsed counts attempts
@@ -69,7 +72,7 @@
 	e := &Engine{
 		settings: settings, log: log, term: term, state: state, now: now, tookOverAt: now, wallMs: state.NowMs(),
 		views: make(map[workflow.WorkerID]*workerView), slowdown: newSlowdownModel(), advisor: newAdvisor(), maintenance: newMaintenanceState(), gangWaitingSince: make(map[workflow.StepRef]Instant),
-		lastFailures: make(map[workflow.TaskRef]taskFailure),
+		lastFailures: make(map[workflow.TaskRef]taskFailure), withdrawals: make(map[workflow.WorkerID][]func()),
 	}
 	for _, id := range slices.Sorted(maps.Keys(state.Workers())) {
 		e.addView(state.Worker(id))
@@ -90,6 +93,9 @@
 	for _, v := range e.sortedViews {
 		e.issueDueOrders(v)
 	}
+	for _, id := range slices.Sorted(maps.Keys(e.withdrawals)) {
+		e.endWithdrawn(id)
+	}
 	e.advanceWaves()
 }
 
--- a/dispatch/sim_worker_test.go
+++ b/dispatch/sim_worker_test.go
@@ -22,6 +22,8 @@
 	dead        bool
 	partitioned bool
 	draining    bool
+	// silent makes the worker send no reports.
+	silent bool
 	// fails makes the worker fail all tasks that it starts; with hangs they make
 	// no progress.
 	fails, hangs bool
@@ -138,15 +140,12 @@
 	if w.dead {
 		return
 	}
-	s := w.sim
-	announcement := Announcement{
-		Life: w.life, Address: w.address, Service: "pool", Zone: "z", Labels: w.labels, Rack: w.rack, Capacity: w.capacity, Draining: w.draining, ClockMs: w.clock(),
-	}
+	s, announcement := w.sim, w.announcement()
 	deliver := func() { s.engine.Announce(&announcement, func(*kind.Error) {}) }
 	if s.happens(s.faults.lateReport) {
 		s.after(time.Duration(s.rng.Int64N(int64(latestArrival))), deliver)
 	}
-	if !w.partitioned && !s.happens(s.faults.lostReport) {
+	if !w.partitioned && !w.silent && !s.happens(s.faults.lostReport) {
 		deliver()
 	}
 	s.after(time.Second, w.report)
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -91,5 +91,6 @@
 		"worker quarantined",
 		"worker reached",
 		"worker reborn",
+		"worker withdraws",
 	}
 }
