--- a/dispatch/sim_worker_test.go
+++ b/dispatch/sim_worker_test.go
@@ -140,7 +140,8 @@
 	if w.dead {
 		return
 	}
-	s, announcement := w.sim, w.announcement()
+	s := w.sim
+	announcement := w.announcement()
 	deliver := func() { s.engine.Announce(&announcement, func(*kind.Error) {}) }
 	if s.happens(s.faults.lateReport) {
 		s.after(time.Duration(s.rng.Int64N(int64(latestArrival))), deliver)
