--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -185,31 +185,11 @@
 	}
 	event.Msg("attempt ended")
 	job := e.state.Job(end.Task.Job)
-	if end.How == workflow.EndDone && job != nil {
-		e.stopLaterAttempts(job, end)
-	}
 	if active && !job.Active() {
 		e.handleJobEnd(job)
 	}
 }
 
-// stopLaterAttempts stops the attempts that replaced one which has done its task after
-// all.
-func (e *Engine) stopLaterAttempts(job *workflow.Job, end *EndedAttempt) {
-	for i, task := range job.Occurrences[end.Task.Occurrence].Steps[end.Task.Step] {
-		ref := end.Task
-		ref.Index = uint32(i)
-		v := e.views[task.Worker]
-		if task.State != workflow.TaskDone || v == nil {
-			continue
-		}
-		if a := v.attempts[ref]; a != nil && a.number > end.Attempt {
-			a.stopWanted = true
-			e.issueAttemptOrder(v, a)
-		}
-	}
-}
-
 // handleJobEnd stops what still runs of a job, once its end is committed.
 func (e *Engine) handleJobEnd(job *workflow.Job) {
 	e.afterCommit(func() {
--- a/dispatch/incarnations_test.go
+++ b/dispatch/incarnations_test.go
@@ -134,26 +134,3 @@
 	require.Equal(t, "c1", s.committed.Job(1).Task(ref).Checkpoint)
 	require.Empty(t, s.violations)
 }
-
-// An attempt that was given up does its task after all, while a later one runs. The
-// later one must be stopped: its work would be done twice.
-func TestTheLaterAttemptOfADoneTaskIsStopped(t *testing.T) {
-	s := newSim(t, 26)
-	s.setCatalog()
-	w1 := s.addWorker("w1", 4)
-	w2 := s.addWorker("w2", 4)
-	s.run(time.Second)
-	s.startLongTasks(2)
-	ref := workflow.TaskRef{Job: 1}
-	runsOn, other := w1, w2
-	if w2.running[ref] != nil {
-		runsOn, other = w2, w1
-	}
-	other.lastEndNumber++
-	other.ended = append(other.ended, EndedAttempt{Number: other.lastEndNumber, Task: ref, Attempt: 0, How: workflow.EndDone})
-	other.answerPolls()
-	require.True(t, s.runUntil(3*time.Second, func() bool { return runsOn.running[ref] == nil }))
-	s.run(3 * time.Second)
-	require.Equal(t, workflow.JobRunning, s.state(1))
-	require.Equal(t, 2, s.starts)
-}
--- a/workflow/state.go
+++ b/workflow/state.go
@@ -487,7 +487,6 @@
 	w.Acked = e.Number
 	task := s.release(w, e.Task, e.Attempt)
 	if task == nil {
-		s.endFormerAttempt(e)
 		return nil
 	}
 	job := s.jobs[e.Task.Job]
@@ -506,20 +505,6 @@
 	return nil
 }
 
-// endFormerAttempt records that an attempt which was given up has done its task after
-// all: the task must not run again.
-func (s *State) endFormerAttempt(e *End) {
-	job := s.jobs[e.Task.Job]
-	if job == nil || e.How != EndDone {
-		return
-	}
-	task := job.Task(e.Task)
-	if task == nil || task.State == TaskDone || e.Attempt > task.Attempt || job.Spec.Steps[e.Task.Step].Lasting {
-		return
-	}
-	s.markDone(job, &job.Spec.Steps[e.Task.Step], e.Task)
-}
-
 func (s *State) setCheckpoint(job *Job, ref TaskRef, checkpoint string) {
 	if !job.Spec.Steps[ref.Step].Gang {
 		job.Task(ref).Checkpoint = checkpoint
--- a/workflow/state_test.go
+++ b/workflow/state_test.go
@@ -115,30 +115,6 @@
 	assert.Equal(t, JobCompleted, s.Job(2).State())
 }
 
-// A start that is carried out after its attempt was voided does the task all the same.
-// The task must not run again, nor may the end count for a later attempt that failed.
-func TestAGivenUpAttemptThatIsDoneEndsItsTask(t *testing.T) {
-	s := newStateWithOneWorker(t)
-	require.NoError(t, place(s, task(0, 0), 1, 1))
-	require.NoError(t, s.Apply(&Op{Void: &Void{Worker: 1, Task: task(0, 0), Attempt: 1}}))
-	require.NoError(t, end(s, 1, task(0, 0), 2, EndDone))
-	assert.Equal(t, TaskPending, s.Job(1).Task(task(0, 0)).State, "an attempt that was never placed")
-	require.NoError(t, end(s, 2, task(0, 0), 1, EndFailed))
-	assert.Zero(t, s.Job(1).Task(task(0, 0)).Failures)
-	require.NoError(t, end(s, 3, task(0, 0), 1, EndDone))
-	assert.Equal(t, TaskDone, s.Job(1).Task(task(0, 0)).State)
-	require.Error(t, place(s, task(0, 0), 1, 2))
-
-	require.NoError(t, place(s, task(0, 1), 1, 1))
-	require.NoError(t, s.Apply(&Op{Void: &Void{Worker: 1, Task: task(0, 1), Attempt: 1}}))
-	require.NoError(t, place(s, task(0, 1), 1, 2))
-	require.NoError(t, end(s, 4, task(0, 1), 1, EndDone))
-	require.NoError(t, end(s, 5, task(0, 1), 2, EndStopped))
-	assert.Equal(t, TaskDone, s.Job(1).Task(task(0, 1)).State)
-	assert.Equal(t, Resources{}, s.Worker(1).Reserved)
-	assert.EqualValues(t, 2, s.Job(1).Occurrences[0].Done[0])
-}
-
 func TestEndedJobsAreDroppedAfterRetention(t *testing.T) {
 	s := newStateWithOneWorker(t)
 	s.AdvanceTime(1000)
