Reports prove no end of what runs

Tasks could run twice after a report that was delayed. Incarnations are ordered by their start times on wall clocks alone: a delayed report of an older incarnation with a later start (the clock was set back in between), or one with an equal start under another name at the address, ended the incarnation that ran, and what it ran was started elsewhere.

A report is now a claim. A report of another worker at the address of one that answers polls and runs something is refused (200, stale): the next poll there tells (421), or the worker is unreachable in 2 s, and the next report is taken.

Open: an incarnation with an earlier start than the recorded one is never used.

--- a/dispatch/incarnations.go
+++ b/dispatch/incarnations.go
@@ -60,6 +60,11 @@
 	if err := e.state.CheckJoin(join); err != nil {
 		return err
 	}
+	if old := e.state.WorkerAt(a.Address); old != nil && old.Life.Name != a.Life.Name {
+		if v := e.views[old.ID]; len(v.attempts) > 0 && e.reachable(v) {
+			return kind.Errorf(kind.StaleIncarnation, "worker %q answers at address %s", old.Life.Name, a.Address)
+		}
+	}
 	var previous *workerView
 	if old := e.state.WorkerNamed(a.Life.Name); old != nil {
 		previous = e.views[old.ID]
@@ -77,7 +82,10 @@
 		a.carried, a.checkpoint = true, previous.attempts[a.ref].checkpoint
 		a.stopWanted = a.stopWanted || !e.canRun(w, a)
 	}
-	v.clockMs, v.clockReadAt = a.ClockMs, e.now
+	if len(v.attemptList) == 0 {
+		// While carried attempts may run on a predecessor, no order may prolong its lease.
+		v.clockMs, v.clockReadAt = a.ClockMs, e.now
+	}
 	// The poll does not wait for the commit: the incarnation rejects orders to its
 	// predecessors only once it has answered one of its own.
 	e.poll(v)
@@ -88,14 +96,14 @@
 }
 
 // replaceIncarnation ends an incarnation whose worker announces a newer one. It
-// returns the attempts that stay recorded until the first poll of the new incarnation
-// shows whether they run there: all those of which a start may reach the same address,
-// or did before the announcement.
+// returns the attempts that may run: on the previous incarnation, since a report alone
+// does not prove its end, or on the next one, which their starts may still reach. They
+// stay recorded until the first poll of the next incarnation shows what runs there.
 func (e *Engine) replaceIncarnation(old *workflow.Worker, next *Announcement) []workflow.TaskRef {
 	v := e.views[old.ID]
 	var carried []workflow.TaskRef
 	for _, a := range v.attemptList {
-		if a.committed && old.Address == next.Address {
+		if a.committed {
 			carried = append(carried, a.ref)
 			continue
 		}
--- a/dispatch/reports_test.go
+++ b/dispatch/reports_test.go
@@ -151,3 +151,50 @@
 	assert.Len(t, next.endedAt, 4)
 	assert.Empty(t, s.violations)
 }
+
+// A delayed report of an older incarnation of w1 names a later start than that of the one
+// which runs, since the wall clock was set back, and a clock ahead of its own. What runs
+// on w1 must not start elsewhere meanwhile, nor get a longer lease by the wrong clock.
+func TestAReportOfALaterStartEndsNoTaskThatRuns(t *testing.T) {
+	for _, address := range []string{"w1:1", "other:1"} {
+		s := newSim(t, 26)
+		s.setCatalog()
+		w1 := s.addWorker("w1", 4)
+		s.run(time.Second)
+		s.startLongTasks(4)
+		s.addWorker("w2", 4)
+		late := w1.announcement()
+		late.Life.BornMs, late.Address = late.Life.BornMs+10_000, address
+		late.ClockMs += 60_000
+		s.announce(late)
+		s.run(20 * time.Second)
+		assert.Empty(t, s.violations, address)
+		assert.Equal(t, 8, s.starts, "the tasks must run on the other worker once the lease is over")
+	}
+}
+
+// A delayed report of another worker names the address of w1 and a later start. What
+// runs on w1, which answers, must go on.
+func TestAReportOfAnotherWorkerEndsNoTaskThatRuns(t *testing.T) {
+	for _, later := range []int64{0, 10_000} {
+		s := newSim(t, 27)
+		s.setCatalog()
+		w1 := s.addWorker("w1", 4)
+		s.run(time.Second)
+		s.startLongTasks(4)
+		s.addWorker("w2", 4)
+		late := w1.announcement()
+		late.Life = workflow.Incarnation{Name: "w0", BornMs: late.Life.BornMs + later}
+		s.announce(late)
+		s.run(20 * time.Second)
+		assert.Empty(t, s.violations)
+		assert.Equal(t, 4, s.starts)
+		assert.Len(t, w1.running, 4)
+		w1.crash()
+		next := s.startWorker("w3", w1.address, 4, false)
+		require.True(t, s.runUntil(4*time.Second, func() bool { return s.starts == 8 }), "the tasks must start again once another worker answers")
+		require.True(t, s.runUntil(4*time.Second, func() bool { return s.committed.WorkerNamed("w3") != nil }))
+		assert.Equal(t, next.address, s.committed.WorkerNamed("w3").Address)
+		assert.Empty(t, s.violations)
+	}
+}
