Worker with an unknown attempt gets no new task

A worker could be filled beyond its capacity: a late start that runs after its attempt is over takes room that the leader counts as free until the run has stopped.

TestAWorkerWithAnUnknownAttemptGetsNoTask failed before: 'exceeds its capacity'.

--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -261,5 +261,7 @@
 // carried out after it was voided.
 func (e *Engine) stopUnknownAttempt(v *workerView, r *RunningAttempt) {
 	e.logUnknownAttempt(v, r)
+	// The worker has less room than is recorded until the attempt has stopped.
+	v.quarantinedUntil = max(v.quarantinedUntil, e.now.Add(unhealthyQuarantine))
 	e.issueOrder(v, Order{Verb: Stop, Task: r.Task, Attempt: r.Attempt})
 }
--- a/dispatch/reports_test.go
+++ b/dispatch/reports_test.go
@@ -198,3 +198,25 @@
 		assert.Empty(t, s.violations)
 	}
 }
+
+// A start that was sent long ago is carried out after its attempt is over. Until the run
+// has stopped it takes capacity, which must not be given away.
+func TestAWorkerWithAnUnknownAttemptGetsNoTask(t *testing.T) {
+	s := newSim(t, 28)
+	s.setCatalog()
+	w := s.addWorker("w1", 4)
+	s.run(time.Second)
+	lasting := step(1)
+	lasting.Lasting = true
+	s.submit(1, lasting)
+	s.run(time.Second)
+	s.engine.HandleRequest(&Request{Verb: CancelJob, Host: "h", Path: "/q/" + workflow.JobID(1).String()}, func(Reply) {})
+	s.run(time.Second)
+	require.Empty(t, w.running)
+	ref := workflow.TaskRef{Job: 1}
+	w.handleOrder(w.startOrder(ref, 2), func(Answer) {})
+	require.True(t, s.runUntil(2*time.Second, func() bool { return w.running[ref] != nil && w.running[ref].stopping }))
+	s.submit(2, step(4))
+	require.True(t, s.runUntil(5*time.Second, func() bool { return s.state(2) == workflow.JobCompleted }))
+	require.Empty(t, s.violations)
+}
