dispatch: one-way partitions of simulated workers

Half of the partitions cut only one direction: orders arrive and answers and reports do not, or the reverse. They outlive the worker behind them.

--- a/dispatch/engine_test.go
+++ b/dispatch/engine_test.go
@@ -166,7 +166,7 @@
 		}
 		s.faults = faults{}
 		for _, w := range s.workers {
-			w.partitioned = false
+			w.partitioned, w.deaf, w.mute = false, false, false
 		}
 		assert.True(t, s.runUntil(60*time.Second, func() bool { return s.allEnded(20) }), "seed %d", seed)
 		s.run(latestArrival) // Orders that are still under way.
@@ -194,17 +194,31 @@
 	case 1:
 		s.rebirth(w)
 	case 2:
-		w.partitioned = true
-		s.after(time.Duration(1+s.rng.IntN(14))*time.Second, func() { s.workers[w.address].partitioned = false })
+		s.partition(w)
 	case 3:
 		if s.rng.IntN(2) == 0 { // Nothing happens otherwise.
-			w.partitioned = true
+			s.partition(w)
 			s.after(time.Duration(s.rng.IntN(3000))*time.Millisecond, func() { s.rebirth(s.workers[w.address]) })
-			s.after(time.Duration(1+s.rng.IntN(14))*time.Second, func() { s.workers[w.address].partitioned = false })
 		}
 	}
 }
 
+// partition cuts a worker off for up to 14 s, in both directions or in one.
+func (s *sim) partition(w *simWorker) {
+	switch s.rng.IntN(4) {
+	case 0:
+		w.deaf = true
+	case 1:
+		w.mute = true
+	default:
+		w.partitioned = true
+	}
+	s.after(time.Duration(1+s.rng.IntN(14))*time.Second, func() {
+		w := s.workers[w.address]
+		w.partitioned, w.deaf, w.mute = false, false, false
+	})
+}
+
 // rebirth crashes a worker, which starts again at its address within two seconds, behind
 // the partition if there is one: mostly under its name, and at times once more soon after.
 func (s *sim) rebirth(w *simWorker) {
@@ -217,7 +231,7 @@
 		if s.rng.IntN(4) == 0 {
 			name = fmt.Sprintf("%s-%d", w.address, s.wall())
 		}
-		next := s.startWorker(name, w.address, 6, w.partitioned)
+		next := s.startWorker(name, w)
 		if s.rng.IntN(4) == 0 {
 			s.after(time.Duration(s.rng.IntN(2000))*time.Millisecond, func() {
 				if s.workers[w.address] == next {
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -260,12 +260,12 @@
 	w := s.workers[order.Address]
 	switch {
 	case w == nil || w.dead:
-	case w.partitioned && late && !arrived:
+	case (w.partitioned || w.deaf) && late && !arrived:
 		s.after(networkDelay, func() { s.arrive(order, late, arrived, answer) })
-	case w.partitioned && !late:
+	case (w.partitioned || w.deaf) && !late:
 	default:
 		w.handleOrder(order, func(a Answer) {
-			if !w.partitioned {
+			if !w.partitioned && !w.mute {
 				answer(a, w)
 			}
 		})
--- a/dispatch/sim_worker_test.go
+++ b/dispatch/sim_worker_test.go
@@ -22,6 +22,9 @@
 	dead        bool
 	partitioned bool
 	draining    bool
+	// deaf is a partition in which only orders do not arrive, mute one in which only
+	// answers and reports do not.
+	deaf, mute bool
 	// silent makes the worker send no reports.
 	silent bool
 	// fails makes the worker fail all tasks that it starts; with hangs they make
@@ -115,10 +118,11 @@
 	return w
 }
 
-// startWorker starts a worker at an address, which may be partitioned.
-func (s *sim) startWorker(name, address string, processors int64, partitioned bool) *simWorker {
-	w := s.newWorker(name, address, processors, "r1")
-	w.partitioned = partitioned
+// startWorker starts the next incarnation at the address of a worker that crashed. It is
+// partitioned as that one was.
+func (s *sim) startWorker(name string, old *simWorker) *simWorker {
+	w := s.newWorker(name, old.address, old.capacity.MilliProcessors/1000, old.rack)
+	w.partitioned, w.deaf, w.mute = old.partitioned, old.deaf, old.mute
 	w.report()
 	return w
 }
@@ -146,7 +150,7 @@
 	if s.happens(s.faults.lateReport) {
 		s.after(time.Duration(s.rng.Int64N(int64(latestArrival))), deliver)
 	}
-	if !w.partitioned && !w.silent && !s.happens(s.faults.lostReport) {
+	if !w.partitioned && !w.mute && !w.silent && !s.happens(s.faults.lostReport) {
 		deliver()
 	}
 	s.after(time.Second, w.report)
