Starts wait for runs that are not recorded to stop

A stray is kept from the poll that shows it until a poll does not, its worker has another incarnation, or the lease is over. Until then its task is neither placed nor started, and no start goes to its worker.

TestATaskWaitsUntilItsStrayHasStopped fails without either check: 'runs twice'.

--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -243,7 +243,7 @@
 		r := &answer.Running[i]
 		a := v.attempts[r.Task]
 		if a == nil || a.number != r.Attempt {
-			e.stopUnknownAttempt(v, r)
+			e.stopStray(v, r)
 			continue
 		}
 		present[r.Task], a.carried = true, false
@@ -255,6 +255,7 @@
 			e.checkShare(v, a, step)
 		}
 	}
+	e.forgetStrays(v.worker.ID, answer.Running)
 	for _, a := range v.attemptList {
 		if !present[a.ref] {
 			e.handleMissingAttempt(v, a, answer.Order.SentAt)
@@ -280,12 +281,3 @@
 		}
 	}
 }
-
-// stopUnknownAttempt stops a running attempt that is not recorded: its start was
-// carried out after it was voided.
-func (e *Engine) stopUnknownAttempt(v *workerView, r *RunningAttempt) {
-	e.logUnknownAttempt(v, r)
-	// The worker has less room than is recorded until the attempt has stopped.
-	v.quarantinedUntil = max(v.quarantinedUntil, e.now.Add(unhealthyQuarantine))
-	e.issueOrder(v, Order{Verb: Stop, Task: r.Task, Attempt: r.Attempt})
-}
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -42,6 +42,7 @@
 	// formerAttempts are attempts that are over although starts of them may still be
 	// carried out, oldest first.
 	formerAttempts []formerAttempt
+	strays         []stray
 	// withdrawals holds what confirms the withdrawals of workers on which attempts
 	// may still run.
 	withdrawals map[workflow.WorkerID][]func()
--- a/dispatch/incarnations.go
+++ b/dispatch/incarnations.go
@@ -179,6 +179,7 @@
 }
 
 func (e *Engine) dropView(v *workerView) {
+	e.forgetStrays(v.worker.ID, nil)
 	delete(e.views, v.worker.ID)
 	e.sortedViews = slices.DeleteFunc(slices.Clone(e.sortedViews), func(other *workerView) bool { return other == v })
 }
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -38,11 +38,14 @@
 	imageKnown bool
 }
 
-// firstPending returns the first pending task.
-func (s *readyStep) firstPending() workflow.TaskRef {
-	return workflow.TaskRef{Job: s.ref.Job, Occurrence: s.ref.Occurrence, Step: s.ref.Step, Index: s.pending[0]}
+// task returns a task of the step.
+func (s *readyStep) task(index uint32) workflow.TaskRef {
+	return workflow.TaskRef{Job: s.ref.Job, Occurrence: s.ref.Occurrence, Step: s.ref.Step, Index: index}
 }
 
+// firstPending returns the first pending task.
+func (s *readyStep) firstPending() workflow.TaskRef { return s.task(s.pending[0]) }
+
 // readySteps holds the steps with pending tasks in scheduling order.
 type readySteps struct {
 	dirtyJobs map[workflow.JobID]bool
@@ -229,7 +232,9 @@
 		if s.job.Spec.DueMs(s.ref.Occurrence) > e.wallMs {
 			continue
 		}
+		e.dropHeldTasks(s)
 		switch {
+		case len(s.pending) == 0:
 		case !s.job.Active() || candidates.blockedByGang(s):
 		case s.step.Gang:
 			e.placeGang(candidates, s)
--- /dev/null
+++ b/dispatch/stray_test.go
@@ -0,0 +1,55 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mangohill.example/mangohill/workflow"
+)
+
+// A worker shows an attempt that is not recorded: its start was carried out late. The
+// task must not be started, there or elsewhere, before that run has been stopped.
+func TestATaskWaitsUntilItsStrayHasStopped(t *testing.T) {
+	for _, withOther := range []bool{true, false} {
+		s := newSim(t, 31)
+		s.setCatalog()
+		w := s.addWorker("w1", 4)
+		if withOther {
+			s.addWorker("w2", 4)
+		}
+		s.run(time.Second)
+		long := step(1)
+		long.EstimatedMs = 5000
+		scheduled := &workflow.JobSpec{Payload: "p", Steps: []workflow.Step{long}, Schedule: workflow.Schedule{Times: 1, FirstMs: s.wall() + 60_000, EveryMs: 1000}}
+		s.engine.HandleRequest(&Request{Verb: Submit, Host: "h", Path: "/q/" + workflow.JobID(1).String(), Job: scheduled}, func(Reply) {})
+		s.run(100 * time.Millisecond)
+		ref := workflow.TaskRef{Job: 1}
+		w.handleOrder(w.startOrder(ref, 1), func(Answer) {})
+		require.True(t, s.runUntil(2*time.Second, func() bool { return w.running[ref] != nil && w.running[ref].stopping }))
+		s.engine.state.Job(1).Spec.Schedule.FirstMs = 0 // The task is due while its stray still runs.
+		require.True(t, s.runUntil(5*time.Second, func() bool { return s.starts == 2 }))
+		require.Empty(t, s.violations)
+	}
+}
+
+// The worker on which a stray runs is lost. Its task must start once the lease is over.
+func TestAStrayOnALostWorkerHoldsItsTaskForTheLease(t *testing.T) {
+	s := newSim(t, 32)
+	s.setCatalog()
+	w := s.addWorker("w1", 4)
+	s.run(time.Second)
+	long := step(1)
+	long.EstimatedMs = 60_000
+	s.faults.shedding = 1
+	s.submit(1, long)
+	s.faults.shedding = 0
+	ref := workflow.TaskRef{Job: 1}
+	w.handleOrder(w.startOrder(ref, 7), func(Answer) {})
+	require.True(t, s.runUntil(2*time.Second, func() bool { return len(s.engine.strays) == 1 }))
+	w.crash()
+	s.addWorker("w2", 4)
+	require.True(t, s.runUntil(15*time.Second, func() bool { return s.starts >= 2 }))
+	require.Empty(t, s.violations)
+}
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -245,8 +245,9 @@
 // issueDueOrders issues the orders that are due for a worker. It voids the
 // attempts on a worker that is unreachable and whose lease has expired.
 func (e *Engine) issueDueOrders(v *workerView) {
-	if len(v.attempts) > 0 && e.now > v.leaseExpiresAt && !e.reachable(v) {
+	if e.now > v.leaseExpiresAt && !e.reachable(v) {
 		e.voidAll(v.worker.ID, "lease_over")
+		e.forgetStrays(v.worker.ID, nil)
 	}
 	if !v.pollInFlight && e.now >= v.nextPollAt {
 		e.poll(v)
@@ -322,6 +323,9 @@
 		a.stopWanted = true
 		return
 	}
+	if e.heldByStray(v.worker.ID, ref) {
+		return
+	}
 	if v.clockMs == 0 {
 		return // A lease can't be granted without a reading of the worker's clock.
 	}
