--- a/workflow/state.go
+++ b/workflow/state.go
@@ -486,18 +486,12 @@
 	}
 	w.Acked = e.Number
 	task := s.release(w, e.Task, e.Attempt)
-	current := task != nil
-	if !current {
-		// A late start can begin an attempt that was voided. The end of such a run
-		// counts like any other.
-		task = s.openTask(e.Task)
-	}
-	if task == nil || e.Attempt > task.Attempt {
+	if task == nil {
 		return nil
 	}
 	job := s.jobs[e.Task.Job]
 	step := &job.Spec.Steps[e.Task.Step]
-	if current && e.Checkpoint != "" {
+	if e.Checkpoint != "" {
 		s.setCheckpoint(job, e.Task, e.Checkpoint)
 	}
 	switch e.How {
@@ -511,18 +505,6 @@
 	return nil
 }
 
-// openTask returns a task that is not done, nil if there is none.
-func (s *State) openTask(ref TaskRef) *Task {
-	job := s.jobs[ref.Job]
-	if job == nil {
-		return nil
-	}
-	if task := job.Task(ref); task != nil && task.State != TaskDone {
-		return task
-	}
-	return nil
-}
-
 func (s *State) setCheckpoint(job *Job, ref TaskRef, checkpoint string) {
 	if !job.Spec.Steps[ref.Step].Gang {
 		job.Task(ref).Checkpoint = checkpoint
