--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -184,12 +184,36 @@
 		e.recordFormerAttempt(v, a, "ended_"+end.How.String())
 	}
 	event.Msg("attempt ended")
+	if end.How == workflow.EndDone {
+		e.afterCommit(func() { e.stopLaterAttempts(end) })
+	}
 	job := e.state.Job(end.Task.Job)
 	if active && !job.Active() {
 		e.handleJobEnd(job)
 	}
 }
 
+// stopLaterAttempts stops the later attempts of a task that a voided attempt has done
+// after all, and of the other tasks of its gang.
+func (e *Engine) stopLaterAttempts(end *EndedAttempt) {
+	job := e.state.Job(end.Task.Job)
+	if job == nil || job.Task(end.Task) == nil {
+		return
+	}
+	for i, task := range job.Occurrences[end.Task.Occurrence].Steps[end.Task.Step] {
+		ref := end.Task
+		ref.Index = uint32(i)
+		v := e.views[task.Worker]
+		if task.State != workflow.TaskDone || task.Attempt <= end.Attempt || v == nil {
+			continue
+		}
+		if a := v.attempts[ref]; a != nil {
+			a.stopWanted = true
+			e.issueAttemptOrder(v, a)
+		}
+	}
+}
+
 // handleJobEnd stops what still runs of a job, once its end is committed.
 func (e *Engine) handleJobEnd(job *workflow.Job) {
 	e.afterCommit(func() {
--- a/workflow/state.go
+++ b/workflow/state.go
@@ -486,12 +486,18 @@
 	}
 	w.Acked = e.Number
 	task := s.release(w, e.Task, e.Attempt)
-	if task == nil {
+	current := task != nil
+	if !current {
+		// A late start can begin an attempt that was voided. The end of such a run
+		// counts like any other.
+		task = s.openTask(e.Task)
+	}
+	if task == nil || e.Attempt > task.Attempt {
 		return nil
 	}
 	job := s.jobs[e.Task.Job]
 	step := &job.Spec.Steps[e.Task.Step]
-	if e.Checkpoint != "" {
+	if current && e.Checkpoint != "" {
 		s.setCheckpoint(job, e.Task, e.Checkpoint)
 	}
 	switch e.How {
@@ -505,6 +511,18 @@
 	return nil
 }
 
+// openTask returns a task that is not done, nil if there is none.
+func (s *State) openTask(ref TaskRef) *Task {
+	job := s.jobs[ref.Job]
+	if job == nil {
+		return nil
+	}
+	if task := job.Task(ref); task != nil && task.State != TaskDone {
+		return task
+	}
+	return nil
+}
+
 func (s *State) setCheckpoint(job *Job, ref TaskRef, checkpoint string) {
 	if !job.Spec.Steps[ref.Step].Gang {
 		job.Task(ref).Checkpoint = checkpoint
