--- a/dispatch/late_end_test.go
+++ b/dispatch/late_end_test.go
@@ -53,3 +53,21 @@
 	require.Equal(t, 2, s.starts)
 	require.Empty(t, s.engine.views[2].attempts)
 }
+
+// A worker lists the end of a task that does not exist. It must not end the leader.
+func TestAnEndOfATaskThatDoesNotExist(t *testing.T) {
+	s := newSim(t, 33)
+	s.setCatalog()
+	w := s.addWorker("w1", 4)
+	s.run(time.Second)
+	s.submit(1, step(1))
+	for i, ref := range []workflow.TaskRef{{Job: 1, Index: 7}, {Job: 1, Step: 7}, {Job: 1, Occurrence: 7}, {Job: 7}} {
+		w.lastEndNumber++
+		w.ended = append(w.ended, EndedAttempt{Number: w.lastEndNumber, Task: ref, Attempt: uint32(i), How: workflow.EndDone})
+	}
+	w.answerPolls()
+	require.True(t, s.runUntil(5*time.Second, func() bool { return s.state(1) == workflow.JobCompleted }))
+	s.run(2 * time.Second)
+	require.Empty(t, w.ended)
+	require.Empty(t, s.violations)
+}
--- a/dispatch/reports_test.go
+++ b/dispatch/reports_test.go
@@ -191,7 +191,7 @@
 		assert.Equal(t, 4, s.starts)
 		assert.Len(t, w1.running, 4)
 		w1.crash()
-		next := s.startWorker("w3", w1.address, 4, false)
+		next := s.startWorker("w3", w1)
 		require.True(t, s.runUntil(4*time.Second, func() bool { return s.starts == 8 }), "the tasks must start again once another worker answers")
 		require.True(t, s.runUntil(4*time.Second, func() bool { return s.committed.WorkerNamed("w3") != nil }))
 		assert.Equal(t, next.address, s.committed.WorkerNamed("w3").Address)
