dispatch: simulated orders and answers overtake each other

Every order and answer took the same time, so none overtook another. A tenth of each now takes up to 0.8 s, which is over the time limit of some answers.

--- a/dispatch/engine_test.go
+++ b/dispatch/engine_test.go
@@ -156,7 +156,7 @@
 			s.addWorker(name, 6)
 		}
 		s.run(time.Second)
-		s.faults = faults{lostOrder: 0.05, lostAnswer: 0.05, late: 0.05, failing: 0.02, shedding: 0.1, lostReport: 0.2, lateReport: 0.2}
+		s.faults = faults{lostOrder: 0.05, lostAnswer: 0.05, late: 0.05, slow: 0.1, failing: 0.02, shedding: 0.1, lostReport: 0.2, lateReport: 0.2}
 		for id := workflow.JobID(1); id <= 20; id++ {
 			bounded := step(5)
 			bounded.MaxPerWorker = 2
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -46,13 +46,17 @@
 	send func(engine *Engine, order Order)
 	// notSent makes the leader send no orders.
 	notSent bool
-	// delay is the time that an order or an answer takes, commitDelay that of a batch.
+	// delay is the time that an order or an answer takes unless it is slow, commitDelay
+	// that of a batch.
 	delay, commitDelay time.Duration
 }
 
 // faults are probabilities, each from 0 to 1, per order unless noted.
 type faults struct {
 	lostOrder, lostAnswer, late float64
+	// slow is the probability that an order, and that an answer, takes up to maxSlow, so
+	// that others overtake it. The answer may come too late.
+	slow float64
 	// failing is the probability that a task fails, shedding that a worker
 	// refuses a start.
 	failing, shedding float64
@@ -89,6 +93,9 @@
 
 const networkDelay = time.Millisecond
 
+// maxSlow is the longest time that a slow order or answer takes.
+const maxSlow = 800 * time.Millisecond
+
 // A late order is carried out this long after it was sent.
 const (
 	earliestArrival = time.Second
@@ -214,6 +221,14 @@
 	s.violations = append(s.violations, fmt.Sprintf("%v: ", time.Duration(s.now))+fmt.Sprintf(format, args...))
 }
 
+// travelTime returns how long an order or an answer takes.
+func (s *sim) travelTime() time.Duration {
+	if s.happens(s.faults.slow) {
+		return s.delay + time.Duration(s.rng.Int64N(int64(maxSlow)))
+	}
+	return s.delay
+}
+
 // deliver carries an order to its worker and the answer back, with the configured
 // faults.
 func (s *sim) deliver(engine *Engine, order Order) {
@@ -229,7 +244,7 @@
 		s.after(0, func() { reply(Answer{Order: order, Outcome: NotSent}) })
 		return
 	}
-	delay := s.delay
+	delay := s.travelTime()
 	lostAnswer := s.rng.Float64() < s.faults.lostAnswer
 	late := false
 	switch {
@@ -246,7 +261,7 @@
 				a = Answer{Order: order} // As the platform's client takes it.
 			}
 			if !lostAnswer {
-				s.after(s.delay, func() { reply(a) })
+				s.after(s.travelTime(), func() { reply(a) })
 			}
 		})
 	})
