Tests: late starts at a worker that restarted, and its lease

Doubts on the reckoning of leases, each played once: an order to the previous incarnation carries an end of lease on its clock, which lies far in the future of the next one, so it brings a lease of the longest time from its arrival. TestALateStartAtACutOffWorkerThatRestarted: the start arrives 9 s after the report of the next incarnation, which is cut off; the leader takes the carried attempt for over 10.2 s after the report (lease_over) and starts it elsewhere. TestALateStartJustBeforeTheFirstPoll: the start arrives just before the first poll, which is answered; then the worker is cut off and the leader reckons with its own renewals alone (void 1.8 s before the lease expires).

--- a/dispatch/leaders_test.go
+++ b/dispatch/leaders_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"mangohill.example/mangohill/kind"
 	"mangohill.example/mangohill/workflow"
@@ -310,3 +311,58 @@
 		assert.Empty(t, s.violations, "phase %d", phase)
 	}
 }
+
+// restartedSim simulates a worker that restarts under its name while the starts of two
+// lasting tasks are under way to it, and is cut off. It returns the new incarnation,
+// which has reported itself, and these starts. Another worker has room for both tasks.
+func restartedSim(t *testing.T) (s *sim, next *simWorker, starts []Order) {
+	s = newSim(t, 31)
+	s.setCatalog()
+	first := s.addWorker("w1", 2)
+	s.run(time.Minute) // So that its clock is far ahead of that of its successor.
+	s.send = func(engine *Engine, order Order) {
+		if order.Verb == Start && order.Life == first.life {
+			starts = append(starts, order)
+			return
+		}
+		s.deliver(engine, order)
+	}
+	lasting := step(2)
+	lasting.Lasting = true
+	s.submit(1, lasting)
+	require.Len(t, starts, 2)
+	first.crash()
+	next = s.addWorker("w1", 2)
+	next.partitioned = true
+	s.addWorker("w2", 2)
+	return s, next, starts
+}
+
+// Guards against an attempt that is taken for over with the lease that its worker's new
+// incarnation can have had at its report, while a start to the previous incarnation
+// arrives later and brings a lease of its own.
+func TestALateStartAtACutOffWorkerThatRestarted(t *testing.T) {
+	s, next, starts := restartedSim(t)
+	s.run(9 * time.Second)
+	next.handleOrder(starts[0], func(Answer) {})
+	require.Len(t, next.running, 1)
+	s.run(30 * time.Second)
+	assert.Empty(t, s.violations)
+	assert.Equal(t, 3, s.starts, "both tasks must run elsewhere in the end")
+}
+
+// Guards against a lease that is taken for over too early after the first poll of a new
+// incarnation: an order to the previous one, whose end of lease lies far in the future on
+// the new clock, brought a lease of the longest time just before.
+func TestALateStartJustBeforeTheFirstPoll(t *testing.T) {
+	s, next, starts := restartedSim(t)
+	s.run(1890 * time.Millisecond)
+	next.partitioned = false
+	s.commitDelay = 2 * time.Second // No further order leaves before the worker counts as unreachable.
+	next.handleOrder(starts[0], func(Answer) {})
+	require.True(t, s.runUntil(200*time.Millisecond, func() bool { return s.engine.views[s.engine.state.WorkerNamed("w1").ID].fenced }))
+	next.partitioned, s.commitDelay = true, commitDelay
+	s.run(30 * time.Second)
+	assert.Empty(t, s.violations)
+	assert.Equal(t, 3, s.starts, "both tasks must run elsewhere in the end")
+}
