Loop: the clocks are read after each answer

Cause: drainQueues passed up to 512 calls and answers to the engine with the time at which the round had begun. A worker's clock that was read during the round counted as read before it, so the next order's end of lease lay further in the future, by the time since the round's begin, than the leader reckoned with: it could take the attempts of a worker that it lost just then for over while they ran. The error is the length of a round: milliseconds, but also the time for which the process was frozen within one (up to 1.2 s without a change of leader, any time for a sole voter). Change: drainQueues sets the clocks before each call and answer, as run does. Result: TestTheClockIsReadAfterEachAnswer failed before (109,029 ms where at most 108,980 are safe, with a round of 50 ms).

--- a/coordinator/loop.go
+++ b/coordinator/loop.go
@@ -102,8 +102,10 @@
 	for range maxEventsPerRound {
 		select {
 		case e := <-l.calls:
+			l.advanceClock()
 			l.handleCall(e)
 		case a := <-l.orderAnswers:
+			l.advanceClock()
 			l.handleAnswer(&a)
 		default:
 			return
--- a/coordinator/loop_test.go
+++ b/coordinator/loop_test.go
@@ -13,6 +13,7 @@
 	"mangohill.example/mangohill/kind"
 	"mangohill.example/mangohill/replica"
 	"mangohill.example/mangohill/rpcclient"
+	"mangohill.example/mangohill/workflow"
 )
 
 // noWorkers is a WorkerCaller that reaches no worker.
@@ -70,3 +71,37 @@
 	assert.Positive(t, sent.call.Budget)
 	assert.LessOrEqual(t, sent.call.Budget, tryTimeout/2)
 }
+
+// Guards against a lease that is taken for over too early: the loop handles the calls
+// and answers of a round one after the other, and a worker's clock that was read during
+// the round must not count as read before it.
+func TestTheClockIsReadAfterEachAnswer(t *testing.T) {
+	const lease = 8 * time.Second
+	state := workflow.NewState()
+	require.NoError(t, state.Apply(&workflow.Op{Join: &workflow.Join{Life: workflow.Incarnation{Name: "w1", BornMs: 1}, Address: "a:1", Service: "pool"}}))
+	l := &loop{Coordinator: &Coordinator{metrics: newMetrics(), calls: make(chan pendingCall, 1), orderAnswers: make(chan dispatch.Answer, 1)}, term: 1}
+	l.engine = dispatch.New(dispatch.Settings{Lease: lease, MaxLease: lease}, zerolog.Nop(), l.term, state, l.now())
+	poll := func(at dispatch.Instant) dispatch.Order {
+		l.engine.Tick(at, 0)
+		orders := l.engine.TakeOrders()
+		require.Len(t, orders, 1)
+		return orders[0]
+	}
+	first := poll(l.now())
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	var readAt dispatch.Instant
+	l.calls <- pendingCall{ctx: ctx, call: &Call{}, done: func(Result, error) {
+		time.Sleep(50 * time.Millisecond) // The round goes on.
+		readAt = l.now()
+		l.orderAnswers <- dispatch.Answer{Order: first, Outcome: dispatch.Done, ClockMs: 100_000}
+	}}
+	l.advanceClock()
+	l.drainQueues()
+	second := l.engine.TakeOrders()
+	require.Len(t, second, 1)
+	l.engine.HandleAnswer(&dispatch.Answer{Order: second[0]})
+	third := poll(readAt.Add(time.Second))
+	require.NotZero(t, third.ExpiresMs)
+	assert.LessOrEqual(t, third.ExpiresMs, 100_000+(980*time.Millisecond+lease).Milliseconds(), "a clock may lag by 2 percent")
+}
