Carried attempt stays while an earlier one of its task runs there

A task could run twice: a worker restarts, and before the leader reaches the next incarnation a late start of an earlier attempt runs there. The first poll shows that one and not the recorded attempt, which was voided as 'new_life' and started elsewhere while the earlier one was being stopped.

A poll that shows another attempt of a recorded task counts as one that shows the task: the recorded attempt is decided by the first poll without it.

--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -244,6 +244,8 @@
 		a := v.attempts[r.Task]
 		if a == nil || a.number != r.Attempt {
 			e.stopUnknownAttempt(v, r)
+			// While another attempt of the task runs here, the recorded one stays.
+			present[r.Task] = a != nil
 			continue
 		}
 		present[r.Task], a.carried = true, false
--- a/dispatch/late_end_test.go
+++ b/dispatch/late_end_test.go
@@ -71,3 +71,31 @@
 	require.Empty(t, w.ended)
 	require.Empty(t, s.violations)
 }
+
+// A worker restarts, and before the leader reaches the next incarnation a late start of an
+// earlier attempt runs there. The task must not start elsewhere until that run has
+// stopped.
+func TestATaskWaitsForAnEarlierAttemptOfItsOwn(t *testing.T) {
+	s := newSim(t, 34)
+	s.setCatalog()
+	w := s.addWorker("w1", 4)
+	s.run(time.Second)
+	s.faults.shedding = 1
+	long := step(1)
+	long.EstimatedMs = 20_000
+	s.submit(1, long)
+	ref := workflow.TaskRef{Job: 1}
+	s.run(100 * time.Millisecond)
+	s.faults.shedding = 0
+	require.True(t, s.runUntil(3*time.Second, func() bool { return w.running[ref] != nil && w.running[ref].attempt > 1 }))
+	s.addWorker("w2", 4)
+	s.run(time.Second)
+	late := w.startOrder(ref, 1)
+	w.crash()
+	next := s.newWorker("w1", w.address, 4, "r1")
+	next.handleOrder(late, func(Answer) {})
+	require.Len(t, next.running, 1)
+	next.report()
+	require.True(t, s.runUntil(60*time.Second, func() bool { return s.state(1) == workflow.JobCompleted }))
+	require.Empty(t, s.violations)
+}
