Incarnation with an earlier start is used once the recorded one is silent

A worker that restarted after its wall clock was set back named an earlier start than the recorded incarnation: its reports were answered 200 and taken for stale, for ever, and its answers to polls were those of another incarnation. It never got a task again.

A recorded incarnation of no earlier start, at the name or the address of a report, now gives way if it has not answered for longer than any lease and nothing is recorded on it. If that was a delayed report, the silent worker comes back with its own next one, which names a later start.

TestAnIncarnationWithAnEarlierStartIsUsed failed before (no task in 25 s). TestAReportOfAnEarlierStartDoesNoHarm is new and passed before.

--- a/dispatch/incarnations.go
+++ b/dispatch/incarnations.go
@@ -30,6 +30,8 @@
 		e.afterCommit(func() { done(kind.Errorf(kind.StaleIncarnation, "worker %q has withdrawn", a.Life.Name)) })
 		return
 	}
+	e.endSilent(a.Life, e.state.WorkerNamed(a.Life.Name))
+	e.endSilent(a.Life, e.state.WorkerAt(a.Address))
 	w := e.state.WorkerNamed(a.Life.Name)
 	if w == nil || w.Life.BornMs < a.Life.BornMs {
 		if err := e.join(a); err != nil {
@@ -55,6 +57,18 @@
 	e.afterCommit(func() { done(nil) })
 }
 
+// endSilent ends an incarnation of no earlier start than the announced one that stands in
+// its way, if it has not answered for longer than any lease and nothing is recorded on
+// it. Start times are those of wall clocks, which may have been set back.
+func (e *Engine) endSilent(next workflow.Incarnation, w *workflow.Worker) {
+	if w == nil || w.Life == next || w.Life.BornMs < next.BornMs {
+		return
+	}
+	if v := e.views[w.ID]; len(v.attempts) == 0 && e.since(v.answeredAt) > maxRealTime(e.settings.MaxLease) {
+		e.endIncarnation(w, "silent")
+	}
+}
+
 func (e *Engine) join(a *Announcement) error {
 	join := &workflow.Join{Life: a.Life, Address: a.Address, Service: a.Service, Zone: a.Zone, Labels: a.Labels, Rack: a.Rack, Capacity: a.Capacity}
 	if err := e.state.CheckJoin(join); err != nil {
--- a/dispatch/reports_test.go
+++ b/dispatch/reports_test.go
@@ -220,3 +220,43 @@
 	require.True(t, s.runUntil(5*time.Second, func() bool { return s.state(2) == workflow.JobCompleted }))
 	require.Empty(t, s.violations)
 }
+
+// A worker restarts after the wall clock was set back, so that the next incarnation names
+// an earlier start. It must get tasks once the recorded one is certainly over.
+func TestAnIncarnationWithAnEarlierStartIsUsed(t *testing.T) {
+	for _, name := range []string{"w1", "w2"} {
+		s := newSim(t, 29)
+		s.setCatalog()
+		w1 := s.addWorker("w1", 4)
+		s.run(time.Second)
+		s.startLongTasks(4)
+		w1.crash()
+		next := s.newWorker(name, w1.address, 4, "r1")
+		next.life.BornMs = w1.life.BornMs - 10_000
+		next.report()
+		require.True(t, s.runUntil(25*time.Second, func() bool { return len(next.running) == 4 }), name)
+		require.Empty(t, s.violations)
+	}
+}
+
+// A delayed report of an older incarnation arrives while the recorded one is silent. The
+// latter must be used again when it answers.
+func TestAReportOfAnEarlierStartDoesNoHarm(t *testing.T) {
+	s := newSim(t, 30)
+	s.setCatalog()
+	w1 := s.addWorker("w1", 4)
+	s.run(time.Second)
+	late := w1.announcement()
+	late.Life.BornMs -= 10_000
+	require.NotNil(t, s.announce(late))
+	w1.partitioned = true
+	s.run(15 * time.Second)
+	s.announce(late)
+	w1.partitioned = false
+	s.startLongTasks(4)
+	require.Len(t, w1.running, 4)
+	require.NotNil(t, s.announce(late))
+	s.run(2 * time.Second)
+	require.Len(t, w1.running, 4)
+	require.Empty(t, s.violations)
+}
