Answer from another worker ends no carried attempt

A delayed report of an older incarnation of w1 with a later start (the clock was set back) names an address where w2 answers by now. The answer 421 to the poll there ended the recorded incarnation and voided the attempts that were carried to it, which ran on at the address of w1.

While attempts of the previous incarnation are undecided, 421 ends nothing; they wait for a poll or the lease. Without such attempts it ends the incarnation as before.

--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -21,7 +21,7 @@
 		return false
 	}
 	if a.Outcome == OtherIncarnation {
-		e.endIncarnation(v.worker, "other_life_answers")
+		e.handleOtherIncarnation(v, a)
 		return true
 	}
 	switch a.Outcome {
--- a/dispatch/incarnations.go
+++ b/dispatch/incarnations.go
@@ -180,6 +180,19 @@
 	delete(e.withdrawals, id)
 }
 
+// handleOtherIncarnation processes an answer from another worker at the address. The
+// incarnation is over, but while attempts of the previous one are undecided that one may
+// run elsewhere: they wait for the end of the lease.
+func (e *Engine) handleOtherIncarnation(v *workerView, answer *Answer) {
+	if slices.ContainsFunc(v.attemptList, func(a *attempt) bool { return a.carried }) {
+		if answer.Order.Verb == Poll {
+			v.pollInFlight, v.nextPollAt = false, e.now.Add(pollRetryDelay)
+		}
+		return
+	}
+	e.endIncarnation(v.worker, "other_life_answers")
+}
+
 // endIncarnation voids the attempts of an incarnation of a worker and records its
 // end.
 func (e *Engine) endIncarnation(w *workflow.Worker, reason string) {
--- a/dispatch/reports_test.go
+++ b/dispatch/reports_test.go
@@ -260,3 +260,22 @@
 	require.Len(t, w1.running, 4)
 	require.Empty(t, s.violations)
 }
+
+// A delayed report of an older incarnation of w1 names a later start, and an address where
+// another worker answers by now. That answer tells nothing of the incarnation that runs.
+func TestAnAnswerFromAFormerAddressEndsNoTaskThatRuns(t *testing.T) {
+	s := newSim(t, 35)
+	s.setCatalog()
+	w1 := s.addWorker("w1", 4)
+	s.run(time.Second)
+	s.startLongTasks(4)
+	w2 := s.addWorker("w2", 4)
+	s.run(time.Second)
+	late := w1.announcement()
+	late.Life.BornMs, late.Address = late.Life.BornMs+10_000, w2.address
+	w1.silent = true
+	s.announce(late)
+	s.run(25 * time.Second)
+	require.Empty(t, s.violations)
+	require.Equal(t, 8, s.starts, "the tasks must run on the other worker once the lease is over")
+}
