dispatch: simulation of gangs

The simulation had no gangs: all members of a run present before they work, 'alone' after GangMs, 'broken' when another member ended, 'done' together, one number and one checkpoint for all members, a checkpoint of any of them valid for all. Hooks in simWorker: start, drop, end, poll answers, acknowledge.

Checked at each start and acknowledgement: no two runs of a gang overlap in any member, none starts after an end 'done' of any member was acknowledged or between the two, all members of a run carry one checkpoint, which is one of the gang's.

A member that was carried to the next incarnation of its worker was started there although another worker's end had made the gang done (TestNoMemberStartsAfterItsGangIsDone) or had yet to be heard (TestNoMemberStartsAgainOnTheNextIncarnation).

--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -38,6 +38,7 @@
 	acknowledged map[workflow.TaskRef]bool
 	lastStartAt  map[workflow.TaskRef]Instant
 	cancelled    map[workflow.JobID]Instant
+	gangs        simGangs
 	violations   []string
 	wallBase     int64
 	settings     Settings
--- a/dispatch/sim_worker_test.go
+++ b/dispatch/sim_worker_test.go
@@ -60,6 +60,8 @@
 	sharedAt  Instant
 	// gauge is what polls report of a serving run.
 	gauge int64
+	// gang is the run of the gang that the run belongs to, nil if the step is none.
+	gang *simGang
 }
 
 // setShare changes the speed of the run.
@@ -176,6 +178,9 @@
 func (w *simWorker) drop(ref workflow.TaskRef, run *simRun) {
 	delete(w.running, ref)
 	w.sim.runs[ref] = slices.DeleteFunc(w.sim.runs[ref], func(r *simRun) bool { return r == run })
+	if run.gang != nil {
+		run.gang.leave(run)
+	}
 }
 
 func (w *simWorker) handleOrder(order Order, answer func(Answer)) {
@@ -257,6 +262,9 @@
 	w.renewLease(order.ExpiresMs)
 	before := len(w.sim.violations)
 	w.beginRun(ref, order.Attempt)
+	if run := w.running[ref]; run != nil && run.step.Gang {
+		w.sim.enterGang(run, order.Checkpoint)
+	}
 	for i := before; i < len(w.sim.violations); i++ {
 		w.sim.violations[i] += w.describe(order)
 	}
@@ -315,7 +323,7 @@
 	if step.MaxPerWorker > 0 && sameStep > step.MaxPerWorker {
 		s.violate("%d tasks of a step with a bound per worker run on %s", sameStep, w.life.Name)
 	}
-	if step.Lasting || w.hangs {
+	if step.Lasting || step.Gang || w.hangs {
 		return
 	}
 	run.remaining = time.Duration(float64(step.EstimatedMs)*(0.6+s.rng.Float64())) * time.Millisecond
@@ -354,7 +362,7 @@
 	w.lastEndNumber++
 	trace.Info().Stringer("task", ref).Uint32("attempt", run.attempt).Str("worker", w.life.Name).Stringer("how", how).Dur("now", time.Duration(w.sim.now)).Msg("worker ends")
 	w.endedAt[w.lastEndNumber] = w.sim.now
-	w.ended = append(w.ended, EndedAttempt{Number: w.lastEndNumber, Task: ref, Attempt: run.attempt, How: how})
+	w.ended = append(w.ended, EndedAttempt{Number: w.lastEndNumber, Task: ref, Attempt: run.attempt, How: how, Checkpoint: run.gang.checkpoint()})
 	if how == workflow.EndDone && !run.step.Lasting {
 		w.sim.done[ref] = true
 	}
@@ -387,6 +395,7 @@
 		if w.sim.lastStartAt[e.Task] > at {
 			w.sim.violate("task %s started between its end and the acknowledgement", e.Task)
 		}
+		w.sim.acknowledgeGang(e.Task, at, w.leaseExpiredAt)
 		w.sim.acknowledged[e.Task] = true
 	}
 	w.ended = slices.DeleteFunc(w.ended, func(e EndedAttempt) bool { return e.Number <= upto })
@@ -401,7 +410,7 @@
 		h.open = false
 		a := Answer{Order: h.order, Outcome: Done, ClockMs: w.clock(), Ended: slices.Clone(w.ended)}
 		for ref, run := range w.running {
-			a.Running = append(a.Running, RunningAttempt{Task: ref, Attempt: run.attempt, Percent: run.percent(), Gauge: run.reportedGauge()})
+			a.Running = append(a.Running, RunningAttempt{Task: ref, Attempt: run.attempt, Checkpoint: run.gang.checkpoint(), Percent: run.percent(), Gauge: run.reportedGauge()})
 		}
 		slices.SortFunc(a.Running, func(x, y RunningAttempt) int { return compareTaskRefs(x.Task, y.Task) })
 		h.answer(a)
