The next leader knows which attempts were carried to a new incarnation

The next leader found them recorded like any others, saw in the first poll that they don't run, and started them again under the same number. For a single task that is harmless: its run is lost with the incarnation. A gang is done by the end of any member, and that end was acknowledged already or yet to be heard from another worker.

The state keeps which attempts were carried (Worker.Carried), and the next leader voids them at the first poll as the one before would have.

TestNoMemberStartsAgainUnderANewLeader failed before ('a member of gang started between the end of ... and its acknowledgement', by the leader's own order).

--- a/dispatch/gang_test.go
+++ b/dispatch/gang_test.go
@@ -12,12 +12,17 @@
 
 // Gangs under the faults of TestNothingRunsTwice: no two runs of a gang overlap in any of
 // its members, and none of them starts after the end of one was acknowledged.
-func TestNoGangRunsTwice(t *testing.T) { simulateGangs(t) }
+func TestNoGangRunsTwice(t *testing.T) { simulateGangs(t, false) }
 
-func simulateGangs(t *testing.T) {
+// The same, but no start to the previous incarnation of a worker arrives before a leader
+// has reached the next one, which cannot know that it must reject the start.
+func TestGangsRunOnceOnWorkersThatWereReached(t *testing.T) { simulateGangs(t, true) }
+
+func simulateGangs(t *testing.T, unreachedRejectStarts bool) {
 	first, last := seeds()
 	for seed := first; seed <= last; seed++ {
 		s := newSim(t, seed)
+		s.unreachedRejectStarts = unreachedRejectStarts
 		s.setCatalog()
 		for _, name := range []string{"w1", "w2", "w3", "w4"} {
 			s.addWorker(name, 6)
@@ -81,3 +86,18 @@
 	require.True(t, s.runUntil(10*time.Second, func() bool { return s.state(1) == workflow.JobCompleted }))
 	require.Empty(t, s.violations)
 }
+
+// The same, and the leader changes before the next incarnation has answered it.
+func TestNoMemberStartsAgainUnderANewLeader(t *testing.T) {
+	s, w1, w2 := gangOnTwoWorkers(t)
+	w1.crash()
+	w1 = s.addWorker("w1", 1)
+	w1.partitioned = true
+	s.run(2 * commitDelay)
+	s.takeOver()
+	w1.partitioned = false
+	s.run(time.Second)
+	w2.partitioned = false
+	require.True(t, s.runUntil(10*time.Second, func() bool { return s.state(1) == workflow.JobCompleted }))
+	require.Empty(t, s.violations)
+}
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -39,10 +39,13 @@
 	lastStartAt  map[workflow.TaskRef]Instant
 	cancelled    map[workflow.JobID]Instant
 	gangs        simGangs
-	violations   []string
-	wallBase     int64
-	settings     Settings
-	starts       int
+	// unreachedRejectStarts makes an incarnation that no leader has reached yet reject
+	// the starts that were sent to its predecessors.
+	unreachedRejectStarts bool
+	violations            []string
+	wallBase              int64
+	settings              Settings
+	starts                int
 	// send replaces deliver if it is set.
 	send func(engine *Engine, order Order)
 	// notSent makes the leader send no orders.
@@ -261,6 +264,7 @@
 	w := s.workers[order.Address]
 	switch {
 	case w == nil || w.dead:
+	case s.unreachedRejectStarts && order.Verb == Start && order.Life != w.life && !w.reached:
 	case (w.partitioned || w.deaf) && late && !arrived:
 		s.after(networkDelay, func() { s.arrive(order, late, arrived, answer) })
 	case (w.partitioned || w.deaf) && !late:
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -124,7 +124,7 @@
 		leaseExpiresAt: e.now.Add(maxRealTime(e.settings.MaxLease)),
 	}
 	for _, ref := range sortedTasks(w.Attempts) {
-		a := &attempt{ref: ref, number: w.Attempts[ref], committed: true, adopted: true, placedAt: e.now, appliedShare: unknownShare, wantedShare: fullShare}
+		a := &attempt{ref: ref, number: w.Attempts[ref], committed: true, adopted: true, carried: w.Carried[ref], placedAt: e.now, appliedShare: unknownShare, wantedShare: fullShare}
 		if job := e.state.Job(ref.Job); job == nil || !job.Active() {
 			a.stopWanted = true
 		}
--- a/workflow/state.go
+++ b/workflow/state.go
@@ -108,6 +108,9 @@
 	Acked uint64 `cbor:"9,keyasint,omitempty"`
 	// Attempts holds, by task, the number of the attempt that may run on the worker.
 	Attempts map[TaskRef]uint32 `cbor:"10,keyasint,omitempty"`
+	// Carried holds the tasks whose attempts the worker's previous incarnation had;
+	// see Join.
+	Carried map[TaskRef]bool `cbor:"13,keyasint,omitempty"`
 	// Reserved is the sum of Step.Reserved over the attempts.
 	Reserved Resources `cbor:"11,keyasint,omitempty"`
 }
@@ -385,6 +388,10 @@
 		return
 	}
 	w.Attempts[ref] = attempt
+	if w.Carried == nil {
+		w.Carried = make(map[TaskRef]bool)
+	}
+	w.Carried[ref] = true
 	w.Reserved = w.Reserved.Add(job.Spec.Steps[ref.Step].Reserved())
 	if task := job.Task(ref); task.State == TaskPlaced && task.Attempt == attempt {
 		task.Worker = w.ID
@@ -452,6 +459,7 @@
 		return nil
 	}
 	delete(w.Attempts, ref)
+	delete(w.Carried, ref)
 	job := s.jobs[ref.Job]
 	if job == nil {
 		return nil
--- a/workflow/state_test.go
+++ b/workflow/state_test.go
@@ -86,9 +86,16 @@
 	assert.Equal(t, TaskPlaced, s.Job(1).Task(task(0, 1)).State)
 	assert.Equal(t, map[TaskRef]uint32{task(0, 1): 1}, s.Worker(2).Attempts)
 	assert.EqualValues(t, 1000, s.Worker(2).Reserved.MilliProcessors)
+	data, err := s.Snapshot()
+	require.NoError(t, err)
+	restored, err := DecodeSnapshot(data)
+	require.NoError(t, err)
+	assert.Equal(t, map[TaskRef]bool{task(0, 1): true}, restored.Worker(2).Carried, "the next leader must know")
 	late := *next
 	late.Life.BornMs = 15
 	assert.Error(t, s.Apply(&Op{Join: &late}), "a delayed report of an older incarnation")
+	require.NoError(t, s.Apply(&Op{Void: &Void{Worker: 2, Task: task(0, 1), Attempt: 1}}))
+	assert.Empty(t, s.Worker(2).Carried)
 }
 
 func TestHighestCatalogVersionWins(t *testing.T) {
