--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -38,10 +38,14 @@
 	acknowledged map[workflow.TaskRef]bool
 	lastStartAt  map[workflow.TaskRef]Instant
 	cancelled    map[workflow.JobID]Instant
-	violations   []string
-	wallBase     int64
-	settings     Settings
-	starts       int
+	gangs        simGangs
+	// unreachedRejectStarts makes an incarnation that no leader has reached yet reject
+	// the starts that were sent to its predecessors.
+	unreachedRejectStarts bool
+	violations            []string
+	wallBase              int64
+	settings              Settings
+	starts                int
 	// send replaces deliver if it is set.
 	send func(engine *Engine, order Order)
 	// notSent makes the leader send no orders.
@@ -279,6 +283,7 @@
 	switch {
 	case w == nil || w.dead:
 	case late && order.Life != w.life && !w.reached && !s.faults.lateBeforeContact:
+	case s.unreachedRejectStarts && order.Verb == Start && order.Life != w.life && !w.reached:
 	case (w.partitioned || w.deaf) && late && !arrived:
 		s.after(networkDelay, func() { s.arrive(order, late, arrived, answer) })
 	case (w.partitioned || w.deaf) && !late:
