dispatch: slow stops, workers that leave and leases that expire in the simulation

Stops took 0.2 s and no run ended by itself meanwhile; the platform allows 0.9 s. No worker left as planned. In TestNothingRunsTwice no lease ever expired, since all partitions were healed when the last job was in.

Half of the stops now take up to 0.9 s, and half of the runs that do their work meanwhile end so. Workers report no progress for a while, so that their runs are stopped; workers drain, withdraw (or the withdrawal is lost or late) and run on for up to 2 s; the jobs have resumable tasks of 2.5 s. A partition ends by its own timer, the longest one of each address counting.

--- a/dispatch/engine_test.go
+++ b/dispatch/engine_test.go
@@ -156,18 +156,17 @@
 			s.addWorker(name, 6)
 		}
 		s.run(time.Second)
-		s.faults = faults{lostOrder: 0.05, lostAnswer: 0.05, late: 0.05, slow: 0.1, failing: 0.02, shedding: 0.1, lostReport: 0.2, lateReport: 0.2}
+		s.faults = faults{lostOrder: 0.05, lostAnswer: 0.05, late: 0.05, slow: 0.1, slowStop: 0.5, failing: 0.02, shedding: 0.1, lostReport: 0.2, lateReport: 0.2}
 		for id := workflow.JobID(1); id <= 20; id++ {
 			bounded := step(5)
 			bounded.MaxPerWorker = 2
-			s.submit(id, bounded, step(4, 0), step(3, 0))
+			long := step(2, 0)
+			long.EstimatedMs, long.Resumable = 2500, true
+			s.submit(id, bounded, step(4, 0), step(3, 0), long)
 			s.injectFault(int(id))
 			s.run(time.Duration(200+s.rng.IntN(800)) * time.Millisecond)
 		}
 		s.faults = faults{}
-		for _, w := range s.workers {
-			w.partitioned, w.deaf, w.mute = false, false, false
-		}
 		assert.True(t, s.runUntil(60*time.Second, func() bool { return s.allEnded(20) }), "seed %d", seed)
 		s.run(latestArrival) // Orders that are still under way.
 		assert.Empty(t, s.violations, "seed %d", seed)
@@ -196,13 +195,43 @@
 	case 2:
 		s.partition(w)
 	case 3:
-		if s.rng.IntN(2) == 0 { // Nothing happens otherwise.
+		switch s.rng.IntN(4) { // Nothing happens otherwise.
+		case 0:
 			s.partition(w)
 			s.after(time.Duration(s.rng.IntN(3000))*time.Millisecond, func() { s.rebirth(s.workers[w.address]) })
+		case 1: // Its runs are stopped, and many end by themselves meanwhile.
+			w.looksHung = true
+			s.after(time.Duration(1+s.rng.IntN(3))*time.Second, func() { w.looksHung = false })
+		case 2:
+			s.leave(w)
 		}
 	}
 }
 
+// leave makes a worker drain and then end, whether it has been confirmed or not. The
+// reports of it arrive as others do, or late.
+func (s *sim) leave(w *simWorker) {
+	w.draining = true
+	s.after(time.Duration(500+s.rng.IntN(5000))*time.Millisecond, func() {
+		if w.dead {
+			return
+		}
+		withdraw := func() { s.engine.Withdraw(w.life.Name, w.life.BornMs, func() {}) }
+		if !w.partitioned && !w.mute && !s.happens(s.faults.lostReport) {
+			withdraw()
+		}
+		if s.happens(s.faults.lateReport) {
+			s.after(time.Duration(s.rng.Int64N(int64(latestArrival))), withdraw)
+		}
+		// It runs on for a while, since it may not get the answer.
+		s.after(time.Duration(s.rng.IntN(2000))*time.Millisecond, func() {
+			if !w.dead {
+				s.rebirth(w)
+			}
+		})
+	})
+}
+
 // partition cuts a worker off for up to 14 s, in both directions or in one.
 func (s *sim) partition(w *simWorker) {
 	switch s.rng.IntN(4) {
@@ -213,9 +242,13 @@
 	default:
 		w.partitioned = true
 	}
-	s.after(time.Duration(1+s.rng.IntN(14))*time.Second, func() {
-		w := s.workers[w.address]
-		w.partitioned, w.deaf, w.mute = false, false, false
+	heal := s.now.Add(time.Duration(1+s.rng.IntN(14)) * time.Second)
+	s.healAt[w.address] = max(s.healAt[w.address], heal)
+	s.after(heal.Sub(s.now), func() {
+		if s.now == s.healAt[w.address] {
+			w := s.workers[w.address]
+			w.partitioned, w.deaf, w.mute = false, false, false
+		}
 	})
 }
 
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -30,6 +30,8 @@
 	pending   *workflow.Batch
 	workers   map[string]*simWorker // by address
 	faults    faults
+	// healAt is when the partition at each address ends.
+	healAt map[string]Instant
 	// runs are the live runs of each task. done holds the tasks that ended
 	// successfully, acknowledged those whose successful end was acknowledged,
 	// lastStartAt when each task was last started.
@@ -60,6 +62,9 @@
 	// failing is the probability that a task fails, shedding that a worker
 	// refuses a start.
 	failing, shedding float64
+	// slowStop is the probability that a stop takes up to maxStop, and that a run that
+	// does its work meanwhile ends so.
+	slowStop float64
 	// lostReport and lateReport are the probabilities that a worker's report is lost, and
 	// that it arrives late: once more, or only then.
 	lostReport, lateReport float64
@@ -117,7 +122,7 @@
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: 1_000_000_000, committed: workflow.NewState(),
 		workers: make(map[string]*simWorker), runs: make(map[workflow.TaskRef][]*simRun), done: make(map[workflow.TaskRef]bool),
 		acknowledged: make(map[workflow.TaskRef]bool), lastStartAt: make(map[workflow.TaskRef]Instant),
-		cancelled: make(map[workflow.JobID]Instant), wallBase: 1_700_000_000_000,
+		cancelled: make(map[workflow.JobID]Instant), healAt: make(map[string]Instant), wallBase: 1_700_000_000_000,
 		settings: Settings{Lease: 8 * time.Second, MaxLease: 10 * time.Second}, delay: networkDelay, commitDelay: commitDelay,
 	}
 	s.takeOver()
--- a/dispatch/sim_worker_test.go
+++ b/dispatch/sim_worker_test.go
@@ -30,6 +30,8 @@
 	// fails makes the worker fail all tasks that it starts; with hangs they make
 	// no progress.
 	fails, hangs bool
+	// looksHung makes the worker report no progress.
+	looksHung bool
 	// reached is set once the worker has carried out an order that was sent to this
 	// incarnation.
 	reached        bool
@@ -53,6 +55,9 @@
 	step      *workflow.Step
 	startedAt Instant
 	stopping  bool
+	// endsAsItStops makes a run that is being stopped end by itself if it does its work
+	// before the stop has ended it.
+	endsAsItStops bool
 	// share is the speed of the run in percent. remaining is the time that it takes at
 	// full speed, as it was at sharedAt.
 	share     int
@@ -71,7 +76,7 @@
 		return
 	}
 	s.after(max(r.remaining*fullShare/time.Duration(percent), 0), func() {
-		if r.worker.running[r.ref] == r && r.sharedAt+Instant(r.remaining*fullShare/time.Duration(percent)) == s.now && r.share == percent && !r.stopping {
+		if r.worker.running[r.ref] == r && r.sharedAt+Instant(r.remaining*fullShare/time.Duration(percent)) == s.now && r.share == percent && (!r.stopping || r.endsAsItStops) {
 			r.worker.finish(r)
 		}
 	})
@@ -95,7 +100,7 @@
 	if r.step.Lasting {
 		return fullShare
 	}
-	if r.worker.hangs {
+	if r.worker.hangs || r.worker.looksHung {
 		return 0
 	}
 	return min(int(r.worker.sim.now.Sub(r.startedAt).Milliseconds()*fullShare/r.step.EstimatedMs), fullShare-1)
@@ -338,13 +343,22 @@
 		return
 	}
 	run.stopping = true
-	w.sim.after(200*time.Millisecond, func() {
+	// Of the runs that do their work meanwhile, some end so.
+	run.endsAsItStops = w.sim.happens(w.sim.faults.slowStop)
+	duration := 200 * time.Millisecond
+	if w.sim.happens(w.sim.faults.slowStop) {
+		duration = time.Duration(w.sim.rng.Int64N(int64(maxStop)))
+	}
+	w.sim.after(duration, func() {
 		if w.running[order.Task] == run {
 			w.end(order.Task, run, workflow.EndStopped)
 		}
 	})
 }
 
+// maxStop is the longest time that a stop takes, as the platform's settings state it.
+const maxStop = 900 * time.Millisecond
+
 func (w *simWorker) end(ref workflow.TaskRef, run *simRun, how workflow.Ending) {
 	if w.dead {
 		return
