dispatch: answers list 500 ends, and workers refuse for lack of room

A simulated worker listed all ends in each answer and never refused a start for lack of room; the platform lists 500 at a time, and a start refused as 'room' still takes the lease. Now answers list at most 500 ends, one worker of TestNothingRunsTwice guards its capacity and refuses a tenth of the starts that fit as well, and a start without a lease is invalid.

TestEndsBeyondOneAnswer: 1,600 tasks end on an unreachable worker and a new leader takes over. Seen to fail on dispatch of: 100 tasks start again between their end and its acknowledgement. handleMissingAttempt (answers.go) voids as not_running an attempt whose repeated start was answered 'outdated' and that a later poll lists nowhere, though its end is beyond the 500 listed. An answer that lists 500 ends should count no attempt as missing.

--- a/dispatch/engine_test.go
+++ b/dispatch/engine_test.go
@@ -145,6 +145,29 @@
 	require.Empty(t, s.violations)
 }
 
+// More tasks end on an unreachable worker than two of its answers list, and a new leader
+// takes over. The ends that are not listed yet must not count as runs that never were.
+func TestEndsBeyondOneAnswer(t *testing.T) {
+	s := newSim(t, 13)
+	s.setCatalog()
+	const tasks = 1600
+	w := s.addWorker("w1", tasks)
+	s.run(time.Second)
+	small := step(tasks)
+	small.Resources.MemoryMB = 1
+	s.submit(1, small)
+	require.True(t, s.runUntil(time.Second, func() bool { return s.starts == tasks }))
+	w.partitioned = true
+	s.run(2 * time.Second)
+	require.Len(t, w.ended, tasks)
+	s.takeOver()
+	w.partitioned = false
+	s.run(20 * time.Second)
+	assert.Equal(t, workflow.JobCompleted, s.state(1))
+	assert.Equal(t, tasks, s.starts)
+	assert.Empty(t, s.violations)
+}
+
 // TestNothingRunsTwice simulates orders that are lost, unanswered or carried out
 // late, crashes and partitions of workers, and changes of leader.
 func TestNothingRunsTwice(t *testing.T) {
@@ -153,10 +176,10 @@
 		s := newSim(t, seed)
 		s.setCatalog()
 		for _, name := range []string{"w1", "w2", "w3", "w4"} {
-			s.addWorker(name, 6)
+			s.addWorker(name, 6).guardsCapacity = name == "w4"
 		}
 		s.run(time.Second)
-		s.faults = faults{lostOrder: 0.05, lostAnswer: 0.05, late: 0.05, slow: 0.1, slowStop: 0.5, failing: 0.02, shedding: 0.1, lostReport: 0.2, lateReport: 0.2}
+		s.faults = faults{lostOrder: 0.05, lostAnswer: 0.05, late: 0.05, slow: 0.1, slowStop: 0.5, failing: 0.02, shedding: 0.1, noRoom: 0.1, lostReport: 0.2, lateReport: 0.2}
 		for id := workflow.JobID(1); id <= 20; id++ {
 			bounded := step(5)
 			bounded.MaxPerWorker = 2
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -30,6 +30,8 @@
 	pending   *workflow.Batch
 	workers   map[string]*simWorker // by address
 	faults    faults
+	// maxListedEnds is the number of ends that workers list in an answer.
+	maxListedEnds int
 	// healAt is when the partition at each address ends.
 	healAt map[string]Instant
 	// runs are the live runs of each task. done holds the tasks that ended
@@ -62,6 +64,9 @@
 	// failing is the probability that a task fails, shedding that a worker
 	// refuses a start.
 	failing, shedding float64
+	// noRoom is the probability that a worker that guards its capacity refuses a start that
+	// fits: what it has of it differs from what the leader knows.
+	noRoom float64
 	// slowStop is the probability that a stop takes up to maxStop, and that a run that
 	// does its work meanwhile ends so.
 	slowStop float64
@@ -123,7 +128,7 @@
 		workers: make(map[string]*simWorker), runs: make(map[workflow.TaskRef][]*simRun), done: make(map[workflow.TaskRef]bool),
 		acknowledged: make(map[workflow.TaskRef]bool), lastStartAt: make(map[workflow.TaskRef]Instant),
 		cancelled: make(map[workflow.JobID]Instant), healAt: make(map[string]Instant), wallBase: 1_700_000_000_000,
-		settings: Settings{Lease: 8 * time.Second, MaxLease: 10 * time.Second}, delay: networkDelay, commitDelay: commitDelay,
+		settings: Settings{Lease: 8 * time.Second, MaxLease: 10 * time.Second}, maxListedEnds: 500, delay: networkDelay, commitDelay: commitDelay,
 	}
 	s.takeOver()
 	s.every(tickInterval, func() { s.engine.Tick(s.now, s.wall()) })
--- a/dispatch/sim_worker_test.go
+++ b/dispatch/sim_worker_test.go
@@ -30,6 +30,8 @@
 	// fails makes the worker fail all tasks that it starts; with hangs they make
 	// no progress.
 	fails, hangs bool
+	// guardsCapacity makes the worker refuse starts for lack of room.
+	guardsCapacity bool
 	// looksHung makes the worker report no progress.
 	looksHung bool
 	// reached is set once the worker has carried out an order that was sent to this
@@ -127,6 +129,7 @@
 // partitioned as that one was.
 func (s *sim) startWorker(name string, old *simWorker) *simWorker {
 	w := s.newWorker(name, old.address, old.capacity.MilliProcessors/1000, old.rack)
+	w.guardsCapacity = old.guardsCapacity
 	w.partitioned, w.deaf, w.mute = old.partitioned, old.deaf, old.mute
 	w.report()
 	return w
@@ -256,10 +259,15 @@
 	case order.Attempt <= w.highestAttempt[ref]:
 		w.renewLease(order.ExpiresMs)
 		return Outdated
+	case order.ExpiresMs == 0:
+		return Invalid
 	case order.ExpiresMs <= w.clock():
 		return Expired
 	}
 	w.renewLease(order.ExpiresMs)
+	if w.refusesForRoom(ref) {
+		return NoRoom
+	}
 	before := len(w.sim.violations)
 	w.beginRun(ref, order.Attempt)
 	for i := before; i < len(w.sim.violations); i++ {
@@ -268,6 +276,19 @@
 	return Done
 }
 
+// refusesForRoom reports whether the worker guards its capacity and a task does not fit.
+func (w *simWorker) refusesForRoom(ref workflow.TaskRef) bool {
+	job := w.sim.committed.Job(ref.Job)
+	if !w.guardsCapacity || job == nil {
+		return false
+	}
+	used := job.Spec.Steps[ref.Step].Reserved()
+	for _, r := range w.running {
+		used = used.Add(r.step.Reserved())
+	}
+	return !used.Fits(w.capacity) || w.sim.happens(w.sim.faults.noRoom)
+}
+
 // describe tells where an order that a worker carried out came from.
 func (w *simWorker) describe(order *Order) string {
 	return fmt.Sprintf(" (attempt %d on %s, reached by a leader: %v; sent %v before, fence %d, same incarnation: %v)",
@@ -413,7 +434,7 @@
 			continue
 		}
 		h.open = false
-		a := Answer{Order: h.order, Outcome: Done, ClockMs: w.clock(), Ended: slices.Clone(w.ended)}
+		a := Answer{Order: h.order, Outcome: Done, ClockMs: w.clock(), Ended: slices.Clone(w.ended[:min(len(w.ended), w.sim.maxListedEnds)])}
 		for ref, run := range w.running {
 			a.Running = append(a.Running, RunningAttempt{Task: ref, Attempt: run.attempt, Percent: run.percent(), Gauge: run.reportedGauge()})
 		}
