--- a/dispatch/sim_worker_test.go
+++ b/dispatch/sim_worker_test.go
@@ -30,6 +30,10 @@
 	// fails makes the worker fail all tasks that it starts; with hangs they make
 	// no progress.
 	fails, hangs bool
+	// guardsCapacity makes the worker refuse starts for lack of room.
+	guardsCapacity bool
+	// looksHung makes the worker report no progress.
+	looksHung bool
 	// reached is set once the worker has carried out an order that was sent to this
 	// incarnation.
 	reached        bool
@@ -53,6 +57,9 @@
 	step      *workflow.Step
 	startedAt Instant
 	stopping  bool
+	// endsAsItStops makes a run that is being stopped end by itself if it does its work
+	// before the stop has ended it.
+	endsAsItStops bool
 	// share is the speed of the run in percent. remaining is the time that it takes at
 	// full speed, as it was at sharedAt.
 	share     int
@@ -73,7 +80,7 @@
 		return
 	}
 	s.after(max(r.remaining*fullShare/time.Duration(percent), 0), func() {
-		if r.worker.running[r.ref] == r && r.sharedAt+Instant(r.remaining*fullShare/time.Duration(percent)) == s.now && r.share == percent && !r.stopping {
+		if r.worker.running[r.ref] == r && r.sharedAt+Instant(r.remaining*fullShare/time.Duration(percent)) == s.now && r.share == percent && (!r.stopping || r.endsAsItStops) {
 			r.worker.finish(r)
 		}
 	})
@@ -97,7 +104,7 @@
 	if r.step.Lasting {
 		return fullShare
 	}
-	if r.worker.hangs {
+	if r.worker.hangs || r.worker.looksHung {
 		return 0
 	}
 	return min(int(r.worker.sim.now.Sub(r.startedAt).Milliseconds()*fullShare/r.step.EstimatedMs), fullShare-1)
@@ -124,6 +131,7 @@
 // partitioned as that one was.
 func (s *sim) startWorker(name string, old *simWorker) *simWorker {
 	w := s.newWorker(name, old.address, old.capacity.MilliProcessors/1000, old.rack)
+	w.guardsCapacity = old.guardsCapacity
 	w.partitioned, w.deaf, w.mute = old.partitioned, old.deaf, old.mute
 	w.report()
 	return w
@@ -256,10 +264,15 @@
 	case order.Attempt <= w.highestAttempt[ref]:
 		w.renewLease(order.ExpiresMs)
 		return Outdated
+	case order.ExpiresMs == 0:
+		return Invalid
 	case order.ExpiresMs <= w.clock():
 		return Expired
 	}
 	w.renewLease(order.ExpiresMs)
+	if w.refusesForRoom(ref) {
+		return NoRoom
+	}
 	before := len(w.sim.violations)
 	w.beginRun(ref, order.Attempt)
 	if run := w.running[ref]; run != nil && run.step.Gang {
@@ -271,6 +284,19 @@
 	return Done
 }
 
+// refusesForRoom reports whether the worker guards its capacity and a task does not fit.
+func (w *simWorker) refusesForRoom(ref workflow.TaskRef) bool {
+	job := w.sim.committed.Job(ref.Job)
+	if !w.guardsCapacity || job == nil {
+		return false
+	}
+	used := job.Spec.Steps[ref.Step].Reserved()
+	for _, r := range w.running {
+		used = used.Add(r.step.Reserved())
+	}
+	return !used.Fits(w.capacity) || w.sim.happens(w.sim.faults.noRoom)
+}
+
 // describe tells where an order that a worker carried out came from.
 func (w *simWorker) describe(order *Order) string {
 	return fmt.Sprintf(" (attempt %d on %s, reached by a leader: %v; sent %v before, fence %d, same incarnation: %v)",
@@ -346,13 +372,22 @@
 		return
 	}
 	run.stopping = true
-	w.sim.after(200*time.Millisecond, func() {
+	// Of the runs that do their work meanwhile, some end so.
+	run.endsAsItStops = w.sim.happens(w.sim.faults.slowStop)
+	duration := 200 * time.Millisecond
+	if w.sim.happens(w.sim.faults.slowStop) {
+		duration = time.Duration(w.sim.rng.Int64N(int64(maxStop)))
+	}
+	w.sim.after(duration, func() {
 		if w.running[order.Task] == run {
 			w.end(order.Task, run, workflow.EndStopped)
 		}
 	})
 }
 
+// maxStop is the longest time that a stop takes, as the platform's settings state it.
+const maxStop = 900 * time.Millisecond
+
 func (w *simWorker) end(ref workflow.TaskRef, run *simRun, how workflow.Ending) {
 	if w.dead {
 		return
@@ -408,7 +443,7 @@
 			continue
 		}
 		h.open = false
-		a := Answer{Order: h.order, Outcome: Done, ClockMs: w.clock(), Ended: slices.Clone(w.ended)}
+		a := Answer{Order: h.order, Outcome: Done, ClockMs: w.clock(), Ended: slices.Clone(w.ended[:min(len(w.ended), w.sim.maxListedEnds)])}
 		for ref, run := range w.running {
 			a.Running = append(a.Running, RunningAttempt{Task: ref, Attempt: run.attempt, Checkpoint: run.gang.checkpoint(), Percent: run.percent(), Gauge: run.reportedGauge()})
 		}
