Attempts on a worker that restarted wait for late starts and their leases

Callers could see a task run twice: a start to the previous incarnation is carried out by the next one before its first answer to a leader. Its end of lease is a time on the old clock, far in the future of the new one, so it runs for the longest lease from its arrival. The leader took the attempts on an incarnation that it could not reach for over 10.2 s after the report, and after the first answer with its own renewals alone.

An incarnation with carried attempts now holds them for the longest delay of an order (12 s) and the longest lease, and from its first answer for the longest lease, unless a poll shows what runs.

TestALateStartAtACutOffWorkerThatRestarted and TestALateStartJustBeforeTheFirstPoll failed before, 'runs twice', and pass.

--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -125,6 +125,9 @@
 	first := !v.fenced
 	v.fenced = true
 	if first {
+		if len(v.worker.Carried) > 0 {
+			v.leaseExpiresAt = e.now.Add(maxRealTime(e.settings.MaxLease))
+		}
 		e.log.Info().Str("worker", v.worker.Life.Name).Int("running", len(answer.Running)).Int("recorded", len(v.attempts)).Uint64("term", e.term).Msg("worker reached")
 	}
 	e.recordEnds(v, answer.Ended)
--- a/dispatch/settings.go
+++ b/dispatch/settings.go
@@ -35,6 +35,9 @@
 	// counts as unreachable and gets no new work: a poll's wait, its answer
 	// timeout and one retry delay.
 	staleAfter = 2 * time.Second
+	// maxOrderDelay is the time within which an order without an answer is carried out,
+	// if ever; the platform states that this may be seconds later.
+	maxOrderDelay = 12 * time.Second
 	// maxClockLag is the fraction by which a worker's clock may run slower than
 	// real time; the platform states 2%.
 	maxClockLag = 0.02
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -131,6 +131,11 @@
 		}
 		v.add(a)
 	}
+	if len(w.Carried) > 0 {
+		// Until its first answer, an incarnation may carry out a start that was sent to
+		// the previous one, and run it for the longest lease.
+		v.leaseExpiresAt = v.leaseExpiresAt.Add(maxOrderDelay)
+	}
 	e.views[w.ID] = v
 	e.sortedViews = append(slices.Clone(e.sortedViews), v)
 	return v
