Attempts that an answer does not show may be among ends not listed yet

After a new leader had started what its first poll did not show, or stopped what two polls missed, attempts whose ends were not listed yet counted as missing.

An answer that lists 500 ends now says nothing about attempts that it does not show.

--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -8,6 +8,9 @@
 // before it is stopped.
 const maxMissedPolls = 2
 
+// maxListedEnds is the number of ends that a worker lists in one answer.
+const maxListedEnds = 500
+
 // HandleAnswer processes the answer to an order. It returns false if the
 // incarnation to which the order was sent has seen a higher fencing token: another
 // leader is active.
@@ -259,6 +262,9 @@
 		}
 	}
 	e.forgetStrays(v.worker.ID, answer.Running)
+	if len(answer.Ended) >= maxListedEnds {
+		return // The end of an attempt that does not run may be among those not listed yet.
+	}
 	for _, a := range v.attemptList {
 		if !present[a.ref] {
 			e.handleMissingAttempt(v, a, answer.Order.SentAt)
