--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -125,12 +125,17 @@
 		leaseExpiresAt: e.now.Add(maxRealTime(e.settings.MaxLease)),
 	}
 	for _, ref := range sortedTasks(w.Attempts) {
-		a := &attempt{ref: ref, number: w.Attempts[ref], committed: true, adopted: true, placedAt: e.now, appliedShare: unknownShare, wantedShare: fullShare}
+		a := &attempt{ref: ref, number: w.Attempts[ref], committed: true, adopted: true, carried: w.Carried[ref], placedAt: e.now, appliedShare: unknownShare, wantedShare: fullShare}
 		if job := e.state.Job(ref.Job); job == nil || !job.Active() {
 			a.stopWanted = true
 		}
 		v.add(a)
 	}
+	if len(w.Carried) > 0 {
+		// Until its first answer, an incarnation may carry out a start that was sent to
+		// the previous one, and run it for the longest lease.
+		v.leaseExpiresAt = v.leaseExpiresAt.Add(maxOrderDelay)
+	}
 	e.views[w.ID] = v
 	e.sortedViews = append(slices.Clone(e.sortedViews), v)
 	return v
