--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -8,16 +8,17 @@
 // before it is stopped.
 const maxMissedPolls = 2
 
-// HandleAnswer processes the answer to an order. It returns false if the worker
-// has seen a higher fencing token: another leader is active.
+// HandleAnswer processes the answer to an order. It returns false if the
+// incarnation to which the order was sent has seen a higher fencing token: another
+// leader is active.
 func (e *Engine) HandleAnswer(a *Answer) bool {
-	if a.Outcome == Fenced {
-		e.log.Warn().Str("worker", a.Order.Life.Name).Uint64("term", e.fence).Msg("fenced by worker")
-		return false
-	}
 	v := e.views[a.Order.Worker]
 	if v == nil {
-		return true
+		return true // The next incarnation of the worker rejects the order as well.
+	}
+	if a.Outcome == Fenced {
+		e.log.Warn().Str("worker", a.Order.Life.Name).Int64("born_ms", a.Order.Life.BornMs).Uint64("fence", a.Order.Fence).Uint64("term", e.term).Msg("fenced by worker")
+		return false
 	}
 	if a.Outcome == OtherIncarnation {
 		e.endIncarnation(v.worker, "other_life_answers")
@@ -57,7 +58,7 @@
 	if a == nil || a.number != answer.Order.Attempt {
 		return nil
 	}
-	a.callInFlight = false
+	a.callInFlight, a.startCallInFlight = false, false
 	return a
 }
 
@@ -68,7 +69,7 @@
 	}
 	switch answer.Outcome {
 	case Done:
-		a.unansweredStarts = 0
+		a.startAnswered = true
 		if !a.running {
 			a.running, a.runningSince, a.missedPolls = true, e.now, 0
 		}
@@ -93,8 +94,8 @@
 	if outcome == Unhealthy || outcome == NoRoom {
 		v.quarantinedUntil = e.now.Add(unhealthyQuarantine)
 	}
-	e.log.Info().Stringer("task", a.ref).Uint32("attempt", a.number).Str("worker", v.worker.Life.Name).Stringer("outcome", outcome).Int("unanswered", a.unansweredStarts).Uint64("term", e.fence).Msg("start refused")
-	if a.unansweredStarts > 0 && outcome != Expired {
+	e.log.Info().Stringer("task", a.ref).Uint32("attempt", a.number).Str("worker", v.worker.Life.Name).Int64("born_ms", v.worker.Life.BornMs).Stringer("outcome", outcome).Int("in_flight", a.startsInFlight()).Uint64("term", e.term).Msg("start refused")
+	if a.startsInFlight() > 0 && outcome != Expired {
 		// An earlier start may still be carried out; a stop rules that out.
 		a.stopWanted = true
 		return
@@ -115,7 +116,8 @@
 }
 
 func (e *Engine) handlePollAnswer(v *workerView, answer *Answer) {
-	if answer.Outcome != Done {
+	v.pollAnswered = answer.Outcome == Done
+	if !v.pollAnswered {
 		v.pollInFlight = false
 		v.nextPollAt = e.now.Add(pollRetryDelay)
 		return
@@ -123,7 +125,7 @@
 	first := !v.fenced
 	v.fenced = true
 	if first {
-		e.log.Info().Str("worker", v.worker.Life.Name).Int("running", len(answer.Running)).Int("recorded", len(v.attempts)).Uint64("term", e.fence).Msg("worker reached")
+		e.log.Info().Str("worker", v.worker.Life.Name).Int("running", len(answer.Running)).Int("recorded", len(v.attempts)).Uint64("term", e.term).Msg("worker reached")
 	}
 	e.recordEnds(v, answer.Ended)
 	e.reconcileRunning(v, answer)
@@ -171,7 +173,7 @@
 	e.recordOutcome(v, end)
 	e.ready.markDirty(end.Task.Job)
 	a := v.attempts[end.Task]
-	event := e.log.Info().Stringer("task", end.Task).Uint32("attempt", end.Attempt).Str("worker", v.worker.Life.Name).Stringer("how", end.How).Uint64("number", end.Number).Uint64("term", e.fence)
+	event := e.log.Info().Stringer("task", end.Task).Uint32("attempt", end.Attempt).Str("worker", v.worker.Life.Name).Int64("born_ms", v.worker.Life.BornMs).Stringer("how", end.How).Uint64("number", end.Number).Uint64("term", e.term)
 	if a != nil && a.number == end.Attempt {
 		event = event.Dur("since_placed", e.since(a.placedAt))
 		if step := e.step(end.Task); step != nil {
@@ -179,18 +181,43 @@
 		}
 		e.recordEndedScavenger(v, a)
 		v.remove(a)
+		e.recordFormerAttempt(v, a, "ended_"+end.How.String())
 	}
 	event.Msg("attempt ended")
+	if end.How == workflow.EndDone {
+		e.afterCommit(func() { e.stopLaterAttempts(end) })
+	}
 	job := e.state.Job(end.Task.Job)
 	if active && !job.Active() {
 		e.handleJobEnd(job)
 	}
 }
 
+// stopLaterAttempts stops the later attempts of a task that a voided attempt has done
+// after all, and of the other tasks of its gang.
+func (e *Engine) stopLaterAttempts(end *EndedAttempt) {
+	job := e.state.Job(end.Task.Job)
+	if job == nil || job.Task(end.Task) == nil {
+		return
+	}
+	for i, task := range job.Occurrences[end.Task.Occurrence].Steps[end.Task.Step] {
+		ref := end.Task
+		ref.Index = uint32(i)
+		v := e.views[task.Worker]
+		if task.State != workflow.TaskDone || task.Attempt <= end.Attempt || v == nil {
+			continue
+		}
+		if a := v.attempts[ref]; a != nil {
+			a.stopWanted = true
+			e.issueAttemptOrder(v, a)
+		}
+	}
+}
+
 // handleJobEnd stops what still runs of a job, once its end is committed.
 func (e *Engine) handleJobEnd(job *workflow.Job) {
 	e.afterCommit(func() {
-		e.log.Info().Stringer("job", job.ID).Str("state", string(job.State())).Int64("accepted_ms", job.AcceptedMs).Int64("finished_ms", job.FinishedMs).Uint64("term", e.fence).Msg("job ended")
+		e.log.Info().Stringer("job", job.ID).Str("state", string(job.State())).Int64("accepted_ms", job.AcceptedMs).Int64("finished_ms", job.FinishedMs).Uint64("term", e.term).Msg("job ended")
 		e.stopJobAttempts(job)
 	})
 }
@@ -219,9 +246,9 @@
 			e.stopUnknownAttempt(v, r)
 			continue
 		}
-		present[r.Task], a.seenInPoll = true, true
+		present[r.Task], a.carried = true, false
 		if !a.running {
-			a.running, a.runningSince, a.unansweredStarts = true, e.now, 0
+			a.running, a.runningSince = true, e.now
 		}
 		a.missedPolls, a.percent, a.checkpoint, a.gauge, a.gaugeReadAt = 0, r.Percent, r.Checkpoint, r.Gauge, e.now
 		if step := e.step(a.ref); step != nil && step.Scavenger {
@@ -240,6 +267,10 @@
 // it stops an attempt that was running.
 func (e *Engine) handleMissingAttempt(v *workerView, a *attempt, pollSentAt Instant) {
 	switch {
+	case a.carried:
+		// From its answer to this poll on, this incarnation rejects the starts that
+		// were sent to the previous one.
+		e.void(v, a, "new_life")
 	case a.startRuledOut && pollSentAt > a.startRuledOutAt:
 		e.void(v, a, "not_running")
 	case a.running && pollSentAt > a.runningSince:
@@ -253,6 +284,8 @@
 // stopUnknownAttempt stops a running attempt that is not recorded: its start was
 // carried out after it was voided.
 func (e *Engine) stopUnknownAttempt(v *workerView, r *RunningAttempt) {
-	e.log.Warn().Stringer("task", r.Task).Uint32("attempt", r.Attempt).Str("worker", v.worker.Life.Name).Uint64("term", e.fence).Msg("unknown attempt")
+	e.logUnknownAttempt(v, r)
+	// The worker has less room than is recorded until the attempt has stopped.
+	v.quarantinedUntil = max(v.quarantinedUntil, e.now.Add(unhealthyQuarantine))
 	e.issueOrder(v, Order{Verb: Stop, Task: r.Task, Attempt: r.Attempt})
 }
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -18,6 +18,9 @@
 	// pollInFlight is set while no further poll may be sent: from a poll until
 	// the ends in its answer are committed.
 	pollInFlight bool
+	// pollAnswered is set if the incarnation answered the latest poll. If not, its
+	// successor may answer the next one, whose ends have the same numbers.
+	pollAnswered bool
 	nextPollAt   Instant
 	// answeredAt is when the worker last answered an order.
 	answeredAt Instant
@@ -61,13 +64,21 @@
 	// callInFlight is set while a start, stop or throttle order is in flight.
 	callInFlight bool
 	retryAt      Instant
-	// unansweredStarts counts the starts that may still be carried out.
-	unansweredStarts int
-	running          bool
-	runningSince     Instant
-	// seenInPoll is set once a poll of this incarnation showed the attempt.
-	seenInPoll bool
-	placedAt   Instant
+	// startCallInFlight is set while the order in flight is a start.
+	startCallInFlight bool
+	// startsSent counts the starts that this leader sent, unansweredStarts those that
+	// got no answer. startAnswered is set once a start was answered as carried out.
+	startsSent, unansweredStarts int
+	startAnswered                bool
+	// adopted is set on an attempt of an earlier leader or incarnation, any number of
+	// whose starts may be unanswered.
+	adopted bool
+	// carried is set on an attempt of the worker's previous incarnation until a poll
+	// of this one has shown whether a start of it was carried out here.
+	carried      bool
+	running      bool
+	runningSince Instant
+	placedAt     Instant
 	// missedPolls counts the polls in a row that did not show a running attempt.
 	missedPolls int
 	stopWanted  bool
@@ -113,7 +124,7 @@
 		leaseExpiresAt: e.now.Add(maxRealTime(e.settings.MaxLease)),
 	}
 	for _, ref := range sortedTasks(w.Attempts) {
-		a := &attempt{ref: ref, number: w.Attempts[ref], committed: true, placedAt: e.now, appliedShare: unknownShare, wantedShare: fullShare}
+		a := &attempt{ref: ref, number: w.Attempts[ref], committed: true, adopted: true, placedAt: e.now, appliedShare: unknownShare, wantedShare: fullShare}
 		if job := e.state.Job(ref.Job); job == nil || !job.Active() {
 			a.stopWanted = true
 		}
@@ -153,6 +164,23 @@
 	}
 }
 
+// startsInFlight returns how many starts of the attempt may still be carried out; at
+// least one if it is adopted. If the attempt runs and no start was answered, one of
+// them has been carried out already.
+func (a *attempt) startsInFlight() int {
+	n := a.unansweredStarts
+	if a.startCallInFlight {
+		n++
+	}
+	if a.running && !a.startAnswered && n > 0 {
+		n--
+	}
+	if a.adopted {
+		return max(n, 1)
+	}
+	return n
+}
+
 func compareTaskRefs(a, b workflow.TaskRef) int {
 	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
 }
@@ -168,8 +196,9 @@
 	}
 	e.counters.Voided++
 	e.ready.markDirty(ref.Job)
-	e.log.Info().Stringer("task", ref).Uint32("attempt", a.number).Str("worker", v.worker.Life.Name).Str("reason", reason).
-		Dur("unheard", e.since(v.answeredAt)).Uint64("term", e.fence).Msg("attempt void")
+	e.log.Info().Stringer("task", ref).Uint32("attempt", a.number).Str("worker", v.worker.Life.Name).Int64("born_ms", v.worker.Life.BornMs).Str("reason", reason).
+		Int("starts", a.startsSent).Int("in_flight", a.startsInFlight()).Dur("lease_left", v.leaseExpiresAt.Sub(e.now)).Dur("unheard", e.since(v.answeredAt)).Uint64("term", e.term).Msg("attempt void")
+	e.recordFormerAttempt(v, a, reason)
 }
 
 // evacuate stops the lasting and resumable attempts on a draining worker. The
@@ -232,7 +261,10 @@
 
 func (e *Engine) poll(v *workerView) {
 	v.pollInFlight = true
-	order := Order{Verb: Poll, AckedThrough: v.lastEndAcked, Wait: pollWait}
+	order := Order{Verb: Poll, Wait: pollWait}
+	if v.pollAnswered {
+		order.AckedThrough = v.lastEndAcked
+	}
 	if e.overTarget(v) && e.scavengersWork(v) {
 		order.Wait = overrunPollWait
 	}
@@ -242,10 +274,16 @@
 	e.issueOrder(v, order)
 }
 
+// fencingToken returns the token of a leader's orders to one incarnation of a worker.
+// It rises with the term, and with each incarnation under the same name: once an
+// incarnation has answered an order, it rejects those that were sent to its
+// predecessors, of which it knows nothing.
+func fencingToken(term uint64, worker workflow.WorkerID) uint64 { return term<<32 | uint64(worker) }
+
 // issueOrder completes an order and queues it for sending.
 func (e *Engine) issueOrder(v *workerView, order Order) {
 	order.Worker, order.Life, order.Address = v.worker.ID, v.worker.Life, v.worker.Address
-	order.Fence, order.SentAt = e.fence, e.now
+	order.Term, order.Fence, order.SentAt = e.term, fencingToken(e.term, v.worker.ID), e.now
 	// The lease of a worker that does not answer is not renewed, so that its
 	// tasks can run elsewhere in the end.
 	if v.clockMs > 0 && e.since(v.answeredAt) < staleAfter && (order.Verb == Poll || order.Verb == Start) {
@@ -261,7 +299,7 @@
 // throttle.
 func (e *Engine) issueAttemptOrder(v *workerView, a *attempt) {
 	ref := a.ref
-	if v.attempts[ref] != a || !a.committed || a.callInFlight || e.now < a.retryAt || !e.reachable(v) {
+	if v.attempts[ref] != a || !a.committed || a.carried || a.callInFlight || e.now < a.retryAt || !e.reachable(v) {
 		return
 	}
 	switch {
@@ -287,7 +325,11 @@
 	if v.clockMs == 0 {
 		return // A lease can't be granted without a reading of the worker's clock.
 	}
-	a.callInFlight = true
+	a.callInFlight, a.startCallInFlight = true, true
+	a.startsSent++
+	if a.startsSent > 1 {
+		e.log.Info().Stringer("task", ref).Uint32("attempt", a.number).Str("worker", v.worker.Life.Name).Int64("born_ms", v.worker.Life.BornMs).Int("starts", a.startsSent).Int("unanswered", a.unansweredStarts).Uint64("term", e.term).Msg("start repeated")
+	}
 	task := job.Task(ref)
 	e.issueOrder(v, Order{Verb: Start, Task: ref, Attempt: a.number, Payload: job.Spec.Payload, Checkpoint: task.Checkpoint, Ticket: e.ticketFor(job, ref, v)})
 }
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -40,6 +40,7 @@
 		"leader changed",
 		"leader lost",
 		"leadership changed",
+		"leadership not given up",
 		"leading",
 		"maintenance answered",
 		"maintenance changed",
@@ -67,6 +68,7 @@
 		"slots given up after a pause",
 		"snapshot not transferred",
 		"start refused",
+		"start repeated",
 		"started",
 		"state diverged",
 		"state not copied",
@@ -90,5 +92,6 @@
 		"worker quarantined",
 		"worker reached",
 		"worker reborn",
+		"worker withdraws",
 	}
 }
