--- a/dispatch/incarnations_test.go
+++ b/dispatch/incarnations_test.go
@@ -134,3 +134,42 @@
 	require.Equal(t, "c1", s.committed.Job(1).Task(ref).Checkpoint)
 	require.Empty(t, s.violations)
 }
+
+// The first start of a task gets no answer, and a repeated one arrives after its lease.
+// The first one may still be carried out, so the worker must be told to stop.
+func TestAnExpiredStartDoesNotRuleOutAnEarlierOne(t *testing.T) {
+	s := newSim(t, 27)
+	s.setCatalog()
+	s.addWorker("w1", 4)
+	s.run(time.Second)
+	s.faults.lostOrder = 1
+	s.submit(1, step(1))
+	s.run(700 * time.Millisecond)
+	v := s.engine.sortedViews[0]
+	a := v.attempts[workflow.TaskRef{Job: 1}]
+	require.Equal(t, 1, a.unansweredStarts)
+	s.engine.HandleAnswer(&Answer{Order: Order{Verb: Start, Worker: v.worker.ID, Task: a.ref, Attempt: a.number}, Outcome: Expired, ClockMs: v.clockMs})
+	require.Same(t, a, v.attempts[a.ref], "the attempt must not be void")
+	require.True(t, a.stopWanted)
+	s.faults.lostOrder = 0
+	require.True(t, s.runUntil(5*time.Second, func() bool { return s.state(1) == workflow.JobCompleted }))
+	require.Empty(t, s.violations)
+}
+
+// A start gets no answer, and the worker begins to drain. The start must not be repeated
+// there: the task belongs on another worker.
+func TestNoStartIsRepeatedToADrainingWorker(t *testing.T) {
+	s := newSim(t, 28)
+	s.setCatalog()
+	w := s.addWorker("w1", 4)
+	s.run(time.Second)
+	s.faults.lostOrder = 1
+	s.submit(1, step(2))
+	s.run(300 * time.Millisecond)
+	w.drain()
+	s.faults.lostOrder = 0
+	s.addWorker("w2", 4)
+	require.True(t, s.runUntil(5*time.Second, func() bool { return s.state(1) == workflow.JobCompleted }))
+	require.Empty(t, w.endedAt, "nothing may start on the draining worker")
+	require.Empty(t, s.violations)
+}
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -309,11 +309,14 @@
 	if v.attempts[ref] != a || !a.committed || a.carried || a.callInFlight || e.now < a.retryAt || !e.reachable(v) {
 		return
 	}
+	if v.worker.Draining && !a.running {
+		a.stopWanted = true
+	}
 	switch {
 	case a.stopWanted && !a.startRuledOut:
 		a.callInFlight = true
 		e.issueOrder(v, Order{Verb: Stop, Task: ref, Attempt: a.number})
-	case !a.stopWanted && !a.running && !a.startRuledOut:
+	case !a.stopWanted && !a.running && !a.startRuledOut && !v.worker.Draining:
 		e.issueStart(v, a)
 	case a.running && !a.stopWanted && a.appliedShare != a.wantedShare && e.isScavenger(ref):
 		a.callInFlight = true
