A withdrawn worker without a listener is over

The connection to such a worker is refused at once.

The platform's client tells a refused connection from a missing answer, and a worker that has withdrawn is over once its port has no listener. Without a withdrawal a refused connection still says nothing: a network may refuse connections to a worker that runs.

--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -27,6 +27,14 @@
 		e.handleOtherIncarnation(v, a)
 		return true
 	}
+	if a.Outcome == NoListener {
+		if _, withdrawn := e.withdrawals[v.worker.ID]; withdrawn {
+			e.endIncarnation(v.worker, "withdrew")
+			e.endWithdrawn(v.worker.ID)
+			return true
+		}
+		a.Outcome = Unanswered
+	}
 	switch a.Outcome {
 	case Unanswered:
 		e.counters.Unanswered++
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -82,11 +82,13 @@
 	OtherIncarnation
 	// NotSent: the order never left this process.
 	NotSent
+	// NoListener: no process listens at the worker's address, or the network claims so.
+	NoListener
 )
 
 var outcomeNames = [...]string{
 	Unanswered: "unanswered", Done: "done", Fenced: "fenced", Outdated: "outdated", Expired: "expired",
-	NoRoom: "no_room", NoTicket: "no_ticket", Invalid: "invalid", Unhealthy: "unhealthy", OtherIncarnation: "other_life", NotSent: "not_sent",
+	NoRoom: "no_room", NoTicket: "no_ticket", Invalid: "invalid", Unhealthy: "unhealthy", OtherIncarnation: "other_life", NotSent: "not_sent", NoListener: "no_listener",
 }
 
 // String returns the name of the outcome.
--- a/dispatch/reports_test.go
+++ b/dispatch/reports_test.go
@@ -279,3 +279,40 @@
 	require.Empty(t, s.violations)
 	require.Equal(t, 8, s.starts, "the tasks must run on the other worker once the lease is over")
 }
+
+// A worker withdraws with tasks on it and ends at once. No process listens at its address
+// any more: its tasks must not wait for the lease.
+func TestAWithdrawnWorkerWithoutAListenerIsOver(t *testing.T) {
+	s := newSim(t, 29)
+	s.setCatalog()
+	w1 := s.addWorker("w1", 4)
+	s.run(time.Second)
+	s.startLongTasks(4)
+	s.addWorker("w2", 4)
+	w1.drain()
+	answered := s.withdraw(w1)
+	w1.crash()
+	v := s.engine.views[s.engine.state.WorkerNamed("w1").ID]
+	s.engine.HandleAnswer(&Answer{Order: Order{Verb: Poll, Worker: v.worker.ID}, Outcome: NoListener})
+	s.run(time.Second)
+	assert.True(t, *answered)
+	assert.Nil(t, s.committed.WorkerNamed("w1"))
+	assert.Equal(t, 8, s.starts)
+	assert.Empty(t, s.violations)
+}
+
+// A network that refuses connections to a worker which runs and did not withdraw says
+// nothing about what runs there.
+func TestARefusedConnectionEndsNoTaskThatRuns(t *testing.T) {
+	s := newSim(t, 30)
+	s.setCatalog()
+	w1 := s.addWorker("w1", 4)
+	s.run(time.Second)
+	s.startLongTasks(4)
+	s.addWorker("w2", 4)
+	v := s.engine.views[s.engine.state.WorkerNamed("w1").ID]
+	s.engine.HandleAnswer(&Answer{Order: Order{Verb: Poll, Worker: v.worker.ID}, Outcome: NoListener})
+	s.run(3 * time.Second)
+	assert.Len(t, w1.running, 4)
+	assert.Equal(t, 4, s.starts)
+}
