dispatch: gangs under the same two sets of faults as single tasks

TestNoGangRunsTwice now has all faults of TestNothingRunsTwice, with slow orders too, and TestNoGangRunsTwiceBeforeTheFirstContact those of the test of that name. They take the place of TestGangsRunOnceOnWorkersThatWereReached, which lost only starts before the first contact and had no slow orders, and of its own switch in the simulation.

--- a/dispatch/gang_test.go
+++ b/dispatch/gang_test.go
@@ -12,23 +12,21 @@
 
 // Gangs under the faults of TestNothingRunsTwice: no two runs of a gang overlap in any of
 // its members, and none of them starts after the end of one was acknowledged.
-func TestNoGangRunsTwice(t *testing.T) { simulateGangs(t, false) }
+func TestNoGangRunsTwice(t *testing.T) { testGangsUnderFaults(t, false) }
 
-// The same, but no start to the previous incarnation of a worker arrives before a leader
-// has reached the next one, which cannot know that it must reject the start.
-func TestGangsRunOnceOnWorkersThatWereReached(t *testing.T) { simulateGangs(t, true) }
+// As TestNoGangRunsTwice, under the faults of TestNothingRunsTwiceBeforeTheFirstContact.
+func TestNoGangRunsTwiceBeforeTheFirstContact(t *testing.T) { testGangsUnderFaults(t, true) }
 
-func simulateGangs(t *testing.T, unreachedRejectStarts bool) {
+func testGangsUnderFaults(t *testing.T, lateBeforeContact bool) {
 	first, last := seeds()
 	for seed := first; seed <= last; seed++ {
 		s := newSim(t, seed)
-		s.unreachedRejectStarts = unreachedRejectStarts
 		s.setCatalog()
 		for _, name := range []string{"w1", "w2", "w3", "w4"} {
 			s.addWorker(name, 6)
 		}
 		s.run(time.Second)
-		s.faults = faults{lostOrder: 0.05, lostAnswer: 0.05, late: 0.05, failing: 0.02, shedding: 0.1, lostReport: 0.2, lateReport: 0.2}
+		s.faults = faults{lostOrder: 0.05, lostAnswer: 0.05, late: 0.05, slow: 0.1, lateBeforeContact: lateBeforeContact, failing: 0.02, shedding: 0.1, lostReport: 0.2, lateReport: 0.2}
 		for id := workflow.JobID(1); id <= 20; id++ {
 			bounded := gang(uint32(2 + s.rng.IntN(4)))
 			bounded.MaxPerWorker = 2
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -43,13 +43,10 @@
 	lastStartAt  map[workflow.TaskRef]Instant
 	cancelled    map[workflow.JobID]Instant
 	gangs        simGangs
-	// unreachedRejectStarts makes an incarnation that no leader has reached yet reject
-	// the starts that were sent to its predecessors.
-	unreachedRejectStarts bool
-	violations            []string
-	wallBase              int64
-	settings              Settings
-	starts                int
+	violations   []string
+	wallBase     int64
+	settings     Settings
+	starts       int
 	// send replaces deliver if it is set.
 	send func(engine *Engine, order Order)
 	// notSent makes the leader send no orders.
@@ -293,7 +290,6 @@
 	switch {
 	case w == nil || w.dead:
 	case late && order.Life != w.life && !w.reached && !s.faults.lateBeforeContact:
-	case s.unreachedRejectStarts && order.Verb == Start && order.Life != w.life && !w.reached:
 	case (w.partitioned || w.deaf) && late && !arrived:
 		s.after(networkDelay, func() { s.arrive(order, late, arrived, answer) })
 	case (w.partitioned || w.deaf) && !late:
