--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -21,7 +21,7 @@
 		return false
 	}
 	if a.Outcome == OtherIncarnation {
-		e.endIncarnation(v.worker, "other_life_answers")
+		e.handleOtherIncarnation(v, a)
 		return true
 	}
 	switch a.Outcome {
@@ -116,8 +116,8 @@
 }
 
 func (e *Engine) handlePollAnswer(v *workerView, answer *Answer) {
-	v.pollAnswered = answer.Outcome == Done
-	if !v.pollAnswered {
+	v.endsListed = answer.Outcome == Done && len(answer.Ended) > 0
+	if answer.Outcome != Done {
 		v.pollInFlight = false
 		v.nextPollAt = e.now.Add(pollRetryDelay)
 		return
@@ -184,12 +184,36 @@
 		e.recordFormerAttempt(v, a, "ended_"+end.How.String())
 	}
 	event.Msg("attempt ended")
+	if end.How == workflow.EndDone {
+		e.afterCommit(func() { e.stopLaterAttempts(end) })
+	}
 	job := e.state.Job(end.Task.Job)
 	if active && !job.Active() {
 		e.handleJobEnd(job)
 	}
 }
 
+// stopLaterAttempts stops the later attempts of a task that a voided attempt has done
+// after all, and of the other tasks of its gang.
+func (e *Engine) stopLaterAttempts(end *EndedAttempt) {
+	job := e.state.Job(end.Task.Job)
+	if job == nil || job.Task(end.Task) == nil {
+		return
+	}
+	for i, task := range job.Occurrences[end.Task.Occurrence].Steps[end.Task.Step] {
+		ref := end.Task
+		ref.Index = uint32(i)
+		v := e.views[task.Worker]
+		if task.State != workflow.TaskDone || task.Attempt <= end.Attempt || v == nil {
+			continue
+		}
+		if a := v.attempts[ref]; a != nil {
+			a.stopWanted = true
+			e.issueAttemptOrder(v, a)
+		}
+	}
+}
+
 // handleJobEnd stops what still runs of a job, once its end is committed.
 func (e *Engine) handleJobEnd(job *workflow.Job) {
 	e.afterCommit(func() {
@@ -219,7 +243,7 @@
 		r := &answer.Running[i]
 		a := v.attempts[r.Task]
 		if a == nil || a.number != r.Attempt {
-			e.stopUnknownAttempt(v, r)
+			e.stopStray(v, r)
 			continue
 		}
 		present[r.Task], a.carried = true, false
@@ -231,6 +255,7 @@
 			e.checkShare(v, a, step)
 		}
 	}
+	e.forgetStrays(v.worker.ID, answer.Running)
 	for _, a := range v.attemptList {
 		if !present[a.ref] {
 			e.handleMissingAttempt(v, a, answer.Order.SentAt)
@@ -256,10 +281,3 @@
 		}
 	}
 }
-
-// stopUnknownAttempt stops a running attempt that is not recorded: its start was
-// carried out after it was voided.
-func (e *Engine) stopUnknownAttempt(v *workerView, r *RunningAttempt) {
-	e.logUnknownAttempt(v, r)
-	e.issueOrder(v, Order{Verb: Stop, Task: r.Task, Attempt: r.Attempt})
-}
--- a/dispatch/incarnations.go
+++ b/dispatch/incarnations.go
@@ -30,6 +30,8 @@
 		e.afterCommit(func() { done(kind.Errorf(kind.StaleIncarnation, "worker %q has withdrawn", a.Life.Name)) })
 		return
 	}
+	e.endSilent(a.Life, e.state.WorkerNamed(a.Life.Name))
+	e.endSilent(a.Life, e.state.WorkerAt(a.Address))
 	w := e.state.WorkerNamed(a.Life.Name)
 	if w == nil || w.Life.BornMs < a.Life.BornMs {
 		if err := e.join(a); err != nil {
@@ -55,11 +57,28 @@
 	e.afterCommit(func() { done(nil) })
 }
 
+// endSilent ends an incarnation of no earlier start than the announced one that stands in
+// its way, if it has not answered for longer than any lease and nothing is recorded on
+// it. Start times are those of wall clocks, which may have been set back.
+func (e *Engine) endSilent(next workflow.Incarnation, w *workflow.Worker) {
+	if w == nil || w.Life == next || w.Life.BornMs < next.BornMs {
+		return
+	}
+	if v := e.views[w.ID]; len(v.attempts) == 0 && e.since(v.answeredAt) > maxRealTime(e.settings.MaxLease) {
+		e.endIncarnation(w, "silent")
+	}
+}
+
 func (e *Engine) join(a *Announcement) error {
 	join := &workflow.Join{Life: a.Life, Address: a.Address, Service: a.Service, Zone: a.Zone, Labels: a.Labels, Rack: a.Rack, Capacity: a.Capacity}
 	if err := e.state.CheckJoin(join); err != nil {
 		return err
 	}
+	if old := e.state.WorkerAt(a.Address); old != nil && old.Life.Name != a.Life.Name {
+		if v := e.views[old.ID]; len(v.attempts) > 0 && e.reachable(v) {
+			return kind.Errorf(kind.StaleIncarnation, "worker %q answers at address %s", old.Life.Name, a.Address)
+		}
+	}
 	var previous *workerView
 	if old := e.state.WorkerNamed(a.Life.Name); old != nil {
 		previous = e.views[old.ID]
@@ -77,7 +96,10 @@
 		a.carried, a.checkpoint = true, previous.attempts[a.ref].checkpoint
 		a.stopWanted = a.stopWanted || !e.canRun(w, a)
 	}
-	v.clockMs, v.clockReadAt = a.ClockMs, e.now
+	if len(v.attemptList) == 0 {
+		// While carried attempts may run on a predecessor, no order may prolong its lease.
+		v.clockMs, v.clockReadAt = a.ClockMs, e.now
+	}
 	// The poll does not wait for the commit: the incarnation rejects orders to its
 	// predecessors only once it has answered one of its own.
 	e.poll(v)
@@ -88,14 +110,14 @@
 }
 
 // replaceIncarnation ends an incarnation whose worker announces a newer one. It
-// returns the attempts that stay recorded until the first poll of the new incarnation
-// shows whether they run there: all those of which a start may reach the same address,
-// or did before the announcement.
+// returns the attempts that may run: on the previous incarnation, since a report alone
+// does not prove its end, or on the next one, which their starts may still reach. They
+// stay recorded until the first poll of the next incarnation shows what runs there.
 func (e *Engine) replaceIncarnation(old *workflow.Worker, next *Announcement) []workflow.TaskRef {
 	v := e.views[old.ID]
 	var carried []workflow.TaskRef
 	for _, a := range v.attemptList {
-		if a.committed && old.Address == next.Address {
+		if a.committed {
 			carried = append(carried, a.ref)
 			continue
 		}
@@ -158,6 +180,19 @@
 	delete(e.withdrawals, id)
 }
 
+// handleOtherIncarnation processes an answer from another worker at the address. The
+// incarnation is over, but while attempts of the previous one are undecided that one may
+// run elsewhere: they wait for the end of the lease.
+func (e *Engine) handleOtherIncarnation(v *workerView, answer *Answer) {
+	if slices.ContainsFunc(v.attemptList, func(a *attempt) bool { return a.carried }) {
+		if answer.Order.Verb == Poll {
+			v.pollInFlight, v.nextPollAt = false, e.now.Add(pollRetryDelay)
+		}
+		return
+	}
+	e.endIncarnation(v.worker, "other_life_answers")
+}
+
 // endIncarnation voids the attempts of an incarnation of a worker and records its
 // end.
 func (e *Engine) endIncarnation(w *workflow.Worker, reason string) {
@@ -171,6 +206,7 @@
 }
 
 func (e *Engine) dropView(v *workerView) {
+	e.forgetStrays(v.worker.ID, nil)
 	delete(e.views, v.worker.ID)
 	e.sortedViews = slices.DeleteFunc(slices.Clone(e.sortedViews), func(other *workerView) bool { return other == v })
 }
--- a/dispatch/reports_test.go
+++ b/dispatch/reports_test.go
@@ -151,3 +151,131 @@
 	assert.Len(t, next.endedAt, 4)
 	assert.Empty(t, s.violations)
 }
+
+// A delayed report of an older incarnation of w1 names a later start than that of the one
+// which runs, since the wall clock was set back, and a clock ahead of its own. What runs
+// on w1 must not start elsewhere meanwhile, nor get a longer lease by the wrong clock.
+func TestAReportOfALaterStartEndsNoTaskThatRuns(t *testing.T) {
+	for _, address := range []string{"w1:1", "other:1"} {
+		s := newSim(t, 26)
+		s.setCatalog()
+		w1 := s.addWorker("w1", 4)
+		s.run(time.Second)
+		s.startLongTasks(4)
+		s.addWorker("w2", 4)
+		late := w1.announcement()
+		late.Life.BornMs, late.Address = late.Life.BornMs+10_000, address
+		late.ClockMs += 60_000
+		s.announce(late)
+		s.run(20 * time.Second)
+		assert.Empty(t, s.violations, address)
+		assert.Equal(t, 8, s.starts, "the tasks must run on the other worker once the lease is over")
+	}
+}
+
+// A delayed report of another worker names the address of w1 and a later start. What
+// runs on w1, which answers, must go on.
+func TestAReportOfAnotherWorkerEndsNoTaskThatRuns(t *testing.T) {
+	for _, later := range []int64{0, 10_000} {
+		s := newSim(t, 27)
+		s.setCatalog()
+		w1 := s.addWorker("w1", 4)
+		s.run(time.Second)
+		s.startLongTasks(4)
+		s.addWorker("w2", 4)
+		late := w1.announcement()
+		late.Life = workflow.Incarnation{Name: "w0", BornMs: late.Life.BornMs + later}
+		s.announce(late)
+		s.run(20 * time.Second)
+		assert.Empty(t, s.violations)
+		assert.Equal(t, 4, s.starts)
+		assert.Len(t, w1.running, 4)
+		w1.crash()
+		next := s.startWorker("w3", w1)
+		require.True(t, s.runUntil(4*time.Second, func() bool { return s.starts == 8 }), "the tasks must start again once another worker answers")
+		require.True(t, s.runUntil(4*time.Second, func() bool { return s.committed.WorkerNamed("w3") != nil }))
+		assert.Equal(t, next.address, s.committed.WorkerNamed("w3").Address)
+		assert.Empty(t, s.violations)
+	}
+}
+
+// A start that was sent long ago is carried out after its attempt is over. Until the run
+// has stopped it takes capacity, which must not be given away.
+func TestAWorkerWithAnUnknownAttemptGetsNoTask(t *testing.T) {
+	s := newSim(t, 28)
+	s.setCatalog()
+	w := s.addWorker("w1", 4)
+	s.run(time.Second)
+	lasting := step(1)
+	lasting.Lasting = true
+	s.submit(1, lasting)
+	s.run(time.Second)
+	s.engine.HandleRequest(&Request{Verb: CancelJob, Host: "h", Path: "/q/" + workflow.JobID(1).String()}, func(Reply) {})
+	s.run(time.Second)
+	require.Empty(t, w.running)
+	ref := workflow.TaskRef{Job: 1}
+	w.handleOrder(w.startOrder(ref, 2), func(Answer) {})
+	require.True(t, s.runUntil(2*time.Second, func() bool { return w.running[ref] != nil && w.running[ref].stopping }))
+	s.submit(2, step(4))
+	require.True(t, s.runUntil(5*time.Second, func() bool { return s.state(2) == workflow.JobCompleted }))
+	require.Empty(t, s.violations)
+}
+
+// A worker restarts after the wall clock was set back, so that the next incarnation names
+// an earlier start. It must get tasks once the recorded one is certainly over.
+func TestAnIncarnationWithAnEarlierStartIsUsed(t *testing.T) {
+	for _, name := range []string{"w1", "w2"} {
+		s := newSim(t, 29)
+		s.setCatalog()
+		w1 := s.addWorker("w1", 4)
+		s.run(time.Second)
+		s.startLongTasks(4)
+		w1.crash()
+		next := s.newWorker(name, w1.address, 4, "r1")
+		next.life.BornMs = w1.life.BornMs - 10_000
+		next.report()
+		require.True(t, s.runUntil(25*time.Second, func() bool { return len(next.running) == 4 }), name)
+		require.Empty(t, s.violations)
+	}
+}
+
+// A delayed report of an older incarnation arrives while the recorded one is silent. The
+// latter must be used again when it answers.
+func TestAReportOfAnEarlierStartDoesNoHarm(t *testing.T) {
+	s := newSim(t, 30)
+	s.setCatalog()
+	w1 := s.addWorker("w1", 4)
+	s.run(time.Second)
+	late := w1.announcement()
+	late.Life.BornMs -= 10_000
+	require.NotNil(t, s.announce(late))
+	w1.partitioned = true
+	s.run(15 * time.Second)
+	s.announce(late)
+	w1.partitioned = false
+	s.startLongTasks(4)
+	require.Len(t, w1.running, 4)
+	require.NotNil(t, s.announce(late))
+	s.run(2 * time.Second)
+	require.Len(t, w1.running, 4)
+	require.Empty(t, s.violations)
+}
+
+// A delayed report of an older incarnation of w1 names a later start, and an address where
+// another worker answers by now. That answer tells nothing of the incarnation that runs.
+func TestAnAnswerFromAFormerAddressEndsNoTaskThatRuns(t *testing.T) {
+	s := newSim(t, 35)
+	s.setCatalog()
+	w1 := s.addWorker("w1", 4)
+	s.run(time.Second)
+	s.startLongTasks(4)
+	w2 := s.addWorker("w2", 4)
+	s.run(time.Second)
+	late := w1.announcement()
+	late.Life.BornMs, late.Address = late.Life.BornMs+10_000, w2.address
+	w1.silent = true
+	s.announce(late)
+	s.run(25 * time.Second)
+	require.Empty(t, s.violations)
+	require.Equal(t, 8, s.starts, "the tasks must run on the other worker once the lease is over")
+}
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -18,10 +18,11 @@
 	// pollInFlight is set while no further poll may be sent: from a poll until
 	// the ends in its answer are committed.
 	pollInFlight bool
-	// pollAnswered is set if the incarnation answered the latest poll. If not, its
-	// successor may answer the next one, whose ends have the same numbers.
-	pollAnswered bool
-	nextPollAt   Instant
+	// endsListed is set if the incarnation answered the latest poll and listed ends. If
+	// not, there is nothing to acknowledge, and the next poll may reach its successor,
+	// whose ends have the same numbers.
+	endsListed bool
+	nextPollAt Instant
 	// answeredAt is when the worker last answered an order.
 	answeredAt Instant
 	// clockMs is the worker's clock in milliseconds, as it was at clockReadAt.
@@ -245,8 +246,9 @@
 // issueDueOrders issues the orders that are due for a worker. It voids the
 // attempts on a worker that is unreachable and whose lease has expired.
 func (e *Engine) issueDueOrders(v *workerView) {
-	if len(v.attempts) > 0 && e.now > v.leaseExpiresAt && !e.reachable(v) {
+	if e.now > v.leaseExpiresAt && !e.reachable(v) {
 		e.voidAll(v.worker.ID, "lease_over")
+		e.forgetStrays(v.worker.ID, nil)
 	}
 	if !v.pollInFlight && e.now >= v.nextPollAt {
 		e.poll(v)
@@ -262,7 +264,7 @@
 func (e *Engine) poll(v *workerView) {
 	v.pollInFlight = true
 	order := Order{Verb: Poll, Wait: pollWait}
-	if v.pollAnswered {
+	if v.endsListed {
 		order.AckedThrough = v.lastEndAcked
 	}
 	if e.overTarget(v) && e.scavengersWork(v) {
@@ -322,6 +324,9 @@
 		a.stopWanted = true
 		return
 	}
+	if e.heldByStray(v.worker.ID, ref) {
+		return
+	}
 	if v.clockMs == 0 {
 		return // A lease can't be granted without a reading of the worker's clock.
 	}
