--- a/dispatch/engine_test.go
+++ b/dispatch/engine_test.go
@@ -145,6 +145,43 @@
 	require.Empty(t, s.violations)
 }
 
+// The first start of a task gets no answer. While the repeated one is under way, a poll
+// shows that the task runs; then it is refused, as the worker is unhealthy. The task must
+// not start elsewhere.
+func TestARefusedRepetitionOfAStartThatRuns(t *testing.T) {
+	tried := 0
+	for phase := time.Duration(0); phase < pollWait; phase += 100 * time.Millisecond {
+		s := newSim(t, 14)
+		s.setCatalog()
+		w1 := s.addWorker("w1", 4)
+		s.run(time.Second + phase)
+		s.faults = faults{lostAnswer: 1}
+		long := step(4)
+		long.EstimatedMs = 6000
+		s.submit(1, long)
+		require.Equal(t, 4, s.starts)
+		s.addWorker("w2", 4)
+		s.faults = faults{shedding: 1}
+		repeated := func() bool {
+			return slices.ContainsFunc(s.engine.sortedViews[0].attemptList, func(a *attempt) bool { return a.startsSent == 2 })
+		}
+		for i := 0; i < 10_000 && !repeated(); i++ {
+			s.delay = 300 * time.Millisecond
+			s.run(100 * time.Microsecond)
+		}
+		if !repeated() {
+			continue // A poll showed the runs before.
+		}
+		tried++
+		s.run(700 * time.Millisecond)
+		s.delay, s.faults = networkDelay, faults{}
+		require.Len(t, w1.running, 4)
+		s.run(3 * time.Second)
+		assert.Empty(t, s.violations, "phase %v", phase)
+	}
+	require.Positive(t, tried)
+}
+
 // More tasks end on an unreachable worker than two of its answers list, and a new leader
 // takes over. The ends that are not listed yet must not count as runs that never were.
 func TestEndsBeyondOneAnswer(t *testing.T) {
@@ -185,7 +222,10 @@
 			s.addWorker(name, 6).guardsCapacity = name == "w4"
 		}
 		s.run(time.Second)
-		s.faults = faults{lostOrder: 0.05, lostAnswer: 0.05, late: 0.05, slow: 0.1, lateBeforeContact: lateBeforeContact, slowStop: 0.5, failing: 0.02, shedding: 0.1, noRoom: 0.1, lostReport: 0.2, lateReport: 0.2}
+		s.faults = faults{
+			lostOrder: 0.05, lostAnswer: 0.05, late: 0.05, lateBeforeContact: lateBeforeContact, slow: 0.1, slowStop: 0.5,
+			failing: 0.02, shedding: 0.1, noRoom: 0.1, lostReport: 0.2, lateReport: 0.2,
+		}
 		for id := workflow.JobID(1); id <= 20; id++ {
 			bounded := step(5)
 			bounded.MaxPerWorker = 2
