A refused repetition of a start ends no attempt that runs

The refusal voided the attempt, since no start was counted as in flight any more, and the task was started elsewhere.

A refusal now says nothing of an attempt that runs.

--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -106,6 +106,9 @@
 		v.quarantinedUntil = e.now.Add(unhealthyQuarantine)
 	}
 	e.log.Info().Stringer("task", a.ref).Uint32("attempt", a.number).Str("worker", v.worker.Life.Name).Int64("born_ms", v.worker.Life.BornMs).Stringer("outcome", outcome).Int("in_flight", a.startsInFlight()).Uint64("term", e.term).Msg("start refused")
+	if a.running {
+		return // An earlier start has been carried out.
+	}
 	if a.startsInFlight() > 0 {
 		// An earlier start may still be carried out; a stop rules that out.
 		a.stopWanted = true
