Failures of voided attempts do not count

An attempt that was voided because the lease of its worker was over may have failed before. A voided attempt that is done still ends its task.

--- a/workflow/state.go
+++ b/workflow/state.go
@@ -494,18 +494,13 @@
 	}
 	w.Acked = e.Number
 	task := s.release(w, e.Task, e.Attempt)
-	current := task != nil
-	if !current {
-		// A late start can begin an attempt that was voided. The end of such a run
-		// counts like any other.
-		task = s.openTask(e.Task)
-	}
-	if task == nil || e.Attempt > task.Attempt {
+	if task == nil {
+		s.endFormerAttempt(e)
 		return nil
 	}
 	job := s.jobs[e.Task.Job]
 	step := &job.Spec.Steps[e.Task.Step]
-	if current && e.Checkpoint != "" {
+	if e.Checkpoint != "" {
 		s.setCheckpoint(job, e.Task, e.Checkpoint)
 	}
 	switch e.How {
@@ -519,16 +514,19 @@
 	return nil
 }
 
-// openTask returns a task that is not done, nil if there is none.
-func (s *State) openTask(ref TaskRef) *Task {
-	job := s.jobs[ref.Job]
-	if job == nil {
-		return nil
+// endFormerAttempt records that an attempt which was voided has done its task after
+// all, by a late start. Its failure does not count: the lease in which it failed may have
+// expired before the end was acknowledged.
+func (s *State) endFormerAttempt(e *End) {
+	job := s.jobs[e.Task.Job]
+	if job == nil || e.How != EndDone {
+		return
 	}
-	if task := job.Task(ref); task != nil && task.State != TaskDone {
-		return task
+	task := job.Task(e.Task)
+	if task == nil || task.State == TaskDone || e.Attempt > task.Attempt || job.Spec.Steps[e.Task.Step].Lasting {
+		return
 	}
-	return nil
+	s.markDone(job, &job.Spec.Steps[e.Task.Step], e.Task)
 }
 
 func (s *State) setCheckpoint(job *Job, ref TaskRef, checkpoint string) {
