control: a lease is no longer than when it was granted

The reply takes the duration under the lock under which the lease is granted. TestALeaseIsNoLongerThanWhenItWasGranted failed before: the worker until 20 s, the leader until 10.25 s.

--- a/control/exchange.go
+++ b/control/exchange.go
@@ -90,6 +90,7 @@
 	entry.lastExchangeAt = now
 	entry.configVersion = args.ConfigVersion
 	reply.Sessions = l.renewLeases(now, contact, args)
+	reply.LeaseMs = l.config.Leases.Duration.Milliseconds()
 	l.mu.Unlock()
 
 	hold := min(time.Duration(args.HoldMs)*time.Millisecond, maxExchangeHold)
@@ -137,7 +138,6 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	reply.Term = l.term
-	reply.LeaseMs = l.config.Leases.Duration.Milliseconds()
 	reply.HoldMs = l.config.Leases.MaxPollHold.Milliseconds()
 	reply.UsageMs = l.config.Leases.UsageInterval.Milliseconds()
 	reply.ConfigVersion = l.configVersion
