No start between the end of a stray and its commit

Later attempts are stopped once the end is committed, and until then the start of that one could leave. A start is now sent only for a task that is not done in the leader's state.

TestNoStartBetweenTheEndOfAStrayAndItsCommit failed before.

--- a/dispatch/stray_test.go
+++ b/dispatch/stray_test.go
@@ -53,3 +53,38 @@
 	require.True(t, s.runUntil(15*time.Second, func() bool { return s.starts >= 2 }))
 	require.Empty(t, s.violations)
 }
+
+// A stray does its task, while a later attempt waits for it to stop. That one must not be
+// started before the end of the stray is committed.
+func TestNoStartBetweenTheEndOfAStrayAndItsCommit(t *testing.T) {
+	s := newSim(t, 46)
+	s.setCatalog()
+	w1 := s.addWorker("w1", 4)
+	s.run(time.Second)
+	lose := true
+	s.send = func(engine *Engine, order Order) {
+		if lose && order.Verb == Start && order.Worker == 2 || order.Verb == Stop && order.Worker == 1 {
+			s.after(order.Timeout(), func() { engine.HandleAnswer(&Answer{Order: order}) })
+			return
+		}
+		s.deliver(engine, order)
+	}
+	s.faults.shedding = 1
+	first := step(1)
+	first.EstimatedMs = 2500
+	s.submit(1, first, step(1, 0))
+	s.run(100 * time.Millisecond)
+	s.faults.shedding = 0
+	w1.handleOrder(w1.startOrder(workflow.TaskRef{Job: 1}, 1), func(Answer) {})
+	require.Len(t, w1.running, 1)
+	s.addWorker("w2", 4)
+	require.True(t, s.runUntil(3*time.Second, func() bool { return len(s.engine.strays) == 1 }))
+	require.Equal(t, workflow.WorkerID(2), s.committed.Job(1).Task(workflow.TaskRef{Job: 1}).Worker)
+	s.run(time.Second)
+	lose = false
+	require.Equal(t, 1, s.starts)
+	s.commitDelay = 120 * time.Millisecond
+	s.run(10 * time.Second)
+	require.Empty(t, s.violations)
+	require.Equal(t, 2, s.starts, "the next step alone")
+}
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -332,6 +332,11 @@
 		a.stopWanted = true
 		return
 	}
+	task := job.Task(ref)
+	if task == nil || task.State == workflow.TaskDone {
+		a.stopWanted = true // A voided attempt has done the task after all.
+		return
+	}
 	if e.heldByStray(v.worker.ID, ref) {
 		return
 	}
@@ -343,6 +348,5 @@
 	if a.startsSent > 1 {
 		e.log.Info().Stringer("task", ref).Uint32("attempt", a.number).Str("worker", v.worker.Life.Name).Int64("born_ms", v.worker.Life.BornMs).Int("starts", a.startsSent).Int("unanswered", a.unansweredStarts).Uint64("term", e.term).Msg("start repeated")
 	}
-	task := job.Task(ref)
 	e.issueOrder(v, Order{Verb: Start, Task: ref, Attempt: a.number, Payload: job.Spec.Payload, Checkpoint: task.Checkpoint, Ticket: e.ticketFor(job, ref, v)})
 }
