--- a/dispatch/incarnations.go
+++ b/dispatch/incarnations.go
@@ -164,11 +164,11 @@
 	e.endWithdrawn(w.ID)
 }
 
-// endWithdrawn records the end of a withdrawn worker once no attempt is left on it, and
+// endWithdrawn records the end of a withdrawn worker once no attempt runs on it, and
 // confirms its withdrawal.
 func (e *Engine) endWithdrawn(id workflow.WorkerID) {
 	v := e.views[id]
-	if v != nil && len(v.attempts) > 0 {
+	if v != nil && (len(v.attempts) > 0 || e.strayOn(id)) {
 		return
 	}
 	if v != nil {
--- a/dispatch/stray.go
+++ b/dispatch/stray.go
@@ -42,6 +42,11 @@
 	return slices.ContainsFunc(e.strays, func(s stray) bool { return s.worker == id || s.ref == ref })
 }
 
+// strayOn reports whether a stray runs on a worker.
+func (e *Engine) strayOn(id workflow.WorkerID) bool {
+	return slices.ContainsFunc(e.strays, func(s stray) bool { return s.worker == id })
+}
+
 // dropHeldTasks removes the tasks from a step of which a stray runs.
 func (e *Engine) dropHeldTasks(s *readyStep) {
 	if len(e.strays) == 0 {
--- a/dispatch/stray_test.go
+++ b/dispatch/stray_test.go
@@ -88,3 +88,26 @@
 	require.Empty(t, s.violations)
 	require.Equal(t, 2, s.starts, "the next step alone")
 }
+
+// A worker on which a stray runs withdraws. Its task must not start elsewhere before the
+// stray has stopped.
+func TestAWithdrawalWaitsForAStray(t *testing.T) {
+	s := newSim(t, 42)
+	s.setCatalog()
+	w := s.addWorker("w1", 4)
+	s.addWorker("w2", 4)
+	s.run(time.Second)
+	long := step(1)
+	long.EstimatedMs = 5000
+	scheduled := &workflow.JobSpec{Payload: "p", Steps: []workflow.Step{long}, Schedule: workflow.Schedule{Times: 1, FirstMs: s.wall() + 60_000, EveryMs: 1000}}
+	s.engine.HandleRequest(&Request{Verb: Submit, Host: "h", Path: "/q/" + workflow.JobID(1).String(), Job: scheduled}, func(Reply) {})
+	s.run(100 * time.Millisecond)
+	ref := workflow.TaskRef{Job: 1}
+	w.handleOrder(w.startOrder(ref, 1), func(Answer) {})
+	require.True(t, s.runUntil(2*time.Second, func() bool { return w.running[ref] != nil && w.running[ref].stopping }))
+	s.withdraw(w)
+	s.engine.state.Job(1).Spec.Schedule.FirstMs = 0
+	s.run(3 * time.Second)
+	require.Equal(t, 2, s.starts)
+	require.Empty(t, s.violations)
+}
