Carried attempts outlast another worker at their address

That voided the attempts at once, though the worker that runs them had never ended; an answer by another worker, and a port without a listener after a withdrawal, already had to wait, or have to now.

TestCarriedAttemptsOutlastAnotherWorkerAtTheAddress failed before.

--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -28,7 +28,7 @@
 		return true
 	}
 	if a.Outcome == NoListener {
-		if _, withdrawn := e.withdrawals[v.worker.ID]; withdrawn {
+		if _, withdrawn := e.withdrawals[v.worker.ID]; withdrawn && !v.hasCarried() {
 			e.endIncarnation(v.worker, "withdrew")
 			e.endWithdrawn(v.worker.ID)
 			return true
--- a/dispatch/incarnations.go
+++ b/dispatch/incarnations.go
@@ -75,7 +75,7 @@
 		return err
 	}
 	if old := e.state.WorkerAt(a.Address); old != nil && old.Life.Name != a.Life.Name {
-		if v := e.views[old.ID]; len(v.attempts) > 0 && e.reachable(v) {
+		if v := e.views[old.ID]; len(v.attempts) > 0 && e.reachable(v) || v.hasCarried() {
 			return kind.Errorf(kind.StaleIncarnation, "worker %q answers at address %s", old.Life.Name, a.Address)
 		}
 	}
@@ -180,11 +180,16 @@
 	delete(e.withdrawals, id)
 }
 
+// hasCarried reports whether attempts of the previous incarnation are undecided.
+func (v *workerView) hasCarried() bool {
+	return slices.ContainsFunc(v.attemptList, func(a *attempt) bool { return a.carried })
+}
+
 // handleOtherIncarnation processes an answer from another worker at the address. The
 // incarnation is over, but while attempts of the previous one are undecided that one may
 // run elsewhere: they wait for the end of the lease.
 func (e *Engine) handleOtherIncarnation(v *workerView, answer *Answer) {
-	if slices.ContainsFunc(v.attemptList, func(a *attempt) bool { return a.carried }) {
+	if v.hasCarried() {
 		if answer.Order.Verb == Poll {
 			v.pollInFlight, v.nextPollAt = false, e.now.Add(pollRetryDelay)
 		}
--- a/dispatch/stray_test.go
+++ b/dispatch/stray_test.go
@@ -111,3 +111,25 @@
 	require.Equal(t, 2, s.starts)
 	require.Empty(t, s.violations)
 }
+
+// A delayed report with a later start carries the attempts of a worker that runs to another
+// address, at which another worker starts. They may still run, so they must not be void.
+func TestCarriedAttemptsOutlastAnotherWorkerAtTheAddress(t *testing.T) {
+	s := newSim(t, 44)
+	s.setCatalog()
+	w1 := s.addWorker("w1", 4)
+	s.run(time.Second)
+	s.startLongTasks(4)
+	s.addWorker("w2", 4)
+	// A report of a dead incarnation of w1 (later by its wall clock) that ran at another address.
+	report := w1.announcement()
+	report.Life.BornMs, report.Address = s.wall()+1, "x:1"
+	require.Nil(t, s.announce(report))
+	// Then another worker starts at that address.
+	other := w1.announcement()
+	other.Life = workflow.Incarnation{Name: "w3", BornMs: s.wall() + 1000}
+	other.Address = "x:1"
+	s.announce(other)
+	s.run(20 * time.Second)
+	require.Empty(t, s.violations)
+}
