An attempt with a start in flight waits for the next incarnation's lease

The end of its lease lies far in the future on the new clock, so that it runs for the longest lease from its arrival, 10.2 s, while the leader reckoned with 8.2 s. Attempts with a start in flight on a worker that can't be reached now wait for the longest lease from the last order that granted one.

TestAStartThatTheNextIncarnationTookBeforeItsReport failed before.

--- a/dispatch/stray_test.go
+++ b/dispatch/stray_test.go
@@ -133,3 +133,23 @@
 	s.run(20 * time.Second)
 	require.Empty(t, s.violations)
 }
+
+// A worker restarts while its answers and reports are lost, and a start to the previous
+// incarnation reaches the next one, which runs it for the longest lease from its arrival.
+// The task must not start elsewhere within it.
+func TestAStartThatTheNextIncarnationTookBeforeItsReport(t *testing.T) {
+	s := newSim(t, 41)
+	s.setCatalog()
+	w := s.addWorker("w1", 4)
+	s.run(time.Second)
+	w.mute = true
+	w.crash()
+	s.startWorker("w1", w)
+	long := step(1)
+	long.EstimatedMs = 60_000
+	s.submit(1, long)
+	require.Equal(t, 1, s.starts)
+	s.addWorker("w2", 4)
+	s.run(25 * time.Second)
+	require.Empty(t, s.violations)
+}
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -31,6 +31,10 @@
 	// leaseExpiresAt is when the worker has certainly stopped what it runs,
 	// unless another order renews the lease.
 	leaseExpiresAt Instant
+	// nextLeaseExpiresAt is when a lease has certainly expired that the worker's next
+	// incarnation, not announced yet, took from an order to this one: its clock starts
+	// anew, so that the lease is bounded by MaxLease from the arrival.
+	nextLeaseExpiresAt Instant
 	// lastEndSeen is the number of the last ended attempt whose end was proposed
 	// to the log.
 	lastEndSeen uint64
@@ -248,12 +252,22 @@
 // recently.
 func (e *Engine) reachable(v *workerView) bool { return v.fenced && e.since(v.answeredAt) < staleAfter }
 
+// voidExpired voids the attempts on a worker whose lease has expired. Those with a start
+// in flight, which the next incarnation may have carried out, wait for its lease, too.
+func (e *Engine) voidExpired(v *workerView) {
+	for _, a := range v.attemptList {
+		if a.adopted || a.startsInFlight() == 0 || e.now > v.nextLeaseExpiresAt {
+			e.void(v, a, "lease_over")
+		}
+	}
+	e.forgetStrays(v.worker.ID, nil)
+}
+
 // issueDueOrders issues the orders that are due for a worker. It voids the
 // attempts on a worker that is unreachable and whose lease has expired.
 func (e *Engine) issueDueOrders(v *workerView) {
 	if e.now > v.leaseExpiresAt && !e.reachable(v) {
-		e.voidAll(v.worker.ID, "lease_over")
-		e.forgetStrays(v.worker.ID, nil)
+		e.voidExpired(v)
 	}
 	if !v.pollInFlight && e.now >= v.nextPollAt {
 		e.poll(v)
@@ -298,6 +312,7 @@
 		lease := e.settings.Lease
 		order.ExpiresMs = v.clockMs + (elapsed + lease).Milliseconds()
 		v.leaseExpiresAt = max(v.leaseExpiresAt, v.clockReadAt.Add(maxRealTime(elapsed+lease)))
+		v.nextLeaseExpiresAt = e.now.Add(order.Timeout() + maxRealTime(e.settings.MaxLease))
 	}
 	e.orders = append(e.orders, order)
 }
