Test of a stray under a new leader, which fails

Found by the review: strays are known to the leader that saw them, so that the next one may start their task before it has reached the worker.

--- a/dispatch/stray_test.go
+++ b/dispatch/stray_test.go
@@ -153,3 +153,26 @@
 	s.run(25 * time.Second)
 	require.Empty(t, s.violations)
 }
+
+// A task waits for a stray on a worker that is cut off, and the leader changes. The next
+// leader knows nothing of the stray and must not start the task beside it.
+func TestATaskWaitsForAStrayUnderANewLeader(t *testing.T) {
+	s := newSim(t, 43)
+	s.setCatalog()
+	w := s.addWorker("w1", 4)
+	s.addWorker("w2", 4)
+	s.run(time.Second)
+	long := step(1)
+	long.EstimatedMs = 5000
+	scheduled := &workflow.JobSpec{Payload: "p", Steps: []workflow.Step{long}, Schedule: workflow.Schedule{Times: 1, FirstMs: s.wall() + 60_000, EveryMs: 1000}}
+	s.engine.HandleRequest(&Request{Verb: Submit, Host: "h", Path: "/q/" + workflow.JobID(1).String(), Job: scheduled}, func(Reply) {})
+	s.run(100 * time.Millisecond)
+	ref := workflow.TaskRef{Job: 1}
+	w.handleOrder(w.startOrder(ref, 1), func(Answer) {})
+	require.True(t, s.runUntil(2*time.Second, func() bool { return len(s.engine.strays) == 1 }))
+	s.committed.Job(1).Spec.Schedule.FirstMs = 0
+	w.partitioned = true
+	s.takeOver()
+	s.run(15 * time.Second)
+	require.Empty(t, s.violations)
+}
