Loop: no orders from an engine that was dropped

A batch that can't be encoded drops the engine; the orders were then taken from it, which would have panicked.

--- a/coordinator/loop.go
+++ b/coordinator/loop.go
@@ -201,6 +201,9 @@
 	if batch := l.engine.TakeBatch(); batch != nil {
 		l.propose(batch)
 	}
+	if l.engine == nil {
+		return // The batch could not be encoded.
+	}
 	for _, order := range l.engine.TakeOrders() {
 		l.sendOrder(order)
 	}
