--- a/workflow/late_end_test.go
+++ b/workflow/late_end_test.go
@@ -7,8 +7,9 @@
 	"github.com/stretchr/testify/require"
 )
 
-// A late start runs an attempt after it was voided. How that run ends must count, since
-// the worker is told that its end was taken note of.
+// A late start runs an attempt after it was voided. If the run is done, its task must not
+// run again, since the worker is told that the end was taken note of. Its failure counts
+// for nothing.
 func TestTheEndOfAVoidedAttemptCounts(t *testing.T) {
 	s := newStateWithOneWorker(t)
 	void := func(ref TaskRef, attempt uint32) {
