--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -101,6 +101,8 @@
 	result any
 	err    error
 	took   time.Duration
+	batch  *workflow.Batch
+	bytes  int
 }
 
 // Start starts the member's replica and its loop. Stop ends both.
--- a/coordinator/loop.go
+++ b/coordinator/loop.go
@@ -143,6 +143,7 @@
 	}
 	l.serving.Store(false)
 	l.engine = nil
+	l.metrics.dropped.Add(reason, 1)
 	l.options.Logger.Info().Uint64("term", l.term).Int("unanswered", len(l.unanswered)).Str("reason", reason).Msg("not leading")
 	for _, done := range l.unanswered {
 		done(Result{}, kind.Errorf(kind.UnknownOutcome, "the leadership ended before the call was answered"))
@@ -178,7 +179,12 @@
 		return
 	}
 	if committed.err != nil {
-		l.options.Logger.Warn().Err(committed.err).Uint64("term", committed.term).Msg("batch not committed")
+		event := l.options.Logger.Warn().Err(committed.err).Uint64("term", committed.term).Int("bytes", committed.bytes)
+		if committed.batch != nil {
+			name, bytes := committed.batch.LargestOp()
+			event = event.Int("ops", len(committed.batch.Ops)).Str("largest_op", name).Int("largest_op_bytes", bytes)
+		}
+		event.Msg("batch not committed")
 		l.giveUp("batch_not_committed")
 		return
 	}
@@ -258,13 +264,14 @@
 		l.giveUp("batch_not_encoded")
 		return
 	}
+	l.metrics.recordBatch(len(data))
 	term := l.term
 	runAsync(l, l.commits, func() commitResult {
 		startedAt := time.Now()
 		result, err := l.replica.Propose(l.ctx, data)
 		took := time.Since(startedAt)
 		l.metrics.commit.Record(took)
-		return commitResult{term: term, result: result, err: err, took: took}
+		return commitResult{term: term, result: result, err: err, took: took, batch: batch, bytes: len(data)}
 	})
 }
 
--- a/coordinator/metrics.go
+++ b/coordinator/metrics.go
@@ -19,6 +19,10 @@
 	outcomes *expvar.Map
 	// expiredCalls counts the calls that were dropped since nobody waited for them.
 	expiredCalls *expvar.Int
+	// largestBatch is the size of the largest batch that this member proposed, in bytes.
+	// dropped counts the engines that it dropped, by reason.
+	largestBatch *expvar.Int
+	dropped      *expvar.Map
 	// engine holds the newest published statistics of the engine.
 	engine atomic.Pointer[engineStats]
 }
@@ -31,7 +35,7 @@
 }
 
 func newMetrics() *metrics {
-	m := &metrics{commit: latency.New(), calls: latency.New(), callWait: latency.New(), tickLag: latency.New(), orders: make(map[dispatch.Verb]*latency.Histogram), outcomes: new(expvar.Map), expiredCalls: new(expvar.Int)}
+	m := &metrics{commit: latency.New(), calls: latency.New(), callWait: latency.New(), tickLag: latency.New(), orders: make(map[dispatch.Verb]*latency.Histogram), outcomes: new(expvar.Map), expiredCalls: new(expvar.Int), largestBatch: new(expvar.Int), dropped: new(expvar.Map)}
 	for _, verb := range []dispatch.Verb{dispatch.Poll, dispatch.Start, dispatch.Stop, dispatch.Throttle} {
 		m.orders[verb] = latency.New()
 	}
@@ -46,6 +50,8 @@
 	vars.Set("call_wait", m.callWait)
 	vars.Set("tick_lag", m.tickLag)
 	vars.Set("expired_calls", m.expiredCalls)
+	vars.Set("largest_batch_bytes", m.largestBatch)
+	vars.Set("engines_dropped", m.dropped)
 	for verb, histogram := range m.orders {
 		vars.Set("order_latency_"+verb.String(), histogram)
 	}
@@ -54,6 +60,11 @@
 	vars.Set("decided", expvar.Func(func() any { return m.engine.Load() }))
 }
 
+// recordBatch records the size of a proposed batch in bytes. Only the loop calls it.
+func (m *metrics) recordBatch(bytes int) {
+	m.largestBatch.Set(max(m.largestBatch.Value(), int64(bytes)))
+}
+
 // countOutcome counts an order by its verb and outcome.
 func (m *metrics) countOutcome(a *dispatch.Answer) {
 	m.outcomes.Add(fmt.Sprintf("%s_%s", a.Order.Verb, a.Outcome), 1)
--- a/dispatch/callers.go
+++ b/dispatch/callers.go
@@ -132,6 +132,7 @@
 			waiting++
 		}
 	}
+	e.log.Info().Str("queue", queue).Int("waiting", waiting).Uint64("catalog", e.state.Catalog().Version).Bool("committed", len(e.nextBatch.ops) == 0 && e.inFlight == nil).Uint64("term", e.term).Msg("queue counted")
 	reply(Reply{Waiting: waiting, IsQueue: true})
 }
 
--- a/replica/sender.go
+++ b/replica/sender.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 
 	"mangohill.example/mangohill/consensus"
 	"mangohill.example/mangohill/storage"
@@ -16,19 +17,19 @@
 	outbound chan consensus.Message
 	cancel   context.CancelFunc
 	// reachable is false after a failed call. Only changes are logged.
-	reachable bool
+	reachable atomic.Bool
 }
 
 func (r *Replica) startSender(identity storage.Identity, member consensus.Member) *sender {
 	ctx, cancel := context.WithCancel(r.ctx)
 	s := &sender{
-		replica:   r,
-		identity:  identity,
-		member:    member,
-		outbound:  make(chan consensus.Message, outboundCapacity),
-		cancel:    cancel,
-		reachable: true,
+		replica:  r,
+		identity: identity,
+		member:   member,
+		outbound: make(chan consensus.Message, outboundCapacity),
+		cancel:   cancel,
 	}
+	s.reachable.Store(true)
 	r.group.Add(1)
 	go s.run(ctx)
 	return s
@@ -127,10 +128,9 @@
 
 // recordReachability logs when the member becomes unreachable or reachable.
 func (s *sender) recordReachability(err error) {
-	if (err == nil) == s.reachable {
+	if s.reachable.Swap(err == nil) == (err == nil) {
 		return
 	}
-	s.reachable = err == nil
 	log := s.replica.options.Logger.With().Str("peer", s.member.Name).Str("address", s.member.Address).Stringer("member", s.member.ID).Logger()
 	if err != nil {
 		log.Warn().Err(err).Msg("peer does not answer")
--- a/workflow/ops.go
+++ b/workflow/ops.go
@@ -143,6 +143,44 @@
 // Encode returns the batch as the data of a log entry, in CBOR.
 func (b *Batch) Encode() ([]byte, error) { return cborcodec.Encode.Marshal(b) }
 
+// LargestOp returns the name and the encoded size, in bytes, of the largest operation;
+// the name is empty if there is none.
+func (b *Batch) LargestOp() (name string, bytes int) {
+	for i := range b.Ops {
+		if data, err := cborcodec.Encode.Marshal(&b.Ops[i]); err == nil && len(data) > bytes {
+			name, bytes = b.Ops[i].name(), len(data)
+		}
+	}
+	return name, bytes
+}
+
+// name returns the name of the operation, empty if it has no content.
+func (o *Op) name() string {
+	switch {
+	case o.SetCatalog != nil:
+		return "set_catalog"
+	case o.Accept != nil:
+		return "accept"
+	case o.Cancel != nil:
+		return "cancel"
+	case o.Join != nil:
+		return "join"
+	case o.Leave != nil:
+		return "leave"
+	case o.Place != nil:
+		return "place"
+	case o.End != nil:
+		return "end"
+	case o.Void != nil:
+		return "void"
+	case o.StartWave != nil:
+		return "start_wave"
+	case o.SetMaintenance != nil:
+		return "set_maintenance"
+	}
+	return ""
+}
+
 // DecodeBatch decodes the data of a log entry. The error is of kind corrupt.
 func DecodeBatch(data []byte) (*Batch, error) {
 	b := new(Batch)
