--- a/workflow/ops.go
+++ b/workflow/ops.go
@@ -140,6 +140,9 @@
 	Ops   []Op
 }
 
+// MaxCommandBytes is the largest size of an encoded batch that the log takes.
+const MaxCommandBytes = 1 << 20
+
 // Encode returns the batch as the data of a log entry, in CBOR.
 func (b *Batch) Encode() ([]byte, error) { return cborcodec.Encode.Marshal(b) }
 
--- a/workflow/state_test.go
+++ b/workflow/state_test.go
@@ -6,6 +6,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"mangohill.example/mangohill/kind"
 )
 
 func catalog(version uint64, source string) *Catalog {
@@ -202,3 +204,41 @@
 		}
 	})
 }
+
+// Guards against a job whose number of tasks overflows, so that every member runs out of
+// memory when it is accepted.
+func TestAJobWhoseTaskCountOverflowsIsRefused(t *testing.T) {
+	spec := &JobSpec{
+		Steps:    []Step{{Count: 1 << 31}, {Count: 1 << 31}, {Count: 1 << 31}, {Count: 1 << 31}},
+		Schedule: Schedule{Times: 1 << 31},
+	}
+	require.Error(t, spec.Validate())
+}
+
+// Guards against jobs that are small as a request and large as state: together they must
+// not exhaust the memory of every member that leads.
+func TestJobsBeyondTheCapacityOfTheStateAreRefused(t *testing.T) {
+	s := newStateWithOneWorker(t)
+	id := JobID(2)
+	accept := func() error {
+		id++
+		return s.Apply(&Op{Accept: &Accept{ID: id, Queue: "q", Spec: JobSpec{Steps: []Step{{Count: maxTasks}}}}})
+	}
+	var err error
+	for range 1000 {
+		if err = accept(); err != nil {
+			break
+		}
+	}
+	require.Error(t, err, "%d tasks are accepted", 1000*maxTasks)
+	require.Equal(t, kind.Overloaded, kind.Parse(err.Error()).Kind)
+	require.NoError(t, s.Apply(&Op{Cancel: &Cancel{ID: 3}}))
+	s.AdvanceTime(s.NowMs() + endedJobRetentionMs)
+	require.NoError(t, accept(), "the room of a job that was dropped is free again")
+	copied, err := s.Snapshot()
+	require.NoError(t, err)
+	restored, err := DecodeSnapshot(copied)
+	require.NoError(t, err)
+	s = restored
+	require.Error(t, accept(), "a restored state has the same limit")
+}
