Answers about queues, and refusals, wait until what they rest on is committed

Version 19 was never committed: its leader fell, and the next one had version 15.

Cause: countWaiting replied at once from the engine's state, which has the catalog in flight; all other answers go through afterCommit. So did 400 for a request whose queue is matched by that catalog, and the refusal of a report because of a join in flight. They wait for the commit now, as a queue's 404 and a job's state do.

Ruled out: reads by a member that leads no more. handleCall checks the contact with a quorum in the goroutine that computes the answer, so the answer is the newest state at that moment, while no other leader can be elected.

--- a/dispatch/callers.go
+++ b/dispatch/callers.go
@@ -37,8 +37,8 @@
 	IsQueue bool
 }
 
-// HandleRequest decides on a request and calls reply, at once or when the
-// decision is committed.
+// HandleRequest decides on a request and calls reply once all that the answer rests on is
+// committed.
 func (e *Engine) HandleRequest(r *Request, reply func(Reply)) {
 	queue, rest, ok := e.state.Catalog().Match(r.Host, r.Path)
 	if e.state.Catalog() == nil {
@@ -55,7 +55,7 @@
 	}
 	id, err := workflow.ParseJobID(rest)
 	if err != nil {
-		reply(refusal(kind.BadRequest, "%v", err))
+		e.afterCommit(func() { reply(refusal(kind.BadRequest, "%v", err)) })
 		return
 	}
 	switch r.Verb {
@@ -78,7 +78,7 @@
 		return
 	}
 	if err := spec.Validate(); err != nil {
-		reply(refusal(kind.BadRequest, "%v", err))
+		e.afterCommit(func() { reply(refusal(kind.BadRequest, "%v", err)) })
 		return
 	}
 	if err := e.propose(workflow.Op{Accept: &workflow.Accept{ID: id, Queue: queue.Name, Spec: *spec}}); err != nil {
@@ -132,8 +132,11 @@
 			waiting++
 		}
 	}
-	e.log.Info().Str("queue", queue).Int("waiting", waiting).Uint64("catalog", e.state.Catalog().Version).Bool("committed", len(e.nextBatch.ops) == 0 && e.inFlight == nil).Uint64("term", e.term).Msg("queue counted")
-	reply(Reply{Waiting: waiting, IsQueue: true})
+	version := e.state.Catalog().Version
+	e.afterCommit(func() {
+		e.log.Info().Str("queue", queue).Int("waiting", waiting).Uint64("catalog", version).Uint64("term", e.term).Msg("queue counted")
+		reply(Reply{Waiting: waiting, IsQueue: true})
+	})
 }
 
 // SetCatalog makes a catalog the current one and calls done, at once or when this
--- a/dispatch/incarnations.go
+++ b/dispatch/incarnations.go
@@ -35,13 +35,13 @@
 	w := e.state.WorkerNamed(a.Life.Name)
 	if w == nil || w.Life.BornMs < a.Life.BornMs {
 		if err := e.join(a); err != nil {
-			done(toKindError(err))
+			e.afterCommit(func() { done(toKindError(err)) })
 			return
 		}
 		w = e.state.WorkerNamed(a.Life.Name)
 	}
 	if w.Life != a.Life {
-		done(kind.Errorf(kind.StaleIncarnation, "worker %q has a newer incarnation", a.Life.Name))
+		e.afterCommit(func() { done(kind.Errorf(kind.StaleIncarnation, "worker %q has a newer incarnation", a.Life.Name)) })
 		return
 	}
 	if a.Draining && !w.Draining {
