The leader's decisions are cut into batches that the log takes

What callers saw: all requests refused, workers' reports and the operator's orders without an answer. A round of the leader's loop takes up to 512 calls, with all that follows from them, into one batch; nothing bounded its bytes, and the log refuses commands above 1 MiB. By then the engine's state has the operations, so the leader gives up, and the callers repeat the same at the next one.

The engine now keeps a list of batches. The members of a gang stay in one batch. Effects belong to the batch of the last operation before them, so an answer still waits for all that it rests on. A batch carries the time at which its operations were applied, so that the replicated state has the same time as the leader's when it applies them. That the two limits agree is checked by the compiler.

TestManyLargeJobsAtOnceDoNotEndTheLeader failed before: the leadership ended before the calls were answered; TestDecisionsOfOneRoundAreProposedInSeveralBatches: a batch of 1,614,813 bytes.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -34,6 +34,8 @@
 	// slow disk sync and a slow round trip.
 	electionTicks  = 12
 	heartbeatTicks = 3
+	// A batch of the largest size must be a command that the log takes.
+	_ = uint(replica.MaxProposalBytes - workflow.MaxCommandBytes)
 	// removalTicks is the silence, in ticks of the replica, after which a surplus voter
 	// is removed: 3 s, longer than a restart takes.
 	removalTicks = 60
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -26,13 +26,17 @@
 	// wallMs is the wall clock in milliseconds since the Unix epoch.
 	wallMs int64
 
-	nextBatch batch
-	inFlight  *batch
-	orders    []Order
-	ready     readySteps
-	counters  Counters
-	slowdown  slowdownModel
-	advisor   advisor
+	// waiting holds the batches that are not proposed yet, in order. inFlight is the one
+	// that is being committed, nil for none.
+	waiting  []*batch
+	inFlight *batch
+	// together keeps operations in the current batch; see proposeTogether.
+	together bool
+	orders   []Order
+	ready    readySteps
+	counters Counters
+	slowdown slowdownModel
+	advisor  advisor
 	// maintenance is the state of the maintenance waves.
 	maintenance maintenanceState
 	// gangWaitingSince holds since when each gang step waits for room.
@@ -60,13 +64,6 @@
 	Overruns                                                           [overrunBuckets]uint64
 }
 
-// batch is a list of operations and the effects to release once they are
-// committed.
-type batch struct {
-	ops     []workflow.Op
-	effects []func()
-}
-
 // New returns the engine of a leader that takes over at now. It starts from the
 // committed state, which it owns from then on.
 func New(settings Settings, log zerolog.Logger, term uint64, state *workflow.State, now Instant) *Engine {
@@ -117,55 +114,4 @@
 	return orders
 }
 
-// TakeBatch places pending tasks and returns the next batch for the log. It
-// returns nil if there is nothing to log or a batch is still in flight.
-func (e *Engine) TakeBatch() *workflow.Batch {
-	if e.inFlight != nil {
-		return nil
-	}
-	e.plan()
-	if len(e.nextBatch.ops) == 0 {
-		return nil
-	}
-	taken := e.nextBatch
-	e.nextBatch = batch{}
-	e.inFlight = &taken
-	return &workflow.Batch{NowMs: e.wallMs, Ops: taken.ops}
-}
-
-// Committed runs the effects of the batch in flight, which has been committed.
-func (e *Engine) Committed() {
-	done := e.inFlight
-	e.inFlight = nil
-	for _, effect := range done.effects {
-		effect()
-	}
-}
-
-// propose applies an operation to the engine's state and adds it to the next
-// batch. An operation that the state rejects is not added; its error is returned.
-func (e *Engine) propose(op workflow.Op) error {
-	if len(e.nextBatch.ops) == 0 {
-		e.state.AdvanceTime(e.wallMs)
-	}
-	if err := e.state.Apply(&op); err != nil {
-		return err
-	}
-	e.nextBatch.ops = append(e.nextBatch.ops, op)
-	return nil
-}
-
-// afterCommit runs the effect once all operations proposed so far are committed:
-// at once if none is outstanding.
-func (e *Engine) afterCommit(effect func()) {
-	switch {
-	case len(e.nextBatch.ops) > 0:
-		e.nextBatch.effects = append(e.nextBatch.effects, effect)
-	case e.inFlight != nil:
-		e.inFlight.effects = append(e.inFlight.effects, effect)
-	default:
-		effect()
-	}
-}
-
 func (e *Engine) since(at Instant) time.Duration { return e.now.Sub(at) }
--- a/dispatch/gang.go
+++ b/dispatch/gang.go
@@ -39,12 +39,14 @@
 	for _, task := range s.job.Occurrences[s.ref.Occurrence].Steps[s.ref.Step] {
 		number = max(number, task.Attempt)
 	}
-	for i, c := range chosen {
-		ref := workflow.TaskRef{Job: s.ref.Job, Occurrence: s.ref.Occurrence, Step: s.ref.Step, Index: uint32(i)}
-		if !e.place(c, s, ref, number+1) {
-			e.log.Error().Stringer("task", ref).Msg("gang not placed")
+	e.proposeTogether(func() {
+		for i, c := range chosen {
+			ref := s.task(uint32(i))
+			if !e.place(c, s, ref, number+1) {
+				e.log.Error().Stringer("task", ref).Msg("gang not placed")
+			}
 		}
-	}
+	})
 	s.pending = nil
 	e.ready.markDirty(s.ref.Job)
 }
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -215,15 +215,16 @@
 	return value, err
 }
 
-// maxProposalBytes limits the size of one command.
-const maxProposalBytes = 1 << 20
+// MaxProposalBytes is the largest size of one command. A message to a peer carries any
+// command whole.
+const MaxProposalBytes = 1 << 20
 
 func (r *Replica) checkProposal(data []byte) error {
 	if err := r.checkRunning(); err != nil {
 		return err
 	}
-	if len(data) > maxProposalBytes {
-		return kind.Errorf(kind.BodyTooLarge, "a command of %d bytes exceeds the limit of %d bytes", len(data), maxProposalBytes)
+	if len(data) > MaxProposalBytes {
+		return kind.Errorf(kind.BodyTooLarge, "a command of %d bytes exceeds the limit of %d bytes", len(data), MaxProposalBytes)
 	}
 	return nil
 }
--- a/workflow/ops.go
+++ b/workflow/ops.go
@@ -146,12 +146,18 @@
 // Encode returns the batch as the data of a log entry, in CBOR.
 func (b *Batch) Encode() ([]byte, error) { return cborcodec.Encode.Marshal(b) }
 
+// EncodedSize returns the size of the operation in an encoded batch, in bytes.
+func (o *Op) EncodedSize() (int, error) {
+	data, err := cborcodec.Encode.Marshal(o)
+	return len(data), err
+}
+
 // LargestOp returns the name and the encoded size, in bytes, of the largest operation;
 // the name is empty if there is none.
 func (b *Batch) LargestOp() (name string, bytes int) {
 	for i := range b.Ops {
-		if data, err := cborcodec.Encode.Marshal(&b.Ops[i]); err == nil && len(data) > bytes {
-			name, bytes = b.Ops[i].name(), len(data)
+		if size, err := b.Ops[i].EncodedSize(); err == nil && size > bytes {
+			name, bytes = b.Ops[i].name(), size
 		}
 	}
 	return name, bytes
