The log holds the text of a catalog compressed

Cause: the operation holds the text and the queues decoded from it. At some 4,100 routes it exceeds the 1 MiB of a command, while the body may have 1 MiB, some 6,900 routes. Raising the limit of a command would not do: 2 MiB to four followers take 0.34 s on a link of 200 Mbit/s, and a message is given up after 0.3 s, so no leader could replicate it. The text compresses to a fraction, and is as text only read.

A text of 1 MiB of routes now makes an operation within the limit; one that does not (names that do not compress) is refused with body_too_large before it is applied.

TestALargeConfigurationDoesNotEndTheLeader failed before (4,640 queues: the leadership ended before the call was answered); it now also has 5,500 queues, repeats and conflicts.

--- a/coordinator/limits_test.go
+++ b/coordinator/limits_test.go
@@ -69,10 +69,22 @@
 func TestALargeConfigurationDoesNotEndTheLeader(t *testing.T) {
 	c := startLeader(t)
 	term := c.replica.Status().Term
-	result := call(t, c, &Call{SetCatalog: catalogOf(2, 4640)})
-	require.Nil(t, result.Err)
-	read := call(t, c, &Call{ReadCatalog: true})
-	assert.Equal(t, uint64(2), read.Catalog.Version)
+	for version, queues := range []int{2: 4640, 3: 5500} {
+		if queues == 0 {
+			continue
+		}
+		large := catalogOf(uint64(version), queues)
+		require.Greater(t, len(large.Source), 800<<10)
+		require.Nil(t, call(t, c, &Call{SetCatalog: large}).Err, "a text of %d bytes", len(large.Source))
+		read := call(t, c, &Call{ReadCatalog: true}).Catalog
+		assert.Equal(t, large.Version, read.Version)
+		text, err := read.Text()
+		require.NoError(t, err)
+		assert.Equal(t, large.Source, text)
+		require.Nil(t, call(t, c, &Call{SetCatalog: large}).Err, "the same again")
+		changed := catalogOf(uint64(version), queues-1)
+		require.Equal(t, kind.VersionConflict, call(t, c, &Call{SetCatalog: changed}).Err.Kind)
+	}
 	assert.Equal(t, term, c.replica.Status().Term)
 }
 
--- a/dispatch/callers.go
+++ b/dispatch/callers.go
@@ -141,8 +141,8 @@
 
 // SetCatalog makes a catalog the current one and calls done, at once or when this
 // is committed. A catalog that is no newer than the current one is not logged.
-// The error is of kind bad_config for an invalid catalog, and version_conflict for
-// other content under the current version.
+// The error is of kind bad_config for an invalid catalog, version_conflict for other
+// content under the current version, and body_too_large for one that no command holds.
 func (e *Engine) SetCatalog(c *workflow.Catalog, done func(*kind.Error)) {
 	if err := c.Validate(); err != nil {
 		done(toKindError(err))
@@ -157,7 +157,11 @@
 		e.afterCommit(func() { done(toKindError(err)) })
 		return
 	}
-	if err := e.propose(workflow.Op{SetCatalog: &workflow.SetCatalog{Catalog: *c}}); err != nil {
+	compressed, err := c.Compressed()
+	if err == nil {
+		err = e.propose(workflow.Op{SetCatalog: &workflow.SetCatalog{Catalog: *compressed}})
+	}
+	if err != nil {
 		done(toKindError(err))
 		return
 	}
--- a/workflow/catalog.go
+++ b/workflow/catalog.go
@@ -57,8 +57,10 @@
 	Queues   []Queue   `cbor:"2,keyasint"`
 	Services []Service `cbor:"3,keyasint"`
 	Limits   Limits    `cbor:"4,keyasint"`
-	// Source is the text as the operator sent it; reads return it unchanged.
-	Source []byte `cbor:"5,keyasint"`
+	// Source is the text as the operator sent it; reads return it unchanged. In the
+	// replicated state CompressedSource holds it instead; see Text.
+	Source           []byte `cbor:"5,keyasint"`
+	CompressedSource []byte `cbor:"6,keyasint,omitempty"`
 }
 
 // Validate returns an error of kind bad_config if a service or queue is incomplete
--- /dev/null
+++ b/workflow/catalog_text.go
@@ -0,0 +1,57 @@
+package workflow
+
+import (
+	"bytes"
+	"compress/flate"
+	"io"
+
+	"mangohill.example/mangohill/kind"
+)
+
+// Text returns the catalog as the operator sent it. The error is of kind corrupt.
+func (c *Catalog) Text() ([]byte, error) {
+	if c.CompressedSource == nil {
+		return c.Source, nil
+	}
+	text, err := io.ReadAll(flate.NewReader(bytes.NewReader(c.CompressedSource)))
+	if err != nil {
+		return nil, kind.Errorf(kind.Corrupt, "decompress the text of catalog version %d: %w", c.Version, err)
+	}
+	return text, nil
+}
+
+// Compressed returns the catalog with its text compressed. The log, the snapshots and the
+// memory of each member hold the text beside the queues that it was decoded to.
+func (c *Catalog) Compressed() (*Catalog, error) {
+	var compressed bytes.Buffer
+	w, err := flate.NewWriter(&compressed, flate.BestSpeed)
+	if err != nil {
+		return nil, kind.Errorf(kind.Internal, "compress a catalog: %w", err)
+	}
+	if _, err = w.Write(c.Source); err == nil {
+		err = w.Close()
+	}
+	if err != nil {
+		return nil, kind.Errorf(kind.Internal, "compress a catalog: %w", err)
+	}
+	out := *c
+	out.Source, out.CompressedSource = nil, compressed.Bytes()
+	return &out, nil
+}
+
+// checkSameText returns an error of kind version_conflict if another catalog of the same
+// version has another text.
+func (c *Catalog) checkSameText(other *Catalog) error {
+	text, err := c.Text()
+	if err != nil {
+		return err
+	}
+	otherText, err := other.Text()
+	if err != nil {
+		return err
+	}
+	if !bytes.Equal(text, otherText) {
+		return kind.Errorf(kind.VersionConflict, "catalog version %d exists with other content", c.Version)
+	}
+	return nil
+}
--- a/workflow/state.go
+++ b/workflow/state.go
@@ -1,7 +1,6 @@
 package workflow
 
 import (
-	"bytes"
 	"slices"
 
 	"mangohill.example/mangohill/kind"
@@ -275,10 +274,10 @@
 
 func (s *State) setCatalog(next *Catalog) error {
 	if s.catalog != nil && next.Version <= s.catalog.Version {
-		if next.Version == s.catalog.Version && !bytes.Equal(next.Source, s.catalog.Source) {
-			return kind.Errorf(kind.VersionConflict, "catalog version %d exists with other content", next.Version)
+		if next.Version < s.catalog.Version {
+			return nil
 		}
-		return nil
+		return s.catalog.checkSameText(next)
 	}
 	s.catalog = next
 	return nil
