--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -15,6 +15,7 @@
 		"attempt void",
 		"batch not committed",
 		"batch not encoded",
+		"body refused",
 		"catalog refused",
 		"catalog set",
 		"catalog undecided",
