Strings that are not UTF-8 end no leader

Cause: a worker's ID comes from the path of its report, where %ff is a byte like any other. The leader applies the join, the encoder writes the string as it is, and the decoder of each member refuses the entry, with the whole batch in it: state_diverged, the leader gives up, the worker reports at the next one. One writer with a broken ID ends every leader in turn.

The decoder takes any string now, so that what one member encodes each decodes; and a report with such a string is refused with bad_request.

--- a/dispatch/incarnations.go
+++ b/dispatch/incarnations.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"unicode/utf8"
 
 	"mangohill.example/mangohill/kind"
 	"mangohill.example/mangohill/workflow"
@@ -21,11 +22,26 @@
 	ClockMs int64
 }
 
+// validate returns an error of kind bad_request for an announcement whose strings are not
+// text in UTF-8.
+func (a *Announcement) validate() *kind.Error {
+	for _, s := range append([]string{a.Life.Name, a.Address, a.Service, a.Zone, a.Rack}, a.Labels...) {
+		if !utf8.ValidString(s) {
+			return kind.Errorf(kind.BadRequest, "the worker's report holds %q, which is not UTF-8", s)
+		}
+	}
+	return nil
+}
+
 // Announce processes a worker's announcement and calls done once it is recorded
-// or refused. The error is of kind stale_incarnation if a newer incarnation of the
-// worker, or of another worker at its address, is recorded, or if the incarnation has
-// withdrawn: the report was delayed.
+// or refused. The error is of kind bad_request for an announcement that is not valid, and
+// stale_incarnation if a newer incarnation of the worker, or of another worker at its
+// address, is recorded, or if the incarnation has withdrawn: the report was delayed.
 func (e *Engine) Announce(a *Announcement, done func(*kind.Error)) {
+	if err := a.validate(); err != nil {
+		done(err)
+		return
+	}
 	if e.state.Departed(a.Life) {
 		e.afterCommit(func() { done(kind.Errorf(kind.StaleIncarnation, "worker %q has withdrawn", a.Life.Name)) })
 		return
--- a/internal/cborcodec/cborcodec.go
+++ b/internal/cborcodec/cborcodec.go
@@ -23,7 +23,9 @@
 }
 
 func mustDecMode() cbor.DecMode {
-	mode, err := cbor.DecOptions{MaxArrayElements: maxElements, MaxMapPairs: maxElements}.DecMode()
+	// The encoder does not check that strings are UTF-8. What one member encodes, each must
+	// decode.
+	mode, err := cbor.DecOptions{MaxArrayElements: maxElements, MaxMapPairs: maxElements, UTF8: cbor.UTF8DecodeInvalid}.DecMode()
 	if err != nil {
 		panic(err)
 	}
--- a/workflow/state_test.go
+++ b/workflow/state_test.go
@@ -242,3 +242,20 @@
 	s = restored
 	require.Error(t, accept(), "a restored state has the same limit")
 }
+
+// Guards against a string that the leader encodes and the other members refuse to decode,
+// with the whole batch that it is in.
+func TestABatchWithAStringThatIsNotTextIsDecoded(t *testing.T) {
+	batch := &Batch{Ops: []Op{{Join: &Join{Life: Incarnation{Name: "w\xff", BornMs: 1}, Address: "a:1", Labels: []string{"\xff"}}}}}
+	data, err := batch.Encode()
+	require.NoError(t, err)
+	decoded, err := DecodeBatch(data)
+	require.NoError(t, err)
+	assert.Equal(t, batch, decoded)
+	s := NewState()
+	require.NoError(t, s.Apply(&decoded.Ops[0]))
+	copied, err := s.Snapshot()
+	require.NoError(t, err)
+	_, err = DecodeSnapshot(copied)
+	require.NoError(t, err)
+}
