Names in jobs and workers' reports have a limit

The payload of a job is limited, the names in its steps (image, label, rack) and the list of earlier steps were not; eight jobs with an image of 200 KB made a batch above the limit of the log, and one job of 1 MiB makes such an operation by itself. Reports of workers had the 4 MiB of their body as the only limit, and the state holds their strings for as long as the worker lives. Names have 512 bytes now, a step names no more earlier steps than there are, and the strings of a report 16 KiB together; what exceeds them is refused with bad_request before it is applied.

--- a/dispatch/incarnations.go
+++ b/dispatch/incarnations.go
@@ -22,14 +22,22 @@
 	ClockMs int64
 }
 
-// validate returns an error of kind bad_request for an announcement whose strings are not
-// text in UTF-8.
+// maxAnnouncementBytes limits the strings of an announcement together. The state holds
+// them for each worker.
+const maxAnnouncementBytes = 16 << 10
+
+// validate returns an error of kind bad_request for an announcement whose strings are too
+// long or not text in UTF-8.
 func (a *Announcement) validate() *kind.Error {
+	size := 0
 	for _, s := range append([]string{a.Life.Name, a.Address, a.Service, a.Zone, a.Rack}, a.Labels...) {
-		if !utf8.ValidString(s) {
+		if size += len(s); !utf8.ValidString(s) {
 			return kind.Errorf(kind.BadRequest, "the worker's report holds %q, which is not UTF-8", s)
 		}
 	}
+	if size > maxAnnouncementBytes {
+		return kind.Errorf(kind.BadRequest, "the worker's report holds strings of %d bytes, at most %d are allowed", size, maxAnnouncementBytes)
+	}
 	return nil
 }
 
--- a/workflow/model.go
+++ b/workflow/model.go
@@ -195,6 +195,8 @@
 	// planning round. maxTasks counts the tasks of all occurrences.
 	maxSteps = 256
 	maxTasks = 20000
+	// maxNameBytes limits each name in a step: image, label and rack.
+	maxNameBytes = 512
 )
 
 // Validate returns an error of kind bad_request for a job that exceeds a limit or
@@ -226,6 +228,14 @@
 	if s.Count == 0 || r.MilliProcessors < 0 || r.MemoryMB < 0 || r.Accelerators < 0 {
 		return kind.Errorf(kind.BadRequest, "step %d has no tasks or requests a negative amount of a resource", i)
 	}
+	for _, name := range [...]string{s.Image, s.Label, s.DataRack} {
+		if len(name) > maxNameBytes {
+			return kind.Errorf(kind.BadRequest, "step %d has a name of %d bytes, at most %d are allowed", i, len(name), maxNameBytes)
+		}
+	}
+	if len(s.After) > i {
+		return kind.Errorf(kind.BadRequest, "step %d names %d steps before it, there are %d", i, len(s.After), i)
+	}
 	for _, dependency := range s.After {
 		if int(dependency) >= i {
 			return kind.Errorf(kind.BadRequest, "step %d depends on step %d, which is not an earlier step", i, dependency)
