A checkpoint has a limit

A worker's answer has up to 1 MiB, and the checkpoint in the end of an attempt went into the log as it was: an end above the limit of a command was listed again to each leader and ended it. Checkpoints have 4,000 bytes at most now, as payloads do. The end counts; a longer checkpoint is dropped with a log line, and the task resumes from the one before.

--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -176,7 +176,14 @@
 	e.afterCommit(func() { v.lastEndAcked = max(v.lastEndAcked, acked) })
 }
 
+// maxCheckpointBytes limits a checkpoint, which the state holds for each task.
+const maxCheckpointBytes = 4000
+
 func (e *Engine) recordEnd(v *workerView, end *EndedAttempt) {
+	if len(end.Checkpoint) > maxCheckpointBytes {
+		e.log.Warn().Stringer("task", end.Task).Uint32("attempt", end.Attempt).Str("worker", v.worker.Life.Name).Int("bytes", len(end.Checkpoint)).Int("limit", maxCheckpointBytes).Uint64("term", e.term).Msg("checkpoint dropped")
+		end.Checkpoint = ""
+	}
 	before := e.state.Job(end.Task.Job)
 	active := before != nil && before.Active()
 	err := e.propose(workflow.Op{End: &workflow.End{
@@ -267,7 +274,10 @@
 		if !a.running {
 			a.running, a.runningSince = true, e.now
 		}
-		a.missedPolls, a.percent, a.checkpoint, a.gauge, a.gaugeReadAt = 0, r.Percent, r.Checkpoint, r.Gauge, e.now
+		a.missedPolls, a.percent, a.gauge, a.gaugeReadAt = 0, r.Percent, r.Gauge, e.now
+		if len(r.Checkpoint) <= maxCheckpointBytes {
+			a.checkpoint = r.Checkpoint
+		}
 		if step := e.step(a.ref); step != nil && step.Scavenger {
 			e.checkShare(v, a, step)
 		}
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -19,6 +19,7 @@
 		"catalog refused",
 		"catalog set",
 		"catalog undecided",
+		"checkpoint dropped",
 		"command answered",
 		"command executed",
 		"command without an outcome",
