A worker that refuses the fencing token ends no leader

Cause: an answer 'fence' ended the leader's term at once. A worker with a higher token than any leader's, one that has served another cluster or an earlier life of this one, answers so to each leader, and each new term raises the token by one term only.

The worker gets no more orders in this term; its attempts run elsewhere once its lease is over, as those of a worker that is cut off. A token that was refused is not used again, so the log line stands once a term.

TestAWorkerWithAForeignFencingTokenDoesNotEndTheLeader failed before: the leadership ended before the call was answered.

--- a/coordinator/loop.go
+++ b/coordinator/loop.go
@@ -169,9 +169,7 @@
 	if l.engine == nil || a.Order.Term != l.term {
 		return
 	}
-	if !l.engine.HandleAnswer(a) {
-		l.giveUp("fenced")
-	}
+	l.engine.HandleAnswer(a)
 }
 
 func (l *loop) handleCommit(committed commitResult) {
--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -11,31 +11,28 @@
 // maxListedEnds is the number of ends that a worker lists in one answer.
 const maxListedEnds = 500
 
-// HandleAnswer processes the answer to an order. It returns false if the
-// incarnation to which the order was sent has seen a higher fencing token: another
-// leader is active.
-func (e *Engine) HandleAnswer(a *Answer) bool {
+// HandleAnswer processes the answer to an order.
+func (e *Engine) HandleAnswer(a *Answer) {
 	v := e.views[a.Order.Worker]
 	if v == nil {
-		return true // The next incarnation of the worker rejects the order as well.
-	}
-	if a.Outcome == Fenced {
-		e.log.Warn().Str("worker", a.Order.Life.Name).Int64("born_ms", a.Order.Life.BornMs).Uint64("fence", a.Order.Fence).Uint64("term", e.term).Msg("fenced by worker")
-		return false
+		return // The next incarnation of the worker rejects the order as well.
 	}
 	if a.Outcome == OtherIncarnation {
 		e.handleOtherIncarnation(v, a)
-		return true
+		return
 	}
 	if a.Outcome == NoListener {
 		if _, withdrawn := e.withdrawals[v.worker.ID]; withdrawn && !v.hasCarried() {
 			e.endIncarnation(v.worker, "withdrew")
 			e.endWithdrawn(v.worker.ID)
-			return true
+			return
 		}
 		a.Outcome = Unanswered
 	}
 	switch a.Outcome {
+	case Fenced:
+		e.handleFenced(v, a)
+		a.Outcome = Unanswered
 	case Unanswered:
 		e.counters.Unanswered++
 	case NotSent: // Says nothing about the worker.
@@ -52,7 +49,18 @@
 	case Throttle:
 		e.handleThrottleAnswer(v, a)
 	}
-	return true
+}
+
+// handleFenced handles an answer of an incarnation that has seen a higher fencing token.
+// If another leader acts, the replicated log ends this one; a worker alone can't tell, as
+// it may have served another cluster. It gets no more orders in this term, and its
+// attempts run elsewhere once its lease is over.
+func (e *Engine) handleFenced(v *workerView, a *Answer) {
+	if v.refusesToken {
+		return
+	}
+	v.refusesToken = true
+	e.log.Warn().Str("worker", a.Order.Life.Name).Int64("born_ms", a.Order.Life.BornMs).Uint64("fence", a.Order.Fence).Int("attempts", len(v.attempts)).Uint64("term", e.term).Msg("fenced by worker")
 }
 
 func (e *Engine) recordClock(v *workerView, a *Answer) {
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -15,6 +15,8 @@
 	// fenced is set once the worker has answered an order of this term, so that
 	// it rejects the orders of earlier leaders.
 	fenced bool
+	// refusesToken is set once the worker has refused the fencing token of this term.
+	refusesToken bool
 	// pollInFlight is set while no further poll may be sent: from a poll until
 	// the ends in its answer are committed.
 	pollInFlight bool
@@ -250,7 +252,9 @@
 
 // reachable reports whether the worker has answered an order of this term
 // recently.
-func (e *Engine) reachable(v *workerView) bool { return v.fenced && e.since(v.answeredAt) < staleAfter }
+func (e *Engine) reachable(v *workerView) bool {
+	return v.fenced && !v.refusesToken && e.since(v.answeredAt) < staleAfter
+}
 
 // voidExpired voids the attempts on a worker whose lease has expired. Those with a start
 // in flight, which the next incarnation may have carried out, wait for its lease, too.
@@ -269,7 +273,7 @@
 	if e.now > v.leaseExpiresAt && !e.reachable(v) {
 		e.voidExpired(v)
 	}
-	if !v.pollInFlight && e.now >= v.nextPollAt {
+	if !v.pollInFlight && !v.refusesToken && e.now >= v.nextPollAt {
 		e.poll(v)
 	}
 	if e.since(v.sharesSetAt) >= shareUpdateInterval && e.reachable(v) {
@@ -301,8 +305,12 @@
 // predecessors, of which it knows nothing.
 func fencingToken(term uint64, worker workflow.WorkerID) uint64 { return term<<32 | uint64(worker) }
 
-// issueOrder completes an order and queues it for sending.
+// issueOrder completes an order and queues it for sending. A worker that has refused this
+// leader's fencing token gets none.
 func (e *Engine) issueOrder(v *workerView, order Order) {
+	if v.refusesToken {
+		return
+	}
 	order.Worker, order.Life, order.Address = v.worker.ID, v.worker.Life, v.worker.Address
 	order.Term, order.Fence, order.SentAt = e.term, fencingToken(e.term, v.worker.ID), e.now
 	// The lease of a worker that does not answer is not renewed, so that its
