The number of a job's tasks does not overflow

Four steps of 2^31 tasks each, 2^31 times, are 2^64 tasks, which counted as none. The leader that accepts such a job allocates until its machine kills it; the caller, who got no answer, sends it to the next one. Each factor is checked by itself now.

--- a/workflow/model.go
+++ b/workflow/model.go
@@ -215,10 +215,11 @@
 		if err := s.Steps[i].validate(i); err != nil {
 			return err
 		}
-		tasks += uint64(s.Steps[i].Count) * uint64(s.Occurrences())
+		tasks += uint64(s.Steps[i].Count)
 	}
-	if tasks > maxTasks {
-		return kind.Errorf(kind.BadRequest, "the job has %d tasks, at most %d are allowed", tasks, maxTasks)
+	// The product of the two may overflow.
+	if occurrences := uint64(s.Occurrences()); occurrences > maxTasks || tasks > maxTasks || tasks*occurrences > maxTasks {
+		return kind.Errorf(kind.BadRequest, "the job has %d tasks, %d times; at most %d together are allowed", tasks, occurrences, maxTasks)
 	}
 	return nil
 }
