Jobs beyond the memory of a member are refused

A job of 200 bytes may have 20,000 tasks, over 1 MB in the two copies of the state that a leader holds, and ended jobs are kept for 150 s. Nothing limited their sum: whoever may submit can exhaust the memory of the leader, and then of each next one, which restores the same jobs. The limit is the leader's, so that members with other settings apply the same.

--- a/coordinator/metrics.go
+++ b/coordinator/metrics.go
@@ -32,6 +32,7 @@
 	dispatch.Counters
 	Term          uint64
 	Jobs, Workers int
+	JobBytes      int64
 }
 
 func newMetrics() *metrics {
--- a/dispatch/callers.go
+++ b/dispatch/callers.go
@@ -25,7 +25,7 @@
 )
 
 // Reply is the answer to a Request. Err is nil for success, otherwise of kind
-// overloaded (there is no catalog yet), unknown_service, bad_request, not_found or
+// overloaded (there is no catalog yet, or no memory for further jobs), unknown_service, bad_request, not_found or
 // internal.
 type Reply struct {
 	Err *kind.Error
@@ -81,6 +81,12 @@
 		e.afterCommit(func() { reply(refusal(kind.BadRequest, "%v", err)) })
 		return
 	}
+	if limit := e.settings.MaxJobBytes; limit > 0 && e.state.JobBytes() > limit {
+		e.afterCommit(func() {
+			reply(refusal(kind.Overloaded, "the accepted jobs take %d bytes, the limit is %d bytes", e.state.JobBytes(), limit))
+		})
+		return
+	}
 	if err := e.propose(workflow.Op{Accept: &workflow.Accept{ID: id, Queue: queue.Name, Spec: *spec}}); err != nil {
 		reply(refusal(kind.Internal, "%v", err))
 		return
--- a/dispatch/limits_test.go
+++ b/dispatch/limits_test.go
@@ -120,3 +120,34 @@
 	require.NoError(t, err)
 	assert.Equal(t, want, got, "the replicated state is that of the leader")
 }
+
+// Guards against jobs that are small as a request and large as state: together they must
+// not exhaust the memory of every member that leads. Jobs that are kept already, and the
+// room of jobs that are dropped, are not affected.
+func TestJobsBeyondTheMemoryOfAMemberAreRefused(t *testing.T) {
+	const perJob = 20_000
+	e := New(Settings{MaxJobBytes: 64 << 20}, zerolog.Nop(), 1, workflow.NewState(), 0)
+	e.SetCatalog(queueCatalog(1, "q"), func(*kind.Error) {})
+	request := func(verb RequestVerb, id workflow.JobID) (reply Reply) {
+		spec := &workflow.JobSpec{Steps: []workflow.Step{{Count: perJob}}}
+		e.HandleRequest(&Request{Verb: verb, Host: "h", Path: "/q/" + id.String(), Job: spec}, func(r Reply) { reply = r })
+		for e.TakeBatch() != nil {
+			e.Committed()
+		}
+		return reply
+	}
+	accepted := workflow.JobID(0)
+	for ; accepted < 1000; accepted++ {
+		if r := request(Submit, accepted+1); r.Err != nil {
+			require.Equal(t, kind.Overloaded, r.Err.Kind)
+			break
+		}
+	}
+	require.Positive(t, accepted)
+	require.Less(t, accepted, workflow.JobID(1000), "%d tasks are accepted", 1000*perJob)
+	assert.Nil(t, request(Submit, 1).Err, "a job that was accepted is repeated")
+	require.Nil(t, request(CancelJob, 1).Err)
+	e.Advance(0, e.State().NowMs()+10*time.Minute.Milliseconds())
+	require.Nil(t, request(CancelJob, 2).Err, "the time of the state advances with the next batch")
+	assert.Nil(t, request(Submit, accepted+1).Err)
+}
--- a/dispatch/settings.go
+++ b/dispatch/settings.go
@@ -13,6 +13,9 @@
 	// HostTakeoverDelay is how long a new leader sends no orders to the pool of
 	// hosts, which must not get orders from two leaders alternately.
 	HostTakeoverDelay time.Duration
+	// MaxJobBytes is the memory in bytes for accepted jobs, by the estimate of
+	// workflow.State.JobBytes, from which on further ones are refused. Zero sets no limit.
+	MaxJobBytes int64
 }
 
 const (
--- a/workflow/snapshot.go
+++ b/workflow/snapshot.go
@@ -63,7 +63,7 @@
 	s := NewState()
 	s.catalog, s.nextWorker, s.nowMs, s.finished, s.departed = in.Catalog, in.NextWorker, in.NowMs, in.Finished, in.Departed
 	for _, job := range in.Jobs {
-		s.jobs[job.ID] = job
+		s.addJob(job)
 	}
 	for _, wave := range in.Waves {
 		if wave.Progress == nil {
--- a/workflow/state_test.go
+++ b/workflow/state_test.go
@@ -6,8 +6,6 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
-
-	"mangohill.example/mangohill/kind"
 )
 
 func catalog(version uint64, source string) *Catalog {
@@ -215,34 +213,6 @@
 	require.Error(t, spec.Validate())
 }
 
-// Guards against jobs that are small as a request and large as state: together they must
-// not exhaust the memory of every member that leads.
-func TestJobsBeyondTheCapacityOfTheStateAreRefused(t *testing.T) {
-	s := newStateWithOneWorker(t)
-	id := JobID(2)
-	accept := func() error {
-		id++
-		return s.Apply(&Op{Accept: &Accept{ID: id, Queue: "q", Spec: JobSpec{Steps: []Step{{Count: maxTasks}}}}})
-	}
-	var err error
-	for range 1000 {
-		if err = accept(); err != nil {
-			break
-		}
-	}
-	require.Error(t, err, "%d tasks are accepted", 1000*maxTasks)
-	require.Equal(t, kind.Overloaded, kind.Parse(err.Error()).Kind)
-	require.NoError(t, s.Apply(&Op{Cancel: &Cancel{ID: 3}}))
-	s.AdvanceTime(s.NowMs() + endedJobRetentionMs)
-	require.NoError(t, accept(), "the room of a job that was dropped is free again")
-	copied, err := s.Snapshot()
-	require.NoError(t, err)
-	restored, err := DecodeSnapshot(copied)
-	require.NoError(t, err)
-	s = restored
-	require.Error(t, accept(), "a restored state has the same limit")
-}
-
 // Guards against a string that the leader encodes and the other members refuse to decode,
 // with the whole batch that it is in.
 func TestABatchWithAStringThatIsNotTextIsDecoded(t *testing.T) {
@@ -259,3 +229,25 @@
 	_, err = DecodeSnapshot(copied)
 	require.NoError(t, err)
 }
+
+// Guards against a memory estimate that grows or shrinks for good: it follows the jobs that
+// are kept, also in a restored state.
+func TestTheMemoryOfJobsFollowsTheJobsThatAreKept(t *testing.T) {
+	s := newStateWithOneWorker(t)
+	before := s.JobBytes()
+	require.Positive(t, before)
+	require.NoError(t, s.Apply(&Op{Accept: &Accept{ID: 2, Queue: "q", Spec: JobSpec{Payload: "p", Steps: []Step{{Count: maxTasks}}}}}))
+	with := s.JobBytes()
+	assert.Greater(t, with, before+int64(maxTasks*32))
+	require.NoError(t, s.Apply(&Op{Accept: &Accept{ID: 2, Queue: "q", Spec: JobSpec{Payload: "p", Steps: []Step{{Count: maxTasks}}}}}))
+	assert.Equal(t, with, s.JobBytes(), "a repeated job changes nothing")
+	data, err := s.Snapshot()
+	require.NoError(t, err)
+	restored, err := DecodeSnapshot(data)
+	require.NoError(t, err)
+	assert.Equal(t, with, restored.JobBytes())
+	require.NoError(t, restored.Apply(&Op{Cancel: &Cancel{ID: 2}}))
+	assert.Equal(t, with, restored.JobBytes(), "an ended job is kept for queries")
+	restored.AdvanceTime(restored.NowMs() + endedJobRetentionMs)
+	assert.Equal(t, before, restored.JobBytes())
+}
