A leader that cannot copy its state gives up its term

It gives up the term now. TestALeaderThatCannotCopyItsStateGivesUp failed before: no leader in 30 s.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -73,7 +73,7 @@
 // Coordinator is one member of the control group.
 type Coordinator struct {
 	options      Options
-	store        *workflow.Store
+	store        stateStore
 	replica      *replica.Replica
 	calls        chan pendingCall
 	orderAnswers chan dispatch.Answer
@@ -88,6 +88,12 @@
 	goroutines sync.WaitGroup
 }
 
+// stateStore is the replicated state, of which a new leader takes a copy.
+type stateStore interface {
+	replica.StateMachine
+	Copy() (*workflow.State, error)
+}
+
 // pendingCall is a call that waits for the loop to pass it to the engine.
 type pendingCall struct {
 	// ctx ends when nobody waits for the result any more.
@@ -108,8 +114,9 @@
 }
 
 // Start starts the member's replica and its loop. Stop ends both.
-func Start(options Options) (*Coordinator, error) {
-	store := workflow.NewStore()
+func Start(options Options) (*Coordinator, error) { return start(options, workflow.NewStore()) }
+
+func start(options Options, store stateStore) (*Coordinator, error) {
 	options.Replica.StateMachine = store
 	options.Replica.Now = boottime.Now
 	options.Replica.ElectionTicks, options.Replica.HeartbeatTicks = electionTicks, heartbeatTicks
--- a/coordinator/loop.go
+++ b/coordinator/loop.go
@@ -124,12 +124,13 @@
 }
 
 func (l *loop) lead(term uint64) {
+	l.term, l.lag = term, lag{startedAt: time.Now()}
 	state, err := l.store.Copy()
 	if err != nil {
 		l.options.Logger.Error().Err(err).Uint64("term", term).Msg("state not copied")
+		l.giveUp("state_not_copied")
 		return
 	}
-	l.term, l.lag = term, lag{startedAt: time.Now()}
 	l.engine = dispatch.New(l.options.Dispatch, l.options.Logger, term, state, l.now())
 	l.serving.Store(true)
 	l.options.Logger.Info().Uint64("term", term).Int("jobs", len(state.Jobs())).Int("workers", len(state.Workers())).Msg("leading")
--- a/coordinator/loop_test.go
+++ b/coordinator/loop_test.go
@@ -105,3 +105,30 @@
 	require.NotZero(t, third.ExpiresMs)
 	assert.LessOrEqual(t, third.ExpiresMs, 100_000+(980*time.Millisecond+lease).Milliseconds(), "a clock may lag by 2 percent")
 }
+
+// unreadableStore is a store whose first copies fail.
+type unreadableStore struct {
+	*workflow.Store
+	failures int
+}
+
+func (s *unreadableStore) Copy() (*workflow.State, error) {
+	if s.failures > 0 {
+		s.failures--
+		return nil, kind.Errorf(kind.Corrupt, "the copy is not readable")
+	}
+	return s.Store.Copy()
+}
+
+// Guards against a member that leads the log without an engine, which nothing would end.
+func TestALeaderThatCannotCopyItsStateGivesUp(t *testing.T) {
+	rpc := rpcclient.New(rpcclient.Options{})
+	defer rpc.Close()
+	c, err := start(Options{
+		Replica:  replica.Options{Name: "c1", Address: "127.0.0.1:1", DataDir: t.TempDir(), Bootstrap: true, Caller: rpc},
+		Dispatch: dispatch.Settings{Lease: 8 * time.Second, MaxLease: 10 * time.Second}, Workers: noWorkers{}, Logger: zerolog.Nop(),
+	}, &unreadableStore{Store: workflow.NewStore(), failures: 2})
+	require.NoError(t, err)
+	defer c.Stop()
+	require.Eventually(t, c.leads, 30*time.Second, time.Millisecond, "a later term must have a leader that serves")
+}
