--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -27,7 +27,7 @@
 			e.endWithdrawn(v.worker.ID)
 			return
 		}
-		a.Outcome = Unanswered
+		a.Outcome, a.noConnection = Unanswered, true
 	}
 	switch a.Outcome {
 	case Fenced:
@@ -94,6 +94,9 @@
 		}
 	case Unanswered:
 		a.unansweredStarts++
+		if !answer.noConnection {
+			a.deliverableStarts++
+		}
 		a.retryAt = e.now.Add(orderRetryDelay)
 	case NotSent:
 		a.retryAt = e.now.Add(orderRetryDelay)
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -55,12 +55,12 @@
 // Counters count decisions since the engine was created. Lapsed counts attempts
 // that ended with their lease, Voided those declared not to run, Unanswered
 // orders without an answer, Relocated attempts stopped in order to run elsewhere.
-// Overruns counts the times for which readings of a serving task exceeded its target, by
+// Crashed counts the workers that ended without notice. Overruns counts the times for which readings of a serving task exceeded its target, by
 // whole seconds, the last for all longer ones; Paused those for which scavengers were
 // paused.
 type Counters struct {
 	Accepted, Cancelled, Placed, Done, Failed, Stopped, Lapsed, Voided uint64
-	Unanswered, Throttled, Relocated, Paused                           uint64
+	Unanswered, Throttled, Relocated, Paused, Crashed                  uint64
 	Overruns                                                           [overrunBuckets]uint64
 }
 
--- a/dispatch/incarnations.go
+++ b/dispatch/incarnations.go
@@ -109,6 +109,7 @@
 		join.Carry = e.replaceIncarnation(old, a)
 	}
 	if old := e.state.WorkerAt(a.Address); old != nil && old.Life.Name != a.Life.Name {
+		e.recordCrash(e.views[old.ID], "replaced_at_its_address")
 		e.endIncarnation(old, "replaced_at_its_address")
 	}
 	if err := e.propose(workflow.Op{Join: join}); err != nil {
@@ -139,6 +140,7 @@
 // stay recorded until the first poll of the next incarnation shows what runs there.
 func (e *Engine) replaceIncarnation(old *workflow.Worker, next *Announcement) []workflow.TaskRef {
 	v := e.views[old.ID]
+	e.recordCrash(v, "new_life")
 	var carried []workflow.TaskRef
 	for _, a := range v.attemptList {
 		if a.committed {
@@ -219,6 +221,7 @@
 		}
 		return
 	}
+	e.recordCrash(v, "other_life_answers")
 	e.endIncarnation(v.worker, "other_life_answers")
 }
 
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -103,6 +103,9 @@
 	ClockMs int64
 	Running []RunningAttempt
 	Ended   []EndedAttempt
+	// noConnection is set if the worker was not reached, so that the order was certainly
+	// not carried out.
+	noConnection bool
 }
 
 // RunningAttempt is an attempt that a worker reports as running.
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -76,6 +76,8 @@
 	// startsSent counts the starts that this leader sent, unansweredStarts those that
 	// got no answer. startAnswered is set once a start was answered as carried out.
 	startsSent, unansweredStarts int
+	// deliverableStarts counts the unanswered starts for which a connection was made.
+	deliverableStarts int
 	startAnswered                bool
 	// adopted is set on an attempt of an earlier leader or incarnation, any number of
 	// whose starts may be unanswered.
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -89,6 +89,7 @@
 		"waiting for the entries of earlier terms",
 		"wave refused",
 		"wave started",
+		"worker crashed",
 		"worker draining",
 		"worker end not recorded",
 		"worker joined",
