--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -78,7 +78,7 @@
 	startsSent, unansweredStarts int
 	// deliverableStarts counts the unanswered starts for which a connection was made.
 	deliverableStarts int
-	startAnswered                bool
+	startAnswered     bool
 	// adopted is set on an attempt of an earlier leader or incarnation, any number of
 	// whose starts may be unanswered.
 	adopted bool
