Tasks under which workers crash are tested, and given up

Cause: only ends that a worker lists count as attempts. A worker that crashes lists none; its attempts are voided and start elsewhere, without limit.

A crash is now an operation on the replicated state: for each task that the worker ran, how often workers crashed under it, how often it may have been the cause, and how often no other job may have been. The proof is another incarnation of the worker or another worker at its address; a worker that is cut off, drained, withdrawn or maintained has not crashed, and an attempt whose start was refused a connection was not there. A crash beside that of a worker that had no likely cause itself counts for none of the tasks: both have a cause outside.

A task that was begun shortly before a crash is tested before it runs among others again: on a worker whose other attempts have run for a second, with the fewest of them, and which gets nothing else until the task has outlived its earlier age. A quarter of the workers are in tests at most; if many tasks wait, as after the failure of a rack, those with one crash are tested in groups. A crash in a test names the task: it is given up, its job failed, if that came just after the start, or at the second time. What only ran beside it proves sound. Whatever the circumstances, the fifth crash is the last one: the rule allows two starts after the third.

Gangs are not tested, as their members start together; a crash whose likely causes are all of one gang's job names it. Tasks that last and tasks of later steps are treated like all others: they serve nobody while they crash each worker, and the job's state tells its owner.

The check of jobs that failed without a deadly task leaves out those with five crashes under a task: the rule leaves no further start to them.

--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -35,6 +35,9 @@
 		a.Outcome = Unanswered
 	case Unanswered:
 		e.counters.Unanswered++
+		if v.silentSince == 0 {
+			v.silentSince = e.now
+		}
 	case NotSent: // Says nothing about the worker.
 	default:
 		e.recordClock(v, a)
@@ -64,7 +67,7 @@
 }
 
 func (e *Engine) recordClock(v *workerView, a *Answer) {
-	v.answeredAt = e.now
+	v.answeredAt, v.silentSince, v.lost = e.now, 0, nil
 	if a.ClockMs > 0 {
 		v.clockMs, v.clockReadAt = a.ClockMs, e.now
 	}
--- a/dispatch/candidates.go
+++ b/dispatch/candidates.go
@@ -192,6 +192,8 @@
 func (e *Engine) fits(c *candidate, s *readyStep) bool {
 	step := s.step
 	switch {
+	case c.view.test != nil && (len(s.pending) == 0 || c.view.test.find(s.firstPending()) < 0):
+		return false
 	case c.quarantined && !step.Lasting:
 		return false
 	case c.reservedFor != nil && !step.Lasting && !step.Scavenger:
--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -27,7 +27,7 @@
 	for id := workflow.JobID(1); id <= workflow.JobID(jobs); id++ {
 		first := step(6)
 		if _, isDeadly := s.crashes.deadly[workflow.TaskRef{Job: id}]; isDeadly {
-			first.EstimatedMs += 2 * delay.Milliseconds() // So that the crash comes before the end.
+			first.EstimatedMs += max(2*delay.Milliseconds(), 0) // So that the crash comes before the end.
 		}
 		s.submit(id, first, step(4, 0))
 		s.run(time.Duration(s.rng.IntN(100)) * time.Millisecond)
@@ -38,7 +38,7 @@
 // Guards against a task that crashes worker after worker: its job must fail after few
 // crashes, and the jobs beside it must complete.
 func TestADeadlyTaskIsGivenUp(t *testing.T) {
-	for _, delay := range []time.Duration{0, 10 * time.Millisecond, 300 * time.Millisecond, 3 * time.Second} {
+	for _, delay := range []time.Duration{unconfirmed, 0, 10 * time.Millisecond, 300 * time.Millisecond, 3 * time.Second} {
 		for seed := uint64(1); seed <= 5; seed++ {
 			s := deadlySim(t, seed, 12, 40, delay, 3, 11, 12, 30)
 			require.True(t, s.runUntil(90*time.Second, func() bool { return s.allEnded(40) }), "seed %d, delay %v", seed, delay)
@@ -84,7 +84,7 @@
 		s := deadlySim(t, seed, 10, 0, 0)
 		for id := workflow.JobID(1); id <= jobs; id++ {
 			if s.rng.IntN(8) == 0 {
-				s.crashes.deadly[workflow.TaskRef{Job: id, Index: uint32(s.rng.IntN(6))}] = time.Duration(s.rng.IntN(200)) * time.Millisecond
+				s.crashes.deadly[workflow.TaskRef{Job: id, Index: uint32(s.rng.IntN(6))}] = time.Duration(s.rng.IntN(200))*time.Millisecond + unconfirmed
 			}
 			s.submit(id, step(6), step(4, 0))
 			address := fmt.Sprintf("w%d:1", 1+s.rng.IntN(10))
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -50,6 +50,8 @@
 	// withdrawals holds what confirms the withdrawals of workers on which attempts
 	// may still run.
 	withdrawals map[workflow.WorkerID][]func()
+	// recentCrashes are the crashes of workers of the last seconds.
+	recentCrashes []recentCrash
 }
 
 // Counters count decisions since the engine was created. Lapsed counts attempts
@@ -89,6 +91,7 @@
 func (e *Engine) Tick(now Instant, wallMs int64) {
 	e.now, e.wallMs = now, wallMs
 	for _, v := range e.sortedViews {
+		e.checkTest(v)
 		e.issueDueOrders(v)
 	}
 	for _, id := range slices.Sorted(maps.Keys(e.withdrawals)) {
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -50,6 +50,8 @@
 type readySteps struct {
 	dirtyJobs map[workflow.JobID]bool
 	byJob     map[workflow.JobID][]*readyStep
+	// suspects holds, by job, the tasks that are to be tested, as steps of their own.
+	suspects map[workflow.JobID][]*readyStep
 	// meanWorkByQueue holds the mean work of the jobs that each queue accepted.
 	meanWorkByQueue map[string]*meanWork
 	sorted          []*readyStep
@@ -65,6 +67,7 @@
 func (r *readySteps) reset() {
 	r.dirtyJobs = make(map[workflow.JobID]bool)
 	r.byJob = make(map[workflow.JobID][]*readyStep)
+	r.suspects = make(map[workflow.JobID][]*readyStep)
 	r.meanWorkByQueue = make(map[string]*meanWork)
 }
 
@@ -134,6 +137,7 @@
 
 func (r *readySteps) refreshJob(id workflow.JobID, job *workflow.Job, nowMs int64) {
 	previous := r.byJob[id]
+	delete(r.suspects, id)
 	if len(previous) > 0 {
 		delete(r.byJob, id)
 		r.changed = true
@@ -164,11 +168,18 @@
 		return
 	}
 	ref := workflow.StepRef{Job: job.ID, Occurrence: occurrence, Step: step}
-	r.byJob[job.ID] = append(r.byJob[job.ID], &readyStep{
+	ready := &readyStep{
 		ref: ref, waitingSinceMs: waitingSince(previous, ref, nowMs), baseValueDensity: density, job: job, step: &job.Spec.Steps[step],
 		pending: pending, criticalPathMs: slices.Max(chains), remainingMs: chains[step],
-	})
-	r.changed = true
+	}
+	var suspects []*readyStep
+	if ready.pending, suspects = splitSuspects(ready); len(suspects) > 0 {
+		r.suspects[job.ID] = append(r.suspects[job.ID], suspects...)
+	}
+	if len(ready.pending) > 0 {
+		r.byJob[job.ID] = append(r.byJob[job.ID], ready)
+		r.changed = true
+	}
 }
 
 // waitingSince returns when a step was first found to have pending tasks: as in
@@ -223,10 +234,11 @@
 // plan places the pending tasks in scheduling order.
 func (e *Engine) plan() {
 	e.ready.refresh(e.state, e.wallMs)
-	if len(e.ready.sorted) == 0 {
+	if len(e.ready.sorted) == 0 && len(e.ready.suspects) == 0 {
 		return
 	}
 	candidates := e.newCandidateSet()
+	e.placeSuspects(candidates)
 	e.reserveForLasting(candidates)
 	for _, s := range e.ready.sorted {
 		if s.job.Spec.DueMs(s.ref.Occurrence) > e.wallMs {
--- a/dispatch/sim_crash_test.go
+++ b/dispatch/sim_crash_test.go
@@ -9,7 +9,8 @@
 
 // simCrashes is the part of a simulation that concerns tasks under which workers crash.
 type simCrashes struct {
-	// deadly holds the tasks that crash each worker that starts them, and after which time.
+	// deadly holds the tasks that crash each worker that starts them, and after which time;
+	// unconfirmed is that of a crash before the start is answered.
 	deadly map[workflow.TaskRef]time.Duration
 	// under counts the workers that crashed while each task ran there, startsAfter the
 	// starts of a deadly task after maxCrashesUnder of them.
@@ -19,6 +20,7 @@
 }
 
 const (
+	unconfirmed = -1
 	// maxCrashesUnder and maxStartsAfter state the platform's rule: a deadly task is not
 	// started three more times after three workers have crashed under it.
 	maxCrashesUnder = 3
@@ -45,6 +47,10 @@
 			s.violate("task %s is started %d times after %d workers crashed under it", run.ref, s.crashes.startsAfter[run.ref], maxCrashesUnder)
 		}
 	}
+	if delay == unconfirmed {
+		run.worker.crashAndReturn()
+		return
+	}
 	s.after(delay, func() {
 		if run.worker.running[run.ref] == run {
 			run.worker.crashAndReturn()
@@ -61,6 +67,11 @@
 	for ref := range w.running {
 		s.crashes.under[ref]++
 	}
+	if w.refuses = s.rng.IntN(4) > 0; w.refuses {
+		for _, poll := range w.openPolls {
+			poll.answer(Answer{Order: poll.order}) // The connection is reset.
+		}
+	}
 	w.crash()
 	s.after(simRestart, func() {
 		if s.workers[w.address] == w {
@@ -70,13 +81,22 @@
 	})
 }
 
+// tooManyCrashes is the number of crashes under a task from which on the rule leaves no
+// further start, whatever their cause was.
+const tooManyCrashes = maxCrashesUnder + maxStartsAfter
+
 // checkJobsWithoutDeadlyTasks reports jobs that failed although none of their tasks is
-// deadly.
+// deadly, nor has met as many crashes as end a deadly one in any case.
 func (s *sim) checkJobsWithoutDeadlyTasks() {
 	culprits := make(map[workflow.JobID]bool)
 	for ref := range s.crashes.deadly {
 		culprits[ref.Job] = true
 	}
+	for ref, crashes := range s.crashes.under {
+		if crashes >= tooManyCrashes {
+			culprits[ref.Job] = true
+		}
+	}
 	for id, job := range s.committed.Jobs() {
 		if job.State() == workflow.JobFailed && !culprits[id] {
 			s.violate("job %s failed, and none of its tasks is deadly", id)
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -272,7 +272,7 @@
 	arrived := late && s.rng.IntN(2) == 0
 	s.after(delay, func() {
 		s.arrive(order, late, arrived, func(a Answer, w *simWorker) {
-			if w.life != order.Life && w.showsLife(&a) {
+			if a.Outcome != NoListener && w.life != order.Life && w.showsLife(&a) {
 				a = Answer{Order: order} // As the platform's client takes it.
 			}
 			if !lostAnswer {
@@ -289,6 +289,8 @@
 func (s *sim) arrive(order Order, late, arrived bool, answer func(Answer, *simWorker)) {
 	w := s.workers[order.Address]
 	switch {
+	case w != nil && w.dead && w.refuses:
+		answer(Answer{Order: order, Outcome: NoListener}, w)
 	case w == nil || w.dead:
 	case late && order.Life != w.life && !w.reached && !s.faults.lateBeforeContact:
 	case (w.partitioned || w.deaf) && late && !arrived:
@@ -296,7 +298,7 @@
 	case (w.partitioned || w.deaf) && !late:
 	default:
 		w.handleOrder(order, func(a Answer) {
-			if !w.partitioned && !w.mute {
+			if !w.partitioned && !w.mute && !w.dead {
 				answer(a, w)
 			}
 		})
--- a/dispatch/sim_worker_test.go
+++ b/dispatch/sim_worker_test.go
@@ -48,6 +48,8 @@
 	// last expired.
 	endedAt        map[uint64]Instant
 	leaseExpiredAt Instant
+	// refuses makes the host of a crashed worker refuse connections; otherwise it is silent.
+	refuses bool
 	// shrunkAt is when the capacity shrank last.
 	shrunkAt Instant
 }
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -58,6 +58,13 @@
 	// place, so that it can be iterated while attempts end.
 	attempts    map[workflow.TaskRef]*attempt
 	attemptList []*attempt
+	// silentSince is when an order first stayed without an answer, zero while the worker
+	// answers.
+	silentSince Instant
+	// lost are the attempts that were taken for over while the worker was silent.
+	lost []crashVictim
+	// test is the test for which the worker gets no other new attempts, nil for none.
+	test *crashTest
 	// endedScavengers are the scavengers that ended recently.
 	endedScavengers []endedScavenger
 }
@@ -263,6 +270,9 @@
 func (e *Engine) voidExpired(v *workerView) {
 	for _, a := range v.attemptList {
 		if a.adopted || a.startsInFlight() == 0 || e.now > v.nextLeaseExpiresAt {
+			if c, ok := e.victimOf(v, a); ok {
+				v.lost = append(v.lost, c)
+			}
 			e.void(v, a, "lease_over")
 		}
 	}
--- a/workflow/ops.go
+++ b/workflow/ops.go
@@ -130,6 +130,7 @@
 	Void           *Void           `cbor:"8,keyasint,omitempty"`
 	StartWave      *StartWave      `cbor:"9,keyasint,omitempty"`
 	SetMaintenance *SetMaintenance `cbor:"10,keyasint,omitempty"`
+	Crash          *Crash          `cbor:"11,keyasint,omitempty"`
 }
 
 // Batch is the content of one log entry. NowMs is the leader's wall clock in
@@ -186,6 +187,8 @@
 		return "start_wave"
 	case o.SetMaintenance != nil:
 		return "set_maintenance"
+	case o.Crash != nil:
+		return "crash"
 	}
 	return ""
 }
--- a/workflow/state.go
+++ b/workflow/state.go
@@ -59,6 +59,8 @@
 	AdviceValidMs      int64 `cbor:"17,keyasint,omitempty"`
 	AdviceBaseMs       int64 `cbor:"18,keyasint,omitempty"`
 	AdviceEachMs       int64 `cbor:"19,keyasint,omitempty"`
+	// Suspects are the tasks under which workers have crashed.
+	Suspects []Suspect `cbor:"20,keyasint,omitempty"`
 }
 
 // Active reports whether the job has not ended, so that its tasks may be started.
@@ -270,6 +272,8 @@
 		return s.startWave(op.StartWave)
 	case op.SetMaintenance != nil:
 		return s.setMaintenance(op.SetMaintenance)
+	case op.Crash != nil:
+		return s.crash(op.Crash)
 	}
 	return kind.Errorf(kind.Corrupt, "the operation has no content")
 }
