A worker gets starts by its latest capacity

A worker's capacity may shrink and grow while it runs.

Cause: of a known incarnation's report only the draining was read, and the state took the capacity with the join alone. A worker that had shrunk got starts beyond its room, and one that had grown stayed small.

An attempt that was placed before its worker shrank is voided if it was not started, and stopped instead of started again if a start may have reached the worker. What runs goes on.

For a new leader reports are as old as the latest batch, since earlier leaders received some until then.

--- a/dispatch/candidates.go
+++ b/dispatch/candidates.go
@@ -87,9 +87,10 @@
 	return &candidate{view: v, quarantined: e.now < v.quarantinedUntil, free: v.worker.Capacity.Sub(v.worker.Reserved), idleMilliProcessors: e.placementStateOf(v).idleMilliProcessors}
 }
 
-// schedulable reports whether a worker can take orders and is not draining.
+// schedulable reports whether a worker can take orders, is not draining, and has a known
+// capacity.
 func (e *Engine) schedulable(v *workerView) bool {
-	return !v.worker.Draining && e.reachable(v) && v.clockMs > 0
+	return !v.worker.Draining && e.reachable(v) && v.clockMs > 0 && e.capacityKnown(v)
 }
 
 // recordUnplaceable remembers that no worker has room for a task of the step. A
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -23,8 +23,10 @@
 	now         Instant
 	// tookOverAt is when the engine was created.
 	tookOverAt Instant
-	// wallMs is the wall clock in milliseconds since the Unix epoch.
-	wallMs int64
+	// wallMs is the wall clock in milliseconds since the Unix epoch. Until wallKnown is set,
+	// it is that of the latest batch.
+	wallMs    int64
+	wallKnown bool
 
 	// waiting holds the batches that are not proposed yet, in order. inFlight is the one
 	// that is being committed, nil for none.
@@ -89,7 +91,7 @@
 // for which the machine was suspended; wallMs is the wall clock in milliseconds
 // since the Unix epoch.
 func (e *Engine) Tick(now Instant, wallMs int64) {
-	e.now, e.wallMs = now, wallMs
+	e.Advance(now, wallMs)
 	for _, v := range e.sortedViews {
 		e.checkTest(v)
 		e.issueDueOrders(v)
@@ -101,7 +103,13 @@
 }
 
 // Advance sets the clocks like Tick but issues no orders.
-func (e *Engine) Advance(now Instant, wallMs int64) { e.now, e.wallMs = now, wallMs }
+func (e *Engine) Advance(now Instant, wallMs int64) {
+	e.now, e.wallMs = now, wallMs
+	if !e.wallKnown {
+		e.wallKnown = true
+		e.noteLeaderlessTime()
+	}
+}
 
 // State returns the state with all decisions applied, including those that are
 // not committed yet.
--- a/dispatch/incarnations.go
+++ b/dispatch/incarnations.go
@@ -18,6 +18,9 @@
 	Rack     string
 	Capacity workflow.Resources
 	Draining bool
+	// Report is the number of the report, which rises within the incarnation, zero if it
+	// has none.
+	Report uint64
 	// ClockMs is the worker's clock in milliseconds, zero if it gave none.
 	ClockMs int64
 }
@@ -68,6 +71,10 @@
 		e.afterCommit(func() { done(kind.Errorf(kind.StaleIncarnation, "worker %q has a newer incarnation", a.Life.Name)) })
 		return
 	}
+	if err := e.applyReport(w, a); err != nil {
+		e.afterCommit(func() { done(toKindError(err)) })
+		return
+	}
 	if a.Draining && !w.Draining {
 		if err := e.propose(workflow.Op{Leave: &workflow.Leave{Worker: w.ID}}); err != nil {
 			done(toKindError(err))
--- a/dispatch/settings.go
+++ b/dispatch/settings.go
@@ -16,6 +16,9 @@
 	// MaxJobBytes is the memory in bytes for accepted jobs, by the estimate of
 	// workflow.State.JobBytes, from which on further ones are refused. Zero sets no limit.
 	MaxJobBytes int64
+	// MaxReportAge is the age of a worker's latest report up to which its capacity is relied
+	// on. Zero sets no limit.
+	MaxReportAge time.Duration
 }
 
 const (
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -133,7 +133,7 @@
 		workers: make(map[string]*simWorker), runs: make(map[workflow.TaskRef][]*simRun), done: make(map[workflow.TaskRef]bool),
 		acknowledged: make(map[workflow.TaskRef]bool), lastStartAt: make(map[workflow.TaskRef]Instant),
 		cancelled: make(map[workflow.JobID]Instant), crashes: newSimCrashes(), healAt: make(map[string]Instant), wallBase: 1_700_000_000_000,
-		settings: Settings{Lease: 8 * time.Second, MaxLease: 10 * time.Second}, maxListedEnds: 500, delay: networkDelay, commitDelay: commitDelay,
+		settings: Settings{Lease: 8 * time.Second, MaxLease: 10 * time.Second, MaxReportAge: shrinkNotice - time.Second}, maxListedEnds: 500, delay: networkDelay, commitDelay: commitDelay,
 	}
 	s.takeOver()
 	s.every(tickInterval, func() { s.engine.Tick(s.now, s.wall()) })
--- a/dispatch/sim_worker_test.go
+++ b/dispatch/sim_worker_test.go
@@ -48,6 +48,8 @@
 	// last expired.
 	endedAt        map[uint64]Instant
 	leaseExpiredAt Instant
+	// reports is the number of reports so far.
+	reports uint64
 	// refuses makes the host of a crashed worker refuse connections; otherwise it is silent.
 	refuses bool
 	// shrunkAt is when the capacity shrank last.
@@ -159,6 +161,7 @@
 		return
 	}
 	s := w.sim
+	w.reports++
 	announcement := w.announcement()
 	deliver := func() { s.engine.Announce(&announcement, func(*kind.Error) {}) }
 	if s.happens(s.faults.lateReport) {
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -58,6 +58,9 @@
 	// place, so that it can be iterated while attempts end.
 	attempts    map[workflow.TaskRef]*attempt
 	attemptList []*attempt
+	// lastReport is the number of the latest report that was processed, at reportedAt.
+	lastReport uint64
+	reportedAt Instant
 	// silentSince is when an order first stayed without an answer, zero while the worker
 	// answers.
 	silentSince Instant
@@ -138,6 +141,7 @@
 		worker: w, answeredAt: e.now, attempts: make(map[workflow.TaskRef]*attempt), lastEndSeen: w.Acked, lastEndAcked: w.Acked,
 		// An earlier leader may have renewed the lease until it lost its quorum.
 		leaseExpiresAt: e.now.Add(maxRealTime(e.settings.MaxLease)),
+		lastReport:     w.Report, reportedAt: e.now,
 	}
 	for _, ref := range sortedTasks(w.Attempts) {
 		a := &attempt{ref: ref, number: w.Attempts[ref], committed: true, adopted: true, carried: w.Carried[ref], placedAt: e.now, appliedShare: unknownShare, wantedShare: fullShare}
@@ -375,6 +379,18 @@
 	if e.heldByStray(v.worker.ID, ref) {
 		return
 	}
+	if !e.capacityKnown(v) {
+		return
+	}
+	if e.overCapacity(v) {
+		// The worker has shrunk since the attempt was placed.
+		if a.startsSent == 0 && !a.adopted {
+			e.void(v, a, "shrunk")
+			return
+		}
+		a.stopWanted = true
+		return
+	}
 	if v.clockMs == 0 {
 		return // A lease can't be granted without a reading of the worker's clock.
 	}
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -16,6 +16,7 @@
 		"batch not committed",
 		"batch not encoded",
 		"body refused",
+		"capacity changed",
 		"catalog refused",
 		"catalog set",
 		"catalog undecided",
--- a/workflow/ops.go
+++ b/workflow/ops.go
@@ -79,6 +79,14 @@
 	Rack string
 }
 
+// Resize records the capacity that a worker reports. Report is the number of the report;
+// those of an earlier one have no effect.
+type Resize struct {
+	Worker   WorkerID  `cbor:"1,keyasint"`
+	Capacity Resources `cbor:"2,keyasint"`
+	Report   uint64    `cbor:"3,keyasint,omitempty"`
+}
+
 // Leave records that a worker is draining or, with Over, that its incarnation has
 // ended.
 type Leave struct {
@@ -131,6 +139,7 @@
 	StartWave      *StartWave      `cbor:"9,keyasint,omitempty"`
 	SetMaintenance *SetMaintenance `cbor:"10,keyasint,omitempty"`
 	Crash          *Crash          `cbor:"11,keyasint,omitempty"`
+	Resize         *Resize         `cbor:"12,keyasint,omitempty"`
 }
 
 // Batch is the content of one log entry. NowMs is the leader's wall clock in
@@ -189,6 +198,8 @@
 		return "set_maintenance"
 	case o.Crash != nil:
 		return "crash"
+	case o.Resize != nil:
+		return "resize"
 	}
 	return ""
 }
--- a/workflow/state.go
+++ b/workflow/state.go
@@ -104,6 +104,9 @@
 	Capacity Resources   `cbor:"7,keyasint"`
 	Rack     string      `cbor:"12,keyasint,omitempty"`
 	Draining bool        `cbor:"8,keyasint,omitempty"`
+	// Report is the number of the report from which the capacity is, zero for the one with
+	// which the worker joined.
+	Report uint64 `cbor:"14,keyasint,omitempty"`
 	// Acked is the highest sequence number of an End that was recorded; repeats up
 	// to it are ignored.
 	Acked uint64 `cbor:"9,keyasint,omitempty"`
@@ -274,6 +277,8 @@
 		return s.setMaintenance(op.SetMaintenance)
 	case op.Crash != nil:
 		return s.crash(op.Crash)
+	case op.Resize != nil:
+		return s.resize(op.Resize)
 	}
 	return kind.Errorf(kind.Corrupt, "the operation has no content")
 }
@@ -443,6 +448,17 @@
 	}
 }
 
+func (s *State) resize(r *Resize) error {
+	w := s.workers[r.Worker]
+	if w == nil {
+		return kind.Errorf(kind.NotFound, "worker %d does not exist", r.Worker)
+	}
+	if r.Report >= w.Report {
+		w.Capacity, w.Report = r.Capacity, r.Report
+	}
+	return nil
+}
+
 func (s *State) leave(l *Leave) error {
 	w := s.workers[l.Worker]
 	if w == nil {
