A job is kept while an attempt of it is recorded

Cause: an ended job is dropped after 150 s, although a worker that does not confirm the end of an attempt may still have it recorded; a clock that is set ahead makes 150 s short. The same ID is then accepted again, with other steps, and the end of the old attempt indexes the steps of the new job. The reservation of such an attempt was never released either. The job is kept until its last attempt is released; an entry for a task that the job does not have changes nothing.

--- a/workflow/snapshot.go
+++ b/workflow/snapshot.go
@@ -78,6 +78,11 @@
 		s.workers[w.ID] = w
 		s.byName[w.Life.Name] = w.ID
 		s.byAddress[w.Address] = w.ID
+		for ref := range w.Attempts {
+			if job := s.jobs[ref.Job]; job != nil {
+				job.attempts++
+			}
+		}
 	}
 	return s, nil
 }
--- a/workflow/state.go
+++ b/workflow/state.go
@@ -61,6 +61,8 @@
 	AdviceEachMs       int64 `cbor:"19,keyasint,omitempty"`
 	// Suspects are the tasks under which workers have crashed.
 	Suspects []Suspect `cbor:"20,keyasint,omitempty"`
+	// attempts is the number of attempts that are recorded on workers.
+	attempts int
 }
 
 // Active reports whether the job has not ended, so that its tasks may be started.
@@ -242,13 +244,29 @@
 	for len(s.departed) > 0 && s.nowMs-s.departed[0].AtMs >= departureRetentionMs {
 		s.departed = s.departed[1:]
 	}
-	for len(s.finished) > 0 {
-		job := s.jobs[s.finished[0]]
+	s.dropEndedJobs()
+}
+
+// dropEndedJobs drops the jobs whose retention has ended and of which no attempt is
+// recorded. An attempt may outlast the retention if its worker does not confirm its end, or
+// if the clock is set ahead; it must not be taken for one of a new job of the same ID.
+func (s *State) dropEndedJobs() {
+	kept := 0
+	for kept < len(s.finished) {
+		job := s.jobs[s.finished[kept]]
 		if job != nil && s.nowMs-job.FinishedMs < endedJobRetentionMs {
 			return
 		}
-		s.dropJob(s.finished[0])
-		s.finished = s.finished[1:]
+		if job != nil && job.attempts > 0 {
+			kept++
+			continue
+		}
+		s.dropJob(s.finished[kept])
+		if kept == 0 {
+			s.finished = s.finished[1:]
+		} else {
+			s.finished = slices.Delete(s.finished, kept, kept+1)
+		}
 	}
 }
 
@@ -437,13 +455,18 @@
 	if job == nil {
 		return
 	}
+	task := job.Task(ref)
+	if task == nil {
+		job.attempts--
+		return // As in release.
+	}
 	w.Attempts[ref] = attempt
 	if w.Carried == nil {
 		w.Carried = make(map[TaskRef]bool)
 	}
 	w.Carried[ref] = true
 	w.Reserved = w.Reserved.Add(job.Spec.Steps[ref.Step].Reserved())
-	if task := job.Task(ref); task.State == TaskPlaced && task.Attempt == attempt {
+	if task.State == TaskPlaced && task.Attempt == attempt {
 		task.Worker = w.ID
 	}
 }
@@ -508,6 +531,7 @@
 	}
 	w.Reserved = w.Reserved.Add(need)
 	w.Attempts[p.Task] = p.Attempt
+	job.attempts++
 	task.State, task.Worker, task.Attempt = TaskPlaced, p.Worker, p.Attempt
 	job.Started = true
 	return nil
@@ -525,9 +549,13 @@
 	if job == nil {
 		return nil
 	}
-	w.Reserved = w.Reserved.Sub(job.Spec.Steps[ref.Step].Reserved())
+	job.attempts--
 	task := job.Task(ref)
-	if task == nil || task.State != TaskPlaced || task.Attempt != attempt || task.Worker != w.ID {
+	if task == nil {
+		return nil // Of an earlier job of this ID, which an earlier version had dropped.
+	}
+	w.Reserved = w.Reserved.Sub(job.Spec.Steps[ref.Step].Reserved())
+	if task.State != TaskPlaced || task.Attempt != attempt || task.Worker != w.ID {
 		return nil
 	}
 	task.State = TaskPending
--- a/workflow/state_test.go
+++ b/workflow/state_test.go
@@ -251,3 +251,23 @@
 	restored.AdvanceTime(restored.NowMs() + endedJobRetentionMs)
 	assert.Equal(t, before, restored.JobBytes())
 }
+
+// Guards against an attempt that outlasts its job, which is dropped and accepted again
+// with fewer steps: its end would be taken for one of the new job, beyond its steps, in
+// each member that applies it.
+func TestAJobIsKeptWhileAnAttemptOfItIsRecorded(t *testing.T) {
+	s := newStateWithOneWorker(t)
+	require.NoError(t, place(s, task(0, 2), 1, 1))
+	require.NoError(t, s.Apply(&Op{Cancel: &Cancel{ID: 1}}))
+	s.AdvanceTime(s.NowMs() + 2*endedJobRetentionMs)
+	require.NotNil(t, s.Job(1), "an attempt of the job may run")
+	data, err := s.Snapshot()
+	require.NoError(t, err)
+	s, err = DecodeSnapshot(data)
+	require.NoError(t, err)
+	require.NoError(t, s.Apply(&Op{Accept: &Accept{ID: 1, Queue: "q", Spec: JobSpec{Steps: []Step{{Count: 1}}}}}))
+	require.NoError(t, end(s, 1, task(0, 2), 1, EndStopped))
+	assert.Zero(t, s.Worker(1).Reserved)
+	s.AdvanceTime(s.NowMs() + 1)
+	assert.Nil(t, s.Job(1))
+}
