MaxBodyBytes of the configuration is in force

It was decoded, replicated and never used: a caller's body was limited by the 1 MiB of the entry host alone. The leader refuses a new job whose body is larger, with 413; a repeat of an accepted job is confirmed as before.

TestABodyAboveTheConfiguredLimitIsRefused failed before: 200 instead of 413.

--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -36,7 +36,7 @@
 	next := workflow.JobID(0)
 	submit := func(step workflow.Step) {
 		next++
-		e.submit(&queue, next, &workflow.JobSpec{Steps: []workflow.Step{step}}, func(Reply) {})
+		e.submit(&queue, next, &Request{Job: &workflow.JobSpec{Steps: []workflow.Step{step}}}, func(Reply) {})
 	}
 	for range workers * serving / 14 {
 		submit(workflow.Step{Count: 14, Resources: workflow.Resources{MilliProcessors: 6400, MemoryMB: 13_000}, Lasting: true, LatencyTargetMs: 125, Image: fmt.Sprint("serving", random.IntN(10))})
--- a/dispatch/callers.go
+++ b/dispatch/callers.go
@@ -10,8 +10,9 @@
 	Verb RequestVerb
 	Host string
 	Path string
-	// Job is the job to submit.
-	Job *workflow.JobSpec
+	// Job is the job to submit, BodyBytes the size of the body that it was decoded from.
+	Job       *workflow.JobSpec
+	BodyBytes int64
 }
 
 // RequestVerb is the kind of a request.
@@ -25,8 +26,8 @@
 )
 
 // Reply is the answer to a Request. Err is nil for success, otherwise of kind
-// overloaded (there is no catalog yet, or no memory for further jobs), unknown_service, bad_request, not_found or
-// internal.
+// overloaded (there is no catalog yet, or no memory for further jobs), unknown_service, bad_request,
+// body_too_large, not_found or internal.
 type Reply struct {
 	Err *kind.Error
 	// State is the job's state.
@@ -60,7 +61,7 @@
 	}
 	switch r.Verb {
 	case Submit:
-		e.submit(queue, id, r.Job, reply)
+		e.submit(queue, id, r, reply)
 	case Query:
 		e.query(id, reply)
 	case CancelJob:
@@ -72,11 +73,18 @@
 	return Reply{Err: kind.Errorf(k, format, args...)}
 }
 
-func (e *Engine) submit(queue *workflow.Queue, id workflow.JobID, spec *workflow.JobSpec, reply func(Reply)) {
+func (e *Engine) submit(queue *workflow.Queue, id workflow.JobID, r *Request, reply func(Reply)) {
+	spec := r.Job
 	if job := e.state.Job(id); job != nil {
 		e.afterCommit(func() { reply(Reply{State: job.State()}) })
 		return
 	}
+	if limit := e.state.Catalog().Limits.MaxBodyBytes; limit > 0 && r.BodyBytes > limit {
+		e.afterCommit(func() {
+			reply(refusal(kind.BodyTooLarge, "a body of %d bytes exceeds the limit of %d bytes", r.BodyBytes, limit))
+		})
+		return
+	}
 	if err := spec.Validate(); err != nil {
 		e.afterCommit(func() { reply(refusal(kind.BadRequest, "%v", err)) })
 		return
