Soak: configurations beyond a command, deadly tasks, capacities that change

Configurations grow to 9,000 routes; one job in a hundred has a task that crashes its worker 10 ms after the start, under which at most two starts may follow the third crash, and whose job alone may fail; a fault changes a worker's capacity, which binds 4.1 s later. Crashed workers now come back after a second.

--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -11,15 +11,19 @@
 // checks records what workers and callers observe, and every violation of a
 // guarantee of the platform.
 type checks struct {
-	mu         sync.Mutex
-	running    map[string]*worker   // worker that runs the task, by task
-	startedAt  map[string]time.Time // latest start, by task
-	doneTasks  map[string]bool
-	ackedEnds  map[string]bool
-	submitted  map[string]bool
-	cancelled  map[string]time.Time // acknowledgement of the cancellation, by job
-	starts     int
-	violations []string
+	mu        sync.Mutex
+	running   map[string]*worker   // worker that runs the task, by task
+	startedAt map[string]time.Time // latest start, by task
+	doneTasks map[string]bool
+	ackedEnds map[string]bool
+	submitted map[string]bool
+	// deadly holds the jobs whose first task crashes each worker that starts it; crashes
+	// counts the crashes under that task, and startsAfter its starts after the third.
+	deadly               map[string]bool
+	crashes, startsAfter map[string]int
+	cancelled            map[string]time.Time // acknowledgement of the cancellation, by job
+	starts               int
+	violations           []string
 }
 
 // cancelGracePeriod is the time after a cancellation is acknowledged during which
@@ -32,7 +36,7 @@
 func newChecks() *checks {
 	return &checks{
 		running: make(map[string]*worker), startedAt: make(map[string]time.Time), doneTasks: make(map[string]bool),
-		ackedEnds: make(map[string]bool), submitted: make(map[string]bool), cancelled: make(map[string]time.Time),
+		ackedEnds: make(map[string]bool), submitted: make(map[string]bool), deadly: make(map[string]bool), crashes: make(map[string]int), startsAfter: make(map[string]int), cancelled: make(map[string]time.Time),
 	}
 }
 
@@ -71,9 +75,39 @@
 			}
 		}
 	}
+	if c.deadly[job] && task == job+".0.0.0" && c.crashes[job] >= 3 {
+		if c.startsAfter[job]++; c.startsAfter[job] > 2 {
+			c.addViolationLocked("task %s starts %d times after three workers crashed under it", task, c.startsAfter[job])
+		}
+	}
 	c.running[task], c.startedAt[task] = w, time.Now()
 }
 
+func (c *checks) isDeadly(job string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.deadly[job]
+}
+
+// crashesWorker reports whether a task crashes the worker that starts it.
+func (c *checks) crashesWorker(task string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	job, rest, _ := strings.Cut(task, ".")
+	return c.deadly[job] && rest == "0.0.0"
+}
+
+// workerCrashed counts a crash under the tasks that a worker ran.
+func (c *checks) workerCrashed(tasks map[string]int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for task := range tasks {
+		if job, rest, _ := strings.Cut(task, "."); rest == "0.0.0" {
+			c.crashes[job]++
+		}
+	}
+}
+
 func (c *checks) taskEnded(task string, w *worker) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -74,6 +75,10 @@
 	mu        sync.Mutex
 	accepted  map[string]bool
 	version   int
+	// stopped is set when no further workers are started.
+	stopped bool
+	// idleRoutes is the number of routes without jobs; it grows.
+	idleRoutes int
 }
 
 func (f *fleet) ip(i int) string { return fmt.Sprintf("127.%d.0.%d", f.subnet, i+1) }
@@ -113,7 +118,7 @@
 	if p.control {
 		listen, role = fmt.Sprintf("Control = \"%s:8166\"", p.ip), "control"
 	}
-	text := fmt.Sprintf("Node = %q\nServes = [%q]\nIp = %q\nZone = \"z\"\nPortRange = [7720,7735]\nSeeds = [%s]\nBootstrap = %t\nDataDir = %q\nHeartbeatMs = 1100\nControlMode = \"rpc\"\n[Listen]\n%s\n[FaultTolerance]\nMachines = 1\n[Bounds]\nGraceS = 3\nHoldMaxMs = 10000\nFarX = 2\n",
+	text := fmt.Sprintf("Node = %q\nServes = [%q]\nIp = %q\nZone = \"z\"\nPortRange = [7720,7735]\nSeeds = [%s]\nBootstrap = %t\nDataDir = %q\nHeartbeatMs = 1100\nControlMode = \"rpc\"\n[Listen]\n%s\n[FaultTolerance]\nMachines = 1\n[Bounds]\nGraceS = 3\nHoldMaxMs = 10000\nFarX = 2\nStableWindowMs = 3000\n",
 		p.role+"-"+p.ip, role, p.ip, seeds, bootstrap, p.folder, listen)
 	settings := p.folder + ".toml"
 	require.NoError(f.t, os.WriteFile(settings, []byte(text), 0o600))
@@ -129,7 +134,10 @@
 
 func (f *fleet) startWorker(id string) *worker {
 	w, err := newWorker(f.checks, id)
-	require.NoError(f.t, err)
+	if err != nil {
+		panic(err) // Also called outside of the test's goroutine.
+	}
+	w.crashed = f.replaceWorker
 	go w.announce(f.controlAddresses())
 	return w
 }
@@ -149,10 +157,12 @@
 	for _, p := range f.processes {
 		p.kill()
 	}
-	for _, w := range f.workers {
-		if !w.dead {
-			w.crash()
-		}
+	f.mu.Lock()
+	f.stopped = true
+	workers := slices.Clone(f.workers)
+	f.mu.Unlock()
+	for _, w := range workers {
+		w.crash()
 	}
 	if f.t.Failed() {
 		f.keepLogs()
@@ -198,18 +208,31 @@
 	return answer.StatusCode, string(data)
 }
 
+// maxIdleRoutes is the largest number of routes without jobs. Their configuration has over
+// 1 MiB, the limit of a command in the log.
+const maxIdleRoutes = 9000
+
+func idleRoutes(count int) string {
+	var text strings.Builder
+	for i := range count {
+		fmt.Fprintf(&text, `,{"Name":"idle-%d","Host":"idle.example","PathPrefix":"/idle-%d/","Service":"pool","TimeoutMs":3000,"TargetDurationMs":250,"MaxAttempts":3,"Stretch":2}`, i, i)
+	}
+	return text.String()
+}
+
 // setCatalog sends a configuration with a higher version until it is acknowledged.
 func (f *fleet) setCatalog() {
 	f.version += 1 + f.rng.IntN(3)
-	body := fmt.Sprintf(`{"Version":%d,"Routes":[{"Name":"q","Host":"h","PathPrefix":"/q/","Service":"pool","TimeoutMs":3000,"TargetDurationMs":250,"MaxAttempts":3,"Stretch":2}],"Services":[{"Name":"pool"}]}`, f.version)
-	client := &http.Client{Timeout: time.Second}
+	f.idleRoutes = min(f.idleRoutes+f.rng.IntN(1500), maxIdleRoutes)
+	body := fmt.Sprintf(`{"Version":%d,"Routes":[{"Name":"q","Host":"h","PathPrefix":"/q/","Service":"pool","TimeoutMs":3000,"TargetDurationMs":250,"MaxAttempts":3,"Stretch":2}%s],"Services":[{"Name":"pool"}]}`, f.version, idleRoutes(f.idleRoutes))
+	client := &http.Client{Timeout: 2 * time.Second}
 	for deadline := time.Now().Add(settleTimeout); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
 		address := f.controlAddresses()[f.rng.IntN(controlCount)]
 		status, _ := call(client, http.MethodPut, "http://"+address+"/-/config", body)
 		if status == http.StatusOK {
 			return
 		}
-		if status == http.StatusBadRequest || status == http.StatusConflict {
+		if status == http.StatusBadRequest || status == http.StatusConflict || status == http.StatusRequestEntityTooLarge {
 			f.checks.addViolation("configuration %d was refused with status %d", f.version, status)
 			return
 		}
@@ -231,6 +254,9 @@
 		id := fmt.Sprintf("%08x%08x", caller+1, n+1)
 		f.checks.mu.Lock()
 		f.checks.submitted[id] = true
+		if rng.IntN(deadlyOneIn) == 0 {
+			f.checks.deadly[id] = true
+		}
 		f.checks.mu.Unlock()
 		job := fmt.Sprintf(`{"Spec":"spec-%s","Phases":[{"Count":%d,"Cpu":1000,"MemMb":10,"EstimateMs":150},{"Count":2,"Cpu":1000,"MemMb":10,"EstimateMs":150,"After":[0]}]}`, id, firstStepTasks)
 		url := func() string { return "http://" + f.ip(controlCount+rng.IntN(entryCount)) + ":8161/q/" + id }
@@ -253,13 +279,27 @@
 	}
 }
 
+// deadlyOneIn is the number of jobs of which one has a task that crashes its workers.
+const deadlyOneIn = 100
+
+// replaceWorker starts a worker in place of one that crashed, after some time.
+func (f *fleet) replaceWorker(w *worker) {
+	time.Sleep(time.Second)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if i := slices.Index(f.workers, w); i >= 0 && !f.stopped {
+		f.workers[i] = f.startWorker(w.id)
+	}
+}
+
 // injectFault injects one random fault and returns its description and a function
 // that ends it.
 func (f *fleet) injectFault() (string, func()) {
 	p := f.processes[f.rng.IntN(len(f.processes))]
-	i := f.rng.IntN(len(f.workers))
-	w := f.workers[i]
-	switch f.rng.IntN(10) {
+	f.mu.Lock()
+	w := f.workers[f.rng.IntN(len(f.workers))]
+	f.mu.Unlock()
+	switch f.rng.IntN(11) {
 	case 0:
 		p.kill()
 		return "kill " + p.ip, func() { f.start(p, false) }
@@ -279,7 +319,6 @@
 		return "lose the disk of " + p.ip, func() { f.start(p, false) }
 	case 5:
 		w.crash()
-		f.workers[i] = f.startWorker(w.id)
 		return "crash and restart of " + w.id, func() {}
 	case 6:
 		w.relay.Blackhole(true)
@@ -290,6 +329,10 @@
 	case 8:
 		w.relay.DelayReplies(300 * time.Millisecond)
 		return "delay " + w.id, func() { w.relay.DelayReplies(0) }
+	case 9:
+		processors := 1 + f.rng.IntN(workerProcessors)
+		w.resize(processors)
+		return fmt.Sprintf("resize %s to %d", w.id, processors), func() { w.resize(workerProcessors) }
 	}
 	w.relay.Reset()
 	return "reset " + w.id, func() {}
@@ -338,7 +381,7 @@
 		for id := range unfinished {
 			status, body := call(client, http.MethodGet, "http://"+f.ip(controlCount)+":8161/q/"+id, "")
 			unfinished[id] = fmt.Sprintf("%d %s", status, body)
-			if strings.Contains(body, "completed") || strings.Contains(body, "cancelled") {
+			if strings.Contains(body, "completed") || strings.Contains(body, "cancelled") || f.checks.isDeadly(id) && strings.Contains(body, "failed") {
 				delete(unfinished, id)
 			}
 			if status == http.StatusGone {
--- a/soak/worker_test.go
+++ b/soak/worker_test.go
@@ -31,6 +31,12 @@
 	highestEnded   map[string]int // highest attempt that ended or was stopped, by task
 	leaseExpiredAt time.Time
 	wake           chan struct{}
+	// processors is the capacity, which shrank last at shrunkAt. reports counts the reports.
+	processors int
+	shrunkAt   time.Time
+	reports    int
+	// crashed is called, if set, after the worker has crashed.
+	crashed func(*worker)
 }
 
 type attemptEnd struct {
@@ -43,7 +49,12 @@
 
 const (
 	taskDuration     = 150 * time.Millisecond
-	workerMilliCPU   = 8000
+	workerProcessors = 8
+	// deadlyDelay is the time after which a deadly task crashes its worker.
+	deadlyDelay = 10 * time.Millisecond
+	// shrinkNotice is the time after which a smaller capacity binds: StableWindowMs and one
+	// report.
+	shrinkNotice     = 4100 * time.Millisecond
 	maxLease         = 10 * time.Second // bounds a lease, whatever end control sets
 	announceInterval = 500 * time.Millisecond
 	announceTimeout  = time.Second
@@ -62,7 +73,7 @@
 }
 
 func newWorker(c *checks, id string) (*worker, error) {
-	w := &worker{checks: c, id: id, startedAt: time.Now(), running: make(map[string]int), highestEnded: make(map[string]int), wake: make(chan struct{}, 1)}
+	w := &worker{checks: c, id: id, startedAt: time.Now(), running: make(map[string]int), highestEnded: make(map[string]int), processors: workerProcessors, wake: make(chan struct{}, 1)}
 	w.server = httptest.NewServer(w)
 	var err error
 	w.relay, err = fake.StartRelay(strings.TrimPrefix(w.server.URL, "http://"))
@@ -72,7 +83,12 @@
 // crash ends the incarnation: its tasks stop, and its state is lost.
 func (w *worker) crash() {
 	w.mu.Lock()
+	if w.dead {
+		w.mu.Unlock()
+		return
+	}
 	w.dead = true
+	w.checks.workerCrashed(w.running)
 	for task := range w.running {
 		w.checks.taskEnded(task, w)
 	}
@@ -80,6 +96,19 @@
 	w.relay.Close()
 	w.server.CloseClientConnections()
 	w.server.Close()
+	if w.crashed != nil {
+		go w.crashed(w)
+	}
+}
+
+// resize changes the capacity, which the next report tells.
+func (w *worker) resize(processors int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if processors < w.processors {
+		w.shrunkAt = time.Now()
+	}
+	w.processors = processors
 }
 
 // clockMs returns the milliseconds since the start of the incarnation, at least 1.
@@ -145,8 +174,11 @@
 	}
 	w.running[o.Task] = o.Attempt
 	w.checks.taskStarted(o.Task, o.Spec, w)
-	if len(w.running)*1000 > workerMilliCPU {
-		w.checks.addViolation("%s runs %d tasks", w.id, len(w.running))
+	if len(w.running) > w.processors && time.Since(w.shrunkAt) > shrinkNotice {
+		w.checks.addViolation("%s runs %d tasks on %d processors", w.id, len(w.running), w.processors)
+	}
+	if w.checks.crashesWorker(o.Task) {
+		time.AfterFunc(deadlyDelay, w.crash)
 	}
 	time.AfterFunc(taskDuration, func() {
 		w.mu.Lock()
@@ -223,13 +255,15 @@
 	client := &http.Client{Timeout: announceTimeout}
 	for turn := 0; ; turn++ {
 		w.mu.Lock()
-		dead := w.dead
+		dead, processors := w.dead, w.processors
+		w.reports++
+		report := w.reports
 		w.mu.Unlock()
 		if dead {
 			return
 		}
-		body := fmt.Sprintf(`{"Service":"pool","Addr":%q,"Zone":"z","State":"ready","Capacity":{"Cpu":%d,"MemMb":100000,"Gpu":0},"Labels":["a","r1"],"ClockMs":%d,"born":%d}`,
-			w.relay.Address(), workerMilliCPU, w.clockMs(), w.startedAt.UnixMilli())
+		body := fmt.Sprintf(`{"Service":"pool","Addr":%q,"Zone":"z","State":"ready","Capacity":{"Cpu":%d,"MemMb":100000,"Gpu":0},"Labels":["a","r1"],"ClockMs":%d,"Seq":%d,"born":%d}`,
+			w.relay.Address(), processors*1000, w.clockMs(), report, w.startedAt.UnixMilli())
 		request, err := http.NewRequest(http.MethodPut, "http://"+controls[turn%len(controls)]+"/-/instances/"+w.id, strings.NewReader(body))
 		if err != nil {
 			panic(err)
