--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -164,6 +164,25 @@
 	assert.Empty(t, s.violations)
 }
 
+// Guards against a delayed report that passes for a sign of the present capacity.
+func TestADelayedReportDoesNotRenewTheCapacity(t *testing.T) {
+	s := newSim(t, 1)
+	s.setCatalog()
+	w := s.addWorker("w1", 4)
+	s.run(2 * time.Second)
+	delayed := w.announcement()
+	s.run(2 * time.Second)
+	w.silent = true
+	s.every(time.Second, func() { s.engine.Announce(&delayed, func(*kind.Error) {}) })
+	s.run(shrinkNotice)
+	s.submit(1, step(4))
+	s.run(3 * time.Second)
+	assert.Zero(t, s.starts)
+	w.silent = false
+	assert.True(t, s.runUntil(5*time.Second, func() bool { return s.state(1) == workflow.JobCompleted }))
+	assert.Empty(t, s.violations)
+}
+
 // Guards against starts that were decided before a worker shrank and are sent, or sent
 // again, afterwards.
 func TestAStartIsNotRepeatedOnAShrunkWorker(t *testing.T) {
--- a/dispatch/limits_test.go
+++ b/dispatch/limits_test.go
@@ -83,7 +83,10 @@
 	for i := range 40 {
 		e.Announce(&Announcement{Life: workflow.Incarnation{Name: workflow.JobID(i).String(), BornMs: 1}, Address: workflow.JobID(i).String(), Service: "pool", Capacity: workflow.Resources{MilliProcessors: 100_000}}, func(*kind.Error) {})
 	}
-	accepted, gang := 0, workflow.Step{Count: 8, Gang: true, Resources: workflow.Resources{MilliProcessors: 1000}}
+	for _, poll := range e.TakeOrders() {
+		e.HandleAnswer(&Answer{Order: poll, Outcome: Done, ClockMs: 1})
+	}
+	accepted, gang := 0, workflow.Step{Count: 60, Gang: true, Resources: workflow.Resources{MilliProcessors: 100}}
 	for i := range jobs {
 		spec := &workflow.JobSpec{Payload: strings.Repeat("p", 4000), Steps: []workflow.Step{gang}}
 		e.HandleRequest(&Request{Verb: Submit, Host: "h", Path: "/q/" + workflow.JobID(i+1).String(), Job: spec}, func(r Reply) {
@@ -92,7 +95,7 @@
 			accepted++
 		})
 	}
-	batches := 0
+	batches, gangs := 0, 0
 	for batch := e.TakeBatch(); batch != nil; batch = e.TakeBatch() {
 		batches++
 		data, err := batch.Encode()
@@ -106,6 +109,7 @@
 		}
 		for id, members := range placed {
 			require.EqualValues(t, gang.Count, members, "job %s", id)
+			gangs++
 		}
 		for _, err := range committed.ApplyBatch(batch) {
 			require.NoError(t, err)
@@ -114,6 +118,7 @@
 	}
 	assert.Greater(t, batches, 1)
 	assert.Equal(t, jobs, accepted)
+	assert.Equal(t, jobs, gangs)
 	want, err := e.State().Snapshot()
 	require.NoError(t, err)
 	got, err := committed.Snapshot()
