The control host that takes a configuration compresses its text

Not the leader, whose loop decides on everything else meanwhile. The leader compresses what comes otherwise.

--- a/workflow/catalog_text.go
+++ b/workflow/catalog_text.go
@@ -20,9 +20,13 @@
 	return text, nil
 }
 
-// Compressed returns the catalog with its text compressed. The log, the snapshots and the
-// memory of each member hold the text beside the queues that it was decoded to.
+// Compressed returns the catalog with its text compressed, unless it is already. The log,
+// the snapshots and the memory of each member hold the text beside the queues that it was
+// decoded to.
 func (c *Catalog) Compressed() (*Catalog, error) {
+	if c.CompressedSource != nil {
+		return c, nil
+	}
 	var compressed bytes.Buffer
 	w, err := flate.NewWriter(&compressed, flate.BestSpeed)
 	if err != nil {
