The fifth crash ends a task in any case; a crash of unknown tasks changes nothing

A task with five crashes, of which it may have caused one, alone, was not given up, as the check of the smallest number came first. And the operation refused a task that the job does not have after it had counted others: the leader's state would have kept these while the log never got them. task given up named all tasks of the job on the worker; it names those that ended it now.

The new rows of TestCrashesUnderATaskAreCountedInTheReplicatedState failed before.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -135,7 +135,7 @@
 		}
 		for i := range crash.Tasks {
 			t := &crash.Tasks[i]
-			if s := job.Suspect(t.Task); t.Task.Job == job.ID && s != nil {
+			if s := job.Suspect(t.Task); t.Task.Job == job.ID && s != nil && s.GivenUp(t) {
 				e.log.Warn().Stringer("task", t.Task).Uint32("crashes", s.Crashes).Uint32("blamed", s.Blamed).Uint32("alone", s.Alone).Int64("age_ms", s.AgeMs).Uint64("term", e.term).Msg("task given up")
 			}
 		}
--- a/workflow/crash.go
+++ b/workflow/crash.go
@@ -1,7 +1,5 @@
 package workflow
 
-import "mangohill.example/mangohill/kind"
-
 // Suspect is a task under which workers have crashed. Its fields are those of TaskRef
 // without the job.
 type Suspect struct {
@@ -70,35 +68,32 @@
 	return nil
 }
 
-// crash counts a crash under each of the tasks. The job of a task that is given up fails.
-func (s *State) crash(c *Crash) error {
+// crash counts a crash under each of the tasks that are not done. The job of a task that is
+// given up fails.
+func (s *State) crash(c *Crash) {
 	for i := range c.Tasks {
 		t := &c.Tasks[i]
 		job := s.jobs[t.Task.Job]
-		if job == nil {
+		if job == nil || !job.Active() {
 			continue
 		}
-		task := job.Task(t.Task)
-		if task == nil {
-			return kind.Errorf(kind.NotFound, "task %s does not exist", t.Task)
-		}
-		if task.State == TaskDone || !job.Active() {
+		if task := job.Task(t.Task); task == nil || task.State == TaskDone {
 			continue
 		}
-		suspect := s.countCrash(job, t)
-		if suspect.givenUp(t) {
+		if s.countCrash(job, t).GivenUp(t) {
 			job.Failed = true
 			s.finish(job)
 		}
 	}
-	return nil
 }
 
-// givenUp reports whether the task is given up after the crash t.
-func (s *Suspect) givenUp(t *CrashedTask) bool {
+// GivenUp reports whether the task is given up after the crash t, which s includes.
+func (s *Suspect) GivenUp(t *CrashedTask) bool {
 	switch {
+	case s.Crashes >= maxCrashes:
+		return true
 	case !t.Alone:
-		return s.Crashes >= maxCrashes
+		return false
 	case s.Alone >= minAlone:
 		return true
 	case min(s.Crashes, s.Blamed) < minCrashes:
--- a/workflow/state.go
+++ b/workflow/state.go
@@ -294,7 +294,8 @@
 	case op.SetMaintenance != nil:
 		return s.setMaintenance(op.SetMaintenance)
 	case op.Crash != nil:
-		return s.crash(op.Crash)
+		s.crash(op.Crash)
+		return nil
 	case op.Resize != nil:
 		return s.resize(op.Resize)
 	}
