Soak: a crashed worker takes no order

The soak's worker marks itself as dead, and closes its listener afterwards; a start in between was counted as a run that nothing ended.

A dead worker aborts the connection instead. The check is unchanged.

--- a/soak/worker_test.go
+++ b/soak/worker_test.go
@@ -125,14 +125,22 @@
 		return
 	}
 	status, answer := w.handle(r.URL.Path, &o)
+	if status == 0 {
+		panic(http.ErrAbortHandler) // A process that has crashed answers nothing.
+	}
 	answer["ClockMs"], answer["born"] = w.clockMs(), w.startedAt.UnixMilli()
 	out.WriteHeader(status)
 	_ = json.NewEncoder(out).Encode(answer) // The caller may have disconnected.
 }
 
+// handle carries out a request and returns the status and the answer, zero if the worker
+// has crashed: it runs nothing that reaches it before its listener is closed.
 func (w *worker) handle(path string, o *controlRequest) (int, map[string]any) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.dead {
+		return 0, nil
+	}
 	if o.Fence < w.highestFence {
 		return http.StatusConflict, map[string]any{"Reason": "fence"}
 	}
@@ -150,7 +158,11 @@
 			w.recordEnd(o.Task, attempt, "stopped")
 		}
 	case "/-/hold":
-		return http.StatusOK, w.poll(o)
+		answer := w.poll(o)
+		if w.dead { // It crashed while the poll waited.
+			return 0, nil
+		}
+		return http.StatusOK, answer
 	}
 	return http.StatusOK, map[string]any{}
 }
