Test: many workers that report at once do not end the leader

Found missing when the change was read again; the test of a large configuration is written more plainly.

--- a/coordinator/limits_test.go
+++ b/coordinator/limits_test.go
@@ -46,7 +46,7 @@
 	return result
 }
 
-// catalogOf returns a catalog with as many queues, whose text has some 150 bytes a queue.
+// catalogOf returns a catalog with as many queues, whose text has 180 bytes a queue.
 func catalogOf(version uint64, queues int) *workflow.Catalog {
 	c := &workflow.Catalog{Version: version, Services: []workflow.Service{{Name: "pool"}}}
 	var text strings.Builder
@@ -69,11 +69,9 @@
 func TestALargeConfigurationDoesNotEndTheLeader(t *testing.T) {
 	c := startLeader(t)
 	term := c.replica.Status().Term
-	for version, queues := range []int{2: 4640, 3: 5500} {
-		if queues == 0 {
-			continue
-		}
-		large := catalogOf(uint64(version), queues)
+	for i, queues := range []int{4640, 5500} {
+		version := uint64(i + 2)
+		large := catalogOf(version, queues)
 		require.Greater(t, len(large.Source), 800<<10)
 		require.Nil(t, call(t, c, &Call{SetCatalog: large}).Err, "a text of %d bytes", len(large.Source))
 		read := call(t, c, &Call{ReadCatalog: true}).Catalog
@@ -82,7 +80,7 @@
 		require.NoError(t, err)
 		assert.Equal(t, large.Source, text)
 		require.Nil(t, call(t, c, &Call{SetCatalog: large}).Err, "the same again")
-		changed := catalogOf(uint64(version), queues-1)
+		changed := catalogOf(version, queues-1)
 		require.Equal(t, kind.VersionConflict, call(t, c, &Call{SetCatalog: changed}).Err.Kind)
 	}
 	assert.Equal(t, term, c.replica.Status().Term)
@@ -114,6 +112,33 @@
 	assert.Equal(t, term, c.replica.Status().Term)
 }
 
+// Guards against reports of many workers at once, as after an outage, that make a batch
+// above the limit of the log.
+func TestManyWorkersAtOnceDoNotEndTheLeader(t *testing.T) {
+	const workers = 500
+	c := startLeader(t)
+	term := c.replica.Status().Term
+	ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
+	defer cancel()
+	var group sync.WaitGroup
+	errs := make([]error, workers)
+	for i := range workers {
+		name := workflow.JobID(i + 1).String()
+		group.Go(func() {
+			result, err := c.Do(ctx, &Call{Announce: &dispatch.Announcement{Life: workflow.Incarnation{Name: name, BornMs: 1}, Address: name, Service: "pool", Labels: []string{strings.Repeat("l", 15<<10)}}})
+			if err == nil && result.Err != nil {
+				err = result.Err
+			}
+			errs[i] = err
+		})
+	}
+	group.Wait()
+	for _, err := range errs {
+		require.NoError(t, err)
+	}
+	assert.Equal(t, term, c.replica.Status().Term)
+}
+
 // Guards against an input above the limit of a command that the leader takes, or leaves
 // without an answer: it must be refused at once, and the leader must go on.
 func TestAnInputAboveTheLimitOfACommandIsRefused(t *testing.T) {
