Tests of suspects: the rule of a test alone in one place

No change of behaviour, but that a job that was dropped no longer keeps others from a test that ends with the next tick.

--- a/dispatch/suspects.go
+++ b/dispatch/suspects.go
@@ -30,9 +30,11 @@
 	workersPerTest = 4
 	// maxTestGroup bounds the tasks in a test.
 	maxTestGroup = 16
-	// untestedCrashes is the number of crashes that a task may have caused from which on it
-	// is tested although it was not young at the latest one.
-	untestedCrashes = 2
+	// repeatedBlame is the number of crashes that a task may have caused, and repeatedCrashes
+	// that of all crashes under it, from which on it is tested although it was not young at
+	// the latest one. After repeatedBlame it is tested alone.
+	repeatedBlame   = 2
+	repeatedCrashes = 3
 )
 
 // crashTest is a test of one task or, if many wait for one, of several on a worker.
@@ -58,7 +60,11 @@
 
 // needsTest reports whether a task that waits must be tested.
 func needsTest(s *workflow.Suspect) bool {
-	return s != nil && (s.Crashes > untestedCrashes || s.Blamed >= untestedCrashes || s.Blamed > 0 && s.AgeMs >= 0 && s.AgeMs <= youngAge.Milliseconds())
+	if s == nil {
+		return false
+	}
+	young := s.Blamed > 0 && s.AgeMs >= 0 && s.AgeMs <= youngAge.Milliseconds()
+	return young || s.Blamed >= repeatedBlame || s.Crashes >= repeatedCrashes
 }
 
 // testDuration returns for how long the task must run to prove sound.
@@ -155,7 +161,7 @@
 		switch t := c.view.test; {
 		case t.find(ref) >= 0:
 			return c
-		case t != nil && (!repeatedly(s) && e.joinable(t, room.group)):
+		case t != nil && !e.testedAlone(ref) && e.joinable(t, room.group):
 			t.tasks = append(t.tasks, testedTask{ref: ref})
 			if e.admits(c, s) {
 				return c
@@ -174,23 +180,21 @@
 	return best
 }
 
-// repeatedly reports whether the step's next task has met several crashes. It is tested
-// alone then.
-func repeatedly(s *readyStep) bool {
-	suspect := s.job.Suspect(s.firstPending())
-	return suspect != nil && suspect.Blamed >= untestedCrashes
+// testedAlone reports whether a task has met so many crashes that it shares no test.
+func (e *Engine) testedAlone(ref workflow.TaskRef) bool {
+	job := e.state.Job(ref.Job)
+	if job == nil {
+		return false
+	}
+	suspect := job.Suspect(ref)
+	return suspect != nil && suspect.Blamed >= repeatedBlame
 }
 
-// joinable reports whether a test takes a further task: none of its tasks has met several
-// crashes, and none has started yet.
+// joinable reports whether a test takes a further task: none of its tasks is tested alone,
+// and none has started yet.
 func (e *Engine) joinable(t *crashTest, group int) bool {
 	return len(t.tasks) < group && !slices.ContainsFunc(t.tasks, func(other testedTask) bool {
-		job := e.state.Job(other.ref.Job)
-		if job == nil || other.started {
-			return true
-		}
-		suspect := job.Suspect(other.ref)
-		return suspect == nil || suspect.Blamed >= untestedCrashes
+		return other.started || e.testedAlone(other.ref)
 	})
 }
 
