--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -109,8 +109,9 @@
 	result any
 	err    error
 	took   time.Duration
-	batch  *workflow.Batch
-	bytes  int
+	// batch is what was proposed, of this many bytes; the log names it after an error.
+	batch *workflow.Batch
+	bytes int
 }
 
 // Start starts the member's replica and its loop. Stop ends both.
--- a/dispatch/callers.go
+++ b/dispatch/callers.go
@@ -25,8 +25,8 @@
 	CancelJob
 )
 
-// Reply is the answer to a Request. Err is nil for success, otherwise of kind
-// overloaded (there is no catalog yet, or no memory for further jobs), unknown_service, bad_request,
+// Reply is the answer to a Request. Err is nil for success, otherwise of kind overloaded
+// (there is no catalog yet, or no memory for further jobs), unknown_service, bad_request,
 // body_too_large, not_found or internal.
 type Reply struct {
 	Err *kind.Error
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -59,9 +59,9 @@
 // Counters count decisions since the engine was created. Lapsed counts attempts
 // that ended with their lease, Voided those declared not to run, Unanswered
 // orders without an answer, Relocated attempts stopped in order to run elsewhere.
-// Crashed counts the workers that ended without notice. Overruns counts the times for which readings of a serving task exceeded its target, by
-// whole seconds, the last for all longer ones; Paused those for which scavengers were
-// paused.
+// Crashed counts the workers that ended without notice. Overruns counts the times for
+// which readings of a serving task exceeded its target, by whole seconds, the last for all
+// longer ones; Paused those for which scavengers were paused.
 type Counters struct {
 	Accepted, Cancelled, Placed, Done, Failed, Stopped, Lapsed, Voided uint64
 	Unanswered, Throttled, Relocated, Paused, Crashed                  uint64
--- a/workflow/state.go
+++ b/workflow/state.go
@@ -150,10 +150,6 @@
 	return true
 }
 
-// endedJobRetentionMs is how long an ended job is kept, in milliseconds. The
-// platform queries jobs up to two minutes after their end.
-const endedJobRetentionMs = 150_000
-
 // State is the replicated state. It is not safe for concurrent use; Store
 // guards it with a mutex.
 type State struct {
@@ -174,17 +170,6 @@
 	departed []departure
 }
 
-// departure is the planned end of an incarnation of a worker.
-type departure struct {
-	_    struct{} `cbor:",toarray"`
-	Life Incarnation
-	AtMs int64
-}
-
-// departureRetentionMs is how long a departure is kept, in milliseconds. It exceeds the
-// time by which a report may be delayed.
-const departureRetentionMs = 300_000
-
 // NewState returns the state of a new cluster.
 func NewState() *State {
 	return &State{
@@ -237,39 +222,6 @@
 	return errs
 }
 
-// AdvanceTime sets the state's time, which never goes backwards, and drops the jobs
-// and departures whose retention has ended.
-func (s *State) AdvanceTime(nowMs int64) {
-	s.nowMs = max(s.nowMs, nowMs)
-	for len(s.departed) > 0 && s.nowMs-s.departed[0].AtMs >= departureRetentionMs {
-		s.departed = s.departed[1:]
-	}
-	s.dropEndedJobs()
-}
-
-// dropEndedJobs drops the jobs whose retention has ended and of which no attempt is
-// recorded. An attempt may outlast the retention if its worker does not confirm its end, or
-// if the clock is set ahead; it must not be taken for one of a new job of the same ID.
-func (s *State) dropEndedJobs() {
-	kept := 0
-	for kept < len(s.finished) {
-		job := s.jobs[s.finished[kept]]
-		if job != nil && s.nowMs-job.FinishedMs < endedJobRetentionMs {
-			return
-		}
-		if job != nil && job.attempts > 0 {
-			kept++
-			continue
-		}
-		s.dropJob(s.finished[kept])
-		if kept == 0 {
-			s.finished = s.finished[1:]
-		} else {
-			s.finished = slices.Delete(s.finished, kept, kept+1)
-		}
-	}
-}
-
 // Apply applies one operation. An error means that the operation was refused.
 func (s *State) Apply(op *Op) error {
 	switch {
@@ -338,46 +290,6 @@
 	return nil
 }
 
-// addJob and dropJob are the only changes of the set of jobs.
-func (s *State) addJob(job *Job) {
-	s.jobs[job.ID] = job
-	s.jobBytes += job.bytes()
-}
-
-func (s *State) dropJob(id JobID) {
-	if job := s.jobs[id]; job != nil {
-		s.jobBytes -= job.bytes()
-		delete(s.jobs, id)
-	}
-}
-
-// JobBytes estimates the memory in bytes that the jobs take in a member that leads, which
-// holds a second copy of the state.
-func (s *State) JobBytes() int64 { return s.jobBytes }
-
-// Estimates of memory in bytes, each for the two copies of the state.
-const (
-	bytesPerJob  = 1024
-	bytesPerStep = 512
-	bytesPerTask = 64
-)
-
-// bytes estimates the memory of the job.
-func (j *Job) bytes() int64 {
-	tasks := 0
-	for i := range j.Occurrences {
-		for _, step := range j.Occurrences[i].Steps {
-			tasks += len(step)
-		}
-	}
-	text := len(j.Spec.Payload)
-	for i := range j.Spec.Steps {
-		s := &j.Spec.Steps[i]
-		text += len(s.Image) + len(s.Label) + len(s.DataRack)
-	}
-	return int64(bytesPerJob + 2*text + bytesPerStep*len(j.Spec.Steps) + bytesPerTask*tasks)
-}
-
 func (s *State) queueNamed(name string) *Queue {
 	if s.catalog == nil {
 		return nil
