rpcserver: a failed accept does not end the listener for peers

Callers saw nothing at once; the member was deaf to its peers and to entry hosts from then on. Cause: Serve returned on any error of Accept. Without a free descriptor accept4 fails with EMFILE, as in the logs of the large deployment (accept4: too many open files), and the listener is as usable as before. Change: only a closed listener ends Serve; any other error is followed by a pause of 20 ms and the next accept.

--- a/rpcserver/server.go
+++ b/rpcserver/server.go
@@ -4,14 +4,19 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/rpc"
 	"sync"
+	"time"
 
 	"mangohill.example/mangohill/internal/tcpopt"
 	"mangohill.example/mangohill/kind"
 )
 
+// acceptRetryDelay is the pause after a failed accept.
+const acceptRetryDelay = 20 * time.Millisecond
+
 // Server accepts connections for a net/rpc server.
 type Server struct {
 	rpc      *rpc.Server
@@ -38,13 +43,19 @@
 // Address returns the bound address.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
-// Serve accepts and serves connections until Close is called.
+// Serve accepts and serves connections until Close is called. A failed accept is
+// repeated.
 func (s *Server) Serve() {
 	for {
 		conn, err := s.listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			// The listener stays usable, for example once a descriptor is free again.
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
 		if !s.track(conn) {
 			_ = conn.Close() // The server is stopping.
 			return
