--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -73,6 +73,7 @@
 		"share not in force",
 		"slots given up after a pause",
 		"snapshot not transferred",
+		"snapshot not written",
 		"start refused",
 		"start repeated",
 		"started",
--- a/replica/applier.go
+++ b/replica/applier.go
@@ -20,6 +20,12 @@
 	done  chan outcome
 }
 
+// snapshotResult is the result of writing a snapshot of this replica's state machine.
+type snapshotResult struct {
+	meta consensus.SnapshotMeta
+	err  error
+}
+
 // applier applies committed entries and owns the state machine.
 type applier struct {
 	replica *Replica
@@ -108,11 +114,9 @@
 	if err != nil {
 		return err
 	}
-	if err := a.replica.store.WriteSnapshot(meta, data); err != nil {
-		return err
-	}
+	written := snapshotResult{meta: meta, err: a.replica.store.WriteSnapshot(meta, data)}
 	select {
-	case a.replica.snapshots <- meta:
+	case a.replica.snapshots <- written:
 	case <-a.replica.ctx.Done():
 	}
 	return nil
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -73,6 +73,9 @@
 	roundStarts  map[uint64]time.Time
 	leadership   Leadership
 	snapshotting bool
+	// nextSnapshotTick is the tick from which on a snapshot may be taken again after one
+	// that was not written.
+	nextSnapshotTick uint64
 	drain        drain
 	// ticks counts the ticks since the start, leaderlessTicks those since a leader was known.
 	ticks           uint64
@@ -136,8 +139,8 @@
 		return l.handleRequest(req)
 	case applies <- next:
 		l.backlog = l.backlog[1:]
-	case meta := <-l.replica.snapshots:
-		return l.compact(meta)
+	case written := <-l.replica.snapshots:
+		return l.finishSnapshot(written)
 	case <-l.replica.appliedSignal:
 	case <-stopping:
 		l.drain.active = true
--- a/replica/members.go
+++ b/replica/members.go
@@ -58,7 +58,7 @@
 func (l *loop) startSnapshot() {
 	entries, bytes := l.core.LogSize()
 	exceedsThreshold := entries >= l.replica.options.SnapshotEntries || bytes >= l.replica.options.SnapshotBytes && entries > 0
-	if l.snapshotting || !exceedsThreshold {
+	if l.snapshotting || !exceedsThreshold || l.ticks < l.nextSnapshotTick {
 		return
 	}
 	meta, ok := l.core.NextSnapshot()
@@ -69,6 +69,31 @@
 	l.backlog = append(l.backlog, applyTask{snapshot: &meta})
 }
 
+const (
+	// snapshotRetryTicks is the pause after a snapshot that was not written.
+	snapshotRetryTicks = 20
+	// maxLogFactor times the threshold of a snapshot is the size of the log in memory at
+	// which a replica that can't write snapshots stops.
+	maxLogFactor = 8
+)
+
+// finishSnapshot compacts the log after a snapshot. One that was not written, for example
+// because no file could be opened, is taken again later: until then the log holds
+// everything. Only a log that outgrows the memory stops the replica.
+func (l *loop) finishSnapshot(written snapshotResult) error {
+	if written.err == nil {
+		return l.compact(written.meta)
+	}
+	l.snapshotting, l.nextSnapshotTick = false, l.ticks+snapshotRetryTicks
+	entries, bytes := l.core.LogSize()
+	options := &l.replica.options
+	options.Logger.Warn().Err(written.err).Uint64("index", written.meta.Index).Uint64("log_entries", entries).Int("log_bytes", bytes).Msg("snapshot not written")
+	if entries >= maxLogFactor*options.SnapshotEntries || bytes >= maxLogFactor*options.SnapshotBytes {
+		return written.err
+	}
+	return nil
+}
+
 // compact drops the log entries covered by a new snapshot, except a tail that
 // lets slightly lagging followers catch up without a snapshot transfer.
 func (l *loop) compact(meta consensus.SnapshotMeta) error {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -55,7 +55,7 @@
 	inbound       chan peerEvent
 	requests      chan request
 	applies       chan applyTask
-	snapshots     chan consensus.SnapshotMeta
+	snapshots     chan snapshotResult
 	appliedSignal chan struct{}
 
 	waiters       waiters
@@ -105,7 +105,7 @@
 		inbound:       make(chan peerEvent, inboundCapacity),
 		requests:      make(chan request, requestCapacity),
 		applies:       make(chan applyTask, applyCapacity),
-		snapshots:     make(chan consensus.SnapshotMeta, 1),
+		snapshots:     make(chan snapshotResult, 1),
 		appliedSignal: make(chan struct{}, 1),
 		leadership:    make(chan Leadership, 1),
 		ctx:           ctx,
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -305,6 +305,60 @@
 	assert.Equal(t, []string{"first"}, nodes[0].recorder.commands())
 }
 
+// exhaustedDisk creates no snapshot file while exhausted is set.
+type exhaustedDisk struct {
+	storage.OSFileSystem
+	exhausted *atomic.Bool
+}
+
+func (d exhaustedDisk) Create(path string) (storage.File, error) {
+	if d.exhausted.Load() && strings.HasSuffix(path, ".tmp") {
+		return nil, &os.PathError{Op: "open", Path: path, Err: unix.EMFILE}
+	}
+	return d.OSFileSystem.Create(path)
+}
+
+// Guards against a member that ends because a snapshot could not be opened once, though
+// its log holds everything.
+func TestASnapshotThatIsNotWrittenIsTakenAgain(t *testing.T) {
+	var exhausted atomic.Bool
+	nodes := newNodes(t, 1, func(o *Options) {
+		o.SnapshotEntries, o.FileSystem = 20, exhaustedDisk{exhausted: &exhausted}
+	})
+	startGroup(t, nodes)
+	exhausted.Store(true)
+	for i := range 60 {
+		propose(t, nodes, fmt.Sprint(i))
+	}
+	exhausted.Store(false)
+	eventually(t, "a snapshot is written", func() bool {
+		propose(t, nodes, "next")
+		names, err := filepath.Glob(filepath.Join(nodes[0].options.DataDir, "snapshot-*.state"))
+		require.NoError(t, err)
+		return len(names) > 0
+	})
+	assert.NoError(t, nodes[0].replica.Err())
+}
+
+// Guards against a log that grows until the process is killed for its memory.
+func TestAMemberThatWritesNoSnapshotStopsBeforeItsLogFillsTheMemory(t *testing.T) {
+	var exhausted atomic.Bool
+	nodes := newNodes(t, 1, func(o *Options) {
+		o.SnapshotEntries, o.FileSystem = 5, exhaustedDisk{exhausted: &exhausted}
+	})
+	startGroup(t, nodes)
+	exhausted.Store(true)
+	ctx, cancel := context.WithTimeout(t.Context(), eventTimeout)
+	defer cancel()
+	for {
+		if _, err := nodes[0].replica.Propose(ctx, []byte("command")); err != nil {
+			break
+		}
+	}
+	<-nodes[0].replica.Done()
+	assert.Equal(t, kind.Storage, kind.Of(nodes[0].replica.Err()))
+}
+
 func TestStopEndsARequestForAdmission(t *testing.T) {
 	nodes := newNodes(t, 2, nil)
 	nodes[1].network.setCut(nodes[1].options.Address, true)
--- a/storage/filesystem.go
+++ b/storage/filesystem.go
@@ -123,7 +123,7 @@
 		return err
 	}
 	if err := errors.Join(write(file), file.Sync(), file.Close()); err != nil {
-		return err
+		return errors.Join(err, fs.Remove(temporaryPath)) // On a full disk its space is needed.
 	}
 	return renameAndSync(fs, folder, temporaryPath, name)
 }
