A budget of descriptors: no connection takes what the log, peers or inbound calls need

Cause: eight connections to each of 890 workers, never closed, whose number no part compared with the process's limit; the clients of workers that had left were never forgotten.

--- a/exchange/client.go
+++ b/exchange/client.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,6 +25,8 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
+	// pool limits the connections of several clients together, nil for no such limit.
+	pool *Pool
 }
 
 // Default values of Options, used for fields that are zero.
@@ -30,9 +35,14 @@
 	DefaultIdleTimeout    = 5 * time.Second
 )
 
+// ErrNoConnection means that the limit of connections was reached until the context
+// ended. Nothing was sent.
+var ErrNoConnection = errors.New("no connection became free")
+
 // Client pools the connections to one address. It is safe for concurrent use.
 type Client struct {
 	options   Options
+	pool      *Pool
 	mu        sync.Mutex
 	idle      []*connection
 	open      int
@@ -55,7 +65,7 @@
 	if options.Now == nil {
 		options.Now = time.Now
 	}
-	return &Client{options: options, max: options.MaxConnections, roomFreed: make(chan struct{}, 1)}
+	return &Client{options: options, pool: options.pool, max: options.MaxConnections, roomFreed: make(chan struct{}, 1)}
 }
 
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
@@ -112,6 +122,7 @@
 func (c *Client) closeOldest() {
 	oldest := c.idle[0]
 	c.idle = c.idle[1:]
+	c.pool.removeIdle(oldest)
 	go c.retire(oldest)
 }
 
@@ -145,39 +156,61 @@
 	resetGrace = 20 * time.Millisecond
 )
 
-// acquire returns a connection, a new one if reuse is false. It waits while the
-// limit is reached.
+// acquire returns a connection, a new one if reuse is false. It waits while the limit of
+// the client, or that of its pool, is reached.
 func (c *Client) acquire(ctx context.Context, reuse bool) (conn *connection, err error) {
 	for {
-		conn, dial := c.reserve(reuse)
-		if conn != nil || dial {
+		conn, room := c.reserve(reuse)
+		if conn != nil || room == available {
 			c.wakeWaiter() // Lets the next waiter check for room too.
 		}
 		if conn != nil {
 			return conn, nil
 		}
-		if dial {
+		var poolFreed <-chan struct{}
+		switch room {
+		case available:
 			return c.dial(ctx)
+		case poolFull:
+			if c.pool.evict() {
+				continue
+			}
+			poolFreed = c.pool.roomFreed
 		}
 		select {
 		case <-c.roomFreed:
+		case <-poolFreed:
 		case <-ctx.Done():
-			return nil, ctx.Err()
+			return nil, fmt.Errorf("%w: %w", ErrNoConnection, ctx.Err())
 		}
 	}
 }
 
-// reserve returns a usable idle connection, or dial = true after counting a new
-// connection as open. It returns nil, false if the limit is reached.
-func (c *Client) reserve(reuse bool) (conn *connection, dial bool) {
+// room tells whether a connection may be opened.
+type room uint8
+
+const (
+	available room = iota
+	// clientFull and poolFull mean that the limit of the client or of its pool is reached.
+	clientFull
+	poolFull
+)
+
+// reserve returns a usable idle connection, or counts a new one as open if there is room
+// for it.
+func (c *Client) reserve(reuse bool) (*connection, room) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.pool != nil {
+		c.max = c.pool.connectionsPerAddress()
+	}
 	for reuse && len(c.idle) > 0 {
 		last := c.idle[len(c.idle)-1]
 		c.idle = c.idle[:len(c.idle)-1]
+		c.pool.removeIdle(last)
 		if last.usable(c.options.Now(), c.options.IdleTimeout) {
 			last.reused = true
-			return last, false
+			return last, available
 		}
 		go c.retire(last)
 	}
@@ -185,10 +218,13 @@
 		c.closeOldest()
 	}
 	if c.open >= c.max {
-		return nil, false
+		return nil, clientFull
+	}
+	if !c.pool.count() {
+		return nil, poolFull
 	}
 	c.open++
-	return nil, true
+	return nil, available
 }
 
 func (c *Client) dial(ctx context.Context) (*connection, error) {
@@ -197,7 +233,9 @@
 		c.release()
 		return nil, err
 	}
-	return newConnection(raw), nil
+	conn := newConnection(raw)
+	conn.client = c
+	return conn, nil
 }
 
 // release counts a closed connection as no longer open.
@@ -205,9 +243,25 @@
 	c.mu.Lock()
 	c.open--
 	c.mu.Unlock()
+	c.pool.uncount()
 	c.wakeWaiter()
 }
 
+// closeNow closes an idle connection without waiting for the peer, so that its place is
+// free when it returns. It does nothing if the connection is in use again.
+func (c *Client) closeNow(conn *connection) {
+	c.mu.Lock()
+	at := slices.Index(c.idle, conn)
+	if at >= 0 {
+		c.idle = slices.Delete(c.idle, at, at+1)
+	}
+	c.mu.Unlock()
+	if at >= 0 {
+		_ = conn.Conn.Close() // No exchange uses it.
+		c.release()
+	}
+}
+
 func (c *Client) wakeWaiter() {
 	select {
 	case c.roomFreed <- struct{}{}:
@@ -230,6 +284,7 @@
 	}
 	conn.idleSince = c.options.Now()
 	c.idle = append(c.idle, conn)
+	c.pool.addIdle(conn)
 	c.mu.Unlock()
 	c.wakeWaiter()
 }
--- a/exchange/connection.go
+++ b/exchange/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"container/list"
 	"errors"
 	"net"
 	"os"
@@ -15,6 +16,10 @@
 // connection is one connection to the peer. Its Read has a silence timeout.
 type connection struct {
 	net.Conn
+	client *Client
+	// poolElement is the connection's place among the idle ones of the pool, nil while it
+	// is in use.
+	poolElement    *list.Element
 	reader         *bufio.Reader
 	writer         *bufio.Writer
 	idleSince      time.Time
--- a/exchange/doc.go
+++ b/exchange/doc.go
@@ -6,4 +6,6 @@
 // the connection, and cannot tell whether a byte of a request may have reached
 // the peer. A Client reports the latter, limits its connections, checks an idle
 // connection for unsolicited bytes before reuse, and has a silence timeout.
+//
+// A Pool holds the clients of many addresses, whose connections share one limit.
 package exchange
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -26,6 +26,7 @@
 		"command without an outcome",
 		"configuration in force",
 		"configuration refused",
+		"connections limited",
 		"crash not recorded",
 		"data folder not closed cleanly",
 		"end not recorded",
--- a/rpcserver/server.go
+++ b/rpcserver/server.go
@@ -37,6 +37,10 @@
 	return &Server{rpc: rpc.NewServer(), listener: listener, conns: make(map[net.Conn]struct{})}, nil
 }
 
+// Wrap replaces the listener, for example by one that limits connections. It must be
+// called before Serve.
+func (s *Server) Wrap(wrap func(net.Listener) net.Listener) { s.listener = wrap(s.listener) }
+
 // RPC returns the net/rpc server with which services are registered.
 func (s *Server) RPC() *rpc.Server { return s.rpc }
 
