--- a/rpcserver/server.go
+++ b/rpcserver/server.go
@@ -4,14 +4,19 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/rpc"
 	"sync"
+	"time"
 
 	"mangohill.example/mangohill/internal/tcpopt"
 	"mangohill.example/mangohill/kind"
 )
 
+// acceptRetryDelay is the pause after a failed accept.
+const acceptRetryDelay = 20 * time.Millisecond
+
 // Server accepts connections for a net/rpc server.
 type Server struct {
 	rpc      *rpc.Server
@@ -32,19 +37,29 @@
 	return &Server{rpc: rpc.NewServer(), listener: listener, conns: make(map[net.Conn]struct{})}, nil
 }
 
+// Wrap replaces the listener, for example by one that limits connections. It must be
+// called before Serve.
+func (s *Server) Wrap(wrap func(net.Listener) net.Listener) { s.listener = wrap(s.listener) }
+
 // RPC returns the net/rpc server with which services are registered.
 func (s *Server) RPC() *rpc.Server { return s.rpc }
 
 // Address returns the bound address.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
-// Serve accepts and serves connections until Close is called.
+// Serve accepts and serves connections until Close is called. A failed accept is
+// repeated.
 func (s *Server) Serve() {
 	for {
 		conn, err := s.listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			// The listener stays usable, for example once a descriptor is free again.
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
 		if !s.track(conn) {
 			_ = conn.Close() // The server is stopping.
 			return
