Polls leave half of the leader's connections to other orders; those to workers that left are closed

What callers would see: with more workers than connections (890 workers and a tenth of the descriptors, or 3,000 workers), each worker's poll holds a connection for a second, and starts and stops wait for one or are not sent. Change: the engine knows how many calls may be in progress; if half of them are fewer than its workers, polls wait for that part of a second only, and are a second apart as before. The addresses of workers that are over are told to the client, which closes their connections and forgets them.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -45,6 +45,10 @@
 type WorkerCaller interface {
 	// Do sends the order to its worker once, without retries.
 	Do(ctx context.Context, order *dispatch.Order) dispatch.Answer
+	// CallLimit returns how many calls may be in progress at a time. It may change.
+	CallLimit() int
+	// Forget closes the connections to an address at which no worker is expected.
+	Forget(address string)
 }
 
 // Advisor asks the advice service which workers may run a step.
--- a/coordinator/limits_test.go
+++ b/coordinator/limits_test.go
@@ -178,7 +178,10 @@
 }
 
 // foreignWorker is a WorkerCaller whose worker refuses every fencing token.
-type foreignWorker struct{ orders chan dispatch.Order }
+type foreignWorker struct {
+	noWorkers
+	orders chan dispatch.Order
+}
 
 func (w foreignWorker) Do(_ context.Context, order *dispatch.Order) dispatch.Answer {
 	w.orders <- *order
--- a/coordinator/loop.go
+++ b/coordinator/loop.go
@@ -79,6 +79,7 @@
 	l.lag.tick = max(l.lag.tick, now.Sub(dueAt))
 	l.lag.recordQueues(len(l.calls), len(l.orderAnswers))
 	l.lag.report(now, l.term, l.options.Logger)
+	l.engine.SetCallLimit(l.options.Workers.CallLimit())
 	l.engine.Tick(l.now(), now.UnixMilli())
 	l.publishStats()
 }
@@ -132,6 +133,7 @@
 		return
 	}
 	l.engine = dispatch.New(l.options.Dispatch, l.options.Logger, term, state, l.now())
+	l.engine.SetCallLimit(l.options.Workers.CallLimit())
 	l.serving.Store(true)
 	l.options.Logger.Info().Uint64("term", term).Int("jobs", len(state.Jobs())).Int("workers", len(state.Workers())).Msg("leading")
 }
@@ -212,6 +214,9 @@
 	for _, order := range l.engine.TakeOrders() {
 		l.sendOrder(order)
 	}
+	for _, address := range l.engine.TakeDeparted() {
+		l.options.Workers.Forget(address)
+	}
 	if question := l.engine.TakeQuestion(); question != nil {
 		l.requestAdvice(question)
 	}
--- a/coordinator/loop_test.go
+++ b/coordinator/loop_test.go
@@ -23,6 +23,10 @@
 	return dispatch.Answer{Order: *order}
 }
 
+func (noWorkers) CallLimit() int { return 0 }
+
+func (noWorkers) Forget(string) {}
+
 // Guards against an engine that replaces another in the same term: the fencing token in
 // its orders would not rule out starts of the other that are carried out late.
 func TestAnEngineThatDivergedIsReplacedInALaterTerm(t *testing.T) {
--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -163,6 +163,7 @@
 	forOverrun := answer.Order.Wait == overrunPollWait
 	e.applyReadings(v, forOverrun)
 	e.assessHealth(v)
+	e.delayNextPoll(v, answer)
 	// A worker answers a poll at once while it lists unacknowledged ends, so the
 	// next poll waits until these are committed.
 	e.afterCommit(func() {
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -52,6 +52,11 @@
 	// withdrawals holds what confirms the withdrawals of workers on which attempts
 	// may still run.
 	withdrawals map[workflow.WorkerID][]func()
+	// callLimit is the number of calls to workers that may be in progress at a time, zero
+	// for any number.
+	callLimit int
+	// departed holds the addresses of the workers that are over.
+	departed []string
 	// recentCrashes are the crashes of workers of the last seconds.
 	recentCrashes []recentCrash
 }
--- a/dispatch/incarnations.go
+++ b/dispatch/incarnations.go
@@ -247,5 +247,6 @@
 func (e *Engine) dropView(v *workerView) {
 	e.forgetStrays(v.worker.ID, nil)
 	delete(e.views, v.worker.ID)
+	e.departed = append(e.departed, v.worker.Address)
 	e.sortedViews = slices.DeleteFunc(slices.Clone(e.sortedViews), func(other *workerView) bool { return other == v })
 }
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -302,7 +302,7 @@
 
 func (e *Engine) poll(v *workerView) {
 	v.pollInFlight = true
-	order := Order{Verb: Poll, Wait: pollWait}
+	order := Order{Verb: Poll, Wait: e.longPollWait()}
 	if v.endsListed {
 		order.AckedThrough = v.lastEndAcked
 	}
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -146,6 +146,9 @@
 	return p.openCount
 }
 
+// Limit returns the number of connections that may be open now.
+func (p *Pool) Limit() int { return p.options.Limit() }
+
 // Stats returns the counts since the start.
 func (p *Pool) Stats() PoolStats {
 	p.mu.Lock()
