Workers that owe an answer get tasks only if no other has room

Cause: a worker counts as reachable for 2 s after its last answer; best fit filled those that were silent like others. Change: a worker whose poll is overdue by 0.2 s, or whose last order got no answer, ranks behind all others. Nothing that runs there is given up.

--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -144,7 +144,7 @@
 }
 
 func (e *Engine) handlePollAnswer(v *workerView, answer *Answer) {
-	v.endsListed = answer.Outcome == Done && len(answer.Ended) > 0
+	v.endsListed, v.pollDueAt = answer.Outcome == Done && len(answer.Ended) > 0, 0
 	if answer.Outcome != Done {
 		v.pollInFlight = false
 		v.nextPollAt = e.now.Add(pollRetryDelay)
--- a/dispatch/candidates.go
+++ b/dispatch/candidates.go
@@ -14,6 +14,8 @@
 	// quarantined workers get only lasting tasks, which the platform wants to run
 	// wherever there is room.
 	quarantined bool
+	// silent workers owe an answer, and get tasks only if no other has room.
+	silent bool
 	// free is the capacity that is not reserved.
 	free workflow.Resources
 	// idleMilliProcessors is the estimate of the unused processors, in
@@ -84,7 +86,7 @@
 }
 
 func (e *Engine) candidateOf(v *workerView) *candidate {
-	return &candidate{view: v, quarantined: e.now < v.quarantinedUntil, free: v.worker.Capacity.Sub(v.worker.Reserved), idleMilliProcessors: e.placementStateOf(v).idleMilliProcessors}
+	return &candidate{view: v, quarantined: e.now < v.quarantinedUntil, silent: e.silent(v), free: v.worker.Capacity.Sub(v.worker.Reserved), idleMilliProcessors: e.placementStateOf(v).idleMilliProcessors}
 }
 
 // schedulable reports whether a worker can take orders, is not draining, and has a known
@@ -93,6 +95,12 @@
 	return !v.worker.Draining && e.reachable(v) && v.clockMs > 0 && e.capacityKnown(v)
 }
 
+// silent reports whether an answer of a worker is overdue: it may be cut off, and what is
+// placed there then waits for the end of its lease.
+func (e *Engine) silent(v *workerView) bool {
+	return v.silentSince != 0 || v.pollDueAt != 0 && e.now > v.pollDueAt
+}
+
 // recordUnplaceable remembers that no worker has room for a task of the step. A
 // step that may have failed for another reason is not recorded: a bound per
 // worker, a missing ticket, or a worker that its task avoids.
@@ -230,8 +238,11 @@
 // tasks, come first.
 func (e *Engine) score(p *candidateSet, c *candidate, s *readyStep) int64 {
 	score := int64(0)
+	if c.silent {
+		score = -silentWeight
+	}
 	if s.step.DataRack != "" && c.view.worker.HasLabel(s.step.DataRack) || s.step.OneRack && c.view.worker.Rack == s.rack {
-		score = rackWeight
+		score += rackWeight
 	}
 	if s.step.Scavenger {
 		image := e.imageOf(s)
@@ -250,6 +261,9 @@
 // its step, before all others.
 const rackWeight = 1 << 40
 
+// silentWeight ranks silent workers behind all others.
+const silentWeight = 1 << 52
+
 // quarantineWeight ranks quarantined workers behind all others.
 const quarantineWeight = 1 << 50
 
--- a/dispatch/settings.go
+++ b/dispatch/settings.go
@@ -26,6 +26,9 @@
 	// Workers accept up to two seconds; one second bounds the age of the latency
 	// readings and of the lease.
 	pollWait = time.Second
+	// pollAnswerTime is how long the answer to a poll usually takes beyond its wait, with
+	// a margin.
+	pollAnswerTime = 200 * time.Millisecond
 	// pollAnswerTimeout bounds the time of a poll's answer beyond its wait. It is
 	// several times the round-trip time between zones under load.
 	pollAnswerTimeout = 700 * time.Millisecond
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -25,6 +25,8 @@
 	// whose ends have the same numbers.
 	endsListed bool
 	nextPollAt Instant
+	// pollDueAt is when the answer to the poll in flight is due, zero for none.
+	pollDueAt Instant
 	// answeredAt is when the worker last answered an order.
 	answeredAt Instant
 	// clockMs is the worker's clock in milliseconds, as it was at clockReadAt.
@@ -312,6 +314,7 @@
 	if !e.reachable(v) {
 		order.Wait = 0
 	}
+	v.pollDueAt = e.now.Add(order.Wait + pollAnswerTime)
 	e.issueOrder(v, order)
 }
 
