dispatch: a request without a job, or with an unknown verb, is refused

What callers would see: from a peer of another build, a submission without a job ends each leader in turn (nil pointer in the engine's loop), and a request with an unknown verb stays open until its sender's deadline. Cause: HandleRequest trusted that the entry hosts decode every request as this build does. Change: both are answered bad_request at once, and the leader goes on serving. Evidence: TestMalformedCallsAreAnswered panicked or ran into its deadline of 30 s before.

--- a/dispatch/callers.go
+++ b/dispatch/callers.go
@@ -66,6 +66,8 @@
 		e.query(id, reply)
 	case CancelJob:
 		e.cancel(id, reply)
+	default:
+		reply(refusal(kind.BadRequest, "unknown verb %d of a request", r.Verb))
 	}
 }
 
@@ -75,6 +77,10 @@
 
 func (e *Engine) submit(queue *workflow.Queue, id workflow.JobID, r *Request, reply func(Reply)) {
 	spec := r.Job
+	if spec == nil {
+		reply(refusal(kind.BadRequest, "the request has no job"))
+		return
+	}
 	if job := e.state.Job(id); job != nil {
 		e.afterCommit(func() { reply(Reply{State: job.State()}) })
 		return
