--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -11,11 +11,17 @@
 	"mangohill.example/mangohill/workflow"
 )
 
-// BenchmarkSecond measures the leader's work in one second with 350 workers: each
-// answers a poll, a thousand scavengers end and as many are placed, and a hundred
-// jobs wait for room.
+// BenchmarkSecond measures the leader's work in one second with fleets of several sizes: each
+// worker answers a poll, and for each hundred workers some 300 scavengers end, as many are
+// placed, and 30 jobs wait for room.
 func BenchmarkSecond(b *testing.B) {
-	const workers, serving, images = 350, 5, 18
+	for _, workers := range []int{100, 300, 350, 900, 3000} {
+		b.Run(fmt.Sprint("workers=", workers), func(b *testing.B) { benchmarkSecond(b, workers) })
+	}
+}
+
+func benchmarkSecond(b *testing.B, workers int) {
+	const serving, images, workersPerJob = 5, 18, 6
 	random := rand.New(rand.NewPCG(1, 1))
 	state := workflow.NewState()
 	apply := func(op workflow.Op) {
@@ -49,11 +55,11 @@
 	}
 	commitBatches()
 	simulateSecond := func() {
-		for range 60 {
+		for range workers / workersPerJob {
 			submit(workflow.Step{Count: 20, EstimatedMs: 1700, Resources: workflow.Resources{MilliProcessors: 3500, MemoryMB: 6400}, Scavenger: true, Resumable: true, Image: fmt.Sprint("batch", random.IntN(images))})
 		}
 		for i := range workers {
-			e.now = e.now.Add(time.Second / workers)
+			e.now = e.now.Add(time.Second / time.Duration(workers))
 			e.wallMs = int64(e.now) / int64(time.Millisecond)
 			v := e.sortedViews[i]
 			v.answeredAt = e.now
@@ -69,10 +75,10 @@
 				answer.Running = append(answer.Running, RunningAttempt{Task: a.ref, Attempt: a.number, Percent: fullShare, Gauge: 40 + int64(random.IntN(20))})
 			}
 			e.HandleAnswer(&answer)
-			if i%7 == 0 {
+			if i%max(workers/50, 1) == 0 { // Each 20 ms.
 				commitBatches()
 			}
-			if i%18 == 0 {
+			if i%max(workers/20, 1) == 0 { // Each 50 ms.
 				for _, v := range e.sortedViews {
 					v.answeredAt, v.pollInFlight = e.now, true
 				}
@@ -88,4 +94,5 @@
 		simulateSecond()
 	}
 	b.ReportMetric(float64(e.counters.Placed)/float64(b.N+3), "placed/s")
+	b.ReportMetric(float64(b.Elapsed().Microseconds())/(float64(e.counters.Placed)*float64(b.N)/float64(b.N+3)), "µs/placed")
 }
