proxy: a request beside the one that finds a pause sends nothing on slots that ran out

Cause: the first request that found the pause marked it as found and then gave the slots up; those beside it passed the check in between and were sent on the old slots. Change: the slots are given up under a mutex, and the pause counts as found only afterwards, so that others wait.

--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -104,6 +104,7 @@
 	// lastTick is the time of the last tick in Unix nanoseconds, zero before
 	// Run.
 	lastTick atomic.Int64
+	pauseMu  sync.Mutex // held while slots are given up after a pause
 	idPrefix string
 	active   sync.WaitGroup
 	stopMu   sync.RWMutex
@@ -241,12 +242,33 @@
 // for example by SIGSTOP or a frozen machine. It is called before each routing
 // decision, because requests may arrive before the next tick.
 func (p *Proxy) checkPaused(at time.Time) {
-	now := at.UnixNano()
-	last := p.lastTick.Load()
-	if last == 0 || now-last < pauseThreshold.Nanoseconds() || !p.lastTick.CompareAndSwap(last, now) {
+	if p.pausedFor(at) == 0 || !p.giveUpSlots(at) {
 		return
 	}
-	p.options.Logger.Warn().Dur("held_up", time.Duration(now-last)).Msg("slots given up after a pause")
+	if p.options.OnResume != nil {
+		p.options.OnResume()
+	}
+}
+
+// pausedFor returns how long the process was paused, zero if it was not.
+func (p *Proxy) pausedFor(at time.Time) time.Duration {
+	last := p.lastTick.Load()
+	if paused := time.Duration(at.UnixNano() - last); last != 0 && paused >= pauseThreshold {
+		return paused
+	}
+	return 0
+}
+
+// giveUpSlots gives up all slots after a pause. It returns false if another request has done
+// so; a request that finds the pause at the same time waits for it.
+func (p *Proxy) giveUpSlots(at time.Time) bool {
+	p.pauseMu.Lock()
+	defer p.pauseMu.Unlock()
+	paused := p.pausedFor(at)
+	if paused == 0 {
+		return false
+	}
+	p.options.Logger.Warn().Dur("held_up", paused).Msg("slots given up after a pause")
 	p.mu.Lock()
 	p.allotment.Reset(p.options.Now())
 	p.settled = false
@@ -255,9 +277,8 @@
 	for _, s := range services {
 		s.refreshShares()
 	}
-	if p.options.OnResume != nil {
-		p.options.OnResume()
-	}
+	p.lastTick.Store(at.UnixNano()) // Last: until then, requests must find the pause.
+	return true
 }
 
 // Run expires queued requests, raises slot shares after a change of members and
