storage: a file that finds no descriptor is opened again

What callers would see: a member that ends when a segment of its log is full while connections hold every descriptor. Cause: each failed open ended the replica; one that failed with EMFILE or ENFILE has had no effect. Change: such an open is repeated up to eight times within 1.3 s; any other error is final as before, and a sync is never repeated, since what the disk holds is not known after it.

--- a/storage/filesystem.go
+++ b/storage/filesystem.go
@@ -5,6 +5,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -52,12 +53,35 @@
 	folderPermissions = 0o700
 )
 
+const (
+	// openAttempts is how often a file is opened while the process has no descriptor left,
+	// with pauses that begin at openRetryDelay and double: 1.3 s together.
+	openAttempts   = 8
+	openRetryDelay = 10 * time.Millisecond
+)
+
+// withDescriptor opens a file, again after a pause while the process or the system has no
+// descriptor left: an open that failed so has had no effect, and connections that are closed
+// meanwhile free one.
+func withDescriptor[T any](open func() (T, error)) (T, error) {
+	delay := openRetryDelay
+	for range openAttempts - 1 {
+		opened, err := open()
+		if !errors.Is(err, unix.EMFILE) && !errors.Is(err, unix.ENFILE) {
+			return opened, err
+		}
+		time.Sleep(delay)
+		delay *= 2
+	}
+	return open()
+}
+
 // MakeFolder implements FileSystem.
 func (OSFileSystem) MakeFolder(path string) error { return os.MkdirAll(path, folderPermissions) }
 
 // List implements FileSystem.
 func (OSFileSystem) List(path string) ([]string, error) {
-	entries, err := os.ReadDir(path)
+	entries, err := withDescriptor(func() ([]os.DirEntry, error) { return os.ReadDir(path) })
 	if errors.Is(err, os.ErrNotExist) {
 		return nil, nil
 	}
@@ -72,16 +96,22 @@
 }
 
 // Open implements FileSystem.
-func (OSFileSystem) Open(path string) (File, error) { return os.Open(path) }
+func (OSFileSystem) Open(path string) (File, error) {
+	return withDescriptor(func() (File, error) { return os.Open(path) })
+}
 
 // Create implements FileSystem.
 func (OSFileSystem) Create(path string) (File, error) {
-	return os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, filePermissions)
+	return withDescriptor(func() (File, error) {
+		return os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, filePermissions)
+	})
 }
 
 // Append implements FileSystem.
 func (OSFileSystem) Append(path string) (File, error) {
-	return os.OpenFile(path, os.O_APPEND|os.O_WRONLY, filePermissions)
+	return withDescriptor(func() (File, error) {
+		return os.OpenFile(path, os.O_APPEND|os.O_WRONLY, filePermissions)
+	})
 }
 
 // Truncate implements FileSystem.
@@ -95,7 +125,7 @@
 
 // SyncFolder implements FileSystem.
 func (OSFileSystem) SyncFolder(path string) error {
-	folder, err := os.Open(filepath.Clean(path))
+	folder, err := withDescriptor(func() (*os.File, error) { return os.Open(filepath.Clean(path)) })
 	if err != nil {
 		return err
 	}
