Orders are permitted again once they have a connection, just before they are sent

What callers would see: a leader that was cut off, frozen or suspended while an order waited for a connection, up to 0.7 s and longer in a suspension, sent it though another leader may act by then. Cause: the contact with a quorum was checked before the wait for a connection and the dial, not after. Change: the exchange asks for permission when it has its connection; without it the order is NotSent (for a host of a wave: refused) and the connection goes back unused.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -43,8 +43,9 @@
 
 // WorkerCaller sends orders to workers.
 type WorkerCaller interface {
-	// Do sends the order to its worker once, without retries.
-	Do(ctx context.Context, order *dispatch.Order) dispatch.Answer
+	// Do sends the order to its worker once, without retries. permit is asked just before
+	// it is sent; an order that it withholds is NotSent.
+	Do(ctx context.Context, order *dispatch.Order, permit func() bool) dispatch.Answer
 	// CallLimit returns how many calls may be in progress at a time. It may change.
 	CallLimit() int
 	// Forget closes the connections to an address at which no worker is expected.
@@ -58,8 +59,9 @@
 
 // HostPool manages the hosts on which workers run.
 type HostPool interface {
-	// Do sends the order to the pool once, without retries.
-	Do(ctx context.Context, order *dispatch.HostOrder) dispatch.HostAnswer
+	// Do sends the order to the pool once, without retries. permit is asked just before
+	// it is sent; an order that it withholds is HostRefused.
+	Do(ctx context.Context, order *dispatch.HostOrder, permit func() bool) dispatch.HostAnswer
 }
 
 // Options configures a Coordinator.
--- a/coordinator/limits_test.go
+++ b/coordinator/limits_test.go
@@ -183,7 +183,7 @@
 	orders chan dispatch.Order
 }
 
-func (w foreignWorker) Do(_ context.Context, order *dispatch.Order) dispatch.Answer {
+func (w foreignWorker) Do(_ context.Context, order *dispatch.Order, _ func() bool) dispatch.Answer {
 	w.orders <- *order
 	return dispatch.Answer{Order: *order, Outcome: dispatch.Fenced}
 }
--- a/coordinator/loop.go
+++ b/coordinator/loop.go
@@ -234,7 +234,7 @@
 		}
 		ctx, cancel := context.WithTimeout(l.ctx, order.Timeout())
 		defer cancel()
-		return l.options.Hosts.Do(ctx, &order)
+		return l.options.Hosts.Do(ctx, &order, l.quorumConfirmed)
 	})
 }
 
@@ -289,7 +289,7 @@
 		ctx, cancel := context.WithTimeout(l.ctx, order.Timeout())
 		defer cancel()
 		startedAt := time.Now()
-		answer := l.options.Workers.Do(ctx, &order)
+		answer := l.options.Workers.Do(ctx, &order, l.quorumConfirmed)
 		l.metrics.orders[order.Verb].Record(time.Since(startedAt))
 		return answer
 	})
--- a/coordinator/loop_test.go
+++ b/coordinator/loop_test.go
@@ -19,7 +19,7 @@
 // noWorkers is a WorkerCaller that reaches no worker.
 type noWorkers struct{}
 
-func (noWorkers) Do(_ context.Context, order *dispatch.Order) dispatch.Answer {
+func (noWorkers) Do(_ context.Context, order *dispatch.Order, _ func() bool) dispatch.Answer {
 	return dispatch.Answer{Order: *order}
 }
 
--- a/exchange/do.go
+++ b/exchange/do.go
@@ -18,6 +18,8 @@
 	// ErrNoLength means that only the end of the connection delimits the
 	// answer, so that a truncated answer cannot be detected (RFC 9112, 6.3).
 	ErrNoLength = errors.New("the answer has neither a length nor chunks")
+	// ErrNotPermitted means that Params.Permit withheld the request. Nothing was sent.
+	ErrNotPermitted = errors.New("the permission to send ended during the wait for a connection")
 	// ErrProtocolSwitch means that the peer switched protocols without a
 	// request to do so.
 	ErrProtocolSwitch = errors.New("the peer switched the protocol")
@@ -45,6 +47,9 @@
 	// Reuse allows a connection that carried an earlier exchange. It must be
 	// false for a request that must not run twice.
 	Reuse bool
+	// Permit is asked once the exchange has its connection, just before anything is sent:
+	// the wait for a connection may have outlasted the sender's permission. Nil permits.
+	Permit func() bool
 	// SilenceTimeout is the time without a byte from the peer after which the
 	// exchange fails; zero means no such timeout.
 	SilenceTimeout time.Duration
@@ -82,6 +87,10 @@
 	if err != nil {
 		return nil, &Error{cause: err}
 	}
+	if params.Permit != nil && !params.Permit() {
+		c.put(conn, true, true)
+		return nil, &Error{Reused: conn.reused, cause: ErrNotPermitted}
+	}
 	deadline, _ := ctx.Deadline()
 	if err := conn.begin(deadline, params.SilenceTimeout); err != nil {
 		c.put(conn, false, false)
