--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -46,7 +46,7 @@
 }
 
 // PoolStats counts what the limit of a pool has caused: idle connections that were closed
-// for others, and exchanges that had to wait.
+// for others, and waits of exchanges for one.
 type PoolStats struct{ Evicted, Waited uint64 }
 
 // NewPool returns a Pool without connections.
