consensus: a member that the log cannot hold is not admitted

What callers would see: a request for admission with a name that is not UTF-8, from another build or another writer, ends each leader in turn: panic, 'membership entry appended by this leader does not decode'. Cause: Admit wrote the name and the address to the log unchecked, and the log reads text only. Change: a member needs an ID and an address; both texts are UTF-8 and at most 512 bytes, else bad_request. TestAMemberThatTheLogCannotHoldIsRefused panicked before.

--- a/consensus/admission.go
+++ b/consensus/admission.go
@@ -1,6 +1,10 @@
 package consensus
 
-import "mangohill.example/mangohill/kind"
+import (
+	"unicode/utf8"
+
+	"mangohill.example/mangohill/kind"
+)
 
 // NeedsAdmission reports whether this member must ask the leader to admit it.
 // This is so if it knows no leader and is not a voter. A voter must ask after
@@ -17,12 +21,16 @@
 
 // Admit proposes to add a member as a learner, replacing any learner with the
 // same address, and returns the index of the change. The index is zero if it
-// already is a member. Errors are of kind already_exists while an active member
-// has the same address, and those of ProposeMembership.
+// already is a member. Errors are of kind bad_request for a member that the log
+// can't hold, already_exists while an active member has the same address, and those
+// of ProposeMembership.
 func (c *Core) Admit(member Member) (uint64, error) {
 	if c.role != Leader {
 		return 0, c.NotLeader()
 	}
+	if err := member.validate(); err != nil {
+		return 0, err
+	}
 	if _, ok := c.membership().Find(member.ID); ok {
 		return 0, nil
 	}
@@ -34,6 +42,23 @@
 	return c.ProposeMembership(c.membership().AddLearner(member))
 }
 
+// maxMemberTextBytes limits the name and the address of a member.
+const maxMemberTextBytes = 512
+
+// validate returns an error of kind bad_request for a member without an ID or an address,
+// or whose name or address is too long or not text in UTF-8.
+func (m Member) validate() error {
+	if m.ID == 0 || m.Address == "" {
+		return kind.Errorf(kind.BadRequest, "member %q has the ID %s and the address %q", m.Name, m.ID, m.Address)
+	}
+	for _, text := range []string{m.Name, m.Address} {
+		if len(text) > maxMemberTextBytes || !utf8.ValidString(text) {
+			return kind.Errorf(kind.BadRequest, "the name or address %.80q of member %s is longer than %d bytes or not UTF-8", text, m.ID, maxMemberTextBytes)
+		}
+	}
+	return nil
+}
+
 // MaintainMembership proposes the next step of replacing a member that lost its
 // disk, if one is due. Once a learner has durably stored every committed entry,
 // the old voter with the same address is removed, and then the learner is
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -359,6 +359,22 @@
 	assert.Equal(t, kind.Storage, kind.Of(nodes[0].replica.Err()))
 }
 
+// Guards against a request for admission that ends each leader in turn: its name is written
+// to the log, which holds text only.
+func TestAMemberThatTheLogCannotHoldIsRefused(t *testing.T) {
+	nodes := newNodes(t, 1, nil)
+	startGroup(t, nodes)
+	s := &service{replica: nodes[0].replica}
+	for _, args := range []JoinArgs{
+		{}, {Member: 7}, {Address: "127.0.0.1:1"}, {Member: 7, Address: "127.0.0.1:1", Name: "\xb5"},
+		{Member: 7, Address: "\xff", Name: "c2"}, {Member: 7, Address: strings.Repeat("x", 10_000), Name: "c2"},
+	} {
+		assert.Equal(t, kind.BadRequest, kind.Of(s.Join(&args, new(JoinReply))), "%.60v", args)
+	}
+	propose(t, nodes, "after")
+	assert.Len(t, nodes[0].replica.Status().Members, 1)
+}
+
 func TestStopEndsARequestForAdmission(t *testing.T) {
 	nodes := newNodes(t, 2, nil)
 	nodes[1].network.setCut(nodes[1].options.Address, true)
