--- a/replica/loop.go
+++ b/replica/loop.go
@@ -76,7 +76,7 @@
 	// nextSnapshotTick is the tick from which on a snapshot may be taken again after one
 	// that was not written.
 	nextSnapshotTick uint64
-	drain        drain
+	drain            drain
 	// ticks counts the ticks since the start, leaderlessTicks those since a leader was known.
 	ticks           uint64
 	leaderlessTicks int
