Thousands of workers: reports shared out over the members, polls without a wait, one connection a worker

Cause: all workers report to the leader, 3,000 inbound connections; they and 3,000 polls that wait want more descriptors than it has (3,832 after files), so that each report and each poll closes the connection that the next one needs. Change: while the leader has less than two inbound connections for each worker, it names another member that answers it for the reports, by the worker's name; polls don't wait at the workers while there are less than two connections for each, and are a second apart; a worker gets an equal part of the connections, rounded down, one at least, where a quarter of the limit went unused or was evicted; with more workers than connections, which are called in turn, not the oldest idle one is closed.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -72,8 +72,11 @@
 	// Advisor may be nil if no queue needs advice.
 	Advisor Advisor
 	// Hosts may be nil if hosts are not maintained.
-	Hosts  HostPool
-	Logger zerolog.Logger
+	Hosts HostPool
+	// ReportLimit returns the number of workers up to which they all report to the
+	// leader. Nil sets no limit.
+	ReportLimit func() int
+	Logger      zerolog.Logger
 }
 
 // Coordinator is one member of the control group.
--- a/coordinator/loop.go
+++ b/coordinator/loop.go
@@ -321,7 +321,9 @@
 	case call.Request != nil:
 		l.engine.HandleRequest(call.Request, func(r dispatch.Reply) { done(Result{Reply: r, Err: r.Err}) })
 	case call.Announce != nil:
-		l.engine.Announce(call.Announce, func(err *kind.Error) { done(Result{Err: err}) })
+		l.engine.Announce(call.Announce, func(err *kind.Error) {
+			done(Result{Err: err, ReportTo: l.reportTo(call.Announce.Life.Name)})
+		})
 	case call.Withdraw != nil:
 		l.engine.Withdraw(call.Withdraw.Name, call.Withdraw.BornMs, func() { done(Result{}) })
 	case call.SetCatalog != nil:
--- a/coordinator/messages.go
+++ b/coordinator/messages.go
@@ -52,6 +52,9 @@
 	WaveCompleted bool
 	// Leader is the leader's address.
 	Leader string
+	// ReportTo answers Announce: the peer address of the member to which the worker sends
+	// its next reports.
+	ReportTo string
 }
 
 // MembersArgs asks a member for its view of the group.
--- a/dispatch/polls.go
+++ b/dispatch/polls.go
@@ -3,23 +3,26 @@
 import "time"
 
 // SetCallLimit sets how many calls to workers may be in progress at a time, zero for any
-// number. Polls that wait at the workers take at most half of them.
+// number.
 func (e *Engine) SetCallLimit(limit int) { e.callLimit = limit }
 
-// longPollWait returns how long a worker holds a poll open: pollWait while all workers may
-// hold one open, else the part of it that fits into half of the call limit.
+// holdsPolls reports whether workers hold polls open until an attempt ends. They do not if
+// that would leave less than one connection for the other orders to each of them.
+func (e *Engine) holdsPolls() bool {
+	return e.callLimit == 0 || 2*len(e.sortedViews) <= e.callLimit
+}
+
+// longPollWait returns how long a worker may hold a poll open until an attempt ends.
 func (e *Engine) longPollWait() time.Duration {
-	workers, waiting := len(e.sortedViews), e.callLimit/2
-	if e.callLimit == 0 || workers <= waiting {
+	if e.holdsPolls() {
 		return pollWait
 	}
-	return pollWait * time.Duration(waiting) / time.Duration(workers)
+	return 0
 }
 
-// delayNextPoll keeps pollWait between two polls of a worker, the first of which waited for
-// less and showed no ends.
+// delayNextPoll keeps pollWait between two polls of a worker that does not hold them open.
 func (e *Engine) delayNextPoll(v *workerView, answer *Answer) {
-	if wait := answer.Order.Wait; wait > 0 && wait < pollWait && wait != overrunPollWait && len(answer.Ended) == 0 {
+	if !e.holdsPolls() && answer.Order.Wait == 0 {
 		v.nextPollAt = answer.Order.SentAt.Add(pollWait)
 	}
 }
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -26,12 +26,8 @@
 	Now func() time.Time
 }
 
-// minPerAddress is the number of connections that each address may have even if there are
-// more addresses than connections: one for a call that waits, one for the others.
-const minPerAddress = 2
-
 // Pool holds a Client for each address, whose connections share one limit. At the limit,
-// the connection that has been idle longest is closed for a new one; if all are in use,
+// the idle connection that is least useful is closed for a new one; if all are in use,
 // exchanges wait. It is safe for concurrent use.
 type Pool struct {
 	options PoolOptions
@@ -164,13 +160,11 @@
 }
 
 // connectionsPerAddress returns how many connections one address may have: an equal part
-// of the limit.
+// of the limit, one at least.
 func (p *Pool) connectionsPerAddress() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	addresses := max(len(p.clients), 1)
-	part := (p.options.Limit() + addresses - 1) / addresses
-	return max(min(part, p.options.MaxPerAddress), min(minPerAddress, p.options.MaxPerAddress))
+	return max(min(p.options.Limit()/max(len(p.clients), 1), p.options.MaxPerAddress), 1)
 }
 
 // popIdle removes and returns the connection that has been idle longest, nil if there is
@@ -178,30 +172,44 @@
 func (p *Pool) popIdle(matches func(*connection) bool) *connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	front := p.idle.Front()
-	if front == nil || !matches(front.Value.(*connection)) {
-		return nil
+	if oldest := p.idle.Front(); oldest != nil && matches(oldest.Value.(*connection)) {
+		return p.takeIdle(oldest)
 	}
-	oldest := p.idle.Remove(front).(*connection)
-	oldest.poolElement = nil
-	return oldest
+	return nil
 }
 
-// evict closes the connection that has been idle longest and returns false if none is
-// idle.
-func (p *Pool) evict() bool {
-	oldest := p.popIdle(func(*connection) bool { return true })
+// takeIdle removes an element from the list of idle connections. The caller holds p.mu.
+func (p *Pool) takeIdle(element *list.Element) *connection {
+	conn := p.idle.Remove(element).(*connection)
+	conn.poolElement = nil
+	return conn
+}
+
+// popLeastUseful removes and returns the idle connection that is least likely to be used
+// again, nil if none is idle. With more addresses than connections, all of which are called in
+// turn, it is not the one that has been idle longest, which would be the next to be used.
+func (p *Pool) popLeastUseful() *connection {
 	p.mu.Lock()
-	if oldest != nil {
-		p.stats.Evicted++
-	} else {
+	defer p.mu.Unlock()
+	element := p.idle.Front()
+	if len(p.clients) > p.options.Limit() {
+		element = p.idle.Back()
+	}
+	if element == nil {
 		p.stats.Waited++
+		return nil
 	}
-	p.mu.Unlock()
-	if oldest != nil {
-		oldest.client.closeNow(oldest)
+	p.stats.Evicted++
+	return p.takeIdle(element)
+}
+
+// evict closes the idle connection that is least useful and returns false if none is idle.
+func (p *Pool) evict() bool {
+	victim := p.popLeastUseful()
+	if victim != nil {
+		victim.client.closeNow(victim)
 	}
-	return oldest != nil
+	return victim != nil
 }
 
 // count counts a connection that is about to be dialled. It returns false at the limit.
--- a/internal/descriptor/budget.go
+++ b/internal/descriptor/budget.go
@@ -37,7 +37,7 @@
 	maxFileFraction = 8
 	// peersFraction, inboundFraction and outboundFraction are the guaranteed parts of
 	// the uses: one in so many descriptors.
-	peersFraction, inboundFraction, outboundFraction = 16, 4, 4
+	peersFraction, inboundFraction, outboundFraction = 16, 16, 4
 	// growthFraction of the connections in use, and minGrowth, are kept for new ones of
 	// a use that comes before another.
 	growthFraction, minGrowth = 8, 16
--- a/replica/publish.go
+++ b/replica/publish.go
@@ -31,6 +31,9 @@
 		Commit: status.Commit, Syncs: l.replica.store.Syncs(),
 	}
 	for _, member := range membership.Members {
+		if status.Role == consensus.Leader && l.core.IsActive(member.ID) {
+			published.Responding = append(published.Responding, member.Address)
+		}
 		published.Members = append(published.Members, controlapi.Member{
 			ID: member.ID.String(), Name: member.Name, Address: member.Address, Role: memberRole(member, status.Leader),
 		})
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -42,6 +42,9 @@
 	Commit  uint64
 	Applied uint64
 	Members []controlapi.Member
+	// Responding holds, at the leader, the addresses of the members that have answered
+	// within the election timeout, its own included.
+	Responding []string
 	// Syncs counts the synced appends to the log since the replica started.
 	Syncs uint64
 }
