--- a/exchange/client.go
+++ b/exchange/client.go
@@ -160,15 +160,15 @@
 // the client, or that of its pool, is reached.
 func (c *Client) acquire(ctx context.Context, reuse bool) (conn *connection, err error) {
 	for {
-		conn, room := c.reserve(reuse)
-		if conn != nil || room == available {
+		conn, state := c.reserve(reuse)
+		if conn != nil || state == available {
 			c.wakeWaiter() // Lets the next waiter check for room too.
 		}
 		if conn != nil {
 			return conn, nil
 		}
 		var poolFreed <-chan struct{}
-		switch room {
+		switch state {
 		case available:
 			return c.dial(ctx)
 		case poolFull:
@@ -186,11 +186,11 @@
 	}
 }
 
-// room tells whether a connection may be opened.
-type room uint8
+// availability tells whether a connection may be opened.
+type availability uint8
 
 const (
-	available room = iota
+	available availability = iota
 	// clientFull and poolFull mean that the limit of the client or of its pool is reached.
 	clientFull
 	poolFull
@@ -198,7 +198,7 @@
 
 // reserve returns a usable idle connection, or counts a new one as open if there is room
 // for it.
-func (c *Client) reserve(reuse bool) (*connection, room) {
+func (c *Client) reserve(reuse bool) (*connection, availability) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.pool != nil {
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -18,7 +18,7 @@
 	// IdleTimeout is the time after which an idle connection is closed.
 	IdleTimeout time.Duration
 	// Opened and Closed are called for each connection that is opened and closed; nil
-	// means nothing.
+	// means nothing. They must not call the Pool.
 	Opened, Closed func()
 	// Dial opens connections; nil means TCP with the options of package tcpopt.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
