exchange: a test of which connection goes when workers outnumber connections

Cause: the choice had no test of its own. 100 workers called in turn on 80 connections: 500 dials in 5 rounds if the connection idle longest is closed, within 280 as it is.

--- a/exchange/pool_test.go
+++ b/exchange/pool_test.go
@@ -172,3 +172,16 @@
 	require.NoError(t, f.call(t.Context(), f.addresses[0]))
 	assert.Equal(t, 4, f.pool.OpenConnections())
 }
+
+// Guards against a pool that closes, for each call, the connection that the next one needs: more
+// workers than connections, all called in turn. Only calls to the surplus ones may dial.
+func TestAddressesInTurnKeepMostConnections(t *testing.T) {
+	const addresses, limit, rounds = 100, 80, 5
+	f := startFleet(t, addresses, limit)
+	for range rounds {
+		for _, address := range f.addresses {
+			require.NoError(t, f.call(t.Context(), address))
+		}
+	}
+	assert.LessOrEqual(t, f.dialled.Load(), int64(limit+rounds*2*(addresses-limit)))
+}
