coordinator: the result of a call names no leader any more

Cause: its only reader took it for the address of a worker's reports, which ReportTo tells since. No other use; tests of coordinator and platform pass.

--- a/coordinator/loop.go
+++ b/coordinator/loop.go
@@ -314,7 +314,6 @@
 	l.unanswered[id] = e.done
 	done := func(r Result) {
 		delete(l.unanswered, id)
-		r.Leader = l.options.Replica.Address
 		e.done(r, nil)
 	}
 	switch call := e.call; {
--- a/coordinator/messages.go
+++ b/coordinator/messages.go
@@ -50,8 +50,6 @@
 	Catalog *workflow.Catalog
 	// WaveCompleted answers WaveState.
 	WaveCompleted bool
-	// Leader is the leader's address.
-	Leader string
 	// ReportTo answers Announce: the peer address of the member to which the worker sends
 	// its next reports.
 	ReportTo string
