--- a/dispatch/polls.go
+++ b/dispatch/polls.go
@@ -20,6 +20,22 @@
 	return 0
 }
 
+func (e *Engine) poll(v *workerView) {
+	v.pollInFlight = true
+	order := Order{Verb: Poll, Wait: e.longPollWait()}
+	if v.endsListed {
+		order.AckedThrough = v.lastEndAcked
+	}
+	if e.overTarget(v) && e.scavengersWork(v) {
+		order.Wait = overrunPollWait
+	}
+	if !e.reachable(v) {
+		order.Wait = 0
+	}
+	v.pollDueAt = e.now.Add(order.Wait + pollAnswerTime)
+	e.issueOrder(v, order)
+}
+
 // delayNextPoll keeps pollWait between two polls of a worker that does not hold them open.
 func (e *Engine) delayNextPoll(v *workerView, answer *Answer) {
 	if !e.holdsPolls() && answer.Order.Wait == 0 {
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -302,22 +302,6 @@
 	}
 }
 
-func (e *Engine) poll(v *workerView) {
-	v.pollInFlight = true
-	order := Order{Verb: Poll, Wait: e.longPollWait()}
-	if v.endsListed {
-		order.AckedThrough = v.lastEndAcked
-	}
-	if e.overTarget(v) && e.scavengersWork(v) {
-		order.Wait = overrunPollWait
-	}
-	if !e.reachable(v) {
-		order.Wait = 0
-	}
-	v.pollDueAt = e.now.Add(order.Wait + pollAnswerTime)
-	e.issueOrder(v, order)
-}
-
 // fencingToken returns the token of a leader's orders to one incarnation of a worker.
 // It rises with the term, and with each incarnation under the same name: once an
 // incarnation has answered an order, it rejects those that were sent to its
