dispatch: orders of urgent tasks are repeated sooner

Change: tasks of queues whose objective leaves less than one answer time-out beside the critical path are polled with a wait of 0.3 s, their first start and their polls are given up after 0.35 s and repeated at once. Result: TestALostAnswerDelaysAPromptJobByLessThanItsObjective failed before (1.25 s to 1.85 s for 1.05 s).

--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -100,7 +100,9 @@
 		if !answer.noConnection {
 			a.deliverableStarts++
 		}
-		a.retryAt = e.now.Add(orderRetryDelay)
+		if !answer.Order.Prompt {
+			a.retryAt = e.now.Add(orderRetryDelay)
+		}
 	case NotSent:
 		a.retryAt = e.now.Add(orderRetryDelay)
 	case Outdated:
@@ -147,7 +149,9 @@
 	v.endsListed, v.pollDueAt = answer.Outcome == Done && len(answer.Ended) > 0, 0
 	if answer.Outcome != Done {
 		v.pollInFlight = false
-		v.nextPollAt = e.now.Add(pollRetryDelay)
+		if !answer.Order.Prompt || v.silentSince != e.now {
+			v.nextPollAt = e.now.Add(pollRetryDelay)
+		}
 		return
 	}
 	first := !v.fenced
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -52,6 +52,8 @@
 	// Wait is how long the worker may hold a poll open until an attempt ends.
 	Wait time.Duration
 
+	// Prompt shortens the time for which the answer is awaited.
+	Prompt bool
 	// SentAt is when the engine issued the order.
 	SentAt Instant
 }
--- a/dispatch/polls.go
+++ b/dispatch/polls.go
@@ -29,6 +29,9 @@
 	if e.overTarget(v) && e.scavengersWork(v) {
 		order.Wait = overrunPollWait
 	}
+	if e.runsPrompt(v) {
+		order.Prompt, order.Wait = true, min(order.Wait, promptPollWait)
+	}
 	if !e.reachable(v) {
 		order.Wait = 0
 	}
--- a/dispatch/settings.go
+++ b/dispatch/settings.go
@@ -57,7 +57,10 @@
 
 // Timeout returns how long the sender waits for the answer to an order.
 func (o *Order) Timeout() time.Duration {
-	if o.Verb == Poll {
+	switch {
+	case o.Prompt:
+		return o.Wait + promptAnswerTimeout
+	case o.Verb == Poll:
 		return o.Wait + pollAnswerTimeout
 	}
 	return orderAnswerTimeout
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -386,5 +386,7 @@
 	if a.startsSent > 1 {
 		e.log.Info().Stringer("task", ref).Uint32("attempt", a.number).Str("worker", v.worker.Life.Name).Int64("born_ms", v.worker.Life.BornMs).Int("starts", a.startsSent).Int("unanswered", a.unansweredStarts).Uint64("term", e.term).Msg("start repeated")
 	}
-	e.issueOrder(v, Order{Verb: Start, Task: ref, Attempt: a.number, Payload: job.Spec.Payload, Checkpoint: task.Checkpoint, Ticket: e.ticketFor(job, ref, v)})
+	// Repeated starts get the usual time: the worker may be slow to answer.
+	prompt := a.startsSent == 1 && e.isPromptTask(ref)
+	e.issueOrder(v, Order{Verb: Start, Prompt: prompt, Task: ref, Attempt: a.number, Payload: job.Spec.Payload, Checkpoint: task.Checkpoint, Ticket: e.ticketFor(job, ref, v)})
 }
