--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -90,7 +90,9 @@
 	hostAnswers  chan dispatch.HostAnswer
 	commits      chan commitResult
 	serving      atomic.Bool
-	metrics      *metrics
+	// starts tells which starts may be sent.
+	starts  atomic.Pointer[startPermission]
+	metrics *metrics
 
 	ctx        context.Context
 	cancel     context.CancelFunc
--- a/coordinator/loop.go
+++ b/coordinator/loop.go
@@ -146,6 +146,7 @@
 	}
 	l.serving.Store(false)
 	l.engine = nil
+	l.starts.Store(nil)
 	l.metrics.dropped.Add(reason, 1)
 	l.options.Logger.Info().Uint64("term", l.term).Int("unanswered", len(l.unanswered)).Str("reason", reason).Msg("not leading")
 	for _, done := range l.unanswered {
@@ -211,6 +212,7 @@
 	if l.engine == nil {
 		return // The batch could not be encoded.
 	}
+	l.permitStarts()
 	for _, order := range l.engine.TakeOrders() {
 		l.sendOrder(order)
 	}
@@ -283,13 +285,14 @@
 // nothing.
 func (l *loop) sendOrder(order dispatch.Order) {
 	runAsync(l, l.orderAnswers, func() dispatch.Answer {
-		if !l.quorumConfirmed() {
+		permit := func() bool { return l.quorumConfirmed() && l.mayStart(&order) }
+		if !permit() {
 			return dispatch.Answer{Order: order, Outcome: dispatch.NotSent}
 		}
 		ctx, cancel := context.WithTimeout(l.ctx, order.Timeout())
 		defer cancel()
 		startedAt := time.Now()
-		answer := l.options.Workers.Do(ctx, &order, l.quorumConfirmed)
+		answer := l.options.Workers.Do(ctx, &order, permit)
 		l.metrics.orders[order.Verb].Record(time.Since(startedAt))
 		return answer
 	})
@@ -333,6 +336,8 @@
 		l.engine.StartWave(call.StartWave, func(err *kind.Error) { done(Result{Err: err}) })
 	case call.WaveState != nil:
 		l.engine.WaveCompleted(*call.WaveState, func(completed bool, err *kind.Error) { done(Result{WaveCompleted: completed, Err: err}) })
+	case call.SetEvacuation != nil:
+		l.engine.SetEvacuation(call.SetEvacuation, func(err *kind.Error) { done(Result{Err: err}) })
 	default:
 		done(Result{Err: kind.Errorf(kind.BadRequest, "the call sets no field")})
 	}
--- a/coordinator/messages.go
+++ b/coordinator/messages.go
@@ -28,6 +28,8 @@
 	StartWave *workflow.StartWave
 	// WaveState asks whether the wave of this ID is completed.
 	WaveState *uint64
+	// SetEvacuation evacuates or restores a failure domain.
+	SetEvacuation *workflow.SetEvacuation
 
 	// Budget is how long the sender still waits for the result, zero for callTimeout. The
 	// leader drops the call if it has not decided on it by then.
--- a/dispatch/candidates.go
+++ b/dispatch/candidates.go
@@ -77,7 +77,7 @@
 func (e *Engine) newCandidateSet() *candidateSet {
 	p := &candidateSet{byService: make(map[string][]*candidate), gangHolds: e.activeGangHolds(), meanLosses: make(map[interference.Image]float64)}
 	for _, v := range e.sortedViews {
-		if !e.schedulable(v) || e.closedForMaintenance(v) {
+		if !e.schedulable(v) || e.closedForMaintenance(v) || e.evacuated(v) {
 			continue
 		}
 		p.byService[v.worker.Service] = append(p.byService[v.worker.Service], e.candidateOf(v))
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -59,6 +59,8 @@
 	departed []string
 	// recentCrashes are the crashes of workers of the last seconds.
 	recentCrashes []recentCrash
+	// evacuations holds the failure domains whose workers get no starts.
+	evacuations map[string]*evacuation
 }
 
 // Counters count decisions since the engine was created. Lapsed counts attempts
@@ -84,6 +86,7 @@
 	for _, id := range slices.Sorted(maps.Keys(state.Workers())) {
 		e.addView(state.Worker(id))
 	}
+	e.adoptEvacuations()
 	e.ready.reset()
 	for id, job := range state.Jobs() {
 		e.ready.recordWork(job)
--- /dev/null
+++ b/dispatch/evacuation.go
@@ -0,0 +1,129 @@
+package dispatch
+
+import (
+	"slices"
+	"unicode/utf8"
+
+	"mangohill.example/mangohill/kind"
+	"mangohill.example/mangohill/workflow"
+)
+
+// evacuation is a failure domain whose workers get no starts.
+type evacuation struct{}
+
+// SetEvacuation records an order to evacuate a failure domain, or the withdrawal of one, and
+// calls done, at once or when it is committed. It does not wait until the domain is empty.
+// The error is of kind not_found for an unknown domain, and overloaded if too many are
+// evacuated.
+func (e *Engine) SetEvacuation(op *workflow.SetEvacuation, done func(*kind.Error)) {
+	if !e.knownDomain(op.Domain) {
+		e.afterCommit(func() { done(kind.Errorf(kind.NotFound, "failure domain %q", op.Domain)) })
+		return
+	}
+	if e.state.Evacuated(op.Domain) != op.Evacuated {
+		if err := e.propose(workflow.Op{SetEvacuation: op}); err != nil {
+			e.afterCommit(func() { done(toKindError(err)) })
+			return
+		}
+		if op.Evacuated {
+			e.beginEvacuation(op.Domain)
+		} else {
+			e.afterCommit(func() { e.endEvacuation(op.Domain) })
+		}
+	}
+	e.afterCommit(func() { done(nil) })
+}
+
+// knownDomain reports whether a failure domain is named in the settings, is that of a
+// recorded worker, or is evacuated. Without domains in the settings, any name is known.
+func (e *Engine) knownDomain(domain string) bool {
+	if domain == "" || len(domain) > workflow.MaxDomainBytes || !utf8.ValidString(domain) {
+		return false
+	}
+	if len(e.settings.Domains) == 0 || slices.Contains(e.settings.Domains, domain) || e.state.Evacuated(domain) {
+		return true
+	}
+	return slices.ContainsFunc(e.sortedViews, func(v *workerView) bool { return v.worker.Zone == domain })
+}
+
+// adoptEvacuations takes over the evacuations in force.
+func (e *Engine) adoptEvacuations() {
+	e.evacuations = make(map[string]*evacuation)
+	for _, order := range e.state.Evacuations() {
+		e.evacuations[order.Domain] = new(evacuation)
+	}
+}
+
+// beginEvacuation withholds all starts in a failure domain, before the order is committed.
+func (e *Engine) beginEvacuation(domain string) {
+	if e.evacuations[domain] == nil { // Otherwise a withdrawal is not committed yet.
+		e.evacuations[domain] = new(evacuation)
+	}
+	for _, v := range e.sortedViews {
+		if v.worker.Zone == domain {
+			e.withholdStarts(v)
+		}
+	}
+	e.afterCommit(func() {
+		e.log.Info().Str("domain", domain).Int("remaining", e.attemptsIn(domain)).Uint64("term", e.term).Msg("domain evacuated")
+	})
+}
+
+// endEvacuation permits starts in a failure domain, unless it is evacuated again. The
+// withdrawal is committed: a start before would break an order that is still in force if
+// the withdrawal is lost with this leader.
+func (e *Engine) endEvacuation(domain string) {
+	if e.state.Evacuated(domain) {
+		return
+	}
+	delete(e.evacuations, domain)
+	e.log.Info().Str("domain", domain).Int("remaining", e.attemptsIn(domain)).Uint64("term", e.term).Msg("domain restored")
+}
+
+// evacuated reports whether a worker gets no starts because its domain is evacuated.
+func (e *Engine) evacuated(v *workerView) bool { return e.evacuations[v.worker.Zone] != nil }
+
+// EvacuatedDomains returns the failure domains to whose workers no start may be sent.
+func (e *Engine) EvacuatedDomains() map[string]bool {
+	domains := make(map[string]bool, len(e.evacuations))
+	for domain := range e.evacuations {
+		domains[domain] = true
+	}
+	return domains
+}
+
+// withholdStarts withholds the starts of the attempts on a worker and ends its tests that
+// have not begun.
+func (e *Engine) withholdStarts(v *workerView) {
+	for _, a := range v.attemptList {
+		e.withholdStart(v, a)
+	}
+	if v.test != nil {
+		v.test.tasks = slices.DeleteFunc(v.test.tasks, func(t testedTask) bool { return !t.started })
+	}
+}
+
+// withholdStart voids an attempt that was not started, so that its task is placed elsewhere.
+// If a start may still be carried out, a stop rules that out. An attempt whose start is being
+// sent is left until the answer shows whether it runs.
+func (e *Engine) withholdStart(v *workerView, a *attempt) {
+	if a.running || a.carried || a.callInFlight || a.stopWanted {
+		return
+	}
+	if a.startsInFlight() == 0 && !a.startAnswered {
+		e.void(v, a, "evacuated")
+		return
+	}
+	a.stopWanted = true
+}
+
+// attemptsIn returns the number of attempts that are recorded on workers of a domain.
+func (e *Engine) attemptsIn(domain string) int {
+	n := 0
+	for _, v := range e.sortedViews {
+		if v.worker.Zone == domain {
+			n += len(v.attemptList)
+		}
+	}
+	return n
+}
--- a/dispatch/incarnations.go
+++ b/dispatch/incarnations.go
@@ -82,7 +82,7 @@
 		}
 		e.afterCommit(func() {
 			e.log.Info().Str("worker", w.Life.Name).Uint64("term", e.term).Msg("worker draining")
-			e.evacuate(w.ID)
+			e.stopForDrain(w.ID)
 		})
 	}
 	e.afterCommit(func() { done(nil) })
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -31,6 +31,8 @@
 	Worker  workflow.WorkerID
 	Life    workflow.Incarnation
 	Address string
+	// Domain is the failure domain of the worker.
+	Domain string
 	// Term is the leader's term, Fence the fencing token that the worker checks.
 	Term, Fence uint64
 	// ExpiresMs is the end of the lease in milliseconds on the worker's clock,
--- a/dispatch/reports_test.go
+++ b/dispatch/reports_test.go
@@ -24,7 +24,7 @@
 // announcement returns the worker's report about itself.
 func (w *simWorker) announcement() Announcement {
 	return Announcement{
-		Life: w.life, Address: w.address, Service: "pool", Zone: "z", Labels: w.labels, Rack: w.rack, Capacity: w.capacity, Draining: w.draining, ClockMs: w.clock(), Report: w.reports,
+		Life: w.life, Address: w.address, Service: "pool", Zone: w.domain, Labels: w.labels, Rack: w.rack, Capacity: w.capacity, Draining: w.draining, ClockMs: w.clock(), Report: w.reports,
 	}
 }
 
--- a/dispatch/settings.go
+++ b/dispatch/settings.go
@@ -19,6 +19,8 @@
 	// MaxReportAge is the age of a worker's latest report up to which its capacity is relied
 	// on. Zero sets no limit.
 	MaxReportAge time.Duration
+	// Domains are the failure domains of the deployment, none if they are not known.
+	Domains []string
 }
 
 const (
--- a/dispatch/sim_worker_test.go
+++ b/dispatch/sim_worker_test.go
@@ -18,6 +18,7 @@
 	capacity    workflow.Resources
 	labels      []string
 	rack        string
+	domain      string
 	startedAt   Instant
 	dead        bool
 	partitioned bool
@@ -137,6 +138,7 @@
 // partitioned as that one was.
 func (s *sim) startWorker(name string, old *simWorker) *simWorker {
 	w := s.newWorker(name, old.address, old.capacity.MilliProcessors/1000, old.rack)
+	w.domain = old.domain
 	w.guardsCapacity = old.guardsCapacity
 	w.partitioned, w.deaf, w.mute = old.partitioned, old.deaf, old.mute
 	w.report()
@@ -145,7 +147,7 @@
 
 func (s *sim) newWorker(name, address string, processors int64, rack string) *simWorker {
 	w := &simWorker{
-		sim: s, rack: rack, life: workflow.Incarnation{Name: name, BornMs: s.wall()}, address: address, startedAt: s.now,
+		sim: s, rack: rack, domain: "z", life: workflow.Incarnation{Name: name, BornMs: s.wall()}, address: address, startedAt: s.now,
 		capacity: workflow.Resources{MilliProcessors: processors * 1000, MemoryMB: 100_000}, labels: []string{"a", rack},
 		running: make(map[workflow.TaskRef]*simRun), highestAttempt: make(map[workflow.TaskRef]uint32),
 		endedAt: make(map[uint64]Instant),
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -228,9 +228,9 @@
 	e.recordFormerAttempt(v, a, reason)
 }
 
-// evacuate stops the lasting and resumable attempts on a draining worker. The
+// stopForDrain stops the lasting and resumable attempts on a draining worker. The
 // others run on, since a stop would lose their progress.
-func (e *Engine) evacuate(id workflow.WorkerID) {
+func (e *Engine) stopForDrain(id workflow.WorkerID) {
 	v := e.views[id]
 	if v == nil {
 		return
@@ -314,7 +314,7 @@
 	if v.refusesToken {
 		return
 	}
-	order.Worker, order.Life, order.Address = v.worker.ID, v.worker.Life, v.worker.Address
+	order.Worker, order.Life, order.Address, order.Domain = v.worker.ID, v.worker.Life, v.worker.Address, v.worker.Zone
 	order.Term, order.Fence, order.SentAt = e.term, fencingToken(e.term, v.worker.ID), e.now
 	// The lease of a worker that does not answer is not renewed, so that its
 	// tasks can run elsewhere in the end.
@@ -338,6 +338,12 @@
 	if v.worker.Draining && !a.running {
 		a.stopWanted = true
 	}
+	if e.evacuated(v) {
+		e.withholdStart(v, a)
+		if v.attempts[ref] != a {
+			return
+		}
+	}
 	switch {
 	case a.stopWanted && !a.startRuledOut:
 		a.callInFlight = true
--- a/workflow/ops.go
+++ b/workflow/ops.go
@@ -140,6 +140,7 @@
 	SetMaintenance *SetMaintenance `cbor:"10,keyasint,omitempty"`
 	Crash          *Crash          `cbor:"11,keyasint,omitempty"`
 	Resize         *Resize         `cbor:"12,keyasint,omitempty"`
+	SetEvacuation  *SetEvacuation  `cbor:"13,keyasint,omitempty"`
 }
 
 // Batch is the content of one log entry. NowMs is the leader's wall clock in
@@ -200,6 +201,8 @@
 		return "crash"
 	case o.Resize != nil:
 		return "resize"
+	case o.SetEvacuation != nil:
+		return "set_evacuation"
 	}
 	return ""
 }
--- a/workflow/snapshot.go
+++ b/workflow/snapshot.go
@@ -7,25 +7,34 @@
 	"mangohill.example/mangohill/kind"
 )
 
-// snapshotVersion is the version of the snapshot format. Raise it for every change
-// that an older program would misread.
-const snapshotVersion = 1
+// Versions of the snapshot format. A change that an older program would misread gets a new
+// one.
+const (
+	snapshotVersion = 1
+	// evacuationVersion is that of a snapshot with evacuations: an older program would start
+	// work in the evacuated domains.
+	evacuationVersion = 2
+)
 
 type snapshot struct {
-	Version    int         `cbor:"1,keyasint"`
-	Catalog    *Catalog    `cbor:"2,keyasint"`
-	Jobs       []*Job      `cbor:"3,keyasint"`
-	Workers    []*Worker   `cbor:"4,keyasint"`
-	NextWorker WorkerID    `cbor:"5,keyasint"`
-	NowMs      int64       `cbor:"6,keyasint"`
-	Finished   []JobID     `cbor:"7,keyasint"`
-	Waves      []*Wave     `cbor:"8,keyasint,omitempty"`
-	Departed   []departure `cbor:"9,keyasint,omitempty"`
+	Version     int          `cbor:"1,keyasint"`
+	Catalog     *Catalog     `cbor:"2,keyasint"`
+	Jobs        []*Job       `cbor:"3,keyasint"`
+	Workers     []*Worker    `cbor:"4,keyasint"`
+	NextWorker  WorkerID     `cbor:"5,keyasint"`
+	NowMs       int64        `cbor:"6,keyasint"`
+	Finished    []JobID      `cbor:"7,keyasint"`
+	Waves       []*Wave      `cbor:"8,keyasint,omitempty"`
+	Departed    []departure  `cbor:"9,keyasint,omitempty"`
+	Evacuations []Evacuation `cbor:"10,keyasint,omitempty"`
 }
 
 // Snapshot encodes the state. Equal states have identical snapshots.
 func (s *State) Snapshot() ([]byte, error) {
-	out := snapshot{Version: snapshotVersion, Catalog: s.catalog, NextWorker: s.nextWorker, NowMs: s.nowMs, Finished: s.finished, Departed: s.departed}
+	out := snapshot{Version: snapshotVersion, Catalog: s.catalog, NextWorker: s.nextWorker, NowMs: s.nowMs, Finished: s.finished, Departed: s.departed, Evacuations: s.Evacuations()}
+	if len(out.Evacuations) > 0 {
+		out.Version = evacuationVersion
+	}
 	for _, job := range s.jobs {
 		out.Jobs = append(out.Jobs, job)
 	}
@@ -57,14 +66,17 @@
 	if err := cborcodec.Decode.Unmarshal(data, &in); err != nil {
 		return nil, kind.Errorf(kind.Corrupt, "decode workflow snapshot: %w", err)
 	}
-	if in.Version != snapshotVersion {
-		return nil, kind.Errorf(kind.Corrupt, "workflow snapshot has version %d, this program reads %d", in.Version, snapshotVersion)
+	if in.Version < snapshotVersion || in.Version > evacuationVersion {
+		return nil, kind.Errorf(kind.Corrupt, "workflow snapshot has version %d, this program reads %d to %d", in.Version, snapshotVersion, evacuationVersion)
 	}
 	s := NewState()
 	s.catalog, s.nextWorker, s.nowMs, s.finished, s.departed = in.Catalog, in.NextWorker, in.NowMs, in.Finished, in.Departed
 	for _, job := range in.Jobs {
 		s.addJob(job)
 	}
+	for _, evacuation := range in.Evacuations {
+		s.evacuatedSince[evacuation.Domain] = evacuation.SinceMs
+	}
 	for _, wave := range in.Waves {
 		if wave.Progress == nil {
 			wave.Progress = make(map[string]Maintenance)
--- a/workflow/state.go
+++ b/workflow/state.go
@@ -168,6 +168,8 @@
 	// departed lists the incarnations that ended after they drained, in the order of
 	// their end.
 	departed []departure
+	// evacuatedSince holds, by evacuated failure domain, when the order was recorded.
+	evacuatedSince map[string]int64
 }
 
 // NewState returns the state of a new cluster.
@@ -178,6 +180,8 @@
 		byName:    make(map[string]WorkerID),
 		byAddress: make(map[string]WorkerID),
 		waves:     make(map[uint64]*Wave),
+
+		evacuatedSince: make(map[string]int64),
 	}
 }
 
@@ -250,6 +254,8 @@
 		return nil
 	case op.Resize != nil:
 		return s.resize(op.Resize)
+	case op.SetEvacuation != nil:
+		return s.setEvacuation(op.SetEvacuation)
 	}
 	return kind.Errorf(kind.Corrupt, "the operation has no content")
 }
