--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -164,7 +164,7 @@
 	}
 	e.recordEnds(v, answer.Ended)
 	e.reconcileRunning(v, answer)
-	forOverrun := answer.Order.Wait == overrunPollWait
+	forOverrun := answer.Order.Wait == overrunPollWait && (!answer.Order.Prompt || e.overTarget(v))
 	e.applyReadings(v, forOverrun)
 	e.assessHealth(v)
 	e.delayNextPoll(v, answer)
