dispatch: workers are slow only beside their siblings

An attempt is now compared with the median progress rate of its step on three other workers, or with the learned run times, and a worker counts as slow by attempts of two different jobs. Relocation takes the same comparison, or no progress at all, and its task avoids the worker for a while.

--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -218,6 +218,9 @@
 		if step := e.step(end.Task); step != nil {
 			event = event.Int64("estimate_ms", step.EstimatedMs).Bool("scavenger", step.Scavenger).Int("share", a.wantedShare)
 		}
+		if end.How == workflow.EndDone {
+			e.learnRunTime(v, a)
+		}
 		e.recordEndedScavenger(v, a)
 		v.remove(a)
 		e.recordFormerAttempt(v, a, "ended_"+end.How.String())
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -57,6 +57,8 @@
 	callLimit int
 	// departed holds the addresses of the workers that are over.
 	departed []string
+	// paces holds the progress rates of the attempts of each step.
+	paces stepPaces
 	// recentCrashes are the crashes of workers of the last seconds.
 	recentCrashes []recentCrash
 }
@@ -67,9 +69,11 @@
 // Crashed counts the workers that ended without notice. Overruns counts the times for
 // which readings of a serving task exceeded its target, by whole seconds, the last for all
 // longer ones; Paused those for which scavengers were paused.
+// QuarantinedFailing and QuarantinedSlow count the quarantines of workers by reason.
 type Counters struct {
 	Accepted, Cancelled, Placed, Done, Failed, Stopped, Lapsed, Voided uint64
 	Unanswered, Throttled, Relocated, Paused, Crashed                  uint64
+	QuarantinedFailing, QuarantinedSlow                                uint64
 	Overruns                                                           [overrunBuckets]uint64
 }
 
@@ -79,7 +83,7 @@
 	e := &Engine{
 		settings: settings, log: log, term: term, state: state, now: now, tookOverAt: now, wallMs: state.NowMs(),
 		views: make(map[workflow.WorkerID]*workerView), slowdown: newSlowdownModel(), advisor: newAdvisor(), maintenance: newMaintenanceState(), gangWaitingSince: make(map[workflow.StepRef]Instant),
-		lastFailures: make(map[workflow.TaskRef]taskFailure), withdrawals: make(map[workflow.WorkerID][]func()),
+		lastFailures: make(map[workflow.TaskRef]taskFailure), withdrawals: make(map[workflow.WorkerID][]func()), paces: make(stepPaces),
 	}
 	for _, id := range slices.Sorted(maps.Keys(state.Workers())) {
 		e.addView(state.Worker(id))
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -20,21 +20,10 @@
 	maxQuarantinedPercent = 25
 	// avoidDuration is how long a task avoids the worker on which it failed.
 	avoidDuration = 2 * time.Second
-	// minPaceWindow is the shortest time over which pace is measured: several
-	// times the resolution of the reported percentages for a task of one second.
-	minPaceWindow = 400 * time.Millisecond
-	// hungPace is the pace, as a fraction of the estimate, below which a
-	// scavenger counts as hung, measured over hungPaceWindow: one that is only
-	// short of processors is faster.
-	hungPace       = 0.1
-	hungPaceWindow = 1500 * time.Millisecond
-	// slowPace is the pace below which any other attempt counts as slow, as a
-	// fraction of the estimate. Estimates are a fifth off, and scavengers get
-	// less than they ask for.
-	slowPace = 0.4
-	// minSlowAttempts is the number of slow measurements from which on their
-	// worker counts as slow, if these are the majority.
-	minSlowAttempts = 2
+	// minSlowJobs is the number of different jobs with attempts far behind their siblings
+	// from which on their worker counts as slow, if these attempts are the majority. A
+	// single run may be slow by itself.
+	minSlowJobs = 2
 	// restartCost is the time that it takes to stop an attempt, record its end
 	// and start the task elsewhere.
 	restartCost = 1200 * time.Millisecond
@@ -42,8 +31,8 @@
 	maxRestarts = 3
 )
 
-// taskFailure is the worker on which a task failed last, and until when the task
-// avoids it.
+// taskFailure is the worker on which a task failed last or was too slow, and until when
+// the task avoids it.
 type taskFailure struct {
 	worker workflow.WorkerID
 	until  Instant
@@ -52,9 +41,30 @@
 // health is what the ends and the progress of attempts tell about a worker.
 type health struct {
 	failedJobs map[workflow.JobID]bool
-	// slowCount and normalCount count the pace measurements since countedSince.
-	slowCount, normalCount int
-	countedSince           Instant
+	// slow tells for each attempt that was compared with others since comparedSince
+	// whether it was slow.
+	slow          map[workflow.TaskRef]bool
+	comparedSince Instant
+}
+
+// recordPace records whether an attempt is slow compared with others.
+func (h *health) recordPace(a *attempt, slow bool) {
+	if h.slow == nil {
+		h.slow = make(map[workflow.TaskRef]bool)
+	}
+	h.slow[a.ref] = slow
+}
+
+// isSlow reports whether most attempts on the worker were slow, those of several jobs.
+func (h *health) isSlow() bool {
+	jobs, slow := make(map[workflow.JobID]bool), 0
+	for ref, isSlow := range h.slow {
+		if isSlow {
+			jobs[ref.Job] = true
+			slow++
+		}
+	}
+	return len(jobs) >= minSlowJobs && 2*slow > len(h.slow)
 }
 
 // recordOutcome updates the health of a worker by the end of an attempt.
@@ -69,12 +79,13 @@
 		v.health.failedJobs[end.Task.Job] = true
 		e.lastFailures[end.Task] = taskFailure{v.worker.ID, e.now.Add(avoidDuration)}
 		if len(v.health.failedJobs) >= quarantineFailures {
-			e.quarantine(v, "failures")
+			e.quarantine(v, "failures", &e.counters.QuarantinedFailing)
 		}
 	}
 }
 
-func (e *Engine) quarantine(v *workerView, reason string) {
+// quarantine keeps new work from a worker and counts it under count.
+func (e *Engine) quarantine(v *workerView, reason string, count *uint64) {
 	quarantined := 0
 	for _, other := range e.sortedViews {
 		if e.now < other.quarantinedUntil {
@@ -84,49 +95,11 @@
 	if quarantined*100 >= len(e.sortedViews)*maxQuarantinedPercent {
 		return
 	}
+	*count++
 	if until := e.now.Add(quarantineDuration); until > v.quarantinedUntil {
 		v.quarantinedUntil = until
 	}
-	e.log.Info().Str("worker", v.worker.Life.Name).Str("reason", reason).Int("failed_jobs", len(v.health.failedJobs)).Int("slow", v.health.slowCount).Int("sound", v.health.normalCount).Uint64("term", e.term).Msg("worker quarantined")
-}
-
-// pace is the progress of an attempt relative to its estimate.
-type pace struct {
-	percent int
-	at      Instant
-	// rate is the latest measured pace; 1 is as estimated.
-	rate  float64
-	known bool
-}
-
-// updatePace measures the pace of an attempt from its reported progress.
-func (e *Engine) updatePace(v *workerView, a *attempt) {
-	step := e.step(a.ref)
-	if step == nil || step.Lasting || step.EstimatedMs <= 0 || a.appliedShare != fullShare || a.wantedShare != fullShare {
-		a.pace = pace{percent: a.percent, at: e.now}
-		return
-	}
-	if a.pace.at == 0 {
-		a.pace = pace{percent: a.percent, at: e.now}
-		return
-	}
-	elapsed, minWindow := e.since(a.pace.at), minPaceWindow
-	if step.Scavenger {
-		minWindow = hungPaceWindow
-	}
-	if elapsed < minWindow {
-		return
-	}
-	done := float64(a.percent-a.pace.percent) / fullShare * float64(step.EstimatedMs)
-	a.pace = pace{percent: a.percent, at: e.now, rate: done / float64(elapsed.Milliseconds()), known: true}
-	if step.Scavenger {
-		return // It may be short of processors, which says nothing about the worker.
-	}
-	if a.pace.rate < slowPace {
-		v.health.slowCount++
-	} else {
-		v.health.normalCount++
-	}
+	e.log.Info().Str("worker", v.worker.Life.Name).Str("reason", reason).Int("failed_jobs", len(v.health.failedJobs)).Int("compared", len(v.health.slow)).Uint64("term", e.term).Msg("worker quarantined")
 }
 
 // assessHealth quarantines a worker whose attempts progress slowly, and relocates
@@ -137,43 +110,38 @@
 			e.updatePace(v, a)
 		}
 	}
-	if v.health.slowCount >= minSlowAttempts && v.health.slowCount > v.health.normalCount {
-		e.quarantine(v, "slow")
+	if v.health.isSlow() {
+		e.quarantine(v, "slow", &e.counters.QuarantinedSlow)
+		clear(v.health.slow)
 	}
-	if v.health.slowCount+v.health.normalCount >= 2*minSlowAttempts || e.since(v.health.countedSince) > quarantineDuration {
-		v.health.slowCount, v.health.normalCount, v.health.countedSince = 0, 0, e.now
+	if e.since(v.health.comparedSince) > quarantineDuration {
+		clear(v.health.slow)
+		v.health.comparedSince = e.now
 	}
 	for _, a := range v.attemptList {
 		e.relocateSlow(v, a)
 	}
 }
 
-// minPace returns the pace below which an attempt may be relocated.
-func minPace(step *workflow.Step) float64 {
-	if step.Scavenger {
-		return hungPace
-	}
-	return slowPace
-}
-
-// relocateSlow stops a slow attempt whose remaining time here is at least one
-// and a half times its expected time on another worker.
+// relocateSlow stops an attempt that is hung or far behind its siblings, if its remaining
+// time here is at least one and a half times its expected time on another worker.
 func (e *Engine) relocateSlow(v *workerView, a *attempt) {
 	step, job := e.step(a.ref), e.state.Job(a.ref.Job)
-	if step == nil || step.Gang || !a.pace.known || a.pace.rate >= minPace(step) || a.stopWanted || !a.running || a.number > maxRestarts {
+	if step == nil || step.Gang || !a.pace.behind && !a.pace.hung || a.stopWanted || !a.running || a.number > maxRestarts {
 		return
 	}
-	estimate := time.Duration(step.EstimatedMs) * time.Millisecond
-	remainingTime := time.Duration(float64(estimate) * float64(fullShare-a.percent) / fullShare)
-	timeHere := time.Duration(float64(remainingTime) / max(a.pace.rate, 0.05))
-	timeElsewhere := estimate + restartCost
+	left := float64(fullShare - a.percent)
+	timeHere := time.Duration(left / a.pace.rate * float64(time.Second))
+	timeElsewhere := e.freshRun(a.ref.StepRef(), job)
 	if step.Resumable {
-		timeElsewhere = remainingTime + restartCost
+		timeElsewhere = time.Duration(float64(timeElsewhere) * left / fullShare)
 	}
+	timeElsewhere += restartCost
 	if timeHere < timeElsewhere+timeElsewhere/2 || !e.fitsElsewhere(v, job, step) {
 		return
 	}
 	a.stopWanted = true
+	e.lastFailures[a.ref] = taskFailure{v.worker.ID, e.now.Add(avoidDuration)}
 	e.counters.Relocated++
-	e.log.Info().Stringer("task", a.ref).Uint32("attempt", a.number).Str("worker", v.worker.Life.Name).Float64("pace", a.pace.rate).Int("percent", a.percent).Int64("estimate_ms", step.EstimatedMs).Uint64("term", e.term).Msg("task relocated")
+	e.log.Info().Stringer("task", a.ref).Uint32("attempt", a.number).Str("worker", v.worker.Life.Name).Float64("percent_per_s", a.pace.rate).Bool("hung", a.pace.hung).Int("percent", a.percent).Dur("left_here", timeHere).Dur("elsewhere", timeElsewhere).Int64("estimate_ms", step.EstimatedMs).Uint64("term", e.term).Msg("task relocated")
 }
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"mangohill.example/mangohill/interference"
+	"mangohill.example/mangohill/runtimes"
 	"mangohill.example/mangohill/workflow"
 )
 
@@ -54,6 +55,8 @@
 	suspects map[workflow.JobID][]*readyStep
 	// meanWorkByQueue holds the mean work of the jobs that each queue accepted.
 	meanWorkByQueue map[string]*meanWork
+	// runTimes holds what is learned of run times.
+	runTimes *runtimes.Model
 	sorted          []*readyStep
 	changed         bool
 	// lastSortMs is when the steps were last sorted.
@@ -69,6 +72,7 @@
 	r.byJob = make(map[workflow.JobID][]*readyStep)
 	r.suspects = make(map[workflow.JobID][]*readyStep)
 	r.meanWorkByQueue = make(map[string]*meanWork)
+	r.runTimes = runtimes.New(runtimes.DefaultMaxKeys)
 }
 
 // markDirty marks a job whose ready steps may have changed.
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -48,6 +48,8 @@
 	wallBase     int64
 	settings     Settings
 	starts       int
+	// runTime returns the time that a run takes on a sound worker, if it is set.
+	runTime func(run *simRun) time.Duration
 	// send replaces deliver if it is set.
 	send func(engine *Engine, order Order)
 	// notSent makes the leader send no orders.
--- a/dispatch/sim_worker_test.go
+++ b/dispatch/sim_worker_test.go
@@ -34,6 +34,8 @@
 	guardsCapacity bool
 	// looksHung makes the worker report no progress.
 	looksHung bool
+	// slowdown is the factor by which runs take longer here, zero for none.
+	slowdown float64
 	// reached is set once the worker has carried out an order that was sent to this
 	// incarnation.
 	reached        bool
@@ -71,6 +73,8 @@
 	share     int
 	remaining time.Duration
 	sharedAt  Instant
+	// total is the time that the whole run takes at full speed, zero if it does not end.
+	total time.Duration
 	// gauge is what polls report of a serving run.
 	gauge int64
 	// gang is the run of the gang that the run belongs to, nil if the step is none.
@@ -113,6 +117,10 @@
 	if r.worker.hangs || r.worker.looksHung {
 		return 0
 	}
+	if r.total > 0 {
+		done := r.total - r.remaining + r.worker.sim.now.Sub(r.sharedAt)*time.Duration(r.share)/fullShare
+		return min(int(done*fullShare/r.total), fullShare-1)
+	}
 	return min(int(r.worker.sim.now.Sub(r.startedAt).Milliseconds()*fullShare/r.step.EstimatedMs), fullShare-1)
 }
 
@@ -361,6 +369,13 @@
 		return
 	}
 	run.remaining = time.Duration(float64(step.EstimatedMs)*(0.6+s.rng.Float64())) * time.Millisecond
+	if s.runTime != nil {
+		run.remaining = s.runTime(run)
+	}
+	if w.slowdown > 0 {
+		run.remaining = time.Duration(float64(run.remaining) * w.slowdown)
+	}
+	run.total = run.remaining
 	run.setShare(fullShare)
 }
 
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -117,6 +117,8 @@
 	appliedShare, wantedShare int
 	// shareAppliedAt is when the applied share became known.
 	shareAppliedAt Instant
+	// throttled is set once the attempt did not run at full share.
+	throttled bool
 	// throttledSince is when the wanted share fell below relocateBelowPercent,
 	// zero if it has not.
 	throttledSince Instant
@@ -248,6 +250,7 @@
 func (e *Engine) stopJobAttempts(job *workflow.Job) {
 	e.forgetAdvice(job)
 	e.forgetGangs(job)
+	e.forgetPaces(job)
 	delete(e.slowdown.ownSlackTrends, job.ID)
 	maps.DeleteFunc(e.lastFailures, func(ref workflow.TaskRef, _ taskFailure) bool { return ref.Job == job.ID })
 	for o := range job.Occurrences {
@@ -345,7 +348,7 @@
 	case !a.stopWanted && !a.running && !a.startRuledOut && !v.worker.Draining:
 		e.issueStart(v, a)
 	case a.running && !a.stopWanted && a.appliedShare != a.wantedShare && e.isScavenger(ref):
-		a.callInFlight = true
+		a.callInFlight, a.throttled = true, true
 		e.counters.Throttled++
 		e.issueOrder(v, Order{Verb: Throttle, Task: ref, Attempt: a.number, SharePercent: a.wantedShare})
 	}
