dispatch: expected times and their spread from the learned run times

Paths, remaining work and the chance to be in time rested on callers' estimates with a fixed error. They now use the learned mean and spread of the queue's image and step; without enough samples the estimate and the fixed error hold as before. The objective takes the mean as well, since it is a multiple of what the critical path takes.

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -16,14 +16,16 @@
 	job     *workflow.Job
 	step    *workflow.Step
 	pending []uint32
-	// remainingMs is the estimated time of the longest chain of steps that begins
+	// remainingMs is the expected time of the longest chain of steps that begins
 	// with this one. sortDeadlineMs is the deadline for the job's current
 	// lateness, by which steps are sorted.
 	remainingMs, sortDeadlineMs int64
-	// criticalPathMs is the estimated time of the longest chain of steps of the
+	// criticalPathMs is the expected time of the longest chain of steps of the
 	// job.
 	criticalPathMs int64
-	lateness       lateness
+	// errorPart is the error of these times as a part of them.
+	errorPart float64
+	lateness  lateness
 	// waitingSinceMs is when the step was first found to have pending tasks.
 	waitingSinceMs int64
 	// baseValueDensity is the job's value per unit of remaining work if it
@@ -57,8 +59,8 @@
 	meanWorkByQueue map[string]*meanWork
 	// runTimes holds what is learned of run times.
 	runTimes *runtimes.Model
-	sorted          []*readyStep
-	changed         bool
+	sorted   []*readyStep
+	changed  bool
 	// lastSortMs is when the steps were last sorted.
 	lastSortMs int64
 }
@@ -149,7 +151,7 @@
 	if job == nil || !job.Active() {
 		return
 	}
-	chains, density := remainingPathsMs(job), r.baseValueDensity(job)
+	chains, density := r.remainingPathsMs(job), r.baseValueDensity(job)
 	for o := range job.Occurrences {
 		for s := range job.Spec.Steps {
 			r.addStep(job, uint32(o), uint32(s), chains, density, previous, nowMs)
@@ -174,7 +176,7 @@
 	ref := workflow.StepRef{Job: job.ID, Occurrence: occurrence, Step: step}
 	ready := &readyStep{
 		ref: ref, waitingSinceMs: waitingSince(previous, ref, nowMs), baseValueDensity: density, job: job, step: &job.Spec.Steps[step],
-		pending: pending, criticalPathMs: slices.Max(chains), remainingMs: chains[step],
+		pending: pending, criticalPathMs: slices.Max(chains), remainingMs: chains[step], errorPart: r.errorPart(job, step),
 	}
 	var suspects []*readyStep
 	if ready.pending, suspects = splitSuspects(ready); len(suspects) > 0 {
@@ -197,12 +199,12 @@
 	return nowMs
 }
 
-// remainingPathsMs returns, for each step, the estimated time of the longest
+// remainingPathsMs returns, for each step, the expected time of the longest
 // chain of steps that begins with it.
-func remainingPathsMs(job *workflow.Job) []int64 {
+func (r *readySteps) remainingPathsMs(job *workflow.Job) []int64 {
 	remaining := make([]int64, len(job.Spec.Steps))
 	for i := len(job.Spec.Steps) - 1; i >= 0; i-- {
-		remaining[i] += job.Spec.Steps[i].EstimatedMs
+		remaining[i] += r.meanMs(job, uint32(i))
 		for _, before := range job.Spec.Steps[i].After {
 			remaining[before] = max(remaining[before], remaining[i])
 		}
--- a/dispatch/run_times.go
+++ b/dispatch/run_times.go
@@ -16,6 +16,23 @@
 	return time.Duration(step.EstimatedMs) * time.Millisecond
 }
 
+// meanMs returns the mean run time of a step's tasks in milliseconds, the estimate unless
+// it is learned.
+func (r *readySteps) meanMs(job *workflow.Job, step uint32) int64 {
+	if mean, known := r.runTimes.Mean(runTimeKey(job, step), estimateOf(&job.Spec.Steps[step])); known {
+		return mean.Milliseconds()
+	}
+	return job.Spec.Steps[step].EstimatedMs
+}
+
+// errorPart returns the error of a step's expected time as a part of it.
+func (r *readySteps) errorPart(job *workflow.Job, step uint32) float64 {
+	if spread, known := r.runTimes.Spread(runTimeKey(job, step)); known {
+		return max(spread, minErrorPart)
+	}
+	return estimateErrorPart
+}
+
 // learnRunTime records the run time of an attempt that ended successfully. Attempts that
 // were throttled are censored, and those whose start this leader did not see or that
 // continue from a checkpoint.
--- a/dispatch/run_times_test.go
+++ b/dispatch/run_times_test.go
@@ -128,3 +128,47 @@
 		}
 	}
 }
+
+// Guards against expected times that stay with the callers' estimates although the runs of
+// the queue take three times as long, and against a mean that is learned from throttled
+// or restarted attempts.
+func TestExpectedTimesFollowTheRuns(t *testing.T) {
+	l := newLoadSim(t, 3, 6)
+	l.offerEach(400*time.Millisecond, func(s *workflow.Step) { s.EstimatedMs = 233 })
+	l.run(time.Second)
+	job := func() *workflow.Job { return l.engine.State().Job(l.next) }
+	assert.EqualValues(t, 233, l.engine.ready.meanMs(job(), 0), "nothing is learned yet")
+	assert.InDelta(t, estimateErrorPart, l.engine.ready.errorPart(job(), 0), 0)
+	l.run(5 * time.Second)
+	assert.InEpsilon(t, 730, l.engine.ready.meanMs(job(), 0), 0.1)
+	assert.InDelta(t, 0.27, l.engine.ready.errorPart(job(), 0), 0.1)
+	running := func() *attempt {
+		for _, v := range l.engine.sortedViews {
+			for _, a := range v.attemptList {
+				if a.running && a.gaugeReadAt.Sub(a.runningSince) < minPaceWindow {
+					return a
+				}
+			}
+		}
+		return nil
+	}
+	require.True(t, l.runUntil(time.Second, func() bool { return running() != nil }))
+	a := running()
+	left, known := l.engine.remainingQuantile(a, 0.5)
+	require.True(t, known)
+	assert.InDelta(t, 700, float64((left + l.engine.progressOf(a, l.engine.step(a.ref)).Elapsed).Milliseconds()), 250)
+	chance, known := l.engine.endsWithin(a, 2*time.Second)
+	assert.True(t, known && chance > 0.95)
+	a.throttled = true
+	before, _ := l.engine.ready.runTimes.Count(runTimeKey(job(), 0))
+	for _, v := range l.engine.sortedViews {
+		if v.attempts[a.ref] == a {
+			l.engine.learnRunTime(v, a)
+		}
+	}
+	after, _ := l.engine.ready.runTimes.Count(runTimeKey(job(), 0))
+	assert.InDelta(t, before, after, 0, "a throttled attempt is censored")
+	latest := job()
+	l.takeOver()
+	assert.EqualValues(t, 233, l.engine.ready.meanMs(latest, 0), "a new leader relearns")
+}
--- a/dispatch/value.go
+++ b/dispatch/value.go
@@ -18,10 +18,12 @@
 	// lateValuePart is the part of its value that a late job keeps; the users'
 	// requirements state it for each kind of job.
 	lateValuePart = 0.15
-	// estimateErrorPart is the error of an estimated time as a part of it, and
-	// waitErrorMs the further error, in milliseconds, for a step that waits for
+	// estimateErrorPart is the error of an estimated time as a part of it while none is
+	// learned, minErrorPart the least learned one: a step ends with the slowest of its
+	// tasks. waitErrorMs is the further error, in milliseconds, for a step that waits for
 	// room.
 	estimateErrorPart = 1.0
+	minErrorPart      = 0.15
 	waitErrorMs       = 1500.0
 )
 
@@ -37,17 +39,17 @@
 		m = new(meanWork)
 		r.meanWorkByQueue[job.Queue] = m
 	}
-	total, _ := workOf(job)
+	total, _ := r.workOf(job)
 	m.sum += total
 	m.count++
 }
 
-// workOf returns the estimated work of a job and the part of it that remains, in
+// workOf returns the expected work of a job and the part of it that remains, in
 // thousandths of a processor times milliseconds.
-func workOf(job *workflow.Job) (total, left float64) {
+func (r *readySteps) workOf(job *workflow.Job) (total, left float64) {
 	for i := range job.Spec.Steps {
 		step := &job.Spec.Steps[i]
-		each := float64(step.EstimatedMs) * float64(step.Resources.MilliProcessors+acceleratorMilliProcessors*step.Resources.Accelerators)
+		each := float64(r.meanMs(job, uint32(i))) * float64(step.Resources.MilliProcessors+acceleratorMilliProcessors*step.Resources.Accelerators)
 		for o := range job.Occurrences {
 			total += each * float64(step.Count)
 			left += each * float64(step.Count-job.Occurrences[o].Done[i])
@@ -59,7 +61,7 @@
 // baseValueDensity returns the value of a job per unit of remaining work,
 // relative to the other jobs of its queue.
 func (r *readySteps) baseValueDensity(job *workflow.Job) float64 {
-	total, left := workOf(job)
+	total, left := r.workOf(job)
 	mean := total
 	if m := r.meanWorkByQueue[job.Queue]; m != nil {
 		mean = m.sum / float64(m.count)
@@ -69,10 +71,10 @@
 
 // valueDensityAt returns the value density of the step's job if the step is
 // started now. The chance that the job still meets its objective falls smoothly
-// as its time runs out, since estimates are rough.
+// as its time runs out, the more slowly the more the run times of the step spread.
 func (s *readyStep) valueDensityAt(nowMs int64) float64 {
 	spare := float64(s.deadlineMs(onTime) - nowMs - s.remainingMs)
-	chance := 1 / (1 + math.Exp(-2*spare/(estimateErrorPart*float64(s.remainingMs)+waitErrorMs)))
+	chance := 1 / (1 + math.Exp(-2*spare/(s.errorPart*float64(s.remainingMs)+waitErrorMs)))
 	return s.baseValueDensity * (lateValuePart + (1-lateValuePart)*chance)
 }
 
--- a/dispatch/value_test.go
+++ b/dispatch/value_test.go
@@ -24,12 +24,10 @@
 	assert.Greater(t, r.baseValueDensity(nearlyDone), r.baseValueDensity(small), "a nearly completed job has little work left")
 	other := job(10, 0)
 	other.Queue = "empty"
-	assert.InDelta(t, 1/remainingWork(other), r.baseValueDensity(other)/totalWork(other), 1e-9, "a queue without accepted jobs uses the work of the job itself as the mean")
+	total, left := r.workOf(other)
+	assert.InDelta(t, 1/left, r.baseValueDensity(other)/total, 1e-9, "a queue without accepted jobs uses the work of the job itself as the mean")
 }
 
-func totalWork(j *workflow.Job) float64     { total, _ := workOf(j); return total }
-func remainingWork(j *workflow.Job) float64 { _, left := workOf(j); return left }
-
 // Under overload, jobs must not all be late. Jobs of equal size arrive twice as
 // fast as they can run; at least a quarter must meet their objective (about half
 // do). Ordered by deadline alone, all of them were late.
