Evacuation: lasting and resumable tasks leave the domain

Work in an evacuated domain ran on there until the domain was lost. Change: per round, tasks for which another worker has capacity are stopped, within MaxUnavailable; the capacity is kept until the task is placed. Attempts that remain are shown under decided, and the log tells when a domain is empty. A removal of the check of MaxUnavailable makes two of the new tests fail.

--- a/coordinator/loop.go
+++ b/coordinator/loop.go
@@ -86,7 +86,8 @@
 
 func (l *loop) publishStats() {
 	state := l.engine.State()
-	l.metrics.engine.Store(&engineStats{Counters: l.engine.Counters(), Term: l.term, Jobs: len(state.Jobs()), Workers: len(state.Workers()), JobBytes: state.JobBytes()})
+	evacuations, remaining := l.engine.EvacuationStats()
+	l.metrics.engine.Store(&engineStats{Counters: l.engine.Counters(), Term: l.term, Jobs: len(state.Jobs()), Workers: len(state.Workers()), JobBytes: state.JobBytes(), Evacuations: evacuations, Remaining: remaining})
 }
 
 func (l *loop) now() dispatch.Instant { return dispatch.Instant(boottime.Nanoseconds()) }
--- a/coordinator/metrics.go
+++ b/coordinator/metrics.go
@@ -33,6 +33,9 @@
 	Term          uint64
 	Jobs, Workers int
 	JobBytes      int64
+	// Evacuations is the number of evacuated domains, Remaining what is recorded there.
+	Evacuations int
+	Remaining   dispatch.RemainingAttempts
 }
 
 func newMetrics() *metrics {
--- a/dispatch/candidates.go
+++ b/dispatch/candidates.go
@@ -77,7 +77,7 @@
 func (e *Engine) newCandidateSet() *candidateSet {
 	p := &candidateSet{byService: make(map[string][]*candidate), gangHolds: e.activeGangHolds(), meanLosses: make(map[interference.Image]float64)}
 	for _, v := range e.sortedViews {
-		if !e.schedulable(v) || e.closedForMaintenance(v) || e.evacuated(v) {
+		if !e.schedulable(v) || e.closedForMaintenance(v) {
 			continue
 		}
 		p.byService[v.worker.Service] = append(p.byService[v.worker.Service], e.candidateOf(v))
@@ -86,13 +86,15 @@
 }
 
 func (e *Engine) candidateOf(v *workerView) *candidate {
-	return &candidate{view: v, quarantined: e.now < v.quarantinedUntil, silent: e.silent(v), free: v.worker.Capacity.Sub(v.worker.Reserved), idleMilliProcessors: e.placementStateOf(v).idleMilliProcessors}
+	c := &candidate{view: v, quarantined: e.now < v.quarantinedUntil, silent: e.silent(v), free: v.worker.Capacity.Sub(v.worker.Reserved), idleMilliProcessors: e.placementStateOf(v).idleMilliProcessors}
+	e.reserveForMoves(c)
+	return c
 }
 
-// schedulable reports whether a worker can take orders, is not draining, and has a known
-// capacity.
+// schedulable reports whether a worker can take orders, is not draining, is in no evacuated
+// domain, and has a known capacity.
 func (e *Engine) schedulable(v *workerView) bool {
-	return !v.worker.Draining && e.reachable(v) && v.clockMs > 0 && e.capacityKnown(v)
+	return !v.worker.Draining && !e.evacuated(v) && e.reachable(v) && v.clockMs > 0 && e.capacityKnown(v)
 }
 
 // silent reports whether an answer of a worker is overdue: it may be cut off, and what is
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -61,6 +61,10 @@
 	recentCrashes []recentCrash
 	// evacuations holds the failure domains whose workers get no starts.
 	evacuations map[string]*evacuation
+	// moves holds, by worker, the tasks for which it keeps capacity. nextMovesAt is when the
+	// next round of moves is due.
+	moves       map[workflow.WorkerID][]*move
+	nextMovesAt Instant
 }
 
 // Counters count decisions since the engine was created. Lapsed counts attempts
@@ -108,6 +112,7 @@
 		e.endWithdrawn(id)
 	}
 	e.advanceWaves()
+	e.advanceEvacuations()
 }
 
 // Advance sets the clocks like Tick but issues no orders.
--- a/dispatch/evacuation.go
+++ b/dispatch/evacuation.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"unicode/utf8"
 
@@ -9,7 +10,21 @@
 )
 
 // evacuation is a failure domain whose workers get no starts.
-type evacuation struct{}
+type evacuation struct {
+	// remaining counts the attempts that are recorded on workers of the domain, as at the
+	// latest round. emptied is set once the log has shown that there are none.
+	remaining RemainingAttempts
+	emptied   bool
+}
+
+// RemainingAttempts counts attempts that are recorded on workers of evacuated domains, by what
+// is known of them.
+type RemainingAttempts struct {
+	// Placed attempts are not known to run; Stopping ones have been asked to stop.
+	Placed, Running, Stopping int
+}
+
+func (r RemainingAttempts) total() int { return r.Placed + r.Running + r.Stopping }
 
 // SetEvacuation records an order to evacuate a failure domain, or the withdrawal of one, and
 // calls done, at once or when it is committed. It does not wait until the domain is empty.
@@ -48,7 +63,7 @@
 
 // adoptEvacuations takes over the evacuations in force.
 func (e *Engine) adoptEvacuations() {
-	e.evacuations = make(map[string]*evacuation)
+	e.evacuations, e.moves = make(map[string]*evacuation), make(map[workflow.WorkerID][]*move)
 	for _, order := range e.state.Evacuations() {
 		e.evacuations[order.Domain] = new(evacuation)
 	}
@@ -65,7 +80,7 @@
 		}
 	}
 	e.afterCommit(func() {
-		e.log.Info().Str("domain", domain).Int("remaining", e.attemptsIn(domain)).Uint64("term", e.term).Msg("domain evacuated")
+		e.log.Info().Str("domain", domain).Int("remaining", e.remainingIn(domain).total()).Uint64("term", e.term).Msg("domain evacuated")
 	})
 }
 
@@ -77,7 +92,7 @@
 		return
 	}
 	delete(e.evacuations, domain)
-	e.log.Info().Str("domain", domain).Int("remaining", e.attemptsIn(domain)).Uint64("term", e.term).Msg("domain restored")
+	e.log.Info().Str("domain", domain).Int("remaining", e.remainingIn(domain).total()).Uint64("term", e.term).Msg("domain restored")
 }
 
 // evacuated reports whether a worker gets no starts because its domain is evacuated.
@@ -117,13 +132,46 @@
 	a.stopWanted = true
 }
 
-// attemptsIn returns the number of attempts that are recorded on workers of a domain.
-func (e *Engine) attemptsIn(domain string) int {
-	n := 0
+// remainingIn counts the attempts that are recorded on workers of a domain.
+func (e *Engine) remainingIn(domain string) RemainingAttempts {
+	var r RemainingAttempts
 	for _, v := range e.sortedViews {
-		if v.worker.Zone == domain {
-			n += len(v.attemptList)
+		if v.worker.Zone != domain {
+			continue
+		}
+		for _, a := range v.attemptList {
+			switch {
+			case a.stopWanted:
+				r.Stopping++
+			case a.running:
+				r.Running++
+			default:
+				r.Placed++
+			}
 		}
 	}
-	return n
+	return r
+}
+
+// countRemaining counts what remains in the evacuated domains, and logs when one is empty.
+func (e *Engine) countRemaining() {
+	for _, domain := range slices.Sorted(maps.Keys(e.evacuations)) {
+		d := e.evacuations[domain]
+		d.remaining = e.remainingIn(domain)
+		if d.remaining.total() == 0 && !d.emptied {
+			e.log.Info().Str("domain", domain).Int("remaining", 0).Uint64("term", e.term).Msg("domain empty")
+			d.emptied = true
+		}
+	}
+}
+
+// EvacuationStats returns the number of evacuated domains and what remained in them at the
+// latest tick.
+func (e *Engine) EvacuationStats() (domains int, remaining RemainingAttempts) {
+	for _, d := range e.evacuations {
+		remaining.Placed += d.remaining.Placed
+		remaining.Running += d.remaining.Running
+		remaining.Stopping += d.remaining.Stopping
+	}
+	return len(e.evacuations), remaining
 }
--- /dev/null
+++ b/dispatch/moves_test.go
@@ -0,0 +1,180 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"mangohill.example/mangohill/kind"
+	"mangohill.example/mangohill/workflow"
+)
+
+// runningIn returns the number of runs on workers of a domain.
+func (s *sim) runningIn(domain string) int {
+	n := 0
+	for _, w := range s.workers {
+		if w.domain == domain && !w.dead {
+			n += len(w.running)
+		}
+	}
+	return n
+}
+
+// twoDomains starts workers of 8 processors in two domains, with lasting tasks in the first.
+func twoDomains(t *testing.T, seed uint64, tasks uint32, maxUnavailable int32) *sim {
+	s := newSim(t, seed)
+	s.setCatalog()
+	s.addWorkerIn("a", "a1", 8)
+	s.addWorkerIn("a", "a2", 8)
+	s.run(time.Second)
+	s.serve(1, tasks, maxUnavailable)
+	require.Zero(t, s.notRunning(1, int(tasks)))
+	return s
+}
+
+// Guards against more tasks unavailable than their step allows, and against a domain that never
+// becomes empty although there is capacity elsewhere.
+func TestLastingTasksLeaveAnEvacuatedDomain(t *testing.T) {
+	s := twoDomains(t, 51, 6, 2)
+	s.addWorkerIn("b", "b1", 8)
+	s.run(2 * time.Second)
+	worst := 0
+	s.every(5*time.Millisecond, func() { worst = max(worst, s.notRunning(1, 6)) })
+	s.evacuate("a")
+	require.True(t, s.runUntil(15*time.Second, func() bool { return s.runningIn("a") == 0 && s.notRunning(1, 6) == 0 }))
+	assert.LessOrEqual(t, worst, 2)
+	assert.Equal(t, 12, s.starts, "each task moves once")
+	s.run(2 * time.Second)
+	domains, remaining := s.engine.EvacuationStats()
+	assert.Equal(t, 1, domains)
+	assert.Zero(t, remaining)
+	assert.Empty(t, s.engine.moves)
+	assert.Empty(t, s.violations)
+}
+
+// Guards against a task that is stopped only to wait, and against capacity that is counted
+// twice: there is room for three of six tasks, and other tasks want it as well.
+func TestTasksWithoutCapacityElsewhereRunOn(t *testing.T) {
+	s := twoDomains(t, 52, 6, 0)
+	b := s.addWorkerIn("b", "b1", 3)
+	s.run(2 * time.Second)
+	s.evacuate("a")
+	lowest := 6
+	s.every(5*time.Millisecond, func() { lowest = min(lowest, 6-s.notRunning(1, 6)) })
+	require.True(t, s.runUntil(time.Second, func() bool { return s.engine.movesInProgress() == 3 }))
+	s.engine.HandleRequest(&Request{Verb: Submit, Host: "h", Path: "/q/" + workflow.JobID(2).String(), Job: &workflow.JobSpec{Steps: []workflow.Step{step(3)}}}, func(Reply) {})
+	s.run(10 * time.Second)
+	assert.Len(t, b.running, 3)
+	assert.Equal(t, 3, s.runningIn("a"))
+	assert.Zero(t, s.notRunning(1, 6))
+	assert.Equal(t, 9, s.starts, "three tasks move, the others run on, and the other job finds no capacity")
+	assert.GreaterOrEqual(t, lowest, 3)
+	_, remaining := s.engine.EvacuationStats()
+	assert.Equal(t, RemainingAttempts{Running: 3}, remaining)
+	assert.Empty(t, s.violations)
+}
+
+// Guards against progress that is lost: short tasks and nearly done ones finish where they run,
+// resumable ones move.
+func TestOnlyResumableTasksWithWorkLeftMove(t *testing.T) {
+	s := newSim(t, 53)
+	s.setCatalog()
+	s.addWorkerIn("a", "a1", 8)
+	s.run(time.Second)
+	resumable, short := step(2), step(2)
+	resumable.EstimatedMs, resumable.Resumable = 20_000, true
+	short.EstimatedMs = 3000
+	s.submit(1, resumable, short)
+	s.run(time.Second)
+	s.addWorkerIn("b", "b1", 8)
+	s.run(time.Second)
+	s.evacuate("a")
+	s.run(2 * time.Second)
+	for ref, runs := range s.runs {
+		require.LessOrEqual(t, len(runs), 1)
+		if len(runs) == 1 {
+			assert.Equal(t, ref.Step == 1, runs[0].worker.domain == "a", "task %s", ref)
+		}
+	}
+	assert.EqualValues(t, 2, s.engine.Counters().Stopped)
+
+	s.restore("a")
+	nearlyDone := step(1)
+	nearlyDone.EstimatedMs, nearlyDone.Resumable = 2000, true
+	s.workers["b1:1"].partitioned = true
+	s.run(2500 * time.Millisecond)
+	s.submit(2, nearlyDone)
+	require.True(t, s.runUntil(4*time.Second, func() bool {
+		v := s.engine.views[s.engine.state.WorkerNamed("a1").ID]
+		return len(v.attemptList) == 1 && v.attemptList[0].percent >= nearlyDonePercent
+	}))
+	s.workers["b1:1"].partitioned = false
+	s.evacuate("a")
+	stopped := s.engine.Counters().Stopped
+	s.run(time.Second)
+	assert.Equal(t, stopped, s.engine.Counters().Stopped)
+	assert.Empty(t, s.violations)
+}
+
+// Guards against a move into a domain that is evacuated as well, to a worker that drains, or to
+// a host that is about to go into maintenance.
+func TestMovesAvoidWorkersThatTakeNoWork(t *testing.T) {
+	s := twoDomains(t, 54, 4, 1)
+	s.addWorkerIn("b", "b1", 8)
+	drained := s.addWorkerIn("c", "c1", 8)
+	closed := s.addWorkerIn("c", "c2", 8)
+	s.run(2 * time.Second)
+	s.evacuate("b")
+	drained.draining = true
+	s.engine.maintenance.hosts = map[string]Host{"h": {Worker: closed.life.Name}}
+	s.engine.maintenance.preparingSince["h"] = s.now
+	s.run(1500 * time.Millisecond)
+	starts := s.starts
+	s.evacuate("a")
+	s.run(5 * time.Second)
+	assert.Equal(t, starts, s.starts)
+	assert.Equal(t, 4, s.runningIn("a")+len(drained.running)+len(closed.running))
+	s.addWorkerIn("d", "d1", 8)
+	require.True(t, s.runUntil(20*time.Second, func() bool { return s.runningIn("d") == 4 }))
+	assert.Zero(t, s.runningIn("a"))
+	assert.Empty(t, s.violations)
+}
+
+// Guards against more unavailable tasks than allowed if others of the step are lost or wait while
+// their domain is evacuated.
+func TestMovesCountTasksThatAreUnavailableForOtherCauses(t *testing.T) {
+	s := newSim(t, 55)
+	s.setCatalog()
+	s.addWorkerIn("a", "a1", 8)
+	s.addWorkerIn("a", "a2", 8)
+	s.run(time.Second)
+	lasting := step(6)
+	lasting.Lasting, lasting.MaxUnavailable, lasting.MaxPerWorker = true, 1, 3
+	s.submit(1, lasting)
+	s.run(2 * time.Second)
+	require.Equal(t, 6, s.runningIn("a"))
+	s.workers["a1:1"].crash() // Its tasks wait for the end of the lease.
+	s.run(staleAfter + pollWait)
+	s.addWorkerIn("b", "b1", 8)
+	s.run(time.Second)
+	s.evacuate("a")
+	s.run(2 * time.Second)
+	assert.Zero(t, s.engine.Counters().Relocated, "no task may be stopped beside those that are lost")
+	require.Len(t, s.workers["a2:1"].running, 3)
+	s.addWorkerIn("b", "b2", 8)
+	require.True(t, s.runUntil(40*time.Second, func() bool { return s.runningIn("b") == 6 }))
+	assert.EqualValues(t, 3, s.engine.Counters().Relocated)
+	assert.Empty(t, s.violations)
+}
+
+// Guards against a confirmation that waits for the domain to be empty.
+func TestTheConfirmationDoesNotWaitForTheDomain(t *testing.T) {
+	s := twoDomains(t, 56, 4, 1)
+	begin, confirmedAt := s.now, Instant(0)
+	s.engine.SetEvacuation(&workflow.SetEvacuation{Domain: "a", Evacuated: true}, func(err *kind.Error) { confirmedAt = s.now })
+	s.run(time.Second)
+	assert.Less(t, confirmedAt.Sub(begin), 100*time.Millisecond)
+	assert.Equal(t, 4, s.runningIn("a"))
+}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -238,6 +238,7 @@
 		return
 	}
 	candidates := e.newCandidateSet()
+	e.placeMoved(candidates)
 	e.placeSuspects(candidates)
 	e.reserveForLasting(candidates)
 	for _, s := range e.ready.sorted {
