--- a/dispatch/candidates.go
+++ b/dispatch/candidates.go
@@ -243,6 +243,9 @@
 	if c.silent {
 		score = -silentWeight
 	}
+	if e.cold(c.view) {
+		score -= coldWeight
+	}
 	if s.step.DataRack != "" && c.view.worker.HasLabel(s.step.DataRack) || s.step.OneRack && c.view.worker.Rack == s.rack {
 		score += rackWeight
 	}
@@ -263,6 +266,10 @@
 // its step, before all others.
 const rackWeight = 1 << 40
 
+// coldWeight ranks workers that are slow after their start behind others with capacity, also
+// behind those on another rack than the task's data.
+const coldWeight = 1 << 46
+
 // silentWeight ranks silent workers behind all others.
 const silentWeight = 1 << 52
 
--- a/dispatch/incarnations.go
+++ b/dispatch/incarnations.go
@@ -23,6 +23,9 @@
 	Report uint64
 	// ClockMs is the worker's clock in milliseconds, zero if it gave none.
 	ClockMs int64
+	// ColdLeftMs is the time in milliseconds for which the worker remains slow after its
+	// start.
+	ColdLeftMs int64
 }
 
 // maxAnnouncementBytes limits the strings of an announcement together. The state holds
@@ -71,6 +74,7 @@
 		e.afterCommit(func() { done(kind.Errorf(kind.StaleIncarnation, "worker %q has a newer incarnation", a.Life.Name)) })
 		return
 	}
+	e.recordCold(e.views[w.ID], a)
 	if err := e.applyReport(w, a); err != nil {
 		e.afterCommit(func() { done(toKindError(err)) })
 		return
--- a/dispatch/reports_test.go
+++ b/dispatch/reports_test.go
@@ -25,6 +25,7 @@
 func (w *simWorker) announcement() Announcement {
 	return Announcement{
 		Life: w.life, Address: w.address, Service: "pool", Zone: w.domain, Labels: w.labels, Rack: w.rack, Capacity: w.capacity, Draining: w.draining, ClockMs: w.clock(), Report: w.reports,
+		ColdLeftMs: max(w.coldUntil.Sub(w.sim.now).Milliseconds(), 0),
 	}
 }
 
--- a/dispatch/settings.go
+++ b/dispatch/settings.go
@@ -21,6 +21,8 @@
 	MaxReportAge time.Duration
 	// Domains are the failure domains of the deployment, none if they are not known.
 	Domains []string
+	// PreferWarm ranks workers that are slow after their start behind others.
+	PreferWarm bool
 }
 
 const (
--- a/dispatch/sim_worker_test.go
+++ b/dispatch/sim_worker_test.go
@@ -12,13 +12,15 @@
 // simWorker is one incarnation of a worker, which behaves as the platform's
 // documentation states.
 type simWorker struct {
-	sim         *sim
-	life        workflow.Incarnation
-	address     string
-	capacity    workflow.Resources
-	labels      []string
-	rack        string
-	domain      string
+	sim      *sim
+	life     workflow.Incarnation
+	address  string
+	capacity workflow.Resources
+	labels   []string
+	rack     string
+	domain   string
+	// coldUntil is until when the worker is slow after its start.
+	coldUntil   Instant
 	startedAt   Instant
 	dead        bool
 	partitioned bool
--- a/dispatch/suspects.go
+++ b/dispatch/suspects.go
@@ -167,7 +167,7 @@
 				return c
 			}
 			t.tasks = t.tasks[:len(t.tasks)-1]
-		case t == nil && room.free > 0 && e.admits(c, s) && (best == nil || len(c.view.attemptList) < len(best.view.attemptList)):
+		case t == nil && room.free > 0 && e.admits(c, s) && (best == nil || e.betterForTest(c.view, best.view)):
 			best = c // The fewest attempts are lost there.
 		}
 	}
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -72,6 +72,8 @@
 	test *crashTest
 	// endedScavengers are the scavengers that ended recently.
 	endedScavengers []endedScavenger
+	// coldUntil is until when the worker is slow after its start, by its reports.
+	coldUntil Instant
 }
 
 // attempt is what the leader knows of an attempt on a worker.
