Evacuation: simulation of orders beside faults of the control group

The safeguards of an evacuation had no test under changes of leader, partitions and losses of power. Change: two simulations, alone and beside earlier leaders; they check each start that is sent and each that arrives.

--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -44,6 +44,7 @@
 	cancelled    map[workflow.JobID]Instant
 	gangs        simGangs
 	crashes      simCrashes
+	operator     simOperator
 	violations   []string
 	wallBase     int64
 	settings     Settings
@@ -132,7 +133,7 @@
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: 1_000_000_000, committed: workflow.NewState(),
 		workers: make(map[string]*simWorker), runs: make(map[workflow.TaskRef][]*simRun), done: make(map[workflow.TaskRef]bool),
 		acknowledged: make(map[workflow.TaskRef]bool), lastStartAt: make(map[workflow.TaskRef]Instant),
-		cancelled: make(map[workflow.JobID]Instant), crashes: newSimCrashes(), healAt: make(map[string]Instant), wallBase: 1_700_000_000_000,
+		cancelled: make(map[workflow.JobID]Instant), crashes: newSimCrashes(), operator: newSimOperator(), healAt: make(map[string]Instant), wallBase: 1_700_000_000_000,
 		settings: Settings{Lease: 8 * time.Second, MaxLease: 10 * time.Second, MaxReportAge: shrinkNotice - time.Second}, maxListedEnds: 500, delay: networkDelay, commitDelay: commitDelay,
 	}
 	s.takeOver()
--- a/dispatch/sim_worker_test.go
+++ b/dispatch/sim_worker_test.go
@@ -225,6 +225,7 @@
 		w.renewLease(order.ExpiresMs)
 		w.openPoll(order, answer)
 	case Start:
+		w.sim.checkArrivedStart(w, &order)
 		if w.sim.rng.Float64() < w.sim.faults.shedding {
 			reply(Unhealthy)
 			return
