workflow: copies of running tasks

A task that takes several times as long as the others of its step delays the whole job. Operation 14, PlaceCopy, records a second attempt of a placed task of a duplicable step on another worker. The end of one of the two leaves the task placed while the other may run; the first done ends it.

--- a/workflow/snapshot.go
+++ b/workflow/snapshot.go
@@ -7,9 +7,14 @@
 	"mangohill.example/mangohill/kind"
 )
 
-// snapshotVersion is the version of the snapshot format. Raise it for every change
-// that an older program would misread.
-const snapshotVersion = 1
+// Versions of the snapshot format. A snapshot has the lowest one that an older program
+// would not misread.
+const (
+	snapshotVersion = 1
+	// snapshotVersionCopies is that of a state with copies of tasks. An older program would
+	// make a task pending while its copy runs. Version 2 is that of evacuations.
+	snapshotVersionCopies = 3
+)
 
 type snapshot struct {
 	Version    int         `cbor:"1,keyasint"`
@@ -27,6 +32,9 @@
 func (s *State) Snapshot() ([]byte, error) {
 	out := snapshot{Version: snapshotVersion, Catalog: s.catalog, NextWorker: s.nextWorker, NowMs: s.nowMs, Finished: s.finished, Departed: s.departed}
 	for _, job := range s.jobs {
+		if len(job.Copies) > 0 {
+			out.Version = snapshotVersionCopies
+		}
 		out.Jobs = append(out.Jobs, job)
 	}
 	for _, w := range s.workers {
@@ -57,8 +65,8 @@
 	if err := cborcodec.Decode.Unmarshal(data, &in); err != nil {
 		return nil, kind.Errorf(kind.Corrupt, "decode workflow snapshot: %w", err)
 	}
-	if in.Version != snapshotVersion {
-		return nil, kind.Errorf(kind.Corrupt, "workflow snapshot has version %d, this program reads %d", in.Version, snapshotVersion)
+	if in.Version != snapshotVersion && in.Version != snapshotVersionCopies {
+		return nil, kind.Errorf(kind.Corrupt, "workflow snapshot has version %d, this program reads %d and %d", in.Version, snapshotVersion, snapshotVersionCopies)
 	}
 	s := NewState()
 	s.catalog, s.nextWorker, s.nowMs, s.finished, s.departed = in.Catalog, in.NextWorker, in.NowMs, in.Finished, in.Departed
--- a/workflow/state.go
+++ b/workflow/state.go
@@ -61,6 +61,8 @@
 	AdviceEachMs       int64 `cbor:"19,keyasint,omitempty"`
 	// Suspects are the tasks under which workers have crashed.
 	Suspects []Suspect `cbor:"20,keyasint,omitempty"`
+	// Copies are the copies of tasks that are not done.
+	Copies []Copy `cbor:"21,keyasint,omitempty"`
 	// attempts is the number of attempts that are recorded on workers.
 	attempts int
 }
@@ -250,6 +252,8 @@
 		return nil
 	case op.Resize != nil:
 		return s.resize(op.Resize)
+	case op.PlaceCopy != nil:
+		return s.placeCopy(op.PlaceCopy)
 	}
 	return kind.Errorf(kind.Corrupt, "the operation has no content")
 }
@@ -335,8 +339,9 @@
 	if err := s.CheckJoin(j); err != nil {
 		return err
 	}
-	carried := make(map[TaskRef]uint32)
+	carried, previous := make(map[TaskRef]uint32), WorkerID(0)
 	if old := s.WorkerNamed(j.Life.Name); old != nil {
+		previous = old.ID
 		for _, ref := range j.Carry {
 			if attempt, ok := old.Attempts[ref]; ok {
 				carried[ref] = attempt
@@ -357,13 +362,13 @@
 	s.byName[w.Life.Name] = w.ID
 	s.byAddress[w.Address] = w.ID
 	for ref, attempt := range carried {
-		s.moveAttempt(w, ref, attempt)
+		s.moveAttempt(previous, w, ref, attempt)
 	}
 	return nil
 }
 
 // moveAttempt assigns an attempt of the previous incarnation to its successor w.
-func (s *State) moveAttempt(w *Worker, ref TaskRef, attempt uint32) {
+func (s *State) moveAttempt(previous WorkerID, w *Worker, ref TaskRef, attempt uint32) {
 	job := s.jobs[ref.Job]
 	if job == nil {
 		return
@@ -382,6 +387,7 @@
 	if task.State == TaskPlaced && task.Attempt == attempt {
 		task.Worker = w.ID
 	}
+	job.moveCopy(previous, w.ID, ref, attempt)
 }
 
 func (s *State) resize(r *Resize) error {
@@ -432,26 +438,36 @@
 		return kind.Errorf(kind.InvalidTransition, "task %s or worker %d does not exist, or the job has ended", p.Task, p.Worker)
 	}
 	task := job.Task(p.Task)
-	if task == nil || task.State != TaskPending || p.Attempt <= task.Attempt || !job.StepReady(p.Task.Occurrence, p.Task.Step) {
+	if task == nil || task.State != TaskPending || p.Attempt <= job.LastAttempt(p.Task) || !job.StepReady(p.Task.Occurrence, p.Task.Step) {
 		return kind.Errorf(kind.StaleEpoch, "task %s cannot start attempt %d: not pending, not a higher number, or its step is not ready", p.Task, p.Attempt)
 	}
-	if _, held := w.Attempts[p.Task]; held {
-		return kind.Errorf(kind.InvalidTransition, "an attempt of task %s may still run on worker %d", p.Task, p.Worker)
+	if err := s.hold(w, job, p.Task, p.Attempt); err != nil {
+		return err
 	}
-	need := job.Spec.Steps[p.Task.Step].Reserved()
+	job.forgetCopy(p.Task)
+	task.State, task.Worker, task.Attempt = TaskPlaced, p.Worker, p.Attempt
+	job.Started = true
+	return nil
+}
+
+// hold records an attempt on a worker and reserves its resources.
+func (s *State) hold(w *Worker, job *Job, ref TaskRef, attempt uint32) error {
+	if _, held := w.Attempts[ref]; held {
+		return kind.Errorf(kind.InvalidTransition, "an attempt of task %s may still run on worker %d", ref, w.ID)
+	}
+	need := job.Spec.Steps[ref.Step].Reserved()
 	if !need.Fits(w.Capacity.Sub(w.Reserved)) {
-		return kind.Errorf(kind.CapacityExceeded, "worker %d has not enough free capacity for task %s", p.Worker, p.Task)
+		return kind.Errorf(kind.CapacityExceeded, "worker %d has not enough free capacity for task %s", w.ID, ref)
 	}
 	w.Reserved = w.Reserved.Add(need)
-	w.Attempts[p.Task] = p.Attempt
+	w.Attempts[ref] = attempt
 	job.attempts++
-	task.State, task.Worker, task.Attempt = TaskPlaced, p.Worker, p.Attempt
-	job.Started = true
 	return nil
 }
 
 // release removes an attempt from a worker. If it is the latest attempt of its
-// task, release makes the task pending and returns it, otherwise nil.
+// task or the copy, release returns the task, which it makes pending unless the other one
+// of the two is recorded; otherwise it returns nil.
 func (s *State) release(w *Worker, ref TaskRef, attempt uint32) *Task {
 	if held, ok := w.Attempts[ref]; !ok || held != attempt {
 		return nil
@@ -468,6 +484,9 @@
 		return nil // Of an earlier job of this ID, which an earlier version had dropped.
 	}
 	w.Reserved = w.Reserved.Sub(job.Spec.Steps[ref.Step].Reserved())
+	if task.State == TaskPlaced && job.releaseCopy(w.ID, ref, task, attempt) {
+		return task
+	}
 	if task.State != TaskPlaced || task.Attempt != attempt || task.Worker != w.ID {
 		return nil
 	}
@@ -525,7 +544,7 @@
 		return
 	}
 	task := job.Task(e.Task)
-	if task == nil || task.State == TaskDone || e.Attempt > task.Attempt || job.Spec.Steps[e.Task.Step].Lasting {
+	if task == nil || task.State == TaskDone || e.Attempt > job.LastAttempt(e.Task) || job.Spec.Steps[e.Task.Step].Lasting {
 		return
 	}
 	s.markDone(job, &job.Spec.Steps[e.Task.Step], e.Task)
@@ -553,6 +572,7 @@
 		if o.Steps[ref.Step][i].State != TaskDone {
 			o.Steps[ref.Step][i].State = TaskDone
 			o.Done[ref.Step]++
+			job.forgetCopy(TaskRef{Job: ref.Job, Occurrence: ref.Occurrence, Step: ref.Step, Index: i})
 			job.OpenTasks--
 		}
 	}
--- a/workflow/state_test.go
+++ b/workflow/state_test.go
@@ -137,6 +137,7 @@
 func TestRestoredStateEqualsTheOriginal(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newStateWithOneWorker(t)
+		require.NoError(t, s.Apply(&Op{Accept: &Accept{ID: 2, Queue: "q", Spec: JobSpec{Steps: []Step{{Count: 2, Duplicable: true}}}}}))
 		for range rapid.IntRange(0, 30).Draw(t, "operations") {
 			op := drawOp(t)
 			data, err := s.Snapshot()
@@ -151,6 +152,7 @@
 			require.NoError(t, err)
 			require.Equal(t, a, b)
 			checkReserved(t, s)
+			checkAttempts(t, s)
 		}
 	})
 }
@@ -159,7 +161,7 @@
 	ref := TaskRef{Job: JobID(rapid.IntRange(1, 2).Draw(t, "job")), Step: rapid.Uint32Range(0, 1).Draw(t, "step"), Index: rapid.Uint32Range(0, 3).Draw(t, "index")}
 	worker := WorkerID(rapid.Uint32Range(1, 3).Draw(t, "worker"))
 	attempt := rapid.Uint32Range(1, 4).Draw(t, "attempt")
-	switch rapid.IntRange(0, 5).Draw(t, "verb") {
+	switch rapid.IntRange(0, 7).Draw(t, "verb") {
 	case 0:
 		return &Op{Void: &Void{Worker: worker, Task: ref, Attempt: attempt, Checkpoint: "v"}}
 	case 1:
@@ -169,6 +171,8 @@
 		return &Op{Join: &Join{Life: Incarnation{Name: name, BornMs: rapid.Int64Range(1, 40).Draw(t, "born")}, Address: name, Service: "pool", Capacity: Resources{MilliProcessors: 2000}, Carry: []TaskRef{ref}}}
 	case 3:
 		return &Op{Leave: &Leave{Worker: worker, Over: rapid.Bool().Draw(t, "over")}}
+	case 4, 5:
+		return &Op{PlaceCopy: &PlaceCopy{Task: ref, Worker: worker, Attempt: attempt}}
 	}
 	return &Op{Place: &Place{Task: ref, Worker: worker, Attempt: attempt}}
 }
