dispatch: copies of stragglers

On a deployment 3 runs in 100 take 7 times as long, so that a third of the jobs of ten tasks waits for one. A running task of a duplicable step whose expected remaining time exceeds 1.5 times that of a fresh run gets a second attempt on another worker, within 5% of the running attempts and not while a task of its priority waits. The first done counts, the other attempt is stopped. Where run times have stragglers, one further poll asks for the progress at 0.4 of the usual time: a copy must start within 0.55 s to help.

--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -44,6 +44,10 @@
 	}
 	switch a.Order.Verb {
 	case Poll:
+		if a.Order.Probe {
+			e.handleProbe(v, a)
+			break
+		}
 		e.handlePollAnswer(v, a)
 	case Start:
 		e.handleStartAnswer(v, a)
@@ -201,6 +205,7 @@
 	}
 	before := e.state.Job(end.Task.Job)
 	active := before != nil && before.Active()
+	others := e.otherAttempts(end.Task, end.Attempt)
 	err := e.propose(workflow.Op{End: &workflow.End{
 		Worker: v.worker.ID, Number: end.Number, Task: end.Task, Attempt: end.Attempt, How: end.How, Checkpoint: end.Checkpoint,
 	}})
@@ -220,6 +225,9 @@
 		}
 		if end.How == workflow.EndDone {
 			e.learnRunTime(v, a)
+			if a.isCopy && len(others) > 0 {
+				e.counters.CopiesWon++
+			}
 		}
 		e.recordEndedScavenger(v, a)
 		v.remove(a)
@@ -227,7 +235,10 @@
 	}
 	event.Msg("attempt ended")
 	if end.How == workflow.EndDone {
-		e.afterCommit(func() { e.stopLaterAttempts(end) })
+		e.afterCommit(func() {
+			e.stopLaterAttempts(end)
+			e.stopOthers(others)
+		})
 	}
 	job := e.state.Job(end.Task.Job)
 	if active && !job.Active() {
--- a/dispatch/batch.go
+++ b/dispatch/batch.go
@@ -74,6 +74,7 @@
 		return nil
 	}
 	e.plan()
+	e.copyStragglers()
 	if len(e.waiting) == 0 {
 		return nil
 	}
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -58,7 +58,8 @@
 	// departed holds the addresses of the workers that are over.
 	departed []string
 	// paces holds the progress rates of the attempts of each step.
-	paces stepPaces
+	paces  stepPaces
+	copies copies
 	// recentCrashes are the crashes of workers of the last seconds.
 	recentCrashes []recentCrash
 }
@@ -69,10 +70,13 @@
 // Crashed counts the workers that ended without notice. Overruns counts the times for
 // which readings of a serving task exceeded its target, by whole seconds, the last for all
 // longer ones; Paused those for which scavengers were paused.
+// Copied counts the copies of stragglers, CopiesWon those that were done first, Probes the
+// polls for their progress.
 // QuarantinedFailing and QuarantinedSlow count the quarantines of workers by reason.
 type Counters struct {
 	Accepted, Cancelled, Placed, Done, Failed, Stopped, Lapsed, Voided uint64
 	Unanswered, Throttled, Relocated, Paused, Crashed                  uint64
+	Copied, CopiesWon, Probes                                          uint64
 	QuarantinedFailing, QuarantinedSlow                                uint64
 	Overruns                                                           [overrunBuckets]uint64
 }
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -127,12 +127,18 @@
 // time here is at least one and a half times its expected time on another worker.
 func (e *Engine) relocateSlow(v *workerView, a *attempt) {
 	step, job := e.step(a.ref), e.state.Job(a.ref.Job)
+	if isCopyable(step) && (!a.pace.hung || len(e.otherAttempts(a.ref, a.number)) > 0) {
+		return // It is copied rather than stopped.
+	}
 	if step == nil || step.Gang || !a.pace.behind && !a.pace.hung || a.stopWanted || !a.running || a.number > maxRestarts {
 		return
 	}
 	left := float64(fullShare - a.percent)
 	timeHere := time.Duration(left / a.pace.rate * float64(time.Second))
-	timeElsewhere := e.freshRun(a.ref.StepRef(), job)
+	timeElsewhere, known := e.freshRun(a.ref, v.worker.ID, job)
+	if !known {
+		timeElsewhere = estimateOf(step)
+	}
 	if step.Resumable {
 		timeElsewhere = time.Duration(float64(timeElsewhere) * left / fullShare)
 	}
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -49,6 +49,8 @@
 	// AckedThrough acknowledges all ended attempts up to this number; their ends
 	// are committed.
 	AckedThrough uint64
+	// Probe marks a poll beside the usual one, whose answer tells the progress only.
+	Probe bool
 	// Wait is how long the worker may hold a poll open until an attempt ends.
 	Wait time.Duration
 
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -33,6 +33,9 @@
 	// minSiblingWorkers is the number of other workers whose attempts of a step make up
 	// its usual progress rate.
 	minSiblingWorkers = 3
+	// minSiblings is the number of other tasks of a step, on several workers, that tell what
+	// a fresh run takes.
+	minSiblings = 3
 	// maxStepPaces bounds the progress rates that are kept of a step.
 	maxStepPaces = 32
 )
@@ -51,42 +54,68 @@
 }
 
 // stepPaces holds the latest progress rates of the attempts of each step.
-type stepPaces map[workflow.StepRef][]workerPace
+type stepPaces map[workflow.StepRef][]taskPace
 
-// workerPace is a progress rate on a worker in percent a second.
-type workerPace struct {
+// taskPace is the progress rate of a task's attempt on a worker in percent a second.
+type taskPace struct {
+	index  uint32
 	worker workflow.WorkerID
 	rate   float64
 }
 
-// record adds a rate, in place of an earlier one of the worker if there is one.
-func (p stepPaces) record(ref workflow.StepRef, worker workflow.WorkerID, rate float64) {
-	paces := p[ref]
-	if i := slices.IndexFunc(paces, func(other workerPace) bool { return other.worker == worker }); i >= 0 {
-		paces[i].rate = rate
+// record adds a rate, in place of an earlier one of the task if there is one.
+func (p stepPaces) record(ref workflow.TaskRef, worker workflow.WorkerID, rate float64) {
+	paces := p[ref.StepRef()]
+	if i := slices.IndexFunc(paces, func(other taskPace) bool { return other.index == ref.Index }); i >= 0 {
+		paces[i] = taskPace{ref.Index, worker, rate}
 		return
 	}
 	if len(paces) >= maxStepPaces {
 		paces = paces[1:]
 	}
-	p[ref] = append(paces, workerPace{worker, rate})
+	p[ref.StepRef()] = append(paces, taskPace{ref.Index, worker, rate})
 }
 
-// median returns the median rate of a step on workers other than the given one. It is not
-// known with less than minSiblingWorkers of them.
-func (p stepPaces) median(ref workflow.StepRef, except workflow.WorkerID) (float64, bool) {
+// medianElsewhere returns the median rate of a step on workers other than the given one. It
+// is not known with less than minSiblingWorkers of them.
+func (p stepPaces) medianElsewhere(ref workflow.StepRef, worker workflow.WorkerID) (float64, bool) {
 	var rates []float64
+	var workers []workflow.WorkerID
 	for _, other := range p[ref] {
-		if other.worker != except {
-			rates = append(rates, other.rate)
+		if other.worker == worker {
+			continue
+		}
+		rates = append(rates, other.rate)
+		if !slices.Contains(workers, other.worker) {
+			workers = append(workers, other.worker)
 		}
 	}
-	if len(rates) < minSiblingWorkers {
+	return median(rates, len(workers) >= minSiblingWorkers)
+}
+
+// medianOfOthers returns the median rate of the step of a task on any workers, without the
+// task itself. It is not known with less than minSiblings of them, or if a single worker,
+// which may be slow, runs all.
+func (p stepPaces) medianOfOthers(ref workflow.TaskRef) (float64, bool) {
+	var rates []float64
+	var worker workflow.WorkerID
+	several := false
+	for _, other := range p[ref.StepRef()] {
+		if other.index != ref.Index {
+			several = several || worker != 0 && other.worker != worker
+			rates, worker = append(rates, other.rate), other.worker
+		}
+	}
+	return median(rates, several && len(rates) >= minSiblings)
+}
+
+func median(rates []float64, enough bool) (float64, bool) {
+	if !enough {
 		return 0, false
 	}
 	slices.Sort(rates)
-	median := rates[len(rates)/2]
-	return median, median > 0
+	m := rates[(len(rates)-1)/2]
+	return m, m > 0
 }
 
 // forgetPaces drops what is kept of the steps of a job that has ended.
@@ -102,7 +131,7 @@
 // with: the median of its siblings on other workers or, without those, that of the slowest
 // run which is still usual by the learned run times.
 func (e *Engine) usualRate(v *workerView, a *attempt) (float64, bool) {
-	if rate, known := e.paces.median(a.ref.StepRef(), v.worker.ID); known {
+	if rate, known := e.paces.medianElsewhere(a.ref.StepRef(), v.worker.ID); known {
 		return rate, true
 	}
 	job := e.state.Job(a.ref.Job)
@@ -158,7 +187,9 @@
 		limit = starvedPace
 	}
 	a.pace = pace{percent: a.percent, at: e.now, rate: rate, known: true, hung: hung, behind: comparable && rate < usual*limit}
-	e.paces.record(a.ref.StepRef(), v.worker.ID, rate)
+	if !hung {
+		e.paces.record(a.ref, v.worker.ID, rate)
+	}
 	if comparable && !step.Scavenger {
 		v.health.recordPace(a, a.pace.behind)
 	}
@@ -173,5 +204,5 @@
 	if usual, comparable := e.usualRate(v, a); comparable && !step.Scavenger {
 		v.health.recordPace(a, rate < usual*slowPace)
 	}
-	e.paces.record(a.ref.StepRef(), v.worker.ID, rate)
+	e.paces.record(a.ref, v.worker.ID, rate)
 }
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -273,7 +273,7 @@
 			return
 		}
 		ref := s.firstPending()
-		if !e.place(c, s, ref, s.job.Task(ref).Attempt+1) {
+		if !e.place(c, s, ref, s.job.LastAttempt(ref)+1) {
 			return
 		}
 		workers.update(e, c)
@@ -285,8 +285,14 @@
 // place records an attempt on the candidate and starts it once the record is
 // committed.
 func (e *Engine) place(c *candidate, s *readyStep, ref workflow.TaskRef, number uint32) bool {
+	return e.record(c, s, ref, number, workflow.Op{Place: &workflow.Place{Task: ref, Worker: c.view.worker.ID, Attempt: number}})
+}
+
+// record records an attempt on the candidate by the given operation and starts it once that
+// is committed.
+func (e *Engine) record(c *candidate, s *readyStep, ref workflow.TaskRef, number uint32, op workflow.Op) bool {
 	v := c.view
-	if err := e.propose(workflow.Op{Place: &workflow.Place{Task: ref, Worker: v.worker.ID, Attempt: number}}); err != nil {
+	if err := e.propose(op); err != nil {
 		e.log.Error().Err(err).Stringer("task", ref).Str("worker", v.worker.Life.Name).Msg("placement not recorded")
 		return false
 	}
@@ -294,6 +300,7 @@
 	e.counters.Placed++
 	a := &attempt{ref: ref, number: number, placedAt: e.now, appliedShare: fullShare, wantedShare: fullShare}
 	v.add(a)
+	e.copies.track(v, a, s.step)
 	free, heard := c.free, e.since(v.answeredAt)
 	e.afterCommit(func() {
 		if e.views[v.worker.ID] != v || v.attempts[ref] != a {
--- a/dispatch/run_times.go
+++ b/dispatch/run_times.go
@@ -85,15 +85,15 @@
 	return e.ready.runTimes.EndsWithin(runTimeKey(job, a.ref.Step), estimateOf(step), e.progressOf(a, step), t)
 }
 
-// freshRun returns the median time of a run of a step on another worker: by the attempts of
-// the step, else by what is learned, else the estimate.
-func (e *Engine) freshRun(ref workflow.StepRef, job *workflow.Job) time.Duration {
-	if rate, known := e.paces.median(ref, 0); known {
-		return time.Duration(fullShare / rate * float64(time.Second))
+// freshRun returns the median time of a fresh run of a task: by the other attempts of its
+// step, which share an estimate, else by what is learned; false if neither is known.
+func (e *Engine) freshRun(ref workflow.TaskRef, worker workflow.WorkerID, job *workflow.Job) (time.Duration, bool) {
+	rate, known := e.paces.medianElsewhere(ref.StepRef(), worker)
+	if !known {
+		rate, known = e.paces.medianOfOthers(ref)
 	}
-	step := &job.Spec.Steps[ref.Step]
-	if median, known := e.ready.runTimes.Quantile(runTimeKey(job, ref.Step), estimateOf(step), 0.5); known {
-		return median
+	if known {
+		return time.Duration(fullShare / rate * float64(time.Second)), true
 	}
-	return estimateOf(step)
+	return e.ready.runTimes.Quantile(runTimeKey(job, ref.Step), estimateOf(&job.Spec.Steps[ref.Step]), 0.5)
 }
--- a/dispatch/suspects.go
+++ b/dispatch/suspects.go
@@ -209,7 +209,7 @@
 		return
 	}
 	at := v.test.find(ref)
-	if !e.admits(c, s) || !e.place(c, s, ref, s.job.Task(ref).Attempt+1) {
+	if !e.admits(c, s) || !e.place(c, s, ref, s.job.LastAttempt(ref)+1) {
 		v.test.tasks = slices.Delete(v.test.tasks, at, at+1)
 		return
 	}
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -25,6 +25,8 @@
 	// whose ends have the same numbers.
 	endsListed bool
 	nextPollAt Instant
+	// probeInFlight is set while a poll beside the usual one is in flight.
+	probeInFlight bool
 	// pollDueAt is when the answer to the poll in flight is due, zero for none.
 	pollDueAt Instant
 	// answeredAt is when the worker last answered an order.
@@ -117,6 +119,8 @@
 	appliedShare, wantedShare int
 	// shareAppliedAt is when the applied share became known.
 	shareAppliedAt Instant
+	// isCopy is set on a copy of a task, probed once its progress was asked for.
+	isCopy, probed bool
 	// throttled is set once the attempt did not run at full share.
 	throttled bool
 	// throttledSince is when the wanted share fell below relocateBelowPercent,
@@ -151,6 +155,8 @@
 		a := &attempt{ref: ref, number: w.Attempts[ref], committed: true, adopted: true, carried: w.Carried[ref], placedAt: e.now, appliedShare: unknownShare, wantedShare: fullShare}
 		if job := e.state.Job(ref.Job); job == nil || !job.Active() {
 			a.stopWanted = true
+		} else {
+			e.adoptCopyable(v, a, job)
 		}
 		v.add(a)
 	}
@@ -251,6 +257,7 @@
 	e.forgetAdvice(job)
 	e.forgetGangs(job)
 	e.forgetPaces(job)
+	e.stopCopies(job)
 	delete(e.slowdown.ownSlackTrends, job.ID)
 	maps.DeleteFunc(e.lastFailures, func(ref workflow.TaskRef, _ taskFailure) bool { return ref.Job == job.ID })
 	for o := range job.Occurrences {
