dispatch: the part of stragglers is counted apart from the learned run times

The runs of stragglers are stopped once their copies are done, and stopped runs are not learned, so that a queue with copies would look free of stragglers and their progress be asked for no more. Runs whose copy is done first now count as stragglers. Scavengers that were throttled are not taken for stragglers, and no rates are kept of jobs that have ended.

--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -225,9 +225,7 @@
 		}
 		if end.How == workflow.EndDone {
 			e.learnRunTime(v, a)
-			if a.isCopy && len(others) > 0 {
-				e.counters.CopiesWon++
-			}
+			e.countCopyableRun(v, a, others)
 		}
 		e.recordEndedScavenger(v, a)
 		v.remove(a)
--- a/dispatch/copies.go
+++ b/dispatch/copies.go
@@ -31,10 +31,12 @@
 	probeAfter  = 0.4
 	minProbeAge = 150 * time.Millisecond
 	// stragglerRatio times the usual time is that of a straggler, and minStragglerPart the
-	// part of stragglers among the learned run times from which on progress is asked for.
-	// Elsewhere the readings of usual polls do.
-	stragglerRatio   = 3.0
-	minStragglerPart = 0.01
+	// part of stragglers among the runs from which on progress is asked for. Elsewhere the
+	// readings of usual polls do. The latest 256 runs make up most of the count, and there
+	// must be runtimes.MinCount.
+	stragglerRatio    = 3.0
+	minStragglerPart  = 0.01
+	retainedRunWeight = 1 - 1.0/256
 )
 
 // copyable is a running attempt of a duplicable step, or a copy.
@@ -48,6 +50,52 @@
 	// tracked holds the attempts of duplicable steps.
 	tracked    []copyable
 	searchedAt Instant
+	// runs holds the number of stragglers among the runs of each queue, image and step.
+	runs map[runtimes.Key]*runCount
+}
+
+// runCount counts runs, the earlier ones with less weight.
+type runCount struct {
+	all, stragglers float64
+}
+
+// countRun counts a run. The learned run times don't tell the part of stragglers, since most
+// of them are stopped once their copy is done.
+func (c *copies) countRun(key runtimes.Key, straggler bool) {
+	n := c.runs[key]
+	if n == nil {
+		if c.runs == nil || len(c.runs) >= runtimes.DefaultMaxKeys {
+			c.runs = make(map[runtimes.Key]*runCount)
+		}
+		n = new(runCount)
+		c.runs[key] = n
+	}
+	n.all, n.stragglers = n.all*retainedRunWeight+1, n.stragglers*retainedRunWeight
+	if straggler {
+		n.stragglers++
+	}
+}
+
+// hasStragglers reports whether some of the runs take several times as long as the others.
+func (c *copies) hasStragglers(key runtimes.Key) bool {
+	n := c.runs[key]
+	return n != nil && n.all >= runtimes.MinCount && n.stragglers >= n.all*minStragglerPart
+}
+
+// countCopyableRun counts a run of a duplicable step that was done, and the one whose copy
+// it is: that one takes longer.
+func (e *Engine) countCopyableRun(v *workerView, a *attempt, others []copyable) {
+	job, step := e.state.Job(a.ref.Job), e.step(a.ref)
+	if !isCopyable(step) || !a.running || a.adopted || a.throttled {
+		return
+	}
+	key := runTimeKey(job, a.ref.Step)
+	fresh, known := e.freshRun(a.ref, v.worker.ID, job)
+	e.copies.countRun(key, known && float64(e.since(a.runningSince)) > stragglerRatio*float64(fresh))
+	if a.isCopy && len(others) > 0 {
+		e.counters.CopiesWon++
+		e.copies.countRun(key, true)
+	}
 }
 
 // isCopyable reports whether tasks of the step may be copied.
@@ -162,7 +210,7 @@
 func (e *Engine) copyStep(t copyable) *readyStep {
 	a := t.attempt
 	job := e.state.Job(a.ref.Job)
-	if job == nil || !job.Active() || !a.running || a.stopWanted || a.number > maxRestarts || a.carried {
+	if job == nil || !job.Active() || !a.running || a.stopWanted || a.number > maxRestarts || a.carried || a.throttled {
 		return nil
 	}
 	task, c := job.Task(a.ref), job.CopyOf(a.ref)
@@ -308,7 +356,7 @@
 		return
 	}
 	a.probed = true
-	if !e.hasStragglers(s) {
+	if !e.copies.hasStragglers(runTimeKey(s.job, s.ref.Step)) {
 		return
 	}
 	v.probeInFlight = true
@@ -316,18 +364,6 @@
 	e.issueOrder(v, Order{Verb: Poll, Probe: true})
 }
 
-// hasStragglers reports whether some of the learned run times of the step are several times
-// the median.
-func (e *Engine) hasStragglers(s *readyStep) bool {
-	key, estimate := runTimeKey(s.job, s.ref.Step), estimateOf(s.step)
-	median, known := e.ready.runTimes.Quantile(key, estimate, 0.5)
-	if !known {
-		return false
-	}
-	part, _ := e.ready.runTimes.ExceededBy(key, estimate, time.Duration(stragglerRatio*float64(median)))
-	return part >= minStragglerPart
-}
-
 // handleProbe reads the progress from the answer to a probe. It takes nothing else from it,
 // since the answer to the usual poll in flight may be older or newer.
 func (e *Engine) handleProbe(v *workerView, answer *Answer) {
--- a/dispatch/copies_test.go
+++ b/dispatch/copies_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"mangohill.example/mangohill/runtimes"
 	"mangohill.example/mangohill/workflow"
 )
 
@@ -161,7 +162,9 @@
 		if stragglers && i%33 == 0 {
 			took *= stragglerFactor
 		}
-		l.engine.ready.runTimes.Observe(runTimeKey(&workflow.Job{Queue: "q", Spec: workflow.JobSpec{Steps: []workflow.Step{{Image: "quick"}}}}, 0), 700*time.Millisecond, took, time.Duration(l.now))
+		key := runtimes.Key{Queue: "q", Image: "quick"}
+		l.engine.ready.runTimes.Observe(key, 700*time.Millisecond, took, time.Duration(l.now))
+		l.engine.copies.countRun(key, took > time.Second)
 	}
 }
 
@@ -209,6 +212,27 @@
 	}
 }
 
+// Guards against stragglers that are forgotten since their runs are stopped: then progress
+// would not be asked for any more until some have made jobs late again.
+func TestStragglersAreKnownWhileTheirCopiesAreDoneFirst(t *testing.T) {
+	l := newLoadSim(t, 2, 60)
+	l.stragglers = 0.03
+	l.addLasting(1000, 200)
+	l.offerEach(80*time.Millisecond, func(s *workflow.Step) { s.Duplicable = true })
+	l.run(5 * time.Second)
+	key := runtimes.Key{Queue: "q", Image: "quick"}
+	forgotten := 0
+	l.every(tickInterval, func() {
+		if !l.engine.copies.hasStragglers(key) {
+			forgotten++
+		}
+	})
+	l.run(20 * time.Second)
+	assert.Zero(t, forgotten)
+	assert.Empty(t, l.engine.paces[workflow.StepRef{Job: 1}], "nothing is kept of a job that has ended")
+	assert.Less(t, len(l.engine.paces), 30)
+}
+
 // Guards against copies that take the capacity of tasks that wait, or more than their part
 // of the running attempts.
 func TestCopiesWaitForOthers(t *testing.T) {
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -158,7 +158,7 @@
 // updatePace measures the progress rate of an attempt and compares it with the usual one.
 func (e *Engine) updatePace(v *workerView, a *attempt) {
 	step := e.step(a.ref)
-	if step == nil || !comparablePace(v, step) {
+	if step == nil || !comparablePace(v, step) || !e.state.Job(a.ref.Job).Active() {
 		return
 	}
 	if a.appliedShare != fullShare || a.wantedShare != fullShare {
--- a/dispatch/run_times.go
+++ b/dispatch/run_times.go
@@ -42,7 +42,9 @@
 		return
 	}
 	e.ready.runTimes.Observe(runTimeKey(job, a.ref.Step), estimateOf(&job.Spec.Steps[a.ref.Step]), e.since(a.runningSince), time.Duration(e.now))
-	e.recordWholePace(v, a, &job.Spec.Steps[a.ref.Step])
+	if job.Active() {
+		e.recordWholePace(v, a, &job.Spec.Steps[a.ref.Step])
+	}
 }
 
 // ranInFull reports whether an attempt has done all of its task's work at full share since
--- a/runtimes/model.go
+++ b/runtimes/model.go
@@ -189,12 +189,3 @@
 	}
 	return 0
 }
-
-// ExceededBy returns the part of the runs that took longer than elapsed.
-func (m *Model) ExceededBy(key Key, estimate, elapsed time.Duration) (float64, bool) {
-	d := m.lookup(key)
-	if d == nil || estimate <= 0 {
-		return 0, false
-	}
-	return d.weightAbove(float64(elapsed)/float64(estimate)) / d.total, true
-}
--- a/runtimes/model_test.go
+++ b/runtimes/model_test.go
@@ -152,7 +152,7 @@
 		left, known := m.RemainingQuantile(quick, time.Second, Progress{Elapsed: time.Hour}, q)
 		assert.True(t, known && left >= 0)
 	}
-	part, known := m.ExceededBy(quick, time.Second, time.Second)
+	chance, known := m.EndsWithin(quick, time.Second, Progress{}, time.Second)
 	assert.True(t, known)
-	assert.InDelta(t, 0.5, part, 0.05)
+	assert.InDelta(t, 0.5, chance, 0.05)
 }
