--- a/workflow/ops.go
+++ b/workflow/ops.go
@@ -141,6 +141,7 @@
 	Crash          *Crash          `cbor:"11,keyasint,omitempty"`
 	Resize         *Resize         `cbor:"12,keyasint,omitempty"`
 	SetEvacuation  *SetEvacuation  `cbor:"13,keyasint,omitempty"`
+	PlaceCopy      *PlaceCopy      `cbor:"14,keyasint,omitempty"`
 }
 
 // Batch is the content of one log entry. NowMs is the leader's wall clock in
@@ -203,6 +204,8 @@
 		return "resize"
 	case o.SetEvacuation != nil:
 		return "set_evacuation"
+	case o.PlaceCopy != nil:
+		return "place_copy"
 	}
 	return ""
 }
--- a/workflow/snapshot.go
+++ b/workflow/snapshot.go
@@ -8,12 +8,15 @@
 )
 
 // Versions of the snapshot format. A change that an older program would misread gets a new
-// one.
+// one; a snapshot has the highest one that its content needs.
 const (
 	snapshotVersion = 1
 	// evacuationVersion is that of a snapshot with evacuations: an older program would start
 	// work in the evacuated domains.
 	evacuationVersion = 2
+	// copyVersion is that of a snapshot with copies of tasks: an older program would make a
+	// task pending while its copy runs.
+	copyVersion = 3
 )
 
 type snapshot struct {
@@ -36,6 +39,9 @@
 		out.Version = evacuationVersion
 	}
 	for _, job := range s.jobs {
+		if len(job.Copies) > 0 {
+			out.Version = copyVersion
+		}
 		out.Jobs = append(out.Jobs, job)
 	}
 	for _, w := range s.workers {
@@ -66,8 +72,8 @@
 	if err := cborcodec.Decode.Unmarshal(data, &in); err != nil {
 		return nil, kind.Errorf(kind.Corrupt, "decode workflow snapshot: %w", err)
 	}
-	if in.Version < snapshotVersion || in.Version > evacuationVersion {
-		return nil, kind.Errorf(kind.Corrupt, "workflow snapshot has version %d, this program reads %d to %d", in.Version, snapshotVersion, evacuationVersion)
+	if in.Version < snapshotVersion || in.Version > copyVersion {
+		return nil, kind.Errorf(kind.Corrupt, "workflow snapshot has version %d, this program reads %d to %d", in.Version, snapshotVersion, copyVersion)
 	}
 	s := NewState()
 	s.catalog, s.nextWorker, s.nowMs, s.finished, s.departed = in.Catalog, in.NextWorker, in.NowMs, in.Finished, in.Departed
