--- a/workflow/copy_test.go
+++ b/workflow/copy_test.go
@@ -136,7 +136,7 @@
 		require.NoError(t, err)
 		return header.Version
 	}
-	assert.Equal(t, snapshotVersionCopies, version())
+	assert.Equal(t, copyVersion, version())
 	assert.EqualValues(t, 3, s.Job(2).CopyOf(ref).Worker)
 	require.NoError(t, endOn(s, 3, 1, ref, 2, EndDone))
 	assert.Equal(t, snapshotVersion, version(), "without a copy, older programs read it")
