--- a/dispatch/copies_test.go
+++ b/dispatch/copies_test.go
@@ -169,19 +169,22 @@
 }
 
 // submitWithStraggler submits a job of ten tasks of which the first run of one takes seven
-// times as long. Each task has a worker for itself.
-func (l *loadSim) submitWithStraggler() {
+// times as long. Each task has a worker for itself. Further steps may follow.
+func (l *loadSim) submitWithStraggler(further ...workflow.Step) {
 	l.runTime = func(run *simRun) time.Duration {
-		if run.ref.Index == 3 && run.attempt == 1 {
+		if run.ref.Step == 0 && run.ref.Index == 3 && run.attempt == 1 {
 			return 4900 * time.Millisecond
 		}
+		if run.ref.Step > 0 {
+			return 10 * time.Second
+		}
 		return 700 * time.Millisecond
 	}
 	l.next++
 	l.trueMs[l.next] = 700
 	s := step(10)
 	s.Duplicable, s.MaxPerWorker, s.EstimatedMs, s.Image = true, 1, 700, "quick"
-	l.submit(l.next, s)
+	l.submit(l.next, append([]workflow.Step{s}, further...)...)
 }
 
 // Guards against a straggler that is known only with the answer to the poll in flight, up to
@@ -264,14 +267,14 @@
 		l := newLoadSim(t, 1, 12)
 		l.addLasting(1000, 60)
 		l.learnStragglers(true)
-		l.submitWithStraggler()
+		l.submitWithStraggler(step(1, 0)) // The job goes on after the task.
 		ref := workflow.TaskRef{Job: l.next, Index: 3}
 		require.True(t, l.runUntil(2*time.Second, func() bool { return len(l.runs[ref]) == 2 }))
 		if leaderChanges {
 			l.takeOver()
 			assert.Len(t, l.engine.otherAttempts(ref, 1), 1, "the copy is recorded")
 		}
-		require.True(t, l.runUntil(5*time.Second, func() bool { return l.state(l.next) == workflow.JobCompleted }))
+		require.True(t, l.runUntil(2*time.Second, func() bool { return l.committed.Job(l.next).Task(ref).State == workflow.TaskDone }))
 		if leaderChanges {
 			l.takeOver()
 		}
@@ -280,3 +283,23 @@
 		assert.Empty(t, l.violations)
 	}
 }
+
+// Guards against an attempt that runs on since the leader that recorded the end of the other
+// one was replaced before it sent the stop.
+func TestANewLeaderStopsTheOtherAttempt(t *testing.T) {
+	l := newLoadSim(t, 1, 12)
+	l.addLasting(1000, 60)
+	l.learnStragglers(true)
+	l.submitWithStraggler(step(1, 0))
+	ref := workflow.TaskRef{Job: l.next, Index: 3}
+	require.True(t, l.runUntil(2*time.Second, func() bool { return len(l.runs[ref]) == 2 }))
+	l.run(100 * time.Millisecond)
+	c := l.committed.Job(l.next).CopyOf(ref)
+	w := l.committed.Worker(c.Worker)
+	require.NoError(t, l.committed.Apply(&workflow.Op{End: &workflow.End{Worker: c.Worker, Number: w.Acked + 1, Task: ref, Attempt: c.Attempt, How: workflow.EndDone}}))
+	l.takeOver()
+	l.run(2 * time.Second)
+	for _, run := range l.runs[ref] {
+		assert.NotEqual(t, uint32(1), run.attempt, "the first attempt must be stopped")
+	}
+}
--- a/workflow/copy_test.go
+++ b/workflow/copy_test.go
@@ -119,6 +119,17 @@
 	}
 }
 
+// Guards against a task that runs on for nothing although a copy that was given up has done
+// it after all.
+func TestACopyThatWasVoidedEndsTheTask(t *testing.T) {
+	s, ref := newStateWithCopy(t)
+	require.NoError(t, s.Apply(&Op{Void: &Void{Worker: 2, Task: ref, Attempt: 2}}))
+	require.NoError(t, endOn(s, 2, 1, ref, 2, EndDone))
+	assert.Equal(t, JobCompleted, s.Job(2).State())
+	require.NoError(t, endOn(s, 1, 1, ref, 1, EndDone))
+	assert.EqualValues(t, 0, s.Job(2).OpenTasks)
+}
+
 // Guards against a copy that is lost with the next incarnation of its worker, or with a
 // snapshot, and against older programs that misread one.
 func TestACopySurvivesIncarnationsAndSnapshots(t *testing.T) {
