replica: a member whose disk is full suspends its participation

A write that failed with ENOSPC ended the replica, and the process with it. The folder is synced when it is opened, since a killed process may leave unsynced data in the cache.

--- a/consensus/core.go
+++ b/consensus/core.go
@@ -41,6 +41,9 @@
 	HardState HardState
 	Snapshot  SnapshotMeta
 	Entries   []Entry
+	// Applied is the last entry that the state machine has applied already, zero if it
+	// has applied none after the snapshot. It is set if only the core starts again.
+	Applied uint64
 }
 
 // safeguards lets tests disable safety checks of the algorithm, to show that a
@@ -154,6 +157,11 @@
 		}
 	}
 	c.log.persisted = c.log.last()
+	if restored.Applied > c.log.last() {
+		return kind.Errorf(kind.Corrupt, "entry %d is applied, but the log ends at entry %d", restored.Applied, c.log.last())
+	}
+	c.log.committed = max(c.log.committed, restored.Applied)
+	c.log.applied = c.log.committed
 	return nil
 }
 
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -181,6 +181,30 @@
 	}
 }
 
+// Abandon gives up the leadership of a member that can't persist anything any more, and
+// returns the message that asks the voter with the longest known log to start an election.
+// It returns false if no other voter is active or this member does not lead. Unlike
+// TransferLeadership it does not require the voter to hold the whole log, of which the end
+// is not durable here. The driver must discard the core afterwards.
+func (c *Core) Abandon() (Message, bool) {
+	if c.role != Leader {
+		return Message{}, false
+	}
+	var best *progress
+	m := Message{Type: MessageTimeoutNow, From: c.id, Term: c.term}
+	for _, member := range c.membership().Members {
+		p := c.progress[member.ID]
+		if member.ID == c.id || !member.Voter || p == nil || !c.IsActive(member.ID) {
+			continue
+		}
+		if best == nil || p.match > best.match {
+			best, m.To = p, member.ID
+		}
+	}
+	c.becomeFollower(c.term, 0)
+	return m, best != nil
+}
+
 func (c *Core) handleTimeoutNow() {
 	if c.isVoter() && c.role != Leader {
 		c.campaign(true)
--- a/consensus/faults_test.go
+++ b/consensus/faults_test.go
@@ -34,7 +34,7 @@
 var planSteps = rapid.Custom(func(t *rapid.T) planStep {
 	return planStep{
 		Kind: rapid.SampledFrom([]string{
-			"run", "run", "run", "crash", "crash at write", "start", "start", "start", "freeze", "isolate", "cut link", "reconnect", "lose disk", "change clock rate", "transfer leadership", "add host",
+			"run", "run", "run", "crash", "crash at write", "fill disk", "start", "start", "start", "freeze", "isolate", "cut link", "reconnect", "lose disk", "change clock rate", "transfer leadership", "add host",
 		}).Draw(t, "kind"),
 		Host:  rapid.IntRange(0, 4).Draw(t, "host"),
 		Count: rapid.IntRange(1, 4*simElectionTicks).Draw(t, "count"),
@@ -51,6 +51,8 @@
 		}
 	case "crash at write":
 		h.disk.CrashAfter(a.Count % 12)
+	case "fill disk":
+		h.disk.FillAfter(a.Count%12, 1+a.Count)
 	case "start":
 		h.restartIfDown()
 	case "freeze":
@@ -83,7 +85,7 @@
 
 func (h *host) restartIfDown() {
 	if h.core == nil {
-		h.disk.Crash()
+		h.crash()
 		h.boot()
 	}
 }
@@ -154,8 +156,8 @@
 }
 
 // TestGroupUnderFaults runs three or five replicas, and more that join, under
-// message loss, duplication and reordering, crashes at any write, loss of
-// unsynced writes, loss of whole disks with repair, frozen hosts, network
+// message loss, duplication and reordering, crashes at any write, full
+// disks at any write, loss of unsynced writes, loss of whole disks with repair, frozen hosts, network
 // partitions, leadership transfers, and clocks with different rates.
 func TestGroupUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/consensus/invariants_test.go
+++ b/consensus/invariants_test.go
@@ -155,7 +155,8 @@
 	clear(s.cutLinks)
 	for _, h := range s.hosts {
 		h.frozenUntil = 0
-		for h.core == nil {
+		h.disk.FillAfter(-1, 0)
+		for h.core == nil && !h.full {
 			h.disk.Crash()
 			h.boot()
 		}
--- a/consensus/safeguards_test.go
+++ b/consensus/safeguards_test.go
@@ -15,8 +15,12 @@
 // runRandomPlan executes a random plan of faults and returns the violation
 // found.
 func runRandomPlan(seed uint64, f faults) (*sim, string) {
+	return runRandomPlanOf(seed, f, "run", "run", "crash", "crash at write", "start", "start", "start", "freeze", "isolate", "cut link", "reconnect", "lose disk", "transfer leadership")
+}
+
+// runRandomPlanOf is like runRandomPlan with the given kinds of steps.
+func runRandomPlanOf(seed uint64, f faults, kinds ...string) (*sim, string) {
 	random := rand.New(rand.NewPCG(seed, 2))
-	kinds := []string{"run", "run", "crash", "crash at write", "start", "start", "start", "freeze", "isolate", "cut link", "reconnect", "lose disk", "transfer leadership"}
 	var s *sim
 	found := catchViolation(func() {
 		s = newSim(seed, 3+2*random.IntN(2), f)
--- a/consensus/sim_test.go
+++ b/consensus/sim_test.go
@@ -39,6 +39,7 @@
 	keepIdentity    bool                  // a host with a lost disk restarts under its old identity
 	keepLearners    bool                  // learners are never promoted
 	ignoreSync      bool                  // disks report success for a sync and do nothing
+	keepCore        bool                  // a host with a full disk keeps what it has in memory
 	adjust          func(*consensus.Core) // called on each core when it starts
 }
 
@@ -68,7 +69,10 @@
 	acked        map[string]uint64
 	highestAcked uint64
 	commands     int
-	elections    int
+	// refusedWrites counts the cores that were discarded since a disk was full, resumed those
+	// that started again without a restart of their host.
+	refusedWrites, resumed int
+	elections              int
 }
 
 // host is one simulated control host.
@@ -81,7 +85,8 @@
 	disk         *memdisk.Disk
 	store        *storage.Store
 	core         *consensus.Core
-	frozenUntil  int // time in ticks at which the host resumes
+	frozenUntil  int  // time in ticks at which the host resumes
+	full         bool // the disk is full, and the host has no core
 	awaitsRepair bool
 	lastLedTerm  uint64 // the last term in which this host was seen leading
 
@@ -162,6 +167,13 @@
 	if err == memdisk.ErrCrashed {
 		return
 	}
+	h.store = store
+	h.state, h.applied = nil, 0
+	h.pendingProposals, h.reads, h.rounds = map[uint64]pendingProposal{}, map[uint64]uint64{}, map[uint64]int{}
+	if storage.IsFull(err) {
+		h.full = true
+		return
+	}
 	if err != nil {
 		violate("%s: cannot open its store: %v", h.address, err)
 	}
@@ -169,23 +181,31 @@
 		h.createNewMember()
 		return
 	}
-	h.store, h.id = store, loaded.Identity.Member
-	h.state, h.applied = nil, loaded.Restored.Snapshot.Index
-	if h.applied > 0 {
-		h.restore(loaded.Restored.Snapshot.Index)
+	h.startCore(loaded)
+}
+
+// startCore starts a core from the durable state. The state machine keeps what it has
+// applied.
+func (h *host) startCore(loaded storage.LoadedState) {
+	h.id = loaded.Identity.Member
+	if meta := loaded.Restored.Snapshot; meta.Index > h.applied {
+		h.applied = meta.Index
+		h.restore(meta.Index)
 	}
+	loaded.Restored.Applied = h.applied
 	config := consensus.Config{
 		ID: h.id, ElectionTicks: simElectionTicks, HeartbeatTicks: simHeartbeatTicks,
 		MaxMessageBytes: 400, MaxInflightEntries: 16, Seed: h.sim.random.Uint64(),
 	}
-	h.core, err = consensus.New(config, loaded.Restored)
+	core, err := consensus.New(config, loaded.Restored)
 	if err != nil {
 		violate("%s: cannot start its core: %v", h.address, err)
 	}
+	h.core = core
 	if h.sim.faults.adjust != nil {
 		h.sim.faults.adjust(h.core)
 	}
-	h.pendingProposals, h.reads, h.rounds = map[uint64]pendingProposal{}, map[uint64]uint64{}, map[uint64]int{}
+	clear(h.rounds)
 	h.frozenUntil, h.incoming = 0, nil
 	if h.sim.faults.ignoreSync {
 		h.disk.IgnoreSync()
@@ -194,6 +214,7 @@
 
 func (h *host) restore(index uint64) {
 	_, data, err := h.store.ReadSnapshot(index)
+	h.state = nil
 	if err == nil {
 		err = json.Unmarshal(data, &h.state)
 	}
@@ -204,13 +225,13 @@
 
 // crash stops the host and discards unsynced writes.
 func (h *host) crash() {
-	h.core, h.store = nil, nil
+	h.core, h.store, h.full = nil, nil, false
 	h.disk.Crash()
 }
 
 // loseDisk replaces the disk by an empty one and starts the host with it.
 func (h *host) loseDisk() {
-	h.core, h.store = nil, nil
+	h.core, h.store, h.full = nil, nil, false
 	h.disk = memdisk.New(h.sim.random)
 	if h.sim.faults.keepIdentity {
 		h.createStore(consensus.HardState{}, nil)
@@ -239,6 +260,9 @@
 	s.now++
 	s.deliver()
 	for _, h := range s.hosts {
+		if h.full {
+			h.resumeWithSpace()
+		}
 		if !h.isRunning() {
 			continue
 		}
@@ -286,17 +310,58 @@
 		ready := h.core.Ready()
 		h.sendAll(ready, true)
 		if err := h.persist(ready); err != nil {
-			h.crash()
-			return
+			if h.handleWriteError(err); !h.sim.faults.keepCore {
+				return
+			}
 		}
 		h.checkNewLeader()
 		h.sendAll(ready, false)
 		h.apply(ready)
 		h.core.Advance(ready)
 	}
-	if h.core != nil && h.compact() != nil {
+	if h.core == nil {
+		return
+	}
+	if err := h.compact(); err != nil {
+		h.handleWriteError(err)
+	}
+}
+
+// handleWriteError discards the core after a write that failed for lack of space, and stops
+// the host after any other.
+func (h *host) handleWriteError(err error) {
+	if !storage.IsFull(err) {
 		h.crash()
+		return
+	}
+	h.sim.refusedWrites++
+	if h.sim.faults.keepCore {
+		return
+	}
+	core := h.core
+	h.core, h.full = nil, true
+	if m, ok := core.Abandon(); ok {
+		h.send(m)
+	}
+}
+
+// resumeWithSpace starts a new core, and keeps the state machine, once the disk has space.
+func (h *host) resumeWithSpace() {
+	loaded, err := h.store.Reload()
+	if storage.IsFull(err) {
+		return
+	}
+	if err != nil {
+		h.crash()
+		return
+	}
+	h.full = false
+	if loaded.Identity == nil {
+		h.createNewMember()
+		return
 	}
+	h.sim.resumed++
+	h.startCore(loaded)
 }
 
 func (h *host) sendAll(ready consensus.Ready, early bool) {
--- a/internal/fake/memdisk/memdisk.go
+++ b/internal/fake/memdisk/memdisk.go
@@ -15,6 +15,8 @@
 	"slices"
 	"strings"
 
+	"golang.org/x/sys/unix"
+
 	"mangohill.example/mangohill/storage"
 )
 
@@ -38,12 +40,18 @@
 	// ignoreSync makes syncs do nothing, to simulate a program that omits them.
 	ignoreSync bool
 	operations int
+	// refused is the number of operations until the disk is full, refusals the number of
+	// operations that it then refuses; both are negative for none.
+	refused, refusals int
 }
 
 // inode holds the written and the durable content of a file.
 type inode struct {
 	current []byte
 	durable []byte
+	// lostFrom and lostTo bound the bytes whose sync failed. Later syncs succeed without
+	// making them durable, as those of an operating system do.
+	lostFrom, lostTo int
 }
 
 // folderChange is a creation, rename or removal that may not be synced yet.
@@ -51,15 +59,35 @@
 
 // New returns an empty disk.
 func New(random *rand.Rand) *Disk {
-	return &Disk{random: random, current: map[string]*inode{}, durable: map[string]*inode{}, remaining: -1}
+	return &Disk{random: random, current: map[string]*inode{}, durable: map[string]*inode{}, remaining: -1, refused: -1}
 }
 
 // IgnoreSync makes every later sync do nothing.
 func (d *Disk) IgnoreSync() { d.ignoreSync = true }
 
+// HonorSync ends the effect of IgnoreSync for later syncs.
+func (d *Disk) HonorSync() { d.ignoreSync = false }
+
 // CrashAfter makes the disk crash after count more changing operations.
 func (d *Disk) CrashAfter(count int) { d.remaining = count }
 
+// FillAfter makes the disk full after count more changing operations: it then refuses
+// the next refusals operations that need space, a write partly done.
+func (d *Disk) FillAfter(count, refusals int) { d.refused, d.refusals = count, refusals }
+
+// checkSpace returns ENOSPC if the disk is full at this operation.
+func (d *Disk) checkSpace() error {
+	if d.refused > 0 {
+		d.refused--
+		return nil
+	}
+	if d.refused < 0 || d.refusals == 0 {
+		return nil
+	}
+	d.refusals--
+	return unix.ENOSPC
+}
+
 // Operations returns the number of changing operations so far, syncs included.
 func (d *Disk) Operations() int { return d.operations }
 
@@ -86,7 +114,7 @@
 // unsynced truncation is kept or lost as a whole.
 func (d *Disk) contentAfterCrash(file *inode) []byte {
 	if !bytes.HasPrefix(file.current, file.durable) {
-		if d.random.IntN(2) == 0 {
+		if file.lostFrom < file.lostTo || d.random.IntN(2) == 0 {
 			return file.durable
 		}
 		return file.current
@@ -176,6 +204,9 @@
 	if err := d.countOperation(); err != nil {
 		return nil, err
 	}
+	if err := d.checkSpace(); err != nil {
+		return nil, &os.PathError{Op: "open", Path: path, Err: err}
+	}
 	path = filepath.Clean(path)
 	file := &inode{}
 	d.changeFolder(func(names map[string]*inode) { names[path] = file })
@@ -198,6 +229,7 @@
 	}
 	file := d.current[filepath.Clean(path)]
 	file.current = slices.Clone(file.current[:size])
+	file.lostTo = min(file.lostTo, int(size))
 	return nil
 }
 
@@ -206,6 +238,9 @@
 	if err := d.countOperation(); err != nil {
 		return err
 	}
+	if err := d.checkSpace(); err != nil {
+		return err
+	}
 	from, to = filepath.Clean(from), filepath.Clean(to)
 	file := d.current[from]
 	d.changeFolder(func(names map[string]*inode) { delete(names, from); names[to] = file })
@@ -227,6 +262,9 @@
 	if err := d.countOperation(); err != nil || d.ignoreSync {
 		return err
 	}
+	if err := d.checkSpace(); err != nil {
+		return err
+	}
 	for _, c := range d.changes {
 		c(d.durable)
 	}
@@ -258,6 +296,11 @@
 	if err != nil {
 		return 0, err
 	}
+	if err := h.disk.checkSpace(); err != nil {
+		part := h.disk.random.IntN(len(p) + 1)
+		h.inode.current = append(h.inode.current, p[:part]...)
+		return part, err
+	}
 	h.inode.current = append(h.inode.current, p...)
 	return len(p), nil
 }
@@ -266,7 +309,14 @@
 	if err := h.disk.countOperation(); err != nil || h.disk.ignoreSync {
 		return err
 	}
-	h.inode.durable = h.inode.current
+	if err := h.disk.checkSpace(); err != nil {
+		h.inode.lostFrom, h.inode.lostTo = len(h.inode.durable), len(h.inode.current)
+		return err
+	}
+	h.inode.durable = slices.Clone(h.inode.current)
+	if h.inode.lostFrom < h.inode.lostTo {
+		clear(h.inode.durable[h.inode.lostFrom:h.inode.lostTo])
+	}
 	return nil
 }
 
--- a/node/control.go
+++ b/node/control.go
@@ -110,6 +110,7 @@
 	vars.Set("commit_index", expvar.Func(func() any { return c.replica.Status().Commit }))
 	vars.Set("applied_index", expvar.Func(func() any { return c.replica.Status().Applied }))
 	vars.Set("log_syncs", expvar.Func(func() any { return c.replica.Status().Syncs }))
+	vars.Set("disk_full_count", expvar.Func(func() any { return c.replica.Status().DiskFull }))
 	mux := http.NewServeMux()
 	mux.Handle("GET /debug/vars", varsHandler("control", vars))
 	mux.Handle("GET /healthz", health(func() bool { return true }))
--- a/replica/join.go
+++ b/replica/join.go
@@ -21,9 +21,22 @@
 		return
 	}
 	identity := storage.Identity{Cluster: cluster, Member: id, Name: r.options.Name}
+	loaded := storage.LoadedState{}
 	err := r.store.Create(identity, consensus.HardState{}, nil)
+	for storage.IsFull(err) {
+		if loaded, ok, err = r.awaitSpace(err); !ok {
+			r.shutDown(nil)
+			return
+		}
+		if err == nil && loaded.Identity == nil {
+			err = r.store.Create(identity, consensus.HardState{}, nil)
+		}
+	}
+	if loaded.Identity == nil {
+		loaded.Identity = &identity
+	}
 	if err == nil {
-		err = r.run(storage.LoadedState{Identity: &identity})
+		err = r.run(loaded)
 	}
 	if err != nil {
 		r.shutDown(err)
@@ -69,8 +82,10 @@
 
 // waitBeforeRetry waits for one heartbeat interval. It returns false if the
 // replica is stopped.
-func (r *Replica) waitBeforeRetry() bool {
-	timer := time.NewTimer(time.Duration(r.options.HeartbeatTicks) * r.options.Tick)
+func (r *Replica) waitBeforeRetry() bool { return r.waitTicks(r.options.HeartbeatTicks) }
+
+func (r *Replica) waitTicks(ticks int) bool {
+	timer := time.NewTimer(time.Duration(ticks) * r.options.Tick)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -47,7 +47,8 @@
 	unreachable    bool
 	transferFailed bool
 	reply          chan []consensus.Message
-	// responses collects the messages for reply.
+	// responses collects the messages for reply. The reply is closed without messages if the
+	// event was not processed.
 	responses []consensus.Message
 }
 
@@ -77,6 +78,9 @@
 	// that was not written.
 	nextSnapshotTick uint64
 	drain            drain
+	// queued is the last entry that was passed to the applier.
+	queued    uint64
+	suspended suspension
 	// ticks counts the ticks since the start, leaderlessTicks those since a leader was known.
 	ticks           uint64
 	leaderlessTicks int
@@ -106,6 +110,10 @@
 		if err == nil {
 			err = l.processReady()
 		}
+		if storage.IsFull(err) && !l.suspended.active {
+			l.suspend(err)
+			err = nil
+		}
 		if err != nil || l.canStop() {
 			l.replica.shutDown(err)
 			return
@@ -130,7 +138,7 @@
 	}
 	select {
 	case <-tick:
-		l.tick()
+		return l.tick()
 	case p := <-proposals:
 		l.propose(p)
 	case in := <-l.replica.inbound:
@@ -148,14 +156,18 @@
 	return nil
 }
 
-func (l *loop) tick() {
+func (l *loop) tick() error {
 	l.ticks++
 	if l.drain.active {
 		l.drain.ticks++
 	}
+	if l.suspended.active {
+		return l.checkSpace()
+	}
 	l.core.Tick()
 	l.maintainMembership()
 	l.logLeaderless()
+	return nil
 }
 
 // collectProposals returns first and all queued proposals. It first yields the
@@ -176,6 +188,10 @@
 		rejectProposal(p)
 		return
 	}
+	if l.suspended.active {
+		p.done <- outcome{err: l.notLeaderWhileSuspended()}
+		return
+	}
 	batch := l.collectProposals(p)
 	commands := make([][]byte, len(batch))
 	for i := range batch {
@@ -195,6 +211,10 @@
 // receive processes the given and all queued peer events, so that they share one
 // sync.
 func (l *loop) receive(in peerEvent) error {
+	if l.suspended.active {
+		l.receiveSuspended(in)
+		return nil
+	}
 	for {
 		if err := l.stepCore(in); err != nil {
 			return err
@@ -206,6 +226,7 @@
 		if in.snapshot != nil {
 			// A snapshot is processed separately, after the work before it.
 			if err := l.processReady(); err != nil {
+				in.refuse()
 				return err
 			}
 		}
@@ -242,6 +263,8 @@
 	switch {
 	case req.failure != nil:
 		return req.failure
+	case l.suspended.active:
+		req.done <- outcome{err: l.notLeaderWhileSuspended()}
 	case req.read:
 		l.requestRead(req)
 	case req.join != nil:
@@ -266,6 +289,11 @@
 
 // processReady carries out the core's pending work until none is left.
 func (l *loop) processReady() error {
+	if l.suspended.active {
+		l.publishSuspended()
+		l.passBacklog()
+		return nil
+	}
 	for l.core.HasReady() {
 		l.recordRoundStart()
 		l.publish()
@@ -327,6 +355,10 @@
 	if ready.Snapshot != nil {
 		task.restore, task.data = ready.Snapshot, l.received.data
 		l.snapshotting = false
+		l.queued = ready.Snapshot.Index
+	}
+	if n := len(ready.Committed); n > 0 {
+		l.queued = ready.Committed[n-1].Index
 	}
 	for _, read := range ready.Reads {
 		if done, ok := l.reads[read.ID]; ok {
@@ -339,10 +371,15 @@
 	}
 }
 
-// flushBacklog passes tasks to the applier until its channel is full.
+// flushBacklog starts a snapshot if one is due and passes tasks to the applier.
 func (l *loop) flushBacklog() {
 	l.received = nil
 	l.startSnapshot()
+	l.passBacklog()
+}
+
+// passBacklog passes tasks to the applier until its channel is full.
+func (l *loop) passBacklog() {
 	for len(l.backlog) > 0 {
 		select {
 		case l.replica.applies <- l.backlog[0]:
@@ -389,6 +426,13 @@
 // addResponse adds m to the responses of the call.
 func (in *peerEvent) addResponse(m consensus.Message) { in.responses = append(in.responses, m) }
 
+// refuse answers the call of an event that is not processed with an error.
+func (in *peerEvent) refuse() {
+	if in.reply != nil {
+		close(in.reply)
+	}
+}
+
 // completeCalls answers the pending RPCs. Their messages have been processed.
 func (l *loop) completeCalls() {
 	for _, call := range l.pendingCalls {
--- a/replica/members.go
+++ b/replica/members.go
@@ -79,8 +79,13 @@
 
 // finishSnapshot compacts the log after a snapshot. One that was not written, for example
 // because no file could be opened, is taken again later: until then the log holds
-// everything. Only a log that outgrows the memory stops the replica.
+// everything. Only a log that outgrows the memory stops the replica, or suspends it if the
+// disk is full.
 func (l *loop) finishSnapshot(written snapshotResult) error {
+	if l.suspended.active {
+		l.snapshotting = false
+		return nil
+	}
 	if written.err == nil {
 		return l.compact(written.meta)
 	}
--- a/replica/publish.go
+++ b/replica/publish.go
@@ -30,6 +30,9 @@
 		ID: status.ID, Role: status.Role.String(), Term: status.Term, Leader: leader.Address,
 		Commit: status.Commit, Syncs: l.replica.store.Syncs(),
 	}
+	if l.suspended.active {
+		published.Role = RoleFull
+	}
 	for _, member := range membership.Members {
 		if status.Role == consensus.Leader && l.core.IsActive(member.ID) {
 			published.Responding = append(published.Responding, member.Address)
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -35,7 +35,7 @@
 // Status is a replica's view of the group. Commit and Applied are log indexes.
 type Status struct {
 	ID   consensus.MemberID
-	Role string // joining, follower, pre-candidate, candidate, leader or stopped
+	Role string // joining, follower, pre-candidate, candidate, leader, full or stopped
 	Term uint64
 	// Leader is the address of the leader, empty if none is known.
 	Leader  string
@@ -47,8 +47,13 @@
 	Responding []string
 	// Syncs counts the synced appends to the log since the replica started.
 	Syncs uint64
+	// DiskFull counts how often the replica stopped participating because its disk was full.
+	// It participates again by itself.
+	DiskFull uint64
 }
 
+const roleJoining = "joining"
+
 // Replica is a running member of the control group.
 type Replica struct {
 	options       Options
@@ -66,6 +71,9 @@
 	quorumContact atomic.Pointer[time.Time]
 	leadership    chan Leadership
 	applied       atomic.Uint64
+	fullCount     atomic.Uint64
+	// bootstrapping is set once the state of a new cluster may be on the disk.
+	bootstrapping bool
 
 	// ctx is cancelled when the goroutines must end, stopping when a stop is
 	// requested.
@@ -81,23 +89,50 @@
 // Start opens the data folder and starts the replica. With Bootstrap it creates
 // a new cluster, and fails if the folder already holds a member. Without
 // Bootstrap and with an empty folder, the replica requests admission in the
-// background until it is admitted or stopped. Errors are of kind bad_settings,
+// background until it is admitted or stopped. On a full disk it starts in the background
+// once there is space. Errors are of kind bad_settings,
 // already_exists, corrupt or storage, or come from StateMachine.Restore.
 func Start(options Options) (*Replica, error) {
 	if err := options.setDefaults(); err != nil {
 		return nil, err
 	}
 	store, loaded, err := storage.Open(options.DataDir, storage.Options{FileSystem: options.FileSystem})
-	if err != nil {
+	if err != nil && !storage.IsFull(err) {
 		return nil, err
 	}
 	r := newReplica(options, store)
-	if err := r.startFromDisk(loaded); err != nil {
+	if err == nil {
+		err = r.startFromDisk(loaded)
+	}
+	if storage.IsFull(err) {
+		r.group.Add(1)
+		go r.startWhenSpace(err)
+		return r, nil
+	}
+	if err != nil {
 		return nil, errors.Join(err, store.Close())
 	}
 	return r, nil
 }
 
+// startWhenSpace starts the replica once the disk is not full any more.
+func (r *Replica) startWhenSpace(err error) {
+	defer r.group.Done()
+	for storage.IsFull(err) {
+		loaded, ok, reloadErr := r.awaitSpace(err)
+		if !ok {
+			r.shutDown(nil)
+			return
+		}
+		if err = reloadErr; err == nil {
+			err = r.startFromDisk(loaded)
+		}
+	}
+	if err != nil {
+		r.shutDown(err)
+	}
+}
+
 func newReplica(options Options, store *storage.Store) *Replica {
 	ctx, cancel := context.WithCancel(context.Background())
 	stopping, stop := context.WithCancel(ctx)
@@ -118,17 +153,18 @@
 		done:          make(chan struct{}),
 	}
 	r.waiters.init()
-	r.status.Store(&Status{Role: "joining"})
+	r.status.Store(&Status{Role: roleJoining})
 	return r
 }
 
 // startFromDisk starts the goroutines: those of a member if the folder holds
 // one or bootstrap creates one, otherwise the one that requests admission.
 func (r *Replica) startFromDisk(loaded storage.LoadedState) error {
-	if r.options.Bootstrap {
-		if loaded.Identity != nil {
-			return kind.Errorf(kind.AlreadyExists, "folder %q already holds member %s of cluster %016x: start without bootstrap", r.options.DataDir, loaded.Identity.Member, uint64(loaded.Identity.Cluster))
-		}
+	if r.options.Bootstrap && loaded.Identity != nil && !r.bootstrapping {
+		return kind.Errorf(kind.AlreadyExists, "folder %q already holds member %s of cluster %016x: start without bootstrap", r.options.DataDir, loaded.Identity.Member, uint64(loaded.Identity.Cluster))
+	}
+	if r.options.Bootstrap && loaded.Identity == nil {
+		r.bootstrapping = true
 		created, err := r.bootstrap()
 		if err != nil {
 			return err
@@ -167,19 +203,13 @@
 			return err
 		}
 	}
-	core, err := consensus.New(consensus.Config{
-		ID:             loaded.Identity.Member,
-		ElectionTicks:  r.options.ElectionTicks,
-		HeartbeatTicks: r.options.HeartbeatTicks,
-		Voters:         r.options.Voters,
-		RemovalTicks:   r.options.RemovalTicks,
-		Seed:           r.options.Seed,
-	}, loaded.Restored)
+	core, err := r.newCore(loaded)
 	if err != nil {
 		return err
 	}
 	r.applied.Store(meta.Index)
 	l := newLoop(r, core, *loaded.Identity)
+	l.queued = meta.Index
 	r.identity.Store(loaded.Identity)
 	r.group.Add(2)
 	go r.runApplier(meta.Index)
@@ -187,6 +217,17 @@
 	return nil
 }
 
+func (r *Replica) newCore(loaded storage.LoadedState) (*consensus.Core, error) {
+	return consensus.New(consensus.Config{
+		ID:             loaded.Identity.Member,
+		ElectionTicks:  r.options.ElectionTicks,
+		HeartbeatTicks: r.options.HeartbeatTicks,
+		Voters:         r.options.Voters,
+		RemovalTicks:   r.options.RemovalTicks,
+		Seed:           r.options.Seed,
+	}, loaded.Restored)
+}
+
 func (r *Replica) restoreFrom(meta consensus.SnapshotMeta) error {
 	_, data, err := r.store.ReadSnapshot(meta.Index)
 	if err != nil {
@@ -309,6 +350,7 @@
 func (r *Replica) Status() Status {
 	status := *r.status.Load()
 	status.Applied = r.applied.Load()
+	status.DiskFull = r.fullCount.Load()
 	return status
 }
 
--- a/replica/service.go
+++ b/replica/service.go
@@ -51,7 +51,10 @@
 		return kind.Errorf(kind.Overloaded, "replica %q: the queue of messages from peers is full (capacity %d)", s.replica.options.Name, inboundCapacity)
 	}
 	select {
-	case messages := <-in.reply:
+	case messages, processed := <-in.reply:
+		if !processed {
+			return kind.Errorf(kind.Storage, "the disk of replica %q is full", s.replica.options.Name)
+		}
 		data, err := encode(messages)
 		reply.B = data
 		return err
--- a/replica/waiters.go
+++ b/replica/waiters.go
@@ -66,6 +66,19 @@
 	}
 }
 
+// failAfter fails all waiters after index with unknown_outcome: their entries may be on other
+// members.
+func (w *waiters) failAfter(index uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for at, waiting := range w.byIndex {
+		if at > index {
+			delete(w.byIndex, at)
+			waiting.done <- outcome{err: kind.Errorf(kind.UnknownOutcome, "entry %d was not written, since the disk is full: its result is not known", at)}
+		}
+	}
+}
+
 // overwrittenError returns the error for a proposal whose entry was replaced by
 // another leader's: the command never runs.
 func overwrittenError(uint64) error { return kind.Errorf(kind.NotLeader, "") }
--- a/storage/segment.go
+++ b/storage/segment.go
@@ -164,6 +164,7 @@
 		return err
 	}
 	s.segmentSize = int64(len(data))
+	s.syncedSize = s.segmentSize
 	s.segments = append(s.segments, segment{path: path, sequence: header.Sequence, firstIndex: header.First})
 	return s.fs.SyncFolder(s.folder)
 }
--- a/storage/snapshot.go
+++ b/storage/snapshot.go
@@ -55,6 +55,8 @@
 	if err != nil {
 		return err
 	}
+	s.temporaryFiles.Lock()
+	defer s.temporaryFiles.Unlock()
 	err = writeFileAtomically(s.fs, s.folder, name, func(w io.Writer) error {
 		if _, err := w.Write(encodeRecord(snapshotRecord, 0, payload)); err != nil {
 			return err
--- a/storage/store.go
+++ b/storage/store.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -25,8 +26,9 @@
 
 // Store is the open data folder of one replica. It is not safe for concurrent use,
 // except for the snapshot methods, which may run concurrently with the others. After
-// a failed write to the log, Append, Reset and Compact return that error until the
-// folder is opened again, since the content of the disk is unknown.
+// a failed write to the log, Append, Reset and Compact return that error, since the
+// content of the disk is unknown. Only after a write that failed for lack of space can
+// Reload make the store usable again.
 type Store struct {
 	fs          FileSystem
 	folder      string
@@ -34,12 +36,21 @@
 	lock        io.Closer
 	current     File
 	segmentSize int64
+	// syncedSize is the part of the last segment that was synced, zero before the log is
+	// loaded or created.
+	syncedSize int64
+	// rewriteLast is set if Open failed for lack of space: the last segment is then written
+	// anew before it counts.
+	rewriteLast bool
 	segments    []segment
 	hardState   consensus.HardState
 	nextIndex   uint64
 	writeErr    error
 	// syncs counts the synced appends.
 	syncs uint64
+	// temporaryFiles serializes the writing of snapshots with the removal of temporary
+	// files in Reload.
+	temporaryFiles sync.Mutex
 }
 
 // LoadedState is the durable state that Open found. Identity is nil for an empty
@@ -53,7 +64,8 @@
 
 // Open locks the folder, creates it if it is missing, and reads its state. It
 // truncates a torn record at the end of the log. Errors are of kind corrupt or
-// storage.
+// storage. If the disk has no space (IsFull), the result is an error together with a
+// store that becomes usable by Reload; it must be closed.
 func Open(folder string, options Options) (*Store, LoadedState, error) {
 	if options.FileSystem == nil {
 		options.FileSystem = OSFileSystem{}
@@ -63,6 +75,10 @@
 	}
 	s := &Store{fs: options.FileSystem, folder: folder, options: options}
 	loaded, err := s.open()
+	if IsFull(err) {
+		s.rewriteLast = true
+		return s, LoadedState{}, s.fail(err, "open folder")
+	}
 	if err != nil {
 		return nil, LoadedState{}, errors.Join(storageError(err, "open folder", folder), s.Close())
 	}
@@ -73,11 +89,9 @@
 	if err := s.fs.MakeFolder(s.folder); err != nil {
 		return LoadedState{}, err
 	}
-	lock, err := s.fs.Lock(filepath.Join(s.folder, lockFileName))
-	if err != nil {
+	if err := s.acquireLock(); err != nil {
 		return LoadedState{}, err
 	}
-	s.lock = lock
 	names, err := s.removeTemporaryFiles()
 	if err != nil {
 		return LoadedState{}, err
@@ -88,6 +102,13 @@
 	return s.load(names)
 }
 
+func (s *Store) acquireLock() (err error) {
+	if s.lock == nil {
+		s.lock, err = s.fs.Lock(filepath.Join(s.folder, lockFileName))
+	}
+	return err
+}
+
 // removeTemporaryFiles removes the files that a crash left partly written, and
 // returns the sorted names of all others but the lock file.
 func (s *Store) removeTemporaryFiles() ([]string, error) {
@@ -157,7 +178,23 @@
 			return replay{}, err
 		}
 	}
-	return r, s.openLastSegment()
+	if err := s.rewriteLastSegment(); err != nil {
+		return replay{}, err
+	}
+	if err := s.openLastSegment(); err != nil {
+		return replay{}, err
+	}
+	return r, s.syncLoaded()
+}
+
+// syncLoaded makes what was read durable: a process that ended between a write and its
+// sync leaves data that a loss of power would still remove.
+func (s *Store) syncLoaded() error {
+	if err := s.current.Sync(); err != nil {
+		return err
+	}
+	s.syncedSize = s.segmentSize
+	return s.fs.SyncFolder(s.folder)
 }
 
 func (s *Store) loadSegment(r *replay, name string, last bool) error {
@@ -280,6 +317,7 @@
 	if err := s.writeRecord(payload); err != nil {
 		return err
 	}
+	s.syncedSize = s.segmentSize
 	if s.segmentSize < s.options.SegmentBytes {
 		return nil
 	}
