state, schedule, proxy: failure domains are evacuated and restored by command

Operators had to drain each worker of a failure domain, and could not keep requests from its targets. evacuate domain, restore domain and show domains go through the log of state (operation 20); the scheduler treats the domain's workers as drained, and the evacuated domains reach the entry hosts with the version of the configuration.

--- a/cmd/mangohill/main.go
+++ b/cmd/mangohill/main.go
@@ -29,7 +29,7 @@
 const usage = `[OPTIONS] COMMAND
 
 Commands of the cluster (mangohill help WORD explains one):
-  declare, cancel, show, why, drain, undrain, set, report
+  declare, cancel, show, why, drain, undrain, evacuate, restore, set, report
 
 Commands of this program:
   try             run a small cluster in this process and check its promises
--- a/command/help.go
+++ b/command/help.go
@@ -43,12 +43,13 @@
 		forms: []string{
 			"show TOPIC [where COLUMN = VALUE [and COLUMN = VALUE]...] [since DURATION]",
 		},
-		summary: "Lists rows of a topic: tasks, workers, targets, members, entries, config, commands or events. " +
+		summary: "Lists rows of a topic: tasks, workers, targets, domains, members, entries, config, commands or events. " +
 			"All conditions must hold. A value with spaces stands in quotes. since keeps the tasks, commands and events of the last while.",
 		examples: []string{
 			"show tasks where worker = w7 and kind = batch",
 			"show workers",
 			"show targets where state = leaving",
+			"show domains",
 			"show members",
 			"show entries",
 			"show config",
@@ -75,6 +76,19 @@
 		summary:  "Ends a drain.",
 		examples: []string{"undrain worker w7"},
 	},
+	{
+		word:  "evacuate",
+		forms: []string{"evacuate domain NAME"},
+		summary: "Starts nothing more on the workers of a failure domain, moves their tasks away, and sends no new request to targets there. " +
+			"Requests in flight complete. The order holds until it is withdrawn by restore.",
+		examples: []string{"evacuate domain zone-b"},
+	},
+	{
+		word:     "restore",
+		forms:    []string{"restore domain NAME"},
+		summary:  "Ends the evacuation of a failure domain.",
+		examples: []string{"restore domain zone-b"},
+	},
 	{
 		word:  "set",
 		forms: []string{"set config from FILE [if version N]"},
--- a/command/parse.go
+++ b/command/parse.go
@@ -95,7 +95,7 @@
 	return kind.Errorf(kind.BadSyntax, "%w", syntax)
 }
 
-var verbs = []string{"declare", "cancel", "show", "why", "drain", "undrain", "set", "report", "help"}
+var verbs = []string{"declare", "cancel", "show", "why", "drain", "undrain", "evacuate", "restore", "set", "report", "help"}
 
 func (p *parser) statement() (Statement, error) {
 	verb := p.peek()
@@ -120,6 +120,12 @@
 	case "undrain":
 		name, err := p.worker()
 		return Undrain{Worker: name}, err
+	case "evacuate":
+		name, err := p.domain()
+		return Evacuate{Domain: name}, err
+	case "restore":
+		name, err := p.domain()
+		return Restore{Domain: name}, err
 	case "set":
 		return p.setConfig()
 	case "report":
@@ -142,6 +148,13 @@
 	return p.word("the name of a worker")
 }
 
+func (p *parser) domain() (string, error) {
+	if err := p.keyword("domain"); err != nil {
+		return "", err
+	}
+	return p.value("the name of a failure domain")
+}
+
 func (p *parser) show() (Statement, error) {
 	names := make([]string, 0, len(Topics()))
 	for _, topic := range Topics() {
--- a/command/statement.go
+++ b/command/statement.go
@@ -30,6 +30,7 @@
 	TopicTasks    Topic = "tasks"
 	TopicWorkers  Topic = "workers"
 	TopicTargets  Topic = "targets"
+	TopicDomains  Topic = "domains"
 	TopicMembers  Topic = "members"
 	TopicEntries  Topic = "entries"
 	TopicConfig   Topic = "config"
@@ -39,7 +40,7 @@
 
 // Topics returns every topic of show.
 func Topics() []Topic {
-	return []Topic{TopicTasks, TopicWorkers, TopicTargets, TopicMembers, TopicEntries, TopicConfig, TopicCommands, TopicEvents}
+	return []Topic{TopicTasks, TopicWorkers, TopicTargets, TopicDomains, TopicMembers, TopicEntries, TopicConfig, TopicCommands, TopicEvents}
 }
 
 // hasTimes reports whether the rows of a topic have a time, by which since filters.
@@ -76,6 +77,16 @@
 	Worker string
 }
 
+// Evacuate moves the tasks out of a failure domain and sends nothing more there.
+type Evacuate struct {
+	Domain string
+}
+
+// Restore ends an evacuation.
+type Restore struct {
+	Domain string
+}
+
 // SetConfig replaces the cluster's configuration by the content of a file. With
 // IfVersion the command is refused unless Version is in force.
 type SetConfig struct {
@@ -110,6 +121,12 @@
 // Mutates is true: the end of the drain is replicated.
 func (Undrain) Mutates() bool { return true }
 
+// Mutates is true: the evacuation is replicated.
+func (Evacuate) Mutates() bool { return true }
+
+// Mutates is true: the end of the evacuation is replicated.
+func (Restore) Mutates() bool { return true }
+
 // Mutates is true: the configuration is replicated.
 func (SetConfig) Mutates() bool { return true }
 
--- a/configcache/cache.go
+++ b/configcache/cache.go
@@ -3,6 +3,7 @@
 package configcache
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -17,16 +18,17 @@
 	version   uint64
 	text      string
 	config    *types.Config
+	evacuated []string
 	confirmed time.Time
 }
 
 // New returns a Cache without a configuration.
 func New() *Cache { return &Cache{} }
 
-// Update puts a version in force if it is higher than the current one, and
+// Update puts a version, with the failure domains that are evacuated under it, in force if it is higher than the current one, and
 // reports whether it did. It returns an error for a text that does not parse:
 // this version of the program cannot have accepted it.
-func (c *Cache) Update(version uint64, text string) (bool, error) {
+func (c *Cache) Update(version uint64, text string, evacuated []string) (bool, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if version <= c.version {
@@ -36,7 +38,7 @@
 	if err != nil {
 		return false, err
 	}
-	c.version, c.text, c.config = version, text, config
+	c.version, c.text, c.config, c.evacuated = version, text, config, evacuated
 	return true, nil
 }
 
@@ -47,11 +49,19 @@
 	return c.version
 }
 
-// Text returns the version in force and its text.
-func (c *Cache) Text() (uint64, string) {
+// Text returns the version in force, its text and the failure domains that are evacuated
+// under it. The list must not be modified.
+func (c *Cache) Text() (version uint64, text string, evacuated []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.version, c.text
+	return c.version, c.text, c.evacuated
+}
+
+// Evacuated reports whether the failure domain is evacuated under the version in force.
+func (c *Cache) Evacuated(domain string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Contains(c.evacuated, domain)
 }
 
 // Config returns the configuration in force, nil if there is none. It must not
--- a/control/cluster_test.go
+++ b/control/cluster_test.go
@@ -37,6 +37,7 @@
 // state changes of its attempts.
 type simWorker struct {
 	name         string
+	domain       string
 	incarnation  uint64
 	held         lease.WorkerLease
 	full         bool // the next sync is a full one
@@ -218,9 +219,10 @@
 		return report
 	}
 	report.Registration = &controlapi.Registration{
-		Worker:      w.name,
-		Incarnation: w.incarnation,
-		Capacity:    types.Resources{MilliProcessors: 16_000, MemoryBytes: 64 << 30},
+		Worker:        w.name,
+		Incarnation:   w.incarnation,
+		FailureDomain: w.domain,
+		Capacity:      types.Resources{MilliProcessors: 16_000, MemoryBytes: 64 << 30},
 	}
 	for name, task := range w.tasks {
 		report.Tasks = append(report.Tasks, controlapi.TaskReport{Task: name, Epoch: task.epoch, State: "running"})
--- a/control/endpoint.go
+++ b/control/endpoint.go
@@ -104,7 +104,7 @@
 	if err := e.service.replica.Barrier(ctx); err != nil {
 		return err
 	}
-	reply.Version, reply.Text = e.service.store.Config()
+	reply.Version, reply.Text, reply.Evacuated = e.service.store.ConfigAndEvacuations()
 	return nil
 }
 
--- a/control/exchange.go
+++ b/control/exchange.go
@@ -145,7 +145,7 @@
 		return true // A newer exchange of the entry host gets the commands.
 	}
 	if l.configVersion > args.ConfigVersion {
-		reply.ConfigText = l.configText
+		reply.ConfigText, reply.Evacuated = l.configText, l.evacuated
 	}
 	reply.Commands = l.outbox.takeDue(l.service.now(), args.Entry, maxCommandsPerReply)
 	return len(reply.Commands) > 0 || reply.ConfigText != "" || slices.Contains(reply.Sessions, 0)
--- a/control/execute.go
+++ b/control/execute.go
@@ -78,6 +78,10 @@
 		return state.Drain{Worker: s.Worker}, nil
 	case command.Undrain:
 		return state.Drain{Worker: s.Worker, Undo: true}, nil
+	case command.Evacuate:
+		return state.Evacuate{Domain: s.Domain}, nil
+	case command.Restore:
+		return state.Evacuate{Domain: s.Domain, Undo: true}, nil
 	case command.SetConfig:
 		config, err := clusterconfig.Parse(args.File)
 		if err != nil {
--- a/control/leader.go
+++ b/control/leader.go
@@ -34,6 +34,7 @@
 	config        types.Config
 	configVersion uint64
 	configText    string
+	evacuated     []string
 	outbox        *outbox
 	// explanations holds the reasons for the placement of the newest attempts.
 	explanations explanations
@@ -72,7 +73,7 @@
 // "set config" prevents, it applies the defaults. The caller holds l.mu, or l is not
 // shared yet.
 func (l *leader) loadConfig() {
-	l.configVersion, l.configText = l.store.Config()
+	l.configVersion, l.configText, l.evacuated = l.store.ConfigAndEvacuations()
 	parsed, err := clusterconfig.Parse(l.configText)
 	if err != nil {
 		l.service.log.Error().Err(err).Uint64("version", l.configVersion).Msg("the configuration in force does not parse")
--- a/control/query.go
+++ b/control/query.go
@@ -50,6 +50,8 @@
 		rows = l.taskRows(since)
 	case command.TopicWorkers:
 		rows = l.workerRows()
+	case command.TopicDomains:
+		rows = l.domainRows()
 	case command.TopicMembers:
 		rows = memberRows(l.service.replica.Status().Members)
 	case command.TopicEntries:
@@ -125,6 +127,49 @@
 	return rows
 }
 
+// domainRows returns the failure domains of the workers and those that are evacuated, by
+// name. Entry hosts add the targets there.
+func (l *leader) domainRows() []controlapi.Row {
+	type load struct{ workers, tasks int64 }
+	domains := make(map[string]load)
+	domainOf := make(map[types.WorkerID]string)
+	for _, w := range l.store.Workers() {
+		domainOf[w.ID] = w.FailureDomain
+		d := domains[w.FailureDomain]
+		if w.State != types.WorkerLost {
+			d.workers++
+		}
+		domains[w.FailureDomain] = d
+	}
+	for _, t := range l.store.Tasks() {
+		if domain, placed := domainOf[t.Worker]; placed {
+			d := domains[domain]
+			d.tasks++
+			domains[domain] = d
+		}
+	}
+	since := make(map[string]int64)
+	for _, e := range l.store.Evacuations() {
+		since[e.Domain] = e.SinceMs
+		domains[e.Domain] = domains[e.Domain] // Its workers may have been removed.
+	}
+	var rows []controlapi.Row
+	for _, name := range slices.Sorted(maps.Keys(domains)) {
+		state, sinceText := controlapi.DomainInService, ""
+		if ms, ok := since[name]; ok {
+			state, sinceText = controlapi.DomainEvacuated, timeText(ms)
+		}
+		rows = append(rows, controlapi.Row{
+			field(controlapi.ColumnDomain, name),
+			field("state", state),
+			field("since", sinceText),
+			field("workers", domains[name].workers),
+			field("tasks", domains[name].tasks),
+		})
+	}
+	return rows
+}
+
 func memberRows(members []controlapi.Member) []controlapi.Row {
 	rows := make([]controlapi.Row, 0, len(members))
 	for _, m := range members {
--- a/controlapi/commands.go
+++ b/controlapi/commands.go
@@ -76,8 +76,10 @@
 // entry host may be older.
 type ConfigArgs struct{}
 
-// ConfigReply holds the configuration and its version.
+// ConfigReply holds the configuration, its version and the failure domains that are
+// evacuated under that version.
 type ConfigReply struct {
-	Version uint64
-	Text    string
+	Version   uint64
+	Text      string
+	Evacuated []string
 }
--- a/controlapi/workers.go
+++ b/controlapi/workers.go
@@ -51,6 +51,9 @@
 	// than the one in the arguments.
 	ConfigVersion uint64
 	ConfigText    string
+	// Evacuated lists the evacuated failure domains of the current version. It is set
+	// together with ConfigText.
+	Evacuated []string
 	// Term is the leader's term. It allows the entry host to detect replies from
 	// former leaders.
 	Term uint64
--- a/node/entry.go
+++ b/node/entry.go
@@ -120,6 +120,7 @@
 		EntryHosts: len(e.settings.Entries),
 		OnResume:   e.repairAfterPause,
 		Config:     e.config.Config,
+		Evacuated:  e.config.Evacuated,
 		Claimer:    claimer{client: e.leader},
 		OnOutcome:  e.observe,
 		Seed:       rand.Uint64(),
@@ -250,14 +251,15 @@
 	e.burn.Observe(time.Now(), service, duration, outcome, status)
 }
 
-func (e *Entry) applyConfig(version uint64, text string) {
-	changed, err := e.config.Update(version, text)
+func (e *Entry) applyConfig(version uint64, text string, evacuated []string) {
+	changed, err := e.config.Update(version, text, evacuated)
 	if err != nil {
 		e.log.Error().Err(err).Uint64("version", version).Msg("configuration refused")
 		return
 	}
 	if changed {
-		e.log.Info().Uint64("version", version).Msg("configuration in force")
+		e.proxy.RefreshTargets()
+		e.log.Info().Uint64("version", version).Strs("evacuated", evacuated).Msg("configuration in force")
 	}
 }
 
--- a/node/entry_config.go
+++ b/node/entry_config.go
@@ -65,7 +65,7 @@
 	if err != nil {
 		return // The next round asks again.
 	}
-	e.applyConfig(reply.Version, reply.Text)
+	e.applyConfig(reply.Version, reply.Text, reply.Evacuated)
 }
 
 func (e *Entry) readThroughLeader(ctx context.Context) {
@@ -76,7 +76,7 @@
 	if err != nil {
 		return // The next round asks again.
 	}
-	e.applyConfig(reply.Version, reply.Text)
+	e.applyConfig(reply.Version, reply.Text, reply.Evacuated)
 	e.config.Confirm(sentAt, reply.Version)
 }
 
@@ -109,9 +109,9 @@
 // entryService implements the net/rpc service "Entry", which other entry hosts call.
 type entryService struct{ entry *Entry }
 
-// Config returns the configuration in force here.
+// Config returns the configuration and the evacuations in force here.
 func (s *entryService) Config(_ *controlapi.ConfigArgs, reply *controlapi.ConfigReply) error {
-	reply.Version, reply.Text = s.entry.config.Text()
+	reply.Version, reply.Text, reply.Evacuated = s.entry.config.Text()
 	return nil
 }
 
--- a/node/executor.go
+++ b/node/executor.go
@@ -32,6 +32,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
+	if show, ok := statement.(command.Show); ok && show.Topic == command.TopicDomains {
+		return x.showDomains(ctx, args.ID, show.Where)
+	}
 	if _, ok := statement.(command.ReportBurn); ok {
 		return x.entry.reportBurn(ctx, args.ID), nil
 	}
--- a/node/network_test.go
+++ b/node/network_test.go
@@ -197,9 +197,14 @@
 
 // worker starts a fake worker that knows only one entry host.
 func (g *testCluster) worker(journal *fake.Journal, name string, entry int) {
+	g.workerIn("", journal, name, entry)
+}
+
+// workerIn is like worker, in a failure domain.
+func (g *testCluster) workerIn(domain string, journal *fake.Journal, name string, entry int) {
 	ctx, cancel := context.WithCancel(context.Background())
 	worker := fake.NewWorker(fake.WorkerOptions{
-		Name: name, Incarnation: 1, Rack: name, Journal: journal,
+		Name: name, Incarnation: 1, FailureDomain: domain, Rack: name, Journal: journal,
 		Capacity: workerapi.Capacity{Processors: 8, MemoryBytes: 64 << 30},
 		Entries:  []string{"http://" + g.entryHost(entry) + ":8081"},
 	})
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -57,6 +57,9 @@
 	OnResume func()
 	// Config returns the configuration in force, nil before there is one.
 	Config func() *types.Config
+	// Evacuated reports whether a failure domain is evacuated; nil stands for none. After a
+	// change, RefreshTargets must be called.
+	Evacuated func(domain string) bool
 	// Claimer claims idempotency keys. Without one, requests with a key are
 	// refused.
 	Claimer Claimer
@@ -159,6 +162,22 @@
 	s.setTarget(t)
 }
 
+// RefreshTargets applies a change of the evacuated failure domains: their targets get no
+// new requests, and those in flight complete.
+func (p *Proxy) RefreshTargets() {
+	p.mu.Lock()
+	services := p.allServices()
+	p.mu.Unlock()
+	for _, s := range services {
+		s.refreshShares()
+	}
+}
+
+// acceptsRequests reports whether new requests may be sent to the target.
+func (p *Proxy) acceptsRequests(t types.Target) bool {
+	return t.State == types.TargetReady && (p.options.Evacuated == nil || !p.options.Evacuated(t.FailureDomain))
+}
+
 // SetMembers sets the live peer entry hosts with their addresses. The slots of
 // every target are divided among them and this host.
 func (p *Proxy) SetMembers(peers []membership.Peer) {
--- a/proxy/service.go
+++ b/proxy/service.go
@@ -59,24 +59,22 @@
 	}
 	existing.target = t
 	s.updateShare(existing)
-	if t.State != types.TargetReady {
-		existing.client.CloseIdle()
-	}
 }
 
 // updateShare sets this host's share of a target's slots in the pool, and its
 // share of the target's connections as the limit of the client.
 func (s *service) updateShare(b *backend) {
 	t := b.target
+	ready := s.proxy.acceptsRequests(t)
 	share := s.proxy.share(t.Name, t.Slots)
 	if t.Connections > 0 {
 		connections := s.proxy.share(t.Name, t.Connections)
 		b.client.SetMaxConnections(connections)
 		share = min(share, connections)
 	}
-	decisions := s.pool.SetTarget(s.proxy.options.Now(), route.Target{Name: t.Name, Share: share, Ready: t.State == types.TargetReady})
+	decisions := s.pool.SetTarget(s.proxy.options.Now(), route.Target{Name: t.Name, Share: share, Ready: ready})
 	s.deliver(decisions)
-	if share == 0 {
+	if share == 0 || !ready {
 		b.client.CloseIdle()
 	}
 }
--- a/schedule/drain.go
+++ b/schedule/drain.go
@@ -20,7 +20,7 @@
 
 // draining reports whether the host's tasks must be moved to other hosts.
 func (h *host) draining() bool {
-	return h.worker.DrainRequested || h.worker.State == types.WorkerDraining || h.worker.State == types.WorkerLeaving
+	return h.worker.Evacuated || h.worker.DrainRequested || h.worker.State == types.WorkerDraining || h.worker.State == types.WorkerLeaving
 }
 
 // drain moves tasks off the draining workers: batch tasks and watchers by a
@@ -58,6 +58,9 @@
 		return false
 	}
 	reason := fmt.Sprintf("worker %s is draining", h.worker.Name)
+	if h.worker.Evacuated {
+		reason = fmt.Sprintf("failure domain %s of worker %s is evacuated", h.worker.FailureDomain, h.worker.Name)
+	}
 	if t.Job.Kind == types.KindService {
 		return s.moveService(t, reason)
 	}
--- a/schedule/filter_state.go
+++ b/schedule/filter_state.go
@@ -1,6 +1,7 @@
 package schedule
 
-// stateFilter rejects workers that are draining, leaving, quarantined or lost.
+// stateFilter rejects workers that are draining, leaving, quarantined, lost or
+// in an evacuated failure domain.
 type stateFilter struct{}
 
 func (stateFilter) name() string { return "state" }
--- a/schedule/host.go
+++ b/schedule/host.go
@@ -38,7 +38,7 @@
 
 // accepting reports whether new tasks may start on the host.
 func (h *host) accepting() bool {
-	return h.worker.State == types.WorkerReady && !h.worker.DrainRequested && !h.health.quarantined
+	return h.worker.State == types.WorkerReady && !h.worker.DrainRequested && !h.worker.Evacuated && !h.health.quarantined
 }
 
 // noResources is zero of every resource.
--- a/schedule/invariant_test.go
+++ b/schedule/invariant_test.go
@@ -115,8 +115,8 @@
 		m.t.Fatalf("task %d is %s with epoch %d and is started again as epoch %d", a.Task, t.State, t.Epoch, a.Epoch)
 	}
 	w := &m.workers[a.Worker-1]
-	if w.State != types.WorkerReady || w.DrainRequested {
-		m.t.Fatalf("task %d is started on worker %d, which is %s, drain %v", a.Task, a.Worker, w.State, w.DrainRequested)
+	if w.State != types.WorkerReady || w.DrainRequested || w.Evacuated {
+		m.t.Fatalf("task %d is started on worker %d, which is %s, drain %v, evacuated %v", a.Task, a.Worker, w.State, w.DrainRequested, w.Evacuated)
 	}
 	if sum := m.committed(w.ID).Add(t.Job.Request); !sum.Fits(w.Capacity) {
 		m.t.Fatalf("worker %d would be committed to %+v of %+v", a.Worker, sum, w.Capacity)
@@ -273,6 +273,7 @@
 			"worker": func(t *rapid.T) {
 				w := &m.workers[rapid.IntRange(0, len(m.workers)-1).Draw(t, "worker")]
 				w.DrainRequested = rapid.IntRange(0, 3).Draw(t, "drain") == 0
+				w.Evacuated = rapid.IntRange(0, 3).Draw(t, "evacuated") == 0
 				w.State = rapid.SampledFrom([]types.WorkerState{types.WorkerReady, types.WorkerReady, types.WorkerLeaving, types.WorkerLost}).Draw(t, "state")
 				m.s.UpsertWorker(*w)
 			},
--- a/schedule/scheduler_test.go
+++ b/schedule/scheduler_test.go
@@ -77,6 +77,18 @@
 	assert.Len(t, starts(s.Plan(epoch0)), 1)
 }
 
+func TestWorkerOfAnEvacuatedDomainGetsNoTask(t *testing.T) {
+	s := New(Options{Seed: 1})
+	w := testWorker(1)
+	w.Evacuated = true
+	s.UpsertWorker(w)
+	s.UpsertTask(testTask(1, types.KindBatch, 1000))
+	assert.Empty(t, starts(s.Plan(epoch0)))
+	w.Evacuated = false
+	s.UpsertWorker(w)
+	assert.Len(t, starts(s.Plan(epoch0)), 1)
+}
+
 func TestUpdateFromBeforeAStartDoesNotStartTheTaskAgain(t *testing.T) {
 	s := New(Options{Seed: 1})
 	s.UpsertWorker(testWorker(1))
--- a/state/attempts.go
+++ b/state/attempts.go
@@ -31,6 +31,9 @@
 	if w.State != types.WorkerReady {
 		return refuse(kind.InvalidTransition, "task %q: worker %q is %s", t.Name, w.Name, w.State)
 	}
+	if w.Evacuated {
+		return refuse(kind.InvalidTransition, "task %q: failure domain %q of worker %q is evacuated", t.Name, w.FailureDomain, w.Name)
+	}
 	if committed := w.Committed.Add(t.Job.Request); !committed.Fits(w.Capacity) {
 		return refuse(kind.CapacityExceeded, "task %q does not fit on worker %q: committed %+v of %+v, requested %+v",
 			t.Name, w.Name, w.Committed, w.Capacity, t.Job.Request)
--- a/state/codec.go
+++ b/state/codec.go
@@ -83,6 +83,7 @@
 	codeQuarantine:    decodeAs[Quarantine],
 	codeEndQuarantine: decodeAs[EndQuarantine],
 	codeReplace:       decodeAs[Replace],
+	codeEvacuate:      decodeAs[Evacuate],
 }
 
 func decodeAs[T Op](body cbor.RawMessage) (Op, error) {
--- a/state/codec_test.go
+++ b/state/codec_test.go
@@ -36,6 +36,7 @@
 		Quarantine{Worker: 1, Reason: "r"},
 		EndQuarantine{Worker: 1},
 		Replace{Task: 1, Epoch: 2, Reason: "r"},
+		Evacuate{Domain: "pt-norte"},
 		Command{ID: "id", Digest: 1, Text: "cancel a", Op: Cancel{Name: "a"}},
 	}
 }
@@ -76,7 +77,7 @@
 	s := New()
 	err = s.Restore(header)
 	assert.True(t, kind.Is(err, kind.Corrupt))
-	assert.ErrorContains(t, err, "version 2; this program reads version 1")
+	assert.ErrorContains(t, err, "version 3; this program reads versions up to 2")
 	assert.ErrorContains(t, s.Restore([]byte("nonsense")), snapshotFormat)
 }
 
--- a/state/events.go
+++ b/state/events.go
@@ -31,6 +31,8 @@
 	EventWorkerQuarantined EventName = "worker_quarantined"
 	EventWorkerReleased    EventName = "worker_released"
 	EventConfigSet         EventName = "config_set"
+	EventDomainEvacuated   EventName = "domain_evacuated"
+	EventDomainRestored    EventName = "domain_restored"
 )
 
 var terminalEvents = map[types.TaskState]EventName{
--- a/state/ops.go
+++ b/state/ops.go
@@ -37,6 +37,7 @@
 	codeEndQuarantine
 	codeCommand
 	codeReplace
+	codeEvacuate
 )
 
 // Register records a full sync of a worker incarnation. Each registration begins a
@@ -173,6 +174,14 @@
 	Undo   bool
 }
 
+// Evacuate requests that nothing runs in a failure domain or, with Undo, withdraws the
+// request.
+type Evacuate struct {
+	_      struct{} `cbor:",toarray"`
+	Domain string
+	Undo   bool
+}
+
 // SetConfig replaces the configuration if the current version is IfVersion or
 // IfVersion is zero.
 type SetConfig struct {
@@ -271,6 +280,7 @@
 func (Declare) code() opCode       { return codeDeclare }
 func (Cancel) code() opCode        { return codeCancel }
 func (Drain) code() opCode         { return codeDrain }
+func (Evacuate) code() opCode      { return codeEvacuate }
 func (SetConfig) code() opCode     { return codeSetConfig }
 func (Claim) code() opCode         { return codeClaim }
 func (Resolve) code() opCode       { return codeResolve }
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -10,11 +10,16 @@
 	"mangohill.example/mangohill/types"
 )
 
-// SnapshotVersion is the version of the snapshot format. Raise it for every change
-// that an older program would misread.
-const SnapshotVersion = 1
+// SnapshotVersion is the highest version of the snapshot format. Raise it for every change
+// that an older program would misread. A state without evacuations is written in version
+// snapshotVersionPlain, which programs from before evacuations read.
+const (
+	SnapshotVersion      = 2
+	snapshotVersionPlain = 1
+)
 
-// snapshotHeader is the first CBOR item of a snapshot; a snapshotBody follows.
+// snapshotHeader is the first CBOR item of a snapshot; a snapshotBody follows, and from
+// version 2 on a list of Evacuation.
 type snapshotHeader struct {
 	_       struct{} `cbor:",toarray"`
 	Format  string
@@ -71,12 +76,22 @@
 	defer s.mu.RUnlock()
 	var out bytes.Buffer
 	encoder := cborcodec.Encode.NewEncoder(&out)
-	if err := encoder.Encode(snapshotHeader{Format: snapshotFormat, Version: SnapshotVersion}); err != nil {
+	version := snapshotVersionPlain
+	if len(s.evacuations) > 0 {
+		version = SnapshotVersion
+	}
+	if err := encoder.Encode(snapshotHeader{Format: snapshotFormat, Version: version}); err != nil {
 		return nil, kind.Errorf(kind.Internal, "encode snapshot header: %w", err)
 	}
 	if err := encoder.Encode(s.body()); err != nil {
 		return nil, kind.Errorf(kind.Internal, "encode snapshot: %w", err)
 	}
+	if version == snapshotVersionPlain {
+		return out.Bytes(), nil
+	}
+	if err := encoder.Encode(s.listEvacuations()); err != nil {
+		return nil, kind.Errorf(kind.Internal, "encode evacuations: %w", err)
+	}
 	return out.Bytes(), nil
 }
 
@@ -137,10 +152,10 @@
 }
 
 // Restore replaces the whole state by that of a snapshot. After an error, which is of
-// kind corrupt, the state is unchanged. If the snapshot has another version than
+// kind corrupt, the state is unchanged. If the snapshot has a higher version than
 // SnapshotVersion, the error names both.
 func (s *Store) Restore(data []byte) error {
-	body, err := decodeSnapshot(data)
+	body, evacuations, err := decodeSnapshot(data)
 	if err != nil {
 		return err
 	}
@@ -148,29 +163,38 @@
 	if err := restored.load(body); err != nil {
 		return err
 	}
+	if err := restored.loadEvacuations(evacuations); err != nil {
+		return err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.replaceWith(restored)
 	return nil
 }
 
-func decodeSnapshot(data []byte) (*snapshotBody, error) {
+func decodeSnapshot(data []byte) (*snapshotBody, []Evacuation, error) {
 	var header snapshotHeader
 	rest, err := cborcodec.Decode.UnmarshalFirst(data, &header)
 	if err != nil || header.Format != snapshotFormat {
-		return nil, kind.Errorf(kind.Corrupt, "the snapshot does not begin with the format %q", snapshotFormat)
+		return nil, nil, kind.Errorf(kind.Corrupt, "the snapshot does not begin with the format %q", snapshotFormat)
 	}
-	if header.Version != SnapshotVersion {
-		return nil, kind.Errorf(kind.Corrupt, "the snapshot has version %d; this program reads version %d", header.Version, SnapshotVersion)
+	if header.Version < snapshotVersionPlain || header.Version > SnapshotVersion {
+		return nil, nil, kind.Errorf(kind.Corrupt, "the snapshot has version %d; this program reads versions up to %d", header.Version, SnapshotVersion)
 	}
 	var body snapshotBody
-	if err := cborcodec.Decode.Unmarshal(rest, &body); err != nil {
-		return nil, kind.Errorf(kind.Corrupt, "decode snapshot: %w", err)
+	var evacuations []Evacuation
+	if header.Version == snapshotVersionPlain {
+		err = cborcodec.Decode.Unmarshal(rest, &body)
+	} else if rest, err = cborcodec.Decode.UnmarshalFirst(rest, &body); err == nil {
+		err = cborcodec.Decode.Unmarshal(rest, &evacuations)
+	}
+	if err != nil {
+		return nil, nil, kind.Errorf(kind.Corrupt, "decode snapshot: %w", err)
 	}
 	if slices.Contains(body.Outcomes, nil) {
-		return nil, kind.Errorf(kind.Corrupt, "snapshot: the outcome of a command is null")
+		return nil, nil, kind.Errorf(kind.Corrupt, "snapshot: the outcome of a command is null")
 	}
-	return &body, nil
+	return &body, evacuations, nil
 }
 
 func (s *Store) load(body *snapshotBody) error {
@@ -261,6 +285,7 @@
 	s.workers, s.workerNames = other.workers, other.workerNames
 	s.tasks, s.taskNames, s.jobs, s.endedTasks = other.tasks, other.taskNames, other.jobs, other.endedTasks
 	s.configVersion, s.configText, s.leaseDurationsMs = other.configVersion, other.configText, other.leaseDurationsMs
+	s.evacuations = other.evacuations
 	s.claims, s.commands, s.events = other.claims, other.commands, other.events
 	s.changes.all, s.changes.config = true, true
 	s.changes.notify()
--- a/state/store.go
+++ b/state/store.go
@@ -85,6 +85,10 @@
 	// first: leases granted under any of them may not have expired yet.
 	leaseDurationsMs []int64
 
+	// evacuations holds the evacuated failure domains with the time of the order, in
+	// milliseconds since the Unix epoch.
+	evacuations map[string]int64
+
 	claims   claimTable
 	commands commandTable
 	events   eventRing
@@ -105,6 +109,7 @@
 		configVersion:    1,
 		configText:       types.DefaultConfigText,
 		leaseDurationsMs: []int64{defaultLeaseDurationMs},
+		evacuations:      make(map[string]int64),
 		claims:           newClaimTable(),
 		commands:         newCommandTable(),
 		changes:          newChangeSet(),
--- a/state/workers.go
+++ b/state/workers.go
@@ -48,7 +48,7 @@
 	w.FailureDomain = op.FailureDomain
 	w.Rack = op.Rack
 	w.Capacity = op.Capacity
-	s.changes.worker(w.ID)
+	s.updateEvacuated(w)
 	wasLost := w.State == types.WorkerLost
 	if !staysLeaving {
 		if err := s.transitionWorker(w, "register"); err != nil {
--- a/types/worker.go
+++ b/types/worker.go
@@ -27,6 +27,8 @@
 	// DrainRequested is set by an operator's drain and cleared by undrain.
 	DrainRequested bool   `cbor:"8,keyasint,omitempty"`
 	Reason         string `cbor:"9,keyasint,omitempty"`
+	// Evacuated is set while an operator's evacuation of FailureDomain is in force.
+	Evacuated bool `cbor:"-"`
 	// Session counts the registrations of the worker. An entry that records the expiry
 	// of a lease names the session that it ends.
 	Session uint64 `cbor:"10,keyasint,omitempty"`
--- a/workersync/service.go
+++ b/workersync/service.go
@@ -54,7 +54,7 @@
 	// ConfigVersion returns the version of the entry host's configuration; nil stands
 	// for version 0. OnConfig is called with each newer configuration, unless it is nil.
 	ConfigVersion func() uint64
-	OnConfig      func(version uint64, text string)
+	OnConfig      func(version uint64, text string, evacuated []string)
 	// OnConfigCurrent is called after each answered exchange with the version then in
 	// force, unless it is nil. The entry host's configuration is current if it has that
 	// version.
@@ -243,7 +243,7 @@
 
 func (s *Service) forwardConfig(reply *controlapi.ExchangeReply) {
 	if reply.ConfigText != "" && s.options.OnConfig != nil {
-		s.options.OnConfig(reply.ConfigVersion, reply.ConfigText)
+		s.options.OnConfig(reply.ConfigVersion, reply.ConfigText, reply.Evacuated)
 	}
 	if s.options.OnConfigCurrent != nil {
 		s.options.OnConfigCurrent(reply.ConfigVersion)
