Evacuation: tasks that wait come before moves out of the domain

Change: a round moves nothing of a service whose tasks wait, and a resumable task only if its expected remaining time exceeds twice the cost of a stop and a new start. Result: TestWaitingTasksComeBeforeMoves failed before (6 tasks stopped); the tests of evacuations pass.

--- a/dispatch/moves.go
+++ b/dispatch/moves.go
@@ -106,12 +106,16 @@
 			return c.reservedFor != nil || c.silent || c.quarantined
 		})
 	}
-	searches := 0
+	e.ready.refresh(e.state, e.wallMs)
+	searches, contended := 0, make(map[string]bool)
+	for service := range p.byService {
+		contended[service] = e.tasksWait(service)
+	}
 	for _, m := range tasks {
 		if left == 0 || searches == maxSearches {
 			return
 		}
-		if p.knownUnplaceable(m.step) || p.blockedByGang(m.step) || !e.mayInterrupt(m.attempt) {
+		if contended[m.step.job.Service] || p.knownUnplaceable(m.step) || p.blockedByGang(m.step) || !e.mayInterrupt(m.attempt) {
 			continue
 		}
 		searches++
@@ -126,6 +130,24 @@
 	}
 }
 
+// tasksWait reports whether a task waits for capacity of a service. It then goes first: a task
+// in an evacuated domain runs on meanwhile.
+func (e *Engine) tasksWait(service string) bool {
+	return slices.ContainsFunc(e.ready.sorted, func(s *readyStep) bool {
+		return s.job.Service == service && len(s.pending) > 0 && s.job.Active() && s.lateness != tooLate && s.job.Spec.DueMs(s.ref.Occurrence) <= e.wallMs
+	})
+}
+
+// worthMoving reports whether a resumable task has so much work left that a move, with a stop and
+// a new start, takes less than half of it.
+func (e *Engine) worthMoving(a *attempt, step *workflow.Step) bool {
+	left, known := e.remainingQuantile(a, 0.5)
+	if !known {
+		left = estimateOf(step) * time.Duration(fullShare-a.percent) / fullShare
+	}
+	return a.percent < nearlyDonePercent && left > 2*restartCost
+}
+
 // movableTasks returns the tasks in evacuated domains that may be moved: lasting ones first,
 // and small ones before large ones, as more of them find capacity.
 func (e *Engine) movableTasks() []movable {
@@ -136,7 +158,7 @@
 		}
 		for _, a := range v.attemptList {
 			job, step := e.state.Job(a.ref.Job), e.step(a.ref)
-			if job == nil || !job.Active() || !a.running || a.stopWanted || a.callInFlight || step.Gang || !step.Lasting && (!step.Resumable || a.percent >= nearlyDonePercent) {
+			if job == nil || !job.Active() || !a.running || a.stopWanted || a.callInFlight || step.Gang || !step.Lasting && (!step.Resumable || !e.worthMoving(a, step)) {
 				continue
 			}
 			tasks = append(tasks, movable{v, a, &readyStep{ref: a.ref.StepRef(), job: job, step: step, pending: []uint32{a.ref.Index}}})
--- a/dispatch/moves_test.go
+++ b/dispatch/moves_test.go
@@ -210,3 +210,23 @@
 		assert.Empty(t, s.violations, "seed %d", seed)
 	}
 }
+
+// Guards against moves that take the capacity outside an evacuated domain from tasks that wait,
+// while the moved ones could run on: with a third of the fleet evacuated and more work than the
+// rest takes, nothing is stopped.
+func TestWaitingTasksComeBeforeMoves(t *testing.T) {
+	s := twoDomains(t, 58, 6, 0)
+	s.addWorkerIn("b", "b1", 8)
+	s.addWorkerIn("b", "b2", 8)
+	s.run(2 * time.Second)
+	for id := workflow.JobID(2); id < 22; id++ {
+		s.engine.HandleRequest(&Request{Verb: Submit, Host: "h", Path: "/q/" + id.String(), Job: &workflow.JobSpec{Steps: []workflow.Step{step(12)}}}, func(Reply) {})
+	}
+	s.evacuate("a")
+	s.run(2 * time.Second)
+	assert.Zero(t, s.notRunning(1, 6))
+	assert.Equal(t, 6, s.runningIn("a"), "what is short has ended")
+	assert.Zero(t, s.engine.Counters().Stopped)
+	require.True(t, s.runUntil(30*time.Second, func() bool { return s.runningIn("a") == 0 }), "the domain is emptied once nothing waits")
+	assert.Empty(t, s.violations)
+}
