soak: an operator evacuates and restores failure domains

Evacuations had not run on real processes. Change: workers in two domains, one of which is evacuated for 5 to 8 s at a time beside the other faults; checks of starts after the confirmation and of the time to confirm.

--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -24,6 +24,10 @@
 	cancelled            map[string]time.Time // acknowledgement of the cancellation, by job
 	starts               int
 	violations           []string
+	// evacuatedAt holds when the evacuation in force of a domain was confirmed, confirmed counts
+	// the orders of the operator that were.
+	evacuatedAt map[string]time.Time
+	confirmed   int
 }
 
 // cancelGracePeriod is the time after a cancellation is acknowledged during which
@@ -36,7 +40,7 @@
 func newChecks() *checks {
 	return &checks{
 		running: make(map[string]*worker), startedAt: make(map[string]time.Time), doneTasks: make(map[string]bool),
-		ackedEnds: make(map[string]bool), submitted: make(map[string]bool), deadly: make(map[string]bool), crashes: make(map[string]int), startsAfter: make(map[string]int), cancelled: make(map[string]time.Time),
+		ackedEnds: make(map[string]bool), submitted: make(map[string]bool), deadly: make(map[string]bool), crashes: make(map[string]int), startsAfter: make(map[string]int), cancelled: make(map[string]time.Time), evacuatedAt: make(map[string]time.Time),
 	}
 }
 
@@ -55,6 +59,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.starts++
+	c.checkDomain(task, w)
 	job, _, _ := strings.Cut(task, ".")
 	if other := c.running[task]; other != nil {
 		c.addViolationLocked("task %s starts on %s while it runs on %s", task, w.id, other.id)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -118,7 +118,7 @@
 	if p.control {
 		listen, role = fmt.Sprintf("Control = \"%s:8166\"", p.ip), "control"
 	}
-	text := fmt.Sprintf("Node = %q\nServes = [%q]\nIp = %q\nZone = \"z\"\nPortRange = [7720,7735]\nSeeds = [%s]\nBootstrap = %t\nDataDir = %q\nHeartbeatMs = 1100\nControlMode = \"rpc\"\n[Listen]\n%s\n[FaultTolerance]\nMachines = 1\n[Bounds]\nGraceS = 3\nHoldMaxMs = 10000\nFarX = 2\nStableWindowMs = 3000\n",
+	text := fmt.Sprintf("Node = %q\nServes = [%q]\nIp = %q\nZone = \"z\"\nPortRange = [7720,7735]\nSeeds = [%s]\nBootstrap = %t\nDataDir = %q\nHeartbeatMs = 1100\nControlMode = \"rpc\"\n[Listen]\n%s\n[FaultTolerance]\nMachines = 1\n[Bounds]\nGraceS = 3\nHoldMaxMs = 10000\nFarX = 2\nStableWindowMs = 3000\nEvacuateMs = 5000\n[Zones]\nza = \"r\"\nzb = \"r\"\n",
 		p.role+"-"+p.ip, role, p.ip, seeds, bootstrap, p.folder, listen)
 	settings := p.folder + ".toml"
 	require.NoError(f.t, os.WriteFile(settings, []byte(text), 0o600))
@@ -349,6 +349,7 @@
 	for caller := range 3 {
 		callers.Go(func() { f.submitJobs(caller, seed, done) })
 	}
+	callers.Go(func() { f.operateDomains(seed, done) })
 	for range faults {
 		description, undo := f.injectFault()
 		t.Logf("%s %s", time.Now().Format("15:04:05.000"), description)
@@ -394,7 +395,7 @@
 	if status != http.StatusOK || !strings.Contains(body, fmt.Sprintf(`"Version":%d,`, f.version)) {
 		f.checks.addViolation("configuration %d was acknowledged, but reading it back returned %d %.40s", f.version, status, body)
 	}
-	f.t.Logf("%d jobs accepted, %d tasks started, version %d", len(f.accepted), f.checks.starts, f.version)
+	f.t.Logf("%d jobs accepted, %d tasks started, version %d, %d evacuations and restores", len(f.accepted), f.checks.starts, f.version, f.checks.confirmed)
 	require.Empty(f.t, unfinished, "accepted jobs that did not end in time")
 	f.checks.mu.Lock()
 	defer f.checks.mu.Unlock()
--- a/soak/worker_test.go
+++ b/soak/worker_test.go
@@ -274,8 +274,8 @@
 		if dead {
 			return
 		}
-		body := fmt.Sprintf(`{"Service":"pool","Addr":%q,"Zone":"z","State":"ready","Capacity":{"Cpu":%d,"MemMb":100000,"Gpu":0},"Labels":["a","r1"],"ClockMs":%d,"Seq":%d,"born":%d}`,
-			w.relay.Address(), processors*1000, w.clockMs(), report, w.startedAt.UnixMilli())
+		body := fmt.Sprintf(`{"Service":"pool","Addr":%q,"Zone":%q,"State":"ready","Capacity":{"Cpu":%d,"MemMb":100000,"Gpu":0},"Labels":["a","r1"],"ClockMs":%d,"Seq":%d,"born":%d}`,
+			w.relay.Address(), w.domain(), processors*1000, w.clockMs(), report, w.startedAt.UnixMilli())
 		request, err := http.NewRequest(http.MethodPut, "http://"+controls[turn%len(controls)]+"/-/instances/"+w.id, strings.NewReader(body))
 		if err != nil {
 			panic(err)
