--- a/dispatch/evacuation.go
+++ b/dispatch/evacuation.go
@@ -79,6 +79,9 @@
 			e.withholdStarts(v)
 		}
 	}
+	for id := range e.state.Jobs() {
+		e.ready.markDirty(id) // Their steps may have chosen a rack in the domain.
+	}
 	e.afterCommit(func() {
 		e.log.Info().Str("domain", domain).Int("remaining", e.remainingIn(domain).total()).Uint64("term", e.term).Msg("domain evacuated")
 	})
--- a/dispatch/moves_test.go
+++ b/dispatch/moves_test.go
@@ -210,3 +210,69 @@
 		assert.Empty(t, s.violations, "seed %d", seed)
 	}
 }
+
+// Guards against more unavailable tasks than allowed, or a wave that stops, if hosts of an evacuated
+// domain are maintained meanwhile.
+func TestAWaveInAnEvacuatedDomain(t *testing.T) {
+	s := newSim(t, 58)
+	s.setCatalog()
+	newSimPool(s, 4)
+	s.run(time.Second)
+	const tasks = 8
+	s.serve(1, tasks, 2)
+	s.addWorkerIn("b", "b1", 6)
+	s.run(2 * time.Second)
+	worst := 0
+	s.every(5*time.Millisecond, func() { worst = max(worst, s.notRunning(1, tasks)) })
+	s.startWave(1, "h0", "h1", "h2", "h3")
+	s.evacuate("z")
+	require.True(t, s.runUntil(30*time.Second, s.waveCompleted))
+	s.run(10 * time.Second)
+	assert.LessOrEqual(t, worst, 2)
+	assert.Len(t, s.workers["b1:1"].running, 6)
+	assert.Empty(t, s.violations)
+}
+
+// Guards against tasks that share a rack and are looked for a worker in an evacuated one.
+func TestTasksShareARackOutsideTheEvacuatedDomain(t *testing.T) {
+	s := newSim(t, 59)
+	s.setCatalog()
+	s.addWorkerIn("a", "a1", 8)
+	s.run(time.Second)
+	shared := step(6)
+	shared.OneRack, shared.MaxPerWorker, shared.EstimatedMs = true, 2, 30_000
+	s.submit(1, shared)
+	s.run(time.Second)
+	require.Equal(t, 2, s.runningIn("a"))
+	s.evacuate("a")
+	for _, name := range []string{"b1", "c1", "b2", "c2"} { // Best fit alone would use b1 and c1 first.
+		s.addWorkerIn(name[:1], name, map[byte]int64{'1': 4, '2': 8}[name[1]])
+	}
+	s.run(1500 * time.Millisecond)
+	assert.Equal(t, 4, max(s.runningIn("b"), s.runningIn("c")), "those that start later share a rack")
+	assert.Empty(t, s.violations)
+}
+
+// Guards against moves that take the capacity which becomes free for a wider lasting task that
+// waits.
+func TestMovesLeaveReservedWorkersAlone(t *testing.T) {
+	s := newSim(t, 60)
+	s.setCatalog()
+	s.addWorkerIn("a", "a1", 4)
+	s.run(time.Second)
+	s.serve(1, 4, 0)
+	s.addWorkerIn("b", "b1", 8)
+	s.run(time.Second)
+	long, wide := step(6), step(1)
+	long.EstimatedMs = 60_000
+	wide.Lasting, wide.Resources.MilliProcessors = true, 4000
+	s.submit(2, long)
+	s.submit(3, wide)
+	s.run(2 * time.Second)
+	require.Len(t, s.workers["b1:1"].running, 6)
+	s.evacuate("a")
+	s.run(3 * time.Second)
+	assert.Equal(t, 4, s.runningIn("a"))
+	assert.Zero(t, s.engine.Counters().Relocated)
+	assert.Empty(t, s.violations)
+}
