--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"mangohill.example/mangohill/workflow"
@@ -21,9 +22,15 @@
 	// avoidDuration is how long a task avoids the worker on which it failed.
 	avoidDuration = 2 * time.Second
 	// minSlowJobs is the number of different jobs with attempts far behind their siblings
-	// from which on their worker counts as slow, if these attempts are the majority. A
-	// single run may be slow by itself.
-	minSlowJobs = 2
+	// from which on their worker counts as slow, and minSlowAttempts that of the attempts, if
+	// these are the majority of the last maxCompared. Where 3 runs in 100 are slow by
+	// themselves, chance alone makes that 1 in 10,000 by calculation; with two attempts sound
+	// workers were found slow in 2 of 40 seeds of a load test.
+	minSlowJobs     = 2
+	minSlowAttempts = 3
+	maxCompared     = 6
+	// comparisonRetention is how long a comparison counts: quick tasks take a second.
+	comparisonRetention = 5 * time.Second
 	// restartCost is the time that it takes to stop an attempt, record its end
 	// and start the task elsewhere.
 	restartCost = 1200 * time.Millisecond
@@ -41,30 +48,44 @@
 // health is what the ends and the progress of attempts tell about a worker.
 type health struct {
 	failedJobs map[workflow.JobID]bool
-	// slow tells for each attempt that was compared with others since comparedSince
-	// whether it was slow.
-	slow          map[workflow.TaskRef]bool
-	comparedSince Instant
+	// compared holds the latest attempts that were compared with others, each once.
+	compared []comparison
 }
 
-// recordPace records whether an attempt is slow compared with others.
-func (h *health) recordPace(a *attempt, slow bool) {
-	if h.slow == nil {
-		h.slow = make(map[workflow.TaskRef]bool)
+// comparison tells whether an attempt was slow beside others.
+type comparison struct {
+	ref  workflow.TaskRef
+	slow bool
+	at   Instant
+}
+
+// recordPace records whether an attempt is slow compared with others. A straggler runs for
+// long and is read often, and must not outweigh the others by that.
+func (h *health) recordPace(a *attempt, slow bool, now Instant) {
+	i := slices.IndexFunc(h.compared, func(c comparison) bool { return c.ref == a.ref })
+	switch {
+	case i >= 0:
+		h.compared[i].slow = slow
+	case !a.compared:
+		a.compared = true
+		if len(h.compared) >= maxCompared {
+			h.compared = h.compared[1:]
+		}
+		h.compared = append(h.compared, comparison{a.ref, slow, now})
 	}
-	h.slow[a.ref] = slow
 }
 
 // isSlow reports whether most attempts on the worker were slow, those of several jobs.
-func (h *health) isSlow() bool {
+func (h *health) isSlow(now Instant) bool {
+	h.compared = slices.DeleteFunc(h.compared, func(c comparison) bool { return now.Sub(c.at) > comparisonRetention })
 	jobs, slow := make(map[workflow.JobID]bool), 0
-	for ref, isSlow := range h.slow {
-		if isSlow {
-			jobs[ref.Job] = true
+	for _, c := range h.compared {
+		if c.slow {
+			jobs[c.ref.Job] = true
 			slow++
 		}
 	}
-	return len(jobs) >= minSlowJobs && 2*slow > len(h.slow)
+	return len(jobs) >= minSlowJobs && slow >= minSlowAttempts && 2*slow > len(h.compared)
 }
 
 // recordOutcome updates the health of a worker by the end of an attempt.
@@ -99,7 +120,7 @@
 	if until := e.now.Add(quarantineDuration); until > v.quarantinedUntil {
 		v.quarantinedUntil = until
 	}
-	e.log.Info().Str("worker", v.worker.Life.Name).Str("reason", reason).Int("failed_jobs", len(v.health.failedJobs)).Int("compared", len(v.health.slow)).Uint64("term", e.term).Msg("worker quarantined")
+	e.log.Info().Str("worker", v.worker.Life.Name).Str("reason", reason).Int("failed_jobs", len(v.health.failedJobs)).Int("compared", len(v.health.compared)).Uint64("term", e.term).Msg("worker quarantined")
 }
 
 // assessHealth quarantines a worker whose attempts progress slowly, and relocates
@@ -110,13 +131,9 @@
 			e.updatePace(v, a)
 		}
 	}
-	if v.health.isSlow() {
+	if v.health.isSlow(e.now) {
 		e.quarantine(v, "slow", &e.counters.QuarantinedSlow)
-		clear(v.health.slow)
-	}
-	if e.since(v.health.comparedSince) > quarantineDuration {
-		clear(v.health.slow)
-		v.health.comparedSince = e.now
+		v.health.compared = nil
 	}
 	for _, a := range v.attemptList {
 		e.relocateSlow(v, a)
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -191,7 +191,7 @@
 		e.paces.record(a.ref, v.worker.ID, rate)
 	}
 	if comparable && !step.Scavenger {
-		v.health.recordPace(a, a.pace.behind)
+		v.health.recordPace(a, a.pace.behind, e.now)
 	}
 }
 
@@ -202,7 +202,7 @@
 	}
 	rate := fullShare / max(e.since(a.runningSince).Seconds(), 0.001)
 	if usual, comparable := e.usualRate(v, a); comparable && !step.Scavenger {
-		v.health.recordPace(a, rate < usual*slowPace)
+		v.health.recordPace(a, rate < usual*slowPace, e.now)
 	}
 	e.paces.record(a.ref, v.worker.ID, rate)
 }
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -119,6 +119,8 @@
 	appliedShare, wantedShare int
 	// shareAppliedAt is when the applied share became known.
 	shareAppliedAt Instant
+	// compared is set once the attempt counts for the health of its worker.
+	compared bool
 	// isCopy is set on a copy of a task, probed once its progress was asked for.
 	isCopy, probed bool
 	// throttled is set once the attempt did not run at full share.
