dispatch: straggling scavengers are relocated

A scavenger counted as far behind at a tenth of the rate of its siblings, so that one that takes seven times as long delayed its job by all of that. The limit is a fifth now; the others of its step run under the same conditions, and most save their progress. The test ran beyond 10 s before. Quarantines for refused starts have a counter of their own.

--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -122,6 +122,7 @@
 	}
 	if outcome == Unhealthy || outcome == NoRoom {
 		v.quarantinedUntil = e.now.Add(unhealthyQuarantine)
+		e.counters.QuarantinedRefusing++
 	}
 	e.log.Info().Stringer("task", a.ref).Uint32("attempt", a.number).Str("worker", v.worker.Life.Name).Int64("born_ms", v.worker.Life.BornMs).Stringer("outcome", outcome).Int("in_flight", a.startsInFlight()).Uint64("term", e.term).Msg("start refused")
 	if a.running {
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -72,12 +72,13 @@
 // longer ones; Paused those for which scavengers were paused.
 // Copied counts the copies of stragglers, CopiesWon those that were done first, Probes the
 // polls for their progress.
-// QuarantinedFailing and QuarantinedSlow count the quarantines of workers by reason.
+// QuarantinedFailing, QuarantinedSlow and QuarantinedRefusing count the quarantines of workers
+// by reason.
 type Counters struct {
 	Accepted, Cancelled, Placed, Done, Failed, Stopped, Lapsed, Voided uint64
 	Unanswered, Throttled, Relocated, Paused, Crashed                  uint64
 	Copied, CopiesWon, Probes                                          uint64
-	QuarantinedFailing, QuarantinedSlow                                uint64
+	QuarantinedFailing, QuarantinedSlow, QuarantinedRefusing           uint64
 	Overruns                                                           [overrunBuckets]uint64
 }
 
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -23,8 +23,9 @@
 	// slowPace is the progress rate, as a part of that of its siblings, below which an
 	// attempt counts as slow. True times of the tasks of one step differ by 0.15 to 0.3.
 	slowPace = 0.4
-	// starvedPace is the same for scavengers, which get less than they ask for.
-	starvedPace = 0.1
+	// starvedPace is the same for scavengers, which get less than they ask for. It is above
+	// the rate of a straggler of factor 7.
+	starvedPace = 0.2
 	// slowQuantile is the quantile of the learned run times that an attempt without siblings
 	// must exceed by slowMargin to count as slow: all runs of a job whose estimate is far
 	// off are in the tail of the distribution, on whatever worker.
--- a/dispatch/run_times_test.go
+++ b/dispatch/run_times_test.go
@@ -172,3 +172,21 @@
 	l.takeOver()
 	assert.EqualValues(t, 233, l.engine.ready.meanMs(latest, 0), "a new leader relearns")
 }
+
+// Guards against a scavenger that takes seven times as long as the others of its step and
+// delays its job by that, although it saves its progress.
+func TestAStragglingScavengerIsRelocated(t *testing.T) {
+	l := newLoadSim(t, 4, 8)
+	l.runTime = func(run *simRun) time.Duration {
+		if run.ref.Index == 5 && run.attempt == 1 {
+			return stragglerFactor * 2400 * time.Millisecond
+		}
+		return 2400 * time.Millisecond
+	}
+	batch := step(16)
+	batch.Scavenger, batch.Resumable, batch.MaxPerWorker, batch.EstimatedMs = true, true, 2, 5000
+	l.submit(1, batch)
+	require.True(t, l.runUntil(10*time.Second, func() bool { return l.state(1) == workflow.JobCompleted }))
+	assert.EqualValues(t, 1, l.engine.Counters().Relocated)
+	assert.Empty(t, l.violations)
+}
