--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -23,8 +23,9 @@
 	// slowPace is the progress rate, as a part of that of its siblings, below which an
 	// attempt counts as slow. True times of the tasks of one step differ by 0.15 to 0.3.
 	slowPace = 0.4
-	// starvedPace is the same for scavengers, which get less than they ask for.
-	starvedPace = 0.1
+	// starvedPace is the same for scavengers, which get less than they ask for. It is above
+	// the rate of a straggler of factor 7.
+	starvedPace = 0.2
 	// slowQuantile is the quantile of the learned run times that an attempt without siblings
 	// must exceed by slowMargin to count as slow: all runs of a job whose estimate is far
 	// off are in the tail of the distribution, on whatever worker.
@@ -191,7 +192,7 @@
 		e.paces.record(a.ref, v.worker.ID, rate)
 	}
 	if comparable && !step.Scavenger {
-		v.health.recordPace(a, a.pace.behind)
+		v.health.recordPace(a, a.pace.behind, e.now)
 	}
 }
 
@@ -202,7 +203,7 @@
 	}
 	rate := fullShare / max(e.since(a.runningSince).Seconds(), 0.001)
 	if usual, comparable := e.usualRate(v, a); comparable && !step.Scavenger {
-		v.health.recordPace(a, rate < usual*slowPace)
+		v.health.recordPace(a, rate < usual*slowPace, e.now)
 	}
 	e.paces.record(a.ref, v.worker.ID, rate)
 }
