--- a/control/query.go
+++ b/control/query.go
@@ -151,7 +151,9 @@
 	since := make(map[string]int64)
 	for _, e := range l.store.Evacuations() {
 		since[e.Domain] = e.SinceMs
-		domains[e.Domain] = domains[e.Domain] // Its workers may have been removed.
+		if _, ok := domains[e.Domain]; !ok {
+			domains[e.Domain] = load{} // Its workers were removed.
+		}
 	}
 	var rows []controlapi.Row
 	for _, name := range slices.Sorted(maps.Keys(domains)) {
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -29,6 +29,8 @@
 		"connections limited",
 		"crash not recorded",
 		"data folder not closed cleanly",
+		"disk full",
+		"disk has space",
 		"end not recorded",
 		"end of a claimed request not recorded",
 		"ends of leases were not recorded",
--- a/replica/full.go
+++ b/replica/full.go
@@ -40,7 +40,7 @@
 	l.replica.fullCount.Add(1)
 	l.publishSuspended()
 	l.replica.options.Logger.Warn().Err(cause).Uint64("term", status.Term).Bool("led", status.Role == consensus.Leader).
-		Uint64("applied", l.queued).Msg("disk full, not participating")
+		Uint64("applied", l.queued).Msg("disk full")
 	if s := l.senders[handOver.To]; handsOver && s != nil {
 		s.enqueue(handOver)
 	}
@@ -114,14 +114,14 @@
 	took := time.Duration(l.ticks-l.suspended.since) * l.replica.options.Tick
 	l.suspended = suspension{}
 	l.replica.options.Logger.Info().Dur("after", took).Uint64("term", core.Status().Term).Uint64("last", core.Status().LastIndex).
-		Msg("disk has space, participating again")
+		Msg("disk has space")
 	return nil
 }
 
 // awaitSpace reloads the folder until the disk has space. It returns false if the replica
 // is stopped before.
 func (r *Replica) awaitSpace(cause error) (storage.LoadedState, bool, error) {
-	r.options.Logger.Warn().Err(cause).Msg("disk full, not started yet")
+	r.options.Logger.Warn().Err(cause).Bool("starting", true).Msg("disk full")
 	r.fullCount.Add(1)
 	r.status.Store(&Status{Role: RoleFull})
 	for {
@@ -133,7 +133,7 @@
 			continue
 		}
 		if err == nil {
-			r.options.Logger.Info().Msg("disk has space, starting")
+			r.options.Logger.Info().Bool("starting", true).Msg("disk has space")
 			r.status.Store(&Status{Role: roleJoining})
 		}
 		return loaded, true, err
