dispatch: a new leader measures the progress of what it finds running

The applied share of an attempt that an earlier leader started is unknown, and only scavengers get one ordered, so that no progress rate of any other such attempt was ever measured: a straggler under a new leader was never copied. Only scavengers are checked for their share now. Where nothing is known of a fresh run, the assumed one is no longer widened by the spread as well.

--- a/dispatch/copies.go
+++ b/dispatch/copies.go
@@ -233,9 +233,9 @@
 		return left, fresh, worthwhile()
 	}
 	// The learned median says little of a job whose estimate is far off.
-	if median, known := e.projectedRun(t, s); known {
+	if median, projected := e.projectedRun(t, s); projected {
 		fresh = median
-	} else {
+	} else if known {
 		fresh = time.Duration(float64(fresh) * (1 + e.ready.errorPart(s.job, s.ref.Step)))
 	}
 	return left, fresh, worthwhile()
--- a/dispatch/copies_test.go
+++ b/dispatch/copies_test.go
@@ -303,3 +303,20 @@
 		assert.NotEqual(t, uint32(1), run.attempt, "the first attempt must be stopped")
 	}
 }
+
+// Guards against a straggler that is not copied under a new leader, which has learned
+// nothing and did not see the starts. It assumes three times the estimate for a fresh run;
+// after a later change less than 1.5 times that is left when the progress rate is known.
+func TestANewLeaderCopiesAStraggler(t *testing.T) {
+	for after := 100 * time.Millisecond; after <= 400*time.Millisecond; after += 100 * time.Millisecond {
+		l := newLoadSim(t, 1, 12)
+		l.addLasting(1000, 60)
+		l.submitWithStraggler()
+		l.run(after)
+		l.takeOver()
+		l.run(4 * time.Second)
+		assert.Equal(t, workflow.JobCompleted, l.state(l.next), "after %v", after)
+		assert.EqualValues(t, 1, l.engine.Counters().Copied, "after %v", after)
+		assert.Empty(t, l.violations)
+	}
+}
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -162,7 +162,8 @@
 	if step == nil || !comparablePace(v, step) || !e.state.Job(a.ref.Job).Active() {
 		return
 	}
-	if a.appliedShare != fullShare || a.wantedShare != fullShare {
+	// Only scavengers are throttled; of others the applied share may be unknown.
+	if step.Scavenger && (a.appliedShare != fullShare || a.wantedShare != fullShare) {
 		a.throttled = true
 		a.pace = pace{percent: a.percent, at: e.now}
 		return
