--- a/dispatch/candidates.go
+++ b/dispatch/candidates.go
@@ -30,6 +30,9 @@
 	// roomBesideLasting is the capacity that lasting tasks leave over.
 	roomBesideLasting      workflow.Resources
 	roomBesideLastingKnown bool
+	// held is the capacity that is held for urgent tasks, of what is free or becomes free
+	// by the stops in progress, whose reservations are stopping.
+	held, stopping workflow.Resources
 }
 
 // candidateSet holds the workers that may get tasks in one plan.
@@ -42,6 +45,8 @@
 	gangHolds map[string]workflow.StepRef
 	// meanLosses caches PairModel.MeanLoss by victim.
 	meanLosses map[interference.Image]float64
+	// holdsSet is set for the services for which candidate.held is known.
+	holdsSet map[string]bool
 }
 
 // meanLoss returns the slack that a victim loses to scavengers on average.
@@ -61,6 +66,7 @@
 	need      workflow.Resources
 	scavenger bool
 	lasting   bool
+	yields    bool
 	// image is set for scavengers only: how much they disturb serving tasks
 	// depends on it.
 	image string
@@ -75,7 +81,7 @@
 }
 
 func (e *Engine) newCandidateSet() *candidateSet {
-	p := &candidateSet{byService: make(map[string][]*candidate), gangHolds: e.activeGangHolds(), meanLosses: make(map[interference.Image]float64)}
+	p := &candidateSet{byService: make(map[string][]*candidate), gangHolds: e.activeGangHolds(), meanLosses: make(map[interference.Image]float64), holdsSet: make(map[string]bool)}
 	for _, v := range e.sortedViews {
 		if !e.schedulable(v) || e.closedForMaintenance(v) {
 			continue
@@ -106,7 +112,9 @@
 // worker, a missing ticket, or a worker that its task avoids.
 func (p *candidateSet) recordUnplaceable(s *readyStep, avoids bool) {
 	if s.step.MaxPerWorker == 0 && !s.job.Advised && !avoids {
-		p.unplaceable = append(p.unplaceable, requestShapeOf(s.job, s.step))
+		shape := requestShapeOf(s.job, s.step)
+		shape.yields = s.yields
+		p.unplaceable = append(p.unplaceable, shape)
 	}
 }
 
@@ -114,8 +122,9 @@
 // in this plan.
 func (p *candidateSet) knownUnplaceable(s *readyStep) bool {
 	want := requestShapeOf(s.job, s.step)
+	want.yields = s.yields
 	return slices.ContainsFunc(p.unplaceable, func(f requestShape) bool {
-		return f.service == want.service && f.scavenger == want.scavenger && f.lasting == want.lasting && f.image == want.image && (f.label == "" || f.label == want.label) && f.need.Fits(want.need)
+		return f.service == want.service && f.scavenger == want.scavenger && f.lasting == want.lasting && (!f.yields || want.yields) && f.image == want.image && (f.label == "" || f.label == want.label) && f.need.Fits(want.need)
 	})
 }
 
@@ -209,6 +218,8 @@
 		return false
 	case !step.Reserved().Fits(c.free):
 		return false
+	case !e.fitsBesideHeld(c, s):
+		return false
 	case step.Scavenger && e.placementStateOf(c.view).paused:
 		return false
 	case step.Scavenger && (c.idleMilliProcessors < minIdleFor(step) || c.headroom(e, step, e.imageOf(s)) < 0):
@@ -252,7 +263,7 @@
 		score -= quarantineWeight
 	}
 	if s.step.Lasting {
-		score += int64(c.imageAffinity(e, s.step)) * affinityWeight
+		score += int64(c.imageAffinity(e, s.step))*affinityWeight + e.gapScore(c, s)
 	}
 	return score - c.free.MilliProcessors
 }
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -59,17 +59,21 @@
 	departed []string
 	// recentCrashes are the crashes of workers of the last seconds.
 	recentCrashes []recentCrash
+	// urgentPools holds the pools of capacity for urgent tasks, by service. preemptions are
+	// those of lasting tasks whose jobs are active.
+	urgentPools map[string]*urgentPool
+	preemptions map[workflow.TaskRef]preemption
 }
 
 // Counters count decisions since the engine was created. Lapsed counts attempts
 // that ended with their lease, Voided those declared not to run, Unanswered
 // orders without an answer, Relocated attempts stopped in order to run elsewhere.
-// Crashed counts the workers that ended without notice. Overruns counts the times for
+// Yielded counts lasting tasks that were preempted for urgent ones. Crashed counts the workers that ended without notice. Overruns counts the times for
 // which readings of a serving task exceeded its target, by whole seconds, the last for all
 // longer ones; Paused those for which scavengers were paused.
 type Counters struct {
 	Accepted, Cancelled, Placed, Done, Failed, Stopped, Lapsed, Voided uint64
-	Unanswered, Throttled, Relocated, Paused, Crashed                  uint64
+	Unanswered, Throttled, Relocated, Paused, Crashed, Yielded         uint64
 	Overruns                                                           [overrunBuckets]uint64
 }
 
@@ -80,6 +84,7 @@
 		settings: settings, log: log, term: term, state: state, now: now, tookOverAt: now, wallMs: state.NowMs(),
 		views: make(map[workflow.WorkerID]*workerView), slowdown: newSlowdownModel(), advisor: newAdvisor(), maintenance: newMaintenanceState(), gangWaitingSince: make(map[workflow.StepRef]Instant),
 		lastFailures: make(map[workflow.TaskRef]taskFailure), withdrawals: make(map[workflow.WorkerID][]func()),
+		urgentPools: make(map[string]*urgentPool), preemptions: make(map[workflow.TaskRef]preemption),
 	}
 	for _, id := range slices.Sorted(maps.Keys(state.Workers())) {
 		e.addView(state.Worker(id))
@@ -105,6 +110,7 @@
 		e.endWithdrawn(id)
 	}
 	e.advanceWaves()
+	e.updatePools()
 }
 
 // Advance sets the clocks like Tick but issues no orders.
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -36,6 +36,8 @@
 	// image is the index of the step's image, valid once imageKnown is set.
 	image      interference.Image
 	imageKnown bool
+	// yields is set while tasks are placed that leave the capacity held for urgent ones.
+	yields bool
 }
 
 // task returns a task of the step.
@@ -234,7 +236,7 @@
 // plan places the pending tasks in scheduling order.
 func (e *Engine) plan() {
 	e.ready.refresh(e.state, e.wallMs)
-	if len(e.ready.sorted) == 0 && len(e.ready.suspects) == 0 {
+	if len(e.ready.sorted) == 0 && len(e.ready.suspects) == 0 && !e.preemptionDue() {
 		return
 	}
 	candidates := e.newCandidateSet()
@@ -250,10 +252,13 @@
 		case !s.job.Active() || candidates.blockedByGang(s):
 		case s.step.Gang:
 			e.placeGang(candidates, s)
+		case s.step.Lasting:
+			e.placeLasting(candidates, s)
 		case !candidates.knownUnplaceable(s):
 			e.placeStep(candidates, s)
 		}
 	}
+	e.makeRoomForUrgent(candidates)
 }
 
 // placeStep places as many of a step's tasks as find a worker.
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -39,7 +39,10 @@
 		if !s.step.Lasting || e.wallMs-s.waitingSinceMs < reservationDelay.Milliseconds() {
 			continue
 		}
-		for range s.pending {
+		for _, i := range s.pending {
+			if e.mayYield(s, i) {
+				continue
+			}
 			if reservations == maxReservations || !e.reserveWorker(p, s) {
 				break
 			}
--- /dev/null
+++ b/dispatch/urgent.go
@@ -0,0 +1,481 @@
+package dispatch
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"mangohill.example/mangohill/headroom"
+	"mangohill.example/mangohill/workflow"
+)
+
+const (
+	// preemptedWait is how long a preempted lasting task may wait, from its stop on, for
+	// capacity that is not held for urgent tasks. The platform's rules allow six seconds
+	// from its last run, and three more of waiting beside free capacity.
+	preemptedWait = 5 * time.Second
+	// firstRunWait is the same for a lasting task that never ran, from the time when it
+	// could be started; the platform's rules allow three seconds.
+	firstRunWait = 2 * time.Second
+	// preemptionPause is how long a preempted task runs after its return before it may be
+	// preempted again.
+	preemptionPause = 10 * time.Second
+	// preemptionInterval is the time between two decisions on preemptions: waiting tasks
+	// are served at once, and a decision looks at all lasting tasks.
+	preemptionInterval = 50 * time.Millisecond
+	// workersPerPreemption times the preemptions a second are at most the workers: each
+	// costs a call, and the stopped task some five seconds of work.
+	workersPerPreemption = 10
+	minPreemptions       = 2
+	// passedOverLimit is how long an urgent task may be passed over before the room that is
+	// assigned to it is kept from other urgent tasks.
+	passedOverLimit = 150 * time.Millisecond
+	// gapWeight is the score of a thousandth of a processor of gaps that urgent tasks could
+	// use. Two processors count as much as a unit of imageAffinity.
+	gapWeight = affinityWeight / 2000
+)
+
+// urgentPool is the capacity of a service that is kept free for urgent tasks: those of the
+// highest priority that are neither lasting nor scavengers.
+type urgentPool struct {
+	priority  int32
+	demand    headroom.Demand
+	sampledAt Instant
+	// neededAt is when an urgent task that could be in time was last left without room, or a
+	// lasting task last waited or was preempted for the pool; zero for never. The pool is
+	// kept from then on for headroom.Window.
+	neededAt    Instant
+	evaluatedAt Instant
+	// allowance is the number of preemptions that are allowed now, as of evaluatedAt.
+	allowance float64
+	// widths are those in demand.
+	widths []headroom.Width
+	// assigned is the room that is assigned to urgent tasks that wait, by worker.
+	assigned map[workflow.WorkerID][]assignedRoom
+	// targetMilliProcessors and heldMilliProcessors are the latest target, and what of it
+	// is held in gaps.
+	targetMilliProcessors, heldMilliProcessors int64
+}
+
+// assignedRoom is room that is assigned to a task of a step.
+type assignedRoom struct {
+	ref  workflow.StepRef
+	need workflow.Resources
+}
+
+// preemption is the latest preemption of a lasting task.
+type preemption struct {
+	attempt uint32
+	at      Instant
+}
+
+// isUrgent reports whether the tasks of a step are urgent.
+func (p *urgentPool) isUrgent(job *workflow.Job, step *workflow.Step) bool {
+	return !step.Lasting && !step.Scavenger && !step.Gang && job.Priority == p.priority
+}
+
+// poolActive reports whether capacity is held for urgent tasks of a service.
+func (e *Engine) poolActive(service string) bool {
+	p := e.urgentPools[service]
+	return p != nil && p.neededAt != 0 && e.since(p.neededAt) < headroom.Window
+}
+
+// updatePools creates the pools of the services in the catalog and samples their demand.
+func (e *Engine) updatePools() {
+	catalog := e.state.Catalog()
+	if catalog == nil {
+		return
+	}
+	priorities := make(map[string]int32)
+	for i := range catalog.Queues {
+		q := &catalog.Queues[i]
+		if lowest, known := priorities[q.Service]; !known || q.Priority < lowest {
+			priorities[q.Service] = q.Priority
+		}
+	}
+	sampled := false
+	for service, priority := range priorities {
+		p := e.urgentPools[service]
+		if p == nil {
+			p = &urgentPool{}
+			e.urgentPools[service] = p
+		}
+		p.priority = priority
+		if e.since(p.sampledAt) >= headroom.SampleInterval {
+			p.sampledAt, sampled = e.now, true
+			load := e.urgentLoad(service, p)
+			for _, s := range e.ready.sorted {
+				if s.job.Service == service && e.mayBeInTime(p, s) {
+					for range s.pending {
+						load.Add(s.step.Resources)
+					}
+				}
+			}
+			p.demand.Record(&load)
+			p.widths = p.demand.Widths()
+		}
+	}
+	if sampled {
+		maps.DeleteFunc(e.preemptions, func(ref workflow.TaskRef, _ preemption) bool {
+			job := e.state.Job(ref.Job)
+			return job == nil || !job.Active()
+		})
+	}
+}
+
+// urgentLoad returns what urgent tasks of a service hold.
+func (e *Engine) urgentLoad(service string, p *urgentPool) headroom.Load {
+	var load headroom.Load
+	for _, v := range e.sortedViews {
+		if v.worker.Service != service {
+			continue
+		}
+		for _, a := range v.attemptList {
+			if a.class == unknownClass {
+				a.class = otherClass
+				if job := e.state.Job(a.ref.Job); job != nil && p.isUrgent(job, &job.Spec.Steps[a.ref.Step]) {
+					a.class = urgentClass
+				}
+			}
+			if a.class != urgentClass || a.stopWanted {
+				continue
+			}
+			if step := e.step(a.ref); step != nil {
+				load.Add(step.Resources)
+			}
+		}
+	}
+	return load
+}
+
+// attemptClass tells whether an attempt is of an urgent task.
+type attemptClass uint8
+
+const (
+	unknownClass attemptClass = iota
+	urgentClass
+	otherClass
+)
+
+// mayBeInTime reports whether the pending tasks of a step are urgent and their job can still
+// meet its objective.
+func (e *Engine) mayBeInTime(p *urgentPool, s *readyStep) bool {
+	return len(s.pending) > 0 && p.isUrgent(s.job, s.step) && s.job.Active() && s.job.Spec.DueMs(s.ref.Occurrence) <= e.wallMs && s.latenessAt(e.wallMs) == onTime
+}
+
+// waitsForRoom reports whether the pending tasks of an urgent step wait for nothing but room on
+// any worker.
+func (e *Engine) waitsForRoom(p *urgentPool, s *readyStep) bool {
+	return e.mayBeInTime(p, s) && s.step.MaxPerWorker == 0 && s.step.Label == "" && !s.job.Advised && !e.failedRecently(s)
+}
+
+// poolView is the pool's view of the workers in one plan: the gaps that are wanted, and where
+// they are.
+type poolView struct {
+	candidates []*candidate
+	// waiting are the steps whose tasks wait; the gap with Key i+1 is for waiting[i], those
+	// with Key 0 are for tasks to come.
+	waiting []*readyStep
+	gaps    []headroom.Gap
+	// free is the capacity of each candidate that is free, or will be once what is being
+	// stopped there has ended, and is not assigned to a gap.
+	free    []workflow.Resources
+	packed  []headroom.Opening
+	missing []int
+}
+
+// viewPool assigns the gaps of a pool to workers.
+func (e *Engine) viewPool(set *candidateSet, service string) *poolView {
+	p := e.urgentPools[service]
+	view := &poolView{candidates: set.byService[service]}
+	waitingMilliProcessors := int64(0)
+	for _, s := range e.ready.sorted {
+		if s.job.Service != service || !e.waitsForRoom(p, s) {
+			continue
+		}
+		view.waiting = append(view.waiting, s)
+		view.gaps = append(view.gaps, headroom.Gap{Need: s.step.Resources, Count: len(s.pending), Key: len(view.waiting)})
+		waitingMilliProcessors += int64(len(s.pending)) * s.step.Resources.MilliProcessors
+	}
+	headroom.SortGaps(view.gaps)
+	held := e.urgentLoad(service, p)
+	p.targetMilliProcessors = p.demand.Target() + waitingMilliProcessors
+	view.gaps = append(view.gaps, p.demand.Gaps(p.demand.Target()-held.MilliProcessors())...)
+	view.free = make([]workflow.Resources, len(view.candidates))
+	for i, c := range view.candidates {
+		if !c.takesUrgent() {
+			continue
+		}
+		c.stopping = workflow.Resources{}
+		for _, a := range c.view.attemptList {
+			if a.stopWanted {
+				if step := e.step(a.ref); step != nil {
+					c.stopping = c.stopping.Add(step.Reserved())
+				}
+			}
+		}
+		view.free[i] = c.free.Add(c.stopping)
+	}
+	view.packed, view.missing = headroom.Pack(view.free, view.gaps)
+	p.heldMilliProcessors = 0
+	for _, o := range view.packed {
+		p.heldMilliProcessors += view.gaps[o.Gap].Need.MilliProcessors
+	}
+	return view
+}
+
+// takesUrgent reports whether the worker is one on which urgent tasks are started.
+func (c *candidate) takesUrgent() bool {
+	return !c.quarantined && !c.silent && c.view.test == nil
+}
+
+// placeLasting places the tasks of a lasting step. While capacity is held for urgent tasks, those
+// that may still wait are placed beside it.
+func (e *Engine) placeLasting(set *candidateSet, s *readyStep) {
+	if !e.poolActive(s.job.Service) {
+		if !set.knownUnplaceable(s) {
+			e.placeStep(set, s)
+		}
+		return
+	}
+	if !set.holdsSet[s.job.Service] {
+		set.holdsSet[s.job.Service] = true
+		view := e.viewPool(set, s.job.Service)
+		for _, c := range view.candidates {
+			c.held = workflow.Resources{}
+		}
+		for _, o := range view.packed {
+			c := view.candidates[o.Worker]
+			c.held = c.held.Add(view.gaps[o.Gap].Need)
+		}
+	}
+	var due, yielding []uint32
+	for _, i := range s.pending {
+		if e.mayYield(s, i) {
+			yielding = append(yielding, i)
+		} else {
+			due = append(due, i)
+		}
+	}
+	s.pending, s.yields = due, false
+	if len(s.pending) > 0 && !set.knownUnplaceable(s) {
+		e.placeStep(set, s)
+	}
+	due = s.pending
+	s.pending, s.yields = yielding, true
+	if len(s.pending) > 0 && !set.knownUnplaceable(s) {
+		e.placeStep(set, s)
+	}
+	if p := e.urgentPools[s.job.Service]; len(s.pending) > 0 && p.demand.Target() > 0 {
+		p.neededAt = e.now
+	}
+	s.pending = append(due, s.pending...)
+	slices.Sort(s.pending)
+	s.yields = false
+}
+
+// mayYield reports whether a pending lasting task may still wait for capacity that is not held
+// for urgent tasks.
+func (e *Engine) mayYield(s *readyStep, index uint32) bool {
+	if !e.poolActive(s.job.Service) {
+		return false
+	}
+	ref := s.task(index)
+	attempt := s.job.Task(ref).Attempt
+	if p, known := e.preemptions[ref]; known && p.attempt == attempt {
+		return e.since(p.at) < preemptedWait
+	}
+	return attempt == 0 && e.wallMs-s.waitingSinceMs < firstRunWait.Milliseconds()
+}
+
+// fitsBesideHeld reports whether one more task of the step leaves the capacity that is held for
+// other tasks.
+func (e *Engine) fitsBesideHeld(c *candidate, s *readyStep) bool {
+	if s.yields {
+		return s.step.Reserved().Fits(c.free.Add(c.stopping).Sub(c.held))
+	}
+	if s.step.Lasting || s.step.Scavenger {
+		return true
+	}
+	p := e.urgentPools[s.job.Service]
+	if p == nil || len(p.assigned) == 0 {
+		return true
+	}
+	kept := workflow.Resources{}
+	for _, r := range p.assigned[c.view.worker.ID] {
+		if r.ref == s.ref {
+			return true
+		}
+		kept = kept.Add(r.need)
+	}
+	return kept == (workflow.Resources{}) || s.step.Reserved().Fits(c.free.Sub(kept))
+}
+
+// gapScore returns the score of a worker for a lasting task by what is left there for urgent
+// tasks, zero if none is held.
+func (e *Engine) gapScore(c *candidate, s *readyStep) int64 {
+	if !e.poolActive(s.job.Service) {
+		return 0
+	}
+	widths := e.urgentPools[s.job.Service].widths
+	return -int64(headroom.Useful(widths, c.free)-headroom.Useful(widths, c.free.Sub(s.step.Resources))) * gapWeight
+}
+
+// preemptionDue reports whether the pool of any service is to be looked after.
+func (e *Engine) preemptionDue() bool {
+	for service, p := range e.urgentPools {
+		if e.poolActive(service) && e.since(p.evaluatedAt) >= preemptionInterval {
+			return true
+		}
+	}
+	return false
+}
+
+// makeRoomForUrgent notes which urgent tasks wait, and preempts lasting tasks if the pool of a
+// service has too few gaps.
+func (e *Engine) makeRoomForUrgent(set *candidateSet) {
+	for _, s := range e.ready.sorted {
+		if p := e.urgentPools[s.job.Service]; p != nil && e.waitsForRoom(p, s) {
+			if !e.poolActive(s.job.Service) {
+				e.log.Info().Str("service", s.job.Service).Stringer("job", s.ref.Job).Int64("mcpu", s.step.Resources.MilliProcessors).Int64("target_mcpu", p.demand.Target()).Uint64("term", e.term).Msg("headroom held")
+			}
+			p.neededAt = e.now
+		}
+	}
+	for _, service := range slices.Sorted(maps.Keys(e.urgentPools)) {
+		p := e.urgentPools[service]
+		switch {
+		case e.since(p.evaluatedAt) < preemptionInterval:
+		case e.poolActive(service):
+			e.preemptFor(set, service, p)
+			p.evaluatedAt = e.now
+		case p.assigned != nil || p.targetMilliProcessors != 0:
+			p.assigned, p.targetMilliProcessors, p.heldMilliProcessors = nil, 0, 0
+			e.log.Info().Str("service", service).Uint64("term", e.term).Msg("headroom released")
+		}
+	}
+}
+
+// preemptFor preempts lasting tasks for the gaps that are missing.
+func (e *Engine) preemptFor(set *candidateSet, service string, p *urgentPool) {
+	view := e.viewPool(set, service)
+	perSecond := max(float64(len(view.candidates))/workersPerPreemption, minPreemptions)
+	p.allowance = min(p.allowance+perSecond*e.since(p.evaluatedAt).Seconds(), perSecond)
+	if slices.Max(append(view.missing, 0)) > 0 && p.allowance >= 1 {
+		victims, attempts := e.preemptible(view, p)
+		allowed := func(v *headroom.Victim) bool { return e.mayPreempt(attempts[v.Key].attempt) }
+		chosen, opened := headroom.Choose(view.free, victims, view.gaps, view.missing, int(p.allowance), allowed)
+		for i := range chosen {
+			e.preempt(p, attempts[chosen[i].Key], &view.gaps[chosen[i].Gap])
+		}
+		view.packed = append(view.packed, opened...)
+	}
+	p.assigned = make(map[workflow.WorkerID][]assignedRoom)
+	for _, o := range view.packed {
+		gap := &view.gaps[o.Gap]
+		if gap.Key == 0 {
+			continue
+		}
+		if s := view.waiting[gap.Key-1]; e.wallMs-s.waitingSinceMs >= passedOverLimit.Milliseconds() {
+			id := view.candidates[o.Worker].view.worker.ID
+			p.assigned[id] = append(p.assigned[id], assignedRoom{s.ref, gap.Need})
+		}
+	}
+}
+
+// runningAttempt is an attempt with its worker.
+type runningAttempt struct {
+	view    *workerView
+	attempt *attempt
+}
+
+// Ranks of headroom.Cost.
+const (
+	notOperational = iota
+	missesTarget
+	operational
+)
+
+// preemptible returns the lasting tasks on each candidate that may be preempted, the largest
+// first, and their attempts by Key.
+func (e *Engine) preemptible(view *poolView, p *urgentPool) ([][]headroom.Victim, []runningAttempt) {
+	victims := make([][]headroom.Victim, len(view.candidates))
+	var attempts []runningAttempt
+	for i, c := range view.candidates {
+		if !c.takesUrgent() {
+			continue
+		}
+		for _, a := range c.view.attemptList {
+			job := e.state.Job(a.ref.Job)
+			if job == nil || !job.Spec.Steps[a.ref.Step].Lasting || job.Priority < p.priority || !a.committed || a.carried || !a.running || a.stopWanted || a.callInFlight {
+				continue
+			}
+			last, preempted := e.preemptions[a.ref]
+			// Of an adopted attempt that is not the first of its task, it is not known
+			// whether an earlier leader has preempted the task.
+			if (preempted || a.adopted && a.number > 1) && e.since(a.runningSince) < preemptionPause {
+				continue
+			}
+			cost := headroom.Cost{Rank: operational, Recency: int64(last.at)}
+			switch {
+			case a.percent < fullShare:
+				cost.Rank = notOperational
+			case e.inOverrun(a):
+				cost.Rank = missesTarget
+			}
+			victims[i] = append(victims[i], headroom.Victim{Key: len(attempts), Need: job.Spec.Steps[a.ref.Step].Resources, Cost: cost})
+			attempts = append(attempts, runningAttempt{c.view, a})
+		}
+		slices.SortStableFunc(victims[i], func(a, b headroom.Victim) int {
+			return cmp.Compare(b.Need.MilliProcessors, a.Need.MilliProcessors)
+		})
+	}
+	return victims, attempts
+}
+
+// mayPreempt reports whether a lasting task may be stopped: enough tasks of its step are
+// available, and another task of its job runs.
+func (e *Engine) mayPreempt(a *attempt) bool {
+	job := e.state.Job(a.ref.Job)
+	if job == nil || !job.Active() {
+		return false
+	}
+	running, unavailable := 0, int32(1)
+	for o := range job.Occurrences {
+		for s := range job.Spec.Steps {
+			for i := range job.Occurrences[o].Steps[s] {
+				ref := workflow.TaskRef{Job: a.ref.Job, Occurrence: uint32(o), Step: uint32(s), Index: uint32(i)}
+				if ref == a.ref {
+					continue
+				}
+				if e.available(ref, &job.Occurrences[o].Steps[s][i]) {
+					running++
+				} else if ref.StepRef() == a.ref.StepRef() {
+					unavailable++
+				}
+			}
+		}
+	}
+	limit := job.Spec.Steps[a.ref.Step].MaxUnavailable
+	return running > 0 && (limit <= 0 || unavailable <= limit)
+}
+
+// preempt stops a lasting task for urgent ones, if that is still allowed beside those that were
+// stopped before.
+func (e *Engine) preempt(p *urgentPool, r runningAttempt, gap *headroom.Gap) {
+	a, reason := r.attempt, "below_target"
+	if gap.Key > 0 {
+		reason = "urgent_task_waits"
+	}
+	if !e.mayPreempt(a) {
+		return
+	}
+	p.allowance, p.neededAt = p.allowance-1, e.now
+	a.stopWanted = true
+	e.preemptions[a.ref] = preemption{a.number, e.now}
+	e.counters.Yielded++
+	e.log.Info().Stringer("task", a.ref).Uint32("attempt", a.number).Str("worker", r.view.worker.Life.Name).Int("percent", a.percent).Dur("ran", e.since(a.runningSince)).
+		Str("reason", reason).Int64("gap_mcpu", gap.Need.MilliProcessors).Int64("target_mcpu", p.targetMilliProcessors).Int64("held_mcpu", p.heldMilliProcessors).Uint64("term", e.term).Msg("task preempted")
+	e.issueAttemptOrder(r.view, a)
+}
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -127,6 +127,8 @@
 	overrun overrun
 	// warmedUpAt is when the gauge of a lasting task becomes representative.
 	warmedUpAt Instant
+	// class tells whether the task is urgent, once that is known.
+	class attemptClass
 }
 
 const (
