dispatch: room for wide urgent tasks, fewer and cheaper preemptions

Preemptions for tasks to come used up the bound, so that wide tasks that waited got none; a third is left for these now, and wide tasks keep the room that is assigned to them. A new leader preempted tasks again that the one before had.

--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/rs/zerolog"
 
+	"mangohill.example/mangohill/headroom"
+	"mangohill.example/mangohill/kind"
 	"mangohill.example/mangohill/workflow"
 )
 
@@ -96,3 +98,76 @@
 	b.ReportMetric(float64(e.counters.Placed)/float64(b.N+3), "placed/s")
 	b.ReportMetric(float64(b.Elapsed().Microseconds())/(float64(e.counters.Placed)*float64(b.N)/float64(b.N+3)), "µs/placed")
 }
+
+// BenchmarkUrgentPool measures one decision on the pool of capacity for urgent tasks, in a
+// fleet of the users' size that lasting tasks fill. It is due each preemptionInterval at most.
+func BenchmarkUrgentPool(b *testing.B) {
+	for _, workers := range []int{100, 490, 900, 3000} {
+		b.Run(fmt.Sprint("workers=", workers), func(b *testing.B) { benchmarkUrgentPool(b, workers) })
+	}
+}
+
+func benchmarkUrgentPool(b *testing.B, workers int) {
+	e := New(Settings{}, zerolog.Nop(), 1, workflow.NewState(), 1)
+	queue := workflow.Queue{Name: "q", Host: "h", PathPrefix: "/", Service: "s", TimeoutMs: 1000, StretchMilli: 2000, LatencyObjectiveMs: 100_000}
+	if err := e.propose(workflow.Op{SetCatalog: &workflow.SetCatalog{Catalog: workflow.Catalog{Version: 1, Queues: []workflow.Queue{queue}, Services: []workflow.Service{{Name: "s"}}}}}); err != nil {
+		b.Fatal(err)
+	}
+	for i := range workers {
+		name := fmt.Sprint("w", i)
+		e.Announce(&Announcement{Life: workflow.Incarnation{Name: name, BornMs: 1}, Address: name, Service: "s", Capacity: workflow.Resources{MilliProcessors: 18_000, MemoryMB: 64_000}}, func(*kind.Error) {})
+	}
+	for _, v := range e.sortedViews {
+		v.fenced, v.clockMs, v.pollInFlight = true, 1, true
+	}
+	next := workflow.JobID(0)
+	submit := func(step workflow.Step) {
+		next++
+		e.submit(&queue, next, &Request{Job: &workflow.JobSpec{Steps: []workflow.Step{step}}}, func(Reply) {})
+	}
+	settle := func() {
+		for e.TakeBatch() != nil {
+			e.Committed()
+		}
+		for _, v := range e.sortedViews {
+			for _, a := range v.attemptList {
+				a.running, a.percent, a.callInFlight = true, fullShare, false
+			}
+		}
+	}
+	for range workers * 6 / 14 {
+		submit(workflow.Step{Count: 14, Resources: workflow.Resources{MilliProcessors: 3000, MemoryMB: 6400}, Lasting: true, MaxUnavailable: 2})
+	}
+	settle()
+	for i := range workers / 20 {
+		submit(workflow.Step{Count: 10, EstimatedMs: 700, Resources: workflow.Resources{MilliProcessors: 1000 + 700*int64(i%10), MemoryMB: 5200}})
+	}
+	settle()
+	for range 50 {
+		e.now = e.now.Add(headroom.SampleInterval)
+		e.updatePools()
+	}
+	for _, v := range e.sortedViews {
+		v.answeredAt, v.pollDueAt = e.now, 0
+	}
+	p, set := e.urgentPools["s"], e.newCandidateSet()
+	if !e.viewPool(set, "s").isMissing() {
+		b.Fatal("no gap is missing")
+	}
+	b.ResetTimer()
+	for range b.N {
+		p.preemptedAt = nil
+		e.preemptFor(set, "s", p)
+		b.StopTimer()
+		if len(p.preemptedAt) == 0 {
+			b.Fatal("nothing is preempted")
+		}
+		for _, v := range e.sortedViews {
+			for _, a := range v.attemptList {
+				a.stopWanted, a.callInFlight = false, false
+			}
+		}
+		e.TakeOrders()
+		b.StartTimer()
+	}
+}
--- a/dispatch/candidates.go
+++ b/dispatch/candidates.go
@@ -45,8 +45,9 @@
 	gangHolds map[string]workflow.StepRef
 	// meanLosses caches PairModel.MeanLoss by victim.
 	meanLosses map[interference.Image]float64
-	// holdsSet is set for the services for which candidate.held is known.
-	holdsSet map[string]bool
+	// belowTarget tells whether the pool of urgent capacity of a service is below its
+	// target, for those whose candidate.held is known.
+	belowTarget map[string]bool
 }
 
 // meanLoss returns the slack that a victim loses to scavengers on average.
@@ -81,7 +82,7 @@
 }
 
 func (e *Engine) newCandidateSet() *candidateSet {
-	p := &candidateSet{byService: make(map[string][]*candidate), gangHolds: e.activeGangHolds(), meanLosses: make(map[interference.Image]float64), holdsSet: make(map[string]bool)}
+	p := &candidateSet{byService: make(map[string][]*candidate), gangHolds: e.activeGangHolds(), meanLosses: make(map[interference.Image]float64), belowTarget: make(map[string]bool)}
 	for _, v := range e.sortedViews {
 		if !e.schedulable(v) || e.closedForMaintenance(v) {
 			continue
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -75,6 +75,9 @@
 	Accepted, Cancelled, Placed, Done, Failed, Stopped, Lapsed, Voided uint64
 	Unanswered, Throttled, Relocated, Paused, Crashed, Yielded         uint64
 	Overruns                                                           [overrunBuckets]uint64
+	// HeadroomTargetMilliProcessors is the capacity that is to be kept for urgent tasks beside
+	// what they hold, HeadroomHeldMilliProcessors what of it is in gaps; both are current values.
+	HeadroomTargetMilliProcessors, HeadroomHeldMilliProcessors int64
 }
 
 // New returns the engine of a leader that takes over at now. It starts from the
@@ -127,7 +130,14 @@
 func (e *Engine) State() *workflow.State { return e.state }
 
 // Counters returns the counts of decisions.
-func (e *Engine) Counters() Counters { return e.counters }
+func (e *Engine) Counters() Counters {
+	c := e.counters
+	for _, p := range e.urgentPools {
+		c.HeadroomTargetMilliProcessors += p.targetMilliProcessors
+		c.HeadroomHeldMilliProcessors += p.heldMilliProcessors
+	}
+	return c
+}
 
 // TakeOrders returns and clears the pending orders to workers.
 func (e *Engine) TakeOrders() []Order {
--- a/dispatch/sim_urgent_test.go
+++ b/dispatch/sim_urgent_test.go
@@ -30,7 +30,9 @@
 	// capacity is that of the fleet, requested what lasting jobs request, in thousandths of a
 	// processor.
 	capacity, requested int64
-	runs                map[*simRun]bool
+	// estimateError is the factor by which the estimates of quick tasks may be off, zero for none.
+	estimateError float64
+	runs          map[*simRun]bool
 }
 
 type quickJob struct {
@@ -115,6 +117,9 @@
 func (u *urgentLoad) submitQuick() {
 	width := int64(min(800+u.rng.ExpFloat64()*1900, 8500))
 	estimate := 580 + u.rng.Int64N(150) // Runs take 0.6 to 1.6 times as long.
+	if u.estimateError > 0 {
+		estimate = int64(float64(estimate) * math.Pow(u.estimateError, 2*u.rng.Float64()-1))
+	}
 	first := workflow.Step{Count: 6 + u.rng.Uint32N(9), Resources: workflow.Resources{MilliProcessors: width, MemoryMB: 5200}, EstimatedMs: estimate}
 	steps := []workflow.Step{first}
 	if u.rng.Float64() < 0.6 {
--- a/dispatch/urgent.go
+++ b/dispatch/urgent.go
@@ -24,16 +24,28 @@
 	// preemptionInterval is the time between two decisions on preemptions: waiting tasks
 	// are served at once, and a decision looks at all lasting tasks.
 	preemptionInterval = 50 * time.Millisecond
-	// workersPerPreemption times the preemptions a second are at most the workers: each
-	// costs a call, and the stopped task some five seconds of work.
+	// workersPerPreemption times the preemptions in a preemptionPeriod are at most the
+	// workers. Twice and half as many gain less for urgent jobs than they cost lasting ones,
+	// by the values of both kinds of work; see docs/design/urgent-room.md.
 	workersPerPreemption = 10
-	minPreemptions       = 2
+	minPreemptions       = 3
+	// waitingPart of them is left for urgent tasks that wait, when preemptions for those to
+	// come have taken the rest.
+	waitingPart      = 3
+	preemptionPeriod = time.Second
 	// passedOverLimit is how long an urgent task may be passed over before the room that is
-	// assigned to it is kept from other urgent tasks.
-	passedOverLimit = 150 * time.Millisecond
+	// assigned to it is kept from other urgent tasks. The room stays empty until it is complete,
+	// which takes up to the 0.9 s of a stop.
+	passedOverLimit = 400 * time.Millisecond
+	// wideFactor times the mean width of urgent tasks is the width from which on a task keeps
+	// the room that is assigned to it at once: narrower ones would take most of what each stop
+	// frees before there is enough.
+	wideFactor = 2
 	// gapWeight is the score of a thousandth of a processor of gaps that urgent tasks could
 	// use. Two processors count as much as a unit of imageAffinity.
 	gapWeight = affinityWeight / 2000
+	// assignedWeight ranks workers with room that is assigned to an urgent task behind others.
+	assignedWeight = 1 << 48
 )
 
 // urgentPool is the capacity of a service that is kept free for urgent tasks: those of the
@@ -47,8 +59,8 @@
 	// kept from then on for headroom.Window.
 	neededAt    Instant
 	evaluatedAt Instant
-	// allowance is the number of preemptions that are allowed now, as of evaluatedAt.
-	allowance float64
+	// preemptedAt holds when tasks were preempted in the last preemptionPeriod, oldest first.
+	preemptedAt []Instant
 	// widths are those in demand.
 	widths []headroom.Width
 	// assigned is the room that is assigned to urgent tasks that wait, by worker.
@@ -106,7 +118,7 @@
 			p.sampledAt, sampled = e.now, true
 			load := e.urgentLoad(service, p)
 			for _, s := range e.ready.sorted {
-				if s.job.Service == service && e.mayBeInTime(p, s) {
+				if s.job.Service == service && e.waits(p, s) && s.latenessAt(e.wallMs) == onTime {
 					for range s.pending {
 						load.Add(s.step.Resources)
 					}
@@ -158,16 +170,15 @@
 	otherClass
 )
 
-// mayBeInTime reports whether the pending tasks of a step are urgent and their job can still
-// meet its objective.
-func (e *Engine) mayBeInTime(p *urgentPool, s *readyStep) bool {
-	return len(s.pending) > 0 && p.isUrgent(s.job, s.step) && s.job.Active() && s.job.Spec.DueMs(s.ref.Occurrence) <= e.wallMs && s.latenessAt(e.wallMs) == onTime
+// waits reports whether tasks of an urgent step are pending that may be started.
+func (e *Engine) waits(p *urgentPool, s *readyStep) bool {
+	return len(s.pending) > 0 && p.isUrgent(s.job, s.step) && s.job.Active() && s.job.Spec.DueMs(s.ref.Occurrence) <= e.wallMs
 }
 
 // waitsForRoom reports whether the pending tasks of an urgent step wait for nothing but room on
-// any worker.
+// any worker, and are still of value.
 func (e *Engine) waitsForRoom(p *urgentPool, s *readyStep) bool {
-	return e.mayBeInTime(p, s) && s.step.MaxPerWorker == 0 && s.step.Label == "" && !s.job.Advised && !e.failedRecently(s)
+	return e.waits(p, s) && s.latenessAt(e.wallMs) != tooLate && s.step.MaxPerWorker == 0 && s.step.Label == "" && !s.job.Advised && !e.failedRecently(s)
 }
 
 // poolView is the pool's view of the workers in one plan: the gaps that are wanted, and where
@@ -218,6 +229,11 @@
 		view.free[i] = c.free.Add(c.stopping)
 	}
 	view.packed, view.missing = headroom.Pack(view.free, view.gaps)
+	for g := range view.gaps {
+		if key := view.gaps[g].Key; key > 0 && view.waiting[key-1].latenessAt(e.wallMs) != onTime {
+			view.missing[g] = 0 // Nothing is preempted for it.
+		}
+	}
 	p.heldMilliProcessors = 0
 	for _, o := range view.packed {
 		p.heldMilliProcessors += view.gaps[o.Gap].Need.MilliProcessors
@@ -230,8 +246,31 @@
 	return !c.quarantined && !c.silent && c.view.test == nil
 }
 
+// holdGaps sets the capacity that is held on each candidate, once in a plan, and reports whether
+// the pool is below its target.
+func (e *Engine) holdGaps(set *candidateSet, service string) bool {
+	belowTarget, known := set.belowTarget[service]
+	if known {
+		return belowTarget
+	}
+	view := e.viewPool(set, service)
+	for _, o := range view.packed {
+		c := view.candidates[o.Worker]
+		c.held = c.held.Add(view.gaps[o.Gap].Need)
+	}
+	belowTarget = view.isMissing()
+	set.belowTarget[service] = belowTarget
+	return belowTarget
+}
+
+// isMissing reports whether a gap found no worker.
+func (v *poolView) isMissing() bool {
+	return slices.ContainsFunc(v.missing, func(n int) bool { return n > 0 })
+}
+
 // placeLasting places the tasks of a lasting step. While capacity is held for urgent tasks, those
-// that may still wait are placed beside it.
+// that may still wait are placed beside it, and only once the pool has reached its target: room
+// that is of no use yet becomes part of a gap when a task next to it is preempted.
 func (e *Engine) placeLasting(set *candidateSet, s *readyStep) {
 	if !e.poolActive(s.job.Service) {
 		if !set.knownUnplaceable(s) {
@@ -239,17 +278,7 @@
 		}
 		return
 	}
-	if !set.holdsSet[s.job.Service] {
-		set.holdsSet[s.job.Service] = true
-		view := e.viewPool(set, s.job.Service)
-		for _, c := range view.candidates {
-			c.held = workflow.Resources{}
-		}
-		for _, o := range view.packed {
-			c := view.candidates[o.Worker]
-			c.held = c.held.Add(view.gaps[o.Gap].Need)
-		}
-	}
+	belowTarget := e.holdGaps(set, s.job.Service)
 	var due, yielding []uint32
 	for _, i := range s.pending {
 		if e.mayYield(s, i) {
@@ -264,7 +293,7 @@
 	}
 	due = s.pending
 	s.pending, s.yields = yielding, true
-	if len(s.pending) > 0 && !set.knownUnplaceable(s) {
+	if len(s.pending) > 0 && !belowTarget && !set.knownUnplaceable(s) {
 		e.placeStep(set, s)
 	}
 	if p := e.urgentPools[s.job.Service]; len(s.pending) > 0 && p.demand.Target() > 0 {
@@ -318,7 +347,11 @@
 	if !e.poolActive(s.job.Service) {
 		return 0
 	}
-	widths := e.urgentPools[s.job.Service].widths
+	p := e.urgentPools[s.job.Service]
+	if p.assigned[c.view.worker.ID] != nil {
+		return -assignedWeight
+	}
+	widths := p.widths
 	return -int64(headroom.Useful(widths, c.free)-headroom.Useful(widths, c.free.Sub(s.step.Resources))) * gapWeight
 }
 
@@ -336,7 +369,7 @@
 // service has too few gaps.
 func (e *Engine) makeRoomForUrgent(set *candidateSet) {
 	for _, s := range e.ready.sorted {
-		if p := e.urgentPools[s.job.Service]; p != nil && e.waitsForRoom(p, s) {
+		if p := e.urgentPools[s.job.Service]; p != nil && e.waitsForRoom(p, s) && s.latenessAt(e.wallMs) == onTime {
 			if !e.poolActive(s.job.Service) {
 				e.log.Info().Str("service", s.job.Service).Stringer("job", s.ref.Job).Int64("mcpu", s.step.Resources.MilliProcessors).Int64("target_mcpu", p.demand.Target()).Uint64("term", e.term).Msg("headroom held")
 			}
@@ -360,16 +393,20 @@
 // preemptFor preempts lasting tasks for the gaps that are missing.
 func (e *Engine) preemptFor(set *candidateSet, service string, p *urgentPool) {
 	view := e.viewPool(set, service)
-	perSecond := max(float64(len(view.candidates))/workersPerPreemption, minPreemptions)
-	p.allowance = min(p.allowance+perSecond*e.since(p.evaluatedAt).Seconds(), perSecond)
-	if slices.Max(append(view.missing, 0)) > 0 && p.allowance >= 1 {
+	p.preemptedAt = slices.DeleteFunc(p.preemptedAt, func(at Instant) bool { return e.since(at) >= preemptionPeriod })
+	limit := max(len(view.candidates)/workersPerPreemption, minPreemptions)
+	if view.isMissing() && len(p.preemptedAt) < limit {
 		victims, attempts := e.preemptible(view, p)
-		allowed := func(v *headroom.Victim) bool { return e.mayPreempt(attempts[v.Key].attempt) }
-		chosen, opened := headroom.Choose(view.free, victims, view.gaps, view.missing, int(p.allowance), allowed)
-		for i := range chosen {
-			e.preempt(p, attempts[chosen[i].Key], &view.gaps[chosen[i].Gap])
+		allowed := e.preemptionCheck(attempts)
+		forWaiting, forOthers := view.splitMissing()
+		for _, missing := range [][]int{forWaiting, forOthers} {
+			chosen, opened := headroom.Choose(view.free, victims, view.gaps, missing, limit-len(p.preemptedAt), allowed)
+			for i := range chosen {
+				e.preempt(p, attempts[chosen[i].Key], &view.gaps[chosen[i].Gap])
+			}
+			view.packed = append(view.packed, opened...)
+			limit -= limit / waitingPart
 		}
-		view.packed = append(view.packed, opened...)
 	}
 	p.assigned = make(map[workflow.WorkerID][]assignedRoom)
 	for _, o := range view.packed {
@@ -377,13 +414,27 @@
 		if gap.Key == 0 {
 			continue
 		}
-		if s := view.waiting[gap.Key-1]; e.wallMs-s.waitingSinceMs >= passedOverLimit.Milliseconds() {
+		s := view.waiting[gap.Key-1]
+		if e.wallMs-s.waitingSinceMs >= passedOverLimit.Milliseconds() || gap.Need.MilliProcessors >= wideFactor*p.demand.MeanWidth() {
 			id := view.candidates[o.Worker].view.worker.ID
 			p.assigned[id] = append(p.assigned[id], assignedRoom{s.ref, gap.Need})
 		}
 	}
 }
 
+// splitMissing returns the missing gaps for tasks that wait, and those for tasks to come.
+func (v *poolView) splitMissing() (forWaiting, forOthers []int) {
+	forWaiting, forOthers = slices.Clone(v.missing), slices.Clone(v.missing)
+	for g := range v.gaps {
+		if v.gaps[g].Key > 0 {
+			forOthers[g] = 0
+		} else {
+			forWaiting[g] = 0
+		}
+	}
+	return forWaiting, forOthers
+}
+
 // runningAttempt is an attempt with its worker.
 type runningAttempt struct {
 	view    *workerView
@@ -408,13 +459,13 @@
 		}
 		for _, a := range c.view.attemptList {
 			job := e.state.Job(a.ref.Job)
-			if job == nil || !job.Spec.Steps[a.ref.Step].Lasting || job.Priority < p.priority || !a.committed || a.carried || !a.running || a.stopWanted || a.callInFlight {
+			if job == nil || !job.Active() || !job.Spec.Steps[a.ref.Step].Lasting || job.Priority < p.priority || !a.committed || a.carried || !a.running || a.stopWanted || a.callInFlight {
 				continue
 			}
-			last, preempted := e.preemptions[a.ref]
-			// Of an adopted attempt that is not the first of its task, it is not known
-			// whether an earlier leader has preempted the task.
-			if (preempted || a.adopted && a.number > 1) && e.since(a.runningSince) < preemptionPause {
+			last := e.preemptions[a.ref]
+			// Whether the task was preempted before this attempt is not known if the leader
+			// has changed since.
+			if a.number > 1 && e.since(a.runningSince) < preemptionPause {
 				continue
 			}
 			cost := headroom.Cost{Rank: operational, Recency: int64(last.at)}
@@ -434,31 +485,59 @@
 	return victims, attempts
 }
 
-// mayPreempt reports whether a lasting task may be stopped: enough tasks of its step are
-// available, and another task of its job runs.
-func (e *Engine) mayPreempt(a *attempt) bool {
-	job := e.state.Job(a.ref.Job)
-	if job == nil || !job.Active() {
-		return false
-	}
-	running, unavailable := 0, int32(1)
+// availability counts the tasks of a job that run and are available, and those of each step of
+// each occurrence that are not.
+type availability struct {
+	available   int
+	unavailable map[workflow.StepRef]int32
+}
+
+func (e *Engine) availabilityOf(job *workflow.Job) *availability {
+	counts := &availability{unavailable: make(map[workflow.StepRef]int32)}
 	for o := range job.Occurrences {
 		for s := range job.Spec.Steps {
+			step := workflow.StepRef{Job: job.ID, Occurrence: uint32(o), Step: uint32(s)}
 			for i := range job.Occurrences[o].Steps[s] {
-				ref := workflow.TaskRef{Job: a.ref.Job, Occurrence: uint32(o), Step: uint32(s), Index: uint32(i)}
-				if ref == a.ref {
-					continue
-				}
+				ref := workflow.TaskRef{Job: job.ID, Occurrence: step.Occurrence, Step: step.Step, Index: uint32(i)}
 				if e.available(ref, &job.Occurrences[o].Steps[s][i]) {
-					running++
-				} else if ref.StepRef() == a.ref.StepRef() {
-					unavailable++
+					counts.available++
+				} else {
+					counts.unavailable[step]++
 				}
 			}
 		}
 	}
+	return counts
+}
+
+// mayPreempt reports whether a lasting task may be stopped: enough tasks of its step are
+// available, and another task of its job runs.
+func (e *Engine) mayPreempt(job *workflow.Job, a *attempt, counts *availability) bool {
+	remaining, unavailable := counts.available, counts.unavailable[a.ref.StepRef()]
+	if e.available(a.ref, job.Task(a.ref)) {
+		remaining--
+		unavailable++
+	}
 	limit := job.Spec.Steps[a.ref.Step].MaxUnavailable
-	return running > 0 && (limit <= 0 || unavailable <= limit)
+	return remaining > 0 && (limit <= 0 || unavailable <= limit)
+}
+
+// preemptionCheck returns a function that reports whether one of the given attempts may be
+// stopped in the current state.
+func (e *Engine) preemptionCheck(attempts []runningAttempt) func(*headroom.Victim) bool {
+	counts := make(map[workflow.JobID]*availability)
+	checked, verdicts := make([]bool, len(attempts)), make([]bool, len(attempts))
+	return func(v *headroom.Victim) bool {
+		if !checked[v.Key] {
+			a := attempts[v.Key].attempt
+			job := e.state.Job(a.ref.Job)
+			if counts[job.ID] == nil {
+				counts[job.ID] = e.availabilityOf(job)
+			}
+			checked[v.Key], verdicts[v.Key] = true, e.mayPreempt(job, a, counts[job.ID])
+		}
+		return verdicts[v.Key]
+	}
 }
 
 // preempt stops a lasting task for urgent ones, if that is still allowed beside those that were
@@ -468,10 +547,11 @@
 	if gap.Key > 0 {
 		reason = "urgent_task_waits"
 	}
-	if !e.mayPreempt(a) {
+	job := e.state.Job(a.ref.Job)
+	if !e.mayPreempt(job, a, e.availabilityOf(job)) {
 		return
 	}
-	p.allowance, p.neededAt = p.allowance-1, e.now
+	p.preemptedAt, p.neededAt = append(p.preemptedAt, e.now), e.now
 	a.stopWanted = true
 	e.preemptions[a.ref] = preemption{a.number, e.now}
 	e.counters.Yielded++
--- a/headroom/demand.go
+++ b/headroom/demand.go
@@ -104,12 +104,22 @@
 // Target returns the processors, in thousandths, that urgent tasks are expected to need at
 // the same time. It is zero until there is enough history.
 func (d *Demand) Target() int64 {
-	if len(d.samples) < minSamples {
+	if len(d.samples) <= minSamples {
 		return 0
 	}
 	return d.peak
 }
 
+// MeanWidth returns the mean processors, in thousandths, of a task in the history.
+func (d *Demand) MeanWidth() int64 {
+	count, total := int64(0), int64(0)
+	for c := range d.sums {
+		count += int64(d.sums[c].count)
+		total += int64(d.sums[c].count) * d.sums[c].need.MilliProcessors
+	}
+	return total / max(count, 1)
+}
+
 // Gaps returns the gaps, widest first, that make up the given number of processors with the
 // widths of the history.
 func (d *Demand) Gaps(milliProcessors int64) []Gap {
--- a/headroom/gaps.go
+++ b/headroom/gaps.go
@@ -98,8 +98,8 @@
 // of each worker that is free and not assigned; Choose subtracts what it uses. victims holds
 // the tasks of each worker that may be preempted, the largest first; allowed is asked before
 // one is considered, since it may depend on those chosen before. Of the workers, the one is
-// taken on which the fewest stops open the gap; then the one on which they open it most often;
-// then the one with the lowest cost.
+// taken on which the fewest stops open the gap; then the one with the widest room then, by whole
+// processors, in which tasks of other widths fit as well; then the one with the lowest cost.
 func Choose(free []workflow.Resources, victims [][]Victim, gaps []Gap, missing []int, limit int, allowed func(*Victim) bool) (chosen []Stop, opened []Opening) {
 	for g := range gaps {
 		for range missing[g] {
@@ -124,70 +124,80 @@
 // cheapest returns the tasks to preempt so that one worker has room for the need, none if one
 // has it already, and that worker, -1 for none.
 func cheapest(free []workflow.Resources, victims [][]Victim, need workflow.Resources, limit int, allowed func(*Victim) bool) ([]Victim, int) {
-	var best []Victim
-	bestWorker, bestFits := -1, int64(0)
+	var best option
 	for worker := range free {
 		if need.Fits(free[worker]) {
 			return nil, worker
 		}
-		most := min(limit, maxStopsPerGap)
-		if bestWorker >= 0 {
-			most = min(most, len(best))
-		}
-		stops, room := enough(free[worker], victims[worker], need, most, allowed)
-		if stops == nil {
-			continue
-		}
-		fits := fitCount(need, room)
-		if bestWorker < 0 || cmp.Or(cmp.Compare(len(stops), len(best)), cmp.Compare(bestFits, fits), stops[0].Cost.compare(best[0].Cost)) < 0 {
-			best, bestWorker, bestFits = stops, worker, fits
+		if limit > 0 {
+			best.improveByOne(worker, free[worker], victims[worker], need, allowed)
 		}
 	}
-	return best, bestWorker
+	if best.stops != nil {
+		return best.stops, best.worker
+	}
+	for worker := range free {
+		best.improveBySeveral(worker, free[worker], victims[worker], need, min(limit, maxStopsPerGap), allowed)
+	}
+	if best.stops == nil {
+		return nil, -1
+	}
+	return best.stops, best.worker
 }
 
-// enough returns the fewest of a worker's victims that make room for the need together, nil if
-// the given number does not suffice, and the room that they make. The victims are ordered by
-// their processors, the largest first.
-func enough(room workflow.Resources, victims []Victim, need workflow.Resources, most int, allowed func(*Victim) bool) ([]Victim, workflow.Resources) {
-	if most <= 0 || len(victims) == 0 || !need.Fits(sumOf(room, victims, most)) {
-		return nil, room
-	}
-	var single *Victim
+// option is a way to open a gap: the tasks to preempt on a worker, and its room then in whole
+// processors.
+type option struct {
+	stops      []Victim
+	worker     int
+	processors int64
+}
+
+// better reports whether an option precedes the one that is known.
+func (o *option) better(stops int, room workflow.Resources, cost Cost) bool {
+	return o.stops == nil || cmp.Or(cmp.Compare(stops, len(o.stops)), cmp.Compare(o.processors, room.MilliProcessors/1000), cost.compare(o.stops[0].Cost)) < 0
+}
+
+// improveByOne takes a single task of a worker if that is better.
+func (o *option) improveByOne(worker int, room workflow.Resources, victims []Victim, need workflow.Resources, allowed func(*Victim) bool) {
 	for i := range victims {
 		v := &victims[i]
-		if need.Fits(room.Add(v.Need)) && (single == nil || v.Cost.compare(single.Cost) < 0) && allowed(v) {
-			single = v
+		if after := room.Add(v.Need); need.Fits(after) && o.better(1, after, v.Cost) && allowed(v) {
+			*o = option{append(o.stops[:0], *v), worker, after.MilliProcessors / 1000}
 		}
 	}
-	if single != nil {
-		return []Victim{*single}, room.Add(single.Need)
+}
+
+// improveBySeveral takes the largest tasks of a worker, at most the given number, if that is
+// better.
+func (o *option) improveBySeveral(worker int, room workflow.Resources, victims []Victim, need workflow.Resources, most int, allowed func(*Victim) bool) {
+	reachable := room.MilliProcessors
+	for i := range min(most, len(victims)) {
+		reachable += victims[i].Need.MilliProcessors
+	}
+	if most <= 0 || reachable < need.MilliProcessors {
+		return
 	}
-	var stops []Victim
+	var stops [maxStopsPerGap]int
+	count := 0
 	for i := range victims {
-		if len(stops) == most {
-			break
-		}
 		if !allowed(&victims[i]) {
 			continue
 		}
-		stops = append(stops, victims[i])
+		stops[count] = i
+		count++
 		if room = room.Add(victims[i].Need); need.Fits(room) {
-			return stops, room
+			break
+		}
+		if count == most {
+			return
 		}
 	}
-	return nil, room
-}
-
-// sumOf returns the room with the largest of the victims, and no less than the most that any
-// of them make in each dimension.
-func sumOf(room workflow.Resources, victims []Victim, most int) workflow.Resources {
-	var widest workflow.Resources
-	for i := range victims {
-		widest = largest(widest, victims[i].Need)
+	if count == 0 || !need.Fits(room) || !o.better(count, room, victims[stops[0]].Cost) {
+		return
 	}
-	for range min(most, len(victims)) {
-		room = room.Add(widest)
+	*o = option{o.stops[:0], worker, room.MilliProcessors / 1000}
+	for _, i := range stops[:count] {
+		o.stops = append(o.stops, victims[i])
 	}
-	return room
 }
