--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -68,13 +68,17 @@
 	// next round of moves is due.
 	moves       map[workflow.WorkerID][]*move
 	nextMovesAt Instant
+	// urgentPools holds the pools of capacity for urgent tasks, by service. preemptions are
+	// those of lasting tasks whose jobs are active.
+	urgentPools map[string]*urgentPool
+	preemptions map[workflow.TaskRef]preemption
 }
 
 // Counters count decisions since the engine was created. Lapsed counts attempts
 // that ended with their lease, Voided those declared not to run, Unanswered
 // orders without an answer, Relocated attempts stopped in order to run elsewhere.
-// Crashed counts the workers that ended without notice. Overruns counts the times for
-// which readings of a serving task exceeded its target, by whole seconds, the last for all
+// Yielded counts lasting tasks that were preempted for urgent ones. Crashed counts the
+// workers that ended without notice. Overruns counts the times for which readings of a serving task exceeded its target, by whole seconds, the last for all
 // longer ones; Paused those for which scavengers were paused.
 // Copied counts the copies of stragglers, CopiesWon those that were done first, Probes the
 // polls for their progress.
@@ -82,10 +86,13 @@
 // by reason.
 type Counters struct {
 	Accepted, Cancelled, Placed, Done, Failed, Stopped, Lapsed, Voided uint64
-	Unanswered, Throttled, Relocated, Paused, Crashed                  uint64
+	Unanswered, Throttled, Relocated, Paused, Crashed, Yielded         uint64
 	Copied, CopiesWon, Probes                                          uint64
 	QuarantinedFailing, QuarantinedSlow, QuarantinedRefusing           uint64
 	Overruns                                                           [overrunBuckets]uint64
+	// HeadroomTargetMilliProcessors is the capacity that is to be kept for urgent tasks beside
+	// what they hold, HeadroomHeldMilliProcessors what of it is in gaps; both are current values.
+	HeadroomTargetMilliProcessors, HeadroomHeldMilliProcessors int64
 }
 
 // New returns the engine of a leader that takes over at now. It starts from the
@@ -95,6 +102,7 @@
 		settings: settings, log: log, term: term, state: state, now: now, tookOverAt: now, wallMs: state.NowMs(),
 		views: make(map[workflow.WorkerID]*workerView), slowdown: newSlowdownModel(), advisor: newAdvisor(), maintenance: newMaintenanceState(), gangWaitingSince: make(map[workflow.StepRef]Instant),
 		lastFailures: make(map[workflow.TaskRef]taskFailure), withdrawals: make(map[workflow.WorkerID][]func()), paces: make(stepPaces),
+		urgentPools: make(map[string]*urgentPool), preemptions: make(map[workflow.TaskRef]preemption),
 	}
 	for _, id := range slices.Sorted(maps.Keys(state.Workers())) {
 		e.addView(state.Worker(id))
@@ -122,6 +130,7 @@
 	}
 	e.advanceWaves()
 	e.advanceEvacuations()
+	e.updatePools()
 }
 
 // Advance sets the clocks like Tick but issues no orders.
@@ -138,7 +147,14 @@
 func (e *Engine) State() *workflow.State { return e.state }
 
 // Counters returns the counts of decisions.
-func (e *Engine) Counters() Counters { return e.counters }
+func (e *Engine) Counters() Counters {
+	c := e.counters
+	for _, p := range e.urgentPools {
+		c.HeadroomTargetMilliProcessors += p.targetMilliProcessors
+		c.HeadroomHeldMilliProcessors += p.heldMilliProcessors
+	}
+	return c
+}
 
 // TakeOrders returns and clears the pending orders to workers.
 func (e *Engine) TakeOrders() []Order {
