--- a/dispatch/urgent.go
+++ b/dispatch/urgent.go
@@ -395,7 +395,7 @@
 	view := e.viewPool(set, service)
 	p.preemptedAt = slices.DeleteFunc(p.preemptedAt, func(at Instant) bool { return e.since(at) >= preemptionPeriod })
 	limit := max(len(view.candidates)/workersPerPreemption, minPreemptions)
-	if view.isMissing() && len(p.preemptedAt) < limit {
+	if view.isMissing() && len(p.preemptedAt) < limit && e.since(e.tookOverAt) >= moveWarmUp {
 		victims, attempts := e.preemptible(view, p)
 		allowed := e.preemptionCheck(attempts)
 		forWaiting, forOthers := view.splitMissing()
