soak: keep the logs of a failed seed

They are now copied to a new folder within the system's temporary folder, or within MANGOHILL_SOAK_LOGS, which the failure names.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -5,6 +5,7 @@
 package soak
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -68,6 +69,7 @@
 	t         *testing.T
 	rng       *rand.Rand
 	folder    string
+	seed      uint64
 	subnet    int // second octet of the loopback addresses
 	processes []*process
 	workers   []*worker
@@ -93,7 +95,7 @@
 
 func startFleet(t *testing.T, seed uint64) *fleet {
 	f := &fleet{
-		t: t, rng: rand.New(rand.NewPCG(seed, 7)), folder: t.TempDir(), subnet: 20 + int(seed%200),
+		t: t, rng: rand.New(rand.NewPCG(seed, 7)), folder: t.TempDir(), seed: seed, subnet: 20 + int(seed%200),
 		checks: newChecks(), accepted: make(map[string]bool),
 	}
 	for i := range controlCount + entryCount {
@@ -169,21 +171,32 @@
 	}
 }
 
-// keepLogs copies the processes' logs to the folder MANGOHILL_SOAK_LOGS, if set.
+// keepLogs copies the processes' logs to a new folder, which it names in the failure: in
+// MANGOHILL_SOAK_LOGS if that is set, else in the system's temporary folder.
 func (f *fleet) keepLogs() {
-	logFolder := os.Getenv("MANGOHILL_SOAK_LOGS")
-	if logFolder == "" {
-		return
+	logFolder, err := saveLogs(os.Getenv("MANGOHILL_SOAK_LOGS"), f.seed, f.processes)
+	if err != nil {
+		f.t.Errorf("not all logs are kept: %v", err)
 	}
-	for _, p := range f.processes {
+	f.t.Errorf("the logs of seed %d are in %s", f.seed, logFolder)
+}
+
+// saveLogs copies the logs of the processes to a new folder within parent, or within the
+// system's temporary folder if parent is empty, and returns its path.
+func saveLogs(parent string, seed uint64, processes []*process) (string, error) {
+	logFolder, err := os.MkdirTemp(parent, fmt.Sprintf("mangohill-soak-seed-%d-", seed))
+	if err != nil {
+		return "", err
+	}
+	var errs []error
+	for _, p := range processes {
 		data, err := os.ReadFile(p.folder + ".log")
 		if err == nil {
 			err = os.WriteFile(filepath.Join(logFolder, p.ip+".log"), data, 0o600)
 		}
-		if err != nil {
-			f.t.Log(err)
-		}
+		errs = append(errs, err)
 	}
+	return logFolder, errors.Join(errs...)
 }
 
 // call sends one request and returns the status and the body, or zero and "" if no
