Crashes: a host's crash in one test is no proof after a single one before

Cause: a task was given up after two crashes if its worker was gone within 0.1 s of its start in a test.

Change: three crashes are needed. A tested task whose start was not confirmed counts as one that ran, since a task that crashes its worker at once is never confirmed.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -100,8 +100,10 @@
 	crash := &workflow.Crash{}
 	for i := range victims {
 		c := &victims[i]
+		// A task that crashes its worker before the answer to its start is never confirmed. In
+		// a test it counts as one that ran.
 		crash.Tasks = append(crash.Tasks, workflow.CrashedTask{
-			Task: c.ref, Ran: c.ran, AgeMs: ageMs(c.age), Alone: !coincides && e.soleSuspect(victims, c), Coincides: coincides && !c.tested, Immediate: c.immediate,
+			Task: c.ref, Ran: c.ran || c.tested, AgeMs: ageMs(c.age), Alone: !coincides && e.soleSuspect(victims, c), Coincides: coincides && !c.tested, Immediate: c.immediate,
 		})
 	}
 	if len(crash.Tasks) > 0 {
--- a/workflow/crash.go
+++ b/workflow/crash.go
@@ -43,9 +43,9 @@
 // crash.
 const (
 	// minCrashes is the number of crashes from which on a task is given up if no other job
-	// may have caused the latest one, and it came so soon after the start that a cause of
-	// the host's own is unlikely.
-	minCrashes = 2
+	// may have caused the latest one, and it came just after the start. With two, a sound
+	// task was given up whose host crashed by itself as it was tested alone.
+	minCrashes = 3
 	// minAlone is the number of crashes that no other job may have caused, from which on
 	// the task is taken for their cause.
 	minAlone = 2
