dispatch: starts without an answer, and strays, are known to the next leader

Cause: a start without an answer may be carried out up to 12 s later by the next incarnation of its worker, before a leader has reached that one; a stray may run on while the leader changes. Its task then ran twice, or after its end was acknowledged.

Change: such starts are recorded in the replicated state (operation 15). Until a start is settled, an end of its task is not acknowledged, and while its worker does not answer or has just restarted, its task is placed nowhere else.

--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -99,6 +99,7 @@
 		a.unansweredStarts++
 		if !answer.noConnection {
 			a.deliverableStarts++
+			e.recordLateStart(v, a, a.running)
 		}
 		a.retryAt = e.now.Add(orderRetryDelay)
 	case NotSent:
@@ -108,6 +109,7 @@
 	default:
 		e.handleStartRefusal(v, a, answer.Outcome)
 	}
+	e.settleAnswered(v, a, a.running)
 	e.issueAttemptOrder(v, a)
 }
 
@@ -153,6 +155,7 @@
 	first := !v.fenced
 	v.fenced = true
 	if first {
+		v.reachedAt = e.now
 		if len(v.worker.Carried) > 0 {
 			v.leaseExpiresAt = e.now.Add(maxRealTime(e.settings.MaxLease))
 		}
@@ -160,6 +163,8 @@
 	}
 	e.recordEnds(v, answer.Ended)
 	e.reconcileRunning(v, answer)
+	e.settlePolled(v, answer)
+	e.holdAcks(v, answer.Ended)
 	forOverrun := answer.Order.Wait == overrunPollWait
 	e.applyReadings(v, forOverrun)
 	e.assessHealth(v)
@@ -199,6 +204,9 @@
 		e.log.Warn().Stringer("task", end.Task).Uint32("attempt", end.Attempt).Str("worker", v.worker.Life.Name).Int("bytes", len(end.Checkpoint)).Int("limit", maxCheckpointBytes).Uint64("term", e.term).Msg("checkpoint dropped")
 		end.Checkpoint = ""
 	}
+	if a := v.attempts[end.Task]; a != nil && a.number == end.Attempt {
+		e.recordLateStart(v, a, true)
+	}
 	before := e.state.Job(end.Task.Job)
 	active := before != nil && before.Active()
 	err := e.propose(workflow.Op{End: &workflow.End{
@@ -220,6 +228,7 @@
 		}
 		e.recordEndedScavenger(v, a)
 		v.remove(a)
+		e.settleAnswered(v, a, true)
 		e.recordFormerAttempt(v, a, "ended_"+end.How.String())
 	}
 	event.Msg("attempt ended")
@@ -288,6 +297,8 @@
 		present[r.Task], a.carried = true, false
 		if !a.running {
 			a.running, a.runningSince = true, e.now
+			a.startInherited = false
+			e.settleAnswered(v, a, true)
 		}
 		a.missedPolls, a.percent, a.gauge, a.gaugeReadAt = 0, r.Percent, r.Gauge, e.now
 		if len(r.Checkpoint) <= maxCheckpointBytes {
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -49,6 +49,12 @@
 	// carried out, oldest first.
 	formerAttempts []formerAttempt
 	strays         []stray
+	// openStarts are the starts that may still be carried out; openTasks counts them by
+	// task. The list is replaced when one is removed, so that it can be iterated meanwhile.
+	openStarts []*openStart
+	openTasks  map[workflow.TaskRef]int
+	// inheritedRecorded is set once the starts of the earlier leader are recorded.
+	inheritedRecorded bool
 	// withdrawals holds what confirms the withdrawals of workers on which attempts
 	// may still run.
 	withdrawals map[workflow.WorkerID][]func()
@@ -70,7 +76,9 @@
 type Counters struct {
 	Accepted, Cancelled, Placed, Done, Failed, Stopped, Lapsed, Voided uint64
 	Unanswered, Throttled, Relocated, Paused, Crashed                  uint64
-	Overruns                                                           [overrunBuckets]uint64
+	// OpenStarts counts the starts that stayed without an answer and were recorded.
+	OpenStarts uint64
+	Overruns   [overrunBuckets]uint64
 }
 
 // New returns the engine of a leader that takes over at now. It starts from the
@@ -79,11 +87,12 @@
 	e := &Engine{
 		settings: settings, log: log, term: term, state: state, now: now, tookOverAt: now, wallMs: state.NowMs(),
 		views: make(map[workflow.WorkerID]*workerView), slowdown: newSlowdownModel(), advisor: newAdvisor(), maintenance: newMaintenanceState(), gangWaitingSince: make(map[workflow.StepRef]Instant),
-		lastFailures: make(map[workflow.TaskRef]taskFailure), withdrawals: make(map[workflow.WorkerID][]func()),
+		lastFailures: make(map[workflow.TaskRef]taskFailure), withdrawals: make(map[workflow.WorkerID][]func()), openTasks: make(map[workflow.TaskRef]int),
 	}
 	for _, id := range slices.Sorted(maps.Keys(state.Workers())) {
 		e.addView(state.Worker(id))
 	}
+	e.inheritOpenStarts()
 	e.ready.reset()
 	for id, job := range state.Jobs() {
 		e.ready.recordWork(job)
@@ -101,6 +110,7 @@
 		e.checkTest(v)
 		e.issueDueOrders(v)
 	}
+	e.checkOpenStarts()
 	for _, id := range slices.Sorted(maps.Keys(e.withdrawals)) {
 		e.endWithdrawn(id)
 	}
--- a/dispatch/incarnations.go
+++ b/dispatch/incarnations.go
@@ -151,6 +151,7 @@
 	var carried []workflow.TaskRef
 	for _, a := range v.attemptList {
 		if a.committed {
+			e.recordLateStart(v, a, a.running)
 			carried = append(carried, a.ref)
 			continue
 		}
--- /dev/null
+++ b/dispatch/open_starts.go
@@ -0,0 +1,328 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"mangohill.example/mangohill/workflow"
+)
+
+// openStart is a start without an answer, which a later incarnation of the worker may carry
+// out before a leader has reached it, or a run that is not recorded. It is in the replicated
+// state, so that the next leader knows it. Until it is settled, its task is placed nowhere
+// else, and an end of the task is not acknowledged.
+type openStart struct {
+	ref workflow.TaskRef
+	// life is the earliest incarnation to which such a start was sent; later ones under its
+	// name may carry it out.
+	life workflow.Incarnation
+	// address is where it was sent, attempt the number of the attempt.
+	address string
+	attempt uint32
+	// sentBy is when the last such start was sent at the latest.
+	sentBy Instant
+	// running is set if a run that is not recorded was seen there.
+	running bool
+	// committed is set once the record is.
+	committed bool
+	// inherited is set if starts of which this leader does not know may be open.
+	inherited bool
+}
+
+const (
+	// maxUnrecordedDelay is the time from a placement up to which its first start is sent
+	// without a record of it; workflow.RecentPlacement relies on it.
+	maxUnrecordedDelay = time.Second
+	// inheritedDelay is the time after which a new leader records the starts that its
+	// predecessor may have sent to workers that have not answered yet.
+	inheritedDelay = 300 * time.Millisecond
+	// restartSettling is how long a worker that has restarted must have answered until its
+	// tasks with open starts may run elsewhere. Longer, up to the longest delay of an order,
+	// made the slowest jobs of a faulty day twice as slow.
+	restartSettling = 3 * time.Second
+	// heldAckPollDelay is the pause between polls of a worker that lists an end which is not
+	// acknowledged yet, as it answers each of them at once.
+	heldAckPollDelay = 100 * time.Millisecond
+)
+
+// inheritOpenStarts takes over the open starts of the earlier leader, whose orders may have
+// been sent up to now.
+func (e *Engine) inheritOpenStarts() {
+	for _, recorded := range e.state.OpenStarts() {
+		sentBy := e.now
+		if recorded.Running {
+			sentBy = e.now.Add(-maxOrderDelay)
+		}
+		e.openStarts = append(e.openStarts, &openStart{ref: recorded.Task, life: recorded.Life, address: recorded.Address, sentBy: sentBy, running: recorded.Running, committed: true, inherited: true})
+		e.openTasks[recorded.Task]++
+	}
+	recent := make(map[workflow.TaskRef]uint32)
+	for _, p := range e.state.RecentPlacements() {
+		recent[p.Task] = p.Attempt
+	}
+	for _, v := range e.sortedViews {
+		for _, a := range v.attemptList {
+			a.startInherited = recent[a.ref] == a.number
+		}
+	}
+}
+
+// lateStart reports whether a start of the attempt was sent and not answered, so that it may
+// still be carried out by a later incarnation. ran tells that a start has been carried out.
+func (a *attempt) lateStart(ran bool) bool {
+	n := a.deliverableStarts
+	if a.startCallInFlight {
+		n++
+	}
+	if ran && !a.startAnswered && n > 0 {
+		n--
+	}
+	return n > 0 || a.startInherited && !ran
+}
+
+// recordLateStart records that a start of the attempt may still be carried out, if so.
+func (e *Engine) recordLateStart(v *workerView, a *attempt, ran bool) {
+	if !a.lateStart(ran) {
+		return
+	}
+	known := e.openStartOf(a.ref, v.worker.Life.Name) != nil
+	o := e.open(v.worker, a.ref, a.number, false)
+	switch {
+	case o == nil:
+	case a.startCallInFlight, !known && !a.startInherited:
+		o.sentBy = e.now
+	case a.startInherited:
+		o.sentBy = max(o.sentBy, e.tookOverAt)
+	}
+}
+
+func (e *Engine) openStartOf(ref workflow.TaskRef, worker string) *openStart {
+	if e.openTasks[ref] == 0 {
+		return nil
+	}
+	for _, o := range e.openStarts {
+		if o.ref == ref && o.life.Name == worker {
+			return o
+		}
+	}
+	return nil
+}
+
+// open returns the open start of a task on a worker, which it records if there is none.
+// It returns nil if the record is refused.
+func (e *Engine) open(w *workflow.Worker, ref workflow.TaskRef, attempt uint32, running bool) *openStart {
+	o := e.openStartOf(ref, w.Life.Name)
+	if o != nil {
+		o.inherited = o.inherited || o.attempt != attempt
+	}
+	if o != nil && (o.running || !running) {
+		return o
+	}
+	if err := e.propose(workflow.Op{OpenStart: &workflow.OpenStart{Task: ref, Life: w.Life, Address: w.Address, Running: running}}); err != nil {
+		e.log.Error().Err(err).Stringer("task", ref).Msg("open start not recorded")
+		return nil
+	}
+	if o == nil {
+		e.counters.OpenStarts++
+		o = &openStart{ref: ref, life: w.Life, address: w.Address, attempt: attempt, sentBy: e.now.Add(-maxOrderDelay)}
+		e.openStarts = append(e.openStarts, o)
+		e.openTasks[ref]++
+		e.afterCommit(func() { o.committed = true })
+	}
+	o.running = running || o.running
+	e.log.Info().Stringer("task", ref).Uint32("attempt", attempt).Str("worker", w.Life.Name).Int64("born_ms", w.Life.BornMs).Bool("running", running).Uint64("term", e.term).Msg("start open")
+	return o
+}
+
+// settle withdraws the record of an open start.
+func (e *Engine) settle(o *openStart, reason string) {
+	at := slices.Index(e.openStarts, o)
+	if at < 0 {
+		return
+	}
+	if err := e.propose(workflow.Op{OpenStart: &workflow.OpenStart{Task: o.ref, Life: o.life, Address: o.address, Settled: true}}); err != nil {
+		e.log.Error().Err(err).Stringer("task", o.ref).Msg("open start not settled")
+		return
+	}
+	e.openStarts = slices.Delete(slices.Clone(e.openStarts), at, at+1)
+	if e.openTasks[o.ref]--; e.openTasks[o.ref] == 0 {
+		delete(e.openTasks, o.ref)
+	}
+	e.ready.markDirty(o.ref.Job)
+	e.log.Info().Stringer("task", o.ref).Str("worker", o.life.Name).Str("reason", reason).Uint64("term", e.term).Msg("start settled")
+}
+
+// settleAnswered settles the open start of an attempt if all its starts are accounted for.
+// ran tells that a start has been carried out.
+func (e *Engine) settleAnswered(v *workerView, a *attempt, ran bool) {
+	if o := e.openStartOf(a.ref, v.worker.Life.Name); o != nil && !o.inherited && !o.running && o.attempt == a.number && !a.lateStart(ran) {
+		e.settle(o, "answered")
+	}
+}
+
+// settlePolled settles the open starts on a worker that can't be carried out any more, if
+// its answer to a poll shows no unrecorded run of their tasks.
+func (e *Engine) settlePolled(v *workerView, answer *Answer) {
+	for _, o := range e.openStarts {
+		if o.life.Name != v.worker.Life.Name || answer.Order.SentAt < o.sentBy.Add(maxOrderDelay) {
+			continue
+		}
+		if !slices.ContainsFunc(e.strays, func(s stray) bool { return s.worker == v.worker.ID && s.ref == o.ref }) {
+			e.settle(o, "polled")
+		}
+	}
+}
+
+// checkOpenStarts settles the open starts on workers that are not heard of, once a run that
+// began with the last of them has ended with its lease. It records those that this leader
+// has inherited without a record.
+func (e *Engine) checkOpenStarts() {
+	for _, o := range e.openStarts {
+		if e.now > o.sentBy.Add(maxOrderDelay+maxRealTime(e.settings.MaxLease)) {
+			e.settle(o, "lease_over")
+		}
+	}
+	if e.inheritedRecorded || e.since(e.tookOverAt) < inheritedDelay {
+		return
+	}
+	e.inheritedRecorded = true
+	for _, v := range e.sortedViews {
+		for _, a := range v.attemptList {
+			if a.startInherited && !a.running {
+				e.recordLateStart(v, a, false)
+			}
+		}
+	}
+}
+
+// mayStart reports whether a start of the attempt may be sent: the first one of a
+// new placement, which the next leader sees in the state, or another one whose record is
+// committed.
+func (e *Engine) mayStart(v *workerView, a *attempt) bool {
+	if !a.adopted && a.deliverableStarts == 0 && e.since(a.placedAt) <= maxUnrecordedDelay {
+		return true
+	}
+	o := e.open(v.worker, a.ref, a.number, false)
+	if o == nil {
+		return false
+	}
+	o.sentBy, o.inherited, a.startInherited = e.now, o.inherited || a.startInherited, false
+	return o.committed
+}
+
+// openStartPlaces tells where a task that waits may be placed.
+type openStartPlaces struct {
+	// none is set if it may be placed nowhere.
+	none bool
+	// only is the name of the one worker on which it may be placed, empty for any.
+	only string
+}
+
+// placesFor returns where a pending task of the step may be placed beside its open starts.
+//
+//   - While the incarnation that was sent the start answers, anywhere: it refuses the start,
+//     since a later attempt, a stop or a higher token has reached it.
+//   - While a later one answers, for restartSettling only there: it cannot run two attempts
+//     of a task at once, and may soon restart again. Then anywhere.
+//   - While another worker is at the address, anywhere: it refuses orders to others.
+//   - While none answers, nowhere.
+//
+// A lasting task waits only for a run that was seen: the platform allows it no wait as long
+// as that for an order. Copies of a duplicable task may run at the same time.
+func (e *Engine) placesFor(step *workflow.Step, ref workflow.TaskRef) openStartPlaces {
+	var places openStartPlaces
+	if e.openTasks[ref] == 0 {
+		return places
+	}
+	for _, o := range e.openStarts {
+		if o.ref != ref || !o.running && !exclusive(step) {
+			continue
+		}
+		w := e.state.WorkerAt(o.address)
+		switch {
+		case o.running, w == nil:
+			places.none = true
+		case w.Life.Name != o.life.Name:
+		case !e.reachable(e.views[w.ID]):
+			places.none = true
+		case w.Life == o.life, e.since(e.views[w.ID].reachedAt) > restartSettling:
+		case places.only == "" || places.only == o.life.Name:
+			places.only = o.life.Name
+		default:
+			places.none = true
+		}
+	}
+	return places
+}
+
+// exclusive reports whether tasks of the step wait for starts that may be carried out late.
+func exclusive(step *workflow.Step) bool {
+	return !step.Lasting && (!step.Duplicable || step.Gang)
+}
+
+// allows reports whether the task may be placed on a worker.
+func (p openStartPlaces) allows(w *workflow.Worker) bool {
+	return !p.none && (p.only == "" || p.only == w.Life.Name)
+}
+
+// placeOpenTasks removes the tasks from a step that an open start keeps from some workers,
+// and places those that another worker may run. All tasks of a gang wait for one of any.
+func (e *Engine) placeOpenTasks(p *candidateSet, s *readyStep) {
+	if len(e.openStarts) == 0 {
+		return
+	}
+	var kept, limited []uint32
+	for _, i := range s.pending {
+		if places := e.placesFor(s.step, s.task(i)); places.none || places.only != "" {
+			limited = append(limited, i)
+		} else {
+			kept = append(kept, i)
+		}
+	}
+	if len(limited) == 0 {
+		return
+	}
+	if s.pending = kept; s.step.Gang {
+		s.pending = nil
+		return
+	}
+	for _, i := range limited {
+		e.placeOpenTask(p, s, i)
+	}
+}
+
+// placeOpenTask places a task on the only worker that may run it, if that has room.
+func (e *Engine) placeOpenTask(p *candidateSet, s *readyStep, index uint32) {
+	places := e.placesFor(s.step, s.task(index))
+	if places.none {
+		return
+	}
+	single := *s
+	single.pending = []uint32{index}
+	for _, c := range p.byService[s.job.Service] {
+		if places.allows(c.view.worker) && e.admits(c, &single) && e.place(c, &single, s.task(index), s.job.Task(s.task(index)).Attempt+1) {
+			e.ready.markDirty(s.ref.Job)
+			return
+		}
+	}
+}
+
+// holdAcks sets up to which of its listed ends a worker's next poll acknowledges them. The
+// end of a task that is done is kept from that while a start of the task is open: if the
+// worker crashes before, the end does not count, and its next incarnation may run the task.
+func (e *Engine) holdAcks(v *workerView, ended []EndedAttempt) {
+	v.ackHeld, v.ackLimit = false, 0
+	if len(e.openStarts) == 0 {
+		return
+	}
+	for i := range ended {
+		if ended[i].How != workflow.EndDone || e.openTasks[ended[i].Task] == 0 {
+			continue
+		}
+		if step := e.step(ended[i].Task); step != nil && exclusive(step) {
+			v.ackHeld, v.ackLimit = true, ended[i].Number-1
+			v.endsListed = ended[0].Number <= v.ackLimit
+			return
+		}
+	}
+}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -245,6 +245,9 @@
 			continue
 		}
 		e.dropHeldTasks(s)
+		if s.job.Active() && !candidates.blockedByGang(s) {
+			e.placeOpenTasks(candidates, s)
+		}
 		switch {
 		case len(s.pending) == 0:
 		case !s.job.Active() || candidates.blockedByGang(s):
--- a/dispatch/polls.go
+++ b/dispatch/polls.go
@@ -25,6 +25,9 @@
 	order := Order{Verb: Poll, Wait: e.longPollWait()}
 	if v.endsListed {
 		order.AckedThrough = v.lastEndAcked
+		if v.ackHeld {
+			order.AckedThrough = min(v.lastEndAcked, v.ackLimit)
+		}
 	}
 	if e.overTarget(v) && e.scavengersWork(v) {
 		order.Wait = overrunPollWait
@@ -36,8 +39,12 @@
 	e.issueOrder(v, order)
 }
 
-// delayNextPoll keeps pollWait between two polls of a worker that does not hold them open.
+// delayNextPoll keeps pollWait between two polls of a worker that does not hold them open,
+// and less between those of one that answers at once, as it lists an end.
 func (e *Engine) delayNextPoll(v *workerView, answer *Answer) {
+	if v.ackHeld {
+		v.nextPollAt = e.now.Add(heldAckPollDelay)
+	}
 	if !e.holdsPolls() && answer.Order.Wait == 0 {
 		v.nextPollAt = answer.Order.SentAt.Add(pollWait)
 	}
--- a/dispatch/stray.go
+++ b/dispatch/stray.go
@@ -23,6 +23,9 @@
 	if s := (stray{v.worker.ID, r.Task, r.Attempt}); !slices.Contains(e.strays, s) {
 		e.strays = append(e.strays, s)
 	}
+	if o := e.open(v.worker, r.Task, r.Attempt, true); o != nil {
+		o.inherited = true
+	}
 	e.issueOrder(v, Order{Verb: Stop, Task: r.Task, Attempt: r.Attempt})
 }
 
--- a/dispatch/suspects.go
+++ b/dispatch/suspects.go
@@ -157,7 +157,11 @@
 func (e *Engine) testCandidate(p *candidateSet, s *readyStep, room *testRoom) *candidate {
 	ref := s.firstPending()
 	var best *candidate
+	places := e.placesFor(s.step, ref)
 	for _, c := range p.byService[s.job.Service] {
+		if !places.allows(c.view.worker) {
+			continue
+		}
 		switch t := c.view.test; {
 		case t.find(ref) >= 0:
 			return c
@@ -245,7 +249,10 @@
 	return false
 }
 
-// heldAnywhere reports whether a stray of the task runs.
+// heldAnywhere reports whether a stray of the task runs, or may begin to.
 func (e *Engine) heldAnywhere(ref workflow.TaskRef) bool {
+	if step := e.step(ref); step != nil && e.placesFor(step, ref).none {
+		return true
+	}
 	return slices.ContainsFunc(e.strays, func(s stray) bool { return s.ref == ref })
 }
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -15,6 +15,8 @@
 	// fenced is set once the worker has answered an order of this term, so that
 	// it rejects the orders of earlier leaders.
 	fenced bool
+	// reachedAt is when it first did so.
+	reachedAt Instant
 	// refusesToken is set once the worker has refused the fencing token of this term.
 	refusesToken bool
 	// pollInFlight is set while no further poll may be sent: from a poll until
@@ -45,6 +47,10 @@
 	// lastEndAcked is the number of the last ended attempt whose end is
 	// committed.
 	lastEndAcked uint64
+	// ackHeld is set while a listed end is not to be acknowledged; ackLimit is the number of
+	// the one before it.
+	ackHeld  bool
+	ackLimit uint64
 	// quarantinedUntil is when the worker gets new work again.
 	quarantinedUntil Instant
 	// placementState caches what placements use of the worker, nil if it must be
@@ -94,6 +100,9 @@
 	// adopted is set on an attempt of an earlier leader or incarnation, any number of
 	// whose starts may be unanswered.
 	adopted bool
+	// startInherited is set on an attempt of an earlier leader that was placed just before
+	// this one took over, until it is known whether its start was carried out.
+	startInherited bool
 	// carried is set on an attempt of the worker's previous incarnation until a poll
 	// of this one has shown whether a start of it was carried out here.
 	carried      bool
@@ -216,6 +225,7 @@
 func (e *Engine) void(v *workerView, a *attempt, reason string) {
 	ref := a.ref
 	v.remove(a)
+	e.recordLateStart(v, a, a.running)
 	err := e.propose(workflow.Op{Void: &workflow.Void{Worker: v.worker.ID, Task: ref, Attempt: a.number, Checkpoint: a.checkpoint}})
 	if err != nil {
 		e.log.Error().Err(err).Stringer("task", ref).Msg("attempt not voided")
@@ -378,6 +388,9 @@
 		a.stopWanted = true
 		return
 	}
+	if !e.mayStart(v, a) {
+		return
+	}
 	if v.clockMs == 0 {
 		return // A lease can't be granted without a reading of the worker's clock.
 	}
--- a/workflow/ops.go
+++ b/workflow/ops.go
@@ -140,6 +140,8 @@
 	SetMaintenance *SetMaintenance `cbor:"10,keyasint,omitempty"`
 	Crash          *Crash          `cbor:"11,keyasint,omitempty"`
 	Resize         *Resize         `cbor:"12,keyasint,omitempty"`
+	// 13 and 14 are assigned to evacuations and copies.
+	OpenStart *OpenStart `cbor:"15,keyasint,omitempty"`
 }
 
 // Batch is the content of one log entry. NowMs is the leader's wall clock in
@@ -200,6 +202,8 @@
 		return "crash"
 	case o.Resize != nil:
 		return "resize"
+	case o.OpenStart != nil:
+		return "open_start"
 	}
 	return ""
 }
--- a/workflow/snapshot.go
+++ b/workflow/snapshot.go
@@ -21,11 +21,14 @@
 	Finished   []JobID     `cbor:"7,keyasint"`
 	Waves      []*Wave     `cbor:"8,keyasint,omitempty"`
 	Departed   []departure `cbor:"9,keyasint,omitempty"`
+	// A program that does not know these reads a snapshot without them.
+	OpenStarts       []OpenStart       `cbor:"15,keyasint,omitempty"`
+	RecentPlacements []RecentPlacement `cbor:"16,keyasint,omitempty"`
 }
 
 // Snapshot encodes the state. Equal states have identical snapshots.
 func (s *State) Snapshot() ([]byte, error) {
-	out := snapshot{Version: snapshotVersion, Catalog: s.catalog, NextWorker: s.nextWorker, NowMs: s.nowMs, Finished: s.finished, Departed: s.departed}
+	out := snapshot{Version: snapshotVersion, Catalog: s.catalog, NextWorker: s.nextWorker, NowMs: s.nowMs, Finished: s.finished, Departed: s.departed, OpenStarts: s.openStarts, RecentPlacements: s.recentPlacements}
 	for _, job := range s.jobs {
 		out.Jobs = append(out.Jobs, job)
 	}
@@ -62,6 +65,7 @@
 	}
 	s := NewState()
 	s.catalog, s.nextWorker, s.nowMs, s.finished, s.departed = in.Catalog, in.NextWorker, in.NowMs, in.Finished, in.Departed
+	s.openStarts, s.recentPlacements = in.OpenStarts, in.RecentPlacements
 	for _, job := range in.Jobs {
 		s.addJob(job)
 	}
--- a/workflow/state.go
+++ b/workflow/state.go
@@ -168,6 +168,10 @@
 	// departed lists the incarnations that ended after they drained, in the order of
 	// their end.
 	departed []departure
+	// openStarts and recentPlacements tell a new leader which starts may still be carried
+	// out; see OpenStart.
+	openStarts       []OpenStart
+	recentPlacements []RecentPlacement
 }
 
 // NewState returns the state of a new cluster.
@@ -250,6 +254,9 @@
 		return nil
 	case op.Resize != nil:
 		return s.resize(op.Resize)
+	case op.OpenStart != nil:
+		s.setOpenStart(op.OpenStart)
+		return nil
 	}
 	return kind.Errorf(kind.Corrupt, "the operation has no content")
 }
@@ -447,6 +454,7 @@
 	job.attempts++
 	task.State, task.Worker, task.Attempt = TaskPlaced, p.Worker, p.Attempt
 	job.Started = true
+	s.recordPlacement(p)
 	return nil
 }
 
