dispatch: an end of a gang waits for open starts of its other members

Cause: an end counts for all members of a gang, but only an open start of the same member kept it from being acknowledged.

Change: an open start of any member does, unless it is only assumed to have been sent by an earlier leader.

--- a/dispatch/open_starts.go
+++ b/dispatch/open_starts.go
@@ -27,6 +27,9 @@
 	committed bool
 	// inherited is set if starts of which this leader does not know may be open.
 	inherited bool
+	// assumed is set if no start is known to be without an answer: the attempt was placed
+	// just before this leader took over.
+	assumed bool
 }
 
 const (
@@ -93,6 +96,7 @@
 		o.sentBy = e.now
 	case a.startInherited:
 		o.sentBy = max(o.sentBy, e.tookOverAt)
+		o.assumed = !known
 	}
 }
 
@@ -207,6 +211,7 @@
 		return false
 	}
 	o.sentBy, o.inherited, a.startInherited = e.now, o.inherited || a.startInherited, false
+	o.assumed = false
 	return o.committed
 }
 
@@ -316,13 +321,24 @@
 		return
 	}
 	for i := range ended {
-		if ended[i].How != workflow.EndDone || e.openTasks[ended[i].Task] == 0 {
-			continue
-		}
-		if step := e.step(ended[i].Task); step != nil && exclusive(step) {
+		if ended[i].How == workflow.EndDone && e.mayStartLate(ended[i].Task) {
 			v.ackHeld, v.ackLimit = true, ended[i].Number-1
 			v.endsListed = ended[0].Number <= v.ackLimit
 			return
 		}
 	}
 }
+
+// mayStartLate reports whether a start of the task is open, or one of another member of its
+// gang, of which an end counts for all. For a member whose start is only assumed to be open,
+// the end of the gang does not wait.
+func (e *Engine) mayStartLate(ref workflow.TaskRef) bool {
+	job := e.state.Job(ref.Job)
+	if job == nil || job.Task(ref) == nil || !exclusive(&job.Spec.Steps[ref.Step]) {
+		return false
+	}
+	gang := job.Spec.Steps[ref.Step].Gang
+	return slices.ContainsFunc(e.openStarts, func(o *openStart) bool {
+		return o.ref == ref || gang && !o.assumed && o.ref.StepRef() == ref.StepRef()
+	})
+}
