--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -49,6 +49,12 @@
 	// carried out, oldest first.
 	formerAttempts []formerAttempt
 	strays         []stray
+	// openStarts are the starts that may still be carried out; openTasks counts them by
+	// task. The list is replaced when one is removed, so that it can be iterated meanwhile.
+	openStarts []*openStart
+	openTasks  map[workflow.TaskRef]int
+	// inheritedRecorded is set once the starts of the earlier leader are recorded.
+	inheritedRecorded bool
 	// withdrawals holds what confirms the withdrawals of workers on which attempts
 	// may still run.
 	withdrawals map[workflow.WorkerID][]func()
@@ -89,7 +95,9 @@
 	Unanswered, Throttled, Relocated, Paused, Crashed, Yielded         uint64
 	Copied, CopiesWon, Probes                                          uint64
 	QuarantinedFailing, QuarantinedSlow, QuarantinedRefusing           uint64
-	Overruns                                                           [overrunBuckets]uint64
+	// OpenStarts counts the starts that stayed without an answer and were recorded.
+	OpenStarts uint64
+	Overruns   [overrunBuckets]uint64
 	// HeadroomTargetMilliProcessors is the capacity that is to be kept for urgent tasks beside
 	// what they hold, HeadroomHeldMilliProcessors what of it is in gaps; both are current values.
 	HeadroomTargetMilliProcessors, HeadroomHeldMilliProcessors int64
@@ -102,12 +110,13 @@
 		settings: settings, log: log, term: term, state: state, now: now, tookOverAt: now, wallMs: state.NowMs(),
 		views: make(map[workflow.WorkerID]*workerView), slowdown: newSlowdownModel(), advisor: newAdvisor(), maintenance: newMaintenanceState(), gangWaitingSince: make(map[workflow.StepRef]Instant),
 		lastFailures: make(map[workflow.TaskRef]taskFailure), withdrawals: make(map[workflow.WorkerID][]func()), paces: make(stepPaces),
-		urgentPools: make(map[string]*urgentPool), preemptions: make(map[workflow.TaskRef]preemption),
+		urgentPools: make(map[string]*urgentPool), preemptions: make(map[workflow.TaskRef]preemption), openTasks: make(map[workflow.TaskRef]int),
 	}
 	for _, id := range slices.Sorted(maps.Keys(state.Workers())) {
 		e.addView(state.Worker(id))
 	}
 	e.adoptEvacuations()
+	e.inheritOpenStarts()
 	e.ready.reset()
 	for id, job := range state.Jobs() {
 		e.ready.recordWork(job)
@@ -125,6 +134,7 @@
 		e.checkTest(v)
 		e.issueDueOrders(v)
 	}
+	e.checkOpenStarts()
 	for _, id := range slices.Sorted(maps.Keys(e.withdrawals)) {
 		e.endWithdrawn(id)
 	}
--- a/workflow/ops.go
+++ b/workflow/ops.go
@@ -142,6 +142,7 @@
 	Resize         *Resize         `cbor:"12,keyasint,omitempty"`
 	SetEvacuation  *SetEvacuation  `cbor:"13,keyasint,omitempty"`
 	PlaceCopy      *PlaceCopy      `cbor:"14,keyasint,omitempty"`
+	OpenStart      *OpenStart      `cbor:"15,keyasint,omitempty"`
 }
 
 // Batch is the content of one log entry. NowMs is the leader's wall clock in
@@ -206,6 +207,8 @@
 		return "set_evacuation"
 	case o.PlaceCopy != nil:
 		return "place_copy"
+	case o.OpenStart != nil:
+		return "open_start"
 	}
 	return ""
 }
--- a/workflow/state.go
+++ b/workflow/state.go
@@ -172,6 +172,10 @@
 	departed []departure
 	// evacuatedSince holds, by evacuated failure domain, when the order was recorded.
 	evacuatedSince map[string]int64
+	// openStarts and recentPlacements tell a new leader which starts may still be carried
+	// out; see OpenStart.
+	openStarts       []OpenStart
+	recentPlacements []RecentPlacement
 }
 
 // NewState returns the state of a new cluster.
@@ -260,6 +264,9 @@
 		return s.setEvacuation(op.SetEvacuation)
 	case op.PlaceCopy != nil:
 		return s.placeCopy(op.PlaceCopy)
+	case op.OpenStart != nil:
+		s.setOpenStart(op.OpenStart)
+		return nil
 	}
 	return kind.Errorf(kind.Corrupt, "the operation has no content")
 }
@@ -453,6 +460,7 @@
 	job.forgetCopy(p.Task)
 	task.State, task.Worker, task.Attempt = TaskPlaced, p.Worker, p.Attempt
 	job.Started = true
+	s.recordPlacement(p)
 	return nil
 }
 
