dispatch: stops and room add up for wide urgent tasks

A gap that takes three stops was never opened where gaps of one stop used up the bound, narrow tasks with room assigned on the same worker took it all, and one of them that found no room had wider ones skipped.

TestRoomAddsUpForAWideUrgentTask failed before.

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -267,7 +267,7 @@
 	for len(s.pending) > 0 {
 		c := workers.best(e)
 		if c == nil {
-			p.recordUnplaceable(s, e.failedRecently(s))
+			p.recordUnplaceable(s, e.failedRecently(s) || e.roomAssigned(s))
 			e.prepareQuestion(p, s)
 			return
 		}
--- a/dispatch/sim_urgent_test.go
+++ b/dispatch/sim_urgent_test.go
@@ -66,6 +66,12 @@
 const quickStretchMilli = 2000
 
 func newUrgentLoad(s *sim) *urgentLoad {
+	return newUrgentLoadOn(s, int(490*urgentFleetShare), 16, 24)
+}
+
+// newUrgentLoadOn starts the given number of workers. Every third has the second number of
+// processors, the others the first.
+func newUrgentLoadOn(s *sim, workers int, processors, thirdProcessors int64) *urgentLoad {
 	u := &urgentLoad{sim: s, quick: make(map[workflow.JobID]*quickJob), lasting: make(map[workflow.JobID]*servingJob), runs: make(map[*simRun]bool)}
 	s.faults.slowStop = 1
 	queue := func(name string, priority int32, stretch, objective int64) workflow.Queue {
@@ -73,12 +79,12 @@
 	}
 	s.engine.SetCatalog(&workflow.Catalog{Version: 1, Queues: []workflow.Queue{queue("quick", 0, quickStretchMilli, 275), queue("batch", 2, 2000, 1000), queue("lasting", 0, 1000, 2500)}, Services: []workflow.Service{{Name: "pool"}}},
 		func(err *kind.Error) { require.Nil(s.t, err) })
-	for i := range int(490 * urgentFleetShare) {
-		processors := int64(16)
+	for i := range workers {
+		size := processors
 		if i%3 == 0 {
-			processors = 24
+			size = thirdProcessors
 		}
-		w := s.newWorker(fmt.Sprint("w", i), fmt.Sprint("w", i, ":1"), processors, fmt.Sprint("r", i%4))
+		w := s.newWorker(fmt.Sprint("w", i), fmt.Sprint("w", i, ":1"), size, fmt.Sprint("r", i%4))
 		w.capacity.MemoryMB = 64_000
 		u.capacity += w.capacity.MilliProcessors
 		w.report()
--- a/dispatch/urgent.go
+++ b/dispatch/urgent.go
@@ -333,14 +333,20 @@
 	}
 	kept := workflow.Resources{}
 	for _, r := range p.assigned[c.view.worker.ID] {
-		if r.ref == s.ref {
-			return true
+		if r.ref != s.ref && r.need.MilliProcessors >= s.step.Resources.MilliProcessors {
+			kept = kept.Add(r.need)
 		}
-		kept = kept.Add(r.need)
 	}
 	return kept == (workflow.Resources{}) || s.step.Reserved().Fits(c.free.Sub(kept))
 }
 
+// roomAssigned reports whether room is kept from a task of the step for others that wait, which
+// may find room where the task finds none.
+func (e *Engine) roomAssigned(s *readyStep) bool {
+	p := e.urgentPools[s.job.Service]
+	return p != nil && len(p.assigned) > 0 && !s.step.Lasting && !s.step.Scavenger
+}
+
 // gapScore returns the score of a worker for a lasting task by what is left there for urgent
 // tasks, zero if none is held.
 func (e *Engine) gapScore(c *candidate, s *readyStep) int64 {
@@ -400,11 +406,14 @@
 		allowed := e.preemptionCheck(attempts)
 		forWaiting, forOthers := view.splitMissing()
 		for _, missing := range [][]int{forWaiting, forOthers} {
-			chosen, opened := headroom.Choose(view.free, victims, view.gaps, missing, limit-len(p.preemptedAt), allowed)
+			chosen, opened, limited := headroom.Choose(view.free, victims, view.gaps, missing, limit-len(p.preemptedAt), allowed)
 			for i := range chosen {
 				e.preempt(p, attempts[chosen[i].Key], &view.gaps[chosen[i].Gap])
 			}
 			view.packed = append(view.packed, opened...)
+			if limited {
+				break // The next stops are for this gap.
+			}
 			limit -= limit / waitingPart
 		}
 	}
--- a/dispatch/urgent_test.go
+++ b/dispatch/urgent_test.go
@@ -122,3 +122,18 @@
 	}
 	require.Empty(t, u.violations)
 }
+
+// Guards against narrow urgent tasks that take, one by one, what stops free for a wide one. No lasting task
+// is due yet, which would take it.
+func TestRoomAddsUpForAWideUrgentTask(t *testing.T) {
+	u := newUrgentLoadOn(newSim(t, 1), 8, 16, 16)
+	u.submitJob("lasting", workflow.Step{Count: 64, Lasting: true, Image: "serving", Resources: workflow.Resources{MilliProcessors: 2000, MemoryMB: 1000}})
+	u.run(3 * time.Second)
+	narrow := workflow.Step{Count: 10, Resources: workflow.Resources{MilliProcessors: 1000, MemoryMB: 500}, EstimatedMs: 700}
+	u.arrivals(0, 30*time.Second, 50, func() { u.submitJob("quick", narrow) })
+	u.run(time.Second)
+	wide := workflow.Step{Count: 1, Resources: workflow.Resources{MilliProcessors: 6000, MemoryMB: 5200}, EstimatedMs: 3000}
+	job := u.submitJob("quick", wide)
+	assert.True(t, u.runUntil(3*time.Second, func() bool { return u.lastStartAt[workflow.TaskRef{Job: job}] > 0 }), "before its objective is out of reach")
+	require.Empty(t, u.violations)
+}
--- a/headroom/gaps.go
+++ b/headroom/gaps.go
@@ -100,10 +100,17 @@
 // one is considered, since it may depend on those chosen before. Of the workers, the one is
 // taken on which the fewest stops open the gap; then the one with the widest room then, by whole
 // processors, in which tasks of other widths fit as well; then the one with the lowest cost.
-func Choose(free []workflow.Resources, victims [][]Victim, gaps []Gap, missing []int, limit int, allowed func(*Victim) bool) (chosen []Stop, opened []Opening) {
+// A gap for which only the limit does not suffice ends the choice, which limited then tells:
+// otherwise gaps that take fewer stops would use up the limit each time.
+func Choose(free []workflow.Resources, victims [][]Victim, gaps []Gap, missing []int, limit int, allowed func(*Victim) bool) (chosen []Stop, opened []Opening, limited bool) {
 	for g := range gaps {
 		for range missing[g] {
 			stops, worker := cheapest(free, victims, gaps[g].Need, limit-len(chosen), allowed)
+			if worker < 0 && limit-len(chosen) < maxStopsPerGap {
+				if _, worker = cheapest(free, victims, gaps[g].Need, maxStopsPerGap, allowed); worker >= 0 {
+					return chosen, opened, true
+				}
+			}
 			if worker < 0 {
 				break
 			}
@@ -118,7 +125,7 @@
 			opened = append(opened, Opening{g, worker})
 		}
 	}
-	return chosen, opened
+	return chosen, opened, false
 }
 
 // cheapest returns the tasks to preempt so that one worker has room for the need, none if one
--- a/headroom/headroom_test.go
+++ b/headroom/headroom_test.go
@@ -89,15 +89,17 @@
 	}
 	free := func() []workflow.Resources { return []workflow.Resources{processors(0), processors(2000)} }
 	gaps := []Gap{{Need: processors(5000), Count: 1}}
-	chosen, opened := Choose(free(), victims(), gaps, []int{1}, 5, allow)
+	chosen, opened, _ := Choose(free(), victims(), gaps, []int{1}, 5, allow)
 	require.Len(t, chosen, 1)
 	assert.Equal(t, 3, chosen[0].Key)
 	assert.Equal(t, []Opening{{0, 1}}, opened)
 
-	chosen, _ = Choose(free(), victims(), gaps, []int{2}, 5, allow)
+	chosen, _, limited := Choose(free(), victims(), gaps, []int{2}, 5, allow)
 	assert.Len(t, chosen, 3, "the second gap takes two stops")
-	chosen, _ = Choose(free(), victims(), gaps, []int{2}, 2, allow)
+	assert.False(t, limited)
+	chosen, _, limited = Choose(free(), victims(), gaps, []int{2}, 2, allow)
 	assert.Len(t, chosen, 1, "no stop that opens nothing")
-	chosen, _ = Choose(free(), victims(), gaps, []int{2}, 5, func(*Victim) bool { return false })
+	assert.True(t, limited)
+	chosen, _, _ = Choose(free(), victims(), gaps, []int{2}, 5, func(*Victim) bool { return false })
 	assert.Empty(t, chosen)
 }
