Dispatch, coordinator: explain where a job would be placed now

Operators could see that a job waits, but not which filters reject the workers. ExplainPlacement answers for a described or an accepted job. It ranks on a copy of the engine, since ranking fills caches that later decisions read: placement states, image indexes, the sort time, the use order of learned run times.

--- a/coordinator/loop.go
+++ b/coordinator/loop.go
@@ -339,6 +339,9 @@
 		l.engine.WaveCompleted(*call.WaveState, func(completed bool, err *kind.Error) { done(Result{WaveCompleted: completed, Err: err}) })
 	case call.SetEvacuation != nil:
 		l.engine.SetEvacuation(call.SetEvacuation, func(err *kind.Error) { done(Result{Err: err}) })
+	case call.ExplainPlacement != nil:
+		explanation, err := l.engine.ExplainPlacement(call.ExplainPlacement)
+		done(Result{Explanation: explanation, Err: err})
 	default:
 		done(Result{Err: kind.Errorf(kind.BadRequest, "the call sets no field")})
 	}
--- a/coordinator/messages.go
+++ b/coordinator/messages.go
@@ -30,6 +30,8 @@
 	WaveState *uint64
 	// SetEvacuation evacuates or restores a failure domain.
 	SetEvacuation *workflow.SetEvacuation
+	// ExplainPlacement asks where a job would be placed now. It changes nothing.
+	ExplainPlacement *dispatch.PlacementQuestion
 
 	// Budget is how long the sender still waits for the result, zero for callTimeout. The
 	// leader drops the call if it has not decided on it by then.
@@ -58,6 +60,8 @@
 	// ReportTo answers Announce: the peer address of the member to which the worker sends
 	// its next reports.
 	ReportTo string
+	// Explanation answers ExplainPlacement.
+	Explanation *dispatch.PlacementExplanation
 }
 
 // MembersArgs asks a member for its view of the group.
--- /dev/null
+++ b/dispatch/explain_text.go
@@ -0,0 +1,61 @@
+package dispatch
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Text returns the explanation for a terminal.
+func (x *PlacementExplanation) Text() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "queue %s, service %s, %d workers; term %d, leader for %v, %d uncommitted batches\n", x.Queue, x.Service, x.Workers, x.Term, ms(x.LeadsForMs), x.UncommittedBatches)
+	if x.JobID != "" {
+		fmt.Fprintf(&b, "job %s: %s\n", x.JobID, x.State)
+	}
+	for i := range x.Steps {
+		x.Steps[i].write(&b)
+	}
+	if x.OmittedSteps > 0 {
+		fmt.Fprintf(&b, "%d further steps\n", x.OmittedSteps)
+	}
+	return b.String()
+}
+
+func (s *StepExplanation) write(b *strings.Builder) {
+	fmt.Fprintf(b, "step %d.%d: %d of %d tasks pending, each needs %s; %d tasks ahead\n", s.Occurrence, s.Step, s.Pending, s.Tasks, resourcesText(s.Needs), s.TasksAhead)
+	if s.Blocked != "" {
+		fmt.Fprintf(b, "  not placed now: %s\n", s.Blocked)
+	}
+	if s.Pending == 0 {
+		return
+	}
+	fmt.Fprintf(b, "  %d workers fit, with room for %d tasks\n", s.Fitting, s.RoomFor)
+	for i, w := range s.Best {
+		fmt.Fprintf(b, "  %d. %s score %d =", i+1, w.Worker, w.Score)
+		for _, p := range w.Parts {
+			fmt.Fprintf(b, " %s %+d", p.Name, p.Value)
+		}
+		fmt.Fprintf(b, "; free %s; answered %v ago\n", resourcesText(w.Free), ms(w.LastAnswerMs))
+	}
+	for _, r := range s.Rejections {
+		fmt.Fprintf(b, "  %s: %d workers", r.Filter, r.Workers)
+		for i, w := range r.Examples {
+			separator := ", "
+			if i == 0 {
+				separator = ", as "
+			}
+			fmt.Fprintf(b, "%s%s (", separator, w.Worker)
+			if w.Detail != "" {
+				fmt.Fprintf(b, "%s; ", w.Detail)
+			}
+			fmt.Fprintf(b, "answered %v ago)", ms(w.LastAnswerMs))
+		}
+		b.WriteString("\n")
+	}
+	if f := s.NextFree; f != nil {
+		fmt.Fprintf(b, "  next capacity: %s in about %v, after %d ends; answered %v ago\n", f.Worker, ms(f.InMs), f.Ends, ms(f.LastAnswerMs))
+	}
+}
+
+func ms(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/runtimes/model.go
+++ b/runtimes/model.go
@@ -28,6 +28,8 @@
 	// recent lists the entries, the most recently used first.
 	recent *list.List
 	now    time.Duration
+	// frozen keeps recent as it is.
+	frozen bool
 }
 
 type entry struct {
@@ -40,6 +42,14 @@
 	return &Model{maxKeys: max(maxKeys, 1), entries: make(map[Key]*list.Element), recent: list.New()}
 }
 
+// Frozen returns a view of the model whose look-ups do not count as uses of a key. It must
+// not observe anything.
+func (m *Model) Frozen() *Model {
+	c := *m
+	c.frozen = true
+	return &c
+}
+
 // Observe records that an attempt took the given time. now is the time on any clock that
 // does not run backwards; samples age by it. Times that are not positive are ignored.
 func (m *Model) Observe(key Key, estimate, took, now time.Duration) {
@@ -67,7 +77,9 @@
 	if element == nil {
 		return nil
 	}
-	m.recent.MoveToFront(element)
+	if !m.frozen {
+		m.recent.MoveToFront(element)
+	}
 	d := &element.Value.(*entry).dist
 	if d.count(m.now) < MinCount {
 		return nil
