--- a/dispatch/explain_test.go
+++ b/dispatch/explain_test.go
@@ -235,3 +235,61 @@
 		assert.Equal(t, c.want, err.Kind)
 	}
 }
+
+// Guards against a change of what later decisions read while capacity is held for urgent tasks,
+// scavengers run and lasting tasks wait, and against workers that are counted twice or whose
+// filter is not named.
+func TestExplanationsUnderLoadChangeNothing(t *testing.T) {
+	var snapshots [2][]byte
+	for i := range 2 {
+		u := newUrgentLoad(newSim(t, 1))
+		u.fillWithLasting(7300.0 / 9150)
+		u.run(2 * time.Second)
+		u.arrivals(0, 8*time.Second, 15, u.submitQuick)
+		u.arrivals(0, 8*time.Second, 18, u.submitBatch)
+		held := false
+		for range 80 {
+			u.run(100 * time.Millisecond)
+			if i == 1 {
+				held = u.checkExplanations() || held
+			}
+		}
+		u.run(2 * time.Second)
+		var err error
+		snapshots[i], err = u.committed.Snapshot()
+		require.NoError(t, err)
+		if i == 1 {
+			assert.True(t, held, "no capacity was held for urgent tasks")
+		}
+	}
+	assert.Equal(t, snapshots[0], snapshots[1])
+}
+
+// checkExplanations asks for jobs of each kind and reports whether capacity was held.
+func (u *urgentLoad) checkExplanations() bool {
+	held := false
+	for queue, change := range map[string]func(*workflow.Step){"quick": unchanged, "batch": scavenging, "lasting": lasting} {
+		spec := withStep(change)
+		spec.Steps[0].Resources = workflow.Resources{MilliProcessors: 2700, MemoryMB: 5200}
+		x := u.explain(&PlacementQuestion{Queue: queue, Job: &spec})
+		explained := x.Steps[0]
+		counted := explained.Fitting
+		for _, r := range explained.Rejections {
+			assert.NotEqual(u.t, filterOther, r.Filter)
+			held = held || r.Filter == filterHeld || r.Filter == filterReserved
+			if r.Filter != filterSilent {
+				counted += r.Workers
+			}
+		}
+		held = held || explained.Blocked != ""
+		assert.Equal(u.t, x.Workers, counted, "%s", x.Text())
+		for _, w := range explained.Best {
+			sum := int64(0)
+			for _, p := range w.Parts {
+				sum += p.Value
+			}
+			assert.Equal(u.t, w.Score, sum)
+		}
+	}
+	return held
+}
