Dispatch: check what ranking changes beside explanations under load

The load test passed with parts of the engine shared with the copy, since its questions came right after ticks.

--- a/dispatch/explain_test.go
+++ b/dispatch/explain_test.go
@@ -1,12 +1,14 @@
 package dispatch
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"mangohill.example/mangohill/interference"
 	"mangohill.example/mangohill/kind"
 	"mangohill.example/mangohill/workflow"
 )
@@ -248,10 +250,14 @@
 		u.arrivals(0, 8*time.Second, 15, u.submitQuick)
 		u.arrivals(0, 8*time.Second, 18, u.submitBatch)
 		held := false
-		for range 80 {
-			u.run(100 * time.Millisecond)
+		for range 200 {
+			// Questions come between ticks, when caches are out of date.
+			u.run(39 * time.Millisecond)
+			u.engine.Advance(u.now, u.wall())
 			if i == 1 {
+				before := decisionInputsOf(u.engine)
 				held = u.checkExplanations() || held
+				require.Equal(t, before, decisionInputsOf(u.engine))
 			}
 		}
 		u.run(2 * time.Second)
@@ -293,3 +299,33 @@
 	}
 	return held
 }
+
+// decisionInputs is what ranking changes of an engine, and later decisions read.
+type decisionInputs struct {
+	placementStates []*placementState
+	classes         []attemptClass
+	lateness        []lateness
+	densities       []float64
+	sorted          []*readyStep
+	lastSortMs      int64
+	dirty, tickets  int
+	pools           map[string]urgentPool
+	images          *interference.PairModel
+}
+
+func decisionInputsOf(e *Engine) *decisionInputs {
+	d := &decisionInputs{lastSortMs: e.ready.lastSortMs, sorted: slices.Clone(e.ready.sorted), dirty: len(e.ready.dirtyJobs), tickets: len(e.advisor.steps), pools: make(map[string]urgentPool), images: e.slowdown.pairs.Clone()}
+	for _, v := range e.sortedViews {
+		d.placementStates = append(d.placementStates, v.placementState)
+		for _, a := range v.attemptList {
+			d.classes = append(d.classes, a.class)
+		}
+	}
+	for _, s := range d.sorted {
+		d.lateness, d.densities = append(d.lateness, s.lateness), append(d.densities, s.valueDensity)
+	}
+	for service, p := range e.urgentPools {
+		d.pools[service] = *p
+	}
+	return d
+}
--- a/runtimes/model_test.go
+++ b/runtimes/model_test.go
@@ -156,3 +156,20 @@
 	assert.True(t, known)
 	assert.InDelta(t, 0.5, chance, 0.05)
 }
+
+// Guards against look-ups of a frozen model that keep a key from being evicted.
+func TestLookupsOfAFrozenModelDoNotCount(t *testing.T) {
+	m := New(2)
+	for _, image := range []string{"a", "b"} {
+		for range 2 * MinCount {
+			m.Observe(Key{Image: image}, time.Second, time.Second, 0)
+		}
+	}
+	_, known := m.Frozen().Mean(Key{Image: "a"}, time.Second)
+	assert.True(t, known)
+	m.Observe(Key{Image: "c"}, time.Second, time.Second, 0)
+	_, known = m.Mean(Key{Image: "a"}, time.Second)
+	assert.False(t, known)
+	_, known = m.Mean(Key{Image: "b"}, time.Second)
+	assert.True(t, known)
+}
