Dispatch: bound the simulated placements of an explanation by the job

Sixteen steps that share a rack each ranked all workers for 64 tasks. The 64 are now divided among the steps.

--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -12,8 +12,8 @@
 
 const (
 	// maxExplainedSteps, maxExplainedWorkers and maxRejectionExamples bound an explanation,
-	// maxExplainedTasks the simulated placements of each step: the leader's loop decides on
-	// nothing else meanwhile.
+	// maxExplainedTasks the simulated placements of all steps together, which may filter all
+	// workers each: the leader's loop decides on nothing else meanwhile.
 	maxExplainedSteps    = 16
 	maxExplainedWorkers  = 5
 	maxRejectionExamples = 2
@@ -69,8 +69,8 @@
 	// scores, the first choice first.
 	Fitting int
 	Best    []RankedWorker
-	// RoomFor counts the pending tasks, up to 64, that would find a worker now.
-	RoomFor int
+	// RoomFor counts the pending tasks, up to RoomLimit, that would find a worker now.
+	RoomFor, RoomLimit int
 	// Rejections are the filters that reject workers, in the order in which they apply.
 	Rejections []Rejection
 	// NextFree tells where capacity for the task is expected first, if no worker fits.
@@ -148,13 +148,11 @@
 		}
 	}
 	occurrence := explainedOccurrence(job)
-	for i := range job.Spec.Steps {
-		if len(x.Steps) == maxExplainedSteps {
-			x.OmittedSteps = len(job.Spec.Steps) - i
-			break
-		}
-		x.Steps = append(x.Steps, c.explainStep(set, job, occurrence, uint32(i)))
+	explained := min(len(job.Spec.Steps), maxExplainedSteps)
+	for i := range explained {
+		x.Steps = append(x.Steps, c.explainStep(set, job, occurrence, uint32(i), maxExplainedTasks/explained))
 	}
+	x.OmittedSteps = len(job.Spec.Steps) - explained
 	return x, nil
 }
 
@@ -227,8 +225,9 @@
 	return 0
 }
 
-// explainStep explains a step on a scratch copy of the engine.
-func (e *Engine) explainStep(set *candidateSet, job *workflow.Job, occurrence, index uint32) StepExplanation {
+// explainStep explains a step on a scratch copy of the engine, with at most maxTasks simulated
+// placements.
+func (e *Engine) explainStep(set *candidateSet, job *workflow.Job, occurrence, index uint32, maxTasks int) StepExplanation {
 	step := &job.Spec.Steps[index]
 	x := StepExplanation{Occurrence: occurrence, Step: index, Tasks: int(step.Count), Needs: step.Resources}
 	s := e.explainedStep(job, occurrence, index)
@@ -247,8 +246,9 @@
 	first := ranked.best(e)
 	e.explainRanking(&x, ranked, first)
 	e.explainRejections(&x, set, s)
-	x.RoomFor = e.roomFor(ranked, s)
-	if step.Gang && x.Blocked == "" && x.RoomFor < min(int(step.Count), maxExplainedTasks) {
+	x.RoomLimit = min(len(s.pending), maxTasks)
+	x.RoomFor = e.roomFor(ranked, s, x.RoomLimit)
+	if step.Gang && x.Blocked == "" && x.RoomFor < x.RoomLimit {
 		x.Blocked = "the gang has no room for all of its tasks"
 	}
 	if first == nil {
@@ -361,10 +361,10 @@
 	return parts
 }
 
-// roomFor returns how many pending tasks would find a worker, up to maxExplainedTasks.
-func (e *Engine) roomFor(r *ranking, s *readyStep) int {
+// roomFor returns how many tasks of the step would find a worker, up to limit.
+func (e *Engine) roomFor(r *ranking, s *readyStep, limit int) int {
 	var chosen []*candidate
-	for len(chosen) < min(len(s.pending), maxExplainedTasks) {
+	for len(chosen) < limit {
 		c := r.best(e)
 		if c == nil {
 			break
--- a/dispatch/explain_test.go
+++ b/dispatch/explain_test.go
@@ -329,3 +329,23 @@
 	}
 	return d
 }
+
+// Guards against an answer whose size or cost grows with the job.
+func TestTheExplanationOfALargeJobIsBounded(t *testing.T) {
+	s := newExplainSim(t, explainCases["free"])
+	large := step(1000)
+	large.OneRack = true
+	spec := workflow.JobSpec{}
+	for range 20 {
+		spec.Steps = append(spec.Steps, large)
+	}
+	x := s.explain(&PlacementQuestion{Queue: "q", Job: &spec})
+	assert.Len(t, x.Steps, maxExplainedSteps)
+	assert.Equal(t, 4, x.OmittedSteps)
+	room := 0
+	for _, explained := range x.Steps {
+		room += explained.RoomFor
+		assert.Contains(t, x.Text(), "room for at least 4 tasks")
+	}
+	assert.Equal(t, maxExplainedTasks, room)
+}
--- a/dispatch/explain_text.go
+++ b/dispatch/explain_text.go
@@ -30,7 +30,11 @@
 	if s.Pending == 0 {
 		return
 	}
-	fmt.Fprintf(b, "  %d workers fit, with room for %d tasks\n", s.Fitting, s.RoomFor)
+	atLeast := ""
+	if s.RoomFor == s.RoomLimit && s.RoomLimit < s.Pending {
+		atLeast = "at least "
+	}
+	fmt.Fprintf(b, "  %d workers fit, with room for %s%d tasks\n", s.Fitting, atLeast, s.RoomFor)
 	for i, w := range s.Best {
 		fmt.Fprintf(b, "  %d. %s score %d =", i+1, w.Worker, w.Score)
 		for _, p := range w.Parts {
