--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -84,7 +84,7 @@
 	// Parts add up to Score.
 	Parts []ScorePart
 	Free  workflow.Resources
-	// LastAnswerMs is the time since the worker's last answer.
+	// LastAnswerMs is the time since the worker's last answer to this leader, -1 for none.
 	LastAnswerMs int64
 }
 
@@ -105,7 +105,7 @@
 type RejectedWorker struct {
 	Worker string
 	Detail string `json:",omitempty"`
-	// LastAnswerMs is the time since the worker's last answer.
+	// LastAnswerMs is as in RankedWorker.
 	LastAnswerMs int64
 }
 
@@ -114,7 +114,8 @@
 	Worker string
 	InMs   int64
 	// Ends counts the attempts that must end before.
-	Ends         int
+	Ends int
+	// LastAnswerMs is as in RankedWorker.
 	LastAnswerMs int64
 }
 
@@ -328,7 +329,7 @@
 	x.Fitting = len(entries)
 	for _, entry := range entries[:min(len(entries), maxExplainedWorkers)] {
 		v := entry.candidate.view
-		x.Best = append(x.Best, RankedWorker{Worker: v.worker.Life.Name, Score: entry.score, Parts: e.scoreParts(r.set, entry.candidate, r.step), Free: entry.candidate.free, LastAnswerMs: e.since(v.answeredAt).Milliseconds()})
+		x.Best = append(x.Best, RankedWorker{Worker: v.worker.Life.Name, Score: entry.score, Parts: e.scoreParts(r.set, entry.candidate, r.step), Free: entry.candidate.free, LastAnswerMs: e.lastAnswerMs(v)})
 	}
 }
 
@@ -389,7 +390,7 @@
 		}
 		in, ends, known := e.capacityIn(c, s)
 		if known && (best == nil || in.Milliseconds() < best.InMs) {
-			best = &ExpectedCapacity{Worker: c.view.worker.Life.Name, InMs: in.Milliseconds(), Ends: ends, LastAnswerMs: e.since(c.view.answeredAt).Milliseconds()}
+			best = &ExpectedCapacity{Worker: c.view.worker.Life.Name, InMs: in.Milliseconds(), Ends: ends, LastAnswerMs: e.lastAnswerMs(c.view)}
 		}
 	}
 	return best
@@ -426,3 +427,11 @@
 	}
 	return 0, 0, false
 }
+
+// lastAnswerMs returns the time since a worker's last answer to this leader, -1 for none.
+func (e *Engine) lastAnswerMs(v *workerView) int64 {
+	if !v.fenced {
+		return -1 // Its answeredAt is when this leader learned of it.
+	}
+	return e.since(v.answeredAt).Milliseconds()
+}
--- a/dispatch/explain_filters.go
+++ b/dispatch/explain_filters.go
@@ -50,7 +50,7 @@
 		}
 		r.Workers++
 		if len(r.Examples) < maxRejectionExamples {
-			r.Examples = append(r.Examples, RejectedWorker{v.worker.Life.Name, detail, e.since(v.answeredAt).Milliseconds()})
+			r.Examples = append(r.Examples, RejectedWorker{v.worker.Life.Name, detail, e.lastAnswerMs(v)})
 		}
 	}
 	for _, v := range e.sortedViews {
--- a/dispatch/explain_test.go
+++ b/dispatch/explain_test.go
@@ -55,6 +55,7 @@
 	"draining":   {prepare: func(s *sim) { s.workers["b1:1"].draining = true; s.run(2 * time.Second) }, spec: withStep(unchanged), first: "a2", filter: filterDraining, rejected: 1},
 	"quarantine": {prepare: func(s *sim) { s.viewOf("b1").quarantinedUntil = s.now.Add(time.Minute) }, spec: withStep(unchanged), first: "a2", filter: filterQuarantine, rejected: 1},
 	"cut off":    {prepare: func(s *sim) { s.workers["b1:1"].partitioned = true; s.run(5 * time.Second) }, spec: withStep(unchanged), first: "a2", filter: filterUnreachable, rejected: 1},
+	"takeover":   {prepare: func(s *sim) { s.takeOver() }, spec: withStep(unchanged), filter: filterUnreachable, rejected: 3},
 	"limit":      {prepare: occupy(1, 3, 9000, unchanged), spec: withStep(func(s *workflow.Step) { s.MaxPerWorker = 1 }), first: "b1"},
 	"label":      {prepare: func(*sim) {}, spec: withStep(func(s *workflow.Step) { s.Label = "gpu" }), filter: filterLabel, rejected: 3},
 	"rack":       {prepare: func(*sim) {}, spec: withStep(func(s *workflow.Step) { s.OneRack = true }), first: "a2"},
@@ -349,3 +350,12 @@
 	}
 	assert.Equal(t, maxExplainedTasks, room)
 }
+
+// Guards against the time since a takeover that is shown as that since an answer.
+func TestAWorkerThatNeverAnsweredTheLeaderIsShownSo(t *testing.T) {
+	s := newExplainSim(t, explainCases["takeover"])
+	spec := withStep(unchanged)
+	x := s.explain(&PlacementQuestion{Queue: "q", Job: &spec})
+	assert.EqualValues(t, -1, x.Steps[0].Rejections[0].Examples[0].LastAnswerMs)
+	assert.Contains(t, x.Text(), "no answer to this leader yet")
+}
--- a/dispatch/explain_text.go
+++ b/dispatch/explain_text.go
@@ -40,7 +40,7 @@
 		for _, p := range w.Parts {
 			fmt.Fprintf(b, " %s %+d", p.Name, p.Value)
 		}
-		fmt.Fprintf(b, "; free %s; answered %v ago\n", resourcesText(w.Free), ms(w.LastAnswerMs))
+		fmt.Fprintf(b, "; free %s; %s\n", resourcesText(w.Free), answeredText(w.LastAnswerMs))
 	}
 	for _, r := range s.Rejections {
 		fmt.Fprintf(b, "  %s: %d workers", r.Filter, r.Workers)
@@ -53,13 +53,20 @@
 			if w.Detail != "" {
 				fmt.Fprintf(b, "%s; ", w.Detail)
 			}
-			fmt.Fprintf(b, "answered %v ago)", ms(w.LastAnswerMs))
+			fmt.Fprintf(b, "%s)", answeredText(w.LastAnswerMs))
 		}
 		b.WriteString("\n")
 	}
 	if f := s.NextFree; f != nil {
-		fmt.Fprintf(b, "  next capacity: %s in about %v, after %d ends; answered %v ago\n", f.Worker, ms(f.InMs), f.Ends, ms(f.LastAnswerMs))
+		fmt.Fprintf(b, "  next capacity: %s in about %v, after %d ends; %s\n", f.Worker, ms(f.InMs), f.Ends, answeredText(f.LastAnswerMs))
 	}
 }
 
 func ms(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+func answeredText(n int64) string {
+	if n < 0 {
+		return "no answer to this leader yet"
+	}
+	return fmt.Sprintf("answered %v ago", ms(n))
+}
