Look-ahead placement: reserve workers for urgent tasks that fit nowhere

Cause: small tasks take each gap as soon as it opens, so that a wide task waits for as long as they come. Change: such a step gets reservations on the workers whose capacity is whole soonest by the learned run times. Others are placed there if they end before, or fit beside. At most a twentieth of the workers are reserved.

--- a/dispatch/candidates.go
+++ b/dispatch/candidates.go
@@ -33,6 +33,9 @@
 	// held is the capacity that is held for urgent tasks, of what is free or becomes free
 	// by the stops in progress, whose reservations are stopping.
 	held, stopping workflow.Resources
+	// lookAhead is the reservation of the worker for an urgent task that fits nowhere, nil
+	// for none.
+	lookAhead *capacityReservation
 }
 
 // candidateSet holds the workers that may get tasks in one plan.
@@ -93,7 +96,7 @@
 }
 
 func (e *Engine) candidateOf(v *workerView) *candidate {
-	c := &candidate{view: v, quarantined: e.now < v.quarantinedUntil, silent: e.silent(v), free: v.worker.Capacity.Sub(v.worker.Reserved), idleMilliProcessors: e.placementStateOf(v).idleMilliProcessors}
+	c := &candidate{view: v, quarantined: e.now < v.quarantinedUntil, silent: e.silent(v), free: v.worker.Capacity.Sub(v.worker.Reserved), idleMilliProcessors: e.placementStateOf(v).idleMilliProcessors, lookAhead: e.lookAhead.byWorker[v.worker.ID]}
 	e.reserveForMoves(c)
 	return c
 }
@@ -228,7 +231,7 @@
 	case step.Scavenger && (c.idleMilliProcessors < minIdleFor(step) || c.headroom(e, step, e.imageOf(s)) < 0):
 		return false
 	}
-	return c.allows(s)
+	return c.allows(s) && e.fitsBesideLookAhead(c, s)
 }
 
 // allows reports whether the step's label and its bound per worker allow one more
@@ -271,6 +274,9 @@
 	if s.step.Lasting {
 		score += int64(c.imageAffinity(e, s.step))*affinityWeight + e.gapScore(c, s)
 	}
+	if c.lookAhead != nil && c.lookAhead.ref != s.ref && !s.step.Lasting {
+		score -= assignedWeight
+	}
 	return score - c.free.MilliProcessors
 }
 
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -72,12 +72,15 @@
 	// those of lasting tasks whose jobs are active.
 	urgentPools map[string]*urgentPool
 	preemptions map[workflow.TaskRef]preemption
+	// lookAhead holds the reservations for urgent tasks that fit nowhere.
+	lookAhead lookAhead
 }
 
 // Counters count decisions since the engine was created. Lapsed counts attempts
 // that ended with their lease, Voided those declared not to run, Unanswered
 // orders without an answer, Relocated attempts stopped in order to run elsewhere.
-// Yielded counts lasting tasks that were preempted for urgent ones. Crashed counts the
+// Yielded counts lasting tasks that were preempted for urgent ones, Reserved the
+// reservations of capacity for urgent tasks that fit nowhere. Crashed counts the
 // workers that ended without notice. Overruns counts the times for which readings of a serving task exceeded its target, by whole seconds, the last for all
 // longer ones; Paused those for which scavengers were paused.
 // Copied counts the copies of stragglers, CopiesWon those that were done first, Probes the
@@ -85,11 +88,11 @@
 // QuarantinedFailing, QuarantinedSlow and QuarantinedRefusing count the quarantines of workers
 // by reason.
 type Counters struct {
-	Accepted, Cancelled, Placed, Done, Failed, Stopped, Lapsed, Voided uint64
-	Unanswered, Throttled, Relocated, Paused, Crashed, Yielded         uint64
-	Copied, CopiesWon, Probes                                          uint64
-	QuarantinedFailing, QuarantinedSlow, QuarantinedRefusing           uint64
-	Overruns                                                           [overrunBuckets]uint64
+	Accepted, Cancelled, Placed, Done, Failed, Stopped, Lapsed, Voided   uint64
+	Unanswered, Throttled, Relocated, Paused, Crashed, Yielded, Reserved uint64
+	Copied, CopiesWon, Probes                                            uint64
+	QuarantinedFailing, QuarantinedSlow, QuarantinedRefusing             uint64
+	Overruns                                                             [overrunBuckets]uint64
 	// HeadroomTargetMilliProcessors is the capacity that is to be kept for urgent tasks beside
 	// what they hold, HeadroomHeldMilliProcessors what of it is in gaps; both are current values.
 	HeadroomTargetMilliProcessors, HeadroomHeldMilliProcessors int64
@@ -102,7 +105,7 @@
 		settings: settings, log: log, term: term, state: state, now: now, tookOverAt: now, wallMs: state.NowMs(),
 		views: make(map[workflow.WorkerID]*workerView), slowdown: newSlowdownModel(), advisor: newAdvisor(), maintenance: newMaintenanceState(), gangWaitingSince: make(map[workflow.StepRef]Instant),
 		lastFailures: make(map[workflow.TaskRef]taskFailure), withdrawals: make(map[workflow.WorkerID][]func()), paces: make(stepPaces),
-		urgentPools: make(map[string]*urgentPool), preemptions: make(map[workflow.TaskRef]preemption),
+		urgentPools: make(map[string]*urgentPool), preemptions: make(map[workflow.TaskRef]preemption), lookAhead: newLookAhead(),
 	}
 	for _, id := range slices.Sorted(maps.Keys(state.Workers())) {
 		e.addView(state.Worker(id))
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -41,6 +41,8 @@
 	imageKnown bool
 	// yields is set while tasks are placed that leave the capacity held for urgent ones.
 	yields bool
+	// heldBack is set when the latest placement of a task was refused by a reservation.
+	heldBack bool
 }
 
 // task returns a task of the step.
@@ -242,6 +244,7 @@
 // plan places the pending tasks in scheduling order.
 func (e *Engine) plan() {
 	e.ready.refresh(e.state, e.wallMs)
+	e.endLookAheads()
 	if len(e.ready.sorted) == 0 && len(e.ready.suspects) == 0 && !e.preemptionDue() {
 		return
 	}
@@ -249,11 +252,13 @@
 	e.placeMoved(candidates)
 	e.placeSuspects(candidates)
 	e.reserveForLasting(candidates)
+	e.dropLookAheadsForLasting(candidates)
 	for _, s := range e.ready.sorted {
 		if s.job.Spec.DueMs(s.ref.Occurrence) > e.wallMs {
 			continue
 		}
 		e.dropHeldTasks(s)
+		s.heldBack = false
 		switch {
 		case len(s.pending) == 0:
 		case !s.job.Active() || candidates.blockedByGang(s):
@@ -266,6 +271,7 @@
 		}
 	}
 	e.makeRoomForUrgent(candidates)
+	e.reserveAhead(candidates)
 }
 
 // placeStep places as many of a step's tasks as find a worker.
@@ -274,7 +280,8 @@
 	for len(s.pending) > 0 {
 		c := workers.best(e)
 		if c == nil {
-			p.recordUnplaceable(s, e.failedRecently(s))
+			p.recordUnplaceable(s, e.failedRecently(s) || s.heldBack)
+			e.recordHeldBack(s)
 			e.prepareQuestion(p, s)
 			return
 		}
@@ -303,6 +310,7 @@
 		return false
 	}
 	c.reserve(s)
+	e.recordBesideLookAhead(c, s)
 	e.counters.Placed++
 	a := &attempt{ref: ref, number: number, placedAt: e.now, appliedShare: fullShare, wantedShare: fullShare}
 	v.add(a)
