--- a/dispatch/look_ahead.go
+++ b/dispatch/look_ahead.go
@@ -50,6 +50,8 @@
 type capacityReservation struct {
 	ref    workflow.StepRef
 	worker workflow.WorkerID
+	// name is the name of the worker.
+	name string
 	// at is when the worker will have the whole capacity. expiresAt is lookAheadMargin after
 	// the time that was first expected.
 	at, expiresAt Instant
@@ -176,7 +178,7 @@
 	l := &e.lookAhead
 	l.reservations = slices.DeleteFunc(l.reservations, func(other *capacityReservation) bool { return other == r })
 	delete(l.byWorker, r.worker)
-	e.log.Info().Stringer("job", r.ref.Job).Uint32("step", r.ref.Step).Uint64("worker", uint64(r.worker)).Str("reason", reason).Uint64("term", e.term).Msg("reservation ended")
+	e.log.Info().Stringer("job", r.ref.Job).Uint32("step", r.ref.Step).Str("worker", r.name).Str("reason", reason).Uint64("term", e.term).Msg("reservation ended")
 }
 
 // dropLookAheadsForLasting ends the reservations on workers that are reserved for lasting tasks.
@@ -239,15 +241,30 @@
 	}
 }
 
-// reserveAhead reserves workers for urgent tasks that fit nowhere, in scheduling order. Those no
-// wider than the mean get the next capacity that becomes free, and would use up the limit.
+// passedOver reports whether a step is wider than the mean, and so much that narrower ones take
+// most of what becomes free, or has waited for longer than it may be passed over. Those no wider
+// get the next capacity that becomes free, and would use up the limit on reservations.
+func (e *Engine) passedOver(p *urgentPool, s *readyStep) bool {
+	width, mean := s.step.Resources.MilliProcessors, p.demand.MeanWidth()
+	return width >= wideFactor*mean || width > mean && e.wallMs-s.waitingSinceMs >= passedOverLimit.Milliseconds()
+}
+
+// preemptedLately reports whether lasting tasks were preempted for the pool in the last two
+// times preemptionPeriod: the pool then makes the room. A pool at its limit preempts again only
+// after a whole period.
+func (e *Engine) preemptedLately(p *urgentPool) bool {
+	n := len(p.preemptedAt)
+	return n > 0 && e.since(p.preemptedAt[n-1]) < 2*preemptionPeriod
+}
+
+// reserveAhead reserves workers for urgent tasks that fit nowhere, in scheduling order.
 func (e *Engine) reserveAhead(set *candidateSet) {
 	l := &e.lookAhead
 	searched := make(map[string]bool)
 	for _, s := range e.ready.sorted {
 		service := s.job.Service
 		p := e.urgentPools[service]
-		if p == nil || e.now < l.searchAt[service] || !e.waitsForRoom(p, s) || e.now < l.pausedUntil[s.ref] || s.heldBack || s.step.Resources.MilliProcessors <= p.demand.MeanWidth() {
+		if p == nil || e.now < l.searchAt[service] || !e.waitsForRoom(p, s) || e.preemptedLately(p) || e.now < l.pausedUntil[s.ref] || s.heldBack || !e.passedOver(p, s) {
 			continue
 		}
 		searched[service] = true
@@ -297,7 +314,7 @@
 	if best == nil {
 		return false
 	}
-	r.worker, r.expiresAt = best.view.worker.ID, r.at.Add(lookAheadMargin)
+	r.worker, r.name, r.expiresAt = best.view.worker.ID, best.view.worker.Life.Name, r.at.Add(lookAheadMargin)
 	best.lookAhead = r
 	e.lookAhead.reservations = append(e.lookAhead.reservations, r)
 	e.lookAhead.byWorker[r.worker] = r
--- a/dispatch/look_ahead_test.go
+++ b/dispatch/look_ahead_test.go
@@ -179,6 +179,7 @@
 	}
 	offer(1, 4000, 3000, false)
 	offer(2, 7000, 3000, false)
+	s.run(passedOverLimit)
 	require.Len(t, s.engine.lookAhead.reservations, 1)
 	running := func(id workflow.JobID) bool { return w.running[workflow.TaskRef{Job: id}] != nil }
 	offer(3, 2000, 4000, false)
