--- a/dispatch/look_ahead_test.go
+++ b/dispatch/look_ahead_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"os"
 	"testing"
 	"time"
 
@@ -76,6 +77,20 @@
 	m.run(3 * time.Second)
 }
 
+// lookAheadSeeds returns the seeds to simulate: 1 to 5, or as seeds does if the environment
+// names them.
+func lookAheadSeeds() []uint64 {
+	first, last := seeds()
+	if os.Getenv("MANGOHILL_SEED") == "" && os.Getenv("MANGOHILL_SEEDS") == "" {
+		last = 5
+	}
+	var all []uint64
+	for seed := first; seed <= last; seed++ {
+		all = append(all, seed)
+	}
+	return all
+}
+
 // check checks that all jobs submitted before the last bound took no longer than it.
 func (m *mixedLoad) check(bound time.Duration) {
 	m.run(bound)
@@ -98,8 +113,8 @@
 // Guards against large tasks that wait for as long as small ones take each gap, and against
 // small ones that starve beside reservations.
 func TestLargeTasksStartBesideManySmallOnes(t *testing.T) {
-	for seed := range uint64(5) {
-		m := newMixedLoad(t, seed+1)
+	for _, seed := range lookAheadSeeds() {
+		m := newMixedLoad(t, seed)
 		m.offerSmall()
 		for range 4 {
 			m.requestLarge()
@@ -111,8 +126,8 @@
 
 // Guards against a convoy of large tasks that starve, or behind which small ones starve.
 func TestAConvoyOfLargeTasks(t *testing.T) {
-	for seed := range uint64(5) {
-		m := newMixedLoad(t, seed+1)
+	for _, seed := range lookAheadSeeds() {
+		m := newMixedLoad(t, seed)
 		m.offerSmall()
 		for range 3 {
 			m.requestLarge()
@@ -140,8 +155,8 @@
 
 // Guards against reservations that help or end only where estimates are right.
 func TestReservationsWithEstimatesOffByThree(t *testing.T) {
-	for seed := range uint64(5) {
-		m := newMixedLoad(t, seed+1)
+	for _, seed := range lookAheadSeeds() {
+		m := newMixedLoad(t, seed)
 		m.estimateError = 3
 		m.offerSmall()
 		for range 3 {
@@ -165,7 +180,8 @@
 }
 
 // Guards against a reserved worker on which tasks are placed that end too late, on which none
-// are placed that end before, or which lasting tasks are kept from.
+// are placed that end before, which lasting tasks are kept from, or for which a task is held back
+// beyond heldBackLimit.
 func TestReservedWorkersTakeTasksThatEndBefore(t *testing.T) {
 	s := newSim(t, 1)
 	s.setCatalog()
@@ -189,7 +205,9 @@
 	offer(5, 1000, 4000, false)
 	assert.True(t, running(5), "it fits beside the reserved capacity")
 	offer(6, 1000, 0, true)
-	s.run(firstRunWait)
+	s.run(heldBackLimit)
+	assert.True(t, running(3), "it has been held back for long enough")
+	s.run(firstRunWait - heldBackLimit)
 	assert.True(t, running(6), "lasting tasks are not held back")
 	require.Empty(t, s.violations)
 }
