--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -358,6 +358,7 @@
 		add("image", true, int64(c.imageAffinity(e, s.step))*affinityWeight)
 		add("urgent_gaps", true, e.gapScore(c, s))
 	}
+	add("reserved", c.lookAhead != nil && c.lookAhead.ref != s.ref && !s.step.Lasting, -assignedWeight)
 	add("best_fit", true, -c.free.MilliProcessors)
 	return parts
 }
--- a/dispatch/explain_filters.go
+++ b/dispatch/explain_filters.go
@@ -123,6 +123,8 @@
 		return filterLabel, "it lacks " + step.Label
 	case !c.allows(s):
 		return filterMaxPerWorker, fmt.Sprintf("%d tasks of the step there", c.taskCount(s))
+	case !e.fitsBesideLookAhead(c, s):
+		return filterReserved, fmt.Sprintf("for an urgent task of job %s", c.lookAhead.ref.Job)
 	case !e.hasTicket(c, s):
 		if known := e.advisor.steps[s.ref]; known != nil && known.refused[v.worker.ID] {
 			return filterTicket, "the advice service refused it"
--- a/dispatch/scratch.go
+++ b/dispatch/scratch.go
@@ -28,6 +28,7 @@
 		pool := *p
 		c.urgentPools[service] = &pool
 	}
+	c.lookAhead = e.lookAhead.scratchCopy()
 	c.moves = make(map[workflow.WorkerID][]*move, len(e.moves))
 	for id, moves := range e.moves {
 		c.moves[id] = slices.Clone(moves)
@@ -64,3 +65,13 @@
 	c.runTimes = r.runTimes.Frozen()
 	return c
 }
+
+// scratchCopy copies the reservations.
+func (l *lookAhead) scratchCopy() lookAhead {
+	c := lookAhead{byWorker: make(map[workflow.WorkerID]*capacityReservation, len(l.byWorker)), heldBackSince: maps.Clone(l.heldBackSince), pausedUntil: maps.Clone(l.pausedUntil), searchAt: maps.Clone(l.searchAt)}
+	for _, r := range l.reservations {
+		reservation := *r
+		c.reservations, c.byWorker[r.worker] = append(c.reservations, &reservation), &reservation
+	}
+	return c
+}
