dispatch: the long simulations run beside each other

Cause: the tests of dispatch took 50 s one after the other, several minutes with the race detector beside load. Change: the simulations, which share no state, are parallel tests; checks, bounds and seeds are as before.

--- a/dispatch/copies_test.go
+++ b/dispatch/copies_test.go
@@ -39,6 +39,7 @@
 // Guards against jobs that are late for a single run that takes seven times as long as the
 // others: without copies that is a quarter of the jobs of ten tasks.
 func TestCopiesOfStragglersKeepJobsInTime(t *testing.T) {
+	t.Parallel()
 	for seed := uint64(1); seed <= 3; seed++ {
 		var missed [2]float64
 		for i, duplicable := range []bool{false, true} {
@@ -76,6 +77,7 @@
 // runs on after its end, whatever is lost, late or crashes, and against a task whose step
 // is not duplicable that is copied.
 func TestCopiesUnderFaults(t *testing.T) {
+	t.Parallel()
 	first, last := seeds()
 	copied := 0
 	for seed := first; seed <= last; seed++ {
--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -38,6 +38,7 @@
 // Guards against a task that crashes worker after worker: its job must fail after few
 // crashes, and the jobs beside it must complete.
 func TestADeadlyTaskIsGivenUp(t *testing.T) {
+	t.Parallel()
 	for _, delay := range []time.Duration{unconfirmed, 0, 10 * time.Millisecond, 300 * time.Millisecond, 3 * time.Second} {
 		for seed := uint64(1); seed <= 5; seed++ {
 			s := deadlySim(t, seed, 12, 40, delay, 3, 11, 12, 30)
@@ -78,6 +79,7 @@
 // Guards against a count of crashes that a change of leader, or cut-off and leaving
 // workers, falsify: with them, deadly tasks are still given up, and no other job fails.
 func TestDeadlyTasksBesideOtherFaults(t *testing.T) {
+	t.Parallel()
 	first, last := seeds()
 	for seed := first; seed <= last; seed++ {
 		const jobs = 40
@@ -108,6 +110,7 @@
 // Guards against jobs that are given up for crashes which they did not cause: workers that
 // fail one after the other, and many at once.
 func TestCrashesOfTheHostsFailNoJob(t *testing.T) {
+	t.Parallel()
 	first, last := seeds()
 	for seed := first; seed <= last; seed++ {
 		const jobs = 30
--- a/dispatch/engine_test.go
+++ b/dispatch/engine_test.go
@@ -214,6 +214,7 @@
 func TestNothingRunsTwiceBeforeTheFirstContact(t *testing.T) { testUnderFaults(t, true) }
 
 func testUnderFaults(t *testing.T, lateBeforeContact bool) {
+	t.Parallel()
 	first, last := seeds()
 	for seed := first; seed <= last; seed++ {
 		s := newSim(t, seed)
--- a/dispatch/gang_test.go
+++ b/dispatch/gang_test.go
@@ -18,6 +18,7 @@
 func TestNoGangRunsTwiceBeforeTheFirstContact(t *testing.T) { testGangsUnderFaults(t, true) }
 
 func testGangsUnderFaults(t *testing.T, lateBeforeContact bool) {
+	t.Parallel()
 	first, last := seeds()
 	for seed := first; seed <= last; seed++ {
 		s := newSim(t, seed)
--- a/dispatch/leaders_test.go
+++ b/dispatch/leaders_test.go
@@ -274,6 +274,7 @@
 
 // checkLeaders plays the seeds and checks the invariants.
 func checkLeaders(t *testing.T, ordersOutliveWorkers bool) {
+	t.Parallel()
 	first, last := seeds()
 	formerOrders := 0
 	for seed := first; seed <= last; seed++ {
--- a/dispatch/look_ahead_test.go
+++ b/dispatch/look_ahead_test.go
@@ -113,6 +113,7 @@
 // Guards against large tasks that wait for as long as small ones take each gap, and against
 // small ones that starve beside reservations.
 func TestLargeTasksStartBesideManySmallOnes(t *testing.T) {
+	t.Parallel()
 	for _, seed := range lookAheadSeeds() {
 		m := newMixedLoad(t, seed)
 		m.offerSmall()
@@ -126,6 +127,7 @@
 
 // Guards against a convoy of large tasks that starve, or behind which small ones starve.
 func TestAConvoyOfLargeTasks(t *testing.T) {
+	t.Parallel()
 	for _, seed := range lookAheadSeeds() {
 		m := newMixedLoad(t, seed)
 		m.offerSmall()
--- a/dispatch/overrun_test.go
+++ b/dispatch/overrun_test.go
@@ -164,6 +164,7 @@
 // throttles scavengers: their effect changes faster than the model learns it. A leader
 // that is full gets each reading late, and its orders arrive late.
 func TestOverrunsEndWhateverIsPredicted(t *testing.T) {
+	t.Parallel()
 	seeds := overrunSeeds(t, 8)
 	for _, leader := range []struct {
 		name               string
--- a/dispatch/run_times_test.go
+++ b/dispatch/run_times_test.go
@@ -92,6 +92,7 @@
 // Tasks that are spread have siblings on three other workers; packed ones often have not,
 // and are compared with the learned run times, which say little if estimates are off.
 func TestASlowWorkerIsFoundByItsSiblings(t *testing.T) {
+	t.Parallel()
 	for _, mixture := range []struct {
 		name                    string
 		errorFactor, stragglers float64
--- a/dispatch/sim_evacuation_test.go
+++ b/dispatch/sim_evacuation_test.go
@@ -184,6 +184,7 @@
 // taken over, after a loss of power of all control hosts, or by a repeated, carried or tested
 // start; and against an order that is lost, or one that is carried out after a newer one.
 func TestNothingStartsInAnEvacuatedDomain(t *testing.T) {
+	t.Parallel()
 	first, last := seeds()
 	total := newSimOperator()
 	for seed := first; seed <= last; seed++ {
--- a/dispatch/urgent_test.go
+++ b/dispatch/urgent_test.go
@@ -34,6 +34,7 @@
 // Guards against urgent jobs that never start, or start too late, since lasting tasks fill
 // the fleet and hold for good what they get.
 func TestUrgentJobsStartBesideLastingTasksThatFillTheFleet(t *testing.T) {
+	t.Parallel()
 	const seeds = 4
 	value := 0.0
 	for seed := range uint64(seeds) {
@@ -50,6 +51,7 @@
 // Guards against stops beyond the bound, and against capacity that stays held once the load
 // that it is for has ended: wide tasks that never come again.
 func TestHeadroomIsReleasedAfterTheLoad(t *testing.T) {
+	t.Parallel()
 	u := fillAndServe(t, 1)
 	require.Positive(t, u.engine.counters.Yielded)
 	assert.LessOrEqual(t, u.result(0, u.now).maxStopsPerSecond, len(u.workers)/workersPerPreemption)
@@ -80,6 +82,7 @@
 // Guards against a new leader that relies on a demand which it has not seen, preempts a task
 // again that the one before preempted, or leaves the tasks that wait without a place.
 func TestANewLeaderKeepsTheLimitsBesideHeadroom(t *testing.T) {
+	t.Parallel()
 	u := newUrgentLoad(newSim(t, 3))
 	u.fillAndServe()
 	u.run(20 * time.Second)
@@ -96,6 +99,7 @@
 // Guards against limits that hold only where estimates are right: quick tasks take a third to
 // three times their estimate.
 func TestWrongEstimatesLeaveTheLimitsOnLastingTasks(t *testing.T) {
+	t.Parallel()
 	u := newUrgentLoad(newSim(t, 4))
 	u.estimateError = 3
 	u.fillAndServe()
@@ -108,6 +112,7 @@
 
 // Guards against a wide urgent task that narrow ones pass over for as long as they come.
 func TestAWideUrgentTaskIsNotPassedOver(t *testing.T) {
+	t.Parallel()
 	u := newUrgentLoad(newSim(t, 1))
 	u.fillWithLasting(8600.0 / 9150)
 	u.run(3 * time.Second)
