--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -82,15 +82,14 @@
 	lookAhead lookAhead
 }
 
-// Counters count decisions since the engine was created. Lapsed counts attempts
-// that ended with their lease, Voided those declared not to run, Unanswered
-// orders without an answer, Relocated attempts stopped in order to run elsewhere.
-// Yielded counts lasting tasks that were preempted for urgent ones, Reserved the
-// reservations of capacity for urgent tasks that fit nowhere. Crashed counts the
-// workers that ended without notice. Overruns counts the times for which readings of a serving task exceeded its target, by whole seconds, the last for all
-// longer ones; Paused those for which scavengers were paused.
-// Copied counts the copies of stragglers, CopiesWon those that were done first, Probes the
-// polls for their progress.
+// Counters count decisions since the engine was created. Lapsed counts attempts that ended
+// with their lease, Voided those declared not to run, Unanswered orders without an answer,
+// Relocated attempts stopped in order to run elsewhere. Yielded counts lasting tasks that were
+// preempted for urgent ones, Reserved the reservations of capacity for urgent tasks that fit
+// nowhere. Crashed counts the workers that ended without notice. Overruns counts the times for
+// which readings of a serving task exceeded its target, by whole seconds, the last for all
+// longer ones; Paused those for which scavengers were paused. Copied counts the copies of
+// stragglers, CopiesWon those that were done first, Probes the polls for their progress.
 // QuarantinedFailing, QuarantinedSlow and QuarantinedRefusing count the quarantines of workers
 // by reason.
 type Counters struct {
