--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -23,9 +23,11 @@
 	// slowPace is the progress rate, as a part of that of its siblings, below which an
 	// attempt counts as slow. True times of the tasks of one step differ by 0.15 to 0.3.
 	slowPace = 0.4
-	// starvedPace is the same for scavengers, which get less than they ask for. It is above
-	// the rate of a straggler of factor 7.
-	starvedPace = 0.2
+	// scavengerPace is the same for scavengers, which get less than they ask for. It is above
+	// the rate of a straggler of factor 7. starvedPace is that on a worker short of
+	// processors, where a run may be slow for that alone and a stop gains nothing.
+	scavengerPace = 0.2
+	starvedPace   = 0.1
 	// slowQuantile is the quantile of the learned run times that an attempt without siblings
 	// must exceed by slowMargin to count as slow: all runs of a job whose estimate is far
 	// off are in the tail of the distribution, on whatever worker.
@@ -184,10 +186,7 @@
 		return // Too little for a rate.
 	}
 	rate := (float64(max(done, 0)) + 0.5) / elapsed.Seconds() // Percentages are rounded down.
-	limit := slowPace
-	if step.Scavenger {
-		limit = starvedPace
-	}
+	limit := slowLimit(step, e.idleProcessors(v))
 	a.pace = pace{percent: a.percent, at: e.now, rate: rate, known: true, hung: hung, behind: comparable && rate < usual*limit}
 	if !hung {
 		e.paces.record(a.ref, v.worker.ID, rate)
@@ -208,3 +207,15 @@
 	}
 	e.paces.record(a.ref, v.worker.ID, rate)
 }
+
+// slowLimit returns the progress rate, as a part of that of its siblings, below which an attempt
+// of the step counts as slow on a worker with so many idle processors, in thousandths.
+func slowLimit(step *workflow.Step, idleMilliProcessors int64) float64 {
+	switch {
+	case !step.Scavenger:
+		return slowPace
+	case idleMilliProcessors < 0:
+		return starvedPace
+	}
+	return scavengerPace
+}
--- a/dispatch/run_times_test.go
+++ b/dispatch/run_times_test.go
@@ -191,3 +191,11 @@
 	assert.EqualValues(t, 1, l.engine.Counters().Relocated)
 	assert.Empty(t, l.violations)
 }
+
+// Guards against scavengers that are stopped as stragglers although they only lack processors.
+func TestScavengersThatLackProcessorsAreNoStragglers(t *testing.T) {
+	scavenger := &workflow.Step{Scavenger: true}
+	assert.Less(t, slowLimit(scavenger, -1), slowLimit(scavenger, 0))
+	assert.Greater(t, slowLimit(scavenger, 0), 1.0/7, "a straggler of factor 7 must be found on a worker with idle processors")
+	assert.Equal(t, slowPace, slowLimit(new(workflow.Step), -1))
+}
