--- a/dispatch/look_ahead_test.go
+++ b/dispatch/look_ahead_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math"
-	"os"
 	"testing"
 	"time"
 
@@ -77,20 +76,6 @@
 	m.run(3 * time.Second)
 }
 
-// lookAheadSeeds returns the seeds to simulate: 1 to 5, or as seeds does if the environment
-// names them.
-func lookAheadSeeds() []uint64 {
-	first, last := seeds()
-	if os.Getenv("MANGOHILL_SEED") == "" && os.Getenv("MANGOHILL_SEEDS") == "" {
-		last = 5
-	}
-	var all []uint64
-	for seed := first; seed <= last; seed++ {
-		all = append(all, seed)
-	}
-	return all
-}
-
 // check checks that all jobs submitted before the last bound took no longer than it.
 func (m *mixedLoad) check(bound time.Duration) {
 	m.run(bound)
@@ -114,7 +99,8 @@
 // small ones that starve beside reservations.
 func TestLargeTasksStartBesideManySmallOnes(t *testing.T) {
 	t.Parallel()
-	for _, seed := range lookAheadSeeds() {
+	first, last := seeds()
+	for seed := first; seed <= last; seed++ {
 		m := newMixedLoad(t, seed)
 		m.offerSmall()
 		for range 4 {
@@ -128,7 +114,8 @@
 // Guards against a convoy of large tasks that starve, or behind which small ones starve.
 func TestAConvoyOfLargeTasks(t *testing.T) {
 	t.Parallel()
-	for _, seed := range lookAheadSeeds() {
+	first, last := seeds()
+	for seed := first; seed <= last; seed++ {
 		m := newMixedLoad(t, seed)
 		m.offerSmall()
 		for range 3 {
@@ -157,7 +144,8 @@
 
 // Guards against reservations that help or end only where estimates are right.
 func TestReservationsWithEstimatesOffByThree(t *testing.T) {
-	for _, seed := range lookAheadSeeds() {
+	first, last := seeds()
+	for seed := first; seed <= last; seed++ {
 		m := newMixedLoad(t, seed)
 		m.estimateError = 3
 		m.offerSmall()
