Leader: the stages of a task, the duties of the loop, and the waits of senders

Cause: between handing in and the first start of a task, and after its end, no line or metric told where the time went; the leader saw the first task placed within a millisecond. Change: histograms of six stages, of all tasks and of prompt ones; the loop's time by duty; how long orders wait for their sender and answers for the loop; how often workers are evaluated. The same in attempt ended, job accepted and leader behind. No decision changes.

--- a/coordinator/loop.go
+++ b/coordinator/loop.go
@@ -22,6 +22,7 @@
 	unanswered map[uint64]func(Result, error)
 	nextCallID uint64
 	lag        lag
+	clock      dutyClock
 }
 
 // maxEventsPerRound bounds the calls and answers that are passed to the engine before
@@ -39,33 +40,48 @@
 			l.resign("stop")
 			return
 		case change := <-c.replica.Leadership():
+			l.clock.start()
 			l.changeLeadership(change)
+			l.charge(commitDuty)
 		case e := <-c.calls:
+			l.clock.start()
 			l.advanceClock()
 			l.handleCall(e)
+			l.charge(callDuty)
 		case a := <-c.orderAnswers:
+			l.clock.start()
 			l.advanceClock()
 			l.handleAnswer(&a)
+			l.charge(answerDuty)
 		case a := <-c.advice:
+			l.clock.start()
 			l.advanceClock()
 			if l.engine != nil && a.Question.Fence == l.term {
 				l.engine.HandleAdvice(&a)
 			}
+			l.charge(answerDuty)
 		case a := <-c.hostAnswers:
+			l.clock.start()
 			l.advanceClock()
 			if l.engine != nil && a.Order.Fence == l.term {
 				l.engine.HandleHostAnswer(&a)
 			}
+			l.charge(answerDuty)
 		case result := <-c.commits:
+			l.clock.start()
 			l.advanceClock()
 			l.handleCommit(result)
+			l.charge(commitDuty)
 		case dueAt := <-ticker.C:
+			l.clock.start()
 			l.tick(dueAt)
+			l.charge(tickDuty)
 		}
-		startedAt := time.Now()
+		startedAt := l.clock.at
 		l.drainQueues()
 		l.executeDecisions()
-		l.lag.round = max(l.lag.round, time.Since(startedAt))
+		l.lag.rounds++
+		l.lag.round = max(l.lag.round, l.clock.at.Sub(startedAt))
 	}
 }
 
@@ -106,9 +122,11 @@
 		case e := <-l.calls:
 			l.advanceClock()
 			l.handleCall(e)
+			l.charge(callDuty)
 		case a := <-l.orderAnswers:
 			l.advanceClock()
 			l.handleAnswer(&a)
+			l.charge(answerDuty)
 		default:
 			return
 		}
@@ -135,6 +153,7 @@
 	}
 	l.engine = dispatch.New(l.options.Dispatch, l.options.Logger, term, state, l.now())
 	l.engine.SetCallLimit(l.options.Workers.CallLimit())
+	l.engine.ObserveStages(l.metrics.recordStage)
 	l.serving.Store(true)
 	l.options.Logger.Info().Uint64("term", term).Int("jobs", len(state.Jobs())).Int("workers", len(state.Workers())).Msg("leading")
 }
@@ -174,6 +193,9 @@
 	if l.engine == nil || a.Order.Term != l.term {
 		return
 	}
+	now := l.now()
+	l.metrics.recordAnswer(a, now)
+	l.lag.recordAnswer(a, now)
 	l.engine.HandleAnswer(a)
 }
 
@@ -207,12 +229,16 @@
 	if l.engine == nil {
 		return
 	}
-	if batch := l.engine.TakeBatch(); batch != nil {
+	batch := l.engine.TakeBatch()
+	l.lag.plan = max(l.lag.plan, l.charge(planDuty))
+	if batch != nil {
 		l.propose(batch)
+		l.charge(proposeDuty)
 	}
 	if l.engine == nil {
 		return // The batch could not be encoded.
 	}
+	defer l.charge(orderDuty)
 	l.permitStarts()
 	for _, order := range l.engine.TakeOrders() {
 		l.sendOrder(order)
@@ -293,8 +319,13 @@
 		ctx, cancel := context.WithTimeout(l.ctx, order.Timeout())
 		defer cancel()
 		startedAt := time.Now()
-		answer := l.options.Workers.Do(ctx, &order, permit)
+		var leftAt dispatch.Instant
+		answer := l.options.Workers.Do(ctx, &order, func() bool {
+			leftAt = l.now()
+			return permit()
+		})
 		l.metrics.orders[order.Verb].Record(time.Since(startedAt))
+		answer.LeftAt, answer.ReadAt = leftAt, l.now()
 		return answer
 	})
 }
--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -93,6 +93,7 @@
 	if a == nil {
 		return
 	}
+	e.recordStart(a, answer)
 	switch answer.Outcome {
 	case Done:
 		a.startAnswered = true
@@ -232,7 +233,7 @@
 	a := v.attempts[end.Task]
 	event := e.log.Info().Stringer("task", end.Task).Uint32("attempt", end.Attempt).Str("worker", v.worker.Life.Name).Int64("born_ms", v.worker.Life.BornMs).Stringer("how", end.How).Uint64("number", end.Number).Uint64("term", e.term)
 	if a != nil && a.number == end.Attempt {
-		event = event.Dur("since_placed", e.since(a.placedAt))
+		event = a.stages.addTo(event.Dur("since_placed", e.since(a.placedAt)), a.placedAt)
 		if step := e.step(end.Task); step != nil {
 			event = event.Int64("estimate_ms", step.EstimatedMs).Bool("scavenger", step.Scavenger).Int("share", a.wantedShare)
 		}
@@ -246,6 +247,8 @@
 		e.recordFormerAttempt(v, a, "ended_"+end.How.String())
 	}
 	event.Msg("attempt ended")
+	prompt, seenAt := before != nil && hasPromptTasks(before), e.now
+	e.afterCommit(func() { e.observeStage(StageRecord, prompt, e.since(seenAt)) })
 	if end.How == workflow.EndDone {
 		e.afterCommit(func() {
 			e.stopLaterAttempts(end)
--- a/dispatch/callers.go
+++ b/dispatch/callers.go
@@ -108,8 +108,11 @@
 	e.counters.Accepted++
 	e.ready.recordWork(e.state.Job(id))
 	e.ready.markDirty(id)
+	prompt, receivedAt := hasPromptTasks(e.state.Job(id)), e.now
 	e.afterCommit(func() {
-		e.log.Info().Stringer("job", id).Str("queue", queue.Name).Uint64("catalog", e.state.Catalog().Version).Uint64("term", e.term).Msg("job accepted")
+		took := e.since(receivedAt)
+		e.observeStage(StageAccept, prompt, took)
+		e.log.Info().Stringer("job", id).Dur("took", took).Str("queue", queue.Name).Uint64("catalog", e.state.Catalog().Version).Uint64("term", e.term).Msg("job accepted")
 		reply(Reply{State: workflow.JobPending})
 	})
 }
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -80,6 +80,8 @@
 	preemptions map[workflow.TaskRef]preemption
 	// lookAhead holds the reservations for urgent tasks that fit nowhere.
 	lookAhead lookAhead
+	// observeStage is told how long the stages of jobs and tasks took.
+	observeStage StageObserver
 }
 
 // Counters count decisions since the engine was created. Lapsed counts attempts that ended
@@ -97,6 +99,8 @@
 	Unanswered, Throttled, Relocated, Paused, Crashed, Yielded, Reserved uint64
 	Copied, CopiesWon, Probes                                            uint64
 	QuarantinedFailing, QuarantinedSlow, QuarantinedRefusing             uint64
+	// Evaluated counts how often a worker was evaluated for the tasks of a step.
+	Evaluated uint64
 	// OpenStarts counts the starts that stayed without an answer and were recorded.
 	OpenStarts uint64
 	Overruns   [overrunBuckets]uint64
@@ -113,6 +117,7 @@
 		views: make(map[workflow.WorkerID]*workerView), slowdown: newSlowdownModel(), advisor: newAdvisor(), maintenance: newMaintenanceState(), gangWaitingSince: make(map[workflow.StepRef]Instant),
 		lastFailures: make(map[workflow.TaskRef]taskFailure), withdrawals: make(map[workflow.WorkerID][]func()), paces: make(stepPaces),
 		urgentPools: make(map[string]*urgentPool), preemptions: make(map[workflow.TaskRef]preemption), openTasks: make(map[workflow.TaskRef]int), lookAhead: newLookAhead(),
+		observeStage: func(Stage, bool, time.Duration) {},
 	}
 	for _, id := range slices.Sorted(maps.Keys(state.Workers())) {
 		e.addView(state.Worker(id))
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -109,6 +109,9 @@
 	ClockMs int64
 	Running []RunningAttempt
 	Ended   []EndedAttempt
+	// LeftAt is when the order was about to be sent on its connection, zero if it never had
+	// one. ReadAt is when the sender had the answer or stopped waiting for it.
+	LeftAt, ReadAt Instant
 	// noConnection is set if the worker was not reached, so that the order was certainly
 	// not carried out.
 	noConnection bool
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -316,6 +316,11 @@
 	e.recordBesideLookAhead(c, s)
 	e.counters.Placed++
 	a := &attempt{ref: ref, number: number, placedAt: e.now, appliedShare: fullShare, wantedShare: fullShare}
+	if s.waitingSinceMs > 0 {
+		a.stages.waited = time.Duration(e.wallMs-s.waitingSinceMs) * time.Millisecond
+	}
+	prompt := isPrompt(s.job, s.step)
+	e.observeStage(StagePlace, prompt, a.stages.waited)
 	v.add(a)
 	e.copies.track(v, a, s.step)
 	free, heard := c.free, e.since(v.answeredAt)
@@ -323,7 +328,8 @@
 		if e.views[v.worker.ID] != v || v.attempts[ref] != a {
 			return
 		}
-		a.committed = true
+		a.committed, a.stages.committedAt = true, e.now
+		e.observeStage(StageCommit, prompt, e.since(a.placedAt))
 		e.log.Info().Stringer("task", ref).Uint32("attempt", number).Str("worker", v.worker.Life.Name).Int64("born_ms", v.worker.Life.BornMs).Int64("free_mcpu", free.MilliProcessors).Dur("report_age", heard).Uint64("term", e.term).Msg("task placed")
 		e.issueAttemptOrder(v, a)
 	})
--- a/dispatch/ranking.go
+++ b/dispatch/ranking.go
@@ -26,6 +26,7 @@
 
 func (r *ranking) scoreAll(e *Engine) {
 	candidates := r.set.byService[r.step.job.Service]
+	e.counters.Evaluated += uint64(len(candidates))
 	r.entries = make([]rankedCandidate, len(candidates))
 	for i, c := range candidates {
 		r.entries[i] = r.rankCandidate(e, c)
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -113,6 +113,7 @@
 	running      bool
 	runningSince Instant
 	placedAt     Instant
+	stages       stageTimes
 	// missedPolls counts the polls in a row that did not show a running attempt.
 	missedPolls int
 	stopWanted  bool
