--- /dev/null
+++ b/dispatch/plan_work_test.go
@@ -0,0 +1,89 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+
+	"mangohill.example/mangohill/kind"
+	"mangohill.example/mangohill/workflow"
+)
+
+// fullFleet returns an engine with as many workers, each of which lasting tasks and scavengers
+// fill, and jobs of scavengers of several images that wait for room.
+func fullFleet(workers, waiting, images int) *Engine {
+	e := New(Settings{Lease: time.Minute, MaxLease: time.Minute}, zerolog.Nop(), 1, workflow.NewState(), 1)
+	queue := workflow.Queue{Name: "q", Host: "h", PathPrefix: "/", Service: "s", TimeoutMs: 1000, StretchMilli: 2000, LatencyObjectiveMs: 1000, Priority: 2}
+	_ = e.propose(workflow.Op{SetCatalog: &workflow.SetCatalog{Catalog: workflow.Catalog{Version: 1, Queues: []workflow.Queue{queue}, Services: []workflow.Service{{Name: "s"}}}}}) // A wrong one fails the test.
+	for i := range workers {
+		name := fmt.Sprint("w", i)
+		e.Announce(&Announcement{Life: workflow.Incarnation{Name: name, BornMs: 1}, Address: name, Service: "s", Capacity: workflow.Resources{MilliProcessors: 64_000, MemoryMB: 250_000}}, func(*kind.Error) {})
+	}
+	for _, v := range e.sortedViews {
+		v.fenced, v.clockMs, v.pollInFlight = true, 1, true
+	}
+	next := workflow.JobID(0)
+	submit := func(step workflow.Step) {
+		next++
+		e.submit(&queue, next, &Request{Job: &workflow.JobSpec{Steps: []workflow.Step{step}}}, func(Reply) {})
+	}
+	for range workers * 4 / 24 {
+		submit(workflow.Step{Count: 24, Resources: workflow.Resources{MilliProcessors: 13_000, MemoryMB: 26_000}, Lasting: true, LatencyTargetMs: 125, Image: "serving"})
+	}
+	for range workers / 4 {
+		submit(workflow.Step{Count: 40, EstimatedMs: 1700, Resources: workflow.Resources{MilliProcessors: 7000, MemoryMB: 13_000}, Scavenger: true, Image: "batch-0"})
+	}
+	commitAll(e)
+	for i := range waiting {
+		submit(workflow.Step{Count: 40, EstimatedMs: 1700, Resources: workflow.Resources{MilliProcessors: 7000 + int64(i%7)*1000, MemoryMB: 13_000 + int64(i%5)*1000}, Scavenger: true, Image: fmt.Sprint("batch-", i%images)})
+	}
+	commitAll(e)
+	return e
+}
+
+func commitAll(e *Engine) {
+	for e.TakeBatch() != nil {
+		e.Committed()
+	}
+	e.TakeOrders()
+}
+
+// Guards against a leader that is busy with tasks that fit nowhere: each plan, of which there is
+// one for each commit, evaluated all workers for all of them. At the price of an evaluation on a
+// slow processor, the plans of a second in which tasks end and others take their places may take
+// a quarter of it. The fleets are as large as the largest deployment, twice that, and a tenth.
+func TestTasksThatFitNowhereCostLittle(t *testing.T) {
+	const plansPerSecond, price = 60, time.Microsecond
+	for _, workers := range []int{89, 890, 1780} {
+		t.Run(fmt.Sprint("workers=", workers), func(t *testing.T) {
+			t.Parallel()
+			e := fullFleet(workers, 300, 30)
+			before, placed := e.counters.Evaluated, e.counters.Placed
+			for i := range plansPerSecond {
+				e.Advance(e.now.Add(time.Second/plansPerSecond), e.wallMs+int64(time.Second/plansPerSecond/time.Millisecond))
+				for _, v := range e.sortedViews {
+					v.answeredAt, v.reportedAt = e.now, e.now
+				}
+				endScavengers(e, e.sortedViews[i*7%workers])
+				commitAll(e)
+			}
+			evaluated := e.counters.Evaluated - before
+			t.Logf("%d evaluations, %d placements", evaluated, e.counters.Placed-placed)
+			assert.Positive(t, e.counters.Placed-placed, "what becomes free is used")
+			assert.LessOrEqual(t, time.Duration(evaluated)*price, time.Second/4)
+		})
+	}
+}
+
+// endScavengers ends the scavengers on a worker.
+func endScavengers(e *Engine, v *workerView) {
+	for _, a := range v.attemptList {
+		if e.isScavenger(a.ref) {
+			a.running = true
+			e.recordEnds(v, []EndedAttempt{{Number: v.lastEndSeen + 1, Task: a.ref, Attempt: a.number, How: workflow.EndDone}})
+		}
+	}
+}
