exchange: an answer that has arrived is read after the deadline

What callers saw: orders that were carried out counted as unanswered and were repeated. Cause: a reader that runs after the deadline of its exchange learns of the deadline before it reads, since the runtime serves timers first, and cancelled the connection. Change: once the deadline is noticed, what has arrived is read, for 5 ms at most for the exchange; the end of the context at its deadline no longer cancels the connection, which has the same one.

--- a/exchange/connection.go
+++ b/exchange/connection.go
@@ -26,6 +26,8 @@
 	reused         bool
 	silenceTimeout time.Duration
 	deadline       time.Time
+	// lateUntil is until when reads may go on after the deadline, zero before it is noticed.
+	lateUntil      time.Time
 	writtenBytes   atomic.Int64
 	canceled       atomic.Bool
 	silenceExpired bool
@@ -73,6 +75,9 @@
 		p = p[:c.headerBytesLeft]
 	}
 	n, err := c.Conn.Read(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) && !c.canceled.Load() {
+		n, err = c.readArrived(p)
+	}
 	if c.headerBytesLeft > 0 {
 		c.headerBytesLeft -= n
 	}
@@ -82,6 +87,25 @@
 	return n, err
 }
 
+// lateReadTime is how long the reads of an exchange may go on after its deadline was noticed, to
+// find what has arrived.
+const lateReadTime = 5 * time.Millisecond
+
+// readArrived reads what has arrived by the deadline: a process that is short of processor time
+// learns of the deadline first.
+func (c *connection) readArrived(p []byte) (int, error) {
+	if c.lateUntil.IsZero() {
+		c.lateUntil = time.Now().Add(lateReadTime)
+	}
+	if err := c.Conn.SetReadDeadline(c.lateUntil); err != nil {
+		return 0, err
+	}
+	if c.canceled.Load() {
+		return 0, os.ErrDeadlineExceeded
+	}
+	return c.Conn.Read(p)
+}
+
 // Write writes to the connection and counts the bytes that may have reached the
 // peer.
 func (c *connection) Write(p []byte) (int, error) {
@@ -91,7 +115,7 @@
 
 // begin prepares the connection for an exchange.
 func (c *connection) begin(deadline time.Time, silenceTimeout time.Duration) error {
-	c.deadline = deadline
+	c.deadline, c.lateUntil = deadline, time.Time{}
 	c.silenceTimeout = silenceTimeout
 	c.silenceExpired = false
 	c.headerBytesLeft = maxAnswerHeaderBytes
--- a/exchange/do.go
+++ b/exchange/do.go
@@ -74,6 +74,7 @@
 	*http.Response
 	client *Client
 	conn   *connection
+	// stop ends the wait for a cancellation and returns false if there was one.
 	stop   func() bool
 	whole  bool
 	failed bool
@@ -96,7 +97,11 @@
 		c.put(conn, false, false)
 		return nil, &Error{Reused: conn.reused, cause: err}
 	}
-	stop := context.AfterFunc(ctx, conn.cancel)
+	stop := context.AfterFunc(ctx, func() {
+		if !errors.Is(ctx.Err(), context.DeadlineExceeded) { // The connection has the same deadline.
+			conn.cancel()
+		}
+	})
 	wrote := conn.startSend(req)
 	answer, err := conn.receive(req, params)
 	if err != nil {
@@ -105,7 +110,7 @@
 		wrote.wait() // The closed connection ends the write; then the body is no longer in use.
 		return nil, &Error{Sent: conn.writtenBytes.Load() > 0, Reused: conn.reused, cause: conn.causeOf(ctx, err)}
 	}
-	return &Answer{Response: answer, client: c, conn: conn, stop: stop, wrote: wrote}, nil
+	return &Answer{Response: answer, client: c, conn: conn, stop: func() bool { return stop() || errors.Is(ctx.Err(), context.DeadlineExceeded) }, wrote: wrote}, nil
 }
 
 // write is the state of writing a request, which may continue while the answer
