--- a/dispatch/incarnations.go
+++ b/dispatch/incarnations.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"math"
 	"slices"
+	"time"
 	"unicode/utf8"
 
 	"mangohill.example/mangohill/kind"
@@ -32,9 +34,19 @@
 // them for each worker.
 const maxAnnouncementBytes = 16 << 10
 
-// validate returns an error of kind bad_request for an announcement whose strings are too
-// long or not text in UTF-8.
-func (a *Announcement) validate() *kind.Error {
+// Bounds of the numbers in an announcement, beside those of the capacity.
+const (
+	// maxClockMs bounds a worker's clock, and so the leases by it.
+	maxClockMs = 1 << 50
+	// maxBornLead is by how much a worker's wall clock may be ahead of the leader's. The
+	// incarnation that started last has the name and the address.
+	maxBornLead = 24 * time.Hour
+)
+
+// validate returns an error of kind bad_request for an announcement that no worker sends:
+// its strings are too long or not text in UTF-8, or a number is out of range. latestStartMs
+// bounds the start of its incarnation.
+func (a *Announcement) validate(latestStartMs int64) *kind.Error {
 	size := 0
 	for _, s := range append([]string{a.Life.Name, a.Address, a.Service, a.Zone, a.Rack}, a.Labels...) {
 		if size += len(s); !utf8.ValidString(s) {
@@ -44,15 +56,35 @@
 	if size > maxAnnouncementBytes {
 		return kind.Errorf(kind.BadRequest, "the worker's report holds strings of %d bytes, at most %d are allowed", size, maxAnnouncementBytes)
 	}
+	c := a.Capacity
+	switch {
+	case !c.InRange():
+		return kind.Errorf(kind.BadRequest, "the capacity of worker %q is out of range: %d thousandths of a processor, %d MB, %d accelerators", a.Life.Name, c.MilliProcessors, c.MemoryMB, c.Accelerators)
+	case a.ClockMs < 0 || a.ClockMs > maxClockMs:
+		return kind.Errorf(kind.BadRequest, "the clock of worker %q reads %d ms, which is out of range", a.Life.Name, a.ClockMs)
+	case a.Life.BornMs <= 0 || a.Life.BornMs > latestStartMs:
+		return kind.Errorf(kind.BadRequest, "the start of worker %q at %d ms is not in the range of 1 to %d ms", a.Life.Name, a.Life.BornMs, latestStartMs)
+	case a.Report > workflow.MaxReport:
+		return kind.Errorf(kind.BadRequest, "report %d of worker %q is out of range", a.Report, a.Life.Name)
+	}
 	return nil
 }
 
+// latestStartMs returns the latest start of an incarnation that is possible now, in milliseconds
+// since the Unix epoch.
+func (e *Engine) latestStartMs() int64 {
+	if !e.wallKnown {
+		return math.MaxInt64
+	}
+	return e.wallMs + maxBornLead.Milliseconds()
+}
+
 // Announce processes a worker's announcement and calls done once it is recorded
 // or refused. The error is of kind bad_request for an announcement that is not valid, and
 // stale_incarnation if a newer incarnation of the worker, or of another worker at its
 // address, is recorded, or if the incarnation has withdrawn: the report was delayed.
 func (e *Engine) Announce(a *Announcement, done func(*kind.Error)) {
-	if err := a.validate(); err != nil {
+	if err := a.validate(e.latestStartMs()); err != nil {
 		done(err)
 		return
 	}
@@ -74,6 +106,10 @@
 		e.afterCommit(func() { done(kind.Errorf(kind.StaleIncarnation, "worker %q has a newer incarnation", a.Life.Name)) })
 		return
 	}
+	if a.Address != w.Address || a.Service != w.Service {
+		done(kind.Errorf(kind.BadRequest, "a report of worker %q names address %s and service %q, not %s and %q", a.Life.Name, a.Address, a.Service, w.Address, w.Service))
+		return
+	}
 	e.recordCold(e.views[w.ID], a)
 	if err := e.applyReport(w, a); err != nil {
 		e.afterCommit(func() { done(toKindError(err)) })
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -171,6 +171,9 @@
 		leaseExpiresAt: e.now.Add(maxRealTime(e.settings.MaxLease)),
 		lastReport:     w.Report, reportedAt: e.now, roomChanges: e.roomChanges,
 	}
+	if v.lastReport > workflow.MaxReport {
+		v.lastReport = 0 // Recorded before reports were checked.
+	}
 	for _, ref := range sortedTasks(w.Attempts) {
 		a := &attempt{ref: ref, number: w.Attempts[ref], committed: true, adopted: true, carried: w.Carried[ref], placedAt: e.now, appliedShare: unknownShare, wantedShare: fullShare}
 		if job := e.state.Job(ref.Job); job == nil || !job.Active() {
--- a/workflow/model.go
+++ b/workflow/model.go
@@ -97,6 +97,19 @@
 	Accelerators    int64
 }
 
+// Bounds of what a worker may have and a task may request. Sums over all workers or tasks, and
+// the products that rankings and reservations form, do not overflow within them.
+const (
+	maxMilliProcessors = 1 << 40
+	maxMemoryMB        = 1 << 40
+	maxAccelerators    = 1 << 30
+)
+
+// InRange reports whether no amount is negative or beyond what a worker may have.
+func (r Resources) InRange() bool {
+	return min(r.MilliProcessors, r.MemoryMB, r.Accelerators) >= 0 && r.Fits(Resources{MilliProcessors: maxMilliProcessors, MemoryMB: maxMemoryMB, Accelerators: maxAccelerators})
+}
+
 // Add returns r + o.
 func (r Resources) Add(o Resources) Resources {
 	return Resources{MilliProcessors: r.MilliProcessors + o.MilliProcessors, MemoryMB: r.MemoryMB + o.MemoryMB, Accelerators: r.Accelerators + o.Accelerators}
@@ -226,8 +239,8 @@
 
 func (s *Step) validate(i int) error {
 	r := s.Resources
-	if s.Count == 0 || r.MilliProcessors < 0 || r.MemoryMB < 0 || r.Accelerators < 0 {
-		return kind.Errorf(kind.BadRequest, "step %d has no tasks or requests a negative amount of a resource", i)
+	if s.Count == 0 || !r.InRange() {
+		return kind.Errorf(kind.BadRequest, "step %d has no tasks, or requests an amount of a resource that is out of range: %d thousandths of a processor, %d MB, %d accelerators", i, r.MilliProcessors, r.MemoryMB, r.Accelerators)
 	}
 	for _, name := range [...]string{s.Image, s.Label, s.DataRack} {
 		if len(name) > maxNameBytes {
--- a/workflow/ops.go
+++ b/workflow/ops.go
@@ -79,6 +79,9 @@
 	Rack string
 }
 
+// MaxReport is the largest number of a report. A larger one would hide all later reports.
+const MaxReport = 1 << 53
+
 // Resize records the capacity that a worker reports. Report is the number of the report;
 // those of an earlier one have no effect.
 type Resize struct {
--- a/workflow/state.go
+++ b/workflow/state.go
@@ -408,7 +408,7 @@
 	if w == nil {
 		return kind.Errorf(kind.NotFound, "worker %d does not exist", r.Worker)
 	}
-	if r.Report >= w.Report {
+	if r.Report >= w.Report || w.Report > MaxReport {
 		w.Capacity, w.Report = r.Capacity, r.Report
 	}
 	return nil
