coordinator: the test of urgent starts runs under the race detector too

Change: a hundred workers, and polls are held as long as workers hold them. The bound, the tasks and the price are the same.

--- a/coordinator/urgent_send_test.go
+++ b/coordinator/urgent_send_test.go
@@ -26,7 +26,7 @@
 
 func (w *pricedWorkers) Forget(string) {}
 
-func (w *pricedWorkers) Do(_ context.Context, order *dispatch.Order, permit func() bool) dispatch.Answer {
+func (w *pricedWorkers) Do(ctx context.Context, order *dispatch.Order, permit func() bool) dispatch.Answer {
 	if !permit() {
 		return dispatch.Answer{Order: *order, Outcome: dispatch.NotSent}
 	}
@@ -37,6 +37,12 @@
 	}
 	for begun := time.Now(); time.Since(begun) < w.price; {
 	}
+	if order.Verb == dispatch.Poll { // Held open, as no attempt ends.
+		select {
+		case <-time.After(order.Wait):
+		case <-ctx.Done():
+		}
+	}
 	return dispatch.Answer{Order: *order, Outcome: dispatch.Done, ClockMs: 1}
 }
 
@@ -63,8 +69,11 @@
 	catalog := catalogOf(2, 1)
 	catalog.Queues[0].LatencyObjectiveMs = objective.Milliseconds()
 	require.Nil(t, call(t, c, &Call{SetCatalog: catalog}).Err)
-	announcement := dispatch.Announcement{Life: workflow.Incarnation{Name: "w", BornMs: 1}, Address: "w", Service: "pool", Capacity: workflow.Resources{MilliProcessors: 100_000_000, MemoryMB: 100_000_000}}
-	require.Nil(t, call(t, c, &Call{Announce: &announcement}).Err)
+	for i := range 100 {
+		name := workflow.JobID(i + 1).String()
+		announcement := dispatch.Announcement{Life: workflow.Incarnation{Name: name, BornMs: 1}, Address: name, Service: "pool", Capacity: workflow.Resources{MilliProcessors: 1_000_000, MemoryMB: 1_000_000}}
+		require.Nil(t, call(t, c, &Call{Announce: &announcement}).Err)
+	}
 	need := workflow.Resources{MilliProcessors: 1000, MemoryMB: 1}
 	batch := workflow.Step{Count: batchTasks, Resources: need, EstimatedMs: 1000, Scavenger: true}
 	require.Nil(t, call(t, c, submission(1, workflow.JobSpec{Steps: []workflow.Step{batch}})).Reply.Err)
