dispatch: a plan that ended at its limit is continued by the next one

With hundreds of kinds of tasks that fit nowhere, each plan spent it on the first ones in scheduling order, which are tried again, and the last ones were never tried. Change: the next plan tries the steps of scavengers that the last one left out before the others. Urgent, lasting and gang steps are tried in each plan, as before.

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -260,31 +260,65 @@
 	e.placeSuspects(candidates)
 	e.reserveForLasting(candidates)
 	e.dropLookAheadsForLasting(candidates)
-	for _, s := range e.ready.sorted {
-		if s.job.Spec.DueMs(s.ref.Occurrence) > e.wallMs {
-			continue
+	e.placePending(candidates)
+	e.counters.Evaluated += uint64(candidates.evaluated)
+	e.makeRoomForUrgent(candidates)
+	e.reserveAhead(candidates)
+}
+
+// placePending places pending tasks in scheduling order. Steps of scavengers that it leaves out at
+// the limit of a plan go before the others in the next one: those before them may find no worker
+// in each plan.
+func (e *Engine) placePending(candidates *candidateSet) {
+	steps := e.ready.sorted
+	resumeAt := e.resumeAt
+	if resumeAt >= len(steps) {
+		resumeAt = 0
+	}
+	leftOut := -1
+	place := func(i int) {
+		if !e.placePendingOf(candidates, steps[i]) && leftOut < 0 {
+			leftOut = i
 		}
-		e.dropHeldTasks(s)
-		s.heldBack = false
-		if s.job.Active() && !candidates.blockedByGang(s) {
-			e.placeOpenTasks(candidates, s)
+	}
+	for i, s := range steps {
+		if i >= resumeAt || !s.step.Scavenger {
+			place(i)
 		}
-		switch {
-		case len(s.pending) == 0:
-		case !s.job.Active() || candidates.blockedByGang(s):
-		case s.step.Gang:
-			e.placeGang(candidates, s)
-		case s.step.Lasting:
-			e.placeLasting(candidates, s)
-		case s.step.Scavenger && candidates.work >= candidates.limit:
-			// The rest is for the next plan: urgent tasks may come meanwhile.
-		case !candidates.knownUnplaceable(s):
-			e.placeStep(candidates, s)
+	}
+	for i, s := range steps[:resumeAt] {
+		if s.step.Scavenger {
+			place(i)
 		}
 	}
-	e.counters.Evaluated += uint64(candidates.evaluated)
-	e.makeRoomForUrgent(candidates)
-	e.reserveAhead(candidates)
+	e.resumeAt = max(leftOut, 0)
+}
+
+// placePendingOf places the pending tasks of a step that may be started. It returns false if the
+// step must wait for the next plan.
+func (e *Engine) placePendingOf(candidates *candidateSet, s *readyStep) bool {
+	if s.job.Spec.DueMs(s.ref.Occurrence) > e.wallMs {
+		return true
+	}
+	e.dropHeldTasks(s)
+	s.heldBack = false
+	if s.job.Active() && !candidates.blockedByGang(s) {
+		e.placeOpenTasks(candidates, s)
+	}
+	switch {
+	case len(s.pending) == 0:
+	case !s.job.Active() || candidates.blockedByGang(s):
+	case s.step.Gang:
+		e.placeGang(candidates, s)
+	case s.step.Lasting:
+		e.placeLasting(candidates, s)
+	case candidates.knownUnplaceable(s):
+	case s.step.Scavenger && candidates.work >= candidates.limit:
+		return false
+	default:
+		e.placeStep(candidates, s)
+	}
+	return true
 }
 
 // placeStep places as many of a step's tasks as find a worker.
--- a/dispatch/plan_work_test.go
+++ b/dispatch/plan_work_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"mangohill.example/mangohill/kind"
 	"mangohill.example/mangohill/workflow"
@@ -125,3 +126,29 @@
 	t.Logf("%d tasks placed in %d plans", jobs*tasks, plans)
 	assert.Zero(t, waiting())
 }
+
+// Guards against tasks that are never tried, since each plan ends at its limit with those before
+// them, which fit nowhere. The last in scheduling order must be placed within a second.
+func TestTheLastTasksAreTriedBesideManyThatFitNowhere(t *testing.T) {
+	const workers, waiting, plansPerSecond = 890, 600, 60
+	e := fullFleet(workers, waiting, waiting)
+	catalog := *e.state.Catalog()
+	last := workflow.Queue{Name: "last", Host: "h", PathPrefix: "/last/", Service: "s", TimeoutMs: 1000, StretchMilli: 2000, LatencyObjectiveMs: 1000, Priority: 3}
+	catalog.Version, catalog.Queues = 2, append(catalog.Queues, last)
+	require.NoError(t, e.propose(workflow.Op{SetCatalog: &workflow.SetCatalog{Catalog: catalog}}))
+	const job = 1_000_000
+	small := workflow.Step{Count: 1, EstimatedMs: 1700, Resources: workflow.Resources{MilliProcessors: 10, MemoryMB: 1}, Scavenger: true, Image: "small"}
+	e.submit(&last, job, &Request{Job: &workflow.JobSpec{Steps: []workflow.Step{small}}}, func(Reply) {})
+	plans := 0
+	for ; plans < plansPerSecond && e.state.Job(job).Occurrences[0].Steps[0][0].State == workflow.TaskPending; plans++ {
+		e.Advance(e.now.Add(time.Second/plansPerSecond), e.wallMs+int64(time.Second/plansPerSecond/time.Millisecond))
+		for _, v := range e.sortedViews {
+			v.answeredAt, v.reportedAt = e.now, e.now
+		}
+		if e.TakeBatch() != nil {
+			e.Committed()
+		}
+	}
+	t.Logf("placed in plan %d", plans)
+	assert.Less(t, plans, plansPerSecond)
+}
