dispatch: searches that are repeated end no plan, in place of plans that go on

The limit of a plan counts placements and the first search for each kind of task; a search that is repeated and finds nothing again counts nothing, as it looks at the workers with more room. Twelve a plan are repeated among all workers. Failed searches are kept for 2 s.

--- a/dispatch/candidates.go
+++ b/dispatch/candidates.go
@@ -54,9 +54,10 @@
 	// belowTarget tells whether the pool of urgent capacity of a service is below its
 	// target, for those whose candidate.held is known.
 	belowTarget map[string]bool
-	// evaluated counts the evaluations of workers in this plan, work all that it did in the same
-	// unit. From limit on, no further steps of scavengers are placed in it.
-	evaluated, work, limit int
+	// evaluated counts the evaluations of workers in this plan. work is what it spent on
+	// placements, and on steps that were not tried before, in evaluations; from limit on, no
+	// further steps of scavengers are tried in it. renewals counts the searches that were repeated among all workers.
+	evaluated, work, limit, renewals int
 }
 
 const unknownMean = -1.0
@@ -111,6 +112,8 @@
 	// searchesPerPlan times the workers, but at least minPlanLimit, is the work of a plan, in
 	// evaluations of a worker, from which on the steps of scavengers wait for the next one.
 	searchesPerPlan = 24
+	// renewalsPerPlan bounds the searches that a plan repeats among all workers.
+	renewalsPerPlan = 12
 	minPlanLimit    = 20_000
 	// placementWork is the work of recording a placement, in evaluations of a worker.
 	placementWork = 64
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -84,9 +84,6 @@
 	// workers have room for.
 	searches    map[searchKey][]failedSearch
 	roomChanges *uint64
-	// resumeAt is the position, in scheduling order, of the first step that the latest plan left
-	// out at its limit, zero for none.
-	resumeAt int
 	// observeStage is told how long the stages of jobs and tasks took.
 	observeStage StageObserver
 }
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -260,46 +260,18 @@
 	e.placeSuspects(candidates)
 	e.reserveForLasting(candidates)
 	e.dropLookAheadsForLasting(candidates)
-	e.placePending(candidates)
+	for _, s := range e.ready.sorted {
+		if s.job.Spec.DueMs(s.ref.Occurrence) <= e.wallMs {
+			e.placePending(candidates, s)
+		}
+	}
 	e.counters.Evaluated += uint64(candidates.evaluated)
 	e.makeRoomForUrgent(candidates)
 	e.reserveAhead(candidates)
 }
 
-// placePending places pending tasks in scheduling order. Steps of scavengers that it leaves out at
-// the limit of a plan go before the others in the next one: those before them may find no worker
-// in each plan.
-func (e *Engine) placePending(candidates *candidateSet) {
-	steps := e.ready.sorted
-	resumeAt := e.resumeAt
-	if resumeAt >= len(steps) {
-		resumeAt = 0
-	}
-	leftOut := -1
-	place := func(i int) {
-		if !e.placePendingOf(candidates, steps[i]) && leftOut < 0 {
-			leftOut = i
-		}
-	}
-	for i, s := range steps {
-		if i >= resumeAt || !s.step.Scavenger {
-			place(i)
-		}
-	}
-	for i, s := range steps[:resumeAt] {
-		if s.step.Scavenger {
-			place(i)
-		}
-	}
-	e.resumeAt = max(leftOut, 0)
-}
-
-// placePendingOf places the pending tasks of a step that may be started. It returns false if the
-// step must wait for the next plan.
-func (e *Engine) placePendingOf(candidates *candidateSet, s *readyStep) bool {
-	if s.job.Spec.DueMs(s.ref.Occurrence) > e.wallMs {
-		return true
-	}
+// placePending places the pending tasks of a step.
+func (e *Engine) placePending(candidates *candidateSet, s *readyStep) {
 	e.dropHeldTasks(s)
 	s.heldBack = false
 	if s.job.Active() && !candidates.blockedByGang(s) {
@@ -312,21 +284,26 @@
 		e.placeGang(candidates, s)
 	case s.step.Lasting:
 		e.placeLasting(candidates, s)
-	case candidates.knownUnplaceable(s):
-	case s.step.Scavenger && candidates.work >= candidates.limit:
-		return false
-	default:
+	case !candidates.knownUnplaceable(s):
 		e.placeStep(candidates, s)
 	}
-	return true
 }
 
 // placeStep places as many of a step's tasks as find a worker.
 func (e *Engine) placeStep(p *candidateSet, s *readyStep) {
 	search, searchable := e.searchFor(p, s)
-	if searchable && search.nothingNew {
+	switch {
+	case searchable && search.nothingNew:
 		p.recordUnplaceable(s, false)
 		return
+	case s.step.Scavenger && p.work >= p.limit:
+		return // It is for the next plan: urgent tasks may come meanwhile.
+	}
+	// A repeated search that finds nothing again is no work: the steps behind it would otherwise
+	// never be tried.
+	counted := !search.repeated
+	if counted {
+		p.work += len(search.candidates)
 	}
 	workers := e.rankAmong(p, s, search.candidates)
 	for len(s.pending) > 0 {
@@ -346,7 +323,9 @@
 			return
 		}
 		workers.update(e, c)
-		p.work += placementWork
+		if p.work += placementWork; !counted {
+			p.work, counted = p.work+len(search.candidates), true
+		}
 		s.pending = s.pending[1:]
 		e.ready.markDirty(s.ref.Job)
 	}
--- a/dispatch/ranking.go
+++ b/dispatch/ranking.go
@@ -32,7 +32,6 @@
 
 func (r *ranking) scoreAll(e *Engine) {
 	r.set.evaluated += len(r.among)
-	r.set.work += len(r.among)
 	r.entries = make([]rankedCandidate, len(r.among))
 	for i, c := range r.among {
 		r.entries[i] = r.rankCandidate(e, c)
--- a/dispatch/scavengers.go
+++ b/dispatch/scavengers.go
@@ -147,7 +147,7 @@
 // fitsElsewhere reports whether another worker would take a task of the step now.
 func (e *Engine) fitsElsewhere(v *workerView, job *workflow.Job, step *workflow.Step) bool {
 	shape := requestShapeOf(job, step)
-	if _, known := e.failedSearchFor(&shape); known && step.Scavenger {
+	if _, known := e.failedSearchFor(&shape, searchInterval); known && step.Scavenger {
 		return false
 	}
 	for _, other := range e.sortedViews {
--- a/dispatch/searches.go
+++ b/dispatch/searches.go
@@ -2,13 +2,16 @@
 
 import (
 	"slices"
+	"time"
 )
 
 const (
-	// searchInterval is the time between two searches among all workers for tasks of one kind
-	// that fit nowhere; between them, only those are evaluated on which something changed. It is
-	// the time after which predictions are renewed.
+	// searchInterval is the least time between two searches among all workers for tasks of one
+	// kind that fit nowhere; between them, only those are evaluated that have more room. It is the
+	// time after which predictions are renewed.
 	searchInterval = maxPlacementStateAge
+	// searchRetention is how long a failed search is kept.
+	searchRetention = 2 * time.Second
 	// maxSearchKeys bounds the kinds of requests of which failed searches are kept.
 	maxSearchKeys = 1024
 )
@@ -25,9 +28,10 @@
 	// search.
 	at      Instant
 	changes uint64
-	// candidates are those to evaluate now. nothingNew is set if there are none.
-	candidates []*candidate
-	nothingNew bool
+	// candidates are those to evaluate now. repeated is set if an earlier search found none,
+	// nothingNew if there are no candidates.
+	candidates           []*candidate
+	repeated, nothingNew bool
 }
 
 // searchFor returns the search for a worker for tasks of the step: among all workers, or among
@@ -39,11 +43,15 @@
 		return failedSearch{candidates: all}, false
 	}
 	shape := requestShapeOf(s.job, s.step)
-	search, known := e.failedSearchFor(&shape)
+	search, known := e.failedSearchFor(&shape, searchRetention)
 	if !known {
 		return failedSearch{shape: shape, at: e.now, candidates: all}, true
 	}
-	search.shape, search.candidates = shape, nil
+	if e.since(search.at) >= searchInterval && p.renewals < renewalsPerPlan {
+		p.renewals++
+		return failedSearch{shape: shape, at: e.now, candidates: all, repeated: true}, true
+	}
+	search.shape, search.candidates, search.repeated = shape, nil, true
 	for _, c := range all {
 		if c.view.roomGrewAt > search.changes {
 			search.candidates = append(search.candidates, c)
@@ -53,11 +61,11 @@
 	return search, true
 }
 
-// failedSearchFor returns the latest of the recent failed searches for a request that is no
-// larger than the given one.
-func (e *Engine) failedSearchFor(shape *requestShape) (latest failedSearch, known bool) {
+// failedSearchFor returns the latest of the failed searches of the given age for a request that
+// is no larger than the given one.
+func (e *Engine) failedSearchFor(shape *requestShape, age time.Duration) (latest failedSearch, known bool) {
 	for _, s := range e.searches[shape.key()] {
-		if e.since(s.at) < searchInterval && s.shape.need.Fits(shape.need) && (!known || s.changes > latest.changes) {
+		if e.since(s.at) < age && s.shape.need.Fits(shape.need) && (!known || s.changes > latest.changes) {
 			latest, known = s, true
 		}
 	}
@@ -66,10 +74,10 @@
 
 // recordFailedSearch records that a search found no worker, in place of those that tell no more.
 func (e *Engine) recordFailedSearch(search failedSearch) {
-	search.candidates, search.changes = nil, *e.roomChanges
+	search.candidates, search.repeated, search.changes = nil, false, *e.roomChanges
 	key := search.shape.key()
 	e.searches[key] = append(slices.DeleteFunc(e.searches[key], func(s failedSearch) bool {
-		return e.since(s.at) >= searchInterval || search.at >= s.at && search.shape.need.Fits(s.shape.need)
+		return e.since(s.at) >= searchRetention || search.at >= s.at && search.shape.need.Fits(s.shape.need)
 	}), search)
 	if len(e.searches) > maxSearchKeys {
 		clear(e.searches)
