dispatch: decisions on preemptions take a bounded share of the leader's time

Cause: a decision on the pool for urgent tasks looks at all lasting tasks, and was due each 50 ms whatever the size of the fleet: 6.8 ms at 900 workers and 49 ms at 3,000 (BenchmarkUrgentPool, one core), that is 14 % and 98 % of a processor. Change: the interval is 100 us for each worker, 50 ms at least, which holds up to 500 workers. Result: 8 % at 900 workers by the same figures; TestDecisionsOnPreemptionsTakeABoundedShare.

--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -100,7 +100,7 @@
 }
 
 // BenchmarkUrgentPool measures one decision on the pool of capacity for urgent tasks, in a
-// fleet of the users' size that lasting tasks fill. It is due each preemptionInterval at most.
+// fleet of the users' size that lasting tasks fill. It is due each one preemption interval at most.
 func BenchmarkUrgentPool(b *testing.B) {
 	for _, workers := range []int{100, 490, 900, 3000} {
 		b.Run(fmt.Sprint("workers=", workers), func(b *testing.B) { benchmarkUrgentPool(b, workers) })
--- a/dispatch/urgent.go
+++ b/dispatch/urgent.go
@@ -21,9 +21,11 @@
 	// preemptionPause is how long a preempted task runs after its return before it may be
 	// preempted again.
 	preemptionPause = 10 * time.Second
-	// preemptionInterval is the time between two decisions on preemptions: waiting tasks
-	// are served at once, and a decision looks at all lasting tasks.
-	preemptionInterval = 50 * time.Millisecond
+	// minPreemptionInterval is the least time between two decisions on preemptions, and
+	// preemptionIntervalPerWorker that for each worker: waiting tasks are served at once, and a
+	// decision looks at all lasting tasks.
+	minPreemptionInterval       = 50 * time.Millisecond
+	preemptionIntervalPerWorker = 100 * time.Microsecond
 	// workersPerPreemption times the preemptions in a preemptionPeriod are at most the
 	// workers. Twice and half as many gain less for urgent jobs than they cost lasting ones,
 	// by the values of both kinds of work; see docs/design/urgent-room.md.
@@ -367,10 +369,15 @@
 	return -int64(headroom.Useful(widths, c.free)-headroom.Useful(widths, c.free.Sub(s.step.Resources))) * gapWeight
 }
 
+// preemptionInterval returns the time between two decisions on preemptions.
+func (e *Engine) preemptionInterval() time.Duration {
+	return max(minPreemptionInterval, time.Duration(len(e.sortedViews))*preemptionIntervalPerWorker)
+}
+
 // preemptionDue reports whether the pool of any service is to be looked after.
 func (e *Engine) preemptionDue() bool {
 	for service, p := range e.urgentPools {
-		if e.poolActive(service) && e.since(p.evaluatedAt) >= preemptionInterval {
+		if e.poolActive(service) && e.since(p.evaluatedAt) >= e.preemptionInterval() {
 			return true
 		}
 	}
@@ -391,7 +398,7 @@
 	for _, service := range slices.Sorted(maps.Keys(e.urgentPools)) {
 		p := e.urgentPools[service]
 		switch {
-		case e.since(p.evaluatedAt) < preemptionInterval:
+		case e.since(p.evaluatedAt) < e.preemptionInterval():
 		case e.poolActive(service):
 			e.preemptFor(set, service, p)
 			p.evaluatedAt = e.now
--- a/dispatch/urgent_test.go
+++ b/dispatch/urgent_test.go
@@ -142,3 +142,12 @@
 	assert.True(t, u.runUntil(3*time.Second, func() bool { return u.lastStartAt[workflow.TaskRef{Job: job}] > 0 }), "before its objective is out of reach")
 	require.Empty(t, u.violations)
 }
+
+// Guards against decisions on preemptions that take a growing share of the leader's time in a large
+// fleet: each looks at all lasting tasks, and takes some 8 µs a worker.
+func TestDecisionsOnPreemptionsTakeABoundedShare(t *testing.T) {
+	for workers, expected := range map[int]time.Duration{10: 50 * time.Millisecond, 490: 50 * time.Millisecond, 900: 90 * time.Millisecond, 9000: 900 * time.Millisecond} {
+		e := Engine{sortedViews: make([]*workerView, workers)}
+		assert.Equal(t, expected, e.preemptionInterval(), "%d workers", workers)
+	}
+}
