Leader: placing tasks leaves time for other work

Cause: placing looks at all that waits and at all workers, once for each commit, so that a leader with much of both does little else, and answers, commits and urgent starts queue behind it. Change: after tasks were placed, three times as long is left for other work, 50 ms at most, before they are placed again; what is decided meanwhile is committed without waiting for it.

--- a/coordinator/loop.go
+++ b/coordinator/loop.go
@@ -24,6 +24,7 @@
 	nextCallID uint64
 	lag        lag
 	clock      dutyClock
+	placing    pacer
 }
 
 // maxEventsPerRound bounds the calls and answers that are passed to the engine before
@@ -288,11 +289,19 @@
 	})
 }
 
-// proposeBatch places tasks and proposes the engine's next batch, if there is one.
+// proposeBatch places tasks, if enough time was left for other work since the last time, and
+// proposes the engine's next batch, if there is one.
 func (l *loop) proposeBatch() {
-	batch := l.engine.TakeBatch()
-	l.lag.plan = max(l.lag.plan, l.charge(planDuty))
-	if batch != nil {
+	if l.engine.Committing() {
+		return
+	}
+	if l.placing.due(time.Now()) {
+		l.engine.Place()
+		took := l.charge(planDuty)
+		l.lag.plan = max(l.lag.plan, took)
+		l.placing.record(l.clock.at, took)
+	}
+	if batch := l.engine.TakeDecided(); batch != nil {
 		l.propose(batch)
 		l.charge(proposeDuty)
 	}
--- a/dispatch/batch.go
+++ b/dispatch/batch.go
@@ -67,15 +67,27 @@
 	return e.waiting[len(e.waiting)-1]
 }
 
+// Committing reports whether a batch is in flight.
+func (e *Engine) Committing() bool { return e.inFlight != nil }
+
 // TakeBatch places pending tasks and returns the next batch for the log. It returns nil if
 // there is nothing to log or a batch is still in flight.
 func (e *Engine) TakeBatch() *workflow.Batch {
-	if e.inFlight != nil {
-		return nil
+	e.Place()
+	return e.TakeDecided()
+}
+
+// Place places pending tasks, unless a batch is still in flight.
+func (e *Engine) Place() {
+	if e.inFlight == nil {
+		e.plan()
+		e.copyStragglers()
 	}
-	e.plan()
-	e.copyStragglers()
-	if len(e.waiting) == 0 {
+}
+
+// TakeDecided returns the next batch for the log like TakeBatch, but places no tasks.
+func (e *Engine) TakeDecided() *workflow.Batch {
+	if e.inFlight != nil || len(e.waiting) == 0 {
 		return nil
 	}
 	e.inFlight, e.waiting = e.waiting[0], e.waiting[1:]
