Leader: orders that waited too long are not sent

Found by reading: since an order may wait in the queue without a bound, and would then start a task of a job that was cancelled meanwhile, or on a worker that drains; before, its time ran from the decision on. Result: TestOrdersThatWaitedTooLongAreNotSent fails without it.

--- a/coordinator/loop.go
+++ b/coordinator/loop.go
@@ -326,11 +326,12 @@
 }
 
 // sendOrder sends an order to its worker. A leader without recent quorum contact sends
-// nothing.
+// nothing, and an order that has waited for longer than its answer would be awaited is not
+// sent: the engine decides again.
 func (c *Coordinator) sendOrder(order dispatch.Order) {
 	runAsync(c, c.orderAnswers, func() dispatch.Answer {
 		permit := func() bool { return c.quorumConfirmed() && c.mayStart(&order) }
-		if !permit() {
+		if c.now().Sub(order.SentAt) > order.Timeout() || !permit() {
 			return dispatch.Answer{Order: order, Outcome: dispatch.NotSent}
 		}
 		ctx, cancel := context.WithTimeout(c.ctx, order.Timeout())
--- a/coordinator/order_queue_test.go
+++ b/coordinator/order_queue_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"mangohill.example/mangohill/dispatch"
 	"mangohill.example/mangohill/workflow"
@@ -43,3 +45,20 @@
 	assert.Equal(t, expected, taken)
 	assert.Zero(t, q.len())
 }
+
+// Guards against orders that are sent although what they rest on may have changed meanwhile: a job
+// was cancelled, or a worker drains. They waited behind others, or the process stood still.
+func TestOrdersThatWaitedTooLongAreNotSent(t *testing.T) {
+	workers := &pricedWorkers{}
+	c := startLeaderWith(t, workers)
+	require.Eventually(t, func() bool { return c.starts.Load() != nil }, 30*time.Second, time.Millisecond)
+	start := dispatch.Order{Verb: dispatch.Start, Term: c.starts.Load().term, Task: workflow.TaskRef{Job: 1}}
+	start.SentAt = c.now().Add(-start.Timeout() - time.Millisecond)
+	c.sendOrder(start)
+	start.SentAt, start.Task.Job = c.now(), 2
+	c.sendOrder(start)
+	require.Eventually(t, func() bool { _, sent := workers.startsSoFar(2); return sent }, 30*time.Second, time.Millisecond)
+	time.Sleep(20 * time.Millisecond) // For the first one, if it is sent as well.
+	_, sent := workers.startsSoFar(1)
+	assert.False(t, sent)
+}
