--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -293,7 +293,7 @@
 func (e *Engine) placeStep(p *candidateSet, s *readyStep) {
 	search, searchable := e.searchFor(p, s)
 	switch {
-	case searchable && search.nothingNew:
+	case search.futile():
 		p.recordUnplaceable(s, false)
 		return
 	case s.step.Scavenger && p.work >= p.limit:
@@ -311,7 +311,7 @@
 		if c == nil {
 			avoids := e.failedRecently(s) || e.roomAssigned(s) || s.heldBack
 			if searchable && !avoids {
-				e.recordFailedSearch(search)
+				e.recordFailedSearch(search.failedSearch)
 			}
 			p.recordUnplaceable(s, avoids)
 			e.recordHeldBack(s)
--- a/dispatch/searches.go
+++ b/dispatch/searches.go
@@ -28,36 +28,43 @@
 	// search.
 	at      Instant
 	changes uint64
-	// candidates are those to evaluate now. repeated is set if an earlier search found none,
-	// nothingNew if there are no candidates.
-	candidates           []*candidate
-	repeated, nothingNew bool
 }
 
+// workerSearch is a search for a worker for tasks of a step.
+type workerSearch struct {
+	failedSearch
+	// candidates are the workers to evaluate.
+	candidates []*candidate
+	// repeated is set if an earlier search found no worker.
+	repeated bool
+}
+
+// futile reports whether the search finds no more than an earlier one.
+func (s *workerSearch) futile() bool { return s.repeated && len(s.candidates) == 0 }
+
 // searchFor returns the search for a worker for tasks of the step: among all workers, or among
 // those on which something changed since a recent search found none. It returns false if what
 // decides on the step is not known from its shape.
-func (e *Engine) searchFor(p *candidateSet, s *readyStep) (failedSearch, bool) {
+func (e *Engine) searchFor(p *candidateSet, s *readyStep) (workerSearch, bool) {
 	all := p.byService[s.job.Service]
 	if !s.step.Scavenger || s.step.MaxPerWorker != 0 || s.job.Advised || s.step.OneRack || s.yields || e.failedRecently(s) {
-		return failedSearch{candidates: all}, false
+		return workerSearch{candidates: all}, false
 	}
 	shape := requestShapeOf(s.job, s.step)
-	search, known := e.failedSearchFor(&shape, searchRetention)
-	if !known {
-		return failedSearch{shape: shape, at: e.now, candidates: all}, true
-	}
-	if e.since(search.at) >= searchInterval && p.renewals < renewalsPerPlan {
-		p.renewals++
-		return failedSearch{shape: shape, at: e.now, candidates: all, repeated: true}, true
+	failed, known := e.failedSearchFor(&shape, searchRetention)
+	renew := known && e.since(failed.at) >= searchInterval && p.renewals < renewalsPerPlan
+	if !known || renew {
+		if renew {
+			p.renewals++
+		}
+		return workerSearch{failedSearch: failedSearch{shape: shape, at: e.now}, candidates: all, repeated: known}, true
 	}
-	search.shape, search.candidates, search.repeated = shape, nil, true
+	search := workerSearch{failedSearch: failedSearch{shape: shape, at: failed.at}, repeated: true}
 	for _, c := range all {
-		if c.view.roomGrewAt > search.changes {
+		if c.view.roomGrewAt > failed.changes {
 			search.candidates = append(search.candidates, c)
 		}
 	}
-	search.nothingNew = len(search.candidates) == 0
 	return search, true
 }
 
@@ -74,7 +81,7 @@
 
 // recordFailedSearch records that a search found no worker, in place of those that tell no more.
 func (e *Engine) recordFailedSearch(search failedSearch) {
-	search.candidates, search.repeated, search.changes = nil, false, *e.roomChanges
+	search.changes = *e.roomChanges
 	key := search.shape.key()
 	e.searches[key] = append(slices.DeleteFunc(e.searches[key], func(s failedSearch) bool {
 		return e.since(s.at) >= searchRetention || search.at >= s.at && search.shape.need.Fits(s.shape.need)
