--- a/dispatch/candidates.go
+++ b/dispatch/candidates.go
@@ -56,7 +56,8 @@
 	belowTarget map[string]bool
 	// evaluated counts the evaluations of workers in this plan. work is what it spent on
 	// placements, and on steps that were not tried before, in evaluations; from limit on, no
-	// further steps of scavengers are tried in it. renewals counts the searches that were repeated among all workers.
+	// further steps of scavengers are tried in it. renewals counts the searches that were
+	// repeated among all workers.
 	evaluated, work, limit, renewals int
 }
 
@@ -112,9 +113,9 @@
 	// searchesPerPlan times the workers, but at least minPlanLimit, is the work of a plan, in
 	// evaluations of a worker, from which on the steps of scavengers wait for the next one.
 	searchesPerPlan = 24
+	minPlanLimit    = 20_000
 	// renewalsPerPlan bounds the searches that a plan repeats among all workers.
 	renewalsPerPlan = 12
-	minPlanLimit    = 20_000
 	// placementWork is the work of recording a placement, in evaluations of a worker.
 	placementWork = 64
 )
@@ -278,9 +279,9 @@
 	return s.image
 }
 
-// score ranks a worker, which has just been admitted, for a task; the highest score wins. Scavengers go to
-// workers with many idle processors and little harm to serving tasks. All others
-// go to the worker with the least free processors (best fit), so that room for
+// score ranks a worker that has just been admitted for a task; the highest score wins.
+// Scavengers go to workers with many idle processors and little harm to serving tasks. All
+// others go to the worker with the least free processors (best fit), so that room for
 // wide tasks remains. Workers on the rack of the step's data, or of its other
 // tasks, come first.
 func (e *Engine) score(p *candidateSet, c *candidate, s *readyStep) int64 {
