--- a/dispatch/plan_work_test.go
+++ b/dispatch/plan_work_test.go
@@ -152,3 +152,37 @@
 	t.Logf("placed in plan %d", plans)
 	assert.Less(t, plans, plansPerSecond)
 }
+
+// Guards against the same where the others were tried before, and are tried again in each plan,
+// since room has grown on all workers, though too little for any of them.
+func TestTasksThatFitNowhereAgainDoNotEndAPlan(t *testing.T) {
+	const workers, waiting, plansPerSecond = 890, 200, 60
+	e := fullFleet(workers, waiting, waiting)
+	tryAgain := func() {
+		e.Advance(e.now.Add(time.Second/plansPerSecond), e.wallMs+int64(time.Second/plansPerSecond/time.Millisecond))
+		for _, v := range e.sortedViews {
+			v.answeredAt, v.reportedAt = e.now, e.now
+			v.roomGrew()
+		}
+		if e.TakeBatch() != nil {
+			e.Committed()
+		}
+	}
+	for range plansPerSecond / 3 {
+		tryAgain()
+	}
+	const job = 1_000_000
+	small := workflow.Step{Count: 1, EstimatedMs: 1700, Resources: workflow.Resources{MilliProcessors: 10, MemoryMB: 1}, Scavenger: true, Image: "small"}
+	last := e.state.Catalog().Queues[0]
+	last.Name, last.PathPrefix, last.Priority = "last", "/last/", 3
+	catalog := *e.state.Catalog()
+	catalog.Version, catalog.Queues = 2, append(catalog.Queues, last)
+	require.NoError(t, e.propose(workflow.Op{SetCatalog: &workflow.SetCatalog{Catalog: catalog}}))
+	e.submit(&last, job, &Request{Job: &workflow.JobSpec{Steps: []workflow.Step{small}}}, func(Reply) {})
+	plans := 0
+	for ; plans < plansPerSecond && e.state.Job(job).Occurrences[0].Steps[0][0].State == workflow.TaskPending; plans++ {
+		tryAgain()
+	}
+	t.Logf("placed in plan %d", plans)
+	assert.Less(t, plans, plansPerSecond)
+}
