coordinator: what the group does, early in the metrics; overdue batches are logged

The variable consensus repeats it in short, before decided by its name: role, term, leader, whether the member decides, indexes, the age of the quorum contact, of the latest commit, of the batch in progress and of the loop's latest tick, and the replication to each member. The line batch overdue tells of a batch that waits for over 1.5 s. An input that no leader survives shows as rising terms with engines_dropped, a leader that decides nothing as BatchMs or LoopMs that grow at one term, and elections that fail as an empty leader with rising terms.

--- a/consensus/progress.go
+++ b/consensus/progress.go
@@ -12,6 +12,33 @@
 	transferring
 )
 
+var progressNames = [...]string{probing: "probing", replicating: "replicating", transferring: "transferring"}
+
+// MemberProgress is the leader's view of the replication to one member.
+type MemberProgress struct {
+	ID MemberID
+	// State is "probing", "replicating" or "transferring" (of a snapshot).
+	State string
+	// Match is the highest index known to be durable there, Next that of the next entry to send.
+	Match, Next uint64
+	// SilentTicks counts the ticks since the member's last response.
+	SilentTicks int
+}
+
+// Progress returns the replication to each other member, nothing if this member does not lead.
+func (c *Core) Progress() []MemberProgress {
+	if c.role != Leader {
+		return nil
+	}
+	var all []MemberProgress
+	for _, m := range c.membership().Members {
+		if p := c.progress[m.ID]; p != nil && m.ID != c.id {
+			all = append(all, MemberProgress{ID: m.ID, State: progressNames[p.state], Match: p.match, Next: p.next, SilentTicks: p.ticksSinceResponse})
+		}
+	}
+	return all
+}
+
 // progress is the leader's replication state for one member.
 type progress struct {
 	state progressState
--- a/coordinator/loop.go
+++ b/coordinator/loop.go
@@ -25,6 +25,10 @@
 	lag        lag
 	clock      dutyClock
 	placing    pacer
+	// proposedBytes is the size of the batch that was proposed last, nextOverdue for how long it
+	// may have waited when it is logged next.
+	proposedBytes int
+	nextOverdue   time.Duration
 }
 
 // maxEventsPerRound bounds the calls and answers that are passed to the engine before
@@ -91,9 +95,11 @@
 
 // tick runs what is due at a tick, which was due at dueAt.
 func (l *loop) tick(dueAt time.Time) {
+	l.metrics.tickedAt.set()
 	if l.engine == nil {
 		return
 	}
+	l.reportOverdue()
 	now := time.Now()
 	l.metrics.tickLag.Record(now.Sub(dueAt))
 	l.lag.tick = max(l.lag.tick, now.Sub(dueAt))
@@ -170,6 +176,7 @@
 	}
 	l.serving.Store(false)
 	l.engine = nil
+	l.metrics.proposedAt.clear()
 	l.starts.Store(nil)
 	l.metrics.dropped.Add(reason, 1)
 	l.options.Logger.Info().Uint64("term", l.term).Int("unanswered", len(l.unanswered)).Str("reason", reason).Msg("not leading")
@@ -207,6 +214,7 @@
 	if l.engine == nil || committed.term != l.term {
 		return
 	}
+	l.metrics.proposedAt.clear()
 	if committed.err != nil {
 		event := l.options.Logger.Warn().Err(committed.err).Uint64("term", committed.term).Int("bytes", committed.bytes)
 		if committed.batch != nil {
@@ -224,6 +232,7 @@
 			return
 		}
 	}
+	l.metrics.committedAt.set()
 	l.lag.commit = max(l.lag.commit, committed.took)
 	l.engine.Committed()
 }
@@ -315,6 +324,8 @@
 		return
 	}
 	l.metrics.recordBatch(len(data))
+	l.metrics.proposedAt.set()
+	l.proposedBytes, l.nextOverdue = len(data), overdueCommit
 	term := l.term
 	runAsync(l.Coordinator, l.commits, func() commitResult {
 		startedAt := time.Now()
--- a/coordinator/metrics.go
+++ b/coordinator/metrics.go
@@ -32,6 +32,9 @@
 	// dropped counts the engines that it dropped, by reason.
 	largestBatch *expvar.Int
 	dropped      *expvar.Map
+	// committedAt is when the latest batch was committed, proposedAt when the one in progress was
+	// proposed, and tickedAt the latest tick of the loop.
+	committedAt, proposedAt, tickedAt moment
 	// engine holds the newest published statistics of the engine.
 	engine atomic.Pointer[engineStats]
 }
@@ -87,6 +90,7 @@
 		loopTime.Set(name, m.loopTime[d])
 	}
 	vars.Set("loop_time_us", loopTime)
+	vars.Set("consensus", expvar.Func(func() any { return c.consensusStats() }))
 	vars.Set("replica", expvar.Func(func() any { return c.replica.Status() }))
 	vars.Set("decided", expvar.Func(func() any { return m.engine.Load() }))
 }
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -15,6 +15,7 @@
 		"attempt void",
 		"batch not committed",
 		"batch not encoded",
+		"batch overdue",
 		"body refused",
 		"capacity changed",
 		"capacity reserved",
--- a/replica/publish.go
+++ b/replica/publish.go
@@ -1,6 +1,8 @@
 package replica
 
 import (
+	"time"
+
 	"mangohill.example/mangohill/consensus"
 	"mangohill.example/mangohill/controlapi"
 )
@@ -28,7 +30,10 @@
 	leader, _ := membership.Find(status.Leader)
 	published := &Status{
 		ID: status.ID, Role: status.Role.String(), Term: status.Term, Leader: leader.Address,
-		Commit: status.Commit, Syncs: l.replica.store.Syncs(),
+		Commit: status.Commit, Last: status.LastIndex, Syncs: l.replica.store.Syncs(),
+	}
+	if status.Role == consensus.Leader {
+		published.Followers = l.followers(membership)
 	}
 	if l.suspended.active {
 		published.Role = RoleFull
@@ -44,6 +49,18 @@
 	l.replica.status.Store(published)
 }
 
+// followers returns the replication to each other member.
+func (l *loop) followers(membership consensus.Membership) []Follower {
+	progress := l.core.Progress()
+	followers := make([]Follower, len(progress))
+	for i, p := range progress {
+		member, _ := membership.Find(p.ID)
+		silence := time.Duration(p.SilentTicks) * l.replica.options.Tick
+		followers[i] = Follower{Name: member.Name, State: p.State, Match: p.Match, Next: p.Next, SilentMs: silence.Milliseconds()}
+	}
+	return followers
+}
+
 func memberRole(member consensus.Member, leader consensus.MemberID) string {
 	switch {
 	case member.ID == leader:
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -45,6 +45,10 @@
 	// Responding holds, at the leader, the addresses of the members that have answered
 	// within the election timeout, its own included.
 	Responding []string
+	// Last is the index of the last entry of the log.
+	Last uint64
+	// Followers holds, at the leader, the replication to each other member.
+	Followers []Follower
 	// Syncs counts the synced appends to the log since the replica started.
 	Syncs uint64
 	// DiskFull counts how often the replica stopped participating because its disk was full.
@@ -52,6 +56,18 @@
 	DiskFull uint64
 }
 
+// Follower is the leader's view of the replication to another member.
+type Follower struct {
+	Name string
+	// State is "probing", "replicating" or "transferring" (of a snapshot).
+	State string
+	// Match is the highest log index known to be durable there, Next that of the next entry to
+	// send.
+	Match, Next uint64
+	// SilentMs is the time in milliseconds since its last response.
+	SilentMs int64
+}
+
 const roleJoining = "joining"
 
 // Replica is a running member of the control group.
