replica: a failing test of large commands that end the terms of their leaders

A member takes one call at a time, and gives it up after half an election timeout. Heartbeats wait behind the command in it and repeat it, whole, every 150 ms. On a link that takes 415 ms for the four copies of a command of 340 KiB (300 ns a byte), the members of a test lost their leader for 3.0 and 7.8 s, at 500 ns for 13 and 25 s, to the end of the test: each new leader is sent the command again, and it ends its term.

The tests fail: expected term 2, actual 3; "2090767" is not less than "1392640".

--- a/replica/cluster_test.go
+++ b/replica/cluster_test.go
@@ -139,6 +139,44 @@
 type network struct {
 	mu  sync.Mutex
 	cut map[string]bool
+	// perByte is the time that a byte of a call takes on the link of its sender, which all
+	// calls of the sender share, zero for none.
+	perByte time.Duration
+	// freeAt is when the link of each sender is free again.
+	freeAt map[string]time.Time
+	// carried is the number of bytes of calls from each sender since perByte was set.
+	carried map[string]int
+}
+
+// setSpeed sets the time that a byte takes on each link.
+func (n *network) setSpeed(perByte time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.perByte, n.freeAt, n.carried = perByte, make(map[string]time.Time), make(map[string]int)
+}
+
+func (n *network) bytesFrom(sender string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.carried[sender]
+}
+
+// occupy reserves the link of a sender for a call and returns for how long the call waits until
+// it has passed. A call that its sender gives up meanwhile passes nevertheless.
+func (n *network) occupy(from string, args any) time.Duration {
+	packet, ok := args.(*Packet)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.perByte == 0 || !ok {
+		return 0
+	}
+	n.carried[from] += len(packet.B)
+	start := time.Now()
+	if free := n.freeAt[from]; free.After(start) {
+		start = free
+	}
+	n.freeAt[from] = start.Add(time.Duration(len(packet.B)) * n.perByte)
+	return time.Until(n.freeAt[from])
 }
 
 func (n *network) setCut(address string, cut bool) {
@@ -168,7 +206,7 @@
 		<-ctx.Done()
 		return kind.Errorf(kind.UnknownOutcome, "%s at %s: %w", method, address, ctx.Err())
 	}
-	err := c.Client.Call(ctx, address, method, args, reply)
+	err := c.callOverLink(ctx, address, method, args, reply)
 	if c.network.isCut(c.from, address) {
 		<-ctx.Done()
 		return kind.Errorf(kind.UnknownOutcome, "%s at %s: %w", method, address, ctx.Err())
@@ -176,6 +214,28 @@
 	return err
 }
 
+// callOverLink makes a call once the link of its sender has carried it, even if the sender does
+// not wait for it any more.
+func (c networkCaller) callOverLink(ctx context.Context, address, method string, args, reply any) error {
+	wait := c.network.occupy(c.from, args)
+	if wait <= 0 {
+		return c.Client.Call(ctx, address, method, args, reply)
+	}
+	answer, done := new(Packet), make(chan error, 1)
+	time.AfterFunc(wait, func() {
+		late, cancel := context.WithTimeout(context.Background(), eventTimeout)
+		defer cancel()
+		done <- c.Client.Call(late, address, method, args, answer)
+	})
+	select {
+	case err := <-done:
+		*reply.(*Packet) = *answer
+		return err
+	case <-ctx.Done():
+		return kind.Errorf(kind.UnknownOutcome, "%s at %s: %w", method, address, ctx.Err())
+	}
+}
+
 func (n *node) start() {
 	n.recorder = &commandRecorder{}
 	n.options.StateMachine = n.recorder
