dispatch: count and name the lasting tasks that wait beyond their bound

Lasting tasks that wait longer than the platform allows showed only as pairs of "task preempted" and "task placed" far apart, and not at all where the wait had another cause: nothing told an operator how many were overdue, or why.

The leader now keeps since when each lasting task does not run, and why: it never ran, was preempted, lapsed or was voided, was moved or drained, ended otherwise, or another leader saw its end.

--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -242,6 +242,7 @@
 			e.countCopyableRun(v, a, others)
 		}
 		e.recordEndedScavenger(v, a)
+		e.recordLastingEnd(a, lastingEndCause(end.How))
 		v.remove(a)
 		e.settleAnswered(v, a, true)
 		e.recordFormerAttempt(v, a, "ended_"+end.How.String())
--- a/dispatch/incarnations.go
+++ b/dispatch/incarnations.go
@@ -232,7 +232,7 @@
 	}
 	e.withdrawals[w.ID] = append(e.withdrawals[w.ID], done)
 	for _, a := range v.attemptList {
-		a.stopWanted = true
+		a.stopWanted, a.stopCause = true, waitsAfterMove
 	}
 	e.issueDueOrders(v)
 	e.endWithdrawn(w.ID)
--- a/dispatch/moves.go
+++ b/dispatch/moves.go
@@ -194,7 +194,7 @@
 // beginMove stops a task and keeps capacity for it on another worker.
 func (e *Engine) beginMove(m movable, target *workerView) {
 	a := m.attempt
-	a.stopWanted = true
+	a.stopWanted, a.stopCause = true, waitsAfterMove
 	e.counters.Relocated++
 	e.moves[target.worker.ID] = append(e.moves[target.worker.ID], &move{step: m.step, attempt: a.number, since: e.now})
 	e.log.Info().Stringer("task", a.ref).Uint32("attempt", a.number).Str("worker", m.view.worker.Life.Name).Str("domain", m.view.worker.Zone).Str("target", target.worker.Life.Name).Int("percent", a.percent).Uint64("term", e.term).Msg("task leaves domain")
--- a/dispatch/preparation.go
+++ b/dispatch/preparation.go
@@ -70,7 +70,7 @@
 		}
 		withinLimits = false
 		if here[a.ref.StepRef()] > step.MaxUnavailable && away < step.MaxUnavailable {
-			a.stopWanted = true
+			a.stopWanted, a.stopCause = true, waitsAfterMove
 			return false
 		}
 	}
--- a/dispatch/urgent.go
+++ b/dispatch/urgent.go
@@ -574,7 +574,7 @@
 		return
 	}
 	p.preemptedAt, p.neededAt = append(p.preemptedAt, e.now), e.now
-	a.stopWanted = true
+	a.stopWanted, a.stopCause = true, waitsAfterPreemption
 	e.preemptions[a.ref] = preemption{a.number, e.now}
 	e.counters.Yielded++
 	e.log.Info().Stringer("task", a.ref).Uint32("attempt", a.number).Str("worker", r.view.worker.Life.Name).Int("percent", a.percent).Dur("ran", e.since(a.runningSince)).
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -151,6 +151,8 @@
 	overrun overrun
 	// warmedUpAt is when the gauge of a lasting task becomes representative.
 	warmedUpAt Instant
+	// stopCause is why a lasting task is stopped, zero if that is told by its end.
+	stopCause waitCause
 	// class tells whether the task is urgent, once that is known.
 	class attemptClass
 }
@@ -248,6 +250,7 @@
 	ref := a.ref
 	v.remove(a)
 	e.recordLateStart(v, a, a.running)
+	e.recordLastingEnd(a, waitsAfterLapse)
 	err := e.propose(workflow.Op{Void: &workflow.Void{Worker: v.worker.ID, Task: ref, Attempt: a.number, Checkpoint: a.checkpoint}})
 	if err != nil {
 		e.log.Error().Err(err).Stringer("task", ref).Msg("attempt not voided")
@@ -269,7 +272,7 @@
 	}
 	for _, a := range v.attemptList {
 		if step := e.step(a.ref); step != nil && (step.Lasting || step.Resumable) {
-			a.stopWanted = true
+			a.stopWanted, a.stopCause = true, waitsAfterMove
 		}
 	}
 	e.issueDueOrders(v)
