--- a/dispatch/lasting_waits.go
+++ b/dispatch/lasting_waits.go
@@ -178,8 +178,8 @@
 // reportOverdue logs a task that is overdue, once a wait.
 func (e *Engine) reportOverdue(ref workflow.TaskRef, step *workflow.Step, fitting, free int) {
 	w := e.lastingWaits[ref]
-	if w.overdueReported {
-		return
+	if w.overdueReported || e.since(e.tookOverAt) < moveWarmUp {
+		return // A new leader has yet to reach the workers.
 	}
 	w.overdueReported = true
 	task := e.state.Job(ref.Job).Task(ref)
