dispatch: count jobs by their size

Neither the logs nor the metrics could tell whether large jobs, or tasks that request much, wait longer than others, or which jobs lose their value while they wait. A job that becomes too late is logged once with the step that waits and what its tasks need, a job's end with its queue and size, a placement with what the task requests and how long it waited. No decision changes.

--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -284,8 +284,13 @@
 
 // handleJobEnd stops what still runs of a job, once its end is committed.
 func (e *Engine) handleJobEnd(job *workflow.Job) {
+	class, sized := e.endSized(job)
 	e.afterCommit(func() {
-		e.log.Info().Stringer("job", job.ID).Str("state", string(job.State())).Int64("accepted_ms", job.AcceptedMs).Int64("finished_ms", job.FinishedMs).Uint64("term", e.term).Msg("job ended")
+		event := e.log.Info().Stringer("job", job.ID).Str("queue", job.Queue).Str("state", string(job.State())).Int64("accepted_ms", job.AcceptedMs).Int64("finished_ms", job.FinishedMs).Uint64("term", e.term)
+		if sized {
+			event = event.Stringer("size", class)
+		}
+		event.Msg("job ended")
 		e.stopJobAttempts(job)
 	})
 }
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -63,8 +63,10 @@
 	meanWorkByQueue map[string]*meanWork
 	// runTimes holds what is learned of run times.
 	runTimes *runtimes.Model
-	sorted   []*readyStep
-	changed  bool
+	// sizes holds the sizes of jobs.
+	sizes   jobSizes
+	sorted  []*readyStep
+	changed bool
 	// lastSortMs is when the steps were last sorted.
 	lastSortMs int64
 }
@@ -79,20 +81,21 @@
 	r.suspects = make(map[workflow.JobID][]*readyStep)
 	r.meanWorkByQueue = make(map[string]*meanWork)
 	r.runTimes = runtimes.New(runtimes.DefaultMaxKeys)
+	r.sizes = newJobSizes()
 }
 
 // markDirty marks a job whose ready steps may have changed.
 func (r *readySteps) markDirty(id workflow.JobID) { r.dirtyJobs[id] = true }
 
 // refresh recomputes the ready steps of dirty jobs and sorts all steps if any has
-// changed or sortInterval has passed.
-func (r *readySteps) refresh(state *workflow.State, nowMs int64) {
+// changed or sortInterval has passed. It reports whether it has sorted them.
+func (r *readySteps) refresh(state *workflow.State, nowMs int64) bool {
 	for id := range r.dirtyJobs {
 		r.refreshJob(id, state.Job(id), nowMs)
 	}
 	clear(r.dirtyJobs)
 	if !r.changed && nowMs-r.lastSortMs < sortInterval.Milliseconds() {
-		return
+		return false
 	}
 	r.changed, r.lastSortMs = false, nowMs
 	r.sorted = r.sorted[:0]
@@ -105,6 +108,7 @@
 		r.sorted = append(r.sorted, steps...)
 	}
 	slices.SortFunc(r.sorted, compareSchedulingOrder)
+	return true
 }
 
 // lateness tells how far behind its latency objective a job is.
@@ -153,6 +157,7 @@
 		r.changed = true
 	}
 	if job == nil || !job.Active() {
+		delete(r.sizes.jobs, id)
 		return
 	}
 	chains, density := r.remainingPathsMs(job), r.baseValueDensity(job)
@@ -250,7 +255,9 @@
 
 // plan places the pending tasks in scheduling order.
 func (e *Engine) plan() {
-	e.ready.refresh(e.state, e.wallMs)
+	if e.ready.refresh(e.state, e.wallMs) {
+		e.recordLateness()
+	}
 	e.endLookAheads()
 	if len(e.ready.sorted) == 0 && len(e.ready.suspects) == 0 && !e.preemptionDue() {
 		return
@@ -356,14 +363,14 @@
 	e.observeStage(StagePlace, prompt, a.stages.waited)
 	v.add(a)
 	e.copies.track(v, a, s.step)
-	free, heard := c.free, e.since(v.answeredAt)
+	free, need, heard := c.free, s.step.Resources, e.since(v.answeredAt)
 	e.afterCommit(func() {
 		if e.views[v.worker.ID] != v || v.attempts[ref] != a {
 			return
 		}
 		a.committed, a.stages.committedAt = true, e.now
 		e.observeStage(StageCommit, prompt, e.since(a.placedAt))
-		e.log.Info().Stringer("task", ref).Uint32("attempt", number).Str("worker", v.worker.Life.Name).Int64("born_ms", v.worker.Life.BornMs).Int64("free_mcpu", free.MilliProcessors).Dur("report_age", heard).Uint64("term", e.term).Msg("task placed")
+		e.log.Info().Stringer("task", ref).Uint32("attempt", number).Str("worker", v.worker.Life.Name).Int64("born_ms", v.worker.Life.BornMs).Int64("free_mcpu", free.MilliProcessors).Int64("mcpu", need.MilliProcessors).Int64("memory_mb", need.MemoryMB).Dur("waited", a.stages.waited).Dur("report_age", heard).Uint64("term", e.term).Msg("task placed")
 		e.issueAttemptOrder(v, a)
 	})
 	return true
--- a/dispatch/value.go
+++ b/dispatch/value.go
@@ -42,6 +42,7 @@
 	total, _ := r.workOf(job)
 	m.sum += total
 	m.count++
+	r.sizes.record(job, total)
 }
 
 // workOf returns the expected work of a job and the part of it that remains, in
