replica: large entries are transferred beside the heartbeats

A member is sent one call at a time, which is given up after half an election timeout; heartbeats waited behind a command of up to 1 MiB in it, and the entries were repeated, whole, with each of them. A leader whose links or processor needed longer lost its quorum, the command was committed by the next one or sent to it again, and that one lost its quorum too.

Entries of 64 KiB and more in a call now take calls of their own, in parts of 32 KiB, each with a timeout of its own. Meanwhile the member gets heartbeats that rely on no entry and so can't be rejected, entries that are on their way already are not repeated, and later ones follow in order. A member of an older version gets the entries whole.

--- /dev/null
+++ b/replica/large.go
@@ -0,0 +1,171 @@
+package replica
+
+import (
+	"context"
+	"strings"
+
+	"mangohill.example/mangohill/consensus"
+	"mangohill.example/mangohill/kind"
+	"mangohill.example/mangohill/storage"
+)
+
+const (
+	// largeBytes is the size of the entries of a call, in bytes, from which on they are sent in
+	// parts of partBytes. A heartbeat waits for one part to each member at most.
+	largeBytes = 64 << 10
+	partBytes  = 32 << 10
+	// maxMessageBytes limits the size of the messages that a peer may send in parts.
+	maxMessageBytes = 64 << 20
+)
+
+// transfer is the transmission of large entries to a member.
+type transfer struct {
+	// term is the term of the entries, last the index of the last one that is transferred or held.
+	term, last uint64
+	// held are the messages with entries that follow.
+	held []consensus.Message
+}
+
+func entryBytes(messages []consensus.Message) int {
+	n := 0
+	for i := range messages {
+		for _, e := range messages[i].Entries {
+			n += len(e.Data)
+		}
+	}
+	return n
+}
+
+// startTransfer sends the messages with entries in parts.
+func (s *sender) startTransfer(ctx context.Context, messages []consensus.Message) {
+	s.transfer = new(transfer)
+	s.transfer.hold(messages)
+	large := s.transfer.held
+	s.transfer.held = nil
+	s.transfers++
+	id := s.transfers
+	s.replica.group.Add(1)
+	go func() {
+		defer s.replica.group.Done()
+		answers, err := s.sendParts(ctx, id, large)
+		s.deliverAnswers(answers, err)
+		s.transferred <- err == nil
+	}()
+}
+
+// hold keeps the messages with entries until the transfer has ended, and returns those that are
+// sent meanwhile. Entries that are on their way already are left out: the leader repeats them until
+// they are acknowledged. A heartbeat that relies on them is replaced by one that does not.
+func (t *transfer) hold(messages []consensus.Message) []consensus.Message {
+	var others []consensus.Message
+	var heartbeat *consensus.Message
+	for i := range messages {
+		m := &messages[i]
+		if m.Type != consensus.MessageAppend {
+			others = append(others, *m)
+			continue
+		}
+		heartbeat = &consensus.Message{Type: m.Type, From: m.From, To: m.To, Term: m.Term, Round: m.Round}
+		last := m.Index + uint64(len(m.Entries))
+		if len(m.Entries) == 0 || m.Term == t.term && last <= t.last || len(t.held) >= outboundCapacity {
+			continue
+		}
+		t.term, t.last = m.Term, last
+		t.held = append(t.held, *m)
+	}
+	if heartbeat != nil {
+		others = append(others, *heartbeat)
+	}
+	return others
+}
+
+// part is a part of an encoded envelope.
+type part struct {
+	_       struct{} `cbor:",toarray"`
+	Cluster storage.ClusterID
+	From    consensus.MemberID
+	To      consensus.MemberID
+	// Transfer is the number of the transfer by its sender, Size that of all its bytes.
+	Transfer uint64
+	Offset   int64
+	Size     int64
+	Data     []byte
+}
+
+// sendParts sends messages in parts and returns the messages in the response to the last one.
+func (s *sender) sendParts(ctx context.Context, id uint64, messages []consensus.Message) ([]consensus.Message, error) {
+	data, err := encode(s.envelope(messages))
+	if err != nil {
+		return nil, err
+	}
+	for offset := 0; ; offset += partBytes {
+		end := min(offset+partBytes, len(data))
+		answers, err := s.sendPart(ctx, partMethod, part{
+			Cluster: s.identity.Cluster, From: s.identity.Member, To: s.member.ID,
+			Transfer: id, Offset: int64(offset), Size: int64(len(data)), Data: data[offset:end],
+		})
+		if err != nil && offset == 0 && strings.Contains(err.Error(), "can't find method") {
+			return s.sendPart(ctx, stepMethod, s.envelope(messages)) // The member has an older version.
+		}
+		if err != nil || end == len(data) {
+			return answers, err
+		}
+	}
+}
+
+func (s *sender) sendPart(ctx context.Context, method string, args any) ([]consensus.Message, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.replica.options.electionTimeout())
+	defer cancel()
+	return s.roundTrip(ctx, method, args)
+}
+
+// partialEnvelope holds the parts of an envelope that have been received.
+type partialEnvelope struct {
+	transfer uint64
+	data     []byte
+}
+
+// Part receives a part of messages. The reply to the last part is that of Step.
+func (s *service) Part(args *Packet, reply *Packet) error {
+	var p part
+	if err := decode(args.B, &p); err != nil {
+		return err
+	}
+	if err := s.replica.checkPeer(p.Cluster, p.From, p.To); err != nil {
+		return err
+	}
+	data, err := s.appendPart(p)
+	if err != nil {
+		return err
+	}
+	if int64(len(data)) < p.Size {
+		reply.B, err = encode([]consensus.Message{})
+		return err
+	}
+	return s.Step(&Packet{B: data}, reply)
+}
+
+// appendPart appends a part to the ones of its sender that were received before and returns all
+// data so far. A part at offset zero starts a new transfer.
+func (s *service) appendPart(p part) ([]byte, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.parts == nil {
+		s.parts = make(map[consensus.MemberID]*partialEnvelope)
+	}
+	if p.Offset == 0 {
+		s.parts[p.From] = &partialEnvelope{transfer: p.Transfer}
+	}
+	a := s.parts[p.From]
+	if a == nil || a.transfer != p.Transfer || int64(len(a.data)) != p.Offset {
+		return nil, kind.Errorf(kind.BadRequest, "part of transfer %d at offset %d does not follow the parts received before", p.Transfer, p.Offset)
+	}
+	if p.Size > maxMessageBytes || p.Offset+int64(len(p.Data)) > p.Size {
+		return nil, kind.Errorf(kind.BodyTooLarge, "transfer %d of %d bytes exceeds its size or %d bytes", p.Transfer, p.Size, maxMessageBytes)
+	}
+	a.data = append(a.data, p.Data...)
+	if int64(len(a.data)) == p.Size {
+		delete(s.parts, p.From)
+	}
+	return a.data, nil
+}
--- a/replica/sender.go
+++ b/replica/sender.go
@@ -9,13 +9,20 @@
 )
 
 // sender sends messages to one member, one call at a time. Messages that are
-// queued during a call are sent together in the next one.
+// queued during a call are sent together in the next one. Large entries are transferred beside
+// these calls, so that no heartbeat waits for them.
 type sender struct {
 	replica  *Replica
 	identity storage.Identity
 	member   consensus.Member
 	outbound chan consensus.Message
 	cancel   context.CancelFunc
+	// transfer is the transfer in progress, nil for none. Only run uses it. transferred receives
+	// whether it was delivered.
+	transfer    *transfer
+	transferred chan bool
+	// transfers counts the transfers to this member.
+	transfers uint64
 	// reachable is false after a failed call. Only changes are logged.
 	reachable atomic.Bool
 }
@@ -28,6 +35,8 @@
 		member:   member,
 		outbound: make(chan consensus.Message, outboundCapacity),
 		cancel:   cancel,
+
+		transferred: make(chan bool, 1),
 	}
 	s.reachable.Store(true)
 	r.group.Add(1)
@@ -48,13 +57,32 @@
 	for {
 		select {
 		case m := <-s.outbound:
-			s.sendBatch(ctx, s.collectMessages(m))
+			s.sendMessages(ctx, s.collectMessages(m))
+		case delivered := <-s.transferred:
+			held := s.transfer.held
+			s.transfer = nil
+			if delivered && len(held) > 0 {
+				s.sendMessages(ctx, held)
+			}
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// sendMessages sends messages in one call, without those that belong to a transfer.
+func (s *sender) sendMessages(ctx context.Context, messages []consensus.Message) {
+	if s.transfer == nil && entryBytes(messages) >= largeBytes {
+		s.startTransfer(ctx, messages)
+	}
+	if s.transfer != nil {
+		messages = s.transfer.hold(messages)
+	}
+	if len(messages) > 0 {
+		s.sendBatch(ctx, messages)
+	}
+}
+
 // collectMessages returns first and all queued messages.
 func (s *sender) collectMessages(first consensus.Message) []consensus.Message {
 	messages := []consensus.Message{first}
@@ -74,9 +102,16 @@
 func (s *sender) sendBatch(ctx context.Context, messages []consensus.Message) {
 	ctx, cancel := context.WithTimeout(ctx, s.replica.options.electionTimeout()/2)
 	defer cancel()
-	answers, err := s.roundTrip(ctx, stepMethod, envelope{
-		Cluster: s.identity.Cluster, From: s.identity.Member, To: s.member.ID, Messages: messages,
-	})
+	answers, err := s.roundTrip(ctx, stepMethod, s.envelope(messages))
+	s.deliverAnswers(answers, err)
+}
+
+func (s *sender) envelope(messages []consensus.Message) envelope {
+	return envelope{Cluster: s.identity.Cluster, From: s.identity.Member, To: s.member.ID, Messages: messages}
+}
+
+// deliverAnswers passes the response to a call, or its failure, to the loop.
+func (s *sender) deliverAnswers(answers []consensus.Message, err error) {
 	s.recordReachability(err)
 	if err != nil {
 		s.replica.deliverToLoop(peerEvent{from: s.member.ID, unreachable: true})
@@ -89,9 +124,7 @@
 func (s *sender) sendOnce(m consensus.Message) {
 	ctx, cancel := context.WithTimeout(s.replica.ctx, s.replica.options.electionTimeout()/2)
 	defer cancel()
-	_, err := s.roundTrip(ctx, stepMethod, envelope{
-		Cluster: s.identity.Cluster, From: s.identity.Member, To: s.member.ID, Messages: []consensus.Message{m},
-	})
+	_, err := s.roundTrip(ctx, stepMethod, s.envelope([]consensus.Message{m}))
 	s.recordReachability(err)
 }
 
--- a/replica/service.go
+++ b/replica/service.go
@@ -13,6 +13,7 @@
 	serviceName = "Replica"
 	stepMethod  = serviceName + ".Step"
 	chunkMethod = serviceName + ".Chunk"
+	partMethod  = serviceName + ".Part"
 	joinMethod  = serviceName + ".Join"
 )
 
@@ -27,6 +28,8 @@
 	mu sync.Mutex
 	// incoming holds the snapshots being received, by the sending member.
 	incoming map[consensus.MemberID]*partialSnapshot
+	// parts holds the messages being received in parts, by the sending member.
+	parts map[consensus.MemberID]*partialEnvelope
 }
 
 // Step processes messages from a peer. The reply carries the resulting messages
