dispatch: a gang beside a large configuration is a batch of its own

An operation above 256 KiB makes a batch of its own. Operations that must stay together were added to the last batch, whatever its size, so that a gang that is placed in the round of a configuration of nearly 1 MiB exceeded a command with it. The batch was refused (body_too_large), and the leader gave up its term. Before them a new batch is begun now, if the last one is above 256 KiB.

The test failed before: "1058374" is not less than or equal to "1048576".

--- a/dispatch/batch.go
+++ b/dispatch/batch.go
@@ -53,8 +53,12 @@
 
 // proposeTogether keeps the operations that decide proposes in one batch, so that all or
 // none of them are committed. Those of the largest gang fit into a command beside a full
-// batch.
+// batch, but not beside a larger operation. decide proposes one operation at least.
 func (e *Engine) proposeTogether(decide func()) {
+	if last := e.lastWaiting(); last != nil && last.bytes > fullBatchBytes {
+		e.state.AdvanceTime(e.wallMs)
+		e.waiting = append(e.waiting, &batch{nowMs: e.state.NowMs()})
+	}
 	e.together = true
 	decide()
 	e.together = false
--- a/dispatch/limits_test.go
+++ b/dispatch/limits_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
@@ -156,3 +157,40 @@
 	require.Nil(t, request(CancelJob, 2).Err, "the time of the state advances with the next batch")
 	assert.Nil(t, request(Submit, accepted+1).Err)
 }
+
+// Guards against a leader that loses its term with a gang that it places beside a configuration
+// of nearly the size of a command: together they exceed it.
+func TestAGangBesideALargeConfigurationIsABatchOfItsOwn(t *testing.T) {
+	const members = 1000
+	e := New(Settings{}, zerolog.Nop(), 1, workflow.NewState(), 0)
+	commit := func() (batches int) {
+		for batch := e.TakeBatch(); batch != nil; batch = e.TakeBatch() {
+			data, err := batch.Encode()
+			require.NoError(t, err)
+			require.LessOrEqual(t, len(data), workflow.MaxCommandBytes)
+			e.Committed()
+			batches++
+		}
+		return batches
+	}
+	e.SetCatalog(queueCatalog(1, "q"), func(err *kind.Error) { require.Nil(t, err) })
+	for i := range 10 {
+		name := workflow.JobID(i).String()
+		e.Announce(&Announcement{Life: workflow.Incarnation{Name: name, BornMs: 1}, Address: name, Service: "pool", Capacity: workflow.Resources{MilliProcessors: 1_000_000}}, func(*kind.Error) {})
+	}
+	commit()
+	for _, poll := range e.TakeOrders() {
+		e.HandleAnswer(&Answer{Order: poll, Outcome: Done, ClockMs: 1})
+	}
+	large := queueCatalog(2, "q")
+	large.Source = make([]byte, maxOpBytes-2000)
+	for i, random := 0, rand.New(rand.NewPCG(1, 1)); i < len(large.Source); i++ {
+		large.Source[i] = byte(random.Uint32()) // It can't be compressed.
+	}
+	spec := &workflow.JobSpec{Steps: []workflow.Step{{Count: members, Gang: true, Resources: workflow.Resources{MilliProcessors: 100}}}}
+	e.HandleRequest(&Request{Verb: Submit, Host: "h", Path: "/q/" + workflow.JobID(1).String(), Job: spec}, func(r Reply) { require.Nil(t, r.Err) })
+	e.SetCatalog(large, func(err *kind.Error) { require.Nil(t, err) })
+	require.GreaterOrEqual(t, commit(), 2)
+	require.Equal(t, workflow.TaskPlaced, e.state.Job(1).Task(workflow.TaskRef{Job: 1}).State)
+	require.EqualValues(t, 2, e.state.Catalog().Version)
+}
