dispatch: large jobs are served beside small ones

Cause: steps are placed by the value of their job per unit of work left, and 0.3 of a job's value does not depend on its work. Where batch work exceeds the capacity for longer than an objective, each large job is passed over by all smaller ones that arrive, until it is too late. The class: strict priority without a bound on what it starves.

--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -98,7 +98,7 @@
 // stragglers, CopiesWon those that were done first, Probes the polls for their progress.
 // QuarantinedFailing, QuarantinedSlow and QuarantinedRefusing count the quarantines of workers
 // by reason. Served counts the jobs that completed before they were of no value any more, TooLate
-// those that did not, both by size.
+// those that did not, Preferred those that went before others of more value, each by size.
 type Counters struct {
 	Accepted, Cancelled, Placed, Done, Failed, Stopped, Lapsed, Voided   uint64
 	Unanswered, Throttled, Relocated, Paused, Crashed, Yielded, Reserved uint64
@@ -107,9 +107,9 @@
 	// Evaluated counts how often a worker was evaluated for the tasks of a step.
 	Evaluated uint64
 	// OpenStarts counts the starts that stayed without an answer and were recorded.
-	OpenStarts      uint64
-	Overruns        [overrunBuckets]uint64
-	Served, TooLate JobSizes
+	OpenStarts                 uint64
+	Overruns                   [overrunBuckets]uint64
+	Served, TooLate, Preferred JobSizes
 	// HeadroomTargetMilliProcessors is the capacity that is to be kept for urgent tasks beside
 	// what they hold, HeadroomHeldMilliProcessors what of it is in gaps; both are current values.
 	HeadroomTargetMilliProcessors, HeadroomHeldMilliProcessors int64
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -41,6 +41,8 @@
 	imageKnown bool
 	// yields is set while tasks are placed that leave the capacity held for urgent ones.
 	yields bool
+	// preferred is set if the job goes before others of more value; see readySteps.prefer.
+	preferred bool
 	// heldBack is set when the latest placement of a task was refused by a reservation.
 	heldBack bool
 }
@@ -67,8 +69,8 @@
 	sizes   jobSizes
 	sorted  []*readyStep
 	changed bool
-	// lastSortMs is when the steps were last sorted.
-	lastSortMs int64
+	// lastSortMs is when the steps were last sorted, lastPreferMs when jobs were last preferred.
+	lastSortMs, lastPreferMs int64
 }
 
 // sortInterval is the time after which the steps are sorted again although none
@@ -98,17 +100,30 @@
 		return false
 	}
 	r.changed, r.lastSortMs = false, nowMs
+	r.sort(nowMs)
+	if nowMs-r.lastPreferMs >= sortInterval.Milliseconds() {
+		r.lastPreferMs = nowMs
+		if r.prefer(state, nowMs) {
+			r.sort(nowMs)
+		}
+	}
+	return true
+}
+
+// sort sorts all steps.
+func (r *readySteps) sort(nowMs int64) {
 	r.sorted = r.sorted[:0]
-	for _, steps := range r.byJob {
+	for id, steps := range r.byJob {
+		job := r.sizes.jobs[id]
 		for _, s := range steps {
 			s.lateness = s.latenessAt(nowMs)
 			s.sortDeadlineMs = s.deadlineMs(s.lateness)
 			s.valueDensity = s.valueDensityAt(nowMs)
+			s.preferred = job != nil && job.preferred
 		}
 		r.sorted = append(r.sorted, steps...)
 	}
 	slices.SortFunc(r.sorted, compareSchedulingOrder)
-	return true
 }
 
 // lateness tells how far behind its latency objective a job is.
@@ -224,7 +239,7 @@
 // compareSchedulingOrder orders steps by the priority of their queue; then
 // tasks that end before lasting ones, which never give back their resources by
 // themselves; then jobs that still have a value before those that have none;
-// then by value density; last by deadline.
+// then preferred jobs; then by value density; last by deadline.
 func compareSchedulingOrder(a, b *readyStep) int {
 	switch { // cmp.Or would make all comparisons, in a sort of all steps that wait.
 	case a.job.Priority != b.job.Priority:
@@ -233,6 +248,8 @@
 		return compareBools(a.step.Lasting, b.step.Lasting)
 	case (a.lateness == tooLate) != (b.lateness == tooLate):
 		return compareBools(a.lateness == tooLate, b.lateness == tooLate)
+	case a.preferred != b.preferred:
+		return compareBools(b.preferred, a.preferred)
 	}
 	if order := compareValueDensity(a, b); order != 0 {
 		return order
@@ -256,7 +273,7 @@
 // plan places the pending tasks in scheduling order.
 func (e *Engine) plan() {
 	if e.ready.refresh(e.state, e.wallMs) {
-		e.recordLateness()
+		e.recordSized()
 	}
 	e.endLookAheads()
 	if len(e.ready.sorted) == 0 && len(e.ready.suspects) == 0 && !e.preemptionDue() {
--- a/dispatch/sizes.go
+++ b/dispatch/sizes.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"math"
 	"slices"
+	"time"
 
 	"mangohill.example/mangohill/workflow"
 )
@@ -25,6 +27,19 @@
 // and all others.
 type JobSizes [sizeClasses]uint64
 
+const (
+	// leastServedPart times the share of the jobs of a queue that are served is the share that is
+	// to be served of each size. The users require half.
+	leastServedPart = 0.8
+	// preferAfter is how long a step of a job waits before the job is preferred: without overload
+	// none waits for long.
+	preferAfter = 500 * time.Millisecond
+	// minSized is the number of jobs of a size from which on their share tells something.
+	minSized = 5
+	// servedWindow is the time after which an ended job counts for 1/e in these shares.
+	servedWindow = 15 * time.Second
+)
+
 // maxRecentWorks is the number of jobs of a queue whose work decides which are large.
 const maxRecentWorks = 512
 
@@ -71,16 +86,57 @@
 	tasks uint32
 	// lateness is that of the step of the job that was found latest.
 	lateness lateness
+	// preferred is set once the job goes before others of more value, so that enough jobs of its
+	// size are served, reported once that is logged.
+	preferred, reported bool
+}
+
+// servedPart returns the part of an active job that counts as served.
+func (j *sizedJob) servedPart(openTasks uint32) float64 {
+	switch {
+	case j.lateness == tooLate:
+		return 0
+	case j.preferred:
+		return 1
+	}
+	return 1 - float64(openTasks)/float64(j.tasks)
+}
+
+// servedCount counts the jobs of a size and those that were served of them.
+type servedCount struct{ jobs, served float64 }
+
+func (c *servedCount) add(jobs, served float64) { c.jobs, c.served = c.jobs+jobs, c.served+served }
+
+func (c *servedCount) share() float64 { return c.served / c.jobs }
+
+// servedCounts are those of a queue by size, and of all its jobs.
+type servedCounts struct {
+	bySize [sizeClasses]servedCount
+	all    servedCount
+}
+
+func (c *servedCounts) add(class sizeClass, jobs, served float64) {
+	c.bySize[class].add(jobs, served)
+	c.all.add(jobs, served)
+}
+
+// owed reports whether too few jobs of a size are served.
+func (c *servedCounts) owed(class sizeClass) bool {
+	size := &c.bySize[class]
+	return size.jobs >= minSized && size.share() < leastServedPart*c.all.share()
 }
 
 // jobSizes holds the sizes of the jobs of each queue.
 type jobSizes struct {
 	jobs  map[workflow.JobID]*sizedJob
 	works map[string]*recentWorks
+	// ended counts the jobs that ended, at countedMs, of each queue.
+	ended     map[string]*servedCounts
+	countedMs int64
 }
 
 func newJobSizes() jobSizes {
-	return jobSizes{jobs: make(map[workflow.JobID]*sizedJob), works: make(map[string]*recentWorks)}
+	return jobSizes{jobs: make(map[workflow.JobID]*sizedJob), works: make(map[string]*recentWorks), ended: make(map[string]*servedCounts)}
 }
 
 // record records a job that was accepted. Jobs that last, and those with several due times, have
@@ -92,7 +148,7 @@
 	works := s.works[job.Queue]
 	if works == nil {
 		works = new(recentWorks)
-		s.works[job.Queue] = works
+		s.works[job.Queue], s.ended[job.Queue] = works, new(servedCounts)
 	}
 	works.add(work)
 	if job.Active() {
@@ -107,12 +163,63 @@
 // classOf returns the class of an active job.
 func (s *jobSizes) classOf(job *sizedJob) sizeClass { return s.works[job.queue].classOf(job.work) }
 
-// recordLateness records the jobs that have become late, and reports those that are of no value
-// any more.
-func (e *Engine) recordLateness() {
+// counts returns the counts of the jobs that ended lately and of the active ones.
+func (s *jobSizes) counts(state *workflow.State, nowMs int64) map[string]*servedCounts {
+	kept := math.Exp(-float64(max(nowMs-s.countedMs, 0)) / float64(servedWindow.Milliseconds()))
+	s.countedMs = nowMs
+	counts := make(map[string]*servedCounts)
+	for queue, ended := range s.ended {
+		for class := range ended.bySize {
+			ended.bySize[class].jobs *= kept
+			ended.bySize[class].served *= kept
+		}
+		ended.all.jobs *= kept
+		ended.all.served *= kept
+		c := *ended
+		counts[queue] = &c
+	}
+	for id, job := range s.jobs {
+		if recorded := state.Job(id); recorded != nil {
+			counts[job.queue].add(s.classOf(job), 1, job.servedPart(recorded.OpenTasks))
+		}
+	}
+	return counts
+}
+
+// prefer has the large jobs of most value go first while too few of their size are served. Value
+// per unit of work alone leaves them for last: a part of a job's value does not grow with its
+// work. Once preferred, a job stays so, since one that has begun and waits again is of no value.
+func (r *readySteps) prefer(state *workflow.State, nowMs int64) (changed bool) {
+	counts := r.sizes.counts(state, nowMs)
+	for _, s := range r.sorted {
+		job := r.sizes.jobs[s.ref.Job]
+		if job == nil || job.preferred || s.lateness == tooLate || nowMs-s.waitingSinceMs < preferAfter.Milliseconds() {
+			continue
+		}
+		class := r.sizes.classOf(job)
+		if c := counts[job.queue]; class != otherSizes && c.owed(class) {
+			c.add(class, 0, 1-job.servedPart(s.job.OpenTasks))
+			job.preferred, changed = true, true
+		}
+	}
+	return changed
+}
+
+// recordSized records the jobs that have become late, and reports those that are preferred and
+// those that are of no value any more.
+func (e *Engine) recordSized() {
 	for _, s := range e.ready.sorted {
 		job := e.ready.sizes.jobs[s.ref.Job]
-		if job == nil || s.lateness <= job.lateness {
+		if job == nil {
+			continue
+		}
+		if job.preferred && !job.reported {
+			job.reported = true
+			class := e.ready.sizes.classOf(job)
+			e.counters.Preferred[class]++
+			e.log.Info().Stringer("job", s.ref.Job).Str("queue", job.queue).Stringer("size", class).Int64("waited_ms", e.wallMs-s.waitingSinceMs).Uint64("term", e.term).Msg("job preferred")
+		}
+		if s.lateness <= job.lateness {
 			continue
 		}
 		job.lateness = s.lateness
@@ -133,8 +240,19 @@
 	}
 	delete(e.ready.sizes.jobs, job.ID)
 	class = e.ready.sizes.classOf(ended)
-	if job.State() == workflow.JobCompleted && ended.lateness != tooLate {
+	served := job.State() == workflow.JobCompleted && ended.lateness != tooLate
+	if served {
 		e.counters.Served[class]++
 	}
+	e.ready.sizes.recordEnd(ended, class, served)
 	return class, true
 }
+
+// recordEnd counts a job that has ended.
+func (s *jobSizes) recordEnd(job *sizedJob, class sizeClass, served bool) {
+	part := 0.0
+	if served {
+		part = 1
+	}
+	s.ended[job.queue].add(class, 1, part)
+}
