dispatch: keep capacity for the lasting tasks that are owed it

Cause: the bound on their wait was only a preference. Reservations were made anew in each plan, in scheduling order, for the worker with the most free processors, whatever ran there; any lasting task of the order took what was reserved for another, so the last ones of the order waited for good.

A lasting task that may not yield any more is now owed capacity: it is kept for this task, on the worker that has it soonest by the expected ends, until the task runs there; those that must run first come first. A worker may keep it for several, only what they need is closed to others, and an end that came too late has the search repeated. What a task waits after does not matter: preemption, a drain, a lapse, a first run. A task whose last end another leader saw is owed capacity at once, since nothing tells for how long it has waited. The bound of 64 reservations, and the demand for room twice over, are gone.

--- a/dispatch/candidates.go
+++ b/dispatch/candidates.go
@@ -26,12 +26,13 @@
 	// tasksPerStep counts the tasks of each step on the worker, nil until first
 	// needed.
 	tasksPerStep map[workflow.StepRef]uint32
-	// reservedFor is the job with a waiting lasting task for which the worker is
-	// reserved.
-	reservedFor *workflow.Job
-	// roomBesideLasting is the capacity that lasting tasks leave over.
-	roomBesideLasting      workflow.Resources
-	roomBesideLastingKnown bool
+	// keptFor is the capacity that is kept for lasting tasks that wait.
+	keptFor workflow.Resources
+	// room is the capacity that lasting tasks leave over, valid once roomKnown is set. ends
+	// are the times when capacity becomes free, nil until first needed.
+	room      workflow.Resources
+	roomKnown bool
+	ends      []capacityEnd
 	// held is the capacity that is held for urgent tasks, of what is free or becomes free
 	// by the stops in progress, whose reservations are stopping.
 	held, stopping workflow.Resources
@@ -43,6 +44,8 @@
 // candidateSet holds the workers that may get tasks in one plan.
 type candidateSet struct {
 	byService map[string][]*candidate
+	// byID holds the same by worker, nil until first needed.
+	byID map[workflow.WorkerID]*candidate
 	// unplaceable lists the requests for which no worker had room in this plan.
 	unplaceable []requestShape
 	// gangHolds holds, by service, the gang for which other scavengers are held
@@ -121,7 +124,7 @@
 )
 
 func (e *Engine) candidateOf(v *workerView) candidate {
-	c := candidate{view: v, quarantined: e.now < v.quarantinedUntil, silent: e.silent(v), free: v.worker.Capacity.Sub(v.worker.Reserved), idleMilliProcessors: e.placementStateOf(v).idleMilliProcessors, lookAhead: e.lookAhead.byWorker[v.worker.ID]}
+	c := candidate{view: v, quarantined: e.now < v.quarantinedUntil, silent: e.silent(v), free: v.worker.Capacity.Sub(v.worker.Reserved), idleMilliProcessors: e.placementStateOf(v).idleMilliProcessors, keptFor: e.reservations.kept[v.worker.ID], lookAhead: e.lookAhead.byWorker[v.worker.ID]}
 	e.reserveForMoves(&c)
 	return c
 }
@@ -245,10 +248,10 @@
 		return false
 	case c.quarantined && !step.Lasting:
 		return false
-	case c.reservedFor != nil && !step.Lasting && !step.Scavenger:
-		return false
 	case !step.Reserved().Fits(c.free):
 		return false
+	case !c.fitsBesideKept(s):
+		return false
 	case !e.fitsBesideHeld(c, s):
 		return false
 	case step.Scavenger && e.placementStateOf(c.view).paused:
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -81,6 +81,8 @@
 	// lastingWaits holds the lasting tasks that are to run and do not. waitingStats sums them up.
 	lastingWaits map[workflow.TaskRef]*lastingWait
 	waitingStats lastingStats
+	// reservations holds the capacity that is kept for lasting tasks.
+	reservations lastingReservations
 	// lookAhead holds the reservations for urgent tasks that fit nowhere.
 	lookAhead lookAhead
 	// searches holds the searches that found no worker. roomChanges counts the changes of what
@@ -114,12 +116,12 @@
 	// HeadroomTargetMilliProcessors is the capacity that is to be kept for urgent tasks beside
 	// what they hold, HeadroomHeldMilliProcessors what of it is in gaps; both are current values.
 	HeadroomTargetMilliProcessors, HeadroomHeldMilliProcessors int64
-	// LastingWaiting is the number of lasting tasks that are to run and do not, LongestWaitMs the
-	// longest time for which one has waited, Overdue those of them that wait beyond their bound;
-	// all are current values.
-	LastingWaiting int
-	LongestWaitMs  int64
-	Overdue        OverdueTasks
+	// LastingWaiting is the number of lasting tasks that are to run and do not, LastingReserved
+	// those of them for which capacity is kept, LongestWaitMs the longest time for which one has
+	// waited, Overdue those that wait beyond their bound; all are current values.
+	LastingWaiting, LastingReserved int
+	LongestWaitMs                   int64
+	Overdue                         OverdueTasks
 }
 
 // New returns the engine of a leader that takes over at now. It starts from the
@@ -129,7 +131,7 @@
 		settings: settings, log: log, term: term, state: state, now: now, tookOverAt: now, wallMs: state.NowMs(),
 		views: make(map[workflow.WorkerID]*workerView), slowdown: newSlowdownModel(), advisor: newAdvisor(), maintenance: newMaintenanceState(), gangWaitingSince: make(map[workflow.StepRef]Instant),
 		lastFailures: make(map[workflow.TaskRef]taskFailure), withdrawals: make(map[workflow.WorkerID][]func()), paces: make(stepPaces),
-		urgentPools: make(map[string]*urgentPool), preemptions: make(map[workflow.TaskRef]preemption), lastingWaits: make(map[workflow.TaskRef]*lastingWait), openTasks: make(map[workflow.TaskRef]int), lookAhead: newLookAhead(), searches: make(map[searchKey][]failedSearch), roomChanges: new(uint64),
+		urgentPools: make(map[string]*urgentPool), preemptions: make(map[workflow.TaskRef]preemption), lastingWaits: make(map[workflow.TaskRef]*lastingWait), reservations: newLastingReservations(), openTasks: make(map[workflow.TaskRef]int), lookAhead: newLookAhead(), searches: make(map[searchKey][]failedSearch), roomChanges: new(uint64),
 		observeStage: func(Stage, bool, time.Duration) {},
 	}
 	for _, id := range slices.Sorted(maps.Keys(state.Workers())) {
@@ -180,6 +182,7 @@
 // Counters returns the counts of decisions.
 func (e *Engine) Counters() Counters {
 	c := e.counters
+	c.LastingReserved = len(e.reservations.list)
 	c.LastingWaiting, c.LongestWaitMs, c.Overdue = e.waitingStats.waiting, e.waitingStats.longest.Milliseconds(), e.waitingStats.overdue
 	for _, p := range e.urgentPools {
 		c.HeadroomTargetMilliProcessors += p.targetMilliProcessors
--- a/dispatch/explain_filters.go
+++ b/dispatch/explain_filters.go
@@ -16,8 +16,8 @@
 	filterMaintenance  = "maintenance"
 	filterTest         = "test"
 	filterQuarantine   = "quarantine"
-	filterReserved     = "reserved"
 	filterCapacity     = "capacity"
+	filterReserved     = "reserved"
 	filterHeld         = "held"
 	filterPaused       = "scavengers_paused"
 	filterIdle         = "idle_processors"
@@ -32,7 +32,7 @@
 )
 
 var filterOrder = []string{
-	filterDraining, filterEvacuated, filterUnreachable, filterNoCapacity, filterMaintenance, filterTest, filterQuarantine, filterReserved, filterCapacity,
+	filterDraining, filterEvacuated, filterUnreachable, filterNoCapacity, filterMaintenance, filterTest, filterQuarantine, filterCapacity, filterReserved,
 	filterHeld, filterPaused, filterIdle, filterHeadroom, filterLabel, filterMaxPerWorker, filterTicket, filterAvoided, filterOther, filterSilent,
 }
 
@@ -107,10 +107,10 @@
 		return filterTest, fmt.Sprintf("%d tasks are tested there", len(v.test.tasks))
 	case c.quarantined && !step.Lasting:
 		return filterQuarantine, fmt.Sprintf("for %v", v.quarantinedUntil.Sub(e.now))
-	case c.reservedFor != nil && !step.Lasting && !step.Scavenger:
-		return filterReserved, fmt.Sprintf("for a lasting task of job %s", c.reservedFor.ID)
 	case !step.Reserved().Fits(c.free):
 		return e.capacityRejection(c, step)
+	case !c.fitsBesideKept(s):
+		return filterReserved, fmt.Sprintf("%d mcpu and %d MB for lasting tasks", c.keptFor.MilliProcessors, c.keptFor.MemoryMB)
 	case !e.fitsBesideHeld(c, s):
 		return filterHeld, e.heldFor(c, s)
 	case step.Scavenger && e.placementStateOf(v).paused:
--- a/dispatch/lasting_waits.go
+++ b/dispatch/lasting_waits.go
@@ -79,7 +79,11 @@
 	if _, waits := e.lastingWaits[a.ref]; waits && !a.running && !a.adopted {
 		return
 	}
-	e.lastingWaits[a.ref] = &lastingWait{service: job.Service, since: e.now, cause: cause}
+	since := e.now
+	if last := e.preemptions[a.ref]; cause == waitsAfterPreemption && last.attempt == a.number {
+		since = min(since, last.at.Add(stopDuration)) // An end whose answer was lost.
+	}
+	e.lastingWaits[a.ref] = &lastingWait{service: job.Service, since: since, cause: cause}
 }
 
 // updateLastingWaits adds the lasting tasks that were found to wait, drops those that run, and
@@ -184,7 +188,7 @@
 	w.overdueReported = true
 	task := e.state.Job(ref.Job).Task(ref)
 	e.log.Warn().Stringer("task", ref).Uint32("attempt", task.Attempt).Stringer("cause", w.cause).Dur("waited", e.since(w.since)).Dur("bound", w.bound()).
-		Int64("mcpu", step.Resources.MilliProcessors).Int64("memory_mb", step.Resources.MemoryMB).Bool("placed", task.State == workflow.TaskPlaced).
+		Int64("mcpu", step.Resources.MilliProcessors).Int64("memory_mb", step.Resources.MemoryMB).Bool("placed", task.State == workflow.TaskPlaced).Bool("reserved", e.reservations.byTask[ref] != nil).
 		Int("workers_free", free).Int("workers_fitting", fitting).Int("waiting", len(e.lastingWaits)).Uint64("term", e.term).Msg("lasting task overdue")
 }
 
--- a/dispatch/look_ahead.go
+++ b/dispatch/look_ahead.go
@@ -188,7 +188,7 @@
 	}
 	for _, candidates := range set.byService {
 		for _, c := range candidates {
-			if c.lookAhead != nil && c.reservedFor != nil {
+			if c.lookAhead != nil && c.keptFor != (workflow.Resources{}) {
 				e.endLookAhead(c.lookAhead, "lasting_task_waits")
 				c.lookAhead = nil
 			}
@@ -302,7 +302,7 @@
 	var best *candidate
 	r := &capacityReservation{ref: s.ref, evaluatedAt: e.now}
 	for _, c := range candidates {
-		if c.lookAhead != nil || c.reservedFor != nil || !c.takesUrgent() || len(p.assigned[c.view.worker.ID]) > 0 ||
+		if c.lookAhead != nil || c.keptFor != (workflow.Resources{}) || !c.takesUrgent() || len(p.assigned[c.view.worker.ID]) > 0 ||
 			!s.step.Resources.Fits(c.view.worker.Capacity) || s.step.OneRack && s.rack != "" && c.view.worker.Rack != s.rack || !c.allows(s) {
 			continue
 		}
--- a/dispatch/moves.go
+++ b/dispatch/moves.go
@@ -99,11 +99,10 @@
 		return
 	}
 	p := e.newCandidateSet()
-	e.reserveForLasting(p)
 	for service, candidates := range p.byService {
-		// What is reserved is for tasks that wait, and the others may not take the task now.
+		// They may not take the task now.
 		p.byService[service] = slices.DeleteFunc(candidates, func(c *candidate) bool {
-			return c.reservedFor != nil || c.silent || c.quarantined
+			return c.silent || c.quarantined
 		})
 	}
 	e.ready.refresh(e.state, e.wallMs)
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -259,6 +259,7 @@
 	e.placeMoved(candidates)
 	e.placeSuspects(candidates)
 	e.reserveForLasting(candidates)
+	e.placeReserved(candidates)
 	e.dropLookAheadsForLasting(candidates)
 	for _, s := range e.ready.sorted {
 		if s.job.Spec.DueMs(s.ref.Occurrence) <= e.wallMs {
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -1,76 +1,250 @@
 package dispatch
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"mangohill.example/mangohill/workflow"
 )
 
+// A lasting task that has waited for a while is owed capacity: it is kept for the task on the
+// worker that has it soonest, whatever short tasks wait. Otherwise these would take all capacity
+// that becomes free, as long as more of them come.
+
 const (
-	// reservationDelay is how long a lasting task waits for room before a worker
-	// is reserved for it. The platform's rules allow three seconds.
+	// reservationDelay is how long a lasting task waits for room before capacity is kept for
+	// it, where it may not yield to urgent ones for longer; see mayYield. The platform's rules
+	// allow a first wait of three seconds.
 	reservationDelay = 1500 * time.Millisecond
-	// reservationFactor is how many times the resources of the task a worker
-	// must have, beside its lasting tasks, to be reserved: the platform's rules
-	// ask for room for the task twice over.
-	reservationFactor = 2
-	// maxReservations bounds the workers reserved in one plan.
-	maxReservations = 64
+	// reservationInterval is the time between two searches for workers: they look at all
+	// attempts of those with room beside lasting tasks.
+	reservationInterval = 50 * time.Millisecond
+	// maxReservationsPerSearch bounds the reservations that a search makes.
+	maxReservationsPerSearch = 32
+	// reservationMargin is how long a reservation is kept after the time when the capacity
+	// was to be whole. Then the worker that has it soonest is searched again.
+	reservationMargin = 500 * time.Millisecond
 )
 
-// roomBesideLasting returns the capacity of a worker that its lasting tasks leave
-// over.
+// lastingReservation keeps capacity of a worker for a lasting task.
+type lastingReservation struct {
+	ref       workflow.TaskRef
+	need      workflow.Resources
+	worker    workflow.WorkerID
+	expiresAt Instant
+}
+
+// lastingReservations holds the capacity that is kept for lasting tasks.
+type lastingReservations struct {
+	// list is in the order in which the reservations were made.
+	list   []*lastingReservation
+	byTask map[workflow.TaskRef]*lastingReservation
+	kept   map[workflow.WorkerID]workflow.Resources
+	// searchedAt is when workers were searched last.
+	searchedAt Instant
+}
+
+func newLastingReservations() lastingReservations {
+	return lastingReservations{byTask: make(map[workflow.TaskRef]*lastingReservation), kept: make(map[workflow.WorkerID]workflow.Resources)}
+}
+
+func (l *lastingReservations) add(r *lastingReservation) {
+	l.list = append(l.list, r)
+	l.byTask[r.ref], l.kept[r.worker] = r, l.kept[r.worker].Add(r.need)
+}
+
+func (l *lastingReservations) remove(r *lastingReservation) {
+	l.list = slices.DeleteFunc(l.list, func(other *lastingReservation) bool { return other == r })
+	delete(l.byTask, r.ref)
+	if l.kept[r.worker] = l.kept[r.worker].Sub(r.need); l.kept[r.worker] == (workflow.Resources{}) {
+		delete(l.kept, r.worker)
+	}
+}
+
+// roomBesideLasting returns the capacity of a worker that its lasting tasks leave over, without
+// those that are being stopped.
 func (e *Engine) roomBesideLasting(v *workerView) workflow.Resources {
 	room := v.worker.Capacity
 	for _, a := range v.attemptList {
-		if step := e.step(a.ref); step != nil && step.Lasting {
+		if step := e.step(a.ref); step != nil && step.Lasting && !a.stopWanted {
 			room = room.Sub(step.Resources)
 		}
 	}
 	return room
 }
 
-// reserveForLasting reserves a worker for each lasting task that has waited for
-// reservationDelay. Otherwise short tasks would take all capacity that becomes
-// free, as long as more of them are waiting.
-func (e *Engine) reserveForLasting(p *candidateSet) {
-	reservations := 0
+// roomBesideLasting is that of the candidate's worker, computed once in a plan.
+func (c *candidate) roomBesideLasting(e *Engine) workflow.Resources {
+	if !c.roomKnown {
+		c.room, c.roomKnown = e.roomBesideLasting(c.view), true
+	}
+	return c.room
+}
+
+// capacityEnds returns when capacity becomes free on the worker, computed once in a plan.
+func (c *candidate) capacityEnds(e *Engine) []capacityEnd {
+	if c.ends == nil {
+		c.ends = e.expectedEnds(c.view)
+	}
+	return c.ends
+}
+
+// owedCapacity reports whether capacity is to be kept for a pending lasting task.
+func (e *Engine) owedCapacity(s *readyStep, ref workflow.TaskRef) bool {
+	w := e.lastingWaits[ref]
+	if w == nil || e.openTasks[ref] > 0 {
+		return false
+	}
+	switch w.cause {
+	case waitsForFirstRun:
+		return e.since(w.since) >= reservationDelay
+	case waitsSinceEarlierTerm:
+		return true // For how long it has waited is not known.
+	}
+	return e.since(w.since) >= reservationDelay && !e.mayYield(s, ref.Index)
+}
+
+// owedTask is a lasting task for which capacity is to be kept, as the only pending one of its step.
+type owedTask struct {
+	step     *readyStep
+	deadline Instant
+}
+
+// owedTasks returns the tasks for which capacity is to be kept and is not yet, those that
+// must run first in front.
+func (e *Engine) owedTasks() []owedTask {
+	var owed []owedTask
 	for _, s := range e.ready.sorted {
-		if !s.step.Lasting || e.wallMs-s.waitingSinceMs < reservationDelay.Milliseconds() {
+		if !s.step.Lasting || !s.job.Active() || s.step.Gang || s.job.Advised || s.job.Spec.DueMs(s.ref.Occurrence) > e.wallMs {
 			continue
 		}
 		for _, i := range s.pending {
-			if e.mayYield(s, i) {
+			ref := s.task(i)
+			if e.reservations.byTask[ref] != nil || !e.owedCapacity(s, ref) {
 				continue
 			}
-			if reservations == maxReservations || !e.reserveWorker(p, s) {
-				break
-			}
-			reservations++
+			w := e.lastingWaits[ref]
+			owed = append(owed, owedTask{s.only(i), w.since.Add(w.bound())})
 		}
 	}
+	slices.SortStableFunc(owed, func(a, b owedTask) int { return cmp.Compare(a.deadline, b.deadline) })
+	return owed
 }
 
-// reserveWorker reserves, of the workers suitable for the step, the one with the
-// most free processors.
-func (e *Engine) reserveWorker(p *candidateSet, s *readyStep) bool {
+// only returns the step with one task as the only pending one.
+func (s *readyStep) only(index uint32) *readyStep {
+	one := *s
+	one.pending, one.yields = []uint32{index}, false
+	return &one
+}
+
+// reserveForLasting keeps capacity for the lasting tasks that are owed it, and drops the
+// reservations that are not needed any more or did not come true.
+func (e *Engine) reserveForLasting(p *candidateSet) {
+	for _, r := range slices.Clone(e.reservations.list) {
+		c := p.find(r.worker)
+		if c != nil && !c.silent && c.view.test == nil && e.now <= r.expiresAt && e.pendingStep(r.ref) != nil && c.keptFor.Fits(c.roomBesideLasting(e)) {
+			continue
+		}
+		e.reservations.remove(r)
+		if c != nil {
+			c.keptFor = c.keptFor.Sub(r.need)
+			c.view.roomGrew()
+		}
+	}
+	if e.since(e.reservations.searchedAt) < reservationInterval {
+		return
+	}
+	e.reservations.searchedAt = e.now
+	var failed []*readyStep
+	made := 0
+	for _, owed := range e.owedTasks() {
+		s := owed.step
+		if made == maxReservationsPerSearch || slices.ContainsFunc(failed, func(f *readyStep) bool {
+			return f.job.Service == s.job.Service && f.step.MaxPerWorker == 0 && (f.step.Label == "" || f.step.Label == s.step.Label) && f.step.Resources.Fits(s.step.Resources)
+		}) {
+			continue
+		}
+		if !e.reserveSoonestForLasting(p, s) {
+			failed = append(failed, s)
+			continue
+		}
+		made++
+	}
+}
+
+// reserveSoonestForLasting keeps capacity on the worker that has it soonest.
+func (e *Engine) reserveSoonestForLasting(p *candidateSet, s *readyStep) bool {
 	need := s.step.Resources
-	extended := workflow.Resources{MilliProcessors: need.MilliProcessors * reservationFactor, MemoryMB: need.MemoryMB * reservationFactor, Accelerators: need.Accelerators * reservationFactor}
 	var best *candidate
+	var bestAt Instant
+	bestScore := int64(0)
 	for _, c := range p.byService[s.job.Service] {
-		if c.reservedFor != nil || !c.allows(s) {
+		if c.silent || c.view.test != nil || !need.Fits(c.roomBesideLasting(e).Sub(c.keptFor)) || !c.allows(s) {
 			continue
 		}
-		if !c.roomBesideLastingKnown {
-			c.roomBesideLasting, c.roomBesideLastingKnown = e.roomBesideLasting(c.view), true
+		at, _, fits := wholeAt(e.now, c.free.Sub(c.keptFor), c.capacityEnds(e), need)
+		if !fits || best != nil && at > bestAt {
+			continue
 		}
-		if extended.Fits(c.roomBesideLasting) && (best == nil || c.free.MilliProcessors > best.free.MilliProcessors) {
-			best = c
+		score := e.score(p, c, s)
+		if best == nil || at < bestAt || score > bestScore {
+			best, bestAt, bestScore = c, at, score
 		}
 	}
 	if best == nil {
 		return false
 	}
-	best.reservedFor = s.job
+	best.keptFor = best.keptFor.Add(need)
+	e.reservations.add(&lastingReservation{ref: s.firstPending(), need: need, worker: best.view.worker.ID, expiresAt: bestAt.Add(reservationMargin)})
 	return true
 }
+
+// placeReserved places the lasting tasks for which the kept capacity is whole.
+func (e *Engine) placeReserved(p *candidateSet) {
+	for _, r := range slices.Clone(e.reservations.list) {
+		c, s := p.find(r.worker), e.pendingStep(r.ref)
+		if c == nil || s == nil || !r.need.Fits(c.free) || e.openTasks[r.ref] > 0 || e.heldAnywhere(r.ref) {
+			continue
+		}
+		kept := c.keptFor
+		c.keptFor = workflow.Resources{}
+		one := s.only(r.ref.Index)
+		placed := e.admits(c, one) && e.place(c, one, r.ref, s.job.LastAttempt(r.ref)+1)
+		c.keptFor = kept
+		if !placed {
+			continue
+		}
+		c.keptFor = kept.Sub(r.need)
+		e.reservations.remove(r)
+		s.pending = slices.DeleteFunc(s.pending, func(i uint32) bool { return i == r.ref.Index })
+		e.ready.markDirty(r.ref.Job)
+	}
+}
+
+// fitsBesideKept reports whether one more task of the step leaves the capacity that is kept for
+// lasting tasks. The processors of scavengers are not reserved.
+func (c *candidate) fitsBesideKept(s *readyStep) bool {
+	if c.keptFor == (workflow.Resources{}) {
+		return true
+	}
+	need, left := s.step.Reserved(), c.free.Sub(c.keptFor)
+	if s.step.Scavenger {
+		left.MilliProcessors = need.MilliProcessors
+	}
+	return need.Fits(left)
+}
+
+// find returns the candidate of a worker, nil if it is none.
+func (p *candidateSet) find(id workflow.WorkerID) *candidate {
+	if p.byID == nil {
+		p.byID = make(map[workflow.WorkerID]*candidate)
+		for _, candidates := range p.byService {
+			for _, c := range candidates {
+				p.byID[c.view.worker.ID] = c
+			}
+		}
+	}
+	return p.byID[id]
+}
--- a/dispatch/scratch.go
+++ b/dispatch/scratch.go
@@ -29,6 +29,7 @@
 		c.urgentPools[service] = &pool
 	}
 	c.lookAhead = e.lookAhead.scratchCopy()
+	c.reservations.list, c.reservations.byTask, c.reservations.kept = slices.Clone(e.reservations.list), maps.Clone(e.reservations.byTask), maps.Clone(e.reservations.kept)
 	c.moves = make(map[workflow.WorkerID][]*move, len(e.moves))
 	for id, moves := range e.moves {
 		c.moves[id] = slices.Clone(moves)
--- a/dispatch/urgent.go
+++ b/dispatch/urgent.go
@@ -234,7 +234,7 @@
 				}
 			}
 		}
-		view.free[i] = c.free.Add(c.stopping)
+		view.free[i] = c.free.Add(c.stopping).Sub(c.keptFor)
 	}
 	view.packed, view.missing = headroom.Pack(view.free, view.gaps)
 	for g := range view.gaps {
