replica: failing tests of transfers that overlap

A command of less than a message (256 KiB) is held, whole, once for each later command while calls to the member fail: the leader returns to the last acknowledged entry and sends one message of all from there, whose last entry is new.

Transfers are numbered from one by each sender.

--- /dev/null
+++ b/replica/overlap_test.go
@@ -0,0 +1,181 @@
+package replica
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"mangohill.example/mangohill/consensus"
+	"mangohill.example/mangohill/kind"
+	"mangohill.example/mangohill/storage"
+)
+
+// takeMessages carries out the core's pending work and returns the messages to a member.
+func takeMessages(core *consensus.Core, to consensus.MemberID) []consensus.Message {
+	var messages []consensus.Message
+	for core.HasReady() {
+		ready := core.Ready()
+		for _, m := range ready.Messages {
+			if m.To == to {
+				messages = append(messages, m)
+			}
+		}
+		core.Advance(ready)
+	}
+	return messages
+}
+
+// leaderOfTwo returns the core of member 1, which leads and replicates to member 2.
+func leaderOfTwo(t *testing.T) *consensus.Core {
+	members := consensus.Membership{Members: []consensus.Member{{ID: 1, Voter: true}, {ID: 2, Voter: true}}}
+	core, err := consensus.New(consensus.Config{ID: 1, Seed: 1}, consensus.Restored{Snapshot: consensus.SnapshotMeta{Index: 1, Term: 1, Membership: members}, HardState: consensus.HardState{Term: 1}})
+	require.NoError(t, err)
+	core.Campaign()
+	for core.Status().Role != consensus.Leader {
+		for _, m := range takeMessages(core, 2) {
+			answer := consensus.Message{Type: m.Type + 1, From: 2, To: 1, Term: m.Term} // The vote is granted.
+			require.NoError(t, core.Step(answer))
+		}
+	}
+	for _, m := range takeMessages(core, 2) {
+		require.NoError(t, core.Step(consensus.Message{Type: consensus.MessageAppendResponse, From: 2, To: 1, Term: m.Term, Index: m.Index + uint64(len(m.Entries))}))
+	}
+	takeMessages(core, 2)
+	return core
+}
+
+// Guards against copies of a large command that pile up behind its transfer: while calls to a
+// member fail, the leader repeats the command together with the ones after it.
+func TestALargeCommandIsNotRepeatedWithLaterOnes(t *testing.T) {
+	const size = 200 << 10
+	core := leaderOfTwo(t)
+	first, term, err := core.Propose([]byte(strings.Repeat("x", size)))
+	require.NoError(t, err)
+	sent := takeMessages(core, 2)
+	require.GreaterOrEqual(t, entryBytes(sent), largeBytes)
+	transfer := new(transfer)
+	transfer.hold(sent)
+	sent, transfer.held = transfer.held, nil
+	last := first
+	for range 10 {
+		core.ReportUnreachable(2)
+		last, _, err = core.Propose([]byte("y"))
+		require.NoError(t, err)
+		for range consensus.DefaultHeartbeatTicks {
+			core.Tick()
+		}
+		for _, m := range transfer.hold(takeMessages(core, 2)) {
+			require.NoError(t, core.Step(consensus.Message{Type: consensus.MessageAppendResponse, From: 2, To: 1, Term: term, Index: first - 1, Round: m.Round}))
+		}
+	}
+	transfer.hold(takeMessages(core, 2))
+	next := first
+	for _, m := range append(sent, transfer.held...) {
+		require.Less(t, m.Index, next, "no entry is missing")
+		assert.Equal(t, term, m.LogTerm)
+		next = max(next, m.Index+1+uint64(len(m.Entries)))
+	}
+	assert.Equal(t, last+1, next, "all entries are sent")
+	assert.Less(t, entryBytes(transfer.held), size, "bytes beside the command")
+}
+
+// callerFunc is a caller without a network.
+type callerFunc func(ctx context.Context, method string, packet *Packet) ([]consensus.Message, error)
+
+func (f callerFunc) Call(ctx context.Context, _, method string, args, reply any) error {
+	answers, err := f(ctx, method, args.(*Packet))
+	if err == nil {
+		reply.(*Packet).B, err = encode(answers)
+	}
+	return err
+}
+
+// startTestSender starts a sender whose answers are discarded.
+func startTestSender(t *testing.T, caller callerFunc) *sender {
+	r := newReplica(Options{Logger: zerolog.Nop(), Tick: DefaultTick, ElectionTicks: DefaultElectionTicks, Caller: caller}, nil)
+	s := r.startSender(storage.Identity{Cluster: 7, Member: 1}, consensus.Member{ID: 9})
+	t.Cleanup(func() {
+		r.cancel()
+		r.group.Wait()
+	})
+	return s
+}
+
+func largeAppend(term, index uint64, letter string) consensus.Message {
+	entry := consensus.Entry{Term: term, Data: []byte(strings.Repeat(letter, 2*largeBytes))}
+	return consensus.Message{Type: consensus.MessageAppend, Term: term, Index: index, LogTerm: 1, Entries: []consensus.Entry{entry}}
+}
+
+// Guards against a leader that commits nothing until a transfer of its earlier term has ended,
+// which the member refuses. Each part takes most of its timeout.
+func TestATransferOfAnEarlierTermDoesNotDelayANewOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		arrived := make(chan time.Time, 100)
+		var timeout time.Duration
+		s := startTestSender(t, func(ctx context.Context, method string, packet *Packet) ([]consensus.Message, error) {
+			if method == partMethod {
+				select {
+				case <-time.After(timeout * 9 / 10):
+				case <-ctx.Done():
+					return nil, ctx.Err()
+				}
+				return nil, nil
+			}
+			var e envelope
+			if err := decode(packet.B, &e); err != nil {
+				return nil, err
+			}
+			if entryBytes(e.Messages) > 0 {
+				assert.Equal(t, uint64(4), e.Messages[0].Term)
+				arrived <- time.Now()
+			}
+			return nil, nil
+		})
+		timeout = s.replica.options.electionTimeout()
+		s.enqueue(largeAppend(2, 5, "x"))
+		synctest.Wait()
+		time.Sleep(timeout / 2)
+		startedAt := time.Now()
+		s.enqueue(consensus.Message{Type: consensus.MessageAppend, Term: 4, Index: 5, LogTerm: 1, Entries: []consensus.Entry{{Term: 4, Data: []byte("y")}}})
+		select {
+		case at := <-arrived:
+			assert.LessOrEqual(t, at.Sub(startedAt), timeout)
+		case <-time.After(time.Minute):
+			t.Error("the entry of the new term was not sent")
+		}
+	})
+}
+
+// Guards against entries that a member stores although no leader proposed them: a sender that
+// starts again, at a new address or after a restart of its process, counts its transfers anew, and
+// a part of the earlier one that is delivered late continues the new one.
+func TestPartsOfTwoSendersAreNotMixed(t *testing.T) {
+	var transfers [2][]*Packet
+	for i, letter := range []string{"x", "y"} {
+		done := make(chan struct{})
+		s := startTestSender(t, func(_ context.Context, method string, packet *Packet) ([]consensus.Message, error) {
+			var p part
+			if err := decode(packet.B, &p); err != nil || method != partMethod {
+				return nil, kind.Errorf(kind.Internal, "%s: %v", method, err)
+			}
+			transfers[i] = append(transfers[i], packet)
+			if p.Offset+int64(len(p.Data)) == p.Size {
+				close(done)
+			}
+			return nil, nil
+		})
+		s.enqueue(largeAppend(2, 5, letter))
+		<-done
+	}
+	receiver := stoppedService()
+	earlier, later := transfers[0], transfers[1]
+	require.NoError(t, receiver.Part(later[0], new(Packet)))
+	assert.Error(t, receiver.Part(earlier[1], new(Packet)))
+	assert.NoError(t, receiver.Part(later[1], new(Packet)))
+}
