replica: transfers of two senders are not mixed

A member collects the parts of a transfer by sender and number, and each sender of a leader numbered its transfers from one. After a restart of the leader's process, or a change of a member's address, a part of the earlier sender that is delivered late continued the new transfer: parts of two envelopes were joined, and the member could have stored an entry that no leader proposed.

The numbers of a sender now start at random, so that a late part is refused.

--- a/replica/large.go
+++ b/replica/large.go
@@ -42,8 +42,8 @@
 	s.transfer.hold(messages)
 	large := s.transfer.held
 	s.transfer.held = nil
-	s.transfers++
-	id := s.transfers
+	s.lastTransfer++
+	id := s.lastTransfer
 	s.replica.group.Add(1)
 	go func() {
 		defer s.replica.group.Done()
--- a/replica/sender.go
+++ b/replica/sender.go
@@ -21,8 +21,9 @@
 	// whether it was delivered.
 	transfer    *transfer
 	transferred chan bool
-	// transfers counts the transfers to this member.
-	transfers uint64
+	// lastTransfer is the number of the last transfer to this member. It starts at random, so that
+	// no late part of an earlier sender continues a transfer of this one.
+	lastTransfer uint64
 	// reachable is false after a failed call. Only changes are logged.
 	reachable atomic.Bool
 }
@@ -36,7 +37,8 @@
 		outbound: make(chan consensus.Message, outboundCapacity),
 		cancel:   cancel,
 
-		transferred: make(chan bool, 1),
+		transferred:  make(chan bool, 1),
+		lastTransfer: randomID(),
 	}
 	s.reachable.Store(true)
 	r.group.Add(1)
