dispatch: preempt no lasting task that cannot come back

Where a fleet has no room for all lasting tasks, the pool for urgent work preempted at its full rate all the same: its room was owed to a lasting task that waited, so the pool gained nothing, preempted the next, and what yielded waited behind the others.

The pool now packs the lasting tasks that wait, and those that it has preempted, into the room beside the other lasting tasks, so that a fleet that has shrunk is counted before anything is preempted. While more find none than may be preempted in a second, it preempts no task whose room would be owed to them. Up to that number they find room by turns within a second, and leave the pool most of what yields. All of it is derived from the state and the polls: a new leader knows it. `preemptions withheld` and `LastingUnplaced` tell an operator.

--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -121,7 +121,10 @@
 	// waited, Overdue those that wait beyond their bound; all are current values.
 	LastingWaiting, LastingReserved int
 	LongestWaitMs                   int64
-	Overdue                         OverdueTasks
+	// LastingUnplaced is the number of lasting tasks for which the fleet has no room beside the
+	// others, by the latest decision on preemptions.
+	LastingUnplaced int
+	Overdue         OverdueTasks
 }
 
 // New returns the engine of a leader that takes over at now. It starts from the
@@ -187,6 +190,7 @@
 	for _, p := range e.urgentPools {
 		c.HeadroomTargetMilliProcessors += p.targetMilliProcessors
 		c.HeadroomHeldMilliProcessors += p.heldMilliProcessors
+		c.LastingUnplaced += p.unplaced
 	}
 	return c
 }
--- a/dispatch/returns_test.go
+++ b/dispatch/returns_test.go
@@ -186,3 +186,21 @@
 		})
 	}
 }
+
+// Guards against preemptions in a fleet that has no room for all lasting tasks: what yields goes on
+// waiting behind others, and its room is owed to these.
+func TestNoLastingTaskYieldsThatCannotComeBack(t *testing.T) {
+	t.Parallel()
+	for seed := uint64(1); seed <= returnSeeds(); seed++ {
+		r := watchReturns(newUrgentLoad(newSim(t, seed)))
+		r.fillWithLasting(0.8)
+		r.run(2 * time.Second)
+		r.arrivals(0, 40*time.Second, 15, r.submitQuick)
+		r.run(10 * time.Second)
+		r.fillWithLasting(1.2)
+		r.run(25 * time.Second)
+		t.Logf("seed %d: %d returns, the longest after %v; %v", seed, r.returns, r.longest, r.result(14_000_000_000, 40_000_000_000))
+		assert.LessOrEqual(t, r.longest, 9*time.Second, "seed %d", seed)
+		require.Empty(t, r.violations)
+	}
+}
--- a/dispatch/urgent.go
+++ b/dispatch/urgent.go
@@ -63,6 +63,10 @@
 	evaluatedAt Instant
 	// preemptedAt holds when tasks were preempted in the last preemptionPeriod, oldest first.
 	preemptedAt []Instant
+	// unplaced is the number of lasting tasks that wait and for which the fleet has no room.
+	// withheld is set while no task is preempted whose room would be owed to them.
+	unplaced int
+	withheld bool
 	// widths are those in demand.
 	widths []headroom.Width
 	// assigned is the room that is assigned to urgent tasks that wait, by worker.
@@ -192,6 +196,7 @@
 // poolView is the pool's view of the workers in one plan: the gaps that are wanted, and where
 // they are.
 type poolView struct {
+	service    string
 	candidates []*candidate
 	// waiting are the steps whose tasks wait; the gap with Key i+1 is for waiting[i], those
 	// with Key 0 are for tasks to come.
@@ -207,7 +212,7 @@
 // viewPool assigns the gaps of a pool to workers.
 func (e *Engine) viewPool(set *candidateSet, service string) *poolView {
 	p := e.urgentPools[service]
-	view := &poolView{candidates: set.byService[service]}
+	view := &poolView{service: service, candidates: set.byService[service]}
 	waitingMilliProcessors := int64(0)
 	for _, s := range e.ready.sorted {
 		if s.job.Service != service || !e.waitsForRoom(p, s) {
@@ -404,6 +409,7 @@
 			p.evaluatedAt = e.now
 		case p.assigned != nil || p.targetMilliProcessors != 0:
 			p.assigned, p.targetMilliProcessors, p.heldMilliProcessors = nil, 0, 0
+			p.unplaced, p.withheld = 0, false
 			e.log.Info().Str("service", service).Uint64("term", e.term).Msg("headroom released")
 		}
 	}
@@ -415,7 +421,7 @@
 	p.preemptedAt = slices.DeleteFunc(p.preemptedAt, func(at Instant) bool { return e.since(at) >= preemptionPeriod })
 	limit := max(len(view.candidates)/workersPerPreemption, minPreemptions)
 	if view.isMissing() && len(p.preemptedAt) < limit && e.since(e.tookOverAt) >= moveWarmUp {
-		victims, attempts := e.preemptible(view, p)
+		victims, attempts := e.preemptible(view, p, limit)
 		allowed := e.preemptionCheck(attempts)
 		forWaiting, forOthers := view.splitMissing()
 		for _, missing := range [][]int{forWaiting, forOthers} {
@@ -471,10 +477,20 @@
 )
 
 // preemptible returns the lasting tasks on each candidate that may be preempted, the largest
-// first, and their attempts by Key.
-func (e *Engine) preemptible(view *poolView, p *urgentPool) ([][]headroom.Victim, []runningAttempt) {
+// first, and their attempts by Key. While more lasting tasks find no room than may be preempted in
+// a preemptionPeriod, those are left out whose room would be owed to them.
+func (e *Engine) preemptible(view *poolView, p *urgentPool, limit int) ([][]headroom.Victim, []runningAttempt) {
 	victims := make([][]headroom.Victim, len(view.candidates))
 	var attempts []runningAttempt
+	unplaced, count, room := e.unplacedLasting(view)
+	withheld := count > limit
+	if !withheld {
+		unplaced = nil // They find room by turns, and leave the pool most of what yields.
+	}
+	if withheld != p.withheld {
+		e.log.Info().Str("service", view.service).Bool("withheld", withheld).Int("unplaced", count).Int("limit", limit).Uint64("term", e.term).Msg("preemptions withheld")
+	}
+	p.withheld, p.unplaced = withheld, count
 	for i, c := range view.candidates {
 		if !c.takesUrgent() {
 			continue
@@ -490,6 +506,10 @@
 			if a.number > 1 && e.since(a.runningSince) < preemptionPause {
 				continue
 			}
+			// Its room would be owed to a lasting task that waits, and be none for urgent ones.
+			if owed := room[i].Add(job.Spec.Steps[a.ref.Step].Resources); slices.ContainsFunc(unplaced, func(need workflow.Resources) bool { return need.Fits(owed) }) {
+				continue
+			}
 			cost := headroom.Cost{Rank: operational, Recency: int64(last.at)}
 			switch {
 			case a.percent < fullShare:
@@ -562,6 +582,45 @@
 	}
 }
 
+// unplacedLasting returns what the lasting tasks need that wait, or have been preempted, and for
+// which the workers have no room beside the other lasting tasks; and the room that is left on each
+// candidate. A fleet that has shrunk has no room for all of them.
+func (e *Engine) unplacedLasting(view *poolView) (unplaced []workflow.Resources, count int, room []workflow.Resources) {
+	room = make([]workflow.Resources, len(view.candidates))
+	var gaps []headroom.Gap
+	for i, c := range view.candidates {
+		room[i] = c.roomBesideLasting(e).Sub(c.keptFor)
+		for _, a := range c.view.attemptList {
+			if a.stopWanted && a.stopCause == waitsAfterPreemption {
+				gaps = append(gaps, headroom.Gap{Need: e.step(a.ref).Resources, Count: 1})
+			}
+		}
+	}
+	for _, s := range e.ready.sorted {
+		if !s.step.Lasting || s.job.Service != view.service || !s.job.Active() || s.step.Label != "" || s.step.MaxPerWorker != 0 || s.job.Spec.DueMs(s.ref.Occurrence) > e.wallMs {
+			continue
+		}
+		waiting := 0
+		for _, i := range s.pending {
+			if e.reservations.byTask[s.task(i)] == nil {
+				waiting++
+			}
+		}
+		if waiting > 0 {
+			gaps = append(gaps, headroom.Gap{Need: s.step.Resources, Count: waiting})
+		}
+	}
+	headroom.SortGaps(gaps)
+	_, missing := headroom.Pack(room, gaps)
+	for g, n := range missing {
+		count += n
+		if n > 0 && !slices.ContainsFunc(unplaced, func(need workflow.Resources) bool { return need.Fits(gaps[g].Need) }) {
+			unplaced = append(unplaced, gaps[g].Need)
+		}
+	}
+	return unplaced, count, room
+}
+
 // preempt stops a lasting task for urgent ones, if that is still allowed beside those that were
 // stopped before.
 func (e *Engine) preempt(p *urgentPool, r runningAttempt, gap *headroom.Gap) {
