replica: entries on their way are left out of longer messages

After a failed call to a member, the leader returns to the last acknowledged entry and sends what follows in messages of up to 256 KiB. While a large command is in transfer, a message was left out if all its entries were on their way, but held whole if a later one followed in it: behind a transfer of 200 KiB, ten failed heartbeats with a small command each left ten copies of it, 2 MB, to be sent next over the link that was too slow for the heartbeats.

A transfer now knows where its entries begin and end, and only what is beyond is held. Entries from before its begin, which a member may lack, are still held whole. A batch that starts a transfer is divided once: divided twice, messages of two terms or with a gap were held and transferred as well.

TestALargeCommandIsNotRepeatedWithLaterOnes failed before: "2048055" is not less than "204800".

--- a/replica/large.go
+++ b/replica/large.go
@@ -20,8 +20,8 @@
 
 // transfer is the transmission of large entries to a member.
 type transfer struct {
-	// term is the term of the entries, last the index of the last one that is transferred or held.
-	term, last uint64
+	// term is the term of the entries. Those after first, up to last, are transferred or held.
+	term, first, last uint64
 	// held are the messages with entries that follow.
 	held []consensus.Message
 }
@@ -36,10 +36,10 @@
 	return n
 }
 
-// startTransfer sends the messages with entries in parts.
-func (s *sender) startTransfer(ctx context.Context, messages []consensus.Message) {
+// startTransfer sends the messages with entries in parts, and returns those that are sent beside them.
+func (s *sender) startTransfer(ctx context.Context, messages []consensus.Message) []consensus.Message {
 	s.transfer = new(transfer)
-	s.transfer.hold(messages)
+	others := s.transfer.hold(messages)
 	large := s.transfer.held
 	s.transfer.held = nil
 	s.lastTransfer++
@@ -51,6 +51,7 @@
 		s.deliverAnswers(answers, err)
 		s.transferred <- err == nil
 	}()
+	return others
 }
 
 // hold keeps the messages with entries until the transfer has ended, and returns those that are
@@ -66,12 +67,15 @@
 			continue
 		}
 		heartbeat = &consensus.Message{Type: m.Type, From: m.From, To: m.To, Term: m.Term, Round: m.Round}
-		last := m.Index + uint64(len(m.Entries))
-		if len(m.Entries) == 0 || m.Term == t.term && last <= t.last || len(t.held) >= outboundCapacity {
+		rest := t.leaveOut(*m)
+		if len(rest.Entries) == 0 || len(t.held) >= outboundCapacity {
 			continue
 		}
-		t.term, t.last = m.Term, last
-		t.held = append(t.held, *m)
+		if rest.Term != t.term || rest.Index != t.last {
+			t.term, t.first = rest.Term, rest.Index
+		}
+		t.last = rest.Index + uint64(len(rest.Entries))
+		t.held = append(t.held, rest)
 	}
 	if heartbeat != nil {
 		others = append(others, *heartbeat)
@@ -79,6 +83,19 @@
 	return others
 }
 
+// leaveOut returns m without the entries that are transferred or held already.
+func (t *transfer) leaveOut(m consensus.Message) consensus.Message {
+	if m.Term != t.term || m.Index < t.first || m.Index >= t.last {
+		return m
+	}
+	n := min(t.last-m.Index, uint64(len(m.Entries)))
+	if n > 0 {
+		m.LogTerm = m.Entries[n-1].Term
+		m.Index, m.Entries = m.Index+n, m.Entries[n:]
+	}
+	return m
+}
+
 // part is a part of an encoded envelope.
 type part struct {
 	_       struct{} `cbor:",toarray"`
--- a/replica/sender.go
+++ b/replica/sender.go
@@ -74,11 +74,11 @@
 
 // sendMessages sends messages in one call, without those that belong to a transfer.
 func (s *sender) sendMessages(ctx context.Context, messages []consensus.Message) {
-	if s.transfer == nil && entryBytes(messages) >= largeBytes {
-		s.startTransfer(ctx, messages)
-	}
-	if s.transfer != nil {
+	switch {
+	case s.transfer != nil:
 		messages = s.transfer.hold(messages)
+	case entryBytes(messages) >= largeBytes:
+		messages = s.startTransfer(ctx, messages)
 	}
 	if len(messages) > 0 {
 		s.sendBatch(ctx, messages)
