replica: a transfer of an earlier term is cancelled

A leader that loses its term while it transfers a large command, and is elected again, held the first entry of its new term until the transfer had ended, which the member then refused: up to one election timeout for each part of 32 KiB, without a commit.

The first append of a later term now cancels the transfer and drops what is held of earlier terms; what follows is sent as soon as its call has returned. A transfer that was cancelled, also since its member was removed, is not reported as a failed call.

TestATransferOfAnEarlierTermDoesNotDelayANewOne failed before: "4s" is not less than or equal to "1s".

--- a/replica/large.go
+++ b/replica/large.go
@@ -20,10 +20,13 @@
 
 // transfer is the transmission of large entries to a member.
 type transfer struct {
-	// term is the term of the entries. Those after first, up to last, are transferred or held.
+	// term is the newest term of the messages. Its entries after first, up to last, are transferred or held.
 	term, first, last uint64
 	// held are the messages with entries that follow.
 	held []consensus.Message
+	// outdated is set once the sender leads in a later term than that of the entries in transfer.
+	outdated bool
+	cancel   context.CancelFunc
 }
 
 func entryBytes(messages []consensus.Message) int {
@@ -44,11 +47,16 @@
 	s.transfer.held = nil
 	s.lastTransfer++
 	id := s.lastTransfer
+	ctx, s.transfer.cancel = context.WithCancel(ctx)
+	cancel := s.transfer.cancel
 	s.replica.group.Add(1)
 	go func() {
 		defer s.replica.group.Done()
+		defer cancel()
 		answers, err := s.sendParts(ctx, id, large)
-		s.deliverAnswers(answers, err)
+		if ctx.Err() == nil {
+			s.deliverAnswers(answers, err)
+		}
 		s.transferred <- err == nil
 	}()
 	return others
@@ -67,12 +75,15 @@
 			continue
 		}
 		heartbeat = &consensus.Message{Type: m.Type, From: m.From, To: m.To, Term: m.Term, Round: m.Round}
+		if m.Term > t.term {
+			t.startTerm(m.Term)
+		}
 		rest := t.leaveOut(*m)
 		if len(rest.Entries) == 0 || len(t.held) >= outboundCapacity {
 			continue
 		}
-		if rest.Term != t.term || rest.Index != t.last {
-			t.term, t.first = rest.Term, rest.Index
+		if rest.Index != t.last {
+			t.first = rest.Index
 		}
 		t.last = rest.Index + uint64(len(rest.Entries))
 		t.held = append(t.held, rest)
@@ -83,9 +94,18 @@
 	return others
 }
 
+// startTerm drops the entries of earlier terms, which members refuse in this one.
+func (t *transfer) startTerm(term uint64) {
+	t.term, t.first, t.last, t.held = term, 0, 0, nil
+	if t.cancel != nil {
+		t.outdated = true
+		t.cancel()
+	}
+}
+
 // leaveOut returns m without the entries that are transferred or held already.
 func (t *transfer) leaveOut(m consensus.Message) consensus.Message {
-	if m.Term != t.term || m.Index < t.first || m.Index >= t.last {
+	if m.Index < t.first || m.Index >= t.last {
 		return m
 	}
 	n := min(t.last-m.Index, uint64(len(m.Entries)))
--- a/replica/sender.go
+++ b/replica/sender.go
@@ -61,10 +61,10 @@
 		case m := <-s.outbound:
 			s.sendMessages(ctx, s.collectMessages(m))
 		case delivered := <-s.transferred:
-			held := s.transfer.held
+			ended := s.transfer
 			s.transfer = nil
-			if delivered && len(held) > 0 {
-				s.sendMessages(ctx, held)
+			if (delivered || ended.outdated) && len(ended.held) > 0 {
+				s.sendMessages(ctx, ended.held)
 			}
 		case <-ctx.Done():
 			return
