replica: a failing test of commands of just two parts

Entries of 64 KiB and more in a call are sent in parts of 32 KiB beside the heartbeats, each with an election timeout of its own. Found by review.

Four members on one link on which a part to each takes 0.4 election timeouts, virtual time, no network: the test fails, "a call was given up".

--- a/replica/overlap_test.go
+++ b/replica/overlap_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -179,3 +180,48 @@
 	assert.Error(t, receiver.Part(earlier[1], new(Packet)))
 	assert.NoError(t, receiver.Part(later[1], new(Packet)))
 }
+
+// Guards against a leader that loses its quorum to a command of 60 KiB: heartbeats wait
+// for its call, which is given up and repeated. A part to each of four members takes 0.4 election
+// timeouts on the link that they share, and a call is given up after 0.5.
+func TestACommandOfTwoPartsDelaysNoHeartbeat(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		timeout := DefaultTick * DefaultElectionTicks
+		perByte := timeout * 4 / 10 / (4 * partBytes)
+		freeAt := time.Now()
+		var mu sync.Mutex
+		carry := func(ctx context.Context, _ string, packet *Packet) ([]consensus.Message, error) {
+			mu.Lock()
+			if now := time.Now(); freeAt.Before(now) {
+				freeAt = now
+			}
+			freeAt = freeAt.Add(time.Duration(len(packet.B)) * perByte)
+			wait := time.Until(freeAt)
+			mu.Unlock()
+			select {
+			case <-time.After(wait):
+				return nil, nil
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			}
+		}
+		var senders []*sender
+		for range 4 {
+			senders = append(senders, startTestSender(t, carry))
+		}
+		command := consensus.Message{Type: consensus.MessageAppend, Term: 2, Index: 5, Entries: []consensus.Entry{{Term: 2, Data: make([]byte, 60<<10)}}}
+		heartbeat := consensus.Message{Type: consensus.MessageAppend, Term: 2, Index: 6}
+		for _, s := range senders {
+			s.enqueue(command)
+		}
+		for range 8 {
+			time.Sleep(DefaultTick * DefaultHeartbeatTicks)
+			for _, s := range senders {
+				s.enqueue(heartbeat)
+			}
+			for _, s := range senders {
+				assert.True(t, s.reachable.Load(), "a call was given up")
+			}
+		}
+	})
+}
