replica: commands of two parts and more are transferred

A call with entries of up to 64 KiB was sent with the heartbeats and given up after half an election timeout, although larger ones have an election timeout for each part of 32 KiB: a link that carried a command of 340 KiB could fail at one of 60 KiB, which was repeated whole. Entries of 32 KiB and more in a call are transferred now, so that a heartbeat waits for 32 KiB to each member at most, as the comment says.

TestACommandOfTwoPartsDelaysNoHeartbeat failed before: "a call was given up". go test -race ./replica passes, and the six removals for transfers are detected. What the additional round trip costs calls of 32 to 64 KiB was not measured.

--- a/replica/large.go
+++ b/replica/large.go
@@ -12,7 +12,7 @@
 const (
 	// largeBytes is the size of the entries of a call, in bytes, from which on they are sent in
 	// parts of partBytes. A heartbeat waits for one part to each member at most.
-	largeBytes = 64 << 10
+	largeBytes = partBytes
 	partBytes  = 32 << 10
 	// maxMessageBytes limits the size of the messages that a peer may send in parts.
 	maxMessageBytes = 64 << 20
