--- a/replica/large.go
+++ b/replica/large.go
@@ -12,7 +12,7 @@
 const (
 	// largeBytes is the size of the entries of a call, in bytes, from which on they are sent in
 	// parts of partBytes. A heartbeat waits for one part to each member at most.
-	largeBytes = 64 << 10
+	largeBytes = partBytes
 	partBytes  = 32 << 10
 	// maxMessageBytes limits the size of the messages that a peer may send in parts.
 	maxMessageBytes = 64 << 20
@@ -20,10 +20,13 @@
 
 // transfer is the transmission of large entries to a member.
 type transfer struct {
-	// term is the term of the entries, last the index of the last one that is transferred or held.
-	term, last uint64
+	// term is the newest term of the messages. Its entries after first, up to last, are transferred or held.
+	term, first, last uint64
 	// held are the messages with entries that follow.
 	held []consensus.Message
+	// outdated is set once the sender leads in a later term than that of the entries in transfer.
+	outdated bool
+	cancel   context.CancelFunc
 }
 
 func entryBytes(messages []consensus.Message) int {
@@ -36,21 +39,27 @@
 	return n
 }
 
-// startTransfer sends the messages with entries in parts.
-func (s *sender) startTransfer(ctx context.Context, messages []consensus.Message) {
+// startTransfer sends the messages with entries in parts, and returns those that are sent beside them.
+func (s *sender) startTransfer(ctx context.Context, messages []consensus.Message) []consensus.Message {
 	s.transfer = new(transfer)
-	s.transfer.hold(messages)
+	others := s.transfer.hold(messages)
 	large := s.transfer.held
 	s.transfer.held = nil
 	s.lastTransfer++
 	id := s.lastTransfer
+	ctx, s.transfer.cancel = context.WithCancel(ctx)
+	cancel := s.transfer.cancel
 	s.replica.group.Add(1)
 	go func() {
 		defer s.replica.group.Done()
+		defer cancel()
 		answers, err := s.sendParts(ctx, id, large)
-		s.deliverAnswers(answers, err)
+		if ctx.Err() == nil {
+			s.deliverAnswers(answers, err)
+		}
 		s.transferred <- err == nil
 	}()
+	return others
 }
 
 // hold keeps the messages with entries until the transfer has ended, and returns those that are
@@ -66,12 +75,18 @@
 			continue
 		}
 		heartbeat = &consensus.Message{Type: m.Type, From: m.From, To: m.To, Term: m.Term, Round: m.Round}
-		last := m.Index + uint64(len(m.Entries))
-		if len(m.Entries) == 0 || m.Term == t.term && last <= t.last || len(t.held) >= outboundCapacity {
+		if m.Term > t.term {
+			t.startTerm(m.Term)
+		}
+		rest := t.leaveOut(*m)
+		if len(rest.Entries) == 0 || len(t.held) >= outboundCapacity {
 			continue
 		}
-		t.term, t.last = m.Term, last
-		t.held = append(t.held, *m)
+		if rest.Index != t.last {
+			t.first = rest.Index
+		}
+		t.last = rest.Index + uint64(len(rest.Entries))
+		t.held = append(t.held, rest)
 	}
 	if heartbeat != nil {
 		others = append(others, *heartbeat)
@@ -79,6 +94,28 @@
 	return others
 }
 
+// startTerm drops the entries of earlier terms, which members refuse in this one.
+func (t *transfer) startTerm(term uint64) {
+	t.term, t.first, t.last, t.held = term, 0, 0, nil
+	if t.cancel != nil {
+		t.outdated = true
+		t.cancel()
+	}
+}
+
+// leaveOut returns m without the entries that are transferred or held already.
+func (t *transfer) leaveOut(m consensus.Message) consensus.Message {
+	if m.Index < t.first || m.Index >= t.last {
+		return m
+	}
+	n := min(t.last-m.Index, uint64(len(m.Entries)))
+	if n > 0 {
+		m.LogTerm = m.Entries[n-1].Term
+		m.Index, m.Entries = m.Index+n, m.Entries[n:]
+	}
+	return m
+}
+
 // part is a part of an encoded envelope.
 type part struct {
 	_       struct{} `cbor:",toarray"`
