--- a/dispatch/returns_test.go
+++ b/dispatch/returns_test.go
@@ -71,6 +71,9 @@
 			if len(runs) > 0 {
 				r.lastOn[ref] = runs[0].worker
 			}
+			if r.endedAt[ref] != 0 && r.placedOutOfReach(ref) {
+				r.endedAt[ref] = r.now // Placed in time; nobody knows whether it runs before its lease ends.
+			}
 			ended := r.endedAt[ref]
 			if ended != 0 {
 				r.longest = max(r.longest, r.now.Sub(ended))
@@ -87,6 +90,14 @@
 	}
 }
 
+// placedOutOfReach reports whether an attempt of a task is recorded on a worker that is cut off.
+func (r *lastingReturns) placedOutOfReach(ref workflow.TaskRef) bool {
+	return slices.ContainsFunc(r.engine.sortedViews, func(v *workerView) bool {
+		w := r.workers[v.worker.Address]
+		return w != nil && w.partitioned && v.attempts[ref] != nil
+	})
+}
+
 // lost returns the workers of a failure domain, an eighth of all.
 func (r *lastingReturns) lost() []*simWorker {
 	var workers []*simWorker
