dispatch: shares by size do not depend on the order of a map

Their sums of fractions were taken in the order of a map, so that a share at its bound could fall on either side. A new leader records the jobs that it finds in order, too.

--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -131,8 +131,8 @@
 	e.adoptEvacuations()
 	e.inheritOpenStarts()
 	e.ready.reset()
-	for id, job := range state.Jobs() {
-		e.ready.recordWork(job)
+	for _, id := range slices.Sorted(maps.Keys(state.Jobs())) {
+		e.ready.recordWork(state.Job(id))
 		e.ready.markDirty(id)
 	}
 	return e
--- a/dispatch/sizes.go
+++ b/dispatch/sizes.go
@@ -99,9 +99,13 @@
 	case j.preferred:
 		return 1
 	}
-	return 1 - float64(openTasks)/float64(j.tasks)
+	return math.Floor(doneParts*(1-float64(openTasks)/float64(j.tasks))) / doneParts
 }
 
+// doneParts is the number of parts of a job that are told apart. Sums of such parts do not depend
+// on their order.
+const doneParts = 1 << 10
+
 // servedCount counts the jobs of a size and those that were served of them.
 type servedCount struct{ jobs, served float64 }
 
@@ -168,20 +172,23 @@
 	kept := math.Exp(-float64(max(nowMs-s.countedMs, 0)) / float64(servedWindow.Milliseconds()))
 	s.countedMs = nowMs
 	counts := make(map[string]*servedCounts)
+	for queue := range s.ended {
+		counts[queue] = new(servedCounts)
+	}
+	for id, job := range s.jobs {
+		if recorded := state.Job(id); recorded != nil {
+			counts[job.queue].add(s.classOf(job), 1, job.servedPart(recorded.OpenTasks))
+		}
+	}
 	for queue, ended := range s.ended {
-		for class := range ended.bySize {
+		for class := range sizeClasses {
 			ended.bySize[class].jobs *= kept
 			ended.bySize[class].served *= kept
+			counts[queue].bySize[class].add(ended.bySize[class].jobs, ended.bySize[class].served)
 		}
 		ended.all.jobs *= kept
 		ended.all.served *= kept
-		c := *ended
-		counts[queue] = &c
-	}
-	for id, job := range s.jobs {
-		if recorded := state.Job(id); recorded != nil {
-			counts[job.queue].add(s.classOf(job), 1, job.servedPart(recorded.OpenTasks))
-		}
+		counts[queue].all.add(ended.all.jobs, ended.all.served)
 	}
 	return counts
 }
