coordinator: tell how long other goroutines take between rounds

A leader that is behind shows half of its second as busy, and plans at a quarter of it, just what the pause after each plan allows. That looked like a cap which leaves the processor unused; the log could not tell.

--- a/coordinator/lag.go
+++ b/coordinator/lag.go
@@ -49,9 +49,11 @@
 	// calls and answers are the numbers that waited for the loop, orders that of those that
 	// were not begun.
 	calls, answers, orders int
-	// busy is the sum of the time that each duty took, rounds the number of rounds.
-	busy   [dutyCount]time.Duration
-	rounds int
+	// busy is the sum of the time that each duty took, yielded that of the time that other
+	// goroutines took between rounds, rounds the number of rounds.
+	busy    [dutyCount]time.Duration
+	yielded time.Duration
+	rounds  int
 }
 
 // worst returns the largest of the delays.
@@ -88,7 +90,7 @@
 	if g.worst() >= behindAfter {
 		event := log.Info().Dur("tick", g.tick).Dur("call_wait", g.callWait).Dur("round", g.round).Dur("plan", g.plan).Dur("commit", g.commit).
 			Dur("send_wait", g.sendWait).Dur("prompt_send_wait", g.promptSendWait).Dur("answer_wait", g.answerWait).
-			Int("calls", g.calls).Int("answers", g.answers).Int("orders", g.orders).Int("rounds", g.rounds)
+			Int("calls", g.calls).Int("answers", g.answers).Int("orders", g.orders).Int("rounds", g.rounds).Dur("yielded", g.yielded)
 		busy := zerolog.Dict()
 		for d, name := range dutyNames {
 			busy.Dur(name, g.busy[d])
--- a/coordinator/loop.go
+++ b/coordinator/loop.go
@@ -85,7 +85,9 @@
 		l.lag.rounds++
 		l.lag.round = max(l.lag.round, l.clock.at.Sub(startedAt))
 		// Senders and the log would otherwise wait until no event is left.
+		yieldedAt := time.Now()
 		runtime.Gosched()
+		l.lag.yielded += time.Since(yieldedAt)
 	}
 }
 
