replica: a test of large commands beside a member of an older version

The sender falls back to the whole message if the member does not know transfers, which it tells by the text of net/rpc's error; no test covered it.

--- a/replica/overlap_test.go
+++ b/replica/overlap_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"net/rpc"
 	"strings"
 	"sync"
 	"testing"
@@ -13,7 +15,9 @@
 	"github.com/stretchr/testify/require"
 
 	"mangohill.example/mangohill/consensus"
+	"mangohill.example/mangohill/controlapi"
 	"mangohill.example/mangohill/kind"
+	"mangohill.example/mangohill/rpcclient"
 	"mangohill.example/mangohill/storage"
 )
 
@@ -98,7 +102,7 @@
 }
 
 // startTestSender starts a sender whose answers are discarded.
-func startTestSender(t *testing.T, caller callerFunc) *sender {
+func startTestSender(t *testing.T, caller controlapi.Caller) *sender {
 	r := newReplica(Options{Logger: zerolog.Nop(), Tick: DefaultTick, ElectionTicks: DefaultElectionTicks, Caller: caller}, nil)
 	s := r.startSender(storage.Identity{Cluster: 7, Member: 1}, consensus.Member{ID: 9})
 	t.Cleanup(func() {
@@ -119,7 +123,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		arrived := make(chan time.Time, 100)
 		var timeout time.Duration
-		s := startTestSender(t, func(ctx context.Context, method string, packet *Packet) ([]consensus.Message, error) {
+		s := startTestSender(t, callerFunc(func(ctx context.Context, method string, packet *Packet) ([]consensus.Message, error) {
 			if method == partMethod {
 				select {
 				case <-time.After(timeout * 9 / 10):
@@ -137,7 +141,7 @@
 				arrived <- time.Now()
 			}
 			return nil, nil
-		})
+		}))
 		timeout = s.replica.options.electionTimeout()
 		s.enqueue(largeAppend(2, 5, "x"))
 		synctest.Wait()
@@ -160,7 +164,7 @@
 	var transfers [2][]*Packet
 	for i, letter := range []string{"x", "y"} {
 		done := make(chan struct{})
-		s := startTestSender(t, func(_ context.Context, method string, packet *Packet) ([]consensus.Message, error) {
+		s := startTestSender(t, callerFunc(func(_ context.Context, method string, packet *Packet) ([]consensus.Message, error) {
 			var p part
 			if err := decode(packet.B, &p); err != nil || method != partMethod {
 				return nil, kind.Errorf(kind.Internal, "%s: %v", method, err)
@@ -170,7 +174,7 @@
 				close(done)
 			}
 			return nil, nil
-		})
+		}))
 		s.enqueue(largeAppend(2, 5, letter))
 		<-done
 	}
@@ -207,7 +211,7 @@
 		}
 		var senders []*sender
 		for range 4 {
-			senders = append(senders, startTestSender(t, carry))
+			senders = append(senders, startTestSender(t, callerFunc(carry)))
 		}
 		command := consensus.Message{Type: consensus.MessageAppend, Term: 2, Index: 5, Entries: []consensus.Entry{{Term: 2, Data: make([]byte, 60<<10)}}}
 		heartbeat := consensus.Message{Type: consensus.MessageAppend, Term: 2, Index: 6}
@@ -225,3 +229,44 @@
 		}
 	})
 }
+
+// olderService is the service of a member of a version without transfers.
+type olderService struct{ received chan int }
+
+func (o olderService) Step(args *Packet, reply *Packet) error {
+	var e envelope
+	if err := decode(args.B, &e); err != nil {
+		return err
+	}
+	o.received <- entryBytes(e.Messages)
+	var err error
+	reply.B, err = encode([]consensus.Message{})
+	return err
+}
+
+// Guards against a roll-out that stops at the first large command: a member of an older version
+// does not know transfers.
+func TestAMemberOfAnOlderVersionGetsLargeCommands(t *testing.T) {
+	server := rpc.NewServer()
+	older := olderService{make(chan int, 10)}
+	require.NoError(t, server.RegisterName(serviceName, older))
+	client := rpcclient.New(rpcclient.Options{Dial: func(context.Context, string) (net.Conn, error) {
+		local, remote := net.Pipe()
+		go server.ServeConn(remote)
+		return local, nil
+	}})
+	t.Cleanup(client.Close)
+	s := startTestSender(t, client)
+	s.enqueue(largeAppend(2, 5, "x"))
+	for {
+		select {
+		case n := <-older.received:
+			if n > 0 {
+				assert.Equal(t, 2*largeBytes, n)
+				return
+			}
+		case <-time.After(eventTimeout):
+			t.Fatal("the command does not arrive")
+		}
+	}
+}
