replica: a failing test of transfers with lost calls

One lost call ended a transfer, and the next began with the first part: on a link with interruptions, a large command that takes longer than the time between two of them never arrived, although heartbeats did, so that a leader could lead on without a commit. A single call of the former code had one chance to be lost, a transfer has one for each part. Found by review.

The test, in virtual time and without a network, loses every fourth call: "[]" should have 1 item(s), but has 0.

--- a/replica/overlap_test.go
+++ b/replica/overlap_test.go
@@ -270,3 +270,48 @@
 		}
 	}
 }
+
+// Guards against a large command that never arrives on a link with interruptions: a transfer that
+// begins again after each lost call makes no progress. Every fourth call is lost, request and reply
+// in turn.
+func TestATransferContinuesAfterALostCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		receiver := &service{replica: newReplica(Options{Logger: zerolog.Nop()}, nil)}
+		defer receiver.replica.cancel()
+		receiver.replica.identity.Store(&storage.Identity{Cluster: 7, Member: 9})
+		calls := 0
+		s := startTestSender(t, callerFunc(func(ctx context.Context, method string, packet *Packet) ([]consensus.Message, error) {
+			if method != partMethod {
+				return nil, nil
+			}
+			calls++
+			if calls%8 != 4 {
+				if err := receiver.Part(packet, new(Packet)); err != nil {
+					return nil, err
+				}
+			}
+			if calls%4 == 0 {
+				<-ctx.Done()
+				return nil, kind.Errorf(kind.UnknownOutcome, "%w", ctx.Err())
+			}
+			return nil, nil
+		}))
+		command := largeAppend(2, 5, "x")
+		command.Entries[0].Data = []byte(strings.Repeat("x", 10*partBytes))
+		var got peerEvent
+		go func() {
+			select {
+			case got = <-receiver.replica.inbound:
+				got.reply <- nil
+			case <-receiver.replica.ctx.Done():
+			}
+		}()
+		for range 20 {
+			s.enqueue(command) // The leader repeats what is not acknowledged.
+			time.Sleep(s.replica.options.electionTimeout())
+		}
+		synctest.Wait()
+		require.Len(t, got.messages, 1, "the command must arrive")
+		assert.Equal(t, command.Entries[0].Data, got.messages[0].Entries[0].Data)
+	})
+}
