dispatch: a preempted attempt whose job is gone needs no room

The other loops over attempts allow for a job that the state has dropped; a leader would have ended here, and the next one likewise. Found by reading.

--- a/dispatch/urgent.go
+++ b/dispatch/urgent.go
@@ -591,8 +591,11 @@
 	for i, c := range view.candidates {
 		room[i] = c.roomBesideLasting(e).Sub(c.keptFor)
 		for _, a := range c.view.attemptList {
-			if a.stopWanted && a.stopCause == waitsAfterPreemption {
-				gaps = append(gaps, headroom.Gap{Need: e.step(a.ref).Resources, Count: 1})
+			if !a.stopWanted || a.stopCause != waitsAfterPreemption {
+				continue
+			}
+			if step := e.step(a.ref); step != nil {
+				gaps = append(gaps, headroom.Gap{Need: step.Resources, Count: 1})
 			}
 		}
 	}
