coordinator: calls go on while no leader is known

A large call of a process delayed its own polls, which share the link; with no answer the leader was taken for lost and all calls to it were cancelled, the large one too, which was sent again whole.

Only another leader cancels the calls now.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -51,10 +51,12 @@
 	// leaderClockAhead is by how much the leader's clock is ahead of that of this process, as of
 	// the newest poll, nil while it is not known. It is too large by at most the time of the poll.
 	leaderClockAhead *time.Duration
-	// callsCtx is the context of the calls to the current leader. A change of leader
-	// cancels it.
-	callsCtx    context.Context
-	cancelCalls context.CancelFunc
+	// callsCtx is the context of the calls to calledLeader, the last known leader. Another leader
+	// cancels it. The calls go on while none is known: the members may be silent because their
+	// answers wait behind a large call of this process.
+	callsCtx     context.Context
+	cancelCalls  context.CancelFunc
+	calledLeader string
 	// suspected asks Run for a poll of the leader, since a call to it has failed.
 	suspected chan struct{}
 }
@@ -95,14 +97,18 @@
 	return c.leader
 }
 
-// setLeader records the leader and cancels the calls to the previous one. The caller
-// holds c.mu.
+// setLeader records the leader and cancels the calls to another one. The caller holds
+// c.mu.
 func (c *Client) setLeader(leader string) {
 	if leader == "" && c.leader != "" {
 		c.leaderlessSince = boottime.Now()
 	}
 	c.leader, c.leaderClockAhead = leader, nil
+	if leader == "" || leader == c.calledLeader {
+		return
+	}
 	c.cancelCalls()
+	c.calledLeader = leader
 	c.callsCtx, c.cancelCalls = context.WithCancel(context.Background())
 }
 
