--- a/replica/applier.go
+++ b/replica/applier.go
@@ -109,15 +109,19 @@
 	}
 }
 
+// takeSnapshot encodes the state and has it written beside the entries that follow: on a slow
+// disk, commands would otherwise wait for the file.
 func (a *applier) takeSnapshot(meta consensus.SnapshotMeta) error {
 	data, err := a.replica.options.StateMachine.Snapshot()
 	if err != nil {
 		return err
 	}
-	written := snapshotResult{meta: meta, err: a.replica.store.WriteSnapshot(meta, data)}
-	select {
-	case a.replica.snapshots <- written:
-	case <-a.replica.ctx.Done():
-	}
+	a.replica.group.Go(func() {
+		written := snapshotResult{meta: meta, err: a.replica.store.WriteSnapshot(meta, data)}
+		select {
+		case a.replica.snapshots <- written:
+		case <-a.replica.ctx.Done():
+		}
+	})
 	return nil
 }
