--- a/replica/unreliable_test.go
+++ b/replica/unreliable_test.go
@@ -25,6 +25,8 @@
 	random   *rand.Rand
 	faulty   bool
 	services map[string]*service
+	// calls are those under way, also the ones that nobody waits for any more.
+	calls sync.WaitGroup
 }
 
 // draw returns the delay of one direction of a call, and whether it is lost.
@@ -53,7 +55,7 @@
 	n.mu.Unlock()
 	done := make(chan error, 1)
 	answer, joined := new(Packet), new(JoinReply)
-	go func() {
+	n.calls.Go(func() {
 		delay, lost := n.draw()
 		time.Sleep(delay)
 		if lost || s == nil {
@@ -75,7 +77,7 @@
 		if !lost {
 			done <- err
 		}
-	}()
+	})
 	select {
 	case err := <-done:
 		switch reply := reply.(type) {
@@ -102,6 +104,7 @@
 
 func runUnreliableLinks(t *testing.T, seed uint64) {
 	network := &unreliableNetwork{random: rand.New(rand.NewPCG(seed, 1)), services: make(map[string]*service)}
+	defer network.calls.Wait()
 	addresses := []string{"a:1", "b:1", "c:1"}
 	var replicas []*Replica
 	var recorders []*commandRecorder
