dispatch: a wave is decided by listings that were asked for after it

Cause: the leader lists the pool's hosts only while a wave is active and kept the last listing. The next wave was decided by it, and a host that it lacked was recorded as ended, for good.

Evidence: 32 ms after "wave started", "host prepared" has a listing_age of 12.7 s and "maintenance changed" stage 3 "not listed" for the new host; the pool got no call for it.

Why this works: listings are numbered as they are asked for, and each wave needs one from after it was known to this leader, also while an earlier wave is active, while one is under way and after a silent pool. Absence ends nothing any more: the pool's own answer (400, now told apart from 409) does, to an order that goes through the wave's limit. Calls are kept by wave and host. A host in maintenance that a listing misses no longer frees its place.

TestHostsThatJoinedArePreparedForTheirMaintenance guards the age of the listings by itself, since the pool's answer would hide it otherwise.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -197,7 +197,7 @@
 	}
 	for _, wave := range e.state.Waves() {
 		for name, stage := range wave.Progress {
-			host, listed := e.maintenance.hosts[name]
+			host, listed := e.maintenance.listings.host(name)
 			if stage == workflow.MaintenanceOrdered && (!listed || host.Worker == v.worker.Life.Name) {
 				return true
 			}
--- a/dispatch/hosts.go
+++ b/dispatch/hosts.go
@@ -35,13 +35,14 @@
 )
 
 // HostOrder is one call to the pool of hosts. Wave is the wave for which a host
-// is maintained, Fence the leader's term as a fencing token.
+// is maintained, Fence the leader's term as a fencing token, Listing the number of a listing.
 type HostOrder struct {
-	Verb   HostVerb
-	Host   string
-	Wave   uint64
-	Fence  uint64
-	SentAt Instant
+	Verb    HostVerb
+	Host    string
+	Wave    uint64
+	Fence   uint64
+	Listing uint64
+	SentAt  Instant
 }
 
 const (
@@ -73,14 +74,16 @@
 	HostFenced
 	// HostBusy: the host is not up, or is about to leave.
 	HostBusy
-	// HostNotInWave: the host is unknown or does not belong to the wave.
+	// HostNotInWave: the host does not belong to the wave.
 	HostNotInWave
+	// HostUnknown: the pool has no such host.
+	HostUnknown
 	// HostRefused: the pool accepts no more calls for now.
 	HostRefused
 )
 
 var hostOutcomeNames = [...]string{
-	HostUnanswered: "unanswered", HostDone: "done", HostFenced: "fenced", HostBusy: "busy", HostNotInWave: "not_of_wave", HostRefused: "refused",
+	HostUnanswered: "unanswered", HostDone: "done", HostFenced: "fenced", HostBusy: "busy", HostNotInWave: "not_of_wave", HostUnknown: "unknown", HostRefused: "refused",
 }
 
 // String returns the name of the outcome.
@@ -98,30 +101,26 @@
 func (e *Engine) HandleHostAnswer(a *HostAnswer) {
 	m := &e.maintenance
 	if a.Order.Verb == ListHosts {
-		m.listInFlight, m.nextListAt = false, e.now.Add(listInterval)
-		if a.Outcome == HostDone {
-			m.hosts = make(map[string]Host, len(a.Hosts))
-			for _, host := range a.Hosts {
-				m.hosts[host.Name] = host
-			}
-			m.listedAt = a.Order.SentAt
-		}
+		m.listings.handle(a, e.now)
 		return
 	}
 	name, wave := a.Order.Host, e.state.Wave(a.Order.Wave)
 	e.log.Info().Uint64("wave", a.Order.Wave).Str("host", name).Stringer("outcome", a.Outcome).Dur("took", e.since(a.Order.SentAt)).Uint64("term", e.term).Msg("maintenance answered")
-	call := m.calls[name]
-	if call == nil || wave == nil || wave.Progress[name] != workflow.MaintenanceOrdered {
+	call := m.calls[hostOfWave{a.Order.Wave, name}]
+	if call == nil || wave == nil {
 		return
 	}
 	call.inFlight, call.retryAt = false, e.now.Add(hostRetryDelay)
 	switch a.Outcome {
 	case HostDone:
-		m.begunAt[name] = e.now
-		e.endMaintainedWorker(call)
-		e.recordMaintenance(wave, name, workflow.MaintenanceBegun, "confirmed")
+		if wave.Progress[name] == workflow.MaintenanceOrdered {
+			e.endMaintainedWorker(call)
+			e.recordMaintenance(wave, name, workflow.MaintenanceBegun, "confirmed")
+		}
 	case HostNotInWave:
 		e.recordMaintenance(wave, name, workflow.MaintenanceEnded, "not of the wave")
+	case HostUnknown:
+		e.recordMaintenance(wave, name, workflow.MaintenanceEnded, "no such host")
 	case HostFenced:
 		m.fenced = true
 	}
--- a/dispatch/maintenance.go
+++ b/dispatch/maintenance.go
@@ -20,37 +20,52 @@
 
 // maintenanceState is the leader's state of the maintenance waves.
 type maintenanceState struct {
-	// hosts is the latest listing by host name, requested at listedAt.
-	hosts        map[string]Host
-	listedAt     Instant
-	listInFlight bool
-	nextListAt   Instant
+	listings hostListings
 	// preparingSince holds, by host, since when its worker takes no new work so
 	// that maintenance can be ordered.
 	preparingSince map[string]Instant
 	// goingDown holds the names of the workers whose hosts may be going down.
 	goingDown map[string]bool
-	// calls are the maintenance orders by host.
-	calls map[string]*hostCall
-	// begunAt is when the maintenance of each host was confirmed.
-	begunAt map[string]Instant
+	// calls are the maintenance orders for hosts whose maintenance has not ended.
+	calls map[hostOfWave]*hostCall
 	// fenced is set once the pool has seen a higher fencing token: this leader
 	// sends it no more orders.
 	fenced bool
 	orders []HostOrder
 }
 
+// hostOfWave names a host in a wave: several waves may name the same host.
+type hostOfWave struct {
+	wave uint64
+	host string
+}
+
 type hostCall struct {
+	// inFlight is set while a call or the record of a stage is under way.
 	inFlight bool
 	retryAt  Instant
 	// sentCount counts the calls; worker is the incarnation that the first of
-	// them ends.
+	// them ends, zero if it is unknown.
 	sentCount int
 	worker    workflow.WorkerID
+	// inherited marks an order that an earlier leader recorded.
+	inherited bool
+	// begunAt is when the maintenance was confirmed, zero if an earlier leader
+	// recorded that.
+	begunAt Instant
 }
 
 func newMaintenanceState() maintenanceState {
-	return maintenanceState{preparingSince: make(map[string]Instant), goingDown: make(map[string]bool), calls: make(map[string]*hostCall), begunAt: make(map[string]Instant)}
+	return maintenanceState{listings: newHostListings(), preparingSince: make(map[string]Instant), goingDown: make(map[string]bool), calls: make(map[hostOfWave]*hostCall)}
+}
+
+// call returns the orders for a host, those that an earlier leader has recorded too.
+func (m *maintenanceState) call(wave *workflow.Wave, name string) *hostCall {
+	key := hostOfWave{wave.ID, name}
+	if m.calls[key] == nil {
+		m.calls[key] = &hostCall{inherited: wave.Progress[name] != 0}
+	}
+	return m.calls[key]
 }
 
 // StartWave records a maintenance wave and calls done, at once or when it is
@@ -104,6 +119,8 @@
 	for _, id := range slices.Sorted(maps.Keys(e.state.Waves())) {
 		if wave := e.state.Wave(id); wave.Active() {
 			e.advanceWave(wave)
+		} else {
+			e.maintenance.listings.forget(id)
 		}
 	}
 }
@@ -113,8 +130,8 @@
 	clear(e.maintenance.goingDown)
 	for _, wave := range e.state.Waves() {
 		for name, stage := range wave.Progress {
-			if stage == workflow.MaintenanceOrdered {
-				e.maintenance.goingDown[e.maintenance.hosts[name].Worker] = true
+			if host, listed := e.maintenance.listings.host(name); listed && stage == workflow.MaintenanceOrdered {
+				e.maintenance.goingDown[host.Worker] = true
 			}
 		}
 	}
@@ -122,11 +139,11 @@
 
 func (e *Engine) advanceWave(wave *workflow.Wave) {
 	m := &e.maintenance
-	if !m.listInFlight && e.now >= m.nextListAt {
-		m.listInFlight = true
-		e.issueHostOrder(HostOrder{Verb: ListHosts})
+	m.listings.require(wave.ID)
+	if number, due := m.listings.next(e.now); due {
+		e.issueHostOrder(HostOrder{Verb: ListHosts, Listing: number})
 	}
-	if m.hosts == nil {
+	if !m.listings.decide(wave.ID) {
 		return
 	}
 	// At most 2*Parallel hosts are down or being prepared, so that the next
@@ -157,14 +174,17 @@
 		return cmp.Compare(e.attemptsOn(a), e.attemptsOn(b))
 	})
 	for _, name := range waiting {
-		host, listed := m.hosts[name]
+		host, listed := m.listings.host(name)
 		switch {
 		case !listed:
-			e.recordMaintenance(wave, name, workflow.MaintenanceEnded, "not listed")
+			if m.listings.lack(wave.ID, name) && wave.InMaintenance() < wave.Parallel {
+				free--
+				e.recordMaintenance(wave, name, workflow.MaintenanceOrdered, "not listed")
+			}
 		case free > 0 && host.State == HostUp && e.hostView(name) != nil:
 			free--
 			m.preparingSince[name] = e.now
-			e.log.Info().Uint64("wave", wave.ID).Str("host", name).Str("worker", host.Worker).Int("attempts", e.attemptsOn(name)).Uint32("down", wave.InMaintenance()).Dur("listing_age", e.since(m.listedAt)).Uint64("term", e.term).Msg("host prepared")
+			e.log.Info().Uint64("wave", wave.ID).Str("host", name).Str("worker", host.Worker).Int("attempts", e.attemptsOn(name)).Uint32("down", wave.InMaintenance()).Uint64("listing", m.listings.latest.number).Dur("listing_age", e.since(m.listings.latest.askedAt)).Uint64("term", e.term).Msg("host prepared")
 		}
 	}
 }
@@ -172,7 +192,8 @@
 // hostView returns the view of the worker on a host, nil if it is unknown,
 // draining or unreachable.
 func (e *Engine) hostView(name string) *workerView {
-	w := e.state.WorkerNamed(e.maintenance.hosts[name].Worker)
+	host, _ := e.maintenance.listings.host(name)
+	w := e.state.WorkerNamed(host.Worker)
 	if w == nil || w.Draining || !e.reachable(e.views[w.ID]) {
 		return nil
 	}
@@ -195,7 +216,7 @@
 		return true
 	}
 	for name := range e.maintenance.preparingSince {
-		if e.maintenance.hosts[name].Worker == v.worker.Life.Name {
+		if host, listed := e.maintenance.listings.host(name); listed && host.Worker == v.worker.Life.Name {
 			return true
 		}
 	}
@@ -203,52 +224,57 @@
 }
 
 func (e *Engine) recordMaintenance(wave *workflow.Wave, name string, stage workflow.Maintenance, reason string) {
+	m := &e.maintenance
+	call := m.call(wave, name) // Before the stage changes: afterwards a new call would count as inherited.
 	if err := e.propose(workflow.Op{SetMaintenance: &workflow.SetMaintenance{Wave: wave.ID, Host: name, Stage: stage}}); err != nil {
 		e.log.Error().Err(err).Uint64("wave", wave.ID).Str("host", name).Msg("maintenance not recorded")
 		return
 	}
-	down, call := wave.InMaintenance(), &hostCall{inFlight: true} // Until it is committed.
-	if v := e.hostView(name); v != nil && stage == workflow.MaintenanceOrdered {
-		call.worker = v.worker.ID
+	down := wave.InMaintenance()
+	call.inFlight = true // Until it is committed.
+	switch stage {
+	case workflow.MaintenanceOrdered:
+		if v := e.hostView(name); v != nil {
+			call.worker = v.worker.ID
+		}
+	case workflow.MaintenanceBegun:
+		call.begunAt = e.now
+	case workflow.MaintenanceEnded:
+		delete(m.calls, hostOfWave{wave.ID, name})
 	}
-	e.maintenance.calls[name] = call
+	listing, age := m.listings.latest.number, e.since(m.listings.latest.askedAt)
 	e.afterCommit(func() {
-		e.log.Info().Uint64("wave", wave.ID).Str("host", name).Uint8("stage", uint8(stage)).Str("reason", reason).Uint32("down", down).Uint32("parallel", wave.Parallel).Uint64("term", e.term).Msg("maintenance changed")
+		e.log.Info().Uint64("wave", wave.ID).Str("host", name).Uint8("stage", uint8(stage)).Str("reason", reason).Uint32("down", down).Uint32("parallel", wave.Parallel).
+			Uint64("listing", listing).Dur("listing_age", age).Uint64("term", e.term).Msg("maintenance changed")
 		call.inFlight = false
 	})
 }
 
-// orderMaintenance orders the maintenance of a host until the pool confirms it.
-// The record of an earlier leader is enough: the pool carries an order out only
-// once.
+// orderMaintenance orders the maintenance of a host until the pool confirms it, or
+// answers that it does not have the host. The record of an earlier leader is enough:
+// the pool carries an order out only once.
 func (e *Engine) orderMaintenance(wave *workflow.Wave, name string) {
-	m := &e.maintenance
-	call := m.calls[name]
-	if call == nil { // Recorded by an earlier leader.
-		call = new(hostCall)
-		m.calls[name] = call
-	}
+	call := e.maintenance.call(wave, name)
 	if call.inFlight || e.now < call.retryAt {
 		return
 	}
-	if _, listed := m.hosts[name]; !listed {
-		e.recordMaintenance(wave, name, workflow.MaintenanceEnded, "not listed")
-		return
-	}
 	call.inFlight = true
 	call.sentCount++
 	e.issueHostOrder(HostOrder{Verb: MaintainHost, Host: name, Wave: wave.ID})
 }
 
-// checkHostReturn ends the maintenance of a host that a later listing shows as up
-// or does not list.
+// checkHostReturn ends the maintenance of a host that a later listing shows as up.
+// The order is repeated for a host that the listings lack: it changes nothing, and
+// the answer tells whether the pool has the host.
 func (e *Engine) checkHostReturn(wave *workflow.Wave, name string) {
 	m := &e.maintenance
-	if m.listedAt <= m.begunAt[name] {
+	call := m.call(wave, name)
+	if call.inFlight || m.listings.latest.askedAt <= call.begunAt {
 		return
 	}
-	if host, listed := m.hosts[name]; !listed || host.State == HostUp {
+	if host, listed := m.listings.host(name); listed && host.State == HostUp {
 		e.recordMaintenance(wave, name, workflow.MaintenanceEnded, "back")
-		delete(m.begunAt, name)
+	} else if !listed && m.listings.lack(wave.ID, name) {
+		e.orderMaintenance(wave, name)
 	}
 }
--- a/dispatch/maintenance_test.go
+++ b/dispatch/maintenance_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -23,49 +25,66 @@
 	hosts   map[string]*simHost
 	down    int
 	maxDown int
-	orders  int
-	// lostAnswers is how many of the next answers get lost.
+	// downOf is the number of hosts in maintenance for each wave.
+	downOf map[uint64]uint32
+	orders int
+	// lostAnswers is how many of the next answers to orders get lost.
 	lostAnswers int
+	// listingDelay is the time from reading the hosts to the answer of a listing.
+	listingDelay time.Duration
+	// unlisted is how many of the next listings are not answered, missed in how many of
+	// the next listings each host is missing.
+	unlisted int
+	missed   map[string]int
 }
 
 type simHost struct {
 	worker     *simWorker
 	generation int
-	done       bool
+	waves      map[uint64]bool
 	down       bool
 }
 
 func newSimPool(s *sim, hosts int) *simPool {
-	p := &simPool{sim: s, hosts: make(map[string]*simHost)}
+	p := &simPool{sim: s, hosts: make(map[string]*simHost), listingDelay: 5 * time.Millisecond, missed: make(map[string]int), downOf: make(map[uint64]uint32)}
 	for i := range hosts {
-		name := fmt.Sprintf("h%d", i)
-		p.hosts[name] = &simHost{worker: s.addWorker(name+"-0", processorsPerWorker)}
+		p.add(fmt.Sprintf("h%d", i))
 	}
 	s.every(10*time.Millisecond, p.carryOutOrders)
 	return p
 }
 
+// add lets a host join the pool.
+func (p *simPool) add(name string) {
+	p.hosts[name] = &simHost{worker: p.sim.addWorker(name+"-0", processorsPerWorker), waves: make(map[uint64]bool)}
+}
+
+// remove takes a host away for good.
+func (p *simPool) remove(name string) {
+	host := p.hosts[name]
+	delete(p.hosts, name)
+	host.worker.crash()
+}
+
 // carryOutOrders carries out the engine's orders to the pool.
 func (p *simPool) carryOutOrders() {
 	for _, order := range p.sim.engine.TakeHostOrders() {
 		p.orders++
-		engine, answer := p.sim.engine, HostAnswer{Order: order, Outcome: HostDone}
-		if order.Verb == ListHosts {
-			for name, host := range p.hosts {
-				state := HostUp
-				if host.down {
-					state = HostInMaintenance
-				}
-				answer.Hosts = append(answer.Hosts, Host{Name: name, State: state, Worker: host.worker.life.Name})
-			}
-		} else {
-			p.maintain(order.Host)
+		engine, answer, delay := p.sim.engine, HostAnswer{Order: order, Outcome: HostDone}, 5*time.Millisecond
+		switch {
+		case order.Verb == MaintainHost:
+			answer.Outcome = p.maintain(order.Host, order.Wave)
 			if p.lostAnswers > 0 {
 				p.lostAnswers--
 				answer.Outcome = HostUnanswered
 			}
+		case p.unlisted > 0:
+			p.unlisted--
+			answer.Outcome, delay = HostUnanswered, order.Timeout()
+		default:
+			answer.Hosts, delay = p.list(), p.listingDelay
 		}
-		p.sim.after(5*time.Millisecond, func() {
+		p.sim.after(delay, func() {
 			if p.sim.engine == engine {
 				engine.HandleHostAnswer(&answer)
 			}
@@ -73,29 +92,75 @@
 	}
 }
 
-func (p *simPool) maintain(name string) {
+func (p *simPool) list() []Host {
+	var hosts []Host
+	for _, name := range slices.Sorted(maps.Keys(p.hosts)) {
+		host := p.hosts[name]
+		if p.missed[name] > 0 {
+			p.missed[name]--
+			continue
+		}
+		entry := Host{Name: name, State: HostUp, Worker: host.worker.life.Name}
+		if host.down {
+			entry.State, entry.Worker = HostInMaintenance, ""
+		}
+		hosts = append(hosts, entry)
+	}
+	return hosts
+}
+
+func (p *simPool) maintain(name string, wave uint64) HostOutcome {
 	host := p.hosts[name]
-	if host.done {
-		return
+	switch {
+	case host == nil:
+		return HostUnknown
+	case host.waves[wave]:
+		return HostDone
+	case host.down:
+		return HostBusy
 	}
-	host.done, host.down = true, true
+	host.waves[wave], host.down = true, true
 	p.down++
 	p.maxDown = max(p.maxDown, p.down)
+	p.downOf[wave]++
+	if limit := p.sim.committed.Wave(wave).Parallel; p.downOf[wave] > limit {
+		p.sim.violations = append(p.sim.violations, fmt.Sprintf("%d hosts of wave %d are down, %d may be", p.downOf[wave], wave, limit))
+	}
 	host.worker.crash()
 	p.sim.after(maintenanceTime, func() {
 		p.down--
+		p.downOf[wave]--
 		host.down = false
+		if p.hosts[name] != host {
+			return
+		}
 		host.generation++
-		host.worker = p.sim.addWorker(fmt.Sprintf("%s-%d", name, host.generation), processorsPerWorker)
+		host.worker = p.sim.startWorker(fmt.Sprintf("%s-%d", name, host.generation), host.worker)
 	})
+	return HostDone
+}
+
+// missing returns the hosts that stay in the pool and whose maintenance for a wave has not begun.
+func (p *simPool) missing(id uint64) []string {
+	var names []string
+	for _, name := range p.sim.committed.Wave(id).Hosts {
+		if host := p.hosts[name]; host != nil && !host.waves[id] {
+			names = append(names, name)
+		}
+	}
+	return names
 }
 
-func (s *sim) startWave(parallel uint32, hosts ...string) {
-	s.engine.StartWave(&workflow.StartWave{ID: 1, Hosts: hosts, Parallel: parallel, WithinMs: 30_000}, func(err *kind.Error) { require.Nil(s.t, err) })
+func (s *sim) startWave(parallel uint32, hosts ...string) { s.startWaveNumbered(1, parallel, hosts...) }
+
+func (s *sim) startWaveNumbered(id uint64, parallel uint32, hosts ...string) {
+	s.engine.StartWave(&workflow.StartWave{ID: id, Hosts: hosts, Parallel: parallel, WithinMs: 30_000}, func(err *kind.Error) { require.Nil(s.t, err) })
 }
 
-func (s *sim) waveCompleted() bool {
-	wave := s.committed.Wave(1)
+func (s *sim) waveCompleted() bool { return s.waveNumberedCompleted(1) }
+
+func (s *sim) waveNumberedCompleted(id uint64) bool {
+	wave := s.committed.Wave(id)
 	return wave != nil && wave.Completed()
 }
 
@@ -133,7 +198,7 @@
 	require.True(t, s.runUntil(30*time.Second, s.waveCompleted))
 	s.run(4 * time.Second)
 	for name, host := range pool.hosts {
-		assert.True(t, host.done, name)
+		assert.True(t, host.waves[1], name)
 	}
 	assert.LessOrEqual(t, pool.maxDown, 2, "most hosts down at a time")
 	assert.LessOrEqual(t, worst, 2, "most tasks unavailable at a time")
@@ -185,3 +250,144 @@
 	assert.Equal(t, orders, pool.orders)
 	assert.False(t, s.waveCompleted())
 }
+
+// Guards against a wave that is completed without the maintenance of hosts that joined after
+// the listing of an earlier wave.
+func TestASecondWaveDoesNotDecideByTheListingOfTheFirst(t *testing.T) {
+	s := newSim(t, 45)
+	s.setCatalog()
+	pool := newSimPool(s, 4)
+	s.run(time.Second)
+	s.startWave(1, "h0")
+	require.True(t, s.runUntil(10*time.Second, s.waveCompleted))
+	s.run(5 * time.Second)
+	pool.remove("h3")
+	pool.add("joined")
+	s.run(2 * time.Second)
+	s.startWaveNumbered(2, 1, "h1", "joined")
+	require.True(t, s.runUntil(15*time.Second, func() bool { return s.waveNumberedCompleted(2) }))
+	assert.Empty(t, pool.missing(2))
+}
+
+// Guards against deciding a wave by a listing that was asked for before the operator's order:
+// it was under way for an earlier wave, and the pool answered none for a while.
+func TestAListingUnderWayDoesNotDecideANewWave(t *testing.T) {
+	s := newSim(t, 46)
+	s.setCatalog()
+	pool := newSimPool(s, 4)
+	s.run(time.Second)
+	pool.listingDelay = 500 * time.Millisecond
+	s.startWave(1, "h0", "h1")
+	require.True(t, s.runUntil(10*time.Second, func() bool { return pool.down == 1 }))
+	for id := uint64(2); id < 12; id++ {
+		s.run(170 * time.Millisecond)
+		name := fmt.Sprintf("joined%d", id)
+		pool.add(name)
+		pool.unlisted = int(id) % 2
+		s.startWaveNumbered(id, 1, name)
+	}
+	for id := uint64(2); id < 12; id++ {
+		require.True(t, s.runUntil(60*time.Second, func() bool { return s.waveNumberedCompleted(id) }), "wave %d", id)
+		assert.Empty(t, pool.missing(id))
+	}
+}
+
+// Guards against taking a host that one listing misses, as one of several pages may, for one
+// that is gone: neither may its wave go on without it, nor may another host go down for it.
+func TestOneListingDoesNotProveThatAHostIsGone(t *testing.T) {
+	s := newSim(t, 47)
+	s.setCatalog()
+	pool := newSimPool(s, 3)
+	s.run(time.Second)
+	pool.missed["h1"] = 1
+	s.startWave(1, "h0", "h1", "h2")
+	for id := range 3 {
+		name := fmt.Sprintf("h%d", id)
+		require.True(t, s.runUntil(20*time.Second, func() bool { return pool.hosts[name].down || pool.hosts[name].waves[1] }))
+		pool.missed[name] = 3
+	}
+	require.True(t, s.runUntil(30*time.Second, s.waveCompleted))
+	assert.Empty(t, pool.missing(1))
+	assert.Equal(t, 1, pool.maxDown, "a host that listings miss is still in maintenance")
+}
+
+// Guards against ordering the maintenance of hosts that joined after the latest listings as
+// that of hosts which these lack: unprepared, with all their lasting tasks at once.
+func TestHostsThatJoinedArePreparedForTheirMaintenance(t *testing.T) {
+	s := newSim(t, 50)
+	s.setCatalog()
+	pool := newSimPool(s, 2)
+	s.run(time.Second)
+	s.startWave(1, "h0")
+	require.True(t, s.runUntil(10*time.Second, s.waveCompleted))
+	s.run(5 * time.Second)
+	pool.add("joined0")
+	pool.add("joined1")
+	s.run(time.Second)
+	const tasks = 4 * processorsPerWorker
+	s.serve(1, tasks, processorsPerWorker)
+	require.Zero(t, s.notRunning(1, tasks))
+	worst := 0
+	s.every(5*time.Millisecond, func() { worst = max(worst, s.notRunning(1, tasks)) })
+	s.startWaveNumbered(2, 2, "joined0", "joined1")
+	require.True(t, s.runUntil(30*time.Second, func() bool { return s.waveNumberedCompleted(2) }))
+	assert.Empty(t, pool.missing(2))
+	assert.LessOrEqual(t, worst, processorsPerWorker, "most tasks unavailable at a time")
+}
+
+// Waves in series and at once, with hosts that come and go, listings that are slow, missing
+// or incomplete, lost answers and new leaders: no wave is completed without a host that stays,
+// and no more hosts are down for a wave than it allows.
+func TestWavesReachAllHostsThatStay(t *testing.T) {
+	for seed, last := seeds(); seed <= last; seed++ {
+		s := newSim(t, seed)
+		s.settings.HostTakeoverDelay = time.Second
+		s.setCatalog()
+		pool := newSimPool(s, 8)
+		s.run(time.Second)
+		checked := make(map[uint64]bool)
+		s.every(10*time.Millisecond, func() {
+			for id, wave := range s.committed.Waves() {
+				if wave.Completed() && !checked[id] {
+					checked[id] = true
+					assert.Empty(t, pool.missing(id), "seed %d, wave %d", seed, id)
+				}
+			}
+		})
+		joined := 0
+		s.every(700*time.Millisecond, func() {
+			names := slices.Sorted(maps.Keys(pool.hosts))
+			name := names[s.rng.IntN(len(names))]
+			switch s.rng.IntN(6) {
+			case 0:
+				if !pool.hosts[name].down && len(names) > 5 {
+					pool.remove(name)
+				}
+			case 1:
+				joined++
+				pool.add(fmt.Sprintf("joined%d", joined))
+			case 2:
+				pool.missed[name] = s.rng.IntN(3)
+			case 3:
+				pool.lostAnswers = s.rng.IntN(3)
+			case 4:
+				pool.listingDelay = time.Duration(s.rng.IntN(900)) * time.Millisecond
+				pool.unlisted = s.rng.IntN(2)
+			case 5:
+				if s.rng.IntN(5) == 0 {
+					s.takeOver()
+				}
+			}
+		})
+		const waves = 6
+		for id := uint64(1); id <= waves; id++ {
+			names := slices.Sorted(maps.Keys(pool.hosts))
+			s.rng.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+			s.startWaveNumbered(id, 1, names[:3]...)
+			s.run(time.Duration(1+s.rng.IntN(9)) * time.Second)
+		}
+		s.runUntil(90*time.Second, func() bool { return len(checked) == waves })
+		assert.Len(t, checked, waves, "seed %d: waves that were completed", seed)
+		assert.Empty(t, s.violations, "seed %d", seed)
+	}
+}
--- a/dispatch/moves_test.go
+++ b/dispatch/moves_test.go
@@ -134,7 +134,7 @@
 	s.run(2 * time.Second)
 	s.evacuate("b")
 	drained.draining = true
-	s.engine.maintenance.hosts = map[string]Host{"h": {Worker: closed.life.Name}}
+	s.engine.maintenance.listings.latest.hosts = map[string]Host{"h": {Worker: closed.life.Name}}
 	s.engine.maintenance.preparingSince["h"] = s.now
 	s.run(1500 * time.Millisecond)
 	starts := s.starts
