dispatch: an end by a maintenance order is no crash after a lost answer

Seen by callers: a task could be suspected of a crash, and given up in the end, because its worker was ended by the operator's wave.

Cause: plannedEnd looked for the worker in the latest entry of its host. If the answer to the order is lost, the host comes back with its next worker, and the former one is found to be over only then, the entry names the next one.

Evidence: TestMaintenanceIsNoCrash, in which eight answers are lost, counted one crash before.

Why this works: the leader remembers the incarnation that each of its orders ends, until the host's maintenance has ended. For an order of an earlier leader it goes by the entry, as before, and takes one without a worker for unknown.

Not covered: an earlier leader's order whose host is listed with its next worker already.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -189,19 +189,29 @@
 }
 
 // plannedEnd reports whether the end of an incarnation was announced by the worker or
-// ordered from the pool of hosts. A new leader does not know yet which workers are on the
-// hosts whose maintenance was ordered.
+// ordered from the pool of hosts.
 func (e *Engine) plannedEnd(v *workerView) bool {
 	if v.worker.Draining || e.maintenance.goingDown[v.worker.Life.Name] {
 		return true
 	}
 	for _, wave := range e.state.Waves() {
 		for name, stage := range wave.Progress {
-			host, listed := e.maintenance.listings.host(name)
-			if stage == workflow.MaintenanceOrdered && (!listed || host.Worker == v.worker.Life.Name) {
+			if stage != workflow.MaintenanceEnded && e.mayEndByOrder(v, hostOfWave{wave.ID, name}, stage) {
 				return true
 			}
 		}
 	}
 	return false
 }
+
+// mayEndByOrder reports whether the order to maintain a host may have ended an incarnation.
+// This leader knows the incarnations that its own orders end. On which workers an earlier
+// leader's orders act is not known without an entry of the host that names one.
+func (e *Engine) mayEndByOrder(v *workerView, key hostOfWave, stage workflow.Maintenance) bool {
+	call := e.maintenance.calls[key]
+	if call != nil && !call.inherited {
+		return call.worker == v.worker.ID
+	}
+	host, listed := e.maintenance.listings.host(key.host)
+	return stage == workflow.MaintenanceOrdered && (!listed || host.Worker == "" || host.Worker == v.worker.Life.Name)
+}
--- a/dispatch/maintenance_test.go
+++ b/dispatch/maintenance_test.go
@@ -311,6 +311,22 @@
 	assert.Equal(t, 1, pool.maxDown, "a host that listings miss is still in maintenance")
 }
 
+// Guards against counting the end of a worker that a maintenance order caused as a crash,
+// if the answer to the order is lost and the host is listed with another worker by then.
+func TestMaintenanceIsNoCrash(t *testing.T) {
+	s := newSim(t, 48)
+	s.setCatalog()
+	pool := newSimPool(s, 3)
+	s.run(time.Second)
+	s.serve(1, 3, 1)
+	pool.lostAnswers = 8
+	s.startWave(1, "h0", "h1", "h2")
+	require.True(t, s.runUntil(60*time.Second, s.waveCompleted))
+	s.run(20 * time.Second)
+	assert.Zero(t, s.engine.Counters().Crashed)
+	assert.Empty(t, s.violations)
+}
+
 // Guards against ordering the maintenance of hosts that joined after the latest listings as
 // that of hosts which these lack: unprepared, with all their lasting tasks at once.
 func TestHostsThatJoinedArePreparedForTheirMaintenance(t *testing.T) {
