workflow, dispatch: occurrences cost when they are due, not when declared

With six such jobs due each half second, occurrences started late or never and a cancel was answered 504.

The estimate of memory counted none of it.

Why this works: an occurrence takes memory from its first attempt until all its tasks are done and no attempt of them is recorded; before and after it is a bit. Steps are matched with their former ones by a merge.

Progress rates and failures of done tasks of such jobs are dropped.

Tests that built occurrences as slices use the new constructor; what they check is unchanged.

--- a/coordinator/loop.go
+++ b/coordinator/loop.go
@@ -115,7 +115,7 @@
 func (l *loop) publishStats() {
 	state := l.engine.State()
 	evacuations, remaining := l.engine.EvacuationStats()
-	l.metrics.engine.Store(&engineStats{Counters: l.engine.Counters(), Term: l.term, Jobs: len(state.Jobs()), Workers: len(state.Workers()), JobBytes: state.JobBytes(), Evacuations: evacuations, Remaining: remaining})
+	l.metrics.engine.Store(&engineStats{Counters: l.engine.Counters(), Term: l.term, Jobs: len(state.Jobs()), Workers: len(state.Workers()), JobBytes: state.JobBytes(), HeldOccurrences: state.HeldOccurrences(), NextDueMs: l.engine.NextDueMs(), Evacuations: evacuations, Remaining: remaining})
 }
 
 func (c *Coordinator) now() dispatch.Instant { return dispatch.Instant(boottime.Nanoseconds()) }
--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -254,6 +254,7 @@
 		e.afterCommit(func() {
 			e.stopLaterAttempts(end)
 			e.stopOthers(others)
+			e.forgetDoneTask(end.Task)
 		})
 	}
 	job := e.state.Job(end.Task.Job)
@@ -269,7 +270,7 @@
 	if job == nil || job.Task(end.Task) == nil {
 		return
 	}
-	for i, task := range job.Occurrences[end.Task.Occurrence].Steps[end.Task.Step] {
+	for i, task := range job.Occurrences.Tasks(end.Task.Occurrence, end.Task.Step) {
 		ref := end.Task
 		ref.Index = uint32(i)
 		v := e.views[task.Worker]
--- a/dispatch/candidates.go
+++ b/dispatch/candidates.go
@@ -192,7 +192,7 @@
 // selectRack returns the rack on which tasks of the step run already, outside of evacuated
 // domains, or else the one that has room for most of them.
 func (e *Engine) selectRack(p *candidateSet, s *readyStep) string {
-	for _, task := range s.job.Occurrences[s.ref.Occurrence].Steps[s.ref.Step] {
+	for _, task := range s.job.Occurrences.Tasks(s.ref.Occurrence, s.ref.Step) {
 		if v := e.views[task.Worker]; task.State == workflow.TaskPlaced && v != nil && !e.evacuated(v) {
 			return v.worker.Rack
 		}
--- a/dispatch/candidates_test.go
+++ b/dispatch/candidates_test.go
@@ -97,7 +97,8 @@
 		s.run(time.Second)
 		s.notSent = true
 		e, set := s.engine, s.engine.newCandidateSet()
-		job := &workflow.Job{ID: 2, Service: "pool", Spec: workflow.JobSpec{Steps: []workflow.Step{shape}}, Occurrences: []workflow.Occurrence{{Steps: [][]workflow.Task{make([]workflow.Task, shape.Count)}}}}
+		spec := workflow.JobSpec{Steps: []workflow.Step{shape}}
+		job := &workflow.Job{ID: 2, Service: "pool", Spec: spec, Occurrences: workflow.NewOccurrences(&spec)}
 		ready := &readyStep{ref: workflow.StepRef{Job: 2}, job: job, step: &job.Spec.Steps[0]}
 		for i := range shape.Count {
 			ready.pending = append(ready.pending, i)
--- a/dispatch/copies.go
+++ b/dispatch/copies.go
@@ -258,7 +258,7 @@
 	var rates []float64
 	var worker workflow.WorkerID
 	several := false
-	for i, task := range s.job.Occurrences[s.ref.Occurrence].Steps[s.ref.Step] {
+	for i, task := range s.job.Occurrences.Tasks(s.ref.Occurrence, s.ref.Step) {
 		v := e.views[task.Worker]
 		if v == nil || uint32(i) == t.attempt.ref.Index || task.State != workflow.TaskPlaced || len(rates) == maxStepPaces {
 			continue
--- a/dispatch/copies_test.go
+++ b/dispatch/copies_test.go
@@ -138,8 +138,8 @@
 // tasks, and requires that nothing of it is recorded as running.
 func (s *sim) checkTasksEndedOnce(job *workflow.Job) {
 	open := uint32(0)
-	for st, tasks := range job.Occurrences[0].Steps {
-		for i, task := range tasks {
+	for st := range job.Spec.Steps {
+		for i, task := range job.Occurrences.Tasks(0, uint32(st)) {
 			if task.State != workflow.TaskDone {
 				open++
 			}
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -187,12 +187,10 @@
 	for e.state.Job(job.ID) != nil {
 		job.ID++ // What is known of another job must not count for this one.
 	}
-	first := workflow.Occurrence{Done: make([]uint32, len(job.Spec.Steps))}
 	for i := range job.Spec.Steps {
-		first.Steps = append(first.Steps, make([]workflow.Task, job.Spec.Steps[i].Count))
 		job.OpenTasks += job.Spec.Steps[i].Count
 	}
-	job.Occurrences = []workflow.Occurrence{first}
+	job.Occurrences = workflow.NewOccurrences(&job.Spec)
 	return job, nil
 }
 
@@ -216,10 +214,10 @@
 
 // explainedOccurrence returns the first occurrence of a job that is not done.
 func explainedOccurrence(job *workflow.Job) uint32 {
-	for o := range job.Occurrences {
+	for o := job.Occurrences.Next(0); o < job.Occurrences.Len(); o = job.Occurrences.Next(o + 1) {
 		for i := range job.Spec.Steps {
-			if job.Occurrences[o].Done[i] < job.Spec.Steps[i].Count {
-				return uint32(o)
+			if job.Occurrences.Done(o, uint32(i)) < job.Spec.Steps[i].Count {
+				return o
 			}
 		}
 	}
@@ -274,11 +272,7 @@
 		ref: ref, job: job, step: &job.Spec.Steps[index], waitingSinceMs: e.wallMs, baseValueDensity: e.ready.baseValueDensity(job),
 		criticalPathMs: slices.Max(chains), remainingMs: chains[index], errorPart: e.ready.errorPart(job, index),
 	}
-	for i := range job.Occurrences[occurrence].Steps[index] {
-		if job.Occurrences[occurrence].Steps[index][i].State == workflow.TaskPending {
-			s.pending = append(s.pending, uint32(i))
-		}
-	}
+	s.pending = job.Occurrences.AppendPending(nil, occurrence, index)
 	s.lateness = s.latenessAt(e.wallMs)
 	s.sortDeadlineMs, s.valueDensity = s.deadlineMs(s.lateness), s.valueDensityAt(e.wallMs)
 	return s
--- a/dispatch/gang.go
+++ b/dispatch/gang.go
@@ -36,7 +36,7 @@
 	}
 	delete(e.gangWaitingSince, s.ref)
 	number := uint32(0)
-	for _, task := range s.job.Occurrences[s.ref.Occurrence].Steps[s.ref.Step] {
+	for _, task := range s.job.Occurrences.Tasks(s.ref.Occurrence, s.ref.Step) {
 		number = max(number, task.Attempt)
 	}
 	e.proposeTogether(func() {
--- a/dispatch/moves.go
+++ b/dispatch/moves.go
@@ -180,7 +180,7 @@
 		return true
 	}
 	unavailable := int32(1) // The task itself.
-	for i, task := range e.state.Job(a.ref.Job).Occurrences[a.ref.Occurrence].Steps[a.ref.Step] {
+	for i, task := range e.state.Job(a.ref.Job).Occurrences.Tasks(a.ref.Occurrence, a.ref.Step) {
 		other := a.ref
 		other.Index = uint32(i)
 		if other != a.ref && !e.available(other, &task) {
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -123,13 +123,26 @@
 
 // forgetPaces drops what is kept of the steps of a job that has ended.
 func (e *Engine) forgetPaces(job *workflow.Job) {
-	for o := range job.Occurrences {
+	for o := range job.Occurrences.Held() {
 		for s := range job.Spec.Steps {
-			delete(e.paces, workflow.StepRef{Job: job.ID, Occurrence: uint32(o), Step: uint32(s)})
+			delete(e.paces, workflow.StepRef{Job: job.ID, Occurrence: o, Step: uint32(s)})
 		}
 	}
 }
 
+// forgetDoneTask drops what is kept of a task of a job that repeats, and of its step once all
+// of its tasks are done: the job may last for weeks.
+func (e *Engine) forgetDoneTask(ref workflow.TaskRef) {
+	job := e.state.Job(ref.Job)
+	if job == nil || job.Task(ref) == nil || job.Occurrences.Len() == 1 {
+		return
+	}
+	delete(e.lastFailures, ref)
+	if job.Occurrences.Done(ref.Occurrence, ref.Step) == job.Spec.Steps[ref.Step].Count {
+		delete(e.paces, ref.StepRef())
+	}
+}
+
 // usualRate returns the progress rate in percent a second that an attempt is compared
 // with: the median of its siblings on other workers or, without those, that of the slowest
 // run which is still usual by the learned run times.
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -61,6 +61,7 @@
 	byJob     map[workflow.JobID][]*readyStep
 	// suspects holds, by job, the tasks that are to be tested, as steps of their own.
 	suspects map[workflow.JobID][]*readyStep
+	due      dueTimes
 	// meanWorkByQueue holds the mean work of the jobs that each queue accepted.
 	meanWorkByQueue map[string]*meanWork
 	// runTimes holds what is learned of run times.
@@ -81,6 +82,7 @@
 	r.dirtyJobs = make(map[workflow.JobID]bool)
 	r.byJob = make(map[workflow.JobID][]*readyStep)
 	r.suspects = make(map[workflow.JobID][]*readyStep)
+	r.due = newDueTimes()
 	r.meanWorkByQueue = make(map[string]*meanWork)
 	r.runTimes = runtimes.New(runtimes.DefaultMaxKeys)
 	r.sizes = newJobSizes()
@@ -92,6 +94,7 @@
 // refresh recomputes the ready steps of dirty jobs and sorts all steps if any has
 // changed or sortInterval has passed. It reports whether it has sorted them.
 func (r *readySteps) refresh(state *workflow.State, nowMs int64) bool {
+	r.due.markDue(nowMs, r.markDirty)
 	for id := range r.dirtyJobs {
 		r.refreshJob(id, state.Job(id), nowMs)
 	}
@@ -173,33 +176,32 @@
 	}
 	if job == nil || !job.Active() {
 		delete(r.sizes.jobs, id)
+		r.due.forget(id)
 		return
 	}
+	r.due.schedule(job, nowMs)
 	chains, density := r.remainingPathsMs(job), r.baseValueDensity(job)
-	for o := range job.Occurrences {
+	for _, o := range readyOccurrences(job, nowMs) {
 		for s := range job.Spec.Steps {
-			r.addStep(job, uint32(o), uint32(s), chains, density, previous, nowMs)
+			previous = r.addStep(job, o, uint32(s), chains, density, previous, nowMs)
 		}
 	}
 }
 
-func (r *readySteps) addStep(job *workflow.Job, occurrence, step uint32, chains []int64, density float64, previous []*readyStep, nowMs int64) {
-	o := &job.Occurrences[occurrence]
-	if o.Done[step] == job.Spec.Steps[step].Count || !job.StepReady(occurrence, step) {
-		return
-	}
-	var pending []uint32
-	for i := range o.Steps[step] {
-		if o.Steps[step][i].State == workflow.TaskPending {
-			pending = append(pending, uint32(i))
-		}
+// addStep adds a step if it is ready. previous are the ready steps of its job before, from the
+// step on; addStep returns those behind it.
+func (r *readySteps) addStep(job *workflow.Job, occurrence, step uint32, chains []int64, density float64, previous []*readyStep, nowMs int64) []*readyStep {
+	if job.Occurrences.Done(occurrence, step) == job.Spec.Steps[step].Count || !job.StepReady(occurrence, step) {
+		return previous
 	}
+	pending := job.Occurrences.AppendPending(nil, occurrence, step)
 	if len(pending) == 0 {
-		return
+		return previous
 	}
 	ref := workflow.StepRef{Job: job.ID, Occurrence: occurrence, Step: step}
+	waitingSinceMs, previous := waitingSince(previous, ref, nowMs)
 	ready := &readyStep{
-		ref: ref, waitingSinceMs: waitingSince(previous, ref, nowMs), baseValueDensity: density, job: job, step: &job.Spec.Steps[step],
+		ref: ref, waitingSinceMs: waitingSinceMs, baseValueDensity: density, job: job, step: &job.Spec.Steps[step],
 		pending: pending, criticalPathMs: slices.Max(chains), remainingMs: chains[step], errorPart: r.errorPart(job, step),
 	}
 	var suspects []*readyStep
@@ -210,17 +212,20 @@
 		r.byJob[job.ID] = append(r.byJob[job.ID], ready)
 		r.changed = true
 	}
+	return previous
 }
 
 // waitingSince returns when a step was first found to have pending tasks: as in
-// the previous ready steps of its job, or now if it is not among them.
-func waitingSince(previous []*readyStep, ref workflow.StepRef, nowMs int64) int64 {
-	for _, old := range previous {
-		if old.ref == ref {
-			return old.waitingSinceMs
-		}
+// the previous ready steps of its job, which are sorted, or now if it is not among them. It
+// also returns those behind the step.
+func waitingSince(previous []*readyStep, ref workflow.StepRef, nowMs int64) (int64, []*readyStep) {
+	for len(previous) > 0 && compareStepRefs(previous[0].ref, ref) < 0 {
+		previous = previous[1:]
+	}
+	if len(previous) > 0 && previous[0].ref == ref {
+		return previous[0].waitingSinceMs, previous[1:]
 	}
-	return nowMs
+	return nowMs, previous
 }
 
 // remainingPathsMs returns, for each step, the expected time of the longest
--- a/dispatch/plan_work_test.go
+++ b/dispatch/plan_work_test.go
@@ -105,7 +105,7 @@
 	}
 	waiting := func() (n int) {
 		for i := range jobs {
-			for _, task := range e.state.Job(workflow.JobID(1_000_000 + i)).Occurrences[0].Steps[0] {
+			for _, task := range e.state.Job(workflow.JobID(1_000_000+i)).Occurrences.Tasks(0, 0) {
 				if task.State == workflow.TaskPending {
 					n++
 				}
@@ -140,7 +140,7 @@
 	small := workflow.Step{Count: 1, EstimatedMs: 1700, Resources: workflow.Resources{MilliProcessors: 10, MemoryMB: 1}, Scavenger: true, Image: "small"}
 	e.submit(&last, job, &Request{Job: &workflow.JobSpec{Steps: []workflow.Step{small}}}, func(Reply) {})
 	plans := 0
-	for ; plans < plansPerSecond && e.state.Job(job).Occurrences[0].Steps[0][0].State == workflow.TaskPending; plans++ {
+	for ; plans < plansPerSecond && e.state.Job(job).Occurrences.Tasks(0, 0)[0].State == workflow.TaskPending; plans++ {
 		e.Advance(e.now.Add(time.Second/plansPerSecond), e.wallMs+int64(time.Second/plansPerSecond/time.Millisecond))
 		for _, v := range e.sortedViews {
 			v.answeredAt, v.reportedAt = e.now, e.now
@@ -180,7 +180,7 @@
 	require.NoError(t, e.propose(workflow.Op{SetCatalog: &workflow.SetCatalog{Catalog: catalog}}))
 	e.submit(&last, job, &Request{Job: &workflow.JobSpec{Steps: []workflow.Step{small}}}, func(Reply) {})
 	plans := 0
-	for ; plans < plansPerSecond && e.state.Job(job).Occurrences[0].Steps[0][0].State == workflow.TaskPending; plans++ {
+	for ; plans < plansPerSecond && e.state.Job(job).Occurrences.Tasks(0, 0)[0].State == workflow.TaskPending; plans++ {
 		tryAgain()
 	}
 	t.Logf("placed in plan %d", plans)
--- a/dispatch/preparation.go
+++ b/dispatch/preparation.go
@@ -81,7 +81,7 @@
 // on the worker.
 func (e *Engine) unavailableElsewhere(v *workerView, ref workflow.TaskRef) int32 {
 	away := int32(0)
-	for i, task := range e.state.Job(ref.Job).Occurrences[ref.Occurrence].Steps[ref.Step] {
+	for i, task := range e.state.Job(ref.Job).Occurrences.Tasks(ref.Occurrence, ref.Step) {
 		other := workflow.TaskRef{Job: ref.Job, Occurrence: ref.Occurrence, Step: ref.Step, Index: uint32(i)}
 		if v.attempts[other] == nil && !e.available(other, &task) {
 			away++
--- a/dispatch/sizes.go
+++ b/dispatch/sizes.go
@@ -161,7 +161,7 @@
 }
 
 func hasSize(job *workflow.Job) bool {
-	return len(job.Occurrences) == 1 && !slices.ContainsFunc(job.Spec.Steps, func(s workflow.Step) bool { return s.Lasting })
+	return job.Occurrences.Len() == 1 && !slices.ContainsFunc(job.Spec.Steps, func(s workflow.Step) bool { return s.Lasting })
 }
 
 // classOf returns the class of an active job.
--- a/dispatch/urgent.go
+++ b/dispatch/urgent.go
@@ -536,12 +536,12 @@
 
 func (e *Engine) availabilityOf(job *workflow.Job) *availability {
 	counts := &availability{unavailable: make(map[workflow.StepRef]int32)}
-	for o := range job.Occurrences {
-		for s := range job.Spec.Steps {
-			step := workflow.StepRef{Job: job.ID, Occurrence: uint32(o), Step: uint32(s)}
-			for i := range job.Occurrences[o].Steps[s] {
+	for o, held := range job.Occurrences.Held() {
+		for s, tasks := range held.Steps {
+			step := workflow.StepRef{Job: job.ID, Occurrence: o, Step: uint32(s)}
+			for i := range tasks {
 				ref := workflow.TaskRef{Job: job.ID, Occurrence: step.Occurrence, Step: step.Step, Index: uint32(i)}
-				if e.available(ref, &job.Occurrences[o].Steps[s][i]) {
+				if e.available(ref, &tasks[i]) {
 					counts.available++
 				} else {
 					counts.unavailable[step]++
--- a/dispatch/value.go
+++ b/dispatch/value.go
@@ -51,10 +51,8 @@
 	for i := range job.Spec.Steps {
 		step := &job.Spec.Steps[i]
 		each := float64(r.meanMs(job, uint32(i))) * float64(step.Resources.MilliProcessors+acceleratorMilliProcessors*step.Resources.Accelerators)
-		for o := range job.Occurrences {
-			total += each * float64(step.Count)
-			left += each * float64(step.Count-job.Occurrences[o].Done[i])
-		}
+		total += each * float64(step.Count) * float64(job.Occurrences.Len())
+		left += each * float64(job.Occurrences.Open(uint32(i)))
 	}
 	return total, left
 }
--- a/dispatch/value_test.go
+++ b/dispatch/value_test.go
@@ -14,7 +14,12 @@
 	var r readySteps
 	r.reset()
 	job := func(tasks uint32, done uint32) *workflow.Job {
-		return &workflow.Job{Queue: "q", Spec: workflow.JobSpec{Steps: []workflow.Step{step(tasks)}}, Occurrences: []workflow.Occurrence{{Done: []uint32{done}}}}
+		spec := workflow.JobSpec{Steps: []workflow.Step{step(tasks)}}
+		j := &workflow.Job{Queue: "q", Spec: spec, Occurrences: workflow.NewOccurrences(&spec)}
+		for _, o := range j.Occurrences.Held() {
+			o.Done[0] = done
+		}
+		return j
 	}
 	small, large, nearlyDone := job(2, 0), job(10, 0), job(10, 9)
 	for _, j := range []*workflow.Job{small, large, nearlyDone} {
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -287,10 +287,10 @@
 	e.stopCopies(job)
 	delete(e.slowdown.ownSlackTrends, job.ID)
 	maps.DeleteFunc(e.lastFailures, func(ref workflow.TaskRef, _ taskFailure) bool { return ref.Job == job.ID })
-	for o := range job.Occurrences {
-		for s, tasks := range job.Occurrences[o].Steps {
+	for o, held := range job.Occurrences.Held() {
+		for s, tasks := range held.Steps {
 			for i := range tasks {
-				ref := workflow.TaskRef{Job: job.ID, Occurrence: uint32(o), Step: uint32(s), Index: uint32(i)}
+				ref := workflow.TaskRef{Job: job.ID, Occurrence: o, Step: uint32(s), Index: uint32(i)}
 				v := e.views[tasks[i].Worker]
 				if v == nil || v.attempts[ref] == nil {
 					continue
--- a/workflow/copy_test.go
+++ b/workflow/copy_test.go
@@ -13,10 +13,10 @@
 // copy, are recorded on their workers.
 func checkAttempts(t require.TestingT, s *State) {
 	for _, job := range s.Jobs() {
-		for o := range job.Occurrences {
-			for st, tasks := range job.Occurrences[o].Steps {
+		for o, held := range job.Occurrences.Held() {
+			for st, tasks := range held.Steps {
 				for i, task := range tasks {
-					ref := TaskRef{Job: job.ID, Occurrence: uint32(o), Step: uint32(st), Index: uint32(i)}
+					ref := TaskRef{Job: job.ID, Occurrence: o, Step: uint32(st), Index: uint32(i)}
 					c := job.CopyOf(ref)
 					if task.State == TaskPlaced {
 						require.NotNil(t, s.Worker(task.Worker))
--- a/workflow/late_end_test.go
+++ b/workflow/late_end_test.go
@@ -21,7 +21,7 @@
 	require.NoError(t, end(s, 1, task(0, 0), 1, EndDone))
 	assert.Equal(t, TaskDone, s.Job(1).Task(task(0, 0)).State)
 	require.NoError(t, end(s, 2, task(0, 0), 2, EndDone))
-	assert.EqualValues(t, 1, s.Job(1).Occurrences[0].Done[0], "a task is done once")
+	assert.EqualValues(t, 1, s.Job(1).Occurrences.Done(0, 0), "a task is done once")
 	assert.EqualValues(t, 3, s.Job(1).OpenTasks)
 
 	require.NoError(t, end(s, 3, task(0, 1), 1, EndDone))
--- a/workflow/model.go
+++ b/workflow/model.go
@@ -200,6 +200,35 @@
 	return s.Schedule.FirstMs + int64(occurrence)*s.Schedule.EveryMs
 }
 
+// DueBy returns the number of occurrences from the first one on that are due by a time in
+// milliseconds since the Unix epoch. If they do not follow each other in time, it returns all
+// once one of them is due.
+func (s *JobSpec) DueBy(nowMs int64) uint32 {
+	count := s.Occurrences()
+	switch {
+	case s.Schedule.Times == 0 || nowMs >= max(s.DueMs(0), s.DueMs(count-1)):
+		return count
+	case s.Schedule.EveryMs <= 0 || s.DueMs(count-1) < s.DueMs(0):
+		if nowMs >= min(s.DueMs(0), s.DueMs(count-1)) {
+			return count
+		}
+		return 0
+	case nowMs < s.DueMs(0):
+		return 0
+	}
+	return uint32(min((nowMs-s.Schedule.FirstMs)/s.Schedule.EveryMs+1, int64(count)))
+}
+
+// NextDueMs returns when DueBy changes next, in milliseconds since the Unix epoch, false if
+// never.
+func (s *JobSpec) NextDueMs(nowMs int64) (int64, bool) {
+	count, due := s.Occurrences(), s.DueBy(nowMs)
+	if due == count {
+		return 0, false
+	}
+	return min(s.DueMs(due), s.DueMs(count-1)), true
+}
+
 // Limits on a job.
 const (
 	// maxPayloadBytes limits the payload; the documentation of jobs states this limit.
--- a/workflow/snapshot.go
+++ b/workflow/snapshot.go
@@ -69,6 +69,22 @@
 	return 0
 }
 
+// checkOccurrences checks that decoded occurrences are those of the job's steps. The error is
+// of kind corrupt.
+func (j *Job) checkOccurrences() error {
+	fits := j.Occurrences.Len() == j.Spec.Occurrences()
+	for _, o := range j.Occurrences.Held() {
+		fits = fits && len(o.Steps) == len(j.Spec.Steps) && len(o.Done) == len(j.Spec.Steps)
+		for i := range j.Spec.Steps {
+			fits = fits && len(o.Steps[i]) == int(j.Spec.Steps[i].Count)
+		}
+	}
+	if !fits {
+		return kind.Errorf(kind.Corrupt, "the occurrences of job %s do not match its steps", j.ID)
+	}
+	return nil
+}
+
 // DecodeSnapshot decodes a snapshot. The error is of kind corrupt.
 func DecodeSnapshot(data []byte) (*State, error) {
 	var in snapshot
@@ -82,6 +98,10 @@
 	s.catalog, s.nextWorker, s.nowMs, s.finished, s.departed = in.Catalog, in.NextWorker, in.NowMs, in.Finished, in.Departed
 	s.openStarts, s.recentPlacements = in.OpenStarts, in.RecentPlacements
 	for _, job := range in.Jobs {
+		if err := job.checkOccurrences(); err != nil {
+			return nil, err
+		}
+		job.Occurrences.attach(&job.Spec)
 		s.addJob(job)
 	}
 	for _, evacuation := range in.Evacuations {
@@ -101,10 +121,18 @@
 		s.byName[w.Life.Name] = w.ID
 		s.byAddress[w.Address] = w.ID
 		for ref := range w.Attempts {
-			if job := s.jobs[ref.Job]; job != nil {
-				job.attempts++
+			job := s.jobs[ref.Job]
+			if job == nil {
+				continue
+			}
+			job.attempts++
+			if held := job.Occurrences.find(ref.Occurrence); held != nil {
+				held.attempts++
 			}
 		}
 	}
+	for _, job := range s.jobs {
+		s.settleOccurrences(job)
+	}
 	return s, nil
 }
--- a/workflow/state.go
+++ b/workflow/state.go
@@ -26,25 +26,16 @@
 	Checkpoint string
 }
 
-// Occurrence is one run of a job's steps.
-type Occurrence struct {
-	_ struct{} `cbor:",toarray"`
-	// Steps holds the tasks of each step, in the order of JobSpec.Steps.
-	Steps [][]Task
-	// Done is the number of done tasks of each step.
-	Done []uint32
-}
-
 // Job is the state of an accepted job.
 type Job struct {
-	ID          JobID        `cbor:"1,keyasint"`
-	Queue       string       `cbor:"2,keyasint"`
-	Service     string       `cbor:"3,keyasint"`
-	Priority    int32        `cbor:"4,keyasint,omitempty"`
-	MaxAttempts uint32       `cbor:"5,keyasint,omitempty"`
-	Spec        JobSpec      `cbor:"6,keyasint"`
-	Occurrences []Occurrence `cbor:"7,keyasint"`
-	AcceptedMs  int64        `cbor:"8,keyasint"`
+	ID          JobID       `cbor:"1,keyasint"`
+	Queue       string      `cbor:"2,keyasint"`
+	Service     string      `cbor:"3,keyasint"`
+	Priority    int32       `cbor:"4,keyasint,omitempty"`
+	MaxAttempts uint32      `cbor:"5,keyasint,omitempty"`
+	Spec        JobSpec     `cbor:"6,keyasint"`
+	Occurrences Occurrences `cbor:"7,keyasint"`
+	AcceptedMs  int64       `cbor:"8,keyasint"`
 	// FinishedMs is when the job ended, zero until then.
 	FinishedMs int64 `cbor:"9,keyasint,omitempty"`
 	Started    bool  `cbor:"10,keyasint,omitempty"`
@@ -65,6 +56,8 @@
 	Copies []Copy `cbor:"21,keyasint,omitempty"`
 	// attempts is the number of attempts that are recorded on workers.
 	attempts int
+	// estimatedBytes is the part of the job in State.JobBytes.
+	estimatedBytes int64
 }
 
 // Active reports whether the job has not ended, so that its tasks may be started.
@@ -129,42 +122,60 @@
 // HasRequiredLabel reports whether the worker has the label that the step requires.
 func (w *Worker) HasRequiredLabel(step *Step) bool { return step.Label == "" || w.HasLabel(step.Label) }
 
-// Task returns a task of the job, nil if there is none.
+// Task returns a task of the job, nil if there is none. The caller must not modify it.
 func (j *Job) Task(ref TaskRef) *Task {
-	if int(ref.Occurrence) >= len(j.Occurrences) {
+	if ref.Occurrence >= j.Occurrences.Len() || int(ref.Step) >= len(j.Spec.Steps) || ref.Index >= j.Spec.Steps[ref.Step].Count {
 		return nil
 	}
-	steps := j.Occurrences[ref.Occurrence].Steps
-	if int(ref.Step) >= len(steps) || int(ref.Index) >= len(steps[ref.Step]) {
-		return nil
+	if held := j.Occurrences.find(ref.Occurrence); held != nil {
+		return &held.Steps[ref.Step][ref.Index]
+	}
+	if j.Occurrences.isDone(ref.Occurrence) {
+		return &Task{State: TaskDone}
 	}
-	return &steps[ref.Step][ref.Index]
+	return new(Task)
 }
 
 // StepReady reports whether all steps that the given step depends on are done.
 func (j *Job) StepReady(occurrence, step uint32) bool {
-	o := &j.Occurrences[occurrence]
 	for _, dependency := range j.Spec.Steps[step].After {
-		if o.Done[dependency] < j.Spec.Steps[dependency].Count {
+		if j.Occurrences.Done(occurrence, dependency) < j.Spec.Steps[dependency].Count {
 			return false
 		}
 	}
 	return true
 }
 
+// Waits reports whether a step of an occurrence is ready and has pending tasks.
+func (j *Job) Waits(occurrence uint32) bool {
+	held := j.Occurrences.find(occurrence)
+	if held == nil {
+		return !j.Occurrences.isDone(occurrence)
+	}
+	for s, tasks := range held.Steps {
+		pending := slices.ContainsFunc(tasks, func(t Task) bool { return t.State == TaskPending })
+		if pending && j.StepReady(occurrence, uint32(s)) {
+			return true
+		}
+	}
+	return false
+}
+
 // State is the replicated state. It is not safe for concurrent use; Store
 // guards it with a mutex.
 type State struct {
 	catalog *Catalog
 	jobs    map[JobID]*Job
-	// jobBytes is the sum of Job.bytes.
-	jobBytes   int64
-	workers    map[WorkerID]*Worker
-	byName     map[string]WorkerID
-	byAddress  map[string]WorkerID
-	waves      map[uint64]*Wave
-	nextWorker WorkerID
-	nowMs      int64
+	// jobBytes is the sum of Job.estimatedBytes, heldOccurrences the number of occurrences that
+	// take memory of their own.
+	jobBytes        int64
+	heldOccurrences int
+	workers         map[WorkerID]*Worker
+	byName          map[string]WorkerID
+	byAddress       map[string]WorkerID
+	waves           map[uint64]*Wave
+	nextWorker      WorkerID
+	nowMs           int64
 	// finished lists the ended jobs that are still kept, in the order of their end.
 	finished []JobID
 	// departed lists the incarnations that ended after they drained, in the order of
@@ -295,14 +306,10 @@
 		StretchMilli: queue.StretchMilli, LatencyObjectiveMs: queue.LatencyObjectiveMs, Advised: queue.Advised, AdviceValidMs: queue.AdviceValidMs,
 		AdviceBaseMs: queue.AdviceBaseMs, AdviceEachMs: queue.AdviceEachMs,
 	}
-	for range a.Spec.Occurrences() {
-		o := Occurrence{Done: make([]uint32, len(a.Spec.Steps))}
-		for i := range a.Spec.Steps {
-			o.Steps = append(o.Steps, make([]Task, a.Spec.Steps[i].Count))
-			job.OpenTasks += a.Spec.Steps[i].Count
-		}
-		job.Occurrences = append(job.Occurrences, o)
+	for i := range a.Spec.Steps {
+		job.OpenTasks += a.Spec.Steps[i].Count * a.Spec.Occurrences()
 	}
+	job.Occurrences = NewOccurrences(&job.Spec)
 	s.addJob(job)
 	return nil
 }
@@ -458,6 +465,7 @@
 		return err
 	}
 	job.forgetCopy(p.Task)
+	task = job.Task(p.Task) // Of an occurrence that is held now.
 	task.State, task.Worker, task.Attempt = TaskPlaced, p.Worker, p.Attempt
 	job.Started = true
 	s.recordPlacement(p)
@@ -476,6 +484,7 @@
 	w.Reserved = w.Reserved.Add(need)
 	w.Attempts[ref] = attempt
 	job.attempts++
+	s.holdOccurrence(job, ref.Occurrence).attempts++
 	return nil
 }
 
@@ -497,6 +506,10 @@
 	if task == nil {
 		return nil // Of an earlier job of this ID, which an earlier version had dropped.
 	}
+	if held := job.Occurrences.find(ref.Occurrence); held != nil {
+		held.attempts--
+		defer s.settleOccurrence(job, ref.Occurrence)
+	}
 	w.Reserved = w.Reserved.Sub(job.Spec.Steps[ref.Step].Reserved())
 	if task.State == TaskPlaced && job.releaseCopy(w.ID, ref, task, attempt) {
 		return task
@@ -565,19 +578,23 @@
 }
 
 func (s *State) setCheckpoint(job *Job, ref TaskRef, checkpoint string) {
-	if !job.Spec.Steps[ref.Step].Gang {
-		job.Task(ref).Checkpoint = checkpoint
+	held := job.Occurrences.find(ref.Occurrence)
+	if held == nil {
 		return
 	}
-	members := job.Occurrences[ref.Occurrence].Steps[ref.Step]
+	members := held.Steps[ref.Step]
+	if !job.Spec.Steps[ref.Step].Gang {
+		members = members[ref.Index : ref.Index+1]
+	}
 	for i := range members {
+		s.resizeJob(job, checkpointBytes(len(checkpoint))-checkpointBytes(len(members[i].Checkpoint)))
 		members[i].Checkpoint = checkpoint
 	}
 }
 
 // markDone marks a task as done, or all tasks of its gang.
 func (s *State) markDone(job *Job, step *Step, ref TaskRef) {
-	o := &job.Occurrences[ref.Occurrence]
+	o := s.holdOccurrence(job, ref.Occurrence)
 	first, last := ref.Index, ref.Index
 	if step.Gang {
 		first, last = 0, step.Count-1
@@ -590,6 +607,7 @@
 			job.OpenTasks--
 		}
 	}
+	s.settleOccurrence(job, ref.Occurrence)
 	if job.OpenTasks == 0 && !job.Cancelled && !job.Failed {
 		s.finish(job)
 	}
@@ -600,7 +618,7 @@
 	failures := task.Failures
 	if step.Gang {
 		failures = 0
-		for _, member := range job.Occurrences[ref.Occurrence].Steps[ref.Step] {
+		for _, member := range job.Occurrences.Tasks(ref.Occurrence, ref.Step) {
 			failures += member.Failures
 		}
 	}
