--- a/coordinator/loop.go
+++ b/coordinator/loop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"runtime"
+	runtimemetrics "runtime/metrics"
 	"time"
 
 	"mangohill.example/mangohill/dispatch"
@@ -108,14 +109,22 @@
 	l.lag.recordQueues(len(l.calls), len(l.orderAnswers), l.orders.len())
 	l.lag.report(now, l.term, l.options.Logger)
 	l.engine.SetCallLimit(l.options.Workers.CallLimit())
+	l.engine.SetLiveHeap(liveHeapBytes())
 	l.engine.Tick(l.now(), now.UnixMilli())
 	l.publishStats()
 }
 
+// liveHeapBytes returns the memory of the objects that the latest garbage collection found live.
+func liveHeapBytes() int64 {
+	sample := []runtimemetrics.Sample{{Name: "/gc/heap/live:bytes"}}
+	runtimemetrics.Read(sample)
+	return int64(sample[0].Value.Uint64())
+}
+
 func (l *loop) publishStats() {
 	state := l.engine.State()
 	evacuations, remaining := l.engine.EvacuationStats()
-	l.metrics.engine.Store(&engineStats{Counters: l.engine.Counters(), Term: l.term, Jobs: len(state.Jobs()), Workers: len(state.Workers()), JobBytes: state.JobBytes(), HeldOccurrences: state.HeldOccurrences(), NextDueMs: l.engine.NextDueMs(), Evacuations: evacuations, Remaining: remaining})
+	l.metrics.engine.Store(&engineStats{Counters: l.engine.Counters(), Term: l.term, Jobs: len(state.Jobs()), Workers: len(state.Workers()), JobBytes: state.JobBytes(), LiveHeapBytes: liveHeapBytes(), HeldOccurrences: state.HeldOccurrences(), NextDueMs: l.engine.NextDueMs(), Evacuations: evacuations, Remaining: remaining})
 }
 
 func (c *Coordinator) now() dispatch.Instant { return dispatch.Instant(boottime.Nanoseconds()) }
--- a/coordinator/metrics.go
+++ b/coordinator/metrics.go
@@ -44,10 +44,12 @@
 	dispatch.Counters
 	Term          uint64
 	Jobs, Workers int
-	// JobBytes is the memory of the accepted jobs by estimate. HeldOccurrences is the number of
+	// JobBytes is the memory of the accepted jobs by estimate, LiveHeapBytes that of all live
+	// objects as measured. HeldOccurrences is the number of
 	// their occurrences that take memory of their own, NextDueMs when the next one is due in
 	// milliseconds since the Unix epoch, zero if none is known.
 	JobBytes        int64
+	LiveHeapBytes   int64
 	HeldOccurrences int
 	NextDueMs       int64
 	// Evacuations is the number of evacuated domains, Remaining what is recorded there.
--- a/dispatch/callers.go
+++ b/dispatch/callers.go
@@ -101,6 +101,12 @@
 		})
 		return
 	}
+	if limit := e.settings.MaxHeapBytes; limit > 0 && e.liveHeapBytes > limit {
+		e.afterCommit(func() {
+			reply(refusal(kind.Overloaded, "the process holds %d bytes, the limit for further jobs is %d bytes", e.liveHeapBytes, limit))
+		})
+		return
+	}
 	if err := e.propose(workflow.Op{Accept: &workflow.Accept{ID: id, Queue: queue.Name, Spec: *spec}}); err != nil {
 		reply(refusal(kind.Internal, "%v", err))
 		return
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -41,6 +41,8 @@
 	advisor  advisor
 	// maintenance is the state of the maintenance waves.
 	maintenance maintenanceState
+	// liveHeapBytes is the latest measurement; see SetLiveHeap.
+	liveHeapBytes int64
 	// gangWaitingSince holds since when each gang step waits for room.
 	gangWaitingSince map[workflow.StepRef]Instant
 	// lastFailures holds, per task, the worker on which an attempt failed last.
@@ -171,6 +173,10 @@
 	e.updatePools()
 }
 
+// SetLiveHeap sets the measured memory in bytes of the live objects of the process, as found by
+// its latest garbage collection.
+func (e *Engine) SetLiveHeap(bytes int64) { e.liveHeapBytes = bytes }
+
 // Advance sets the clocks like Tick but issues no orders.
 func (e *Engine) Advance(now Instant, wallMs int64) {
 	e.now, e.wallMs = now, wallMs
--- a/dispatch/limits_test.go
+++ b/dispatch/limits_test.go
@@ -158,6 +158,29 @@
 	assert.Nil(t, request(Submit, accepted+1).Err)
 }
 
+// Guards against a process that is ended for its memory because the estimate of jobs leaves
+// something out: what is measured refuses further jobs too, and those accepted are answered.
+func TestJobsAreRefusedWhileTheHeapIsFull(t *testing.T) {
+	e := New(Settings{MaxJobBytes: 64 << 20, MaxHeapBytes: 1000}, zerolog.Nop(), 1, workflow.NewState(), 0)
+	e.SetCatalog(queueCatalog(1, "q"), func(*kind.Error) {})
+	submit := func(id workflow.JobID) (reply Reply) {
+		spec := &workflow.JobSpec{Steps: []workflow.Step{{Count: 1}}}
+		e.HandleRequest(&Request{Verb: Submit, Host: "h", Path: "/q/" + id.String(), Job: spec}, func(r Reply) { reply = r })
+		for e.TakeBatch() != nil {
+			e.Committed()
+		}
+		return reply
+	}
+	e.SetLiveHeap(1000)
+	require.Nil(t, submit(1).Err)
+	e.SetLiveHeap(1001)
+	require.NotNil(t, submit(2).Err)
+	assert.Equal(t, kind.Overloaded, submit(2).Err.Kind)
+	assert.Nil(t, submit(1).Err, "a job that was accepted is repeated")
+	e.SetLiveHeap(900)
+	assert.Nil(t, submit(2).Err)
+}
+
 // Guards against a leader that loses its term with a gang that it places beside a configuration
 // of nearly the size of a command: together they exceed it.
 func TestAGangBesideALargeConfigurationIsABatchOfItsOwn(t *testing.T) {
--- a/dispatch/settings.go
+++ b/dispatch/settings.go
@@ -16,6 +16,9 @@
 	// MaxJobBytes is the memory in bytes for accepted jobs, by the estimate of
 	// workflow.State.JobBytes, from which on further ones are refused. Zero sets no limit.
 	MaxJobBytes int64
+	// MaxHeapBytes is the measured memory of live objects in bytes, see Engine.SetLiveHeap, from
+	// which on further jobs are refused, whatever the estimate says. Zero sets no limit.
+	MaxHeapBytes int64
 	// MaxReportAge is the age of a worker's latest report up to which its capacity is relied
 	// on. Zero sets no limit.
 	MaxReportAge time.Duration
