dispatch, workflow: open starts are found without a search of all

Each task that is looked at searches all open starts, each answer to a poll walks all, each that is settled copies the list; in the state each record searches the list and moves its rest.

--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -51,10 +51,8 @@
 	// carried out, oldest first.
 	formerAttempts []formerAttempt
 	strays         []stray
-	// openStarts are the starts that may still be carried out; openTasks counts them by
-	// task. The list is replaced when one is removed, so that it can be iterated meanwhile.
-	openStarts []*openStart
-	openTasks  map[workflow.TaskRef]int
+	// openStarts are the starts that may still be carried out.
+	openStarts openStartSet
 	// inheritedRecorded is set once the starts of the earlier leader are recorded.
 	inheritedRecorded bool
 	// withdrawals holds what confirms the withdrawals of workers on which attempts
@@ -138,7 +136,7 @@
 		settings: settings, log: log, term: term, state: state, now: now, tookOverAt: now, wallMs: state.NowMs(),
 		views: make(map[workflow.WorkerID]*workerView), slowdown: newSlowdownModel(), advisor: newAdvisor(), maintenance: newMaintenanceState(), gangWaitingSince: make(map[workflow.StepRef]Instant),
 		lastFailures: make(map[workflow.TaskRef]taskFailure), withdrawals: make(map[workflow.WorkerID][]func()), paces: make(stepPaces),
-		urgentPools: make(map[string]*urgentPool), preemptions: make(map[workflow.TaskRef]preemption), lastingWaits: make(map[workflow.TaskRef]*lastingWait), reservations: newLastingReservations(), openTasks: make(map[workflow.TaskRef]int), lookAhead: newLookAhead(), searches: make(map[searchKey][]failedSearch), roomChanges: new(uint64),
+		urgentPools: make(map[string]*urgentPool), preemptions: make(map[workflow.TaskRef]preemption), lastingWaits: make(map[workflow.TaskRef]*lastingWait), reservations: newLastingReservations(), openStarts: newOpenStartSet(), lookAhead: newLookAhead(), searches: make(map[searchKey][]failedSearch), roomChanges: new(uint64),
 		observeStage: func(Stage, bool, time.Duration) {},
 	}
 	for _, id := range slices.Sorted(maps.Keys(state.Workers())) {
--- a/dispatch/open_starts.go
+++ b/dispatch/open_starts.go
@@ -30,6 +30,8 @@
 	// assumed is set if no start is known to be without an answer: the attempt was placed
 	// just before this leader took over.
 	assumed bool
+	// removed is set once the record is withdrawn.
+	removed bool
 }
 
 const (
@@ -56,8 +58,7 @@
 		if recorded.Running {
 			sentBy = e.now.Add(-maxOrderDelay)
 		}
-		e.openStarts = append(e.openStarts, &openStart{ref: recorded.Task, life: recorded.Life, address: recorded.Address, sentBy: sentBy, running: recorded.Running, committed: true, inherited: true})
-		e.openTasks[recorded.Task]++
+		e.openStarts.add(&openStart{ref: recorded.Task, life: recorded.Life, address: recorded.Address, sentBy: sentBy, running: recorded.Running, committed: true, inherited: true})
 	}
 	recent := make(map[workflow.TaskRef]uint32)
 	for _, p := range e.state.RecentPlacements() {
@@ -101,11 +102,8 @@
 }
 
 func (e *Engine) openStartOf(ref workflow.TaskRef, worker string) *openStart {
-	if e.openTasks[ref] == 0 {
-		return nil
-	}
-	for _, o := range e.openStarts {
-		if o.ref == ref && o.life.Name == worker {
+	for o := range e.openStarts.ofTask(ref) {
+		if o.life.Name == worker {
 			return o
 		}
 	}
@@ -129,8 +127,7 @@
 	if o == nil {
 		e.counters.OpenStarts++
 		o = &openStart{ref: ref, life: w.Life, address: w.Address, attempt: attempt, sentBy: e.now.Add(-maxOrderDelay)}
-		e.openStarts = append(e.openStarts, o)
-		e.openTasks[ref]++
+		e.openStarts.add(o)
 		e.afterCommit(func() { o.committed = true })
 	}
 	o.running = running || o.running
@@ -140,18 +137,14 @@
 
 // settle withdraws the record of an open start.
 func (e *Engine) settle(o *openStart, reason string) {
-	at := slices.Index(e.openStarts, o)
-	if at < 0 {
+	if o.removed {
 		return
 	}
 	if err := e.propose(workflow.Op{OpenStart: &workflow.OpenStart{Task: o.ref, Life: o.life, Address: o.address, Settled: true}}); err != nil {
 		e.log.Error().Err(err).Stringer("task", o.ref).Msg("open start not settled")
 		return
 	}
-	e.openStarts = slices.Delete(slices.Clone(e.openStarts), at, at+1)
-	if e.openTasks[o.ref]--; e.openTasks[o.ref] == 0 {
-		delete(e.openTasks, o.ref)
-	}
+	e.openStarts.remove(o)
 	e.ready.markDirty(o.ref.Job)
 	e.log.Info().Stringer("task", o.ref).Str("worker", o.life.Name).Str("reason", reason).Uint64("term", e.term).Msg("start settled")
 }
@@ -167,8 +160,8 @@
 // settlePolled settles the open starts on a worker that can't be carried out any more, if
 // its answer to a poll shows no unrecorded run of their tasks.
 func (e *Engine) settlePolled(v *workerView, answer *Answer) {
-	for _, o := range e.openStarts {
-		if o.life.Name != v.worker.Life.Name || answer.Order.SentAt < o.sentBy.Add(maxOrderDelay) {
+	for o := range e.openStarts.ofWorker(v.worker.Life.Name) {
+		if answer.Order.SentAt < o.sentBy.Add(maxOrderDelay) {
 			continue
 		}
 		if !slices.ContainsFunc(e.strays, func(s stray) bool { return s.worker == v.worker.ID && s.ref == o.ref }) {
@@ -181,7 +174,7 @@
 // began with the last of them has ended with its lease. It records those that this leader
 // has inherited without a record.
 func (e *Engine) checkOpenStarts() {
-	for _, o := range e.openStarts {
+	for o := range e.openStarts.all() {
 		if e.now > o.sentBy.Add(maxOrderDelay+maxRealTime(e.settings.MaxLease)) {
 			e.settle(o, "lease_over")
 		}
@@ -236,11 +229,8 @@
 // as that for an order. Copies of a duplicable task may run at the same time.
 func (e *Engine) placesFor(step *workflow.Step, ref workflow.TaskRef) openStartPlaces {
 	var places openStartPlaces
-	if e.openTasks[ref] == 0 {
-		return places
-	}
-	for _, o := range e.openStarts {
-		if o.ref != ref || !o.running && !exclusive(step) {
+	for o := range e.openStarts.ofTask(ref) {
+		if !o.running && !exclusive(step) {
 			continue
 		}
 		w := e.state.WorkerAt(o.address)
@@ -273,7 +263,7 @@
 // placeOpenTasks removes the tasks from a step that an open start keeps from some workers,
 // and places those that another worker may run. All tasks of a gang wait for one of any.
 func (e *Engine) placeOpenTasks(p *candidateSet, s *readyStep) {
-	if len(e.openStarts) == 0 {
+	if e.openStarts.len() == 0 {
 		return
 	}
 	var kept, limited []uint32
@@ -317,7 +307,7 @@
 // worker crashes before, the end does not count, and its next incarnation may run the task.
 func (e *Engine) holdAcks(v *workerView, ended []EndedAttempt) {
 	v.ackHeld, v.ackLimit = false, 0
-	if len(e.openStarts) == 0 {
+	if e.openStarts.len() == 0 {
 		return
 	}
 	for i := range ended {
@@ -337,8 +327,17 @@
 	if job == nil || job.Task(ref) == nil || !exclusive(&job.Spec.Steps[ref.Step]) {
 		return false
 	}
-	gang := job.Spec.Steps[ref.Step].Gang
-	return slices.ContainsFunc(e.openStarts, func(o *openStart) bool {
-		return o.ref == ref || gang && !o.assumed && o.ref.StepRef() == ref.StepRef()
-	})
+	if e.openStarts.has(ref) {
+		return true
+	}
+	if step := &job.Spec.Steps[ref.Step]; step.Gang {
+		for ref.Index = range step.Count {
+			for o := range e.openStarts.ofTask(ref) {
+				if !o.assumed {
+					return true
+				}
+			}
+		}
+	}
+	return false
 }
--- a/dispatch/open_starts_test.go
+++ b/dispatch/open_starts_test.go
@@ -1,9 +1,12 @@
 package dispatch
 
 import (
+	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -151,3 +154,29 @@
 	assert.Empty(t, s.committed.OpenStarts())
 	assert.Empty(t, s.violations)
 }
+
+// Guards against a leader that is behind for half a minute after a slow plan, as it searches and
+// copies all open starts for each of thousands: what one costs must not grow with their number.
+func TestOpenStartsAreFoundWithoutASearchOfAll(t *testing.T) {
+	bytesPerStart := func(count uint32) float64 {
+		e := New(Settings{}, zerolog.Nop(), 1, workflow.NewState(), 0)
+		w := &workflow.Worker{Life: workflow.Incarnation{Name: "w", BornMs: 1}, Address: "w:1"}
+		workers := make([]*workflow.Worker, count)
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		for i := range count {
+			worker := *w
+			worker.Life.Name = fmt.Sprint("w", i%100)
+			workers[i] = &worker
+			require.NotNil(t, e.open(&worker, workflow.TaskRef{Job: 1, Index: i}, 1, false))
+		}
+		for i := range count {
+			e.settle(e.openStartOf(workflow.TaskRef{Job: 1, Index: i}, workers[i].Life.Name), "test")
+		}
+		runtime.ReadMemStats(&after)
+		require.Zero(t, e.openStarts.len())
+		return float64(after.TotalAlloc-before.TotalAlloc) / float64(count)
+	}
+	few, many := bytesPerStart(500), bytesPerStart(8000)
+	assert.Less(t, many, 2*few, "bytes allocated for an open start among 500 and among 8,000")
+}
--- a/workflow/open_start.go
+++ b/workflow/open_start.go
@@ -1,6 +1,10 @@
 package workflow
 
-import "slices"
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
 
 // OpenStart records that a start of a task which was sent to an incarnation of a worker may
 // still be carried out by a later one, or with Running that a run of the task is known there
@@ -29,27 +33,63 @@
 // records a start without one. The rest is for the wait of a batch in a slow log.
 const recentPlacementMs = 5000
 
-// OpenStarts returns the recorded open starts, in the order of their records. The caller must
-// not modify them.
-func (s *State) OpenStarts() []OpenStart { return s.openStarts }
+// openStarts holds the open starts by task and name of the worker.
+type openStarts struct {
+	records map[openStartKey]openStartRecord
+	// last is the number of the latest record.
+	last uint64
+}
 
-// RecentPlacements returns the placements of the last seconds, oldest first. The caller must
-// not modify them.
-func (s *State) RecentPlacements() []RecentPlacement { return s.recentPlacements }
+type openStartKey struct {
+	task   TaskRef
+	worker string
+}
+
+type openStartRecord struct {
+	number uint64
+	OpenStart
+}
 
-func (s *State) setOpenStart(o *OpenStart) {
-	at := slices.IndexFunc(s.openStarts, func(other OpenStart) bool { return other.Task == o.Task && other.Life.Name == o.Life.Name })
+func newOpenStarts(records []OpenStart) openStarts {
+	o := openStarts{records: make(map[openStartKey]openStartRecord, len(records))}
+	for i := range records {
+		o.set(&records[i])
+	}
+	return o
+}
+
+func (o *openStarts) set(record *OpenStart) {
+	key := openStartKey{record.Task, record.Life.Name}
+	known, ok := o.records[key]
 	switch {
-	case o.Settled && at >= 0:
-		s.openStarts = slices.Delete(s.openStarts, at, at+1)
-	case o.Settled:
-	case at >= 0:
-		s.openStarts[at].Running = o.Running
+	case record.Settled:
+		delete(o.records, key)
+	case ok:
+		known.Running = record.Running
+		o.records[key] = known
 	default:
-		s.openStarts = append(s.openStarts, *o)
+		o.last++
+		o.records[key] = openStartRecord{o.last, *record}
+	}
+}
+
+// OpenStarts returns the recorded open starts, in the order of their records.
+func (s *State) OpenStarts() []OpenStart {
+	if len(s.openStarts.records) == 0 {
+		return nil
+	}
+	records := slices.SortedFunc(maps.Values(s.openStarts.records), func(a, b openStartRecord) int { return cmp.Compare(a.number, b.number) })
+	starts := make([]OpenStart, len(records))
+	for i := range records {
+		starts[i] = records[i].OpenStart
 	}
+	return starts
 }
 
+// RecentPlacements returns the placements of the last seconds, oldest first. The caller must
+// not modify them.
+func (s *State) RecentPlacements() []RecentPlacement { return s.recentPlacements }
+
 func (s *State) recordPlacement(p *Place) {
 	old := 0
 	for old < len(s.recentPlacements) && s.nowMs-s.recentPlacements[old].AtMs > recentPlacementMs {
--- a/workflow/snapshot.go
+++ b/workflow/snapshot.go
@@ -37,7 +37,7 @@
 
 // Snapshot encodes the state. Equal states have identical snapshots.
 func (s *State) Snapshot() ([]byte, error) {
-	out := snapshot{Version: snapshotVersion, Catalog: s.catalog, NextWorker: s.nextWorker, NowMs: s.nowMs, Finished: s.finished, Departed: s.departed, Evacuations: s.Evacuations(), OpenStarts: s.openStarts, RecentPlacements: s.recentPlacements}
+	out := snapshot{Version: snapshotVersion, Catalog: s.catalog, NextWorker: s.nextWorker, NowMs: s.nowMs, Finished: s.finished, Departed: s.departed, Evacuations: s.Evacuations(), OpenStarts: s.OpenStarts(), RecentPlacements: s.recentPlacements}
 	if len(out.Evacuations) > 0 {
 		out.Version = evacuationVersion
 	}
@@ -96,7 +96,7 @@
 	}
 	s := NewState()
 	s.catalog, s.nextWorker, s.nowMs, s.finished, s.departed = in.Catalog, in.NextWorker, in.NowMs, in.Finished, in.Departed
-	s.openStarts, s.recentPlacements = in.OpenStarts, in.RecentPlacements
+	s.openStarts, s.recentPlacements = newOpenStarts(in.OpenStarts), in.RecentPlacements
 	for _, job := range in.Jobs {
 		if err := job.checkOccurrences(); err != nil {
 			return nil, err
--- a/workflow/state.go
+++ b/workflow/state.go
@@ -185,7 +185,7 @@
 	evacuatedSince map[string]int64
 	// openStarts and recentPlacements tell a new leader which starts may still be carried
 	// out; see OpenStart.
-	openStarts       []OpenStart
+	openStarts       openStarts
 	recentPlacements []RecentPlacement
 }
 
@@ -199,6 +199,7 @@
 		waves:     make(map[uint64]*Wave),
 
 		evacuatedSince: make(map[string]int64),
+		openStarts:     newOpenStarts(nil),
 	}
 }
 
@@ -276,7 +277,7 @@
 	case op.PlaceCopy != nil:
 		return s.placeCopy(op.PlaceCopy)
 	case op.OpenStart != nil:
-		s.setOpenStart(op.OpenStart)
+		s.openStarts.set(op.OpenStart)
 		return nil
 	}
 	return kind.Errorf(kind.Corrupt, "the operation has no content")
