dispatch: a host of two waves is prepared for each of them

Seen by callers: if two waves name the same host, its second maintenance could begin as soon as it was back from the first, on lasting tasks that had just been started there.

Cause: a preparation ends with the record of the order, so that the other wave prepared the host again at once, while it went down, and recorded its order too. That was repeated until the host was up.

Why this works: a host is not prepared for a wave while another wave has ordered its maintenance and it has not ended.

--- a/dispatch/maintenance.go
+++ b/dispatch/maintenance.go
@@ -166,6 +166,17 @@
 	e.startPreparations(wave, waiting, free)
 }
 
+// heldByOtherWave reports whether a host is or may be in maintenance for another wave. The tasks
+// that run there once it is back are not those that it was prepared for.
+func (e *Engine) heldByOtherWave(wave *workflow.Wave, name string) bool {
+	for id, other := range e.state.Waves() {
+		if stage := other.Progress[name]; id != wave.ID && (stage == workflow.MaintenanceOrdered || stage == workflow.MaintenanceBegun) {
+			return true
+		}
+	}
+	return false
+}
+
 // startPreparations starts to prepare hosts, those with the fewest attempts
 // first. free is the number of hosts to prepare.
 func (e *Engine) startPreparations(wave *workflow.Wave, waiting []string, free int) {
@@ -176,6 +187,7 @@
 	for _, name := range waiting {
 		host, listed := m.listings.host(name)
 		switch {
+		case e.heldByOtherWave(wave, name):
 		case !listed:
 			if m.listings.lack(wave.ID, name) && wave.InMaintenance() < wave.Parallel {
 				free--
--- a/dispatch/maintenance_test.go
+++ b/dispatch/maintenance_test.go
@@ -28,6 +28,8 @@
 	// downOf is the number of hosts in maintenance for each wave.
 	downOf map[uint64]uint32
 	orders int
+	// busy is the number of orders for hosts that were down.
+	busy int
 	// lostAnswers is how many of the next answers to orders get lost.
 	lostAnswers int
 	// listingDelay is the time from reading the hosts to the answer of a listing.
@@ -117,6 +119,7 @@
 	case host.waves[wave]:
 		return HostDone
 	case host.down:
+		p.busy++
 		return HostBusy
 	}
 	host.waves[wave], host.down = true, true
@@ -351,6 +354,26 @@
 	assert.LessOrEqual(t, worst, processorsPerWorker, "most tasks unavailable at a time")
 }
 
+// Guards against the maintenance of a host for a second wave right after that for the first:
+// what runs there by then was not prepared for it.
+func TestAHostOfTwoWavesIsPreparedForEach(t *testing.T) {
+	s := newSim(t, 51)
+	s.setCatalog()
+	pool := newSimPool(s, 3)
+	s.run(time.Second)
+	const tasks = 3 * processorsPerWorker
+	s.serve(1, tasks, processorsPerWorker)
+	require.Zero(t, s.notRunning(1, tasks))
+	s.startWaveNumbered(1, 1, "h0", "h1")
+	s.startWaveNumbered(2, 1, "h0", "h1")
+	for id := range uint64(2) {
+		require.True(t, s.runUntil(40*time.Second, func() bool { return s.waveNumberedCompleted(id + 1) }))
+		assert.Empty(t, pool.missing(id+1))
+	}
+	assert.Zero(t, pool.busy, "orders for a host that was down")
+	assert.Empty(t, s.violations)
+}
+
 // Waves in series and at once, with hosts that come and go, listings that are slow, missing
 // or incomplete, lost answers and new leaders: no wave is completed without a host that stays,
 // and no more hosts are down for a wave than it allows.
