dispatch: simulate jobs that repeat beside faults

None of the simulations had a job that repeats.

The simulation's check of the order of steps looked at the first occurrence whatever the occurrence of the task that starts; it looks at its own now.

--- a/dispatch/due_test.go
+++ b/dispatch/due_test.go
@@ -168,3 +168,35 @@
 		assert.Equal(t, c.nextMs, next, "%+v at %d", c.schedule, c.nowMs)
 	}
 }
+
+// Jobs that repeat, beside faults and changes of leader: no occurrence runs twice or is lost, and
+// none is kept once the jobs have ended.
+func TestOccurrencesRunOnceBesideFaults(t *testing.T) {
+	t.Parallel()
+	for seed, last := seeds(); seed <= last; seed++ {
+		s := newSim(t, seed)
+		s.setCatalog()
+		for _, name := range []string{"w1", "w2", "w3", "w4"} {
+			s.addWorker(name, 6).guardsCapacity = name == "w4"
+		}
+		s.run(time.Second)
+		s.faults = faults{lostOrder: 0.05, lostAnswer: 0.05, late: 0.05, slow: 0.1, slowStop: 0.5, shedding: 0.1, noRoom: 0.1, lostReport: 0.2, lateReport: 0.2}
+		const jobs, times = 6, 40
+		for id := workflow.JobID(1); id <= jobs; id++ {
+			spec := &workflow.JobSpec{Steps: []workflow.Step{step(2), step(1, 0)}}
+			spec.Schedule = workflow.Schedule{Times: times, FirstMs: s.wall() + int64(s.rng.IntN(2000)), EveryMs: int64(100 + s.rng.IntN(500))}
+			s.submitSpec(id, spec)
+		}
+		s.run(100 * time.Millisecond)
+		for turn := range 20 {
+			s.injectFault(turn)
+			s.run(time.Duration(200+s.rng.IntN(800)) * time.Millisecond)
+		}
+		s.faults = faults{}
+		assert.True(t, s.runUntil(90*time.Second, func() bool { return s.allEnded(jobs) }), "seed %d", seed)
+		s.run(latestArrival)
+		assert.Len(t, s.done, jobs*times*3, "seed %d: tasks that were done", seed)
+		assert.Zero(t, s.committed.HeldOccurrences(), "seed %d", seed)
+		assert.Empty(t, s.violations, "seed %d", seed)
+	}
+}
--- a/dispatch/sim_worker_test.go
+++ b/dispatch/sim_worker_test.go
@@ -342,7 +342,7 @@
 	s.lastStartAt[ref] = s.now
 	for _, before := range step.After {
 		for i := range job.Spec.Steps[before].Count {
-			if !s.done[workflow.TaskRef{Job: ref.Job, Step: before, Index: i}] {
+			if !s.done[workflow.TaskRef{Job: ref.Job, Occurrence: ref.Occurrence, Step: before, Index: i}] {
 				s.violate("task %s starts before step %d is done", ref, before)
 			}
 		}
