dispatch: a question takes no due occurrence

A question where a job would be placed is answered on a copy of the engine.

TestAQuestionTakesNoDueOccurrence failed before; the copy has due times of its own now.

--- a/dispatch/due_test.go
+++ b/dispatch/due_test.go
@@ -169,6 +169,23 @@
 	}
 }
 
+// Guards against an occurrence that does not start because a question was asked when it became
+// due: the copy of the engine that answers takes note of that, and must do so for itself.
+func TestAQuestionTakesNoDueOccurrence(t *testing.T) {
+	s := newSim(t, 9)
+	s.setCatalog()
+	s.addWorker("w", processorsPerWorker)
+	s.run(time.Second)
+	spec := repeating(s.wall()+time.Second.Milliseconds(), time.Hour)
+	s.submitSpec(1, spec)
+	s.run(500 * time.Millisecond)
+	e := s.engine
+	e.Advance(s.now, spec.Schedule.FirstMs)
+	require.NotEmpty(t, s.explain(&PlacementQuestion{JobID: workflow.JobID(1).String()}).Steps)
+	e.Place()
+	assert.True(t, e.state.Job(1).Started)
+}
+
 // Jobs that repeat, beside faults and changes of leader: no occurrence runs twice or is lost, and
 // none is kept once the jobs have ended.
 func TestOccurrencesRunOnceBesideFaults(t *testing.T) {
--- a/dispatch/scratch.go
+++ b/dispatch/scratch.go
@@ -52,7 +52,7 @@
 // copy is sorted at its first refresh.
 func (r *readySteps) scratchCopy() readySteps {
 	c := *r
-	c.dirtyJobs, c.suspects = maps.Clone(r.dirtyJobs), maps.Clone(r.suspects)
+	c.dirtyJobs, c.suspects, c.due.next = maps.Clone(r.dirtyJobs), maps.Clone(r.suspects), maps.Clone(r.due.next)
 	c.byJob = make(map[workflow.JobID][]*readyStep, len(r.byJob))
 	for id, steps := range r.byJob {
 		copies := make([]*readyStep, len(steps))
