--- a/workflow/occurrences.go
+++ b/workflow/occurrences.go
@@ -167,6 +167,9 @@
 
 // find returns a held occurrence, nil for another one.
 func (o *Occurrences) find(occurrence uint32) *Occurrence {
+	if o.count == 1 {
+		return o.held[0].Occurrence
+	}
 	if i, ok := o.search(occurrence); ok {
 		return o.held[i].Occurrence
 	}
@@ -212,40 +215,49 @@
 
 // MarshalCBOR encodes all occurrences in full, as earlier versions do, which held each.
 func (o Occurrences) MarshalCBOR() ([]byte, error) {
-	untouched, err := cborcodec.Encode.Marshal(newOccurrence(o.steps))
-	if err != nil {
-		return nil, err
-	}
-	finished := newOccurrence(o.steps)
-	for i := range finished.Steps {
-		finished.Done[i] = o.steps[i].Count
-		for t := range finished.Steps[i] {
-			finished.Steps[i][t].State = TaskDone
-		}
-	}
-	done, err := cborcodec.Encode.Marshal(finished)
-	if err != nil {
-		return nil, err
-	}
-	data := appendArrayHead(make([]byte, 0, 5+int(o.count)*len(untouched)), o.count)
+	data := appendArrayHead(nil, o.count)
+	var ofState [TaskDone + 1][]byte // Occurrences that are not held, by the state of their tasks.
 	held := o.held
 	for i := range o.count {
-		switch {
-		case len(held) > 0 && held[0].index == i:
+		if len(held) > 0 && held[0].index == i {
 			encoded, err := cborcodec.Encode.Marshal(held[0].Occurrence)
 			if err != nil {
 				return nil, err
 			}
 			data, held = append(data, encoded...), held[1:]
-		case o.isDone(i):
-			data = append(data, done...)
-		default:
-			data = append(data, untouched...)
+			continue
+		}
+		state := TaskPending
+		if o.isDone(i) {
+			state = TaskDone
 		}
+		if ofState[state] == nil {
+			encoded, err := cborcodec.Encode.Marshal(o.uniform(state))
+			if err != nil {
+				return nil, err
+			}
+			ofState[state] = encoded
+			data = slices.Grow(data, int(o.count-i)*len(encoded))
+		}
+		data = append(data, ofState[state]...)
 	}
 	return data, nil
 }
 
+// uniform returns an occurrence whose tasks are all pending, or all done, without attempts.
+func (o *Occurrences) uniform(state TaskState) *Occurrence {
+	next := newOccurrence(o.steps)
+	for s := range next.Steps {
+		for t := range next.Steps[s] {
+			next.Steps[s][t].State = state
+		}
+		if state == TaskDone {
+			next.Done[s] = o.steps[s].Count
+		}
+	}
+	return next
+}
+
 // appendArrayHead appends the head of a CBOR array in its shortest form (RFC 8949, section 3).
 func appendArrayHead(data []byte, length uint32) []byte {
 	const array = 4 << 5
