soak: jobs that repeat

One job repeats each half second for hours and is cancelled in the end: each occurrence that was due for the time that the soak allows must have started. One in ten of the others repeats five times. The check of the order of steps looks at each occurrence, not at the first alone.

--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -73,9 +73,9 @@
 	if cancelledAt, ok := c.cancelled[job]; ok && time.Since(cancelledAt) > cancelGracePeriod {
 		c.addViolationLocked("task %s starts %v after its job was cancelled", task, time.Since(cancelledAt))
 	}
-	if strings.HasPrefix(task, job+".0.1.") {
+	if parts := strings.Split(task, "."); len(parts) == 4 && parts[2] == "1" {
 		for i := range firstStepTasks {
-			if !c.doneTasks[job+".0.0."+strconv.Itoa(i)] {
+			if !c.doneTasks[job+"."+parts[1]+".0."+strconv.Itoa(i)] {
 				c.addViolationLocked("task %s starts before all tasks of the previous step are done", task)
 			}
 		}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -271,7 +271,11 @@
 			f.checks.deadly[id] = true
 		}
 		f.checks.mu.Unlock()
-		job := fmt.Sprintf(`{"Spec":"spec-%s","Phases":[{"Count":%d,"Cpu":1000,"MemMb":10,"EstimateMs":150},{"Count":2,"Cpu":1000,"MemMb":10,"EstimateMs":150,"After":[0]}]}`, id, firstStepTasks)
+		times := ""
+		if n%10 == 9 {
+			times = schedule(shortRepeats, repeatPeriod)
+		}
+		job := fmt.Sprintf(`{"Spec":"spec-%s","Phases":[{"Count":%d,"Cpu":1000,"MemMb":10,"EstimateMs":150},{"Count":2,"Cpu":1000,"MemMb":10,"EstimateMs":150,"After":[0]}]%s}`, id, firstStepTasks, times)
 		url := func() string { return "http://" + f.ip(controlCount+rng.IntN(entryCount)) + ":8161/q/" + id }
 		for range 4 {
 			if status, _ := call(client, http.MethodPost, url(), job); status == http.StatusOK {
@@ -363,6 +367,7 @@
 		callers.Go(func() { f.submitJobs(caller, seed, done) })
 	}
 	callers.Go(func() { f.operateDomains(seed, done) })
+	callers.Go(func() { f.runRepeatingJob(done) })
 	for range faults {
 		description, undo := f.injectFault()
 		t.Logf("%s %s", time.Now().Format("15:04:05.000"), description)
