--- a/workflow/job_memory.go
+++ b/workflow/job_memory.go
@@ -69,9 +69,9 @@
 	bytesPerTask           = 68
 	// A snapshot encodes each task of each occurrence. It is held several times while it is
 	// written or read.
-	snapshotCopies                 = 3
-	encodedBytesPerTask            = 6
-	encodedBytesPerOccurrenceSteps = 4
+	snapshotCopies                = 3
+	encodedBytesPerTask           = 6
+	encodedBytesPerOccurrenceStep = 4
 )
 
 // MaxReadyOccurrences bounds the occurrences of a job whose tasks a leader considers at a time,
@@ -91,7 +91,7 @@
 		tasks += int64(s.Count)
 	}
 	bytes := bytesPerJob + int64(3*text) + bytesPerStep*steps + bytesPerReadyStep*steps*min(occurrences, MaxReadyOccurrences)
-	bytes += snapshotCopies * occurrences * (encodedBytesPerTask*tasks + encodedBytesPerOccurrenceSteps*steps)
+	bytes += snapshotCopies * occurrences * (encodedBytesPerTask*tasks + encodedBytesPerOccurrenceStep*steps)
 	for _, o := range j.Occurrences.held {
 		bytes += j.Spec.occurrenceBytes() + o.checkpointBytes()
 	}
