--- a/coordinator/metrics.go
+++ b/coordinator/metrics.go
@@ -45,9 +45,9 @@
 	Term          uint64
 	Jobs, Workers int
 	// JobBytes is the memory of the accepted jobs by estimate, LiveHeapBytes that of all live
-	// objects as measured. HeldOccurrences is the number of
-	// their occurrences that take memory of their own, NextDueMs when the next one is due in
-	// milliseconds since the Unix epoch, zero if none is known.
+	// objects as measured. HeldOccurrences is the number of occurrences that take memory of
+	// their own, NextDueMs when the next one is due in milliseconds since the Unix epoch, zero
+	// if none is known.
 	JobBytes        int64
 	LiveHeapBytes   int64
 	HeldOccurrences int
