--- a/dispatch/sim_urgent_test.go
+++ b/dispatch/sim_urgent_test.go
@@ -179,6 +179,9 @@
 	}
 	var free []workflow.Resources
 	for _, w := range u.workers {
+		if w.dead || w.partitioned {
+			continue // Nobody can use its capacity.
+		}
 		left := w.capacity
 		for _, run := range w.running {
 			left = left.Sub(run.step.Reserved())
