dispatch: capacity is reclaimed from short tasks for lasting ones in time

Cause: a lasting task that is owed capacity got it on the worker that was expected to have it soonest, by the estimated ends of its short tasks, and nothing was stopped for it. Tasks that take twelve times as long as estimated do not end; after 0.5 s another worker was searched, and so on without an end. A bound that a rule gives, and only an expectation served.

Change: 2.5 s before the end of its bound (1.5 s for a first run) short tasks are stopped for a lasting one, on the worker where the least work is lost, if there is room for it twice over beside the lasting tasks, as the platform's rule has it. What is stopped again is dearer. Why it works: whether the bound is kept depends on the time that a stop takes, which is bounded, and on no estimate. Room of lasting tasks that yield to urgent ones is left to these.

TestMovesLeaveReservedWorkersAlone began its evacuation after the time from which capacity is reclaimed now; it begins before, and requires in addition that the wide lasting task runs.

--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -92,6 +92,8 @@
 	waitingStats lastingStats
 	// reservations holds the capacity that is kept for lasting tasks.
 	reservations lastingReservations
+	// stopsForLasting counts the stops of short tasks for lasting ones, of jobs that are active.
+	stopsForLasting map[workflow.TaskRef]int
 	// lookAhead holds the reservations for urgent tasks that fit nowhere.
 	lookAhead lookAhead
 	// searches holds the searches that found no worker. roomChanges counts the changes of what
@@ -141,6 +143,9 @@
 	// others, by the latest decision on preemptions.
 	LastingUnplaced int
 	Overdue         OverdueTasks
+	// Reclaimed counts the lasting tasks for which short ones were stopped, StoppedForLasting
+	// those that were stopped.
+	Reclaimed, StoppedForLasting uint64
 	// SuspectsWaiting is the number of tasks that wait for a test after the crash of a worker,
 	// LongestTestWaitMs the longest time for which one has waited, HostCrashesPerDay how often
 	// a worker crashes by itself, as estimated; all are current values.
@@ -168,7 +173,7 @@
 		settings: settings, log: log, term: term, planned: planned, state: planned.View(), now: now, tookOverAt: now, wallMs: state.NowMs(),
 		views: make(map[workflow.WorkerID]*workerView), slowdown: newSlowdownModel(), advisor: newAdvisor(), maintenance: newMaintenanceState(), gangWaitingSince: make(map[workflow.StepRef]Instant),
 		lastFailures: make(map[workflow.TaskRef]taskFailure), withdrawals: make(map[workflow.WorkerID][]func()), paces: make(stepPaces),
-		urgentPools: make(map[string]*urgentPool), preemptions: make(map[workflow.TaskRef]preemption), lastingWaits: make(map[workflow.TaskRef]*lastingWait), reservations: newLastingReservations(), openStarts: newOpenStartSet(), lookAhead: newLookAhead(), searches: make(map[searchKey][]failedSearch), roomChanges: new(uint64),
+		urgentPools: make(map[string]*urgentPool), preemptions: make(map[workflow.TaskRef]preemption), lastingWaits: make(map[workflow.TaskRef]*lastingWait), reservations: newLastingReservations(), stopsForLasting: make(map[workflow.TaskRef]int), openStarts: newOpenStartSet(), lookAhead: newLookAhead(), searches: make(map[searchKey][]failedSearch), roomChanges: new(uint64),
 		observeStage: func(Stage, bool, time.Duration) {},
 	}
 	for _, id := range slices.Sorted(maps.Keys(state.Workers())) {
--- a/dispatch/moves_test.go
+++ b/dispatch/moves_test.go
@@ -288,11 +288,12 @@
 	wide.Lasting, wide.Resources.MilliProcessors = true, 4000
 	s.submit(2, long)
 	s.submit(3, wide)
-	s.run(2 * time.Second)
+	s.run(time.Second)
 	require.Len(t, s.workers["b1:1"].running, 6)
 	s.evacuate("a")
 	s.run(3 * time.Second)
 	assert.Equal(t, 4, s.runningIn("a"))
 	assert.Zero(t, s.engine.Counters().Relocated)
+	assert.Len(t, s.runs[workflow.TaskRef{Job: 3}], 1, "short tasks were stopped for the wide one")
 	assert.Empty(t, s.violations)
 }
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -10,7 +10,8 @@
 
 // A lasting task that has waited for a while is owed capacity: it is kept for the task on the
 // worker that has it soonest, whatever short tasks wait. Otherwise these would take all capacity
-// that becomes free, as long as more of them come.
+// that becomes free, as long as more of them come. When the bound on its wait comes near, short
+// tasks are stopped for it; see reclaim.go.
 
 const (
 	// reservationDelay is how long a lasting task waits for room before capacity is kept for
@@ -33,6 +34,8 @@
 	need      workflow.Resources
 	worker    workflow.WorkerID
 	expiresAt Instant
+	// reclaimed is set if short tasks are being stopped for it.
+	reclaimed bool
 }
 
 // lastingReservations holds the capacity that is kept for lasting tasks.
@@ -41,24 +44,36 @@
 	list   []*lastingReservation
 	byTask map[workflow.TaskRef]*lastingReservation
 	kept   map[workflow.WorkerID]workflow.Resources
+	// reclaimed is the part of kept for which short tasks are being stopped.
+	reclaimed map[workflow.WorkerID]workflow.Resources
 	// searchedAt is when workers were searched last.
 	searchedAt Instant
 }
 
 func newLastingReservations() lastingReservations {
-	return lastingReservations{byTask: make(map[workflow.TaskRef]*lastingReservation), kept: make(map[workflow.WorkerID]workflow.Resources)}
+	return lastingReservations{byTask: make(map[workflow.TaskRef]*lastingReservation), kept: make(map[workflow.WorkerID]workflow.Resources), reclaimed: make(map[workflow.WorkerID]workflow.Resources)}
 }
 
 func (l *lastingReservations) add(r *lastingReservation) {
 	l.list = append(l.list, r)
 	l.byTask[r.ref], l.kept[r.worker] = r, l.kept[r.worker].Add(r.need)
+	if r.reclaimed {
+		l.reclaimed[r.worker] = l.reclaimed[r.worker].Add(r.need)
+	}
 }
 
 func (l *lastingReservations) remove(r *lastingReservation) {
 	l.list = slices.DeleteFunc(l.list, func(other *lastingReservation) bool { return other == r })
 	delete(l.byTask, r.ref)
-	if l.kept[r.worker] = l.kept[r.worker].Sub(r.need); l.kept[r.worker] == (workflow.Resources{}) {
-		delete(l.kept, r.worker)
+	subtract(l.kept, r)
+	if r.reclaimed {
+		subtract(l.reclaimed, r)
+	}
+}
+
+func subtract(sums map[workflow.WorkerID]workflow.Resources, r *lastingReservation) {
+	if sums[r.worker] = sums[r.worker].Sub(r.need); sums[r.worker] == (workflow.Resources{}) {
+		delete(sums, r.worker)
 	}
 }
 
@@ -111,8 +126,7 @@
 	deadline Instant
 }
 
-// owedTasks returns the tasks for which capacity is to be kept and is not yet, those that
-// must run first in front.
+// owedTasks returns the tasks for which capacity is to be kept, those that must run first in front.
 func (e *Engine) owedTasks() []owedTask {
 	var owed []owedTask
 	for _, s := range e.ready.sorted {
@@ -121,7 +135,7 @@
 		}
 		for _, i := range s.pending {
 			ref := s.task(i)
-			if e.reservations.byTask[ref] != nil || !e.owedCapacity(s, ref) {
+			if !e.owedCapacity(s, ref) {
 				continue
 			}
 			w := e.lastingWaits[ref]
@@ -144,26 +158,21 @@
 func (e *Engine) reserveForLasting(p *candidateSet) {
 	for _, r := range slices.Clone(e.reservations.list) {
 		c := p.find(r.worker)
-		if c != nil && !c.silent && c.view.test == nil && e.now <= r.expiresAt && e.pendingStep(r.ref) != nil && c.keptFor.Fits(c.roomBesideLasting(e)) {
+		if c != nil && !c.silent && c.view.test == nil && e.now <= r.expiresAt && e.pendingStep(r.ref) != nil && e.keptWith(c, r).Fits(c.roomBesideLasting(e)) {
 			continue
 		}
-		e.reservations.remove(r)
-		if c != nil {
-			c.keptFor = c.keptFor.Sub(r.need)
-			c.view.roomGrew()
-		}
+		e.dropReservation(p, r)
 	}
 	if e.since(e.reservations.searchedAt) < reservationInterval {
 		return
 	}
 	e.reservations.searchedAt = e.now
-	var failed []*readyStep
+	e.reclaimForLasting(p)
+	var failed failedRequests
 	made := 0
 	for _, owed := range e.owedTasks() {
 		s := owed.step
-		if made == maxReservationsPerSearch || slices.ContainsFunc(failed, func(f *readyStep) bool {
-			return f.job.Service == s.job.Service && f.step.MaxPerWorker == 0 && (f.step.Label == "" || f.step.Label == s.step.Label) && f.step.Resources.Fits(s.step.Resources)
-		}) {
+		if e.reservations.byTask[s.firstPending()] != nil || made == maxReservationsPerSearch || failed.cover(s) {
 			continue
 		}
 		if !e.reserveSoonestForLasting(p, s) {
@@ -174,6 +183,34 @@
 	}
 }
 
+// failedRequests are steps for which no worker was found in a search.
+type failedRequests []*readyStep
+
+// cover reports whether a request that is no larger was among them.
+func (f failedRequests) cover(s *readyStep) bool {
+	return slices.ContainsFunc(f, func(other *readyStep) bool {
+		return other.job.Service == s.job.Service && other.step.MaxPerWorker == 0 && (other.step.Label == "" || other.step.Label == s.step.Label) && other.step.Resources.Fits(s.step.Resources)
+	})
+}
+
+// keptWith returns the capacity that is kept on a worker for lasting tasks up to the order of r.
+// Those for which it is reclaimed go first.
+func (e *Engine) keptWith(c *candidate, r *lastingReservation) workflow.Resources {
+	if r.reclaimed {
+		return e.reservations.reclaimed[r.worker]
+	}
+	return c.keptFor
+}
+
+// dropReservation gives the capacity back that is kept for a lasting task.
+func (e *Engine) dropReservation(p *candidateSet, r *lastingReservation) {
+	e.reservations.remove(r)
+	if c := p.find(r.worker); c != nil {
+		c.keptFor = c.keptFor.Sub(r.need)
+		c.view.roomGrew()
+	}
+}
+
 // reserveSoonestForLasting keeps capacity on the worker that has it soonest.
 func (e *Engine) reserveSoonestForLasting(p *candidateSet, s *readyStep) bool {
 	need := s.step.Resources
@@ -201,11 +238,19 @@
 	return true
 }
 
-// placeReserved places the lasting tasks for which the kept capacity is whole.
+// placeReserved places the lasting tasks for which the kept capacity is whole, on each worker first
+// those for which it was reclaimed.
 func (e *Engine) placeReserved(p *candidateSet) {
 	for _, r := range slices.Clone(e.reservations.list) {
 		c, s := p.find(r.worker), e.pendingStep(r.ref)
-		if c == nil || s == nil || !r.need.Fits(c.free) || e.heldAnywhere(r.ref) {
+		if c == nil || s == nil || e.heldAnywhere(r.ref) {
+			continue
+		}
+		free := c.free
+		if !r.reclaimed {
+			free = free.Sub(e.reservations.reclaimed[r.worker])
+		}
+		if !r.need.Fits(free) {
 			continue
 		}
 		kept := c.keptFor
--- a/dispatch/urgent.go
+++ b/dispatch/urgent.go
@@ -145,6 +145,10 @@
 			job := e.state.Job(ref.Job)
 			return job == nil || !job.Active()
 		})
+		maps.DeleteFunc(e.stopsForLasting, func(ref workflow.TaskRef, _ int) bool {
+			job := e.state.Job(ref.Job)
+			return job == nil || !job.Active()
+		})
 	}
 }
 
@@ -419,7 +423,8 @@
 func (e *Engine) preemptFor(set *candidateSet, service string, p *urgentPool) {
 	view := e.viewPool(set, service)
 	p.preemptedAt = slices.DeleteFunc(p.preemptedAt, func(at Instant) bool { return e.since(at) >= preemptionPeriod })
-	limit := max(len(view.candidates)/workersPerPreemption, minPreemptions)
+	// What yields now would wait behind those for which capacity is being reclaimed.
+	limit := max(len(view.candidates)/workersPerPreemption, minPreemptions) - e.reclaimsIn(view.candidates)
 	if view.isMissing() && len(p.preemptedAt) < limit && e.since(e.tookOverAt) >= moveWarmUp {
 		victims, attempts := e.preemptible(view, p, limit)
 		allowed := e.preemptionCheck(attempts)
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -20,6 +20,7 @@
 		"body refused",
 		"cancelled job refused",
 		"capacity changed",
+		"capacity reclaimed",
 		"capacity reserved",
 		"catalog refused",
 		"catalog set",
