workflow, dispatch: a new leader knows since when lasting tasks wait

What callers saw: lasting tasks that waited when the leader changed waited for up to 9 s more.

Cause: the end of a run was known to the leader alone that saw it; its successor counted the wait from its takeover.

Why it works: each leader counts from the same time. The clocks of two leaders may differ; a wait is never taken to have begun after the takeover.

--- a/dispatch/lasting_waits.go
+++ b/dispatch/lasting_waits.go
@@ -106,7 +106,11 @@
 // newLastingWait returns the wait of a task of which this leader saw no end.
 func (e *Engine) newLastingWait(s *readyStep, ref workflow.TaskRef) *lastingWait {
 	if s.job.Task(ref).Attempt > 0 {
-		return &lastingWait{service: s.job.Service, since: e.tookOverAt, cause: waitsSinceEarlierTerm}
+		since := e.tookOverAt
+		if endedMs, known := s.job.LastingEndMs(ref); known {
+			since = min(since, e.now.Add(-time.Duration(e.wallMs-endedMs)*time.Millisecond))
+		}
+		return &lastingWait{service: s.job.Service, since: since, cause: waitsSinceEarlierTerm}
 	}
 	sinceMs := s.waitingSinceMs
 	if len(s.step.After) == 0 {
--- a/workflow/state.go
+++ b/workflow/state.go
@@ -54,6 +54,8 @@
 	Suspects []Suspect `cbor:"20,keyasint,omitempty"`
 	// Copies are the copies of tasks that are not done.
 	Copies []Copy `cbor:"21,keyasint,omitempty"`
+	// LastingEnds are the lasting tasks that wait for their next run.
+	LastingEnds []LastingEnd `cbor:"22,keyasint,omitempty"`
 	// attempts is the number of attempts that are recorded on workers.
 	attempts int
 	// estimatedBytes is the part of the job in State.JobBytes.
@@ -485,6 +487,7 @@
 		return err
 	}
 	job.forgetCopy(p.Task)
+	job.forgetLastingEnd(p.Task)
 	task = job.Task(p.Task) // Of an occurrence that is held now.
 	task.State, task.Worker, task.Attempt = TaskPlaced, p.Worker, p.Attempt
 	job.Started = true
@@ -538,6 +541,9 @@
 		return nil
 	}
 	task.State = TaskPending
+	if job.Spec.Steps[ref.Step].Lasting {
+		job.recordLastingEnd(ref, s.nowMs)
+	}
 	return task
 }
 
