dispatch: a new leader counts lasting tasks that wait for a test or an open start

A suspect that waits for its test, and a task that open starts keep from all workers, are not among the pending tasks of the sorted steps, from which updateLastingWaits adds waits. A leader that did not see their end counted them as running: LastingWaiting 0, and never overdue. Once they were pending again, their wait began anew.

Both are added now. TestANewLeaderCountsLastingTasksThatWaitForATest and TestANewLeaderCountsLastingTasksThatOpenStartsHold failed without it (LastingWaiting 0 instead of 1, no wait of the held task).

--- a/dispatch/lasting_waits.go
+++ b/dispatch/lasting_waits.go
@@ -93,14 +93,17 @@
 	e.lastingWaits[a.ref] = &lastingWait{service: job.Service, since: since, cause: cause, awaySince: awaySince}
 }
 
-// addPendingWaits adds the lasting tasks of a step that wait.
+// addPendingWaits adds the lasting tasks of a step that wait, also those that open starts keep from
+// workers.
 func (e *Engine) addPendingWaits(s *readyStep) {
 	if !s.step.Lasting || !s.job.Active() || s.job.Spec.DueMs(s.ref.Occurrence) > e.wallMs {
 		return
 	}
-	for _, i := range s.pending {
-		if ref := s.task(i); e.lastingWaits[ref] == nil {
-			e.lastingWaits[ref] = e.newLastingWait(s, ref)
+	for _, indexes := range [][]uint32{s.pending, s.limited} {
+		for _, i := range indexes {
+			if ref := s.task(i); e.lastingWaits[ref] == nil {
+				e.lastingWaits[ref] = e.newLastingWait(s, ref)
+			}
 		}
 	}
 }
@@ -111,6 +114,11 @@
 	for _, s := range e.ready.sorted {
 		e.addPendingWaits(s)
 	}
+	for _, suspects := range e.ready.suspects {
+		for _, s := range suspects {
+			e.addPendingWaits(s)
+		}
+	}
 	e.dropEndedWaits()
 	e.waitingStats = e.countLastingWaits()
 }
--- a/dispatch/overdue_test.go
+++ b/dispatch/overdue_test.go
@@ -141,3 +141,61 @@
 	view("full").add(&attempt{ref: workflow.TaskRef{Job: 1, Index: 1}})
 	assert.Equal(t, workersForTask{free: 5, fitting: 4, kept: 1, full: 1, silent: 1, open: 2, inTest: 1, closed: 1}, e.countWorkers(e.roomBesideLastingTasks()["pool"], ref, &need))
 }
+
+// Guards against a lasting task that waits for a test, and that a new leader does not count.
+func TestANewLeaderCountsLastingTasksThatWaitForATest(t *testing.T) {
+	s := newSim(t, 65)
+	s.setCatalog()
+	a := s.addWorker("a", 4)
+	s.run(time.Second)
+	s.submit(1, lastingStep(1, 4000))
+	s.addWorker("b", 1)
+	a.crash()
+	a = s.startUnreported("a", a)
+	a.capacity.MilliProcessors = 1000
+	a.report()
+	ref := workflow.TaskRef{Job: 1}
+	suspected := func() bool {
+		job := s.committed.Job(1)
+		return job.Task(ref).State == workflow.TaskPending && needsTest(job.Suspect(ref))
+	}
+	require.True(t, s.runUntil(s.settings.MaxLease+2*time.Second, suspected))
+	s.run(time.Second)
+	assert.Equal(t, 1, s.engine.Counters().LastingWaiting)
+	s.takeOver()
+	lines := s.recordLog()
+	s.run(returnBound + time.Second)
+	require.True(t, suspected())
+	assert.Equal(t, 1, s.engine.Counters().LastingWaiting)
+	assert.Equal(t, OverdueTasks{EarlierTerm: 1, NoCapacity: 1}, s.engine.Counters().OverdueTotal)
+	overdue := logged(t, lines, "lasting task overdue", ref)
+	require.Len(t, overdue, 1)
+	assert.Equal(t, true, overdue[0]["suspect"])
+}
+
+// Guards against a lasting task that open starts keep from workers, and that a new leader does not
+// count.
+func TestANewLeaderCountsLastingTasksThatOpenStartsHold(t *testing.T) {
+	lasting := step(1)
+	lasting.Lasting = true
+	l := newLateStarts(t, lasting)
+	l.submit(2, lastingStep(1, 2000)) // It takes all of w2.
+	l.w1.crash()
+	for id := workflow.JobID(3); id <= 4; id++ {
+		l.run(300 * time.Millisecond)
+		l.submit(id, lastingStep(1, 500))
+	}
+	ref := workflow.TaskRef{Job: 4} // No suspect: w1 had left the start of another unanswered.
+	l.w1 = l.startUnreported("w1", l.w1)
+	l.w1.capacity.MilliProcessors = 400
+	l.w1.report()
+	held := func() bool {
+		job := l.committed.Job(4)
+		return l.engine.heldAnywhere(ref) && job.Task(ref).State == workflow.TaskPending && !needsTest(job.Suspect(ref))
+	}
+	require.True(t, l.runUntil(time.Second, held))
+	l.takeOver()
+	l.run(2 * tickInterval)
+	require.True(t, held())
+	assert.NotNil(t, l.engine.lastingWaits[ref])
+}
