dispatch: count lasting tasks whose restarted worker has not answered yet

Workers that restart under their names and are cut off before the first answer keep the attempts of their lasting tasks recorded as carried, up to the longest lease and the time for which an order may be late. Such tasks do not run and were neither counted as waiting nor named as overdue, nor were those on workers that a new leader has not reached.

They get a wait when the leader takes the attempt over, which a poll that lists the run ends. When the attempt ends unseen the wait begins anew as before, so that no decision changes; awaySince keeps the time.

TestLastingTasksOfARestartedWorkerAreCounted failed before (LastingWaiting 0 for over 9 s without a run).

--- a/dispatch/lasting_waits.go
+++ b/dispatch/lasting_waits.go
@@ -93,6 +93,21 @@
 	e.lastingWaits[a.ref] = &lastingWait{service: job.Service, since: since, cause: cause, awaySince: awaySince}
 }
 
+// addUnconfirmed adds the wait of a lasting task whose attempt this leader took over from an
+// earlier leader, or from an earlier incarnation of the worker. It ends when a poll lists the attempt
+// as running.
+func (e *Engine) addUnconfirmed(a *attempt) {
+	job, step := e.state.Job(a.ref.Job), e.step(a.ref)
+	if step == nil || !step.Lasting || !job.Active() || e.lastingWaits[a.ref] != nil {
+		return
+	}
+	cause := waitsSinceEarlierTerm
+	if e.now > e.tookOverAt {
+		cause = waitsAfterLapse
+	}
+	e.lastingWaits[a.ref] = &lastingWait{service: job.Service, since: e.now, cause: cause}
+}
+
 // addPendingWaits adds the lasting tasks of a step that wait, also those that open starts keep from
 // workers.
 func (e *Engine) addPendingWaits(s *readyStep) {
--- a/dispatch/overdue_test.go
+++ b/dispatch/overdue_test.go
@@ -199,3 +199,47 @@
 	require.True(t, held())
 	assert.NotNil(t, l.engine.lastingWaits[ref])
 }
+
+// Guards against a lasting task that does not run and is not counted, since its worker has restarted
+// and is cut off before it answers.
+func TestLastingTasksOfARestartedWorkerAreCounted(t *testing.T) {
+	for name, newLeader := range map[string]bool{"one leader": false, "new leader": true} {
+		t.Run(name, func(t *testing.T) {
+			s := newSim(t, 66)
+			s.setCatalog()
+			a := s.addWorker("a", 4)
+			s.run(time.Second)
+			s.submit(1, lastingStep(1, 1000))
+			s.run(2 * time.Second)
+			a.crash()
+			b := s.startUnreported("a", a)
+			b.report()
+			b.partitioned = true
+			cause := "lapsed"
+			if newLeader {
+				s.run(time.Second)
+				s.takeOver()
+				cause = "earlier_term"
+			}
+			lines := s.recordLog()
+			s.run(time.Second)
+			assert.Equal(t, 1, s.engine.Counters().LastingWaiting)
+			s.run(returnBound)
+			require.NotNil(t, s.engine.placedAttempt(workflow.TaskRef{Job: 1}), "its lease is not over")
+			overdue := logged(t, lines, "lasting task overdue", workflow.TaskRef{Job: 1})
+			require.Len(t, overdue, 1)
+			assert.Equal(t, cause, overdue[0]["cause"])
+			assert.Equal(t, "a", overdue[0]["worker"])
+			for _, state := range []string{"placed", "carried", "silent"} {
+				assert.Equal(t, true, overdue[0][state], state)
+			}
+			b.partitioned = false
+			s.run(20 * time.Second)
+			assert.Zero(t, s.engine.Counters().LastingWaiting)
+			again := logged(t, lines, "lasting task runs again", workflow.TaskRef{Job: 1})
+			require.Len(t, again, 1)
+			assert.Greater(t, again[0]["away"], float64(returnBound.Milliseconds()))
+			assert.Empty(t, s.violations)
+		})
+	}
+}
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -195,6 +195,7 @@
 			e.adoptCopyable(v, a, job)
 		}
 		v.add(a)
+		e.addUnconfirmed(a)
 	}
 	if len(w.Carried) > 0 {
 		// Until its first answer, an incarnation may carry out a start that was sent to
