--- a/dispatch/overdue.go
+++ b/dispatch/overdue.go
@@ -163,11 +163,17 @@
 	if v, a := e.views[task.Worker], e.placedAttempt(ref); a != nil {
 		event = event.Str("worker", v.worker.Life.Name).Bool("carried", a.carried).Bool("stop_wanted", a.stopWanted).Int("starts", a.startsSent).Bool("silent", e.silent(v))
 	}
-	event = event.Bool("held", pending && e.heldAnywhere(ref)).Bool("suspect", pending && !step.Gang && needsTest(job.Suspect(ref))).
+	event = event.Bool("held", pending && e.heldAnywhere(ref)).Bool("suspect", pending && !step.Gang && needsTest(job.Suspect(ref))).Bool("yields", e.yieldsToUrgent(ref)).
 		Bool("reserved", e.reservations.byTask[ref] != nil).Int("reservations", w.reservations).Int("reservations_lost", w.reservationsLost)
 	workers.addTo(event).Int("waiting", len(e.lastingWaits)).Uint64("term", e.term).Msg("lasting task overdue")
 }
 
+// yieldsToUrgent reports whether a pending task still leaves the capacity held for urgent ones.
+func (e *Engine) yieldsToUrgent(ref workflow.TaskRef) bool {
+	s := e.pendingStep(ref)
+	return s != nil && e.mayYield(s, ref.Index)
+}
+
 // workersForTask counts the workers of a service that have room for a task.
 type workersForTask struct {
 	// free workers have room now, fitting ones beside their lasting tasks. Of the free ones, kept
--- a/dispatch/overdue_test.go
+++ b/dispatch/overdue_test.go
@@ -104,7 +104,7 @@
 	assert.EqualValues(t, 1, narrow[0]["workers_free"])
 	assert.EqualValues(t, 1, narrow[0]["workers_kept"])
 	assert.EqualValues(t, 0, narrow[0]["workers_open"])
-	for _, state := range []string{"placed", "held", "suspect"} {
+	for _, state := range []string{"placed", "held", "suspect", "yields"} {
 		assert.Equal(t, false, narrow[0][state], state)
 	}
 }
