dispatch: test what closes free workers without a reservation that may be taken over

The test relied on a reservation that no other task may replace. A bound of tasks per worker closes the worker now; kept room is tested by TestWorkersWithFreeCapacityAreCountedByWhatClosesThem.

--- a/dispatch/overdue_test.go
+++ b/dispatch/overdue_test.go
@@ -85,27 +85,27 @@
 	gang.Gang = true
 	s.submit(1, gang)
 	s.run(time.Second)
-	s.submit(2, lastingStep(1, 3000))
-	s.run(reservationDelay + time.Second)
-	require.Len(t, s.engine.reservations.list, 1)
-	s.submit(3, lastingStep(1, 2000))
+	narrow := lastingStep(2, 500)
+	narrow.MaxPerWorker = 1
+	s.submit(2, narrow)
+	s.submit(3, lastingStep(1, 3000))
 	s.run(firstRunBound + time.Second)
 
-	wide := logged(t, lines, "lasting task overdue", workflow.TaskRef{Job: 2})
+	wide := logged(t, lines, "lasting task overdue", workflow.TaskRef{Job: 3})
 	require.Len(t, wide, 1)
 	assert.Equal(t, true, wide[0]["reserved"])
 	assert.EqualValues(t, 0, wide[0]["workers_free"])
 	assert.EqualValues(t, 1, wide[0]["workers_fitting"])
 	assert.Greater(t, wide[0]["reservations"], 1.0)
 	assert.Positive(t, wide[0]["reservations_lost"])
-	narrow := logged(t, lines, "lasting task overdue", workflow.TaskRef{Job: 3})
-	require.Len(t, narrow, 1)
-	assert.Equal(t, false, narrow[0]["reserved"])
-	assert.EqualValues(t, 1, narrow[0]["workers_free"])
-	assert.EqualValues(t, 1, narrow[0]["workers_kept"])
-	assert.EqualValues(t, 0, narrow[0]["workers_open"])
+	second := logged(t, lines, "lasting task overdue", workflow.TaskRef{Job: 2, Index: 1})
+	require.Len(t, second, 1)
+	assert.Equal(t, false, second[0]["reserved"])
+	assert.EqualValues(t, 1, second[0]["workers_free"])
+	assert.EqualValues(t, 1, second[0]["workers_full"])
+	assert.EqualValues(t, 0, second[0]["workers_open"])
 	for _, state := range []string{"placed", "held", "suspect", "yields"} {
-		assert.Equal(t, false, narrow[0][state], state)
+		assert.Equal(t, false, second[0][state], state)
 	}
 }
 
