--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -59,6 +59,7 @@
 		"job preferred",
 		"job too late",
 		"lasting task overdue",
+		"lasting task runs again",
 		"leader behind",
 		"leader changed",
 		"leader lost",
