dispatch: the wait of a lasting task goes on beside a carried attempt

What callers saw: a lasting task whose worker restarts and is cut off before it answers waits for up to 29 s.

Cause: the attempt is carried to the next incarnation and void once its lease is over; the wait of its task began anew then, though the run ended with the restart at the latest. The same class as the waits that began anew with each leader. Found by the tests of the overdue counts.

--- a/dispatch/lasting_waits.go
+++ b/dispatch/lasting_waits.go
@@ -76,8 +76,8 @@
 		cause = a.stopCause
 	}
 	w, waits := e.lastingWaits[a.ref]
-	if waits && !a.running && !a.adopted {
-		return
+	if waits && !a.running && (!a.adopted || a.carried) {
+		return // A carried attempt ended with the previous incarnation at the latest.
 	}
 	awaySince := Instant(0)
 	switch {
--- a/dispatch/long_tasks_test.go
+++ b/dispatch/long_tasks_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"mangohill.example/mangohill/kind"
 	"mangohill.example/mangohill/workflow"
 )
 
@@ -137,3 +138,32 @@
 	t.Logf("back after %v", s.now.Sub(endedAt))
 	require.Empty(t, s.violations)
 }
+
+// Guards against a wait that begins anew with the end of an attempt that never ran: the worker of a
+// lasting task has restarted and is cut off before it answers, and the others are full of short
+// tasks.
+func TestTheWaitOfALastingTaskGoesOnBesideAnAttemptThatNeverRan(t *testing.T) {
+	s := newSim(t, 65)
+	s.setCatalog()
+	a := s.addWorker("a", 4)
+	s.run(time.Second)
+	s.submit(1, workflow.Step{Count: 1, Lasting: true, Resources: workflow.Resources{MilliProcessors: 1500, MemoryMB: 100}})
+	s.run(time.Second)
+	require.Len(t, a.running, 1)
+	s.addWorker("b", 4)
+	s.run(time.Second)
+	s.runTime = func(*simRun) time.Duration { return time.Hour }
+	s.submit(2, step(6))
+	s.run(time.Second)
+	s.submit(3, step(2))
+	a.crash()
+	next := s.startUnreported("a", a)
+	announcement := next.announcement()
+	next.partitioned = true
+	s.engine.Announce(&announcement, func(*kind.Error) {})
+	restartedAt := s.now
+	require.True(t, s.runUntil(time.Minute, func() bool { return len(s.runs[workflow.TaskRef{Job: 1}]) > 0 }))
+	t.Logf("runs again %v after the restart", s.now.Sub(restartedAt))
+	require.LessOrEqual(t, s.now.Sub(restartedAt), maxRealTime(s.settings.MaxLease)+maxOrderDelay+stopDuration+time.Second, "once the lease of the next incarnation is over")
+	require.Empty(t, s.violations)
+}
