--- a/dispatch/reclaim_test.go
+++ b/dispatch/reclaim_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -61,8 +62,74 @@
 	s.fillWithLong(2, 12)
 	s.addWorker("c", 4).sheds = true
 	a.crash()
-	require.True(t, s.runUntil(2*s.settings.MaxLease, func() bool { return s.committed.Job(1).Task(workflow.TaskRef{Job: 1}).State == workflow.TaskPending || s.committed.Job(1).Task(workflow.TaskRef{Job: 1}).Attempt > 1 }))
+	require.True(t, s.runUntil(2*s.settings.MaxLease, func() bool {
+		return s.committed.Job(1).Task(workflow.TaskRef{Job: 1}).State == workflow.TaskPending || s.committed.Job(1).Task(workflow.TaskRef{Job: 1}).Attempt > 1
+	}))
 	endedAt := s.now
 	assert.True(t, s.runUntil(returnBound, s.runsLasting), "waits for %v, %d attempts", s.now.Sub(endedAt), s.committed.Job(1).LastAttempt(workflow.TaskRef{Job: 1}))
 	assert.Empty(t, s.violations)
 }
+
+// Guards against short tasks that are stopped for the first run of a lasting task, although all of
+// them end in time by themselves.
+func TestNothingIsStoppedForFirstRunsBesideShortTasksThatEndInTime(t *testing.T) {
+	s := newSim(t, 7)
+	s.setCatalog()
+	for i := range 20 {
+		s.addWorker(fmt.Sprint("w", i), 16)
+	}
+	s.run(time.Second)
+	id := workflow.JobID(1000)
+	submit := func(step workflow.Step) {
+		id++
+		s.engine.HandleRequest(&Request{Verb: Submit, Host: "h", Path: "/q/" + id.String(), Job: &workflow.JobSpec{Payload: "p", Steps: []workflow.Step{step}}}, func(Reply) {})
+	}
+	s.every(15*time.Millisecond, func() { submit(step(10)) }) // Some more than the fleet can run.
+	s.run(3 * time.Second)
+	var lasting []workflow.JobID
+	for range 40 {
+		submit(lastingStep(1, 4000))
+		lasting = append(lasting, id)
+		s.run(500 * time.Millisecond)
+	}
+	s.run(firstRunBound)
+	for _, job := range lasting {
+		assert.Len(t, s.runs[workflow.TaskRef{Job: job}], 1)
+	}
+	assert.Less(t, s.engine.Counters().LongestWaitsMs.NeverRan, firstRunBound.Milliseconds())
+	assert.Zero(t, s.engine.Counters().StoppedForLasting)
+	assert.Empty(t, s.violations)
+}
+
+// Guards against a wait that begins anew with a leader after an attempt that never ran: it was
+// placed on a worker that was cut off, and the others are full of short tasks.
+func TestANewLeaderKnowsAWaitBesideAnAttemptThatNeverRan(t *testing.T) {
+	s := newSim(t, 65)
+	s.setCatalog()
+	a := s.addWorker("a", 4)
+	s.run(time.Second)
+	s.submit(1, lastingStep(1, 1500))
+	s.run(10 * time.Second)
+	require.True(t, s.runsLasting())
+	s.addWorker("b", 4)
+	s.run(time.Second)
+	s.fillWithLong(2, 6)
+	a.crash()
+	ref := workflow.TaskRef{Job: 1}
+	task := func() *workflow.Task { return s.committed.Job(1).Task(ref) }
+	require.True(t, s.runUntil(2*s.settings.MaxLease, func() bool { return task().State == workflow.TaskPending }))
+	endedAt := s.now
+	c := s.addWorker("c", 4)
+	s.send = func(engine *Engine, order Order) {
+		c.partitioned = c.partitioned || order.Verb == Start && order.Task == ref
+		s.deliver(engine, order)
+	}
+	require.True(t, s.runUntil(time.Second, func() bool { return c.partitioned }))
+	s.submit(3, step(8))
+	s.takeOver()
+	tookOverAt := s.now
+	require.True(t, s.runUntil(time.Minute, s.runsLasting))
+	t.Logf("runs again %v after its end, %v after the new leader took over", s.now.Sub(endedAt), s.now.Sub(tookOverAt))
+	assert.LessOrEqual(t, s.now.Sub(tookOverAt), maxRealTime(s.settings.MaxLease)+stopDuration+2*time.Second, "once the lease of the attempt is over")
+	assert.Empty(t, s.violations)
+}
