workflow, dispatch: the end of the latest run is known until the next one

What callers saw: a lasting task whose next attempt is placed on a worker that is cut off, beside a change of leader, waits for 17 s after it.

Cause: the record of the end was dropped with the placement, and the end of an attempt that never ran counted as the end of a run.

A task that ran for less than that before its worker was lost may be taken to have waited for longer than it has, after a change of leader.

--- a/dispatch/lasting_waits.go
+++ b/dispatch/lasting_waits.go
@@ -87,6 +87,9 @@
 		awaySince = w.away()
 	}
 	since := e.now
+	if a.adopted && !a.running { // It may not have run since an earlier leader placed it.
+		since = min(since, e.instantOf(job.LastingEndAfterVoid(a.ref, e.wallMs)))
+	}
 	if last := e.preemptions[a.ref]; cause == waitsAfterPreemption && last.attempt == a.number {
 		since = min(since, last.at.Add(stopDuration)) // An end whose answer was lost.
 	}
@@ -143,7 +146,7 @@
 	if s.job.Task(ref).Attempt > 0 {
 		since := e.tookOverAt
 		if endedMs, known := s.job.LastingEndMs(ref); known {
-			since = min(since, e.now.Add(-time.Duration(e.wallMs-endedMs)*time.Millisecond))
+			since = min(since, e.instantOf(endedMs))
 		}
 		return &lastingWait{service: s.job.Service, since: since, cause: waitsSinceEarlierTerm}
 	}
@@ -151,7 +154,12 @@
 	if len(s.step.After) == 0 {
 		sinceMs = min(sinceMs, max(s.job.AcceptedMs, s.job.Spec.DueMs(s.ref.Occurrence)))
 	}
-	return &lastingWait{service: s.job.Service, since: e.now.Add(-time.Duration(e.wallMs-sinceMs) * time.Millisecond)}
+	return &lastingWait{service: s.job.Service, since: e.instantOf(sinceMs)}
+}
+
+// instantOf returns the instant of a time by the wall clock, in milliseconds since the Unix epoch.
+func (e *Engine) instantOf(wallMs int64) Instant {
+	return e.now.Add(-time.Duration(e.wallMs-wallMs) * time.Millisecond)
 }
 
 // stillWaits reports whether a lasting task is to run and does not.
--- a/workflow/state.go
+++ b/workflow/state.go
@@ -54,7 +54,7 @@
 	Suspects []Suspect `cbor:"20,keyasint,omitempty"`
 	// Copies are the copies of tasks that are not done.
 	Copies []Copy `cbor:"21,keyasint,omitempty"`
-	// LastingEnds are the lasting tasks that wait for their next run.
+	// LastingEnds are the ends of the latest runs of lasting tasks, in the order of the tasks.
 	LastingEnds []LastingEnd `cbor:"22,keyasint,omitempty"`
 	// attempts is the number of attempts that are recorded on workers.
 	attempts int
@@ -487,7 +487,7 @@
 		return err
 	}
 	job.forgetCopy(p.Task)
-	job.forgetLastingEnd(p.Task)
+	job.placeLasting(p.Task, s.nowMs)
 	task = job.Task(p.Task) // Of an occurrence that is held now.
 	task.State, task.Worker, task.Attempt = TaskPlaced, p.Worker, p.Attempt
 	job.Started = true
@@ -542,7 +542,7 @@
 	}
 	task.State = TaskPending
 	if job.Spec.Steps[ref.Step].Lasting {
-		job.recordLastingEnd(ref, s.nowMs)
+		job.recordLastingEnd(ref, job.LastingEndAfterVoid(ref, s.nowMs))
 	}
 	return task
 }
@@ -574,6 +574,9 @@
 	}
 	job := s.jobs[e.Task.Job]
 	step := &job.Spec.Steps[e.Task.Step]
+	if step.Lasting {
+		job.recordLastingEnd(e.Task, s.nowMs) // Workers list only what ran.
+	}
 	if e.Checkpoint != "" {
 		s.setCheckpoint(job, e.Task, e.Checkpoint)
 	}
