dispatch: a new leader reclaims nothing in its first second

Few workers have answered it by then, and the waits that it takes over are by the clocks of earlier leaders, which may be off (review, by reading).

Measured: the tests of new leaders pass (NeverRan, BesideLongTasks).

--- a/dispatch/reclaim.go
+++ b/dispatch/reclaim.go
@@ -31,6 +31,9 @@
 	// maxReclaimsPerSearch bounds the lasting tasks for which a search reclaims capacity: it
 	// looks at all attempts on all workers.
 	maxReclaimsPerSearch = 8
+	// reclaimWarmUp is how long a new leader reclaims nothing: few workers have answered it, and the
+	// waits that it takes over are by the clocks of earlier leaders.
+	reclaimWarmUp = time.Second
 	// owedSlots is the number of tasks of its size for which there must be room beside the lasting
 	// tasks; the platform's rules state it.
 	owedSlots = 2
@@ -65,6 +68,9 @@
 // reclaimForLasting stops short tasks for the lasting ones for which nothing else is certain to be
 // in time.
 func (e *Engine) reclaimForLasting(p *candidateSet) {
+	if e.since(e.tookOverAt) < reclaimWarmUp {
+		return
+	}
 	left := maxReclaimsPerSearch
 	var failed failedRequests
 	for _, owed := range e.owedTasks() {
