--- a/consensus/replication.go
+++ b/consensus/replication.go
@@ -17,8 +17,10 @@
 }
 
 // appendAsLeader appends entries in the current term, sends them to the other
-// members and returns the index of the first one.
+// members and returns the index of the first one. The messages are a heartbeat round of their
+// own, so that acknowledging them confirms the leader as of now.
 func (c *Core) appendAsLeader(entries ...Entry) uint64 {
+	c.round++
 	first := c.log.last() + 1
 	for i := range entries {
 		entries[i].Index = first + uint64(i)
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -71,7 +71,9 @@
 	readID uint64
 	// roundStarts holds the start time of each heartbeat round since the latest
 	// one that a quorum answered.
-	roundStarts  map[uint64]time.Time
+	roundStarts map[uint64]time.Time
+	// lastRound is the latest heartbeat round that was seen.
+	lastRound    uint64
 	leadership   Leadership
 	snapshotting bool
 	// nextSnapshotTick is the tick from which on a snapshot may be taken again after one
--- a/replica/publish.go
+++ b/replica/publish.go
@@ -7,13 +7,17 @@
 	"mangohill.example/mangohill/controlapi"
 )
 
-// recordRoundStart records the start time of a new heartbeat round before its
+// recordRoundStart records the start time of new heartbeat rounds before their
 // messages are sent.
 func (l *loop) recordRoundStart() {
 	round := l.core.Round()
-	if _, ok := l.roundStarts[round]; !ok && l.core.Status().Role == consensus.Leader {
-		l.roundStarts[round] = l.replica.options.Now()
+	if l.core.Status().Role == consensus.Leader {
+		now := l.replica.options.Now()
+		for ; l.lastRound < round; l.lastRound++ {
+			l.roundStarts[l.lastRound+1] = now
+		}
 	}
+	l.lastRound = round
 }
 
 // publish makes the current status visible to other goroutines before any
