--- a/consensus/election.go
+++ b/consensus/election.go
@@ -173,11 +173,11 @@
 	return true
 }
 
-// StepDown gives up the leadership, to another voter if one can take it at once. The
-// next leader, which may be this member, leads a later term.
+// StepDown gives up the leadership and asks the voter with the longest known log, if one is
+// active, to start an election. The next leader, which may be this member, leads a later term.
 func (c *Core) StepDown() {
-	if c.role == Leader && !c.TransferLeadership() {
-		c.becomeFollower(c.term, 0)
+	if m, ok := c.Abandon(); ok {
+		c.send(m)
 	}
 }
 
@@ -185,7 +185,7 @@
 // returns the message that asks the voter with the longest known log to start an election.
 // It returns false if no other voter is active or this member does not lead. Unlike
 // TransferLeadership it does not require the voter to hold the whole log, of which the end
-// is not durable here. The driver must discard the core afterwards.
+// may not be durable here.
 func (c *Core) Abandon() (Message, bool) {
 	if c.role != Leader {
 		return Message{}, false
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -61,6 +61,7 @@
 		"leader behind",
 		"leader changed",
 		"leader lost",
+		"leader unconfirmed",
 		"leadership changed",
 		"leadership not given up",
 		"leading",
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -74,6 +74,7 @@
 	roundStarts map[uint64]time.Time
 	// lastRound is the latest heartbeat round that was seen.
 	lastRound    uint64
+	confirmation confirmation
 	leadership   Leadership
 	snapshotting bool
 	// nextSnapshotTick is the tick from which on a snapshot may be taken again after one
@@ -167,6 +168,7 @@
 		return l.checkSpace()
 	}
 	l.core.Tick()
+	l.checkConfirmation()
 	l.maintainMembership()
 	l.logLeaderless()
 	return nil
--- a/replica/publish.go
+++ b/replica/publish.go
@@ -87,6 +87,9 @@
 	if !ok {
 		return
 	}
+	if last := l.replica.quorumContact.Load(); last == nil || !last.Equal(at) {
+		l.recordConfirmation(at)
+	}
 	l.replica.quorumContact.Store(&at)
 	for round := range l.roundStarts {
 		if round < confirmed {
