--- a/replica/slow_disk_test.go
+++ b/replica/slow_disk_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"mangohill.example/mangohill/kind"
 	"mangohill.example/mangohill/storage"
 )
 
@@ -58,41 +59,80 @@
 // actsFor is the age of the quorum contact up to which a leader acts, see coordinator.
 const actsFor = 500 * time.Millisecond
 
-func runSlowDisk(t *testing.T, syncTime time.Duration) slowDiskRun {
+// slowDiskGroup is a group of five members, all of them voters.
+type slowDiskGroup struct {
+	replicas []*Replica
+	disks    []slowDisk
+	// cut keeps a member from calling others and from being called.
+	cut []*atomic.Bool
+}
+
+// cutCaller makes no call that is answered while it is cut off.
+type cutCaller struct {
+	*unreliableNetwork
+	cut *atomic.Bool
+}
+
+func (c cutCaller) Call(ctx context.Context, address, method string, args, reply any) error {
+	if c.cut.Load() {
+		<-ctx.Done()
+		return kind.Errorf(kind.UnknownOutcome, "%w", ctx.Err())
+	}
+	return c.unreliableNetwork.Call(ctx, address, method, args, reply)
+}
+
+// startSlowDiskGroup starts a group whose disks take a usual time at first.
+func startSlowDiskGroup(t *testing.T) *slowDiskGroup {
 	network := &unreliableNetwork{random: rand.New(rand.NewPCG(1, 1)), services: make(map[string]*service)}
-	defer network.calls.Wait()
+	t.Cleanup(network.calls.Wait)
 	addresses := []string{"a:1", "b:1", "c:1", "d:1", "e:1"}
-	var replicas []*Replica
-	var disks []slowDisk
+	g := new(slowDiskGroup)
 	for i, address := range addresses {
-		disk := slowDisk{syncTime: new(atomic.Int64)}
+		disk, cut := slowDisk{syncTime: new(atomic.Int64)}, new(atomic.Bool)
 		disk.syncTime.Store(int64(6 * time.Millisecond))
 		r, err := Start(Options{
 			Name: address, Address: address, ControlAddresses: addresses, DataDir: t.TempDir(), Bootstrap: i == 0,
-			Logger: zerolog.Nop(), StateMachine: new(commandRecorder), Caller: network, FileSystem: disk,
+			Logger: zerolog.Nop(), StateMachine: new(commandRecorder), Caller: cutCaller{network, cut}, FileSystem: disk,
 			ElectionTicks: 12, HeartbeatTicks: 3, Seed: uint64(i) + 1,
 		})
 		require.NoError(t, err)
-		defer r.Stop()
+		t.Cleanup(r.Stop)
 		network.mu.Lock()
 		network.services[address] = &service{replica: r}
 		network.mu.Unlock()
-		replicas, disks = append(replicas, r), append(disks, disk)
+		g.replicas, g.disks, g.cut = append(g.replicas, r), append(g.disks, disk), append(g.cut, cut)
 	}
 	time.Sleep(20 * time.Second) // All members are voters by then.
-	leaders := 0
-	for i, r := range replicas {
-		if r.Status().Role == "leader" {
-			disks[i].syncTime.Store(int64(syncTime))
-			leaders++
+	return g
+}
+
+// leader returns the index of the only leader.
+func (g *slowDiskGroup) leader(t *testing.T) int {
+	leads := func(r *Replica) bool { return r.Status().Role == "leader" }
+	first := slices.IndexFunc(g.replicas, leads)
+	require.NotEqual(t, -1, first)
+	require.False(t, slices.ContainsFunc(g.replicas[first+1:], leads))
+	return first
+}
+
+// acts reports whether a leader that is not cut off may act.
+func (g *slowDiskGroup) acts() bool {
+	for i, r := range g.replicas {
+		if !g.cut[i].Load() && time.Since(r.QuorumContact()) < actsFor {
+			return true
 		}
 	}
-	require.Equal(t, 1, leaders)
+	return false
+}
+
+func runSlowDisk(t *testing.T, syncTime time.Duration) slowDiskRun {
+	g := startSlowDiskGroup(t)
+	g.disks[g.leader(t)].syncTime.Store(int64(syncTime))
 	var callers sync.WaitGroup
 	defer callers.Wait()
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	for _, r := range replicas {
+	for _, r := range g.replicas {
 		callers.Go(func() {
 			for ctx.Err() == nil {
 				next := time.After(20 * time.Millisecond)
@@ -106,7 +146,7 @@
 	confirmed, since := 0, time.Now()
 	for range samples {
 		time.Sleep(interval)
-		if slices.ContainsFunc(replicas, func(r *Replica) bool { return time.Since(r.QuorumContact()) < actsFor }) {
+		if g.acts() {
 			confirmed, since = confirmed+1, time.Now()
 		}
 		run.unconfirmed = max(run.unconfirmed, time.Since(since))
@@ -138,3 +178,26 @@
 		})
 	}
 }
+
+// Guards against a group that never elects a leader: votes are recorded on disks that take longer for
+// it than the candidates wait. A leader is lost while all disks are slow.
+func TestALeaderIsElectedOnSlowDisks(t *testing.T) {
+	for _, syncTime := range []time.Duration{6, 180, 280, 320, 400, 700} {
+		t.Run(fmt.Sprint(int64(syncTime), "ms"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := startSlowDiskGroup(t)
+				lost := g.leader(t)
+				g.cut[lost].Store(true)
+				for _, disk := range g.disks {
+					disk.syncTime.Store(int64(syncTime * time.Millisecond))
+				}
+				lostAt := time.Now()
+				for !g.acts() && time.Since(lostAt) < 30*time.Second {
+					time.Sleep(10 * time.Millisecond)
+				}
+				t.Logf("after %v, in term %d", time.Since(lostAt), g.replicas[(lost+1)%len(g.replicas)].Status().Term)
+				assert.LessOrEqual(t, time.Since(lostAt), 15*time.Second) // The platform's bound on a recovery.
+			})
+		})
+	}
+}
