--- a/consensus/core.go
+++ b/consensus/core.go
@@ -92,7 +92,9 @@
 	leaderContactElapsed int
 	heartbeatElapsed     int
 	votes                voteTally
-	progress             map[MemberID]*progress
+	// candidacies counts how often this member has asked for votes since it knew a leader.
+	candidacies int
+	progress    map[MemberID]*progress
 	// termStart is the index of the entry that this member appended when it
 	// became leader.
 	termStart uint64
@@ -264,6 +266,7 @@
 	c.leader = leader
 	c.electionElapsed = 0
 	c.leaderContactElapsed = 0
+	c.candidacies = 0
 }
 
 // becomeFollower becomes a follower in term; leader is zero if unknown.
@@ -299,14 +302,19 @@
 	c.resetElectionTimeout()
 }
 
+// maxBackoff limits the doublings of a candidate's timeout.
+const maxBackoff = 3
+
 // resetElectionTimeout draws a new random election timeout: for a follower, one
 // to two times electionTicks. A candidate retries after a quarter to three
-// quarters of electionTicks: retrying early is harmless, since a pre-vote does
-// not disturb the other members.
+// quarters of electionTicks: retrying a pre-vote early is harmless, since it does not
+// disturb the other members. Each time it has asked for votes in vain it waits twice as
+// long: the others may need longer to record them, and its next term makes them void.
 func (c *Core) resetElectionTimeout() {
 	shortest, spread := c.electionTicks, c.electionTicks
 	if c.role == PreCandidate || c.role == Candidate {
-		shortest, spread = c.electionTicks/4, c.electionTicks/2
+		backoff := min(max(c.candidacies-1, 0), maxBackoff)
+		shortest, spread = c.electionTicks<<backoff/4, c.electionTicks<<backoff/2
 	}
 	c.electionTimeout = max(1, shortest) + c.random.IntN(max(1, spread))
 }
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -56,6 +56,7 @@
 }
 
 func (c *Core) campaign(transfer bool) {
+	c.candidacies++
 	c.changeRole(Candidate)
 	c.setTerm(c.term + 1)
 	c.vote = c.id
@@ -135,6 +136,7 @@
 // without data; committing it commits all earlier entries.
 func (c *Core) becomeLeader() {
 	c.changeRole(Leader)
+	c.candidacies = 0
 	c.leader = c.id
 	c.round++
 	c.progress = make(map[MemberID]*progress)
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -406,10 +406,15 @@
 		if s == nil {
 			continue
 		}
-		if m.Type == consensus.MessageSnapshot {
+		switch m.Type {
+		case consensus.MessageSnapshot:
 			l.replica.group.Add(1)
 			go s.transferSnapshot(m)
 			continue
+		case consensus.MessageVote:
+			l.replica.group.Add(1)
+			go s.requestVote(m)
+			continue
 		}
 		s.enqueue(m)
 	}
--- a/replica/sender.go
+++ b/replica/sender.go
@@ -122,6 +122,20 @@
 	s.replica.deliverToLoop(peerEvent{from: s.member.ID, messages: answers})
 }
 
+// voteElections is the number of election timeouts for which the answer to a request for a vote is
+// awaited: the member records its vote on its disk first.
+const voteElections = 4
+
+// requestVote sends a request for a vote. It runs in its own goroutine, so that other messages do not
+// wait for the answer.
+func (s *sender) requestVote(m consensus.Message) {
+	defer s.replica.group.Done()
+	ctx, cancel := context.WithTimeout(s.replica.ctx, voteElections*s.replica.options.electionTimeout())
+	defer cancel()
+	answers, err := s.roundTrip(ctx, stepMethod, s.envelope([]consensus.Message{m}))
+	s.deliverAnswers(answers, err)
+}
+
 // sendOnce sends one message and ignores the response.
 func (s *sender) sendOnce(m consensus.Message) {
 	ctx, cancel := context.WithTimeout(s.replica.ctx, s.replica.options.electionTimeout()/2)
