--- a/coordinator/consensus_stats.go
+++ b/coordinator/consensus_stats.go
@@ -27,6 +27,8 @@
 	// has not been committed, and LoopMs that since the latest tick of the leader's loop; -1 for
 	// none.
 	ContactMs, CommitMs, BatchMs, LoopMs int64
+	// SyncMs is the time that the latest synced append to the log took, in milliseconds.
+	SyncMs int64
 	// Followers holds, at the leader, the replication to each other member.
 	Followers []replica.Follower
 }
@@ -56,7 +58,7 @@
 	s := consensusStats{
 		Role: status.Role, Term: status.Term, Leader: status.Leader, Serving: c.serving.Load(),
 		Commit: status.Commit, Applied: status.Applied, Last: status.Last, Followers: status.Followers,
-		ContactMs: -1, CommitMs: c.metrics.committedAt.milliseconds(), BatchMs: c.metrics.proposedAt.milliseconds(), LoopMs: c.metrics.tickedAt.milliseconds(),
+		SyncMs: status.SyncTime.Milliseconds(), ContactMs: -1, CommitMs: c.metrics.committedAt.milliseconds(), BatchMs: c.metrics.proposedAt.milliseconds(), LoopMs: c.metrics.tickedAt.milliseconds(),
 	}
 	if contact := c.replica.QuorumContact(); !contact.IsZero() {
 		s.ContactMs = boottime.Now().Sub(contact).Milliseconds()
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -75,6 +75,8 @@
 	// lastRound is the latest heartbeat round that was seen.
 	lastRound    uint64
 	confirmation confirmation
+	// syncTime is the time that the latest synced append took.
+	syncTime     time.Duration
 	leadership   Leadership
 	snapshotting bool
 	// nextSnapshotTick is the tick from which on a snapshot may be taken again after one
@@ -338,7 +340,10 @@
 	if ready.HardState == nil && len(ready.Entries) == 0 {
 		return nil
 	}
-	return l.replica.store.Append(l.core.HardState(), ready.Entries)
+	began := l.replica.options.Now()
+	err := l.replica.store.Append(l.core.HardState(), ready.Entries)
+	l.syncTime = l.replica.options.Now().Sub(began)
+	return err
 }
 
 func (l *loop) installSnapshot(meta consensus.SnapshotMeta) error {
--- a/replica/publish.go
+++ b/replica/publish.go
@@ -34,7 +34,7 @@
 	leader, _ := membership.Find(status.Leader)
 	published := &Status{
 		ID: status.ID, Role: status.Role.String(), Term: status.Term, Leader: leader.Address,
-		Commit: status.Commit, Last: status.LastIndex, Syncs: l.replica.store.Syncs(),
+		Commit: status.Commit, Last: status.LastIndex, Syncs: l.replica.store.Syncs(), SyncTime: l.syncTime,
 	}
 	if status.Role == consensus.Leader {
 		published.Followers = l.followers(membership)
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -51,6 +51,9 @@
 	Followers []Follower
 	// Syncs counts the synced appends to the log since the replica started.
 	Syncs uint64
+	// SyncTime is the time that the latest of them took. It is long on a slow disk, and while the
+	// process waits for its processor.
+	SyncTime time.Duration
 	// DiskFull counts how often the replica stopped participating because its disk was full.
 	// It participates again by itself.
 	DiskFull uint64
--- a/replica/slow_disk_test.go
+++ b/replica/slow_disk_test.go
@@ -54,6 +54,8 @@
 	// actsFor, unconfirmed the longest time without such a leader.
 	confirmed   float64
 	unconfirmed time.Duration
+	// slowest is the time that the member with the slow disk states for a sync.
+	slowest time.Duration
 }
 
 // actsFor is the age of the quorum contact up to which a leader acts, see coordinator.
@@ -127,6 +129,7 @@
 
 func runSlowDisk(t *testing.T, syncTime time.Duration) slowDiskRun {
 	g := startSlowDiskGroup(t)
+	slowest := g.replicas[g.leader(t)]
 	g.disks[g.leader(t)].syncTime.Store(int64(syncTime))
 	var callers sync.WaitGroup
 	defer callers.Wait()
@@ -152,6 +155,7 @@
 		run.unconfirmed = max(run.unconfirmed, time.Since(since))
 	}
 	run.confirmed = float64(confirmed) / samples
+	run.slowest = slowest.Status().SyncTime
 	t.Logf("syncs of %v: a leader acts in %.3f of the time, none for up to %v", syncTime, run.confirmed, run.unconfirmed)
 	return run
 }
@@ -162,6 +166,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		run := runSlowDisk(t, 180*time.Millisecond)
 		assert.GreaterOrEqual(t, run.confirmed, 0.99)
+		assert.GreaterOrEqual(t, run.slowest, 180*time.Millisecond)
 	})
 }
 
