--- a/coordinator/loop.go
+++ b/coordinator/loop.go
@@ -340,7 +340,7 @@
 	term := l.term
 	runAsync(l.Coordinator, l.commits, func() commitResult {
 		startedAt := time.Now()
-		result, err := l.replica.Propose(l.ctx, data)
+		result, err := l.replica.ProposeIn(l.ctx, term, data)
 		took := time.Since(startedAt)
 		l.metrics.commit.Record(took)
 		return commitResult{term: term, result: result, err: err, took: took, batch: batch, bytes: len(data)}
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"runtime"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -20,6 +21,8 @@
 // proposal is a command to be appended to the log.
 type proposal struct {
 	data []byte
+	// term is the only term in which the command may be appended, zero for any.
+	term uint64
 	done chan outcome
 	// accepted is set once the loop has received the proposal; from then on the
 	// command may run.
@@ -198,7 +201,10 @@
 		p.done <- outcome{err: l.notLeaderWhileSuspended()}
 		return
 	}
-	batch := l.collectProposals(p)
+	batch := slices.DeleteFunc(l.collectProposals(p), l.refuseOtherTerm)
+	if len(batch) == 0 {
+		return
+	}
 	commands := make([][]byte, len(batch))
 	for i := range batch {
 		batch[i].accepted.Store(true)
@@ -214,6 +220,15 @@
 	}
 }
 
+// refuseOtherTerm refuses a proposal that was made for another term, and reports whether it did.
+func (l *loop) refuseOtherTerm(p proposal) bool {
+	if p.term == 0 || p.term == l.core.Status().Term {
+		return false
+	}
+	p.done <- outcome{err: l.core.NotLeader()}
+	return true
+}
+
 // receive processes the given and all queued peer events, so that they share one
 // sync.
 func (l *loop) receive(in peerEvent) error {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -260,10 +260,16 @@
 // detail is the leader's address), deadline_exceeded, stopping, and
 // body_too_large (above 1 MiB) it does not; with unknown_outcome it may.
 func (r *Replica) Propose(ctx context.Context, data []byte) (any, error) {
+	return r.ProposeIn(ctx, 0, data)
+}
+
+// ProposeIn is Propose of a command that rests on what this replica knew as the leader of a term:
+// in another term it is refused with not_leader. Zero stands for any term.
+func (r *Replica) ProposeIn(ctx context.Context, term uint64, data []byte) (any, error) {
 	if err := r.checkProposal(data); err != nil {
 		return nil, err
 	}
-	p := proposal{data: data, done: make(chan outcome, 1), accepted: new(atomic.Bool)}
+	p := proposal{data: data, term: term, done: make(chan outcome, 1), accepted: new(atomic.Bool)}
 	select {
 	case r.proposals <- p:
 	case <-ctx.Done():
