--- a/replica/slow_disk_test.go
+++ b/replica/slow_disk_test.go
@@ -56,6 +56,8 @@
 	unconfirmed time.Duration
 	// slowest is the time that the member with the slow disk states for a sync.
 	slowest time.Duration
+	// newTerms is the number of terms that began.
+	newTerms uint64
 }
 
 // actsFor is the age of the quorum contact up to which a leader acts, see coordinator.
@@ -67,12 +69,16 @@
 	disks    []slowDisk
 	// cut keeps a member from calling others and from being called.
 	cut []*atomic.Bool
+	// delay is by how much each call takes longer.
+	delay atomic.Int64
 }
 
 // cutCaller makes no call that is answered while it is cut off.
 type cutCaller struct {
 	*unreliableNetwork
 	cut *atomic.Bool
+	// delay is by how much each call takes longer.
+	delay *atomic.Int64
 }
 
 func (c cutCaller) Call(ctx context.Context, address, method string, args, reply any) error {
@@ -80,6 +86,7 @@
 		<-ctx.Done()
 		return kind.Errorf(kind.UnknownOutcome, "%w", ctx.Err())
 	}
+	time.Sleep(time.Duration(c.delay.Load()))
 	return c.unreliableNetwork.Call(ctx, address, method, args, reply)
 }
 
@@ -94,7 +101,7 @@
 		disk.syncTime.Store(int64(6 * time.Millisecond))
 		r, err := Start(Options{
 			Name: address, Address: address, ControlAddresses: addresses, DataDir: t.TempDir(), Bootstrap: i == 0,
-			Logger: zerolog.Nop(), StateMachine: new(commandRecorder), Caller: cutCaller{network, cut}, FileSystem: disk,
+			Logger: zerolog.Nop(), StateMachine: new(commandRecorder), Caller: cutCaller{network, cut, &g.delay}, FileSystem: disk,
 			ElectionTicks: 12, HeartbeatTicks: 3, Seed: uint64(i) + 1,
 		})
 		require.NoError(t, err)
@@ -129,8 +136,16 @@
 
 func runSlowDisk(t *testing.T, syncTime time.Duration) slowDiskRun {
 	g := startSlowDiskGroup(t)
-	slowest := g.replicas[g.leader(t)]
 	g.disks[g.leader(t)].syncTime.Store(int64(syncTime))
+	run := g.propose(t)
+	t.Logf("syncs of %v: a leader acts in %.3f of the time, none for up to %v", syncTime, run.confirmed, run.unconfirmed)
+	return run
+}
+
+// propose has callers propose one command after the other for 20 s.
+func (g *slowDiskGroup) propose(t *testing.T) slowDiskRun {
+	slowest := g.replicas[g.leader(t)]
+	firstTerm := slowest.Status().Term
 	var callers sync.WaitGroup
 	defer callers.Wait()
 	ctx, cancel := context.WithCancel(t.Context())
@@ -156,7 +171,9 @@
 	}
 	run.confirmed = float64(confirmed) / samples
 	run.slowest = slowest.Status().SyncTime
-	t.Logf("syncs of %v: a leader acts in %.3f of the time, none for up to %v", syncTime, run.confirmed, run.unconfirmed)
+	for _, r := range g.replicas {
+		run.newTerms = max(run.newTerms, r.Status().Term-firstTerm)
+	}
 	return run
 }
 
@@ -206,3 +223,20 @@
 		})
 	}
 }
+
+// Guards against a group on slow links that changes its leader again and again although the leader
+// acts for a part of the time.
+func TestAGroupOnSlowLinksKeepsItsLeader(t *testing.T) {
+	for _, delay := range []time.Duration{200, 260, 270, 280} {
+		t.Run(fmt.Sprint(int64(delay), "ms"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := startSlowDiskGroup(t)
+				g.delay.Store(int64(delay * time.Millisecond))
+				run := g.propose(t)
+				t.Logf("a leader acts in %.3f of the time, none for up to %v, %d new terms", run.confirmed, run.unconfirmed, run.newTerms)
+				assert.LessOrEqual(t, run.newTerms, uint64(1))
+				assert.LessOrEqual(t, run.unconfirmed, time.Second)
+			})
+		})
+	}
+}
