--- a/replica/confirmation.go
+++ b/replica/confirmation.go
@@ -65,7 +65,6 @@
 		c.since, c.acting = now, max(c.actsUntil.Sub(now), 0)
 		return
 	}
-	l.replica.options.Logger.Warn().Uint64("term", status.Term).Dur("window", window).Dur("acting", c.acting).Uint64("commit", status.Commit).Uint64("last", status.LastIndex).
-		Msg("leader unconfirmed")
+	l.replica.options.Logger.Warn().Uint64("term", status.Term).Dur("window", window).Dur("acting", c.acting).Uint64("commit", status.Commit).Uint64("last", status.LastIndex).Msg("leader unconfirmed")
 	l.core.StepDown()
 }
