--- a/replica/loop.go
+++ b/replica/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"runtime"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -20,6 +21,8 @@
 // proposal is a command to be appended to the log.
 type proposal struct {
 	data []byte
+	// term is the only term in which the command may be appended, zero for any.
+	term uint64
 	done chan outcome
 	// accepted is set once the loop has received the proposal; from then on the
 	// command may run.
@@ -71,7 +74,12 @@
 	readID uint64
 	// roundStarts holds the start time of each heartbeat round since the latest
 	// one that a quorum answered.
-	roundStarts  map[uint64]time.Time
+	roundStarts map[uint64]time.Time
+	// lastRound is the latest heartbeat round that was seen.
+	lastRound    uint64
+	confirmation confirmation
+	// syncTime is the time that the latest synced append took.
+	syncTime     time.Duration
 	leadership   Leadership
 	snapshotting bool
 	// nextSnapshotTick is the tick from which on a snapshot may be taken again after one
@@ -165,6 +173,7 @@
 		return l.checkSpace()
 	}
 	l.core.Tick()
+	l.checkConfirmation()
 	l.maintainMembership()
 	l.logLeaderless()
 	return nil
@@ -192,7 +201,10 @@
 		p.done <- outcome{err: l.notLeaderWhileSuspended()}
 		return
 	}
-	batch := l.collectProposals(p)
+	batch := slices.DeleteFunc(l.collectProposals(p), l.refuseOtherTerm)
+	if len(batch) == 0 {
+		return
+	}
 	commands := make([][]byte, len(batch))
 	for i := range batch {
 		batch[i].accepted.Store(true)
@@ -208,6 +220,15 @@
 	}
 }
 
+// refuseOtherTerm refuses a proposal that was made for another term, and reports whether it did.
+func (l *loop) refuseOtherTerm(p proposal) bool {
+	if p.term == 0 || p.term == l.core.Status().Term {
+		return false
+	}
+	p.done <- outcome{err: l.core.NotLeader()}
+	return true
+}
+
 // receive processes the given and all queued peer events, so that they share one
 // sync.
 func (l *loop) receive(in peerEvent) error {
@@ -334,7 +355,10 @@
 	if ready.HardState == nil && len(ready.Entries) == 0 {
 		return nil
 	}
-	return l.replica.store.Append(l.core.HardState(), ready.Entries)
+	began := l.replica.options.Now()
+	err := l.replica.store.Append(l.core.HardState(), ready.Entries)
+	l.syncTime = l.replica.options.Now().Sub(began)
+	return err
 }
 
 func (l *loop) installSnapshot(meta consensus.SnapshotMeta) error {
@@ -402,10 +426,15 @@
 		if s == nil {
 			continue
 		}
-		if m.Type == consensus.MessageSnapshot {
+		switch m.Type {
+		case consensus.MessageSnapshot:
 			l.replica.group.Add(1)
 			go s.transferSnapshot(m)
 			continue
+		case consensus.MessageVote:
+			l.replica.group.Add(1)
+			go s.requestVote(m)
+			continue
 		}
 		s.enqueue(m)
 	}
