--- a/dispatch/reclaim_test.go
+++ b/dispatch/reclaim_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"mangohill.example/mangohill/kind"
 	"mangohill.example/mangohill/workflow"
 )
 
@@ -133,3 +134,58 @@
 	assert.LessOrEqual(t, s.now.Sub(tookOverAt), maxRealTime(s.settings.MaxLease)+stopDuration+2*time.Second, "once the lease of the attempt is over")
 	assert.Empty(t, s.violations)
 }
+
+// Guards against a lasting task of an advised queue that waits without an end: the service is asked
+// only about workers that have room, and no room is kept or made for such a task.
+func TestALastingTaskOfAnAdvisedQueueGetsTheRoomOfShortTasks(t *testing.T) {
+	s := newSim(t, 65)
+	queue := workflow.Queue{Name: "q", Host: "h", PathPrefix: "/q/", Service: "pool", TimeoutMs: 3000, MaxAttempts: 3}
+	advised := queue
+	advised.Name, advised.PathPrefix, advised.Advised, advised.AdviceBaseMs, advised.AdviceEachMs, advised.AdviceValidMs = "advised", "/a/", true, 50, 1, 60_000
+	s.engine.SetCatalog(&workflow.Catalog{Version: 1, Queues: []workflow.Queue{queue, advised}, Services: []workflow.Service{{Name: "pool"}}}, func(err *kind.Error) { require.Nil(t, err) })
+	s.every(10*time.Millisecond, func() {
+		q := s.engine.TakeQuestion()
+		if q == nil {
+			return
+		}
+		tickets := make(map[string]string)
+		for _, name := range q.Workers {
+			tickets[name] = "t"
+		}
+		s.after(80*time.Millisecond, func() { s.engine.HandleAdvice(&Advice{Question: *q, Answered: true, Tickets: tickets}) })
+	})
+	a := s.addWorker("a", 4)
+	s.run(time.Second)
+	s.engine.HandleRequest(&Request{Verb: Submit, Host: "h", Path: "/a/" + workflow.JobID(1).String(), Job: &workflow.JobSpec{Payload: "p", Steps: []workflow.Step{lastingStep(1, 1500)}}}, func(r Reply) { require.Nil(t, r.Err) })
+	s.run(10 * time.Second)
+	require.True(t, s.runsLasting())
+	s.addWorker("b", 4)
+	s.run(time.Second)
+	s.fillWithLong(2, 12)
+	a.crash()
+	task := func() *workflow.Task { return s.committed.Job(1).Task(workflow.TaskRef{Job: 1}) }
+	require.True(t, s.runUntil(2*s.settings.MaxLease, func() bool { return task().State == workflow.TaskPending }))
+	assert.True(t, s.runUntil(returnBound, s.runsLasting))
+	assert.Empty(t, s.violations)
+}
+
+// Guards against a lasting task that waits for the memory of tasks that take spare processors.
+func TestALastingTaskGetsTheMemoryOfScavengers(t *testing.T) {
+	s := newSim(t, 65)
+	s.setCatalog()
+	s.addWorker("a", 8)
+	s.run(time.Second)
+	s.runTime = func(*simRun) time.Duration { return time.Hour }
+	scavengers := step(30)
+	scavengers.Scavenger, scavengers.Resources = true, workflow.Resources{MilliProcessors: 100, MemoryMB: 4000}
+	s.submit(1000, scavengers)
+	s.run(5 * time.Second)
+	require.Greater(t, len(s.workers["a:1"].running), 20)
+	lasting := lastingStep(2, 1000)
+	lasting.Resources.MemoryMB = 30_000
+	s.submit(1, lasting)
+	assert.True(t, s.runUntil(firstRunBound, func() bool {
+		return s.runsLasting() && len(s.runs[workflow.TaskRef{Job: 1, Index: 1}]) > 0
+	}))
+	assert.Empty(t, s.violations)
+}
