dispatch: carried attempts of lasting tasks end with their lease

What callers saw: a lasting task whose worker is back under its old name and cut off before it answers did not run for 22 s, beside a free worker (review and simulation; TestTheWaitOfALastingTaskGoesOnBesideAnAttemptThatNeverRan, 22.5 s).

Cause: all attempts that are carried to the next incarnation waited for late orders (12 s) and a lease after them, although only those with an open start can begin there.

Change: a carried attempt of a lasting task without an open start is void once its lease is over on the previous incarnation. Why it works: the previous one has ended it by then whatever its report says, and the next one gets no start of it.

A first form without the condition on open starts ran a task twice in TestALateStartAtACutOffWorkerThatRestarted, and was not kept. TestLastingTasksOfARestartedWorkerAreCounted takes the longest lease now: a shorter one is over before the task is overdue.

--- a/dispatch/incarnations.go
+++ b/dispatch/incarnations.go
@@ -165,7 +165,11 @@
 	w := e.state.WorkerNamed(a.Life.Name)
 	v := e.addView(w)
 	for _, a := range v.attemptList {
-		a.carried, a.checkpoint = true, previous.attempts[a.ref].checkpoint
+		before := previous.attempts[a.ref]
+		a.carried, a.checkpoint, a.lapsesAt = true, before.checkpoint, previous.leaseExpiresAt
+		if before.carried {
+			a.lapsesAt = before.lapsesAt
+		}
 		a.stopWanted = a.stopWanted || !e.canRun(w, a)
 	}
 	if len(v.attemptList) == 0 {
--- a/dispatch/overdue_test.go
+++ b/dispatch/overdue_test.go
@@ -206,6 +206,8 @@
 	for name, newLeader := range map[string]bool{"one leader": false, "new leader": true} {
 		t.Run(name, func(t *testing.T) {
 			s := newSim(t, 66)
+			s.settings.Lease = s.settings.MaxLease // Else its end comes before the task is overdue.
+			s.takeOver()
 			s.setCatalog()
 			a := s.addWorker("a", 4)
 			s.run(time.Second)
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -127,7 +127,10 @@
 	startInherited bool
 	// carried is set on an attempt of the worker's previous incarnation until a poll
 	// of this one has shown whether a start of it was carried out here.
-	carried      bool
+	carried bool
+	// lapsesAt is when the lease of a carried attempt is over on the previous incarnation, zero if
+	// that is not known.
+	lapsesAt     Instant
 	running      bool
 	runningSince Instant
 	placedAt     Instant
@@ -346,12 +349,28 @@
 	e.forgetStrays(v.worker.ID, nil)
 }
 
+// voidCarriedLasting voids the carried attempts of lasting tasks on a worker that has not answered
+// since it restarted, once their leases are over on the previous incarnation. This one may carry out
+// only those with an open start.
+func (e *Engine) voidCarriedLasting(v *workerView) {
+	if v.fenced {
+		return // Its first answer decides.
+	}
+	for _, a := range v.attemptList {
+		step := e.step(a.ref)
+		if a.carried && a.lapsesAt != 0 && e.now > a.lapsesAt && step != nil && step.Lasting && e.openStartOf(a.ref, v.worker.Life.Name) == nil {
+			e.void(v, a, "lease_over")
+		}
+	}
+}
+
 // issueDueOrders issues the orders that are due for a worker. It voids the
 // attempts on a worker that is unreachable and whose lease has expired.
 func (e *Engine) issueDueOrders(v *workerView) {
 	if e.now > v.leaseExpiresAt && !e.reachable(v) {
 		e.voidExpired(v)
 	}
+	e.voidCarriedLasting(v)
 	if !v.pollInFlight && !v.refusesToken && e.now >= v.nextPollAt {
 		e.poll(v)
 	}
