--- a/dispatch/reclaim_test.go
+++ b/dispatch/reclaim_test.go
@@ -189,3 +189,27 @@
 	}))
 	assert.Empty(t, s.violations)
 }
+
+// Guards against a lasting task that waits for late starts although each start of it was answered:
+// its worker has restarted and is cut off before it answers. Nothing runs once the lease is over.
+func TestALastingTaskWithoutAnOpenStartWaitsForNoLateOne(t *testing.T) {
+	s := newSim(t, 65)
+	s.setCatalog()
+	a := s.addWorker("a", 4)
+	s.run(time.Second)
+	s.submit(1, lastingStep(1, 1500))
+	s.run(time.Second)
+	require.True(t, s.runsLasting())
+	s.addWorker("b", 4)
+	s.run(20 * time.Second) // No order that was sent before the start was answered is under way.
+	a.crash()
+	next := s.startUnreported("a", a)
+	announcement := next.announcement()
+	next.partitioned = true
+	s.engine.Announce(&announcement, func(*kind.Error) {})
+	restartedAt := s.now
+	require.True(t, s.runUntil(time.Minute, s.runsLasting))
+	t.Logf("runs again %v after the restart", s.now.Sub(restartedAt))
+	assert.LessOrEqual(t, s.now.Sub(restartedAt), maxRealTime(s.settings.MaxLease)+time.Second, "there is room for it all the while")
+	assert.Empty(t, s.violations)
+}
