--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -24,13 +24,19 @@
 	cancelled            map[string]time.Time // acknowledgement of the cancellation, by job
 	// durations holds how long the tasks of a job's first step take, unless taskDuration.
 	durations  map[string]time.Duration
-	lateStarts int // starts that were carried out late
+	lateStarts int            // starts that were carried out late
+	lateOrders map[string]int // orders that were carried out late, by path
 	starts     int
 	violations []string
 	// evacuatedAt holds when the evacuation in force of a domain was confirmed, confirmed counts
 	// the orders of the operator that were.
 	evacuatedAt map[string]time.Time
 	confirmed   int
+	lasting     map[string]*lastingTask // by task
+	// calm is disturbed by faults of control processes, cuts and crashes, an entry of domains
+	// while the domain is evacuated.
+	calm    calm
+	domains map[string]*calm
 }
 
 // cancelGracePeriod is the time after a cancellation is acknowledged during which
@@ -41,10 +47,14 @@
 const firstStepTasks = 3
 
 func newChecks() *checks {
-	return &checks{
+	c := &checks{
 		running: make(map[string]*worker), startedAt: make(map[string]time.Time), doneTasks: make(map[string]bool),
-		ackedEnds: make(map[string]string), submitted: make(map[string]bool), deadly: make(map[string]bool), crashes: make(map[string]int), startsAfter: make(map[string]int), cancelled: make(map[string]time.Time), durations: make(map[string]time.Duration), evacuatedAt: make(map[string]time.Time),
+		ackedEnds: make(map[string]string), submitted: make(map[string]bool), deadly: make(map[string]bool), crashes: make(map[string]int), startsAfter: make(map[string]int), cancelled: make(map[string]time.Time), durations: make(map[string]time.Duration), evacuatedAt: make(map[string]time.Time), lasting: make(map[string]*lastingTask), lateOrders: make(map[string]int), domains: make(map[string]*calm),
 	}
+	for _, domain := range domains {
+		c.domains[domain] = new(calm)
+	}
+	return c
 }
 
 func (c *checks) addViolation(format string, args ...any) {
@@ -80,7 +90,18 @@
 	duration := c.durationOf(task)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return int(min(99, 100*time.Since(c.startedAt[task])/duration))
+	most := time.Duration(99)
+	if c.lasting[task] != nil {
+		most = 100
+	}
+	return int(min(most, 100*time.Since(c.startedAt[task])/duration))
+}
+
+// carriedOutLate counts an order that is carried out late.
+func (c *checks) carriedOutLate(path string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lateOrders[path]++
 }
 
 // taskStarted records the start of a task on w and checks that it is allowed. The bounds of
@@ -153,6 +174,9 @@
 	defer c.mu.Unlock()
 	if c.running[task] == w {
 		delete(c.running, task)
+		if t := c.lasting[task]; t != nil {
+			t.endedAt = time.Now()
+		}
 	}
 }
 
--- a/soak/evacuation_test.go
+++ b/soak/evacuation_test.go
@@ -31,6 +31,10 @@
 		case <-time.After(time.Duration(rng.IntN(1500)) * time.Millisecond):
 		}
 		domain := domains[rng.IntN(len(domains))]
+		if !f.reserveDomain(&f.evacuated, &f.isolated, domain) {
+			continue
+		}
+		restored := f.checks.beginFault(f.checks.domains[domain])
 		f.orderUntilConfirmed(rng, http.MethodPost, domain)
 		f.checks.mu.Lock()
 		f.checks.evacuatedAt[domain] = time.Now()
@@ -43,6 +47,8 @@
 		delete(f.checks.evacuatedAt, domain)
 		f.checks.mu.Unlock()
 		f.orderUntilConfirmed(rng, http.MethodDelete, domain)
+		restored()
+		f.releaseDomain(&f.evacuated)
 	}
 }
 
--- a/soak/late_test.go
+++ b/soak/late_test.go
@@ -15,6 +15,8 @@
 	// One start or stop in lateOneIn and one poll in latePollOneIn gets no answer and is carried
 	// out late; at a worker that is about to restart repeatedly, one start in lateFailingOneIn.
 	lateOneIn, latePollOneIn, lateFailingOneIn = 40, 200, 3
+	// One order of any kind in lateEndingOneIn to a worker that is about to restart silently.
+	lateEndingOneIn = 4
 	// One job in longOneIn has tasks that take minLong to maxLong, so that a start that is
 	// carried out late can meet another run of its task.
 	longOneIn        = 50
@@ -35,6 +37,7 @@
 	decide  func(w *worker, o *lateOrder) bool
 	pending []*lateOrder
 	failing map[*place]bool // places whose workers are about to restart repeatedly
+	ending  map[*place]bool // places whose workers are about to restart silently
 	rng     *rand.Rand
 }
 
@@ -60,10 +63,12 @@
 // random returns a decision that carries out a share of the orders late.
 func (l *lateOrders) random(seed uint64) func(w *worker, o *lateOrder) bool {
 	l.rng = rand.New(rand.NewPCG(seed, 12))
-	l.failing = make(map[*place]bool)
+	l.failing, l.ending = make(map[*place]bool), make(map[*place]bool)
 	return func(_ *worker, o *lateOrder) bool {
 		oneIn := lateOneIn
 		switch {
+		case l.ending[o.at]:
+			oneIn = lateEndingOneIn
 		case o.path == pollPath:
 			oneIn = latePollOneIn
 		case o.path == startPath && l.failing[o.at]:
@@ -115,6 +120,13 @@
 	l.failing[at] = failing
 }
 
+// setEnding sets whether the worker at a place is about to restart silently.
+func (l *lateOrders) setEnding(at *place, ending bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ending[at] = ending
+}
+
 // restart ends an incarnation and starts the next one at its place after a pause, with half of
 // the pending orders to it. It returns nil if w had ended before, or no further worker starts.
 func (f *fleet) restart(w *worker, pause time.Duration) *worker {
@@ -129,13 +141,18 @@
 func (f *fleet) succeed(w *worker, orders []*lateOrder) *worker {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.stopped {
+	var next *worker
+	if !f.stopped {
+		next = f.startWorker(w.id, w.place, orders)
+		f.workers[slices.Index(f.workers, w)] = next
+	}
+	if w.succeeded != nil {
+		close(w.succeeded)
+	}
+	if next == nil {
 		w.close()
-		return nil
 	}
-	i := slices.Index(f.workers, w)
-	f.workers[i] = f.startWorker(w.id, w.place, orders)
-	return f.workers[i]
+	return next
 }
 
 // restartRepeatedly leaves starts at a worker without an answer and restarts it two or three
@@ -149,12 +166,18 @@
 	for range 2 + rng.IntN(2) {
 		w.refuseStarts(rng.IntN(2) == 0)
 		time.Sleep(500*time.Millisecond + upTo(2500*time.Millisecond))
-		at.relay.Blackhole(rng.IntN(2) == 0)
-		if w = f.restart(w, upTo(500*time.Millisecond)); w == nil {
+		restore := func() {}
+		if rng.IntN(2) == 0 {
+			restore = w.cut(false)
+		}
+		w = f.restart(w, upTo(500*time.Millisecond))
+		if w != nil {
+			time.Sleep(upTo(500 * time.Millisecond))
+		}
+		restore()
+		if w == nil {
 			break // It was replaced elsewhere.
 		}
-		time.Sleep(upTo(500 * time.Millisecond))
-		at.relay.Blackhole(false)
 	}
 	if w != nil {
 		w.refuseStarts(false)
--- a/soak/repeating_test.go
+++ b/soak/repeating_test.go
@@ -29,13 +29,13 @@
 	f.checks.mu.Unlock()
 	firstAt := time.Now()
 	job := fmt.Sprintf(`{"Spec":"spec-%s","Phases":[{"Count":1,"Cpu":1000,"MemMb":10,"EstimateMs":150}]%s}`, repeatingJob, schedule(repeats, repeatPeriod))
-	if !f.sendUntilDone(client, http.MethodPost, job) {
+	if !f.sendUntilDone(client, http.MethodPost, repeatingJob, job) {
 		f.checks.addViolation("a job that repeats %d times was not accepted in time", repeats)
 		return
 	}
 	<-done
 	due := int((time.Since(firstAt) - settleTimeout) / repeatPeriod)
-	if !f.sendUntilDone(client, http.MethodDelete, "") {
+	if !f.sendUntilDone(client, http.MethodDelete, repeatingJob, "") {
 		f.checks.addViolation("the cancellation of a job that repeats was not acknowledged in time")
 		return
 	}
@@ -50,11 +50,11 @@
 	}
 }
 
-// sendUntilDone repeats a request for the repeating job until it is answered with 200, for
+// sendUntilDone repeats a request for a job until it is answered with 200, for
 // settleTimeout at most.
-func (f *fleet) sendUntilDone(client *http.Client, method, body string) bool {
+func (f *fleet) sendUntilDone(client *http.Client, method, id, body string) bool {
 	for n, deadline := 0, time.Now().Add(settleTimeout); time.Now().Before(deadline); n++ {
-		url := "http://" + f.ip(controlCount+n%entryCount) + ":8161/q/" + repeatingJob
+		url := "http://" + f.ip(controlCount+n%entryCount) + ":8161/q/" + id
 		if status, _ := call(client, method, url, body); status == http.StatusOK {
 			return true
 		}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -17,6 +17,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -81,8 +82,16 @@
 	// stopped is set when no further workers are started.
 	stopped bool
 	late    lateOrders
-	// restarts counts the faults that restart a worker repeatedly.
+	// restarts counts the faults that restart workers in the background.
 	restarts sync.WaitGroup
+	// processFault is held while a process is lost: the platform tolerates the loss of one
+	// control process at a time.
+	processFault sync.Mutex
+	// overrun is set while some tasks take overrunFactor times as long as estimated.
+	overrun atomic.Bool
+	// evacuated and isolated are the domains that are evacuated, and whose workers are cut off,
+	// empty for none. If both are set, they are the same: one domain serves at any time.
+	evacuated, isolated string
 	// idleRoutes is the number of routes without jobs; it grows.
 	idleRoutes int
 }
@@ -280,6 +289,9 @@
 			return
 		case <-time.After(time.Duration(50+rng.IntN(150)) * time.Millisecond):
 		}
+		if f.overrun.Load() && rng.IntN(isolatedLoadOneIn) > 0 {
+			continue // Half of the workers may be cut off.
+		}
 		id := fmt.Sprintf("%08x%08x", caller+1, n+1)
 		f.checks.mu.Lock()
 		f.checks.submitted[id] = true
@@ -295,6 +307,8 @@
 		times := ""
 		if n%10 == 9 {
 			times = schedule(shortRepeats, repeatPeriod)
+		} else if estimate == taskDuration && f.overrun.Load() && rng.IntN(overrunOneIn) == 0 {
+			f.checks.setDuration(id, overrunFactor*estimate)
 		}
 		job := fmt.Sprintf(`{"Spec":"spec-%s","Phases":[{"Count":%d,"Cpu":1000,"MemMb":10,"EstimateMs":%d},{"Count":2,"Cpu":1000,"MemMb":10,"EstimateMs":150,"After":[0]}]%s}`, id, firstStepTasks, estimate.Milliseconds(), times)
 		url := func() string { return "http://" + f.ip(controlCount+rng.IntN(entryCount)) + ":8161/q/" + id }
@@ -341,52 +355,73 @@
 	f.mu.Lock()
 	w := f.workers[f.rng.IntN(len(f.workers))]
 	f.mu.Unlock()
-	switch f.rng.IntN(14) {
+	kind := f.rng.IntN(16)
+	if kind == 4 {
+		p = f.processes[f.rng.IntN(controlCount)]
+	}
+	end := func() {}
+	switch {
+	case kind <= 4:
+		f.processFault.Lock() // Unlocked once the process counts as up again.
+		if kind != 3 && p.control {
+			end = f.checks.beginFault(&f.checks.calm)
+		}
+	case kind == 6, kind == 7:
+		end = f.checks.beginFault(&f.checks.calm, &w.calm)
+	case kind >= 8 && kind <= 10:
+		end = f.checks.beginFault(&w.calm)
+	}
+	switch kind {
 	case 0:
 		p.kill()
-		return "kill " + p.ip, func() { f.start(p, false) }
+		return "kill " + p.ip, func() { f.start(p, false); end() }
 	case 1:
 		_ = p.command.Process.Signal(syscall.SIGSTOP) // It may have exited.
-		return "pause " + p.ip, func() { _ = p.command.Process.Signal(syscall.SIGCONT) }
+		return "pause " + p.ip, func() { _ = p.command.Process.Signal(syscall.SIGCONT); end() }
 	case 2:
 		_ = p.command.Process.Signal(syscall.SIGTERM) // It may have exited.
-		return "stop " + p.ip, func() { p.kill(); f.start(p, false) }
+		return "stop " + p.ip, func() { p.kill(); f.start(p, false); end() }
 	case 3:
 		_ = p.command.Process.Signal(syscall.SIGHUP) // It may have exited.
-		return "reload " + p.ip, func() {}
+		return "reload " + p.ip, end
 	case 4:
-		p = f.processes[f.rng.IntN(controlCount)]
 		p.kill()
 		_ = os.RemoveAll(p.folder) // Simulates the loss of the disk.
-		return "lose the disk of " + p.ip, func() { f.start(p, false) }
+		return "lose the disk of " + p.ip, func() { f.start(p, false); end() }
 	case 5:
 		w.crash()
-		return "crash and restart of " + w.id, func() {}
+		return "crash and restart of " + w.id, end
 	case 6:
 		w.relay.Blackhole(true)
-		return "cut " + w.id, func() { w.relay.Blackhole(false) }
+		return "cut " + w.id, func() { w.relay.Blackhole(false); end() }
 	case 7:
 		w.relay.DropReplies(true)
-		return "cut one way " + w.id, func() { w.relay.DropReplies(false) }
+		return "cut one way " + w.id, func() { w.relay.DropReplies(false); end() }
 	case 8:
 		w.relay.DelayReplies(300 * time.Millisecond)
-		return "delay " + w.id, func() { w.relay.DelayReplies(0) }
+		return "delay " + w.id, func() { w.relay.DelayReplies(0); end() }
 	case 9:
 		processors := 1 + f.rng.IntN(workerProcessors)
 		w.resize(processors)
-		return fmt.Sprintf("resize %s to %d", w.id, processors), func() { w.resize(workerProcessors) }
+		return fmt.Sprintf("resize %s to %d", w.id, processors), func() { w.resize(workerProcessors); end() }
 	case 10:
 		w.refuseStarts(true)
-		return "refuse starts at " + w.id, func() { w.refuseStarts(false) }
+		return "refuse starts at " + w.id, func() { w.refuseStarts(false); end() }
 	case 11, 12:
 		// One worker at a time: the platform gives up a task under which several workers crash.
 		f.restarts.Wait()
 		rng := rand.New(rand.NewPCG(f.rng.Uint64(), 13))
 		f.restarts.Go(func() { f.restartRepeatedly(w, rng) })
-		return "restarts of " + w.id, func() {}
+		return "restarts of " + w.id, end
+	case 13, 14:
+		f.restarts.Wait()
+		rng := rand.New(rand.NewPCG(f.rng.Uint64(), 14))
+		f.restarts.Go(func() { f.restartAndIsolateRepeatedly(w.domain(), rng) })
+		return "restarts and isolation of workers of " + w.domain(), end
 	}
+	f.checks.beginFault(&w.calm)()
 	w.relay.Reset()
-	return "reset " + w.id, func() {}
+	return "reset " + w.id, end
 }
 
 // runSeed starts a fleet, submits jobs, injects the given number of faults one after the
@@ -395,6 +430,10 @@
 	f := startFleet(t, seed)
 	f.setCatalog()
 	time.Sleep(startupGrace)
+	f.submitLastingJobs()
+	watched := make(chan struct{})
+	var watch sync.WaitGroup
+	watch.Go(func() { f.watchLastingTasks(watched) })
 	f.late.set(f.late.random(seed))
 	done := make(chan struct{})
 	var callers sync.WaitGroup
@@ -415,6 +454,7 @@
 		// restarted process counts as lost for another startupGrace.
 		if strings.Contains(description, "127.") {
 			time.Sleep(startupGrace)
+			f.processFault.Unlock()
 		}
 		time.Sleep(time.Duration(f.rng.IntN(1000)) * time.Millisecond)
 	}
@@ -422,6 +462,10 @@
 	f.late.set(nil)
 	close(done)
 	callers.Wait()
+	f.awaitLastingTasks()
+	close(watched)
+	watch.Wait()
+	f.checkLastingJobs()
 	f.awaitJobsAndCheck()
 }
 
@@ -452,7 +496,7 @@
 	}
 	f.checks.mu.Lock()
 	defer f.checks.mu.Unlock()
-	f.t.Logf("%d jobs accepted, %d tasks started, %d of them late, version %d, %d evacuations and restores", len(f.accepted), f.checks.starts, f.checks.lateStarts, f.version, f.checks.confirmed)
+	f.t.Logf("%d jobs accepted, %d tasks started, %d of them late, late orders %v, version %d, %d evacuations and restores", len(f.accepted), f.checks.starts, f.checks.lateStarts, f.checks.lateOrders, f.version, f.checks.confirmed)
 	require.Empty(f.t, unfinished, "accepted jobs that did not end in time")
 	require.Empty(f.t, f.checks.violations)
 }
--- a/soak/worker_test.go
+++ b/soak/worker_test.go
@@ -41,9 +41,11 @@
 	// later, if ever.
 	carriesOutLate func(w *worker, path string, o *controlRequest) bool
 	// refusesStarts is set while the worker refuses starts as unhealthy; ended is closed once it
-	// has crashed.
+	// has crashed. succeeded, if not nil, is closed once the next incarnation is at its place,
+	// which takes the calls that arrive until then.
 	refusesStarts bool
 	ended         chan struct{}
+	succeeded     chan struct{}
 }
 
 type attemptEnd struct {
@@ -90,6 +92,8 @@
 	server   *httptest.Server
 	relay    *fake.Relay
 	occupant atomic.Pointer[worker]
+	calm     calm        // disturbed by faults of the worker and its connections
+	isolated atomic.Bool // whether the worker's own calls don't arrive either
 }
 
 func (p *place) ServeHTTP(out http.ResponseWriter, r *http.Request) {
@@ -131,22 +135,59 @@
 // end ends the incarnation: its tasks stop, and its state is lost. It returns false if
 // the incarnation had ended before.
 func (w *worker) end() bool {
+	if !w.die(nil) {
+		return false
+	}
+	w.relay.Reset()
+	return true
+}
+
+// endSilently ends the incarnation like end, but no connection to it is reset: the next
+// incarnation at the place takes the calls that arrive until it is up.
+func (w *worker) endSilently() bool { return w.die(make(chan struct{})) }
+
+func (w *worker) die(succeeded chan struct{}) bool {
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	if w.dead {
-		w.mu.Unlock()
 		return false
 	}
-	w.dead = true
+	w.checks.beginFault(&w.checks.calm, &w.calm)()
+	w.dead, w.succeeded = true, succeeded
 	close(w.ended)
 	w.checks.workerCrashed(w.running)
 	for task := range w.running {
 		w.checks.taskEnded(task, w)
 	}
-	w.mu.Unlock()
-	w.relay.Reset()
 	return true
 }
 
+// awaitSuccessor waits, if the incarnation ended silently, until the next one is up. It returns
+// the processors of the ended one, otherwise 0.
+func (w *worker) awaitSuccessor() int {
+	w.mu.Lock()
+	succeeded, processors := w.succeeded, w.processors
+	w.mu.Unlock()
+	if succeeded == nil {
+		return 0
+	}
+	<-succeeded
+	return processors
+}
+
+// cut cuts the connections to the worker and, if isolated is set, those from it as well, until
+// the returned function is called.
+func (w *worker) cut(isolated bool) (restore func()) {
+	end := w.checks.beginFault(&w.checks.calm, &w.calm)
+	w.relay.Blackhole(true)
+	w.isolated.Store(isolated)
+	return func() {
+		w.relay.Blackhole(false)
+		w.isolated.Store(false)
+		end()
+	}
+}
+
 // refuseStarts makes the worker refuse starts as unhealthy, or accept them again.
 func (w *worker) refuseStarts(on bool) {
 	w.mu.Lock()
@@ -177,12 +218,22 @@
 		out.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if processors := w.awaitSuccessor(); processors > 0 {
+		if r.URL.Path == startPath {
+			w.checks.startUnanswered(o.Task)
+		}
+		w, o.late, o.processors = w.occupant.Load(), true, processors
+	}
 	if w.carriesOutLate != nil && w.carriesOutLate(w, r.URL.Path, &o) {
+		if r.URL.Path == startPath {
+			w.checks.startUnanswered(o.Task)
+		}
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
 	status, answer := w.handle(r.URL.Path, &o)
 	if status == 0 {
+		w.awaitSuccessor()
 		panic(http.ErrAbortHandler) // A process that has crashed answers nothing.
 	}
 	answer["ClockMs"], answer["born"] = w.clockMs(), w.startedAt.UnixMilli()
@@ -198,6 +249,9 @@
 	if w.dead {
 		return 0, nil
 	}
+	if o.late {
+		w.checks.carriedOutLate(path)
+	}
 	if w.refusesStarts && path == startPath {
 		return http.StatusServiceUnavailable, map[string]any{}
 	}
@@ -246,14 +300,21 @@
 	}
 	w.running[o.Task] = o.Attempt
 	w.checks.taskStarted(o.Task, o.Spec, w, o.late)
+	used := 0
+	for task := range w.running {
+		used += w.checks.processorsOf(task)
+	}
 	// An order that is carried out late may bring the worker to the capacity that it had when
 	// the order arrived: how soon a smaller one binds is a bound of time.
-	if len(w.running) > max(w.processors, o.processors) && time.Since(w.shrunkAt) > shrinkNotice {
-		w.checks.addViolation("%s runs %d tasks on %d processors", w.id, len(w.running), w.processors)
+	if used > max(w.processors, o.processors) && time.Since(w.shrunkAt) > shrinkNotice {
+		w.checks.addViolation("%s runs tasks on %d of %d processors", w.id, used, w.processors)
 	}
 	if w.checks.crashesWorker(o.Task) {
 		time.AfterFunc(deadlyDelay, w.crash)
 	}
+	if w.checks.lasts(o.Task) {
+		return http.StatusOK, map[string]any{}
+	}
 	time.AfterFunc(w.checks.durationOf(o.Task), func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
@@ -338,6 +399,10 @@
 		if dead {
 			return
 		}
+		if w.isolated.Load() {
+			time.Sleep(announceInterval)
+			continue
+		}
 		body := fmt.Sprintf(`{"Service":"pool","Addr":%q,"Zone":%q,"State":"ready","Capacity":{"Cpu":%d,"MemMb":100000,"Gpu":0},"Labels":["a","r1"],"ClockMs":%d,"Seq":%d,"born":%d}`,
 			w.relay.Address(), w.domain(), processors*1000, w.clockMs(), report, w.startedAt.UnixMilli())
 		request, err := http.NewRequest(http.MethodPut, "http://"+controls[turn%len(controls)]+"/-/instances/"+w.id, strings.NewReader(body))
