dispatch: capacity is kept on separate workers for tasks that may not share one

Cause: the bound per worker counted the step's tasks that run on a worker, not those for which capacity is kept there.

Change: tasks for which capacity is kept count, and a reservation ends whose worker no longer allows the task.

Measured: TestCapacityIsKeptOnSeparateWorkersForTasksThatMayNotShareOne failed (both on one worker) and passes.

--- a/dispatch/reclaim.go
+++ b/dispatch/reclaim.go
@@ -189,11 +189,11 @@
 		}
 		reclaimed := e.reservations.reclaimed[c.view.worker.ID]
 		room := c.reclaimable(e).besideLasting.Sub(reclaimed)
-		if !need.Fits(room) || !c.allows(s) {
+		if !need.Fits(room) || !e.allowsReservation(c, s) {
 			continue
 		}
 		slots++
-		if need.Fits(room.Sub(need)) {
+		if need.Fits(room.Sub(need)) && s.step.MaxPerWorker != 1 {
 			slots++
 		}
 		if best.candidate != nil && best.cost == 0 {
--- a/dispatch/reclaim_test.go
+++ b/dispatch/reclaim_test.go
@@ -213,3 +213,32 @@
 	assert.LessOrEqual(t, s.now.Sub(restartedAt), maxRealTime(s.settings.MaxLease)+time.Second, "there is room for it all the while")
 	assert.Empty(t, s.violations)
 }
+
+// Guards against capacity that is kept on one worker for two tasks of a step that allows one of them
+// there: the second is not searched another worker for.
+func TestCapacityIsKeptOnSeparateWorkersForTasksThatMayNotShareOne(t *testing.T) {
+	s := newSim(t, 65)
+	s.setCatalog()
+	s.addWorker("a", 4)
+	s.addWorker("b", 4)
+	s.addWorker("c", 4)
+	s.run(time.Second)
+	s.runTime = func(*simRun) time.Duration { return time.Hour }
+	s.submit(2, step(8))
+	s.run(500 * time.Millisecond)
+	s.submit(3, step(8)) // The stops of its tasks lose the least work; they share a worker.
+	s.run(100 * time.Millisecond)
+	lasting := lastingStep(2, 1000)
+	lasting.MaxPerWorker = 1
+	lines := s.recordLog()
+	s.submit(1, lasting)
+	run := func() bool {
+		return len(s.runs[workflow.TaskRef{Job: 1}]) > 0 && len(s.runs[workflow.TaskRef{Job: 1, Index: 1}]) > 0
+	}
+	assert.True(t, s.runUntil(firstRunBound, run))
+	first, second := logged(t, lines, "capacity reclaimed", workflow.TaskRef{Job: 1}), logged(t, lines, "capacity reclaimed", workflow.TaskRef{Job: 1, Index: 1})
+	require.Len(t, first, 1)
+	require.Len(t, second, 1)
+	assert.NotEqual(t, first[0]["worker"], second[0]["worker"])
+	assert.Empty(t, s.violations)
+}
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -106,6 +106,27 @@
 	return c.ends
 }
 
+// allowsReservation reports whether the step's label and its bound per worker allow one more task
+// on the worker beside those for which it keeps capacity.
+func (e *Engine) allowsReservation(c *candidate, s *readyStep) bool {
+	if !c.allows(s) || s.step.MaxPerWorker == 0 {
+		return c.allows(s)
+	}
+	return c.taskCount(s)+e.reservations.siblingsOf(s.firstPending(), c.view.worker.ID) < s.step.MaxPerWorker
+}
+
+// siblingsOf returns the number of other tasks of the step of a task for which a worker keeps
+// capacity.
+func (l *lastingReservations) siblingsOf(ref workflow.TaskRef, worker workflow.WorkerID) uint32 {
+	n := uint32(0)
+	for _, r := range l.list {
+		if r.worker == worker && r.ref != ref && r.ref.StepRef() == ref.StepRef() {
+			n++
+		}
+	}
+	return n
+}
+
 // owedCapacity reports whether capacity is to be kept for a pending lasting task.
 func (e *Engine) owedCapacity(s *readyStep, ref workflow.TaskRef) bool {
 	w := e.lastingWaits[ref]
@@ -160,7 +181,7 @@
 func (e *Engine) reserveForLasting(p *candidateSet) {
 	for _, r := range slices.Clone(e.reservations.list) {
 		c := p.find(r.worker)
-		if c != nil && (!c.silent || r.reclaimed) && !c.refusing && c.view.test == nil && e.now <= r.expiresAt && e.pendingStep(r.ref) != nil && e.keptWith(c, r).Fits(c.roomBesideLasting(e)) {
+		if c != nil && (!c.silent || r.reclaimed) && !c.refusing && c.view.test == nil && e.now <= r.expiresAt && e.mayRunOn(c, r.ref) && e.keptWith(c, r).Fits(c.roomBesideLasting(e)) {
 			continue
 		}
 		e.dropReservation(p, r)
@@ -195,6 +216,12 @@
 	})
 }
 
+// mayRunOn reports whether a task is pending and its step allows one more task on the worker.
+func (e *Engine) mayRunOn(c *candidate, ref workflow.TaskRef) bool {
+	s := e.pendingStep(ref)
+	return s != nil && c.allows(s)
+}
+
 // keptWith returns the capacity that is kept on a worker for lasting tasks up to the order of r.
 // Those for which it is reclaimed go first.
 func (e *Engine) keptWith(c *candidate, r *lastingReservation) workflow.Resources {
@@ -220,7 +247,7 @@
 	var bestAt Instant
 	bestScore := int64(0)
 	for _, c := range p.byService[s.job.Service] {
-		if c.silent || c.refusing || c.view.test != nil || !need.Fits(c.roomBesideLasting(e).Sub(c.keptFor)) || !c.allows(s) {
+		if c.silent || c.refusing || c.view.test != nil || !need.Fits(c.roomBesideLasting(e).Sub(c.keptFor)) || !e.allowsReservation(c, s) {
 			continue
 		}
 		at, _, fits := wholeAt(e.now, c.free.Sub(c.keptFor), c.capacityEnds(e), need)
