--- a/dispatch/incarnations.go
+++ b/dispatch/incarnations.go
@@ -167,6 +167,7 @@
 	for _, a := range v.attemptList {
 		before := previous.attempts[a.ref]
 		a.carried, a.checkpoint, a.lapsesAt = true, before.checkpoint, previous.leaseExpiresAt
+		a.ranBefore = before.running || before.ranBefore
 		if before.carried {
 			a.lapsesAt = before.lapsesAt
 		}
--- a/dispatch/lasting_waits.go
+++ b/dispatch/lasting_waits.go
@@ -99,6 +99,19 @@
 	e.lastingWaits[a.ref] = &lastingWait{service: job.Service, since: since, cause: cause, awaySince: awaySince}
 }
 
+// proposeLastingEnd records since when a lasting task waits whose attempt is void, if it ran: the state
+// does not tell that from one that never did.
+func (e *Engine) proposeLastingEnd(a *attempt) {
+	w := e.lastingWaits[a.ref]
+	if w == nil || !a.running && !a.ranBefore {
+		return
+	}
+	atMs := e.wallMs - e.since(w.since).Milliseconds()
+	if err := e.propose(workflow.Op{LastingEnd: &workflow.LastingEnd{Task: a.ref, AtMs: atMs}}); err != nil {
+		e.log.Error().Err(err).Stringer("task", a.ref).Msg("end not recorded")
+	}
+}
+
 // lapseOn returns when the lease of an attempt was over at the earliest, by the latest answer of its
 // worker before it fell silent. Orders that were sent later may not have arrived.
 func (e *Engine) lapseOn(v *workerView, a *attempt) Instant {
--- a/dispatch/long_tasks_test.go
+++ b/dispatch/long_tasks_test.go
@@ -198,3 +198,33 @@
 		})
 	}
 }
+
+// Guards against a wait that a new leader counts from the end of an earlier run: the task has run since,
+// and its worker was lost before it listed the end.
+func TestANewLeaderCountsAWaitFromTheLatestRun(t *testing.T) {
+	s := newSim(t, 65)
+	s.setCatalog()
+	a := s.addWorker("a", 4)
+	s.run(time.Second)
+	ref := workflow.TaskRef{Job: 1}
+	s.submit(1, workflow.Step{Count: 1, Lasting: true, Resources: workflow.Resources{MilliProcessors: 1000, MemoryMB: 100}})
+	s.run(2 * time.Second)
+	for range 2 {
+		require.Len(t, s.runs[ref], 1)
+		a.crash()
+		a = s.startWorker("a", a)
+		require.True(t, s.runUntil(5*time.Second, func() bool { return len(s.runs[ref]) > 0 }))
+		s.run(6 * time.Second)
+	}
+	a.crash()
+	crashedAt := s.now
+	next := s.startUnreported("a", a)
+	next.capacity.MilliProcessors = 500
+	next.report()
+	require.True(t, s.runUntil(5*time.Second, func() bool { return s.committed.Job(1).Task(ref).State == workflow.TaskPending }))
+	s.takeOver()
+	s.run(time.Second)
+	require.NotNil(t, s.engine.lastingWaits[ref])
+	assert.GreaterOrEqual(t, s.engine.lastingWaits[ref].since, crashedAt.Add(-time.Second))
+	assert.Empty(t, s.violations)
+}
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -130,7 +130,9 @@
 	carried bool
 	// lapsesAt is when the lease of a carried attempt is over on the previous incarnation, zero if
 	// that is not known.
-	lapsesAt     Instant
+	lapsesAt Instant
+	// ranBefore is set on a carried attempt that ran on the previous incarnation.
+	ranBefore    bool
 	running      bool
 	runningSince Instant
 	placedAt     Instant
@@ -275,6 +277,7 @@
 		return
 	}
 	e.counters.Voided++
+	e.proposeLastingEnd(a)
 	e.ready.markDirty(ref.Job)
 	e.log.Info().Stringer("task", ref).Uint32("attempt", a.number).Str("worker", v.worker.Life.Name).Int64("born_ms", v.worker.Life.BornMs).Str("reason", reason).
 		Int("starts", a.startsSent).Int("in_flight", a.startsInFlight()).Bool("adopted", a.adopted).Bool("start_ruled_out", a.startRuledOut).Dur("sent_ago", e.sinceStart(a)).Dur("lease_left", v.leaseExpiresAt.Sub(e.now)).Dur("unheard", e.since(v.answeredAt)).Uint64("term", e.term).Msg("attempt void")
--- a/workflow/lasting_end.go
+++ b/workflow/lasting_end.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"mangohill.example/mangohill/kind"
 )
 
 // unconfirmedRunMs is the time from a placement, in milliseconds, up to which an attempt that is
@@ -60,6 +62,16 @@
 	j.LastingEnds[at].AtMs, j.LastingEnds[at].PlacedMs = atMs, 0
 }
 
+// setLastingEnd records the end of a run of a lasting task that its worker has not listed.
+func (s *State) setLastingEnd(e *LastingEnd) error {
+	job := s.jobs[e.Task.Job]
+	if job == nil || job.Task(e.Task) == nil || !job.Spec.Steps[e.Task.Step].Lasting {
+		return kind.Errorf(kind.InvalidTransition, "task %s is no lasting task of a job", e.Task)
+	}
+	job.recordLastingEnd(e.Task, e.AtMs)
+	return nil
+}
+
 func (j *Job) placeLasting(task TaskRef, nowMs int64) {
 	if at, known := j.findLastingEnd(task); known {
 		j.LastingEnds[at].PlacedMs = nowMs
--- a/workflow/lasting_end_test.go
+++ b/workflow/lasting_end_test.go
@@ -41,6 +41,11 @@
 	assert.True(t, known)
 	assert.Equal(t, int64(60_000), at)
 
+	require.NoError(t, s.Apply(&Op{LastingEnd: &LastingEnd{Task: TaskRef{Job: 2, Index: 0}, AtMs: 58_000}}))
+	at, _ = s.Job(2).LastingEndMs(TaskRef{Job: 2, Index: 0})
+	assert.Equal(t, int64(58_000), at)
+	assert.Error(t, s.Apply(&Op{LastingEnd: &LastingEnd{Task: TaskRef{Job: 1, Index: 0}, AtMs: 58_000}}), "the task is not lasting")
+
 	data, err := s.Snapshot()
 	require.NoError(t, err)
 	restored, err := DecodeSnapshot(data)
--- a/workflow/ops.go
+++ b/workflow/ops.go
@@ -147,6 +147,7 @@
 	PlaceCopy      *PlaceCopy      `cbor:"14,keyasint,omitempty"`
 	OpenStart      *OpenStart      `cbor:"15,keyasint,omitempty"`
 	StartAge       *StartAge       `cbor:"16,keyasint,omitempty"`
+	LastingEnd     *LastingEnd     `cbor:"17,keyasint,omitempty"`
 }
 
 // Batch is the content of one log entry. NowMs is the leader's wall clock in
@@ -215,6 +216,8 @@
 		return "open_start"
 	case o.StartAge != nil:
 		return "start_age"
+	case o.LastingEnd != nil:
+		return "lasting_end"
 	}
 	return ""
 }
--- a/workflow/state.go
+++ b/workflow/state.go
@@ -290,6 +290,8 @@
 	case op.StartAge != nil:
 		s.openStarts.setAge(op.StartAge)
 		return nil
+	case op.LastingEnd != nil:
+		return s.setLastingEnd(op.LastingEnd)
 	}
 	return kind.Errorf(kind.Corrupt, "the operation has no content")
 }
