--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -47,6 +47,8 @@
 	operator     simOperator
 	violations   []string
 	wallBase     int64
+	// leaderSkewMs is by how much the leader's wall clock is ahead of those of the workers.
+	leaderSkewMs int64
 	settings     Settings
 	starts       int
 	// runTime returns the time that a run takes on a sound worker, if it is set.
@@ -142,7 +144,7 @@
 		settings: Settings{Lease: 8 * time.Second, MaxLease: 10 * time.Second, MaxReportAge: shrinkNotice - time.Second}, maxListedEnds: 500, delay: networkDelay, commitDelay: commitDelay,
 	}
 	s.takeOver()
-	s.every(tickInterval, func() { s.engine.Tick(s.now, s.wall()) })
+	s.every(tickInterval, func() { s.engine.Tick(s.now, s.leaderWall()) })
 	return s
 }
 
@@ -150,6 +152,8 @@
 
 func (s *sim) wall() int64 { return s.wallBase + int64(s.now)/1_000_000 }
 
+func (s *sim) leaderWall() int64 { return s.wall() + s.leaderSkewMs }
+
 func (s *sim) after(d time.Duration, run func()) {
 	s.seq++
 	heap.Push(&s.queue, timer{s.now.Add(d), s.seq, run})
@@ -168,7 +172,7 @@
 	for len(s.queue) > 0 && s.queue[0].at <= end {
 		next := heap.Pop(&s.queue).(timer)
 		s.now = next.at
-		s.engine.Advance(s.now, s.wall())
+		s.engine.Advance(s.now, s.leaderWall())
 		next.run()
 		s.runEngine()
 	}
