--- a/dispatch/sim_recut_test.go
+++ b/dispatch/sim_recut_test.go
@@ -244,7 +244,11 @@
 
 func (f *disturbedFleet) watchTask(ref workflow.TaskRef, task *watchedTask, room []workflow.Resources) {
 	runs := f.sim.runs[ref]
+	job := f.committed.Job(ref.Job)
 	switch {
+	case job == nil || !job.Active(): // Those that failed are counted on their own.
+		task.waitsSince, task.roomSince = 0, 0
+		return
 	case len(runs) > 0:
 		if task.ran && task.waitsSince != 0 {
 			f.returns++
@@ -258,10 +262,8 @@
 				task.waitsSince = max(f.now, w.leaseExpiresAt)
 			}
 		}
-	case task.waitsSince == 0 && f.committed.Job(ref.Job) != nil:
-		task.waitsSince = f.now
 	case task.waitsSince == 0:
-		return
+		task.waitsSince = f.now
 	}
 	waited, grace := f.now.Sub(task.waitsSince), lastingGrace
 	if !task.ran {
@@ -460,6 +462,15 @@
 	return ids
 }
 
+// checkSoundJobs reports jobs that failed although no task of theirs has met as many crashes as end a
+// deadly one, by all that its leader can know.
+func (f *disturbedFleet) checkSoundJobs() {
+	for attempt := range f.crashes.unanswered {
+		f.crashes.under[attempt.ref]++
+	}
+	f.checkJobsWithoutDeadlyTasks()
+}
+
 // play disturbs the fleet, and returns how long the jobs that can end take after that.
 func (f *disturbedFleet) play() time.Duration {
 	part := 0.25 + 0.2*f.rng.Float64()
@@ -501,6 +512,7 @@
 		t.Logf("seed %d: %d workers, lease %v, %d jobs, %d starts, %d returns, the longest wait %v, %v beside room; %d reclaims stopped %d; finished after %v", seed, len(f.addresses), f.settings.Lease, f.nextJob, f.starts, f.returns, f.longestWait, f.longestBeside, f.reclaimed, f.stopped, finished)
 		ok := assert.Empty(t, slices.Sorted(maps.Values(f.overdue)), "seed %d", seed)
 		ok = assert.Empty(t, f.unfinished(), "seed %d", seed) && ok
+		f.checkSoundJobs()
 		ok = assert.Empty(t, f.violations, "seed %d", seed) && ok
 		if !ok {
 			t.Logf("seed %d: events: %q", seed, f.events)
