--- a/replica/publish.go
+++ b/replica/publish.go
@@ -7,13 +7,17 @@
 	"mangohill.example/mangohill/controlapi"
 )
 
-// recordRoundStart records the start time of a new heartbeat round before its
+// recordRoundStart records the start time of new heartbeat rounds before their
 // messages are sent.
 func (l *loop) recordRoundStart() {
 	round := l.core.Round()
-	if _, ok := l.roundStarts[round]; !ok && l.core.Status().Role == consensus.Leader {
-		l.roundStarts[round] = l.replica.options.Now()
+	if l.core.Status().Role == consensus.Leader {
+		now := l.replica.options.Now()
+		for ; l.lastRound < round; l.lastRound++ {
+			l.roundStarts[l.lastRound+1] = now
+		}
 	}
+	l.lastRound = round
 }
 
 // publish makes the current status visible to other goroutines before any
@@ -30,7 +34,7 @@
 	leader, _ := membership.Find(status.Leader)
 	published := &Status{
 		ID: status.ID, Role: status.Role.String(), Term: status.Term, Leader: leader.Address,
-		Commit: status.Commit, Last: status.LastIndex, Syncs: l.replica.store.Syncs(),
+		Commit: status.Commit, Last: status.LastIndex, Syncs: l.replica.store.Syncs(), SyncTime: l.syncTime,
 	}
 	if status.Role == consensus.Leader {
 		published.Followers = l.followers(membership)
@@ -83,6 +87,9 @@
 	if !ok {
 		return
 	}
+	if last := l.replica.quorumContact.Load(); last == nil || !last.Equal(at) {
+		l.recordConfirmation(at)
+	}
 	l.replica.quorumContact.Store(&at)
 	for round := range l.roundStarts {
 		if round < confirmed {
