--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -31,8 +31,9 @@
 	probeInFlight bool
 	// pollDueAt is when the answer to the poll in flight is due, zero for none.
 	pollDueAt Instant
-	// answeredAt is when the worker last answered an order.
-	answeredAt Instant
+	// answeredAt is when the worker last answered an order, heardBeforeSilence when it did so
+	// before it was last not reachable, zero if it always was.
+	answeredAt, heardBeforeSilence Instant
 	// clockMs is the worker's clock in milliseconds, as it was at clockReadAt.
 	clockMs     int64
 	clockReadAt Instant
@@ -126,7 +127,10 @@
 	startInherited bool
 	// carried is set on an attempt of the worker's previous incarnation until a poll
 	// of this one has shown whether a start of it was carried out here.
-	carried      bool
+	carried bool
+	// lapsesAt is when the lease of a carried attempt is over on the previous incarnation, zero if
+	// that is not known.
+	lapsesAt     Instant
 	running      bool
 	runningSince Instant
 	placedAt     Instant
@@ -264,7 +268,7 @@
 	ref := a.ref
 	v.remove(a)
 	e.recordLateStart(v, a, a.running)
-	e.recordLastingEnd(a, waitsAfterLapse)
+	e.recordLastingEnd(v, a, waitsAfterLapse)
 	err := e.propose(workflow.Op{Void: &workflow.Void{Worker: v.worker.ID, Task: ref, Attempt: a.number, Checkpoint: a.checkpoint}})
 	if err != nil {
 		e.log.Error().Err(err).Stringer("task", ref).Msg("attempt not voided")
@@ -345,12 +349,28 @@
 	e.forgetStrays(v.worker.ID, nil)
 }
 
+// voidCarriedLasting voids the carried attempts of lasting tasks on a worker that has not answered
+// since it restarted, once their leases are over on the previous incarnation. This one may carry out
+// only those with an open start.
+func (e *Engine) voidCarriedLasting(v *workerView) {
+	if v.fenced {
+		return // Its first answer decides.
+	}
+	for _, a := range v.attemptList {
+		step := e.step(a.ref)
+		if a.carried && a.lapsesAt != 0 && e.now > a.lapsesAt && step != nil && step.Lasting && e.openStartOf(a.ref, v.worker.Life.Name) == nil {
+			e.void(v, a, "lease_over")
+		}
+	}
+}
+
 // issueDueOrders issues the orders that are due for a worker. It voids the
 // attempts on a worker that is unreachable and whose lease has expired.
 func (e *Engine) issueDueOrders(v *workerView) {
 	if e.now > v.leaseExpiresAt && !e.reachable(v) {
 		e.voidExpired(v)
 	}
+	e.voidCarriedLasting(v)
 	if !v.pollInFlight && !v.refusesToken && e.now >= v.nextPollAt {
 		e.poll(v)
 	}
