dispatch: a carried run that no poll showed may be one of the next incarnation

What callers would see: TWICE, a lasting task runs on a worker that was cut off while it is started elsewhere.

Cause: since a carried attempt is over with the lease of the previous incarnation. The start may have been carried out by the next one before it reported itself, and answered without telling which incarnation answers; its lease is a whole one from then on, up to MaxLease (10 s), while that of the previous one is at most Lease (8 s).

Change: an attempt that no poll showed, which names its incarnation, waits for the lease that the next incarnation may have taken (nextLeaseExpiresAt). Why it works: a polled attempt ran on the previous incarnation, and another start of it is an open start, which keeps it anyway.

--- a/dispatch/incarnations.go
+++ b/dispatch/incarnations.go
@@ -167,8 +167,11 @@
 	for _, a := range v.attemptList {
 		before := previous.attempts[a.ref]
 		a.carried, a.checkpoint, a.lapsesAt = true, before.checkpoint, previous.leaseExpiresAt
-		if before.carried {
+		switch {
+		case before.carried:
 			a.lapsesAt = before.lapsesAt
+		case before.gaugeReadAt == 0: // No poll showed it: the next incarnation may have answered the start.
+			a.lapsesAt = max(a.lapsesAt, previous.nextLeaseExpiresAt)
 		}
 		a.stopWanted = a.stopWanted || !e.canRun(w, a)
 	}
