--- a/dispatch/incarnations.go
+++ b/dispatch/incarnations.go
@@ -168,8 +168,11 @@
 		before := previous.attempts[a.ref]
 		a.carried, a.checkpoint, a.lapsesAt = true, before.checkpoint, previous.leaseExpiresAt
 		a.ranBefore = before.running || before.ranBefore
-		if before.carried {
+		switch {
+		case before.carried:
 			a.lapsesAt = before.lapsesAt
+		case before.gaugeReadAt == 0: // No poll showed it: the next incarnation may have answered the start.
+			a.lapsesAt = max(a.lapsesAt, previous.nextLeaseExpiresAt)
 		}
 		a.stopWanted = a.stopWanted || !e.canRun(w, a)
 	}
