dispatch: tests that nothing is stopped where a reservation or another worker is in time

The review of the reclaim of capacity found two safeguards without a test that fails without them: the patience with a reservation that comes true in time (worthAwaiting) and the first second of a new leader (reclaimWarmUp).

--- a/dispatch/reclaim_test.go
+++ b/dispatch/reclaim_test.go
@@ -242,3 +242,79 @@
 	assert.NotEqual(t, first[0]["worker"], second[0]["worker"])
 	assert.Empty(t, s.violations)
 }
+
+// Guards against short tasks that are stopped although all of them end in time by themselves: the
+// capacity that is kept for the lasting task is whole as soon as stops would make it.
+func TestNothingIsStoppedBesideAReservationThatComesTrueInTime(t *testing.T) {
+	s := newSim(t, 65)
+	s.setCatalog()
+	a := s.addWorker("a", 4)
+	s.run(time.Second)
+	s.submit(1, lastingStep(1, 1500))
+	s.run(10 * time.Second)
+	require.True(t, s.runsLasting())
+	s.addWorker("b", 4)
+	s.run(time.Second)
+	ref := workflow.TaskRef{Job: 1}
+	task := func() *workflow.Task { return s.committed.Job(1).Task(ref) }
+	// No lasting task takes this room before the lease is over.
+	short := step(6)
+	short.EstimatedMs = 15_200
+	s.runTime = func(*simRun) time.Duration { return estimateOf(&short) }
+	s.submit(2, short)
+	s.run(500 * time.Millisecond)
+	require.Len(t, s.workers["b:1"].running, 4)
+	a.crash()
+	require.True(t, s.runUntil(2*s.settings.MaxLease, func() bool { return task().State == workflow.TaskPending }))
+	endedAt := s.now
+	assert.True(t, s.runUntil(returnBound, s.runsLasting), "waits for %v", s.now.Sub(endedAt))
+	assert.Zero(t, s.engine.Counters().StoppedForLasting)
+	assert.Empty(t, s.violations)
+}
+
+// Guards against short tasks that a new leader stops on the first workers that answer it, although
+// another one, which answers a moment later, has the capacity free.
+func TestANewLeaderStopsNothingBeforeItsWorkersHaveAnswered(t *testing.T) {
+	s := newSim(t, 65)
+	s.setCatalog()
+	a := s.addWorker("a", 4)
+	s.run(time.Second)
+	s.submit(1, lastingStep(1, 1500))
+	s.run(10 * time.Second)
+	require.True(t, s.runsLasting())
+	s.addWorker("b", 4)
+	c := s.addWorker("c", 4)
+	s.run(time.Second)
+	ref := workflow.TaskRef{Job: 1}
+	task := func() *workflow.Task { return s.committed.Job(1).Task(ref) }
+	short := step(10)
+	short.EstimatedMs = 14_800
+	s.runTime = func(run *simRun) time.Duration {
+		if run.worker == c {
+			return estimateOf(&short)
+		}
+		return time.Hour
+	}
+	s.submit(2, short)
+	s.run(500 * time.Millisecond)
+	require.Len(t, s.workers["b:1"].running, 4)
+	require.Len(t, c.running, 4)
+	a.crash()
+	require.True(t, s.runUntil(2*s.settings.MaxLease, func() bool { return task().State == workflow.TaskPending }))
+	require.True(t, s.runUntil(returnBound, func() bool { return s.engine.reclaimDue(ref) }))
+	c.partitioned = true
+	require.True(t, s.runUntil(reclaimPatience, func() bool { return len(c.running) == 0 }))
+	require.Zero(t, s.engine.Counters().StoppedForLasting)
+	c.partitioned = false
+	s.takeOver()
+	s.send = func(engine *Engine, order Order) {
+		delay := time.Duration(0)
+		if order.Life.Name == "c" {
+			delay = 600 * time.Millisecond
+		}
+		s.after(delay, func() { s.deliver(engine, order) })
+	}
+	assert.True(t, s.runUntil(returnBound, s.runsLasting))
+	assert.Zero(t, s.engine.Counters().StoppedForLasting)
+	assert.Empty(t, s.violations)
+}
