dispatch: an attempt has ended when no incarnation that may have taken its start can run it

What callers would see: TWICE, for 2 s: a task runs on a worker that was cut off while it is started elsewhere, where leases are shorter than the longest (8 and 10 s).

Cause: a worker restarts under its old name, and its next incarnation answers a start of the previous one and is cut off before it reports itself. The answer names no incarnation, and voidExpired took each answered start for one of the previous incarnation, whose lease ends first. So it took all starts of attempts that an earlier leader placed.

Change: an attempt knows whether its incarnation carried out the start itself: a poll showed the run, which names the incarnation, or the clock in the answer exceeds the time since the last poll that the incarnation answered. If neither, it waits for the lease that the next incarnation may have taken, and if it is not lasting for orders that prolong that one late, too. voidExpired and the restart under the same name use the same rule now.

Why it works: the next incarnation began after the previous one was sent a poll that it answered, and its clock starts anew and runs no faster than time, so that a higher one is that of the previous one. Its lease is bounded by MaxLease from the arrival of an order, which is within the timeout, or within 12 s. The price is small: a worker older than some 3 s tells by its first answer who runs the task, so nothing else waits longer than before, and a task that restarts with its worker before a poll showed it waits for the shorter lease again.

--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -84,6 +84,9 @@
 	if a.ClockMs > 0 {
 		v.clockMs, v.clockReadAt = a.ClockMs, e.now
 	}
+	if a.Order.Verb == Poll && a.Outcome == Done {
+		v.shownAt = max(v.shownAt, a.Order.SentAt)
+	}
 }
 
 // finishCall returns the attempt to which an answer belongs and marks that no
@@ -106,6 +109,7 @@
 	switch answer.Outcome {
 	case Done:
 		a.startAnswered = true
+		a.confirmed = a.confirmed || v.answers(answer.ClockMs, e.now)
 		if !a.running {
 			a.running, a.runningSince, a.missedPolls = true, e.now, 0
 			v.lastStartAt = e.now
@@ -340,7 +344,7 @@
 			e.stopStray(v, r)
 			continue
 		}
-		present[r.Task], a.carried = true, false
+		present[r.Task], a.carried, a.confirmed = true, false, true
 		if !a.running {
 			a.running, a.runningSince = true, e.now
 			v.lastStartAt = e.now
--- a/dispatch/incarnations.go
+++ b/dispatch/incarnations.go
@@ -166,13 +166,10 @@
 	v := e.addView(w)
 	for _, a := range v.attemptList {
 		before := previous.attempts[a.ref]
-		a.carried, a.checkpoint, a.lapsesAt = true, before.checkpoint, previous.leaseExpiresAt
+		a.carried, a.checkpoint, a.lapsesAt = true, before.checkpoint, e.lapsesAt(previous, before)
 		a.ranBefore = before.running || before.ranBefore
-		switch {
-		case before.carried:
+		if before.carried {
 			a.lapsesAt = before.lapsesAt
-		case before.gaugeReadAt == 0: // No poll showed it: the next incarnation may have answered the start.
-			a.lapsesAt = max(a.lapsesAt, previous.nextLeaseExpiresAt)
 		}
 		a.stopWanted = a.stopWanted || !e.canRun(w, a)
 	}
--- a/dispatch/settings.go
+++ b/dispatch/settings.go
@@ -57,6 +57,8 @@
 	// maxClockLag is the fraction by which a worker's clock may run slower than
 	// real time; the platform states 2%.
 	maxClockLag = 0.02
+	// clockStartMargin is by how much a worker's clock may be ahead of the time since its start.
+	clockStartMargin = time.Second
 	// unhealthyQuarantine is how long a worker gets no new work after it refused
 	// a start as unhealthy or for lack of room.
 	unhealthyQuarantine = time.Second
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -31,6 +31,9 @@
 	probeInFlight bool
 	// pollDueAt is when the answer to the poll in flight is due, zero for none.
 	pollDueAt Instant
+	// shownAt is when the latest poll was sent that the incarnation answered itself: later ones
+	// begin after it.
+	shownAt Instant
 	// answeredAt is when the worker last answered an order, heardBeforeSilence when it did so
 	// before it was last not reachable, zero if it always was.
 	answeredAt, heardBeforeSilence Instant
@@ -41,8 +44,9 @@
 	// unless another order renews the lease.
 	leaseExpiresAt Instant
 	// nextLeaseExpiresAt is when a lease has certainly expired that the worker's next
-	// incarnation, not announced yet, took from an order to this one: its clock starts
-	// anew, so that the lease is bounded by MaxLease from the arrival.
+	// incarnation, not announced yet, took from an order to this one that arrived while its
+	// answer was awaited: its clock starts anew, so that the lease is bounded by MaxLease from the
+	// arrival.
 	nextLeaseExpiresAt Instant
 	// lastEndSeen is the number of the last ended attempt whose end was proposed
 	// to the log.
@@ -116,6 +120,9 @@
 	// deliverableStarts counts the unanswered starts for which a connection was made.
 	deliverableStarts int
 	startAnswered     bool
+	// confirmed is set once it is known that this incarnation, and not a later one, carried out a
+	// start.
+	confirmed bool
 	// adopted is set on an attempt of an earlier leader or incarnation, any number of
 	// whose starts may be unanswered.
 	adopted bool
@@ -128,8 +135,8 @@
 	// carried is set on an attempt of the worker's previous incarnation until a poll
 	// of this one has shown whether a start of it was carried out here.
 	carried bool
-	// lapsesAt is when the lease of a carried attempt is over on the previous incarnation, zero if
-	// that is not known.
+	// lapsesAt is when a carried attempt has certainly ended with its lease, unless its open start
+	// is carried out, zero if that is not known.
 	lapsesAt Instant
 	// ranBefore is set on a carried attempt that ran on the previous incarnation.
 	ranBefore    bool
@@ -248,6 +255,14 @@
 // least one if it is adopted. If the attempt runs and no start was answered, one of
 // them has been carried out already.
 func (a *attempt) startsInFlight() int {
+	if a.adopted {
+		return max(a.ownStartsInFlight(), 1)
+	}
+	return a.ownStartsInFlight()
+}
+
+// ownStartsInFlight is startsInFlight without the starts of earlier leaders.
+func (a *attempt) ownStartsInFlight() int {
 	n := a.unansweredStarts
 	if a.startCallInFlight {
 		n++
@@ -255,9 +270,6 @@
 	if a.running && !a.startAnswered && n > 0 {
 		n--
 	}
-	if a.adopted {
-		return max(n, 1)
-	}
 	return n
 }
 
@@ -338,11 +350,32 @@
 	return v.fenced && !v.refusesToken && e.since(v.answeredAt) < staleAfter
 }
 
-// voidExpired voids the attempts on a worker whose lease has expired. Those with a start
-// in flight, which the next incarnation may have carried out, wait for its lease, too.
+// answers reports whether an answer that names no incarnation, but tells the clock, is of this one.
+// Clocks count from the start of an incarnation, no faster than time passes, and the next one began
+// after this one was sent a poll that it answered.
+func (v *workerView) answers(clockMs int64, now Instant) bool {
+	return v.shownAt != 0 && clockMs > (now.Sub(v.shownAt)+clockStartMargin).Milliseconds()
+}
+
+// lapsesAt returns when an attempt on a worker that is not heard of has certainly ended with its
+// lease, also if the worker's next incarnation took its start. Starts without an answer may be carried
+// out later; their open start covers that.
+func (e *Engine) lapsesAt(v *workerView, a *attempt) Instant {
+	answeredByNext := a.startAnswered && !a.confirmed
+	if !answeredByNext && a.ownStartsInFlight() == 0 {
+		return v.leaseExpiresAt
+	}
+	at := max(v.leaseExpiresAt, v.nextLeaseExpiresAt)
+	if step := e.step(a.ref); answeredByNext && step != nil && exclusive(step) {
+		return at.Add(maxOrderDelay) // Late orders prolong the lease of the next incarnation.
+	}
+	return at
+}
+
+// voidExpired voids the attempts on a worker whose leases have expired.
 func (e *Engine) voidExpired(v *workerView) {
 	for _, a := range v.attemptList {
-		if a.adopted || a.startsInFlight() == 0 || e.now > v.nextLeaseExpiresAt {
+		if e.now > e.lapsesAt(v, a) {
 			if c, ok := e.victimOf(v, a); ok {
 				e.recordLoss(v, c)
 			}
@@ -353,8 +386,7 @@
 }
 
 // voidCarriedLasting voids the carried attempts of lasting tasks on a worker that has not answered
-// since it restarted, once their leases are over on the previous incarnation. This one may carry out
-// only those with an open start.
+// since it restarted, once their leases are over. After that, it may run only those with an open start.
 func (e *Engine) voidCarriedLasting(v *workerView) {
 	if v.fenced {
 		return // Its first answer decides.
