consensus: votes count after the candidate asked for pre-votes again

Callers saw: a group without a leader for 17.8 s after its leader was lost while all disks were slow (TestALeaderIsElectedOnSlowDisks, syncs of 700 ms, KNOWN-RED; bound 15 s).

Cause: a candidate waits a quarter to three quarters of the election timeout (150 to 450 ms at first) and then asks for pre-votes again. From then on it ignored the votes of its term, which it had asked for and which the others were still recording (700 ms) or which were on their way (links of 280 ms a call). A term whose majority had voted for it ended without a leader, and the next one began.

Evidence: traces of the core in failing runs.

Votes are kept while the member is a pre-candidate of the same term. They are as good as before: its term, its vote and its log are those for which it asked; a pre-candidate appends nothing, and whatever changes its term or makes it a follower drops them. spec/election.pml, in which a candidate waits for good, has covered late votes all along.

--- a/consensus/core.go
+++ b/consensus/core.go
@@ -91,7 +91,10 @@
 	electionTimeout      int
 	leaderContactElapsed int
 	heartbeatElapsed     int
-	votes                voteTally
+	// votes are those of the election in the current term, nil if this member has not asked for any.
+	// They are kept while it asks for pre-votes again: it still wins if they arrive late. preVotes are
+	// those of a pre-candidate.
+	votes, preVotes voteTally
 	// candidacies counts how often this member has asked for votes since it knew a leader.
 	candidacies int
 	progress    map[MemberID]*progress
@@ -293,7 +296,7 @@
 		c.leader = 0
 	}
 	c.role = role
-	c.votes = nil
+	c.votes, c.preVotes = nil, nil
 	c.progress = nil
 	c.reads = nil
 	c.readRequested = false
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -1,13 +1,13 @@
 package consensus
 
-// voteTally records which members granted their vote in the current election.
+// voteTally records which members granted their vote or pre-vote in the current election.
 type voteTally map[MemberID]bool
 
 // hasWon reports whether a majority of the voters granted their vote.
-func (c *Core) hasWon() bool {
+func (c *Core) hasWon(votes voteTally) bool {
 	granted := 0
 	for _, m := range c.membership().Members {
-		if c.countsTowardQuorum(m) && c.votes[m.ID] {
+		if c.countsTowardQuorum(m) && votes[m.ID] {
 			granted++
 		}
 	}
@@ -46,9 +46,10 @@
 // preCampaign asks whether this member could win an election, without raising
 // the term (Ongaro's dissertation, section 9.6).
 func (c *Core) preCampaign() {
+	votes := c.votes
 	c.changeRole(PreCandidate)
-	c.votes = voteTally{c.id: true}
-	if c.hasWon() {
+	c.votes, c.preVotes = votes, voteTally{c.id: true}
+	if c.hasWon(c.preVotes) {
 		c.campaign(false)
 		return
 	}
@@ -61,7 +62,7 @@
 	c.setTerm(c.term + 1)
 	c.vote = c.id
 	c.votes = voteTally{c.id: true}
-	if c.hasWon() {
+	if c.hasWon(c.votes) {
 		c.becomeLeader()
 		return
 	}
@@ -111,25 +112,18 @@
 }
 
 func (c *Core) handleVoteResponse(m Message) {
-	if !c.isCurrentVoteResponse(m) {
-		return
-	}
-	c.votes[m.From] = !m.Reject
 	switch {
-	case !c.hasWon():
-	case c.role == PreCandidate:
-		c.campaign(false)
-	default:
-		c.becomeLeader()
-	}
-}
-
-// isCurrentVoteResponse reports whether m responds to the current election.
-func (c *Core) isCurrentVoteResponse(m Message) bool {
-	if c.role == PreCandidate {
-		return m.Type == MessagePreVoteResponse && (m.Reject || m.Term == c.term+1)
+	case m.Type == MessageVoteResponse && c.votes != nil:
+		c.votes[m.From] = !m.Reject
+		if c.hasWon(c.votes) {
+			c.becomeLeader()
+		}
+	case m.Type == MessagePreVoteResponse && c.preVotes != nil && (m.Reject || m.Term == c.term+1):
+		c.preVotes[m.From] = !m.Reject
+		if c.hasWon(c.preVotes) {
+			c.campaign(false)
+		}
 	}
-	return c.role == Candidate && m.Type == MessageVoteResponse
 }
 
 // becomeLeader takes the leadership of the current term and appends an entry
