consensus: no pre-vote for another member while an election is under way

Cause: a member that had just voted granted its pre-vote for the next term to any other member, since only contact with a leader kept it from that. On slow disks the candidate needs two syncs to win; meanwhile another member got a quorum of pre-votes from the very members that had voted, or from candidates whose votes were on their way, and its term deposed the leader that the earlier one elected.

The same cycle repeats until the candidates' waits differ by chance.

A vote now counts like contact with a leader for pre-votes: within an election timeout a member helps no other one to begin the next term. The candidate that it voted for still gets its pre-vote, as it asks only after it has given up waiting. Pre-votes change no term and no vote, so nothing in the safety of elections rests on them. Those who have voted wait for an election timeout before they ask for votes themselves, so that a candidate that is lost delays the next election by no more than before. After a start the contact with a leader covers it, which counts from the start.

Tests: TestAMemberThatHasVotedGrantsNoPreVoteToAnotherMember and TestACandidateGrantsNoPreVoteWithinAnElectionTimeout failed before.

--- a/consensus/core.go
+++ b/consensus/core.go
@@ -86,10 +86,12 @@
 	memberships []indexedMembership
 
 	// The elapsed times and the timeout are in ticks. leaderContactElapsed
-	// counts from the last message of a leader, or from the start.
+	// counts from the last message of a leader, or from the start, voteElapsed
+	// from the latest vote; after a start, leaderContactElapsed covers it.
 	electionElapsed      int
 	electionTimeout      int
 	leaderContactElapsed int
+	voteElapsed          int
 	heartbeatElapsed     int
 	// votes are those of the election in the current term, nil if this member has not asked for any.
 	// They are kept while it asks for pre-votes again: it still wins if they arrive late. preVotes are
@@ -134,6 +136,7 @@
 	if err := c.restoreLog(restored); err != nil {
 		return nil, err
 	}
+	c.voteElapsed = c.electionTicks
 	c.resetElectionTimeout()
 	return c, nil
 }
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -17,6 +17,7 @@
 func (c *Core) tickElection() {
 	c.electionElapsed++
 	c.leaderContactElapsed++
+	c.voteElapsed++
 	if c.electionElapsed < c.electionTimeout {
 		return
 	}
@@ -61,6 +62,7 @@
 	c.changeRole(Candidate)
 	c.setTerm(c.term + 1)
 	c.vote = c.id
+	c.voteElapsed = 0
 	c.votes = voteTally{c.id: true}
 	if c.hasWon(c.votes) {
 		c.becomeLeader()
@@ -90,8 +92,15 @@
 	return c.role == Leader || c.leaderContactElapsed < c.electionTicks
 }
 
+// awaitsElection reports whether this member must not help another one to begin the next term: it
+// has voted for itself or for a third one within the election timeout, which may win yet and would be
+// deposed at once.
+func (c *Core) awaitsElection(from MemberID) bool {
+	return c.vote != 0 && c.vote != from && c.voteElapsed < c.electionTicks
+}
+
 func (c *Core) handlePreVote(m Message) {
-	if c.hasRecentLeader() {
+	if c.hasRecentLeader() || c.awaitsElection(m.From) {
 		return
 	}
 	if m.Term > c.term && c.log.isUpToDate(m.Index, m.LogTerm) {
@@ -106,6 +115,7 @@
 	grant := canVote && c.log.isUpToDate(m.Index, m.LogTerm)
 	if grant {
 		c.vote = m.From
+		c.voteElapsed = 0
 		c.electionElapsed = 0
 	}
 	c.send(Message{Type: MessageVoteResponse, To: m.From, Term: c.term, Reject: !grant})
--- a/consensus/election_test.go
+++ b/consensus/election_test.go
@@ -64,3 +64,50 @@
 		})
 	}
 }
+
+// grants reports whether core grants the pre-vote that m asks for.
+func grants(t *testing.T, core *consensus.Core, m consensus.Message) bool {
+	core.Advance(core.Ready())
+	require.NoError(t, core.Step(m))
+	ready := core.Ready()
+	core.Advance(ready)
+	return len(ready.Messages) == 1 && ready.Messages[0].Type == consensus.MessagePreVoteResponse && !ready.Messages[0].Reject
+}
+
+// Guards against a candidate that wins and is deposed at once: those that have just voted for it help
+// another member to begin the next term.
+func TestAMemberThatHasVotedGrantsNoPreVoteToAnotherMember(t *testing.T) {
+	preVote := func(from consensus.MemberID) consensus.Message {
+		return consensus.Message{From: from, To: 1, Type: consensus.MessagePreVote, Term: 3, Index: 1, LogTerm: 1}
+	}
+	core := newVoter(t)
+	require.NoError(t, core.Step(consensus.Message{From: 2, To: 1, Type: consensus.MessageVote, Term: 2, Index: 1, LogTerm: 1}))
+	core.Advance(core.Ready())
+	assert.False(t, grants(t, core, preVote(3)))
+	assert.True(t, grants(t, core, preVote(2)), "the candidate itself has given up waiting")
+	for range consensus.DefaultElectionTicks - 1 {
+		core.Tick()
+	}
+	assert.False(t, grants(t, core, preVote(3)))
+	core.Tick()
+	assert.True(t, grants(t, core, preVote(3)), "the candidate has not won within an election timeout")
+}
+
+// Guards against a candidate that helps another member to begin the next term before its votes can
+// arrive, and against two candidates that wait for each other for good.
+func TestACandidateGrantsNoPreVoteWithinAnElectionTimeout(t *testing.T) {
+	core := newVoter(t)
+	core.Campaign()
+	core.Advance(core.Ready())
+	require.NoError(t, core.Step(consensus.Message{From: 2, To: 1, Type: consensus.MessagePreVoteResponse, Term: 2}))
+	core.Advance(core.Ready())
+	preVote := consensus.Message{From: 3, To: 1, Type: consensus.MessagePreVote, Term: 3, Index: 1, LogTerm: 1}
+	assert.False(t, grants(t, core, preVote))
+	for range consensus.DefaultElectionTicks - 1 {
+		core.Tick()
+	}
+	require.Equal(t, consensus.PreCandidate, core.Status().Role, "it asks for pre-votes meanwhile")
+	assert.False(t, grants(t, core, preVote))
+	core.Tick()
+	assert.True(t, grants(t, core, preVote))
+}
