replica: an answer that comes after half an election timeout counts

Cause: a call to another member was given up after half an election timeout (300 ms of 600 ms), and its answer thrown away with it, though an answer confirms the leader for as long as an election timeout. With 280 ms for a call, up to 18 ms on the links and 6 ms for the member's sync, calls that carry an entry take 286 to 304 ms.

Evidence: trace of a failing run (two traces agree to 5 ms). The members answer at 16.673 to 16.687 s. Of the calls that follow, three of four carry an entry and end unanswered at 16.973 to 16.987 s, with the answers a few ms away; the next ones could be answered from some 17.26 s on. The leader gives up at 17.250 s, 12 ticks after the last answers. 5 of 600 runs failed. Above 290 ms the group had no leader for good: none for up to 8.3 s with 290 ms, for 19.6 of 20 s with 310, 350 and 400 ms.

The sender now leaves a call to itself after half an election timeout and makes the next one; the answer of the first is awaited for an election timeout, after which it would count for nothing. So a lost call holds up the messages that follow for as long as before, and at most two calls to a member are under way. Answers and requests that overtake each other were possible before (calls given up, transfers and votes run beside others) and are what the core is made for. What is slower: a connection on which nothing comes is retired at the end of a call, so after 600 ms instead of 300 ms; a call that is lost is reported to the core as unreachable after 600 ms, but the next message after 300 ms shows what the member lacks.

Test: TestAGroupOnSlowLinksKeepsItsLeader also with 290, 310, 350 and 400 ms, of which each failed before; it allows no new term (before: one).

--- a/replica/sender.go
+++ b/replica/sender.go
@@ -3,14 +3,15 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	"mangohill.example/mangohill/consensus"
 	"mangohill.example/mangohill/storage"
 )
 
-// sender sends messages to one member, one call at a time. Messages that are
-// queued during a call are sent together in the next one. Large entries are transferred beside
-// these calls, so that no heartbeat waits for them.
+// sender sends messages to one member, one call at a time, or two while the first one is not
+// answered. Messages that are queued during a call are sent together in the next one. Large entries
+// are transferred beside these calls, so that no heartbeat waits for them.
 type sender struct {
 	replica  *Replica
 	identity storage.Identity
@@ -100,12 +101,25 @@
 }
 
 // sendBatch sends messages in one call and passes the response, or the failure,
-// to the loop.
+// to the loop. After half an election timeout it leaves the call to itself, so that the next one
+// does not wait for one that is lost. The response is awaited for an election timeout: on slow
+// links or disks it may come only then, and it confirms the leader all the same.
 func (s *sender) sendBatch(ctx context.Context, messages []consensus.Message) {
-	ctx, cancel := context.WithTimeout(ctx, s.replica.options.electionTimeout()/2)
-	defer cancel()
-	answers, err := s.roundTrip(ctx, stepMethod, s.envelope(messages))
-	s.deliverAnswers(answers, err)
+	timeout := s.replica.options.electionTimeout()
+	late := time.NewTimer(timeout / 2)
+	defer late.Stop()
+	ended := make(chan struct{})
+	s.replica.group.Go(func() {
+		defer close(ended)
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		answers, err := s.roundTrip(ctx, stepMethod, s.envelope(messages))
+		s.deliverAnswers(answers, err)
+	})
+	select {
+	case <-ended:
+	case <-late.C:
+	}
 }
 
 func (s *sender) envelope(messages []consensus.Message) envelope {
--- a/replica/slow_disk_test.go
+++ b/replica/slow_disk_test.go
@@ -224,17 +224,17 @@
 	}
 }
 
-// Guards against a group on slow links that changes its leader again and again although the leader
-// acts for a part of the time.
+// Guards against a group on slow links that changes its leader although the leader acts for a part of
+// the time, and against answers that are thrown away because they take longer than half an election timeout.
 func TestAGroupOnSlowLinksKeepsItsLeader(t *testing.T) {
-	for _, delay := range []time.Duration{200, 260, 270, 280} {
+	for _, delay := range []time.Duration{200, 260, 270, 280, 290, 310, 350, 400} {
 		t.Run(fmt.Sprint(int64(delay), "ms"), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				g := startSlowDiskGroup(t)
 				g.delay.Store(int64(delay * time.Millisecond))
 				run := g.propose(t)
 				t.Logf("a leader acts in %.3f of the time, none for up to %v, %d new terms", run.confirmed, run.unconfirmed, run.newTerms)
-				assert.LessOrEqual(t, run.newTerms, uint64(1))
+				assert.Zero(t, run.newTerms)
 				assert.LessOrEqual(t, run.unconfirmed, time.Second)
 			})
 		})
