--- a/consensus/election_test.go
+++ b/consensus/election_test.go
@@ -111,3 +111,23 @@
 	core.Tick()
 	assert.True(t, grants(t, core, preVote))
 }
+
+// Guards against candidates that void each other's terms for good: each asks again before the others
+// have recorded their votes, however long that takes.
+func TestACandidateWaitsLongerEachTime(t *testing.T) {
+	core := newVoter(t)
+	core.Campaign()
+	for try := range uint64(6) {
+		core.Advance(core.Ready())
+		require.NoError(t, core.Step(consensus.Message{From: 2, To: 1, Type: consensus.MessagePreVoteResponse, Term: 2 + try}))
+		require.Equal(t, consensus.Candidate, core.Status().Role)
+		waited := 0
+		for core.Status().Role == consensus.Candidate {
+			core.Advance(core.Ready())
+			core.Tick()
+			waited++
+		}
+		assert.GreaterOrEqual(t, waited, consensus.DefaultElectionTicks<<min(try, 3)/4, "try %d", try)
+		assert.Less(t, waited, 3*consensus.DefaultElectionTicks<<min(try, 3)/4, "try %d", try)
+	}
+}
