--- a/consensus/core.go
+++ b/consensus/core.go
@@ -86,12 +86,17 @@
 	memberships []indexedMembership
 
 	// The elapsed times and the timeout are in ticks. leaderContactElapsed
-	// counts from the last message of a leader, or from the start.
+	// counts from the last message of a leader, or from the start, voteElapsed
+	// from the latest vote; after a start, leaderContactElapsed covers it.
 	electionElapsed      int
 	electionTimeout      int
 	leaderContactElapsed int
+	voteElapsed          int
 	heartbeatElapsed     int
-	votes                voteTally
+	// votes are those of the election in the current term, nil if this member has not asked for any.
+	// They are kept while it asks for pre-votes again: it still wins if they arrive late. preVotes are
+	// those of a pre-candidate.
+	votes, preVotes voteTally
 	// candidacies counts how often this member has asked for votes since it knew a leader.
 	candidacies int
 	progress    map[MemberID]*progress
@@ -131,6 +136,7 @@
 	if err := c.restoreLog(restored); err != nil {
 		return nil, err
 	}
+	c.voteElapsed = c.electionTicks
 	c.resetElectionTimeout()
 	return c, nil
 }
@@ -293,7 +299,7 @@
 		c.leader = 0
 	}
 	c.role = role
-	c.votes = nil
+	c.votes, c.preVotes = nil, nil
 	c.progress = nil
 	c.reads = nil
 	c.readRequested = false
