dispatch: lasting tasks of advised queues get reservations and reclaims

What callers saw: a lasting task of a queue with advice waits without bound beside short tasks while all workers are full: it "is to last and doesn't run".

Cause: a task without a ticket for a worker may not start there, and the advice service was asked only about workers that had room at the moment. Beside full workers nothing was asked, so there was no worker on which capacity could have been kept, and such tasks were left out of those that are owed capacity. Of the same cause: stops for a lasting task that is to be tested looked at no tickets, and took two short tasks from a worker that the service had refused.

Change: they are owed capacity like any other. It is kept and reclaimed only on workers for which the step has a ticket, and the rule of room twice over counts only these. Tickets are renewed where capacity is kept, and one that would run out before stops have taken effect stops nothing. Without an answer nothing is kept or stopped. Still one question at a time; after one ahead, those of steps that find no worker go first. A failed search for a step with advice tells nothing of other steps.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -47,6 +47,8 @@
 type ticket struct {
 	value string
 	until Instant
+	// validFor is the validity at the time of the answer.
+	validFor time.Duration
 }
 
 // stepTickets is what the advice service has answered about a step.
@@ -64,6 +66,8 @@
 	inFlight       bool
 	nextQuestionAt Instant
 	question       *Question
+	// othersFirst is set after a question ahead; see prepareQuestionAhead.
+	othersFirst bool
 }
 
 func newAdvisor() advisor { return advisor{steps: make(map[workflow.StepRef]*stepTickets)} }
@@ -90,10 +94,12 @@
 	if !s.job.Advised {
 		return true
 	}
-	t, ok := e.advisor.ticketsOf(s.ref).tickets[c.view.worker.ID]
-	return ok && t.until > e.now.Add(ticketMargin)
+	return e.advisor.ticketsOf(s.ref).tickets[c.view.worker.ID].usable(e.now)
 }
 
+// usable reports whether the ticket is valid for long enough for a start. The zero ticket is not.
+func (t ticket) usable(now Instant) bool { return t.until > now.Add(ticketMargin) }
+
 // prepareQuestion prepares a question about a step that lacks workers. It names
 // the workers with room for the step that have neither a ticket nor a refusal.
 func (e *Engine) prepareQuestion(p *candidateSet, s *readyStep) {
@@ -104,7 +110,7 @@
 	var names []string
 	for _, c := range p.byService[s.job.Service] {
 		id := c.view.worker.ID
-		if t, ok := known.tickets[id]; known.refused[id] || ok && t.until > e.now.Add(ticketMargin) || !e.fits(c, s) {
+		if known.refused[id] || known.tickets[id].usable(e.now) || !e.fits(c, s) {
 			continue
 		}
 		names = append(names, c.view.worker.Life.Name)
@@ -112,9 +118,13 @@
 			break
 		}
 	}
-	if len(names) == 0 {
-		return
+	if len(names) > 0 {
+		e.ask(s, names)
 	}
+}
+
+// ask prepares a question about the named workers.
+func (e *Engine) ask(s *readyStep, names []string) {
 	e.advisor.inFlight = true
 	answerTime := time.Duration(s.job.AdviceBaseMs+s.job.AdviceEachMs*int64(len(names))) * time.Millisecond
 	e.advisor.question = &Question{Step: s.ref, Workers: names, Timeout: answerTime + adviceQueueTime, Fence: e.term}
@@ -144,7 +154,7 @@
 			continue
 		}
 		if value, ok := a.Tickets[name]; ok {
-			known.tickets[w.ID] = ticket{value: value, until: e.now.Add(valid)}
+			known.tickets[w.ID] = ticket{value: value, until: e.now.Add(valid), validFor: valid}
 		} else {
 			known.refused[w.ID] = true
 		}
--- a/dispatch/lasting_waits.go
+++ b/dispatch/lasting_waits.go
@@ -43,6 +43,9 @@
 	awaySince Instant
 	// overdue is set once the task waits beyond its bound, overdueReported once the log names it.
 	overdue, overdueReported bool
+	// askAt is from when on the advice service may be asked about further workers for the task and
+	// those of its step.
+	askAt Instant
 	// reservation is the one that the latest tick found for the task, nil for none. reservations
 	// counts those that ticks found, reservationsLost those that were given up.
 	reservation                    *lastingReservation
--- a/dispatch/reclaim.go
+++ b/dispatch/reclaim.go
@@ -183,7 +183,7 @@
 	var best reclaimStops
 	slots := 0
 	need := s.step.Resources
-	for _, c := range p.byService[s.job.Service] {
+	for _, c := range e.permitted(p, s, ticket.outlastsStops) {
 		if c.silent || c.refusing || c.view.test != nil {
 			continue
 		}
--- a/dispatch/reclaim_bench_test.go
+++ b/dispatch/reclaim_bench_test.go
@@ -12,11 +12,13 @@
 )
 
 // newOwingEngine returns a leader whose workers are full of 20 short tasks each, with lasting tasks
-// that are due for a reclaim.
-func newOwingEngine(b *testing.B, workers, owed int, maxPerWorker uint32, size func(i int) int64) *Engine {
+// that are due for a reclaim, of an advised queue or another.
+func newOwingEngine(b *testing.B, workers, owed int, maxPerWorker uint32, advised bool, size func(i int) int64) *Engine {
 	e := New(Settings{}, zerolog.Nop(), 1, workflow.NewState(), 1)
 	queue := workflow.Queue{Name: "q", Host: "h", PathPrefix: "/", Service: "s", TimeoutMs: 1000, StretchMilli: 2000, LatencyObjectiveMs: 100_000}
-	if err := e.propose(workflow.Op{SetCatalog: &workflow.SetCatalog{Catalog: workflow.Catalog{Version: 1, Queues: []workflow.Queue{queue}, Services: []workflow.Service{{Name: "s"}}}}}); err != nil {
+	of := queue
+	of.Name, of.PathPrefix, of.Advised = "lasting", "/lasting/", advised
+	if err := e.propose(workflow.Op{SetCatalog: &workflow.SetCatalog{Catalog: workflow.Catalog{Version: 1, Queues: []workflow.Queue{queue, of}, Services: []workflow.Service{{Name: "s"}}}}}); err != nil {
 		b.Fatal(err)
 	}
 	for i := range workers {
@@ -27,12 +29,12 @@
 		v.fenced, v.clockMs, v.pollInFlight, v.answeredAt = true, 1, true, e.now
 	}
 	id := workflow.JobID(0)
-	submit := func(step workflow.Step) {
+	submit := func(queue *workflow.Queue, step workflow.Step) {
 		id++
-		e.submit(&queue, id, &Request{Job: &workflow.JobSpec{Steps: []workflow.Step{step}}}, func(Reply) {})
+		e.submit(queue, id, &Request{Job: &workflow.JobSpec{Steps: []workflow.Step{step}}}, func(Reply) {})
 	}
 	for range workers {
-		submit(workflow.Step{Count: 20, Resources: workflow.Resources{MilliProcessors: 1000, MemoryMB: 1000}, EstimatedMs: 60_000})
+		submit(&queue, workflow.Step{Count: 20, Resources: workflow.Resources{MilliProcessors: 1000, MemoryMB: 1000}, EstimatedMs: 60_000})
 	}
 	flush := func() {
 		for e.TakeBatch() != nil {
@@ -55,7 +57,7 @@
 		}
 	}
 	for i := range owed {
-		submit(workflow.Step{Count: 1, Lasting: true, MaxPerWorker: maxPerWorker, Resources: workflow.Resources{MilliProcessors: size(i), MemoryMB: 100}})
+		submit(&of, workflow.Step{Count: 1, Lasting: true, MaxPerWorker: maxPerWorker, Resources: workflow.Resources{MilliProcessors: size(i), MemoryMB: 100}})
 	}
 	flush()
 	e.Advance(e.now.Add(50*time.Millisecond), e.wallMs+50)
@@ -68,6 +70,7 @@
 	for _, v := range e.sortedViews {
 		v.answeredAt, v.pollInFlight, v.pollDueAt = e.now, true, 0
 	}
+	e.advisor = newAdvisor()
 	if len(e.owedTasks()) != owed {
 		b.Fatal("a lasting task is not owed capacity")
 	}
@@ -89,7 +92,45 @@
 			b.Run(fmt.Sprint(name, "/workers=", workers), func(b *testing.B) {
 				for range b.N {
 					b.StopTimer()
-					e := newOwingEngine(b, workers, 300, c.maxPerWorker, c.size)
+					e := newOwingEngine(b, workers, 300, c.maxPerWorker, false, c.size)
+					p := e.newCandidateSet()
+					b.StartTimer()
+					e.reserveForLasting(p)
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkReclaimAdvised does so for tasks of 300 steps of an advised queue. Of each, the advice
+// service has permitted the first workers and refused the others, or answered nothing yet.
+func BenchmarkReclaimAdvised(b *testing.B) {
+	for name, c := range map[string]struct {
+		answered  bool
+		permitted int
+	}{
+		"all_permitted": {true, 1000},
+		"one_permitted": {true, 1},
+		"all_refused":   {true, 0},
+		"not_asked":     {false, 0},
+	} {
+		for _, workers := range []int{48, 350, 560} {
+			b.Run(fmt.Sprint(name, "/workers=", workers), func(b *testing.B) {
+				for range b.N {
+					b.StopTimer()
+					e := newOwingEngine(b, workers, 300, 0, true, func(int) int64 { return 4000 })
+					for _, s := range e.ready.sorted {
+						known := e.advisor.ticketsOf(s.ref)
+						for i, v := range e.sortedViews {
+							switch {
+							case !s.step.Lasting || !c.answered:
+							case i < c.permitted:
+								known.tickets[v.worker.ID] = ticket{value: "t", until: e.now.Add(time.Minute), validFor: time.Minute}
+							default:
+								known.refused[v.worker.ID] = true
+							}
+						}
+					}
 					p := e.newCandidateSet()
 					b.StartTimer()
 					e.reserveForLasting(p)
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -152,7 +152,7 @@
 func (e *Engine) owedTasks() []owedTask {
 	var owed []owedTask
 	for _, s := range e.ready.sorted {
-		if !s.step.Lasting || !s.job.Active() || s.step.Gang || s.job.Advised || s.job.Spec.DueMs(s.ref.Occurrence) > e.wallMs {
+		if !s.step.Lasting || !s.job.Active() || s.step.Gang || s.job.Spec.DueMs(s.ref.Occurrence) > e.wallMs {
 			continue
 		}
 		for _, i := range s.pending {
@@ -191,6 +191,7 @@
 	}
 	e.reservations.searchedAt = e.now
 	e.reclaimForLasting(p)
+	e.prepareQuestionAhead(p)
 	var failed failedRequests
 	made := 0
 	for _, owed := range e.owedTasks() {
@@ -212,7 +213,7 @@
 // cover reports whether a request that is no larger was among them.
 func (f failedRequests) cover(s *readyStep) bool {
 	return slices.ContainsFunc(f, func(other *readyStep) bool {
-		return other.job.Service == s.job.Service && other.step.MaxPerWorker == 0 && (other.step.Label == "" || other.step.Label == s.step.Label) && other.step.Resources.Fits(s.step.Resources)
+		return other.job.Service == s.job.Service && (!other.job.Advised || other.ref == s.ref) && other.step.MaxPerWorker == 0 && (other.step.Label == "" || other.step.Label == s.step.Label) && other.step.Resources.Fits(s.step.Resources)
 	})
 }
 
@@ -246,7 +247,7 @@
 	var best *candidate
 	var bestAt Instant
 	bestScore := int64(0)
-	for _, c := range p.byService[s.job.Service] {
+	for _, c := range e.permitted(p, s, ticket.usable) {
 		if c.silent || c.refusing || c.view.test != nil || !need.Fits(c.roomBesideLasting(e).Sub(c.keptFor)) || !e.allowsReservation(c, s) {
 			continue
 		}
