dispatch: advice is asked for when tasks of an advised queue are to leave a domain

What callers saw: nothing is lost, but an evacuated domain never becomes empty: lasting and resumable tasks of queues with advice stay in it, although workers elsewhere have room. Operators wait for it without end.

Cause: a task moves only to a worker for which its step has a ticket. Questions were asked for pending tasks only, so once the tickets from the time of the placement have run out, or for workers that came later, there is none.

Change: a task that finds no worker for its move asks like one that waits. A refusal is final, so a task that may run nowhere else asks once and runs on.

--- a/dispatch/moves.go
+++ b/dispatch/moves.go
@@ -121,6 +121,7 @@
 		c := e.rank(p, m.step).best(e)
 		if c == nil {
 			p.recordUnplaceable(m.step, e.failedRecently(m.step))
+			e.prepareQuestion(p, m.step)
 			continue
 		}
 		c.reserve(m.step)
--- a/dispatch/moves_test.go
+++ b/dispatch/moves_test.go
@@ -297,3 +297,39 @@
 	assert.Len(t, s.runs[workflow.TaskRef{Job: 3}], 1, "short tasks were stopped for the wide one")
 	assert.Empty(t, s.violations)
 }
+
+// evacuateAdvised starts lasting tasks of an advised queue in a domain and evacuates it once their
+// tickets have run out. There is room in another domain.
+func evacuateAdvised(t *testing.T, permits func(worker string) bool) (*sim, *simAdviser) {
+	s := newSim(t, 51)
+	a := s.addAdviser(10*time.Second, permits)
+	s.addWorkerIn("a", "a1", 8)
+	s.addWorkerIn("a", "a2", 8)
+	s.run(time.Second)
+	step := lastingStep(6, 1000)
+	step.MaxUnavailable = 2
+	s.submitAdvised(1, step)
+	s.run(2 * time.Second)
+	require.Len(t, s.runsOn(1), 6)
+	s.addWorkerIn("b", "b1", 8)
+	s.run(20 * time.Second)
+	s.evacuate("a")
+	return s, a
+}
+
+// Guards against a domain that never becomes empty: the workers outside have room, and the advice
+// service, which would permit them, is not asked.
+func TestTasksOfAnAdvisedQueueLeaveAnEvacuatedDomain(t *testing.T) {
+	s, _ := evacuateAdvised(t, func(string) bool { return true })
+	assert.True(t, s.runUntil(15*time.Second, func() bool { return s.runningIn("a") == 0 && len(s.runsOn(1)) == 6 }))
+	assert.Empty(t, s.violations)
+}
+
+// Guards against tasks that are stopped although they may run nowhere else, and against questions
+// without an end.
+func TestTasksThatTheAdviceServicePermitsNowhereElseRunOn(t *testing.T) {
+	s, a := evacuateAdvised(t, func(worker string) bool { return worker != "b1" })
+	s.runAndCheck(15*time.Second, func() { require.Equal(t, 6, s.runningIn("a")) })
+	assert.Equal(t, 1, a.asked(1, "b1"))
+	assert.Empty(t, s.violations)
+}
