--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -202,7 +202,7 @@
 	if address == "" {
 		return nil, kind.Errorf(kind.NoQuorum, "no leader is known")
 	}
-	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	ctx, cancel := context.WithTimeout(ctx, call.tryTimeout())
 	defer cancel()
 	defer context.AfterFunc(calls, cancel)()
 	try := *call
@@ -234,6 +234,16 @@
 	return nil, err
 }
 
+// tryTimeout returns the time limit of one try of the call. A large call gets as long as the leader
+// takes part in it: another try would send it whole again. That its leader is lost is learned
+// from the polls.
+func (c *Call) tryTimeout() time.Duration {
+	if c.Large() {
+		return callTimeout
+	}
+	return tryTimeout
+}
+
 // SetSeeds replaces the seed addresses and reports whether they changed.
 func (c *Client) SetSeeds(seeds []string) bool {
 	c.mu.Lock()
--- a/coordinator/messages.go
+++ b/coordinator/messages.go
@@ -51,6 +51,10 @@
 	return c.SetEvacuation != nil || c.Request != nil && c.Request.Verb == dispatch.Submit
 }
 
+// Large reports whether the call or its result holds a catalog, which may have hundreds of
+// kilobytes.
+func (c *Call) Large() bool { return c.SetCatalog != nil || c.ReadCatalog }
+
 // Withdrawal is a worker's report that it shuts down.
 type Withdrawal struct {
 	Name string
--- a/rpcclient/client.go
+++ b/rpcclient/client.go
@@ -4,6 +4,9 @@
 // at the deadline of the context. If nothing at all has come on the connection since the
 // call was sent, the next call dials a new one. The other calls stay on the old one until
 // they end, unless a reply on the new one shows that only the old connection is silent.
+//
+// A large call has a connection of its own: others would wait behind it, and take their
+// connection for silent.
 package rpcclient
 
 import (
@@ -28,14 +31,23 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
-// Client keeps one connection per address. It is safe for concurrent use.
+// Client keeps one connection per address, beside those of the large calls in progress. It is
+// safe for concurrent use.
 type Client struct {
 	dial  func(ctx context.Context, address string) (net.Conn, error)
 	mu    sync.Mutex
 	conns map[string]*connection
 	// retired holds, by address, the connection that the next one will replace.
 	retired map[string]*connection
-	closed  bool
+	// large holds the connections of large calls.
+	large  map[*connection]struct{}
+	closed bool
+}
+
+// Large is implemented by the arguments of methods whose call or reply may be large.
+type Large interface {
+	// Large reports whether the call, or its reply, may be large.
+	Large() bool
 }
 
 // connection is a connection that several calls share. Its fields are guarded by the
@@ -79,7 +91,7 @@
 	if dial == nil {
 		dial = dialTCP
 	}
-	return &Client{dial: dial, conns: make(map[string]*connection), retired: make(map[string]*connection)}
+	return &Client{dial: dial, conns: make(map[string]*connection), retired: make(map[string]*connection), large: make(map[*connection]struct{})}
 }
 
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
@@ -95,11 +107,15 @@
 func (c *Client) Call(ctx context.Context, address, method string, args, reply any) error {
 	ctx, cancel := withDefaultTimeout(ctx)
 	defer cancel()
-	conn, err := c.acquire(ctx, address)
+	acquire, release := c.acquire, c.release
+	if large, ok := args.(Large); ok && large.Large() {
+		acquire, release = c.dialLarge, c.closeLarge
+	}
+	conn, err := acquire(ctx, address)
 	if err != nil {
 		return kind.Errorf(kind.Unreachable, "dial %s for %s: %w", address, method, err)
 	}
-	defer c.release(conn)
+	defer release(conn)
 	sentAt := time.Now()
 	done := make(chan *rpc.Call, 1)
 	go conn.Go(method, args, reply, done) // Go blocks while the send buffer is full.
@@ -144,12 +160,43 @@
 	if conn != nil || err != nil {
 		return conn, err
 	}
+	conn, err = c.connect(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return c.addConnection(address, conn)
+}
+
+func (c *Client) connect(ctx context.Context, address string) (*connection, error) {
 	netConn, err := c.dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
 	heard := &heardConn{Conn: netConn}
-	return c.addConnection(address, &connection{Client: rpc.NewClient(heard), heard: heard})
+	return &connection{Client: rpc.NewClient(heard), heard: heard}, nil
+}
+
+// dialLarge opens the connection of one large call, which ends with closeLarge.
+func (c *Client) dialLarge(ctx context.Context, address string) (*connection, error) {
+	conn, err := c.connect(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		_ = conn.Close() // Nothing was sent on it.
+		return nil, net.ErrClosed
+	}
+	c.large[conn] = struct{}{}
+	return conn, nil
+}
+
+func (c *Client) closeLarge(conn *connection) {
+	c.mu.Lock()
+	delete(c.large, conn)
+	c.mu.Unlock()
+	_ = conn.Close() // An error does not matter: the call is over.
 }
 
 // existing returns the connection to address for one call, nil if there is none.
@@ -243,6 +290,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closed = true
+	for conn := range c.large {
+		_ = conn.Close() // The process is stopping.
+	}
 	for _, conns := range []map[string]*connection{c.conns, c.retired} {
 		for address, conn := range conns {
 			for ; conn != nil; conn = conn.replaced {
