--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -202,7 +202,7 @@
 	if address == "" {
 		return nil, kind.Errorf(kind.NoQuorum, "no leader is known")
 	}
-	ctx, cancel := context.WithTimeout(ctx, call.tryTimeout())
+	ctx, cancel := withTryTimeout(ctx, call)
 	defer cancel()
 	defer context.AfterFunc(calls, cancel)()
 	try := *call
@@ -234,14 +234,13 @@
 	return nil, err
 }
 
-// tryTimeout returns the time limit of one try of the call. A large call gets as long as the leader
-// takes part in it: another try would send it whole again. That its leader is lost is learned
-// from the polls.
-func (c *Call) tryTimeout() time.Duration {
-	if c.Large() {
-		return callTimeout
+// withTryTimeout bounds one try of a call. A large call is bounded by its caller alone: another try
+// would send it whole again. That its leader is lost is learned from the polls.
+func withTryTimeout(ctx context.Context, call *Call) (context.Context, context.CancelFunc) {
+	if call.Large() {
+		return context.WithCancel(ctx)
 	}
-	return tryTimeout
+	return context.WithTimeout(ctx, tryTimeout)
 }
 
 // SetSeeds replaces the seed addresses and reports whether they changed.
