--- a/dispatch/callers.go
+++ b/dispatch/callers.go
@@ -44,7 +44,7 @@
 // HandleRequest decides on a request and calls reply once all that the answer rests on is
 // committed.
 func (e *Engine) HandleRequest(r *Request, reply func(Reply)) {
-	queue, rest, ok := e.state.Catalog().Match(r.Host, r.Path)
+	queue, rest, ok := e.state.MatchQueue(r.Host, r.Path)
 	if e.state.Catalog() == nil {
 		reply(refusal(kind.Overloaded, "there is no configuration yet"))
 		return
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -203,21 +203,20 @@
 }
 
 func (e *Engine) explainedQueue(q *PlacementQuestion) (*workflow.Queue, *kind.Error) {
-	catalog := e.state.Catalog()
-	if catalog == nil {
+	if e.state.Catalog() == nil {
 		return nil, kind.Errorf(kind.Overloaded, "there is no configuration yet")
 	}
 	if q.Queue == "" {
-		if queue, _, ok := catalog.Match(q.Host, q.Path); ok {
+		if queue, _, ok := e.state.MatchQueue(q.Host, q.Path); ok {
 			return queue, nil
 		}
 		return nil, kind.Errorf(kind.UnknownService, "no queue serves %s%s", q.Host, q.Path)
 	}
-	at := slices.IndexFunc(catalog.Queues, func(other workflow.Queue) bool { return other.Name == q.Queue })
-	if at < 0 {
+	queue := e.state.QueueNamed(q.Queue)
+	if queue == nil {
 		return nil, kind.Errorf(kind.NotFound, "queue %q", q.Queue)
 	}
-	return &catalog.Queues[at], nil
+	return queue, nil
 }
 
 // explainedOccurrence returns the first occurrence of a job that is not done.
--- a/dispatch/urgent.go
+++ b/dispatch/urgent.go
@@ -107,19 +107,8 @@
 
 // updatePools creates the pools of the services in the catalog and samples their demand.
 func (e *Engine) updatePools() {
-	catalog := e.state.Catalog()
-	if catalog == nil {
-		return
-	}
-	priorities := make(map[string]int32)
-	for i := range catalog.Queues {
-		q := &catalog.Queues[i]
-		if lowest, known := priorities[q.Service]; !known || q.Priority < lowest {
-			priorities[q.Service] = q.Priority
-		}
-	}
 	sampled := false
-	for service, priority := range priorities {
+	for service, priority := range e.state.ServicePriorities() {
 		p := e.urgentPools[service]
 		if p == nil {
 			p = &urgentPool{}
--- a/workflow/catalog.go
+++ b/workflow/catalog.go
@@ -93,24 +93,6 @@
 	return nil
 }
 
-// Match returns the queue on the host whose path prefix is the longest that
-// matches, and the path after this prefix.
-func (c *Catalog) Match(host, path string) (queue *Queue, rest string, ok bool) {
-	if c == nil {
-		return nil, "", false
-	}
-	for i := range c.Queues {
-		q := &c.Queues[i]
-		if strings.EqualFold(q.Host, host) && strings.HasPrefix(path, q.PathPrefix) && (queue == nil || len(q.PathPrefix) > len(queue.PathPrefix)) {
-			queue = q
-		}
-	}
-	if queue == nil {
-		return nil, "", false
-	}
-	return queue, path[len(queue.PathPrefix):], true
-}
-
 // Service returns the service with the given name.
 func (c *Catalog) Service(name string) (Service, bool) {
 	if c == nil {
--- a/workflow/snapshot.go
+++ b/workflow/snapshot.go
@@ -98,6 +98,7 @@
 	}
 	s := NewState()
 	s.catalog, s.nextWorker, s.nowMs, s.finished, s.departed = in.Catalog, in.NextWorker, in.NowMs, in.Finished, in.Departed
+	s.queues = newQueueIndex(s.catalog)
 	s.openStarts, s.recentPlacements, s.cancelledIDs = newOpenStarts(in.OpenStarts, in.StartAges), in.RecentPlacements, newCancelledIDs(in.CancelledIDs)
 	for _, job := range in.Jobs {
 		if err := job.checkOccurrences(); err != nil {
--- a/workflow/state.go
+++ b/workflow/state.go
@@ -170,7 +170,9 @@
 // View is the state as it can be read. Its methods change nothing.
 type View struct {
 	catalog *Catalog
-	jobs    map[JobID]*Job
+	// queues finds the queues of the catalog.
+	queues *queueIndex
+	jobs   map[JobID]*Job
 	// jobBytes is the sum of Job.estimatedBytes, heldOccurrences the number of occurrences that
 	// take memory of their own.
 	jobBytes        int64
@@ -199,6 +201,7 @@
 // NewState returns the state of a new cluster.
 func NewState() *State {
 	return &State{View{
+		queues:    newQueueIndex(nil),
 		jobs:      make(map[JobID]*Job),
 		workers:   make(map[WorkerID]*Worker),
 		byName:    make(map[string]WorkerID),
@@ -312,7 +315,7 @@
 func (s *State) setCatalog(next *Catalog) error {
 	changes, err := s.CheckCatalog(next)
 	if changes {
-		s.catalog = next
+		s.catalog, s.queues = next, newQueueIndex(next)
 	}
 	return err
 }
@@ -321,7 +324,7 @@
 	if s.jobs[a.ID] != nil {
 		return nil
 	}
-	queue := s.queueNamed(a.Queue)
+	queue := s.QueueNamed(a.Queue)
 	if queue == nil {
 		return kind.Errorf(kind.NotFound, "queue %q does not exist", a.Queue)
 	}
@@ -338,18 +341,6 @@
 	return nil
 }
 
-func (s *State) queueNamed(name string) *Queue {
-	if s.catalog == nil {
-		return nil
-	}
-	for i := range s.catalog.Queues {
-		if s.catalog.Queues[i].Name == name {
-			return &s.catalog.Queues[i]
-		}
-	}
-	return nil
-}
-
 func (s *State) cancel(id JobID) error {
 	job := s.jobs[id]
 	if job == nil {
