--- a/coordinator/limits_test.go
+++ b/coordinator/limits_test.go
@@ -1,7 +1,9 @@
 package coordinator
 
 import (
+	"bytes"
 	"context"
+	"encoding/gob"
 	"fmt"
 	"strings"
 	"sync"
@@ -86,6 +88,21 @@
 	assert.Equal(t, term, c.replica.Status().Term)
 }
 
+// Guards against a read of a large configuration that costs the leader the transmission of all queues:
+// the reader gets the text and needs nothing else.
+func TestAReadOfAConfigurationCarriesItsTextAlone(t *testing.T) {
+	c := startLeader(t)
+	large := catalogOf(2, 4200)
+	require.Nil(t, call(t, c, &Call{SetCatalog: large}).Err)
+	compressed, err := large.Compressed()
+	require.NoError(t, err)
+	result := call(t, c, &Call{ReadCatalog: true})
+	var encoded bytes.Buffer
+	require.NoError(t, gob.NewEncoder(&encoded).Encode(&result))
+	t.Logf("%d bytes, %d of them the text", encoded.Len(), len(compressed.CompressedSource))
+	assert.Less(t, encoded.Len(), len(compressed.CompressedSource)+8<<10)
+}
+
 // Guards against calls of one round that make a batch above the limit of the log.
 func TestManyLargeJobsAtOnceDoNotEndTheLeader(t *testing.T) {
 	const jobs = 500
--- a/coordinator/loop.go
+++ b/coordinator/loop.go
@@ -408,7 +408,7 @@
 	case call.SetCatalog != nil:
 		l.engine.SetCatalog(call.SetCatalog, func(err *kind.Error) { done(Result{Err: err}) })
 	case call.ReadCatalog:
-		l.engine.ReadCatalog(func(c *workflow.Catalog) { done(Result{Catalog: c}) })
+		l.engine.ReadCatalog(func(c *workflow.Catalog) { done(Result{Catalog: c.TextOnly()}) })
 	case call.StartWave != nil:
 		l.engine.StartWave(call.StartWave, func(err *kind.Error) { done(Result{Err: err}) })
 	case call.ReadWave || call.WaveState != 0:
--- a/coordinator/messages.go
+++ b/coordinator/messages.go
@@ -23,7 +23,7 @@
 	Withdraw *Withdrawal
 	// SetCatalog puts a catalog in force.
 	SetCatalog *workflow.Catalog
-	// ReadCatalog asks for the newest catalog.
+	// ReadCatalog asks for the version and the text of the newest catalog.
 	ReadCatalog bool
 	// StartWave starts a maintenance wave.
 	StartWave *workflow.StartWave
--- a/workflow/catalog_text.go
+++ b/workflow/catalog_text.go
@@ -20,6 +20,14 @@
 	return text, nil
 }
 
+// TextOnly returns the version and the text of the catalog, without what the text was decoded to.
+func (c *Catalog) TextOnly() *Catalog {
+	if c == nil {
+		return nil
+	}
+	return &Catalog{Version: c.Version, Source: c.Source, CompressedSource: c.CompressedSource}
+}
+
 // Compressed returns the catalog with its text compressed, unless it is already. The log,
 // the snapshots and the memory of each member hold the text beside the queues that it was
 // decoded to.
