--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -82,7 +82,7 @@
 	}
 	v.answeredAt, v.silentSince, v.lost = e.now, 0, nil
 	if a.ClockMs > 0 {
-		v.clockMs, v.clockReadAt = a.ClockMs, e.now
+		v.clockMs, v.clockReadAt = a.ClockMs, a.readBy(e.now)
 	}
 }
 
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -119,6 +119,14 @@
 	noConnection bool
 }
 
+// readBy returns when the sender had the answer. It may have waited for the leader's loop since.
+func (a *Answer) readBy(now Instant) Instant {
+	if a.ReadAt == 0 {
+		return now
+	}
+	return min(a.ReadAt, now)
+}
+
 // RunningAttempt is an attempt that a worker reports as running.
 type RunningAttempt struct {
 	Task       workflow.TaskRef
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -56,7 +56,11 @@
 	// send replaces deliver if it is set.
 	send func(engine *Engine, order Order)
 	// notSent makes the leader send no orders.
-	notSent bool
+	// loopWait is how long answers wait for the leader's loop after they were read, handledAt when
+	// the latest of them is handled.
+	loopWait  time.Duration
+	handledAt Instant
+	notSent   bool
 	// delay is the time that an order or an answer takes unless it is slow, commitDelay
 	// that of a batch.
 	delay, commitDelay time.Duration
@@ -259,10 +263,20 @@
 func (s *sim) deliver(engine *Engine, order Order) {
 	answered := false
 	reply := func(a Answer) {
-		if !answered && s.engine == engine {
-			answered = true
-			engine.HandleAnswer(&a)
+		if answered {
+			return
 		}
+		answered, a.ReadAt = true, s.now
+		handle := func() {
+			if s.engine == engine {
+				engine.HandleAnswer(&a)
+			}
+		}
+		if s.handledAt = max(s.handledAt, s.now.Add(s.loopWait)); s.handledAt > s.now {
+			s.after(s.handledAt.Sub(s.now), handle)
+			return
+		}
+		handle()
 	}
 	s.after(order.Timeout(), func() { reply(Answer{Order: order}) })
 	if s.notSent {
