--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -199,9 +199,15 @@
 	e.assessHealth(v)
 	e.delayNextPoll(v, answer)
 	// A worker answers a poll at once while it lists unacknowledged ends, so the
-	// next poll waits until these are committed.
+	// next poll waits until these are committed. A commit that takes long must not end
+	// its lease.
+	v.pollInFlight = false
+	due, poll := v.nextPollAt, v.polls
+	v.nextPollAt = max(due, e.now.Add(pollWait))
 	e.afterCommit(func() {
-		v.pollInFlight = false
+		if v.polls == poll {
+			v.nextPollAt = due
+		}
 		e.issueDueOrders(v)
 	})
 }
--- a/dispatch/leaders_test.go
+++ b/dispatch/leaders_test.go
@@ -374,6 +374,7 @@
 	}
 	next.handleOrder(starts[0], func(Answer) {})
 	require.True(t, s.runUntil(200*time.Millisecond, func() bool { return s.engine.views[s.engine.state.WorkerNamed("w1").ID].fenced }))
+	s.awaitCommitBeforePolls("w1")
 	next.partitioned, s.commitDelay, s.send = true, commitDelay, nil
 	s.run(30 * time.Second)
 	assert.Empty(t, s.violations)
--- a/dispatch/open_start_rules_test.go
+++ b/dispatch/open_start_rules_test.go
@@ -126,6 +126,7 @@
 	next.handleOrder(starts[0], func(Answer) {})
 	next.handleOrder(starts[1], func(Answer) {})
 	require.True(t, s.runUntil(200*time.Millisecond, func() bool { return s.engine.views[s.engine.state.WorkerNamed("w1").ID].fenced }))
+	s.awaitCommitBeforePolls("w1")
 	next.partitioned, s.commitDelay = true, commitDelay
 	s.run(30 * time.Second)
 	assert.Empty(t, s.violations)
--- a/dispatch/polls.go
+++ b/dispatch/polls.go
@@ -22,6 +22,7 @@
 
 func (e *Engine) poll(v *workerView) {
 	v.pollInFlight = true
+	v.polls++
 	order := Order{Verb: Poll, Wait: e.longPollWait()}
 	if v.endsListed {
 		order.AckedThrough = v.lastEndAcked
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -246,6 +246,12 @@
 	s.engine = New(s.settings, trace, s.term, state, s.now)
 }
 
+// awaitCommitBeforePolls has the next poll of a worker wait for the batch in flight, however long
+// that takes.
+func (s *sim) awaitCommitBeforePolls(name string) {
+	s.engine.views[s.engine.state.WorkerNamed(name).ID].nextPollAt = s.now.Add(time.Hour)
+}
+
 func (s *sim) violate(format string, args ...any) {
 	s.violations = append(s.violations, fmt.Sprintf("%v: ", time.Duration(s.now))+fmt.Sprintf(format, args...))
 }
--- a/dispatch/slow_loop_test.go
+++ b/dispatch/slow_loop_test.go
@@ -6,6 +6,9 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"mangohill.example/mangohill/kind"
+	"mangohill.example/mangohill/workflow"
 )
 
 // Guards against leases that lapse on all workers of a leader that is behind: answers wait for its
@@ -53,3 +56,39 @@
 		assert.Empty(t, s.violations, "phase %d", phase)
 	}
 }
+
+// Guards against leases that lapse on all workers while one batch is committed slowly, such as one with
+// a large configuration: each poll waited for the commit, although it rested on nothing in it.
+func TestLeasesLastBesideASlowCommit(t *testing.T) {
+	s := newSim(t, 72)
+	s.setCatalog()
+	idle, ending := s.addWorker("w1", 2), s.addWorker("w2", 2)
+	lasting, short := step(2), step(1)
+	lasting.Lasting, lasting.MaxPerWorker = true, 1
+	s.submit(1, lasting)
+	s.submit(2, short)
+	s.run(20 * time.Millisecond)
+	s.commitDelay = 20 * time.Second
+	s.engine.SetCatalog(&workflow.Catalog{Version: 2, Services: []workflow.Service{{Name: "pool"}}}, func(*kind.Error) {})
+	orders := 0
+	inner := s.send
+	s.send = func(engine *Engine, order Order) {
+		orders++
+		if inner != nil {
+			inner(engine, order)
+			return
+		}
+		s.deliver(engine, order)
+	}
+	s.run(18 * time.Second)
+	for _, w := range []*simWorker{idle, ending} {
+		assert.Zero(t, w.leaseExpiredAt, w.life.Name)
+		assert.NotEmpty(t, w.running, w.life.Name)
+	}
+	t.Logf("%d orders in 18 s", orders)
+	assert.Less(t, orders, 100, "a worker that lists an end answers at once")
+	s.commitDelay = commitDelay
+	s.run(10 * time.Second)
+	assert.Zero(t, s.engine.counters.Lapsed)
+	assert.Empty(t, s.violations)
+}
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -19,9 +19,9 @@
 	reachedAt Instant
 	// refusesToken is set once the worker has refused the fencing token of this term.
 	refusesToken bool
-	// pollInFlight is set while no further poll may be sent: from a poll until
-	// the ends in its answer are committed.
+	// pollInFlight is set from a poll to its answer, polls counts them.
 	pollInFlight bool
+	polls        uint64
 	// endsListed is set if the incarnation answered the latest poll and listed ends. If
 	// not, there is nothing to acknowledge, and the next poll may reach its successor,
 	// whose ends have the same numbers.
