--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -119,12 +119,13 @@
 	noConnection bool
 }
 
-// readBy returns when the sender had the answer. It may have waited for the leader's loop since.
+// readBy returns when the sender had the answer, never earlier. The answer may have waited for the
+// leader's loop since.
 func (a *Answer) readBy(now Instant) Instant {
 	if a.ReadAt == 0 {
 		return now
 	}
-	return min(a.ReadAt, now)
+	return a.ReadAt
 }
 
 // RunningAttempt is an attempt that a worker reports as running.
