--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -48,6 +48,8 @@
 	members         []string
 	// confirmedAt is the sending time of the newest poll that a serving leader answered.
 	confirmedAt time.Time
+	// heardLeaderAt is when the latest answer of a serving leader to a poll came.
+	heardLeaderAt time.Time
 	// leaderClockAhead is by how much the leader's clock is ahead of that of this process, as of
 	// the newest poll, nil while it is not known. It is too large by at most the time of the poll.
 	leaderClockAhead *time.Duration
@@ -73,12 +75,17 @@
 	Local   *Coordinator
 	Address string
 	Logger  zerolog.Logger
+	// Now replaces the clock, CLOCK_BOOTTIME, in tests.
+	Now func() time.Time
 }
 
 // NewClient returns a client that knows no leader yet. Run must be started to find
 // one and to follow its changes.
 func NewClient(options ClientOptions) *Client {
-	c := &Client{options: options, leaderlessSince: boottime.Now(), suspected: make(chan struct{}, 1)}
+	if options.Now == nil {
+		options.Now = boottime.Now
+	}
+	c := &Client{options: options, leaderlessSince: options.Now(), suspected: make(chan struct{}, 1)}
 	c.callsCtx, c.cancelCalls = context.WithCancel(context.Background())
 	return c
 }
@@ -88,13 +95,13 @@
 func (c *Client) ConfirmedWithin(within time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return boottime.Now().Sub(c.confirmedAt) < within
+	return c.options.Now().Sub(c.confirmedAt) < within
 }
 
 // StoodStill reports whether a request that is read now may be older than it seems: because the
 // process stood still for at least the given time, no less than a second, until just now.
 func (c *Client) StoodStill(atLeast time.Duration) bool {
-	return c.standstill.within(boottime.Now(), atLeast)
+	return c.standstill.within(c.options.Now(), atLeast)
 }
 
 // Leader returns the leader's address, empty if none is known.
@@ -108,7 +115,7 @@
 // c.mu.
 func (c *Client) setLeader(leader string) {
 	if leader == "" && c.leader != "" {
-		c.leaderlessSince = boottime.Now()
+		c.leaderlessSince = c.options.Now()
 	}
 	c.leader, c.leaderClockAhead = leader, nil
 	if leader == "" || leader == c.calledLeader {
@@ -128,7 +135,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.leader != "" {
-		c.options.Logger.Info().Str("leader", c.leader).Int("answered", answered).Dur("unconfirmed", boottime.Now().Sub(c.confirmedAt)).Msg("leader lost")
+		c.options.Logger.Info().Str("leader", c.leader).Int("answered", answered).Dur("unconfirmed", c.options.Now().Sub(c.confirmedAt)).Msg("leader lost")
 		c.setLeader("")
 	}
 }
@@ -146,7 +153,7 @@
 func (c *Client) leaderless() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.leader == "" && boottime.Now().Sub(c.leaderlessSince) > electionGracePeriod
+	return c.leader == "" && c.options.Now().Sub(c.leaderlessSince) > electionGracePeriod
 }
 
 // Do calls the leader, with retries, until it answers, ctx ends or the group is
--- a/coordinator/leader_search.go
+++ b/coordinator/leader_search.go
@@ -4,15 +4,13 @@
 	"context"
 	"slices"
 	"time"
-
-	"mangohill.example/mangohill/internal/boottime"
 )
 
 // Run polls the group until ctx ends. Only polls decide that a leader is lost: a call
 // may also fail for a reason of its own.
 func (c *Client) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		c.standstill.round(boottime.Now())
+		c.standstill.round(c.options.Now())
 		leader := c.Leader()
 		if leader != "" && c.pollLeader(ctx, leader) {
 			c.wait(ctx, pollInterval)
@@ -82,12 +80,22 @@
 		}
 	}
 	if newest == nil {
-		c.loseLeader(len(views))
+		if len(views) > 0 || !c.heardLeaderWithin(pollInterval+pollTimeout) {
+			c.loseLeader(len(views))
+		} // Otherwise the members, or this process, are slow to answer.
 		return
 	}
 	c.applyView(newest)
 }
 
+// heardLeaderWithin reports whether the leader has answered a poll within the given time, however
+// long ago that was sent.
+func (c *Client) heardLeaderWithin(within time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leader != "" && c.options.Now().Sub(c.heardLeaderAt) < within
+}
+
 // supersedes reports whether the view is newer than another one that names a leader, or
 // as new and that of the leader itself.
 func (v *view) supersedes(other *view) bool {
@@ -149,7 +157,7 @@
 
 // poll asks one member for its view of the group.
 func (c *Client) poll(ctx context.Context, address string) (*view, error) {
-	answer := &view{address: address, sentAt: boottime.Now()}
+	answer := &view{address: address, sentAt: c.options.Now()}
 	if c.isLocal(address) {
 		answer.reply = c.options.Local.Members()
 		return answer, nil
@@ -157,19 +165,47 @@
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	reply := new(MembersReply)
-	if err := c.options.Caller.Call(ctx, address, membersMethod, &MembersArgs{}, reply); err != nil {
+	if err := c.callMember(ctx, address, reply, func() { c.applyLateView(&view{address, answer.sentAt, *reply}) }); err != nil {
 		return nil, err
 	}
 	answer.reply = *reply
 	return answer, nil
 }
 
+// lateCaller is a controlapi.Caller that can wait for the reply of a call beyond its deadline.
+type lateCaller interface {
+	CallLate(ctx context.Context, address, method string, args, reply any, within time.Duration, late func()) error
+}
+
+// callMember asks a member for its view. late is called if it answers after the deadline of ctx, and
+// not too late for a leader to be known by it.
+func (c *Client) callMember(ctx context.Context, address string, reply *MembersReply, late func()) error {
+	if caller, ok := c.options.Caller.(lateCaller); ok {
+		return caller.CallLate(ctx, address, membersMethod, &MembersArgs{}, reply, electionGracePeriod-pollTimeout, late)
+	}
+	return c.options.Caller.Call(ctx, address, membersMethod, &MembersArgs{}, reply)
+}
+
+// applyLateView applies the answer of a leader that came after its poll was given up: a leader that is
+// slow to answer leads all the same. Of other members, later polls tell.
+func (c *Client) applyLateView(answer *view) {
+	c.mu.Lock()
+	isLate := answer.reply.Term < c.term || answer.reply.Leader != answer.address
+	c.mu.Unlock()
+	if !isLate && answer.reply.HasCatalog {
+		c.applyView(answer)
+	}
+}
+
 // applyView updates the known leader and members from the view of one member. While a
 // leader is known, a view of an older term changes neither unless the leader sent it.
 func (c *Client) applyView(answer *view) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	reply := &answer.reply
+	if reply.HasCatalog && reply.Leader == answer.address {
+		c.heardLeaderAt = c.options.Now()
+	}
 	if reply.HasCatalog && answer.sentAt.After(c.confirmedAt) {
 		c.confirmedAt = answer.sentAt
 	}
--- a/coordinator/slow_configuration_test.go
+++ b/coordinator/slow_configuration_test.go
@@ -100,7 +100,7 @@
 				go server.ServeConn(far)
 				return newSlowConn(near, takes/bytes, &carried), nil
 			}})
-			c := NewClient(ClientOptions{Seeds: []string{"a:1"}, Caller: caller, Logger: zerolog.Nop()})
+			c := NewClient(ClientOptions{Seeds: []string{"a:1"}, Caller: caller, Logger: zerolog.Nop(), Now: time.Now})
 			ctx, cancel := context.WithCancel(t.Context())
 			defer func() {
 				cancel()
--- a/rpcclient/client.go
+++ b/rpcclient/client.go
@@ -105,6 +105,16 @@
 // After an error the call may still be in progress: args must not be changed and reply
 // must not be used.
 func (c *Client) Call(ctx context.Context, address, method string, args, reply any) error {
+	return c.call(ctx, address, method, args, reply, 0, nil)
+}
+
+// CallLate is Call, but a reply that comes after ctx has ended, and within a time after that, is not
+// lost: late is called in another goroutine once reply holds it.
+func (c *Client) CallLate(ctx context.Context, address, method string, args, reply any, within time.Duration, late func()) error {
+	return c.call(ctx, address, method, args, reply, within, late)
+}
+
+func (c *Client) call(ctx context.Context, address, method string, args, reply any, within time.Duration, late func()) error {
 	ctx, cancel := withDefaultTimeout(ctx)
 	defer cancel()
 	acquire, release := c.acquire, c.release
@@ -115,19 +125,35 @@
 	if err != nil {
 		return kind.Errorf(kind.Unreachable, "dial %s for %s: %w", address, method, err)
 	}
-	defer release(conn)
 	sentAt := time.Now()
 	done := make(chan *rpc.Call, 1)
 	go conn.Go(method, args, reply, done) // Go blocks while the send buffer is full.
 	select {
 	case call := <-done:
+		defer release(conn)
 		return c.callError(address, method, conn, call.Error)
 	case <-ctx.Done():
-		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			c.retireIfSilent(address, conn, sentAt)
-		}
-		return kind.Errorf(kind.UnknownOutcome, "%s at %s: %w", method, address, ctx.Err())
 	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		c.retireIfSilent(address, conn, sentAt)
+	}
+	if late == nil {
+		release(conn)
+	} else {
+		go func() {
+			defer release(conn)
+			timer := time.NewTimer(within)
+			defer timer.Stop()
+			select {
+			case call := <-done:
+				if c.callError(address, method, conn, call.Error) == nil {
+					late()
+				}
+			case <-timer.C:
+			}
+		}()
+	}
+	return kind.Errorf(kind.UnknownOutcome, "%s at %s: %w", method, address, ctx.Err())
 }
 
 func withDefaultTimeout(ctx context.Context) (context.Context, context.CancelFunc) {
