--- a/coordinator/slow_link_test.go
+++ b/coordinator/slow_link_test.go
@@ -52,7 +52,7 @@
 func TestALargeConfigurationIsNotCancelledByItsOwnTransmission(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		link := &slowLink{catalogTime: tryTimeout - minTryTime/2}
-		c := NewClient(ClientOptions{Seeds: []string{"a:1", "b:1"}, Caller: link, Logger: zerolog.Nop()})
+		c := NewClient(ClientOptions{Seeds: []string{"a:1", "b:1"}, Caller: link, Logger: zerolog.Nop(), Now: time.Now})
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		go c.Run(ctx)
