--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -82,7 +82,7 @@
 	}
 	v.answeredAt, v.silentSince, v.lost = e.now, 0, nil
 	if a.ClockMs > 0 {
-		v.clockMs, v.clockReadAt = a.ClockMs, e.now
+		v.clockMs, v.clockReadAt = a.ClockMs, a.readBy(e.now)
 	}
 	if a.Order.Verb == Poll && a.Outcome == Done {
 		v.shownAt = max(v.shownAt, a.Order.SentAt)
@@ -203,9 +203,15 @@
 	e.assessHealth(v)
 	e.delayNextPoll(v, answer)
 	// A worker answers a poll at once while it lists unacknowledged ends, so the
-	// next poll waits until these are committed.
+	// next poll waits until these are committed. A commit that takes long must not end
+	// its lease.
+	v.pollInFlight = false
+	due, poll := v.nextPollAt, v.polls
+	v.nextPollAt = max(due, e.now.Add(pollWait))
 	e.afterCommit(func() {
-		v.pollInFlight = false
+		if v.polls == poll {
+			v.nextPollAt = due
+		}
 		e.issueDueOrders(v)
 	})
 }
