consensus: a former leader helps the next election at once

What callers would see: after a leader has given up, up to an election timeout more without a leader.

Cause: a vote keeps a member from helping another one for an election timeout, counted in ticks that stand still while it leads.

--- a/consensus/core.go
+++ b/consensus/core.go
@@ -295,7 +295,7 @@
 // one.
 func (c *Core) changeRole(role Role) {
 	if c.role == Leader {
-		c.leaderContactElapsed = c.electionTicks
+		c.leaderContactElapsed, c.voteElapsed = c.electionTicks, c.electionTicks
 		c.leader = 0
 	}
 	c.role = role
--- a/consensus/election_test.go
+++ b/consensus/election_test.go
@@ -131,3 +131,25 @@
 		assert.Less(t, waited, 3*consensus.DefaultElectionTicks<<min(try, 3)/4, "try %d", try)
 	}
 }
+
+// Guards against a group that waits for an election timeout longer because a former leader refuses its
+// pre-vote on account of the votes of an election that is long over.
+func TestAFormerLeaderGrantsItsPreVoteAtOnce(t *testing.T) {
+	core := newVoter(t)
+	core.Campaign()
+	core.Advance(core.Ready())
+	require.NoError(t, core.Step(consensus.Message{From: 2, To: 1, Type: consensus.MessagePreVoteResponse, Term: 2}))
+	core.Advance(core.Ready())
+	require.NoError(t, core.Step(consensus.Message{From: 2, To: 1, Type: consensus.MessageVoteResponse, Term: 2}))
+	require.Equal(t, consensus.Leader, core.Status().Role)
+	for range 100 * consensus.DefaultElectionTicks {
+		core.Advance(core.Ready())
+		if core.Tick(); core.Status().Role != consensus.Leader {
+			break
+		}
+	}
+	require.Equal(t, consensus.Follower, core.Status().Role, "no quorum answers")
+	last := core.Status().LastIndex
+	assert.True(t, grants(t, core, consensus.Message{From: 3, To: 1, Type: consensus.MessagePreVote, Term: 3, Index: last, LogTerm: 2}))
+}
+
