--- a/dispatch/carried_lease_test.go
+++ b/dispatch/carried_lease_test.go
@@ -141,3 +141,109 @@
 func TestARunThatAPollShowedEndsWithTheLeaseOfItsIncarnation(t *testing.T) {
 	requireNoWaitForOtherLeases(t, 500*time.Millisecond, 2*time.Second)
 }
+
+// Guards against a task that runs twice: the next incarnation answers a start to an earlier leader, and a
+// late poll of that leader prolongs the lease of its run beyond the one that the later leader waits for.
+func TestALatePollOfAnEarlierLeaderProlongsARunOfTheNextIncarnation(t *testing.T) {
+	for _, after := range []time.Duration{1, 3, 5, 7} {
+		t.Run((after * time.Second).String(), func(t *testing.T) {
+			var poll Order
+			s, next := startOnTheNextLife(t, stepsToTakeOver["long"], func(_ *sim, order Order) bool {
+				if order.Verb == Poll {
+					poll = order
+				}
+				return order.Verb == Poll
+			})
+			c := s.addWorker("c", 4)
+			s.run(after * time.Second)
+			s.submit(2, stepsToTakeOver["long"])
+			require.True(t, s.runUntil(time.Second, func() bool { return len(c.running) == 1 }))
+			s.takeOver()
+			s.run(poll.SentAt.Add(maxOrderDelay - time.Second).Sub(s.now))
+			next.handleOrder(poll, func(Answer) {})
+			s.run(5 * time.Second)
+			require.Len(t, next.running, 1)
+			s.run(40 * time.Second)
+			require.Empty(t, next.running)
+			require.Len(t, s.runs[workflow.TaskRef{Job: 1}], 1, "the task runs elsewhere in the end")
+			require.Empty(t, s.violations)
+		})
+	}
+}
+
+// Guards against a task that runs twice: an order may leave as late as its answer would be awaited, and be
+// carried out as long after that.
+func TestAStartThatLeavesLateIsOnTheNextIncarnation(t *testing.T) {
+	for name, step := range stepsToTakeOver {
+		t.Run(name, func(t *testing.T) {
+			s := newSim(t, 65)
+			s.setCatalog()
+			a := s.addWorker("a", 4)
+			s.run(time.Minute)
+			var next *simWorker
+			s.send = func(engine *Engine, order Order) {
+				switch {
+				case order.Verb != Start || next != nil:
+					s.deliver(engine, order)
+				default:
+					a.crash()
+					next = s.startUnreported("a", a)
+					next.mute = true
+					s.after(2*order.Timeout()-50*time.Millisecond, func() {
+						next.handleOrder(order, func(answer Answer) { s.after(networkDelay, func() { engine.HandleAnswer(&answer) }) })
+						next.partitioned = true
+					})
+				}
+			}
+			s.run(pollWait + 500*time.Millisecond)
+			s.submit(1, step)
+			require.True(t, s.runUntil(5*time.Second, func() bool { return next != nil && len(next.running) == 1 }))
+			requireOneRun(t, s, next)
+		})
+	}
+}
+
+// Guards against a task that runs twice: the clock of a next incarnation that has run for a while without
+// a report is taken for that of the previous one. handledLate is how long the latest answer of the previous
+// one, after which it crashes, waits for the loop.
+func TestTheClockOfAnIncarnationThatIsNotReportedYetConfirmsNoRun(t *testing.T) {
+	for _, handledLate := range []time.Duration{0, 1500 * time.Millisecond} {
+		for name, step := range stepsToTakeOver {
+			t.Run(name+" "+handledLate.String(), func(t *testing.T) {
+				s := newSim(t, 65)
+				s.setCatalog()
+				a := s.addWorker("a", 4)
+				s.run(time.Minute)
+				var next *simWorker
+				started, handled := false, false
+				s.send = func(engine *Engine, order Order) {
+					switch {
+					case started:
+						s.deliver(engine, order)
+					case order.Verb == Start:
+						started = true
+						next.handleOrder(order, func(answer Answer) { s.after(networkDelay, func() { engine.HandleAnswer(&answer) }) })
+					case next == nil:
+						a.handleOrder(order, func(answer Answer) {
+							a.crash()
+							next = s.startUnreported("a", a)
+							s.after(handledLate, func() {
+								handled = true
+								engine.HandleAnswer(&answer)
+							})
+						})
+					}
+				}
+				require.True(t, s.runUntil(10*time.Second, func() bool { return handled }))
+				if handledLate == 0 {
+					s.run(1100 * time.Millisecond)
+				}
+				s.submit(1, step)
+				require.True(t, s.runUntil(time.Second, func() bool { return started }))
+				require.Len(t, next.running, 1)
+				next.partitioned = true
+				requireOneRun(t, s, next)
+			})
+		}
+	}
+}
