replica: a test of large commands counts how long calls take

TestACommandOfTwoPartsDelaysNoHeartbeat saw a call that holds up the next one by its being given up after half an election timeout. It now also states the time itself: no call takes longer than half an election timeout.

--- a/replica/overlap_test.go
+++ b/replica/overlap_test.go
@@ -186,8 +186,8 @@
 }
 
 // Guards against a leader that loses its quorum to a command of 60 KiB: heartbeats wait
-// for its call, which is given up and repeated. A part to each of four members takes 0.4 election
-// timeouts on the link that they share, and a call is given up after 0.5.
+// for its call, and then share the link with it. A part to each of four members takes 0.4 election
+// timeouts on the link that they share, and a call holds up the next one for 0.5 at most.
 func TestACommandOfTwoPartsDelaysNoHeartbeat(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		timeout := DefaultTick * DefaultElectionTicks
@@ -202,6 +202,7 @@
 			freeAt = freeAt.Add(time.Duration(len(packet.B)) * perByte)
 			wait := time.Until(freeAt)
 			mu.Unlock()
+			assert.LessOrEqual(t, wait, timeout/2, "a call holds up the next one")
 			select {
 			case <-time.After(wait):
 				return nil, nil
