--- a/consensus/election_test.go
+++ b/consensus/election_test.go
@@ -152,4 +152,3 @@
 	last := core.Status().LastIndex
 	assert.True(t, grants(t, core, consensus.Message{From: 3, To: 1, Type: consensus.MessagePreVote, Term: 3, Index: last, LogTerm: 2}))
 }
-
