dispatch: the wait of polls for a commit has a function of its own

The polls after a slow commit and the end of a lease read badly (review): pollAfterCommit says what waits and why, and leaseOverAt no longer has the name of a field. No statement changes.

--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -203,18 +203,7 @@
 	e.applyReadings(v, forOverrun)
 	e.assessHealth(v)
 	e.delayNextPoll(v, answer)
-	// A worker answers a poll at once while it lists unacknowledged ends, so the
-	// next poll waits until these are committed. A commit that takes long must not end
-	// its lease.
-	v.pollInFlight = false
-	due, poll := v.nextPollAt, v.polls
-	v.nextPollAt = max(due, e.now.Add(pollWait))
-	e.afterCommit(func() {
-		if v.polls == poll {
-			v.nextPollAt = due
-		}
-		e.issueDueOrders(v)
-	})
+	e.pollAfterCommit(v)
 }
 
 // recordEnds records the ended attempts that were not recorded before, and
--- a/dispatch/incarnations.go
+++ b/dispatch/incarnations.go
@@ -166,7 +166,7 @@
 	v := e.addView(w)
 	for _, a := range v.attemptList {
 		before := previous.attempts[a.ref]
-		a.carried, a.checkpoint, a.lapsesAt = true, before.checkpoint, e.lapsesAt(previous, before)
+		a.carried, a.checkpoint, a.lapsesAt = true, before.checkpoint, e.leaseOverAt(previous, before)
 		a.ranBefore = before.running || before.ranBefore
 		if before.carried {
 			a.lapsesAt = before.lapsesAt
--- a/dispatch/polls.go
+++ b/dispatch/polls.go
@@ -63,3 +63,18 @@
 	e.departed = nil
 	return departed
 }
+
+// pollAfterCommit lets the next poll wait until what the worker has listed is committed: it answers
+// at once while it lists unacknowledged ends. A commit that takes longer than pollWait must not end its
+// lease, though.
+func (e *Engine) pollAfterCommit(v *workerView) {
+	dueAt, answered := v.nextPollAt, v.polls
+	v.pollInFlight = false
+	v.nextPollAt = max(dueAt, e.now.Add(pollWait))
+	e.afterCommit(func() {
+		if v.polls == answered { // No further poll was sent meanwhile.
+			v.nextPollAt = dueAt
+		}
+		e.issueDueOrders(v)
+	})
+}
--- a/dispatch/worker_leases.go
+++ b/dispatch/worker_leases.go
@@ -24,10 +24,10 @@
 	return v.shownAt != 0 && clockMs > (now.Sub(v.shownAt)+clockStartMargin).Milliseconds()
 }
 
-// lapsesAt returns when an attempt on a worker that is not heard of has certainly ended with its
+// leaseOverAt returns when an attempt on a worker that is not heard of has certainly ended with its
 // lease, also if the worker's next incarnation took its start. Starts without an answer may be carried
 // out later; their open start covers that.
-func (e *Engine) lapsesAt(v *workerView, a *attempt) Instant {
+func (e *Engine) leaseOverAt(v *workerView, a *attempt) Instant {
 	answeredByNext := a.startAnswered && !a.confirmed
 	if !answeredByNext && a.ownStartsInFlight() == 0 {
 		return v.leaseExpiresAt
@@ -42,7 +42,7 @@
 // voidExpired voids the attempts on a worker whose leases have expired.
 func (e *Engine) voidExpired(v *workerView) {
 	for _, a := range v.attemptList {
-		if e.now > e.lapsesAt(v, a) {
+		if e.now > e.leaseOverAt(v, a) {
 			if c, ok := e.victimOf(v, a); ok {
 				e.recordLoss(v, c)
 			}
