coordinator, dispatch: comments: when a leader is lost, and no note on how a value was chosen

A comment behind a closing brace said what the other branch means, and that of search no longer held since; workersPerPreemption told which values had been compared, which docs/design/urgent-room.md does.

--- a/coordinator/leader_search.go
+++ b/coordinator/leader_search.go
@@ -70,7 +70,7 @@
 }
 
 // search polls all known members. It follows the leader of the highest term that a member
-// names. A leader that no member names is lost.
+// names. A leader that none of those that answer names is lost.
 func (c *Client) search(ctx context.Context) {
 	views := c.pollAll(ctx)
 	var newest *view
@@ -80,9 +80,10 @@
 		}
 	}
 	if newest == nil {
+		// Without any answer, the members or this process may be slow only.
 		if len(views) > 0 || !c.heardLeaderWithin(pollInterval+pollTimeout) {
 			c.loseLeader(len(views))
-		} // Otherwise the members, or this process, are slow to answer.
+		}
 		return
 	}
 	c.applyView(newest)
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -21,9 +21,8 @@
 	// decision looks at all lasting tasks.
 	minPreemptionInterval       = 50 * time.Millisecond
 	preemptionIntervalPerWorker = 100 * time.Microsecond
-	// workersPerPreemption times the preemptions in a preemptionPeriod are at most the
-	// workers. Twice and half as many gain less for urgent jobs than they cost lasting ones,
-	// by the values of both kinds of work; see docs/design/urgent-room.md.
+	// workersPerPreemption times the preemptions in a preemptionPeriod are at most the workers; see
+	// docs/design/urgent-room.md.
 	workersPerPreemption = 10
 	minPreemptions       = 3
 	// waitingPart of them is left for urgent tasks that wait, when preemptions for those to
